--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+LINTER_VERSION := v2.15.0
+MODULES := fleet router dragonflyctl standin
+PROGRAMS := router dragonflyctl standin
+export PATH := $(PATH):$(shell go env GOPATH)/bin
+
+.PHONY: build test lint format tools bench demo capacity fuzz
+
+build: ## compiles the three programs into bin/
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+
+test: ## runs every test with the race detector
+	.ci/test
+
+lint: ## runs the formatter's check and the linter on every module
+	@for m in $(MODULES); do (cd $$m && golangci-lint run ./...) || exit 1; done
+
+format: ## formats every module
+	@for m in $(MODULES); do (cd $$m && golangci-lint fmt ./...) || exit 1; done
+
+tools: ## installs the linter unless its version is there
+	@golangci-lint version 2>/dev/null | grep -qF "$(LINTER_VERSION:v%=%)" || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
+
+bench: ## prints the benchmarks of every module
+	go test -run '^$$' -bench . -benchmem ./fleet/... ./router/...
--- /dev/null
+++ b/dragonflyctl/main.go
@@ -0,0 +1,8 @@
+// Command dragonflyctl is described in its run.go.
+package main
+
+import "os"
+
+func main() {
+	os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/fleet/verdict/reason.go
@@ -0,0 +1,123 @@
+package verdict
+
+import (
+	"net/http"
+	"time"
+)
+
+// Reason is the stable code of a refusal, as callers see it in the error's code.
+type Reason string
+
+// The reasons for which a request is refused; their meaning stands in Reasons.
+const (
+	InvalidKey            Reason = "invalid_key"
+	BudgetForbidden       Reason = "budget_forbidden"
+	BudgetUnknown         Reason = "budget_unknown"
+	BudgetAmbiguous       Reason = "budget_ambiguous"
+	BudgetExhausted       Reason = "budget_exhausted"
+	BudgetFrozen          Reason = "budget_frozen"
+	BudgetNotYetInLedger  Reason = "budget_not_yet_in_ledger"
+	RouteUnknown          Reason = "route_unknown"
+	ModelUnknown          Reason = "model_unknown"
+	InvalidBody           Reason = "invalid_body"
+	BodyTooLarge          Reason = "body_too_large"
+	HeadersTooLarge       Reason = "headers_too_large"
+	SenderTooSlow         Reason = "sender_too_slow"
+	IdempotencyKeyMissing Reason = "idempotency_key_missing"
+	IdempotencyKeyInvalid Reason = "idempotency_key_invalid"
+	IdempotencyKeyReused  Reason = "idempotency_key_reused"
+	RequestInProgress     Reason = "request_in_progress"
+	RequestAlreadyRan     Reason = "request_already_ran"
+	RateLimited           Reason = "rate_limited"
+	ConcurrencyLimited    Reason = "concurrency_limited"
+	Overloaded            Reason = "overloaded"
+	DeadlineTooShort      Reason = "deadline_too_short"
+	NoEndpoint            Reason = "no_endpoint"
+	EndpointFailed        Reason = "endpoint_failed"
+	EndpointSilent        Reason = "endpoint_silent"
+	EndpointRefused       Reason = "endpoint_refused"
+	Quarantined           Reason = "request_quarantined"
+	LedgerUnreachable     Reason = "ledger_unreachable"
+	LeaseLapsed           Reason = "lease_lapsed"
+	NotReady              Reason = "router_not_ready"
+	ShuttingDown          Reason = "router_shutting_down"
+	CallerWentAway        Reason = "caller_went_away"
+	OutcomeUnknown        Reason = "outcome_unknown"
+	Internal              Reason = "internal_error"
+)
+
+// Default waits before a retry, by the time that the cause usually lasts.
+const (
+	retrySoon    = 1 * time.Second
+	retryLater   = 5 * time.Second
+	retryOutage  = 15 * time.Second
+	retryInvalid = 0
+)
+
+// Description is what is fixed about a reason.
+type Description struct {
+	Reason Reason
+	// Status is the HTTP status code of the answer.
+	Status int
+	// RetryAfter is the default of the Retry-After header; zero leaves it out.
+	RetryAfter time.Duration
+	// Meaning tells callers and operators what happened.
+	Meaning string
+}
+
+// Reasons lists every reason in the order of the documentation.
+func Reasons() []Description {
+	return []Description{
+		{InvalidKey, http.StatusUnauthorized, retryInvalid, "The bearer key belongs to no team."},
+		{BudgetForbidden, http.StatusForbidden, retryInvalid, "The budget belongs to another team."},
+		{BudgetUnknown, http.StatusNotFound, retryInvalid, "No budget has this name."},
+		{BudgetAmbiguous, http.StatusBadRequest, retryInvalid, "The team has several budgets and the request names none."},
+		{BudgetExhausted, http.StatusTooManyRequests, retryLater, "The budget can't pay for the request's highest possible cost."},
+		{BudgetFrozen, http.StatusForbidden, retryInvalid, "The budget is frozen by its operators."},
+		{BudgetNotYetInLedger, http.StatusServiceUnavailable, retrySoon, "The budget's ticket is accepted, its prepaid total isn't in the ledger yet."},
+		{RouteUnknown, http.StatusNotFound, retryInvalid, "No route serves this path."},
+		{ModelUnknown, http.StatusNotFound, retryInvalid, "No route serves this model."},
+		{InvalidBody, http.StatusBadRequest, retryInvalid, "The body can't be read as the request that the path expects."},
+		{BodyTooLarge, http.StatusRequestEntityTooLarge, retryInvalid, "The body is longer than the route allows."},
+		{HeadersTooLarge, http.StatusRequestHeaderFieldsTooLarge, retryInvalid, "The headers are longer than the router allows."},
+		{SenderTooSlow, http.StatusRequestTimeout, retryInvalid, "The body didn't arrive in time."},
+		{IdempotencyKeyMissing, http.StatusBadRequest, retryInvalid, "A non-idempotent request needs an Idempotency-Key."},
+		{IdempotencyKeyInvalid, http.StatusBadRequest, retryInvalid, "The Idempotency-Key is empty, too long or holds control characters."},
+		{IdempotencyKeyReused, http.StatusUnprocessableEntity, retryInvalid, "The Idempotency-Key was used with other contents."},
+		{RequestInProgress, http.StatusConflict, retrySoon, "A non-idempotent request with this key is running or may be running elsewhere."},
+		{RequestAlreadyRan, http.StatusConflict, retryInvalid, "A non-idempotent request with this key has run."},
+		{RateLimited, http.StatusTooManyRequests, retrySoon, "The team's requests or tokens a second are used up."},
+		{ConcurrencyLimited, http.StatusTooManyRequests, retrySoon, "The team has too many requests in progress."},
+		{Overloaded, http.StatusServiceUnavailable, retrySoon, "Every endpoint's queue is full."},
+		{DeadlineTooShort, http.StatusServiceUnavailable, retrySoon, "The request can't be served before its deadline."},
+		{NoEndpoint, http.StatusServiceUnavailable, retryLater, "No endpoint of the service is available."},
+		{EndpointFailed, http.StatusBadGateway, retrySoon, "The endpoint broke off the exchange."},
+		{EndpointSilent, http.StatusGatewayTimeout, retrySoon, "The endpoint sent nothing in time."},
+		{EndpointRefused, http.StatusBadGateway, retrySoon, "The endpoint refused the request before running it."},
+		{Quarantined, http.StatusUnprocessableEntity, retryInvalid, "The same request was in progress when two endpoints crashed."},
+		{LedgerUnreachable, http.StatusServiceUnavailable, retryOutage, "The log can't be reached, so nothing new can be paid for."},
+		{LeaseLapsed, http.StatusServiceUnavailable, retrySoon, "The router's lease ended before the request was sent."},
+		{NotReady, http.StatusServiceUnavailable, retrySoon, "The router hasn't read the log to its end yet."},
+		{ShuttingDown, http.StatusServiceUnavailable, retrySoon, "The router is shutting down."},
+		{CallerWentAway, statusClientClosedRequest, retryInvalid, "The caller closed the connection."},
+		{OutcomeUnknown, http.StatusBadGateway, retrySoon, "The request may have run; its outcome isn't known."},
+		{Internal, http.StatusInternalServerError, retrySoon, "The router met an error of its own."},
+	}
+}
+
+// statusClientClosedRequest is the customary status of requests whose caller went away.
+const statusClientClosedRequest = 499
+
+// Describe returns the description of a reason; that of Internal if the reason is not in the table.
+func Describe(reason Reason) Description {
+	internal := Description{}
+	for _, d := range Reasons() {
+		if d.Reason == reason {
+			return d
+		}
+		if d.Reason == Internal {
+			internal = d
+		}
+	}
+	return internal
+}
--- /dev/null
+++ b/router/blackboard/board.go
@@ -0,0 +1,42 @@
+// Package blackboard is the shared state of a router: controllers write what they know and read
+// what they need. No controller calls another.
+package blackboard
+
+import (
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// Board holds one router's view of the fleet. Its zero value is ready for use once Metrics is set.
+type Board struct {
+	// Configuration is the configuration in force; nil until the stream was read to its end once.
+	Configuration atomic.Pointer[operator.Configuration]
+	// Listing is the newest instance list; nil until one was read.
+	Listing atomic.Pointer[platform.Listing]
+	// LedgerReady says that the ledger has been read to its end and the incarnation has joined.
+	LedgerReady atomic.Bool
+	// Draining says that the router takes no new work.
+	Draining atomic.Bool
+	// Metrics counts refusals, retries and state changes by reason.
+	Metrics metrics.Registry
+}
+
+// Ready reports whether the router takes new work.
+func (b *Board) Ready() bool {
+	return b.Configuration.Load() != nil && b.LedgerReady.Load() && !b.Draining.Load()
+}
+
+// Count adds one to the counter of the given name.
+func (b *Board) Count(name string) {
+	metrics.GetOrRegisterCounter(name, b.Metrics).Inc(1)
+}
+
+// CountRefusal counts a refusal under its reason.
+func (b *Board) CountRefusal(reason verdict.Reason) {
+	b.Count("refusal." + string(reason))
+}
