--- a/fleet/ledger/event.go
+++ b/fleet/ledger/event.go
@@ -65,6 +65,13 @@
 	Amount      Tokens
 }
 
+// Forfeited reports that the residue of a reserve share was charged, because its holder was lost for good.
+type Forfeited struct {
+	Incarnation Incarnation
+	Budget      string
+	Amount      Tokens
+}
+
 // Opened reports an accepted reservation.
 type Opened struct {
 	Attempt AttemptIdentifier
@@ -121,6 +128,7 @@
 func (*Granted) isEvent()         {}
 func (*DrawRefused) isEvent()     {}
 func (*Returned) isEvent()        {}
+func (*Forfeited) isEvent()       {}
 func (*Opened) isEvent()          {}
 func (*OpenRefused) isEvent()     {}
 func (*Billed) isEvent()          {}
--- /dev/null
+++ b/fleet/ledger/fold_test.go
@@ -0,0 +1,104 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// router returns the first incarnation of a router.
+func router(n int) Incarnation {
+	return Incarnation{Instance: fmt.Sprintf("router-%d", n), Number: 1}
+}
+
+// stream appends groups to a state, each under the next offset and sequence number of its writer.
+type stream struct {
+	state State
+	next  map[Incarnation]uint64
+}
+
+// write folds the records as one group of the writer.
+func (s *stream) write(t *testing.T, writer Incarnation, records ...Record) []Event {
+	t.Helper()
+	if s.next == nil {
+		s.next = make(map[Incarnation]uint64)
+	}
+	g := Group{Writer: writer, First: s.next[writer] + 1, Records: records}
+	s.next[writer] += uint64(len(records))
+	payload, err := Encode(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.state.Apply(platform.Entry{Offset: s.state.Next(), Payload: payload})
+}
+
+// newStream returns a stream with two live incarnations and a budget of 1000 tokens.
+func newStream(t *testing.T) *stream {
+	t.Helper()
+	s := &stream{}
+	s.write(t, router(1), &Join{}, &Prepaid{Budget: "atelier", Ticket: 1, Total: 1000})
+	s.write(t, router(2), &Join{})
+	return s
+}
+
+func assertEqual[T any](t *testing.T, want, got T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
+
+func TestRequestIsBilledOnce(t *testing.T) {
+	s, first, second := newStream(t), router(1), router(2)
+	request := NewRequestIdentifier("pintados", "key")
+	open := func(attempt uint64) *Open {
+		return &Open{Request: request, Attempt: attempt, Budget: "atelier", Amount: 100, Idempotent: true}
+	}
+	for _, writer := range []Incarnation{first, second} {
+		s.write(t, writer, &Draw{Budget: "atelier", Wanted: 300, Minimum: 1}, open(1))
+	}
+	s.write(t, second, &Bill{Request: request, Attempt: 1, Usage: 40})
+	events := s.write(t, first, &Bill{Request: request, Attempt: 1, Usage: 90}, open(2))
+	assertEqual(t, []Event{
+		&Billed{Attempt: AttemptIdentifier{Incarnation: first, Number: 1}, Request: request, Budget: "atelier"},
+		&Opened{Attempt: AttemptIdentifier{Incarnation: first, Number: 2}, Open: open(2), AlreadyBilled: true},
+	}, events)
+	view, _ := s.state.Budget("atelier")
+	assertEqual(t, BudgetView{
+		Budget: "atelier", Ticket: 1, Prepaid: 1000, Spent: 40, Shared: 560, OpenRequests: 1,
+		Holders: []HolderView{
+			{Incarnation: first, WorkingFree: 300},
+			{Incarnation: second, WorkingFree: 260},
+		},
+	}, view)
+}
+
+func TestFenceSettlesWorkingThenReserve(t *testing.T) {
+	s, first, second := newStream(t), router(1), router(2)
+	request := NewRequestIdentifier("pintados", "key")
+	s.write(t, second, &Draw{Budget: "atelier", Wanted: 300, Minimum: 1},
+		&Draw{Budget: "atelier", Kind: Reserve, Wanted: 50, Minimum: 1},
+		&Open{Request: request, Attempt: 1, Budget: "atelier", Amount: 100})
+	lastSeen := s.state.Next() - 1
+	events := s.write(t, first, &Fence{Target: second, LastSeen: lastSeen})
+	assertEqual(t, []Event{
+		&Billed{
+			Attempt: AttemptIdentifier{Incarnation: second, Number: 1},
+			Request: request, Budget: "atelier", Charged: 100, Settled: true,
+		},
+		&Returned{Incarnation: second, Budget: "atelier", Amount: 200},
+		&Ended{Incarnation: second},
+	}, events)
+	assertEqual(t, false, s.state.IsLive(second))
+	assertEqual(t, HolderView{Incarnation: second, ReserveFree: 50}, s.state.Holder("atelier", second))
+	events = s.write(t, first, &Fence{Target: second, LastSeen: lastSeen, Kind: Reserve})
+	assertEqual(t, []Event{
+		&Returned{Incarnation: second, Budget: "atelier", Kind: Reserve, Amount: 50},
+		&Ended{Incarnation: second, Kind: Reserve},
+	}, events)
+	assertEqual(t, []Event{&JoinRefused{Incarnation: second}},
+		s.state.ApplyGroup(s.state.Next(), Group{Writer: second, First: 1, Records: []Record{&Join{}}}))
+}
--- /dev/null
+++ b/fleet/ledger/identifier.go
@@ -0,0 +1,56 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PartitionOf returns the ledger partition of a team.
+func PartitionOf(team string, partitions int) int {
+	if partitions <= 1 {
+		return 0
+	}
+	return int(xxhash.Sum64String(team) % uint64(partitions))
+}
+
+// NewRequestIdentifier returns the identifier of the request that a team sent with an Idempotency-Key.
+func NewRequestIdentifier(team, key string) RequestIdentifier {
+	text := binary.AppendUvarint(nil, uint64(len(team)))
+	text = append(text, team...)
+	text = append(text, key...)
+	digest := sha256.Sum256(text)
+	return RequestIdentifier(digest[:len(RequestIdentifier{})])
+}
+
+// NewFingerprint returns the fingerprint of a request's parts. The lengths count too, so that bytes
+// that move from one part to the next give another fingerprint.
+func NewFingerprint(parts ...[]byte) Fingerprint {
+	digest := xxhash.New()
+	var length [binary.MaxVarintLen64]byte
+	for _, part := range parts {
+		n := binary.PutUvarint(length[:], uint64(len(part)))
+		_, _ = digest.Write(length[:n])
+		_, _ = digest.Write(part)
+	}
+	return Fingerprint(digest.Sum64())
+}
+
+// compare orders incarnations by instance and number.
+func (i Incarnation) compare(other Incarnation) int {
+	if i.Instance != other.Instance {
+		if i.Instance < other.Instance {
+			return -1
+		}
+		return 1
+	}
+	switch {
+	case i.Number < other.Number:
+		return -1
+	case i.Number > other.Number:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/fleet/ledger/read.go
@@ -0,0 +1,114 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Budget returns the state of a budget.
+func (s *State) Budget(name string) (BudgetView, bool) {
+	b, ok := s.budgets[name]
+	if !ok {
+		return BudgetView{}, false
+	}
+	return b.view(), true
+}
+
+// Budgets returns the state of all budgets by name.
+func (s *State) Budgets() []BudgetView {
+	views := make([]BudgetView, 0, len(s.budgets))
+	for _, b := range s.sortedBudgets() {
+		views = append(views, b.view())
+	}
+	return views
+}
+
+// sortedBudgets returns all budgets by name.
+func (s *State) sortedBudgets() []*budget {
+	budgets := slices.AppendSeq(make([]*budget, 0, len(s.budgets)), maps.Values(s.budgets))
+	slices.SortFunc(budgets, func(a, b *budget) int { return strings.Compare(a.name, b.name) })
+	return budgets
+}
+
+// view returns a copy of a budget's state.
+func (b *budget) view() BudgetView {
+	view := BudgetView{
+		Budget: b.name, Ticket: b.ticket, Prepaid: b.prepaid, Spent: b.spent, Shared: b.shared,
+		Frozen: b.frozen, Reserve: b.reserve, OpenRequests: b.opens,
+	}
+	if len(b.shares) == 0 {
+		return view
+	}
+	view.Holders = make([]HolderView, len(b.shares))
+	for i, h := range b.shares {
+		view.Holders[i] = h.view()
+	}
+	return view
+}
+
+// view returns a copy of a share.
+func (h *share) view() HolderView {
+	return HolderView{
+		Incarnation: h.member.incarnation,
+		WorkingFree: h.free[Working], ReserveFree: h.free[Reserve],
+		WorkingReserved: h.reserved[Working], ReserveReserved: h.reserved[Reserve],
+	}
+}
+
+// Holder returns what an incarnation holds of a budget.
+func (s *State) Holder(name string, i Incarnation) HolderView {
+	b, knownBudget := s.budgets[name]
+	m, knownMember := s.members[i]
+	if knownBudget && knownMember {
+		if h, ok := m.holdings[b]; ok {
+			return h.view()
+		}
+	}
+	return HolderView{Incarnation: i}
+}
+
+// Incarnations returns the live and the suspended incarnations in order.
+func (s *State) Incarnations() []IncarnationView {
+	views := make([]IncarnationView, 0, len(s.members))
+	for _, m := range s.sortedMembers() {
+		views = append(views, IncarnationView{
+			Incarnation: m.incarnation, Join: m.join, Heartbeat: m.heartbeat,
+			LastSeen: m.lastSeen, Suspended: m.status == suspended,
+		})
+	}
+	return views
+}
+
+// sortedMembers returns the live and the suspended incarnations in order.
+func (s *State) sortedMembers() []*member {
+	return slices.SortedFunc(maps.Values(s.members), func(a, b *member) int {
+		return a.incarnation.compare(b.incarnation)
+	})
+}
+
+// HighestIncarnation returns the highest number with which an instance joined; 0 if it never did.
+func (s *State) HighestIncarnation(instance string) uint64 {
+	highest := s.ended[instance]
+	for i := range s.members {
+		if i.Instance == instance {
+			highest = max(highest, i.Number)
+		}
+	}
+	return highest
+}
+
+// AppliedSequence returns the highest sequence number of a live or suspended incarnation that was
+// applied; 0 if there is none.
+func (s *State) AppliedSequence(i Incarnation) uint64 {
+	if m, ok := s.members[i]; ok {
+		return m.applied
+	}
+	return 0
+}
+
+// IsLive reports whether an incarnation joined and neither left nor was fenced.
+func (s *State) IsLive(i Incarnation) bool {
+	m, ok := s.members[i]
+	return ok && m.status == live
+}
--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -9,6 +9,11 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file record.go -o record_gen.go
+//msgp:replace platform.Offset with:uint64
+//msgp:tuple Incarnation Join Heartbeat Leave Prepaid ReservePolicy Draw Return Open Bill Release Fence
+//msgp:ignore Group AttemptIdentifier Unknown
+
 // Tokens is an amount of a prepaid budget.
 type Tokens int64
 
@@ -150,6 +155,14 @@
 	Kind ShareKind
 }
 
+// Unknown stands for a record of a type that this version doesn't know. It takes its sequence number
+// and changes nothing.
+type Unknown struct {
+	Type uint64
+	// Body is the record as it was encoded.
+	Body []byte
+}
+
 func (*Join) isRecord()      {}
 func (*Heartbeat) isRecord() {}
 func (*Leave) isRecord()     {}
@@ -160,3 +173,4 @@
 func (*Bill) isRecord()      {}
 func (*Release) isRecord()   {}
 func (*Fence) isRecord()     {}
+func (*Unknown) isRecord()   {}
--- /dev/null
+++ b/fleet/ledger/validate.go
@@ -0,0 +1,99 @@
+package ledger
+
+import (
+	"errors"
+	"math"
+)
+
+// Bounds of a group; groups beyond them are malformed.
+const (
+	// MaxGroupBytes is the longest encoded group.
+	MaxGroupBytes = 1 << 20
+	// MaxGroupRecords is the largest number of records of a group.
+	MaxGroupRecords = 4096
+	// MaxNameBytes is the longest name of an instance, a budget, an availability zone or a region, and
+	// the longest version.
+	MaxNameBytes = 255
+)
+
+// The faults of a malformed group.
+var (
+	ErrTooLong        = errors.New("group is too long")
+	ErrName           = errors.New("name is too long")
+	ErrNegativeAmount = errors.New("amount is negative")
+	ErrShareKind      = errors.New("unknown kind of share")
+	ErrSequence       = errors.New("sequence number out of range")
+	ErrNoRecord       = errors.New("record is missing")
+)
+
+// validate checks the bounds of a group and its records.
+func (g *Group) validate() error {
+	if len(g.Records) > MaxGroupRecords {
+		return ErrTooLong
+	}
+	if len(g.Writer.Instance) > MaxNameBytes {
+		return ErrName
+	}
+	if g.First == 0 || g.First > math.MaxUint64-MaxGroupRecords {
+		return ErrSequence
+	}
+	for _, r := range g.Records {
+		if err := validateRecord(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validateRecord checks what the fold takes for granted of a record.
+func validateRecord(record Record) error {
+	switch r := record.(type) {
+	case *Join:
+		return validateNames(r.AvailabilityZone, r.Region, r.Version)
+	case *Prepaid:
+		return errors.Join(validateNames(r.Budget), validateAmounts(r.Total, r.Reserve.Share))
+	case *Draw:
+		return validateShare(r.Budget, r.Kind, r.Wanted, r.Minimum)
+	case *Return:
+		return validateShare(r.Budget, r.Kind, r.Amount)
+	case *Open:
+		return validateShare(r.Budget, r.Kind, r.Amount)
+	case *Bill:
+		return validateAmounts(r.Usage)
+	case *Fence:
+		return validateShare(r.Target.Instance, r.Kind)
+	case nil:
+		return ErrNoRecord
+	default:
+		return nil
+	}
+}
+
+// validateShare checks the fields of a record that touches a share.
+func validateShare(name string, kind ShareKind, amounts ...Tokens) error {
+	if len(name) > MaxNameBytes {
+		return ErrName
+	}
+	if kind > Reserve {
+		return ErrShareKind
+	}
+	return validateAmounts(amounts...)
+}
+
+func validateNames(names ...string) error {
+	for _, n := range names {
+		if len(n) > MaxNameBytes {
+			return ErrName
+		}
+	}
+	return nil
+}
+
+func validateAmounts(amounts ...Tokens) error {
+	for _, a := range amounts {
+		if a < 0 {
+			return ErrNegativeAmount
+		}
+	}
+	return nil
+}
