--- a/fleet/ledger/member.go
+++ b/fleet/ledger/member.go
@@ -31,6 +31,8 @@
 	lastSeen    platform.Offset
 	// applied is the highest sequence number that was applied.
 	applied uint64
+	// missing are the numbers below applied that were missing when its working lease was ended.
+	missing []span
 	// buffered groups wait for a lower number; sorted by First.
 	buffered []Group
 	// opens are its reservations by attempt.
@@ -81,7 +83,7 @@
 // receive applies a group if it is the next one of its incarnation, with those that waited for it.
 func (s *State) receive(m *member, g *Group) {
 	if g.First <= m.applied {
-		s.counters.Copies++
+		s.receiveLate(m, g)
 		return
 	}
 	if g.First > m.applied+1 {
@@ -94,13 +96,23 @@
 	}
 }
 
+// receiveLate applies a group that was missing when its incarnation was suspended: it may hold opens
+// against reserve shares. Any other group with a low number is a copy.
+func (s *State) receiveLate(m *member, g *Group) {
+	if len(g.Records) == 0 || !m.takeMissing(g.First, g.last()) {
+		s.counters.Copies++
+		return
+	}
+	s.applyGroup(m, g)
+}
+
 // applyGroup applies the records of a group.
 func (s *State) applyGroup(m *member, g *Group) {
 	if len(g.Records) == 0 {
 		return
 	}
 	s.counters.Groups++
-	m.applied = g.First + uint64(len(g.Records)) - 1
+	m.applied = max(m.applied, g.last())
 	for _, r := range g.Records {
 		s.apply(m, r)
 	}
@@ -158,6 +170,7 @@
 		return
 	}
 	for len(target.buffered) > 0 {
+		target.skipGap()
 		s.applyFirstBuffered(target)
 	}
 	if target.status != wanted {
--- a/fleet/ledger/read.go
+++ b/fleet/ledger/read.go
@@ -98,13 +98,18 @@
 	return highest
 }
 
-// AppliedSequence returns the highest sequence number of a live or suspended incarnation that was
-// applied; 0 if there is none.
+// AppliedSequence returns the highest sequence number of a live or suspended incarnation up to which all
+// records were applied; 0 if there is none.
 func (s *State) AppliedSequence(i Incarnation) uint64 {
-	if m, ok := s.members[i]; ok {
+	m, ok := s.members[i]
+	switch {
+	case !ok:
+		return 0
+	case len(m.missing) > 0:
+		return m.missing[0].From - 1
+	default:
 		return m.applied
 	}
-	return 0
 }
 
 // IsLive reports whether an incarnation joined and neither left nor was fenced.
--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -58,6 +58,9 @@
 	Records []Record
 }
 
+// last returns the sequence number of the last record.
+func (g *Group) last() uint64 { return g.First + uint64(len(g.Records)) - 1 }
+
 // Record is one fact of the ledger; the types below are all there are.
 type Record interface{ isRecord() }
 
--- a/fleet/ledger/request.go
+++ b/fleet/ledger/request.go
@@ -110,7 +110,7 @@
 	}
 	s.closeOpen(m, r.Attempt, o, charged)
 	s.freeRest(m, o, charged)
-	s.requests.bill(o.request, s.next-1)
+	s.requests.bill(o.request, s.next)
 	s.emit(&Billed{Attempt: m.attempt(r.Attempt), Request: r.Request, Budget: o.budget.name, Charged: charged})
 }
 
@@ -123,7 +123,7 @@
 	}
 	s.closeOpen(m, r.Attempt, o, 0)
 	s.freeRest(m, o, 0)
-	s.requests.release(o.request, s.next-1)
+	s.requests.release(o.request, s.next)
 	s.emit(&Released{Attempt: m.attempt(r.Attempt), Request: r.Request})
 }
 
@@ -163,7 +163,7 @@
 		}
 		s.closeOpen(m, attempt, o, charged)
 		s.freeRest(m, o, charged)
-		s.requests.bill(o.request, s.next-1)
+		s.requests.bill(o.request, s.next)
 		s.emit(&Billed{
 			Attempt: m.attempt(attempt), Request: o.request, Budget: o.budget.name, Charged: charged, Settled: true,
 		})
@@ -173,8 +173,8 @@
 // request is what is remembered of a request identifier: it has an open, or it was billed.
 type request struct {
 	fingerprint Fingerprint
-	// closedAt is the offset at which its last open was closed.
-	closedAt   platform.Offset
+	// closed is the state's next offset after its last open was closed; 0 if it never was.
+	closed     platform.Offset
 	opens      uint32
 	idempotent bool
 	billed     bool
@@ -204,28 +204,29 @@
 }
 
 // bill marks a request as billed and closes one of its opens.
-func (t *requestTable) bill(id RequestIdentifier, offset platform.Offset) {
+func (t *requestTable) bill(id RequestIdentifier, next platform.Offset) {
 	q := t.known[id]
 	q.billed = true
-	t.closeOne(id, q, offset)
+	t.closeOne(id, q, next)
 }
 
 // release closes one of a request's opens and forgets a request that has no other and no bill.
-func (t *requestTable) release(id RequestIdentifier, offset platform.Offset) {
+func (t *requestTable) release(id RequestIdentifier, next platform.Offset) {
 	q := t.known[id]
 	if q.opens == 1 && !q.billed {
 		delete(t.known, id)
 		return
 	}
-	t.closeOne(id, q, offset)
+	t.closeOne(id, q, next)
 }
 
-// closeOne closes one of a request's opens; the window starts with the last one.
-func (t *requestTable) closeOne(id RequestIdentifier, q request, offset platform.Offset) {
+// closeOne closes one of a request's opens; the window starts with the last one. A request that is closed
+// twice by one entry is listed once.
+func (t *requestTable) closeOne(id RequestIdentifier, q request, next platform.Offset) {
 	q.opens--
-	if q.opens == 0 {
-		q.closedAt = offset
-		t.closed[queueOf(q)].push(closedRequest{offset: offset, id: id})
+	if q.opens == 0 && q.closed != next {
+		q.closed = next
+		t.closed[queueOf(q)].push(closedRequest{closed: next, id: id})
 	}
 	t.known[id] = q
 }
--- /dev/null
+++ b/fleet/ledger/snapshot.go
@@ -0,0 +1,239 @@
+package ledger
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// snapshotVersion is the version of the encoding of snapshots. Readers refuse other versions.
+const snapshotVersion = 1
+
+// DefaultChunkBytes is the length of a chunk's data unless the caller asks for another one.
+const DefaultChunkBytes = 256 << 10
+
+// EncodeSnapshot returns the payloads of the entries that carry the state, each with up to chunkBytes of
+// data; DefaultChunkBytes if that is not positive. States that have read the same entries have the same data.
+func (s *State) EncodeSnapshot(writer Incarnation, chunkBytes int) ([][]byte, error) {
+	if chunkBytes <= 0 {
+		chunkBytes = DefaultChunkBytes
+	}
+	data, err := s.appendState(nil)
+	if err != nil {
+		return nil, fmt.Errorf("encoding a snapshot: %w", err)
+	}
+	chunk := snapshotChunk{
+		Version: snapshotVersion, Instance: writer.Instance, Number: writer.Number, Next: uint64(s.next),
+		Count: uint32((len(data) + chunkBytes - 1) / chunkBytes), Digest: sha256.Sum256(data),
+	}
+	payloads := make([][]byte, 0, chunk.Count)
+	for data := range slices.Chunk(data, chunkBytes) {
+		chunk.Data = data
+		payload, err := chunk.MarshalMsg(nil)
+		if err != nil {
+			return nil, fmt.Errorf("encoding a snapshot: %w", err)
+		}
+		payloads = append(payloads, msgp.AppendUint64(payload, xxhash.Sum64(payload)))
+		chunk.Index++
+	}
+	return payloads, nil
+}
+
+// appendState appends the data of a snapshot.
+func (s *State) appendState(b []byte) ([]byte, error) {
+	window := s.Window.orDefault()
+	header := snapshotHeader{
+		Version: snapshotVersion, Next: uint64(s.next),
+		Idempotent: window.Idempotent, NonIdempotent: window.NonIdempotent,
+	}
+	b, err := header.MarshalMsg(b)
+	if err != nil {
+		return b, err
+	}
+	budgets := s.sortedBudgets()
+	if b, err = appendBudgets(b, budgets); err != nil {
+		return b, err
+	}
+	if b, err = s.requests.appendOpen(b); err != nil {
+		return b, err
+	}
+	if b, err = s.appendMembers(b, budgets); err != nil {
+		return b, err
+	}
+	for queue := range s.requests.closed {
+		if b, err = s.requests.appendClosed(b, &s.requests.closed[queue]); err != nil {
+			return b, err
+		}
+	}
+	return s.appendEnded(b)
+}
+
+// appendBudgets appends the section of the budgets.
+func appendBudgets(b []byte, budgets []*budget) ([]byte, error) {
+	b = msgp.AppendArrayHeader(b, uint32(len(budgets)))
+	var row budgetRow
+	var err error
+	for _, u := range budgets {
+		row = budgetRow{
+			Name: u.name, Ticket: u.ticket, Prepaid: int64(u.prepaid), Spent: int64(u.spent),
+			Frozen: u.frozen, Share: int64(u.reserve.Share), Forfeit: u.reserve.ForfeitResidue,
+		}
+		if b, err = row.MarshalMsg(b); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// appendOpen appends the section of the requests with opens.
+func (t *requestTable) appendOpen(b []byte) ([]byte, error) {
+	ids := make([]RequestIdentifier, 0)
+	for id, q := range t.known {
+		if q.opens > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(x, y RequestIdentifier) int { return slices.Compare(x[:], y[:]) })
+	b = msgp.AppendArrayHeader(b, uint32(len(ids)))
+	var err error
+	for _, id := range ids {
+		q := t.known[id]
+		row := requestRow{
+			Request: id, Fingerprint: uint64(q.fingerprint), Closed: uint64(q.closed),
+			Idempotent: q.idempotent, Billed: q.billed,
+		}
+		if b, err = row.MarshalMsg(b); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// appendClosed appends a section of requests without opens in the order in which they were closed.
+func (t *requestTable) appendClosed(b []byte, queue *closedQueue) ([]byte, error) {
+	lines := queue.entries[queue.head:]
+	count := uint32(0)
+	for _, c := range lines {
+		if t.isCurrent(c) {
+			count++
+		}
+	}
+	b = msgp.AppendArrayHeader(b, count)
+	var err error
+	for _, c := range lines {
+		if !t.isCurrent(c) {
+			continue
+		}
+		row := closedRow{Request: c.id, Fingerprint: uint64(t.known[c.id].fingerprint), Closed: uint64(c.closed)}
+		if b, err = row.MarshalMsg(b); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// appendMembers appends the section of the incarnations.
+func (s *State) appendMembers(b []byte, budgets []*budget) ([]byte, error) {
+	positions := make(map[*budget]uint32)
+	for _, m := range s.members {
+		for u := range m.holdings {
+			positions[u] = 0
+		}
+		for _, o := range m.opens {
+			positions[o.budget] = 0
+		}
+	}
+	for i, u := range budgets {
+		if _, ok := positions[u]; ok {
+			positions[u] = uint32(i)
+		}
+	}
+	b = msgp.AppendArrayHeader(b, uint32(len(s.members)))
+	var err error
+	for _, m := range s.sortedMembers() {
+		if b, err = m.append(b, positions); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// append appends an incarnation.
+func (m *member) append(b []byte, positions map[*budget]uint32) ([]byte, error) {
+	row := memberRow{
+		Instance: m.incarnation.Instance, Number: m.incarnation.Number, Suspended: m.status == suspended,
+		AvailabilityZone: m.join.AvailabilityZone, Region: m.join.Region, Version: m.join.Version,
+		ConfigurationOffset: uint64(m.heartbeat.ConfigurationOffset),
+		ConfigurationNumber: m.heartbeat.ConfigurationNumber,
+		LastSeen:            uint64(m.lastSeen), Applied: m.applied,
+		HighestAttempt: m.attempts.highest, UsedAttempts: m.attempts.used,
+	}
+	b, err := row.MarshalMsg(b)
+	if err != nil {
+		return b, err
+	}
+	b = msgp.AppendArrayHeader(b, uint32(len(m.missing)))
+	for _, gap := range m.missing {
+		b = msgp.AppendUint64(msgp.AppendUint64(b, gap.From), gap.To)
+	}
+	b = msgp.AppendArrayHeader(b, uint32(len(m.buffered)))
+	for _, g := range m.buffered {
+		if b, err = appendGroup(b, &g); err != nil {
+			return b, err
+		}
+	}
+	if b, err = m.appendShares(b, positions); err != nil {
+		return b, err
+	}
+	return m.appendOpens(b, positions)
+}
+
+// appendShares appends what an incarnation holds.
+func (m *member) appendShares(b []byte, positions map[*budget]uint32) ([]byte, error) {
+	b = msgp.AppendArrayHeader(b, uint32(len(m.holdings)))
+	var err error
+	for _, u := range sortedHoldings(m) {
+		free := m.holdings[u].free
+		row := shareRow{Budget: positions[u], WorkingFree: int64(free[Working]), ReserveFree: int64(free[Reserve])}
+		if b, err = row.MarshalMsg(b); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// appendOpens appends the opens of an incarnation.
+func (m *member) appendOpens(b []byte, positions map[*budget]uint32) ([]byte, error) {
+	b = msgp.AppendArrayHeader(b, uint32(len(m.opens)))
+	var err error
+	for _, attempt := range slices.Sorted(maps.Keys(m.opens)) {
+		o := m.opens[attempt]
+		row := reservationRow{
+			Attempt: attempt, Request: o.request, Budget: positions[o.budget],
+			Amount: int64(o.amount), Kind: uint8(o.kind),
+		}
+		if b, err = row.MarshalMsg(b); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// appendEnded appends the section of the incarnations that ended.
+func (s *State) appendEnded(b []byte) ([]byte, error) {
+	b = msgp.AppendArrayHeader(b, uint32(len(s.ended)))
+	instances := slices.SortedFunc(maps.Keys(s.ended), cmp.Compare[string])
+	var err error
+	for _, instance := range instances {
+		row := endedRow{Instance: instance, Number: s.ended[instance]}
+		if b, err = row.MarshalMsg(b); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
--- /dev/null
+++ b/fleet/ledger/snapshot_load.go
@@ -0,0 +1,241 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// ErrInconsistent reports a snapshot whose parts contradict each other.
+var ErrInconsistent = errors.New("snapshot contradicts itself")
+
+// snapshotReader reads the rows of a snapshot's data. After a fault it reads nothing more.
+type snapshotReader struct {
+	rest []byte
+	err  error
+}
+
+// row reads one row.
+func (r *snapshotReader) row(target codec) {
+	if r.err == nil {
+		r.rest, r.err = target.UnmarshalMsg(r.rest)
+	}
+}
+
+// count reads the header of an array. Each element takes at least a byte, so that a wrong count can't
+// allocate more than the data's length allows.
+func (r *snapshotReader) count() int {
+	if r.err != nil {
+		return 0
+	}
+	var n uint32
+	n, r.rest, r.err = msgp.ReadArrayHeaderBytes(r.rest)
+	if r.err == nil && int64(n) > int64(len(r.rest)) {
+		r.err = msgp.ErrShortBytes
+	}
+	if r.err != nil {
+		return 0
+	}
+	return int(n)
+}
+
+// number reads an unsigned integer.
+func (r *snapshotReader) number() uint64 {
+	var n uint64
+	if r.err == nil {
+		n, r.rest, r.err = msgp.ReadUint64Bytes(r.rest)
+	}
+	return n
+}
+
+// check notes a contradiction unless the condition holds.
+func (r *snapshotReader) check(holds bool) {
+	if r.err == nil && !holds {
+		r.err = ErrInconsistent
+	}
+}
+
+// loadState returns the state of a snapshot's data.
+func loadState(data []byte) (*State, error) {
+	r := &snapshotReader{rest: data}
+	var header snapshotHeader
+	r.row(&header)
+	if r.err == nil && header.Version != snapshotVersion {
+		return nil, fmt.Errorf("loading a snapshot: %w %d", ErrVersion, header.Version)
+	}
+	s := &State{
+		Window: Window{Idempotent: header.Idempotent, NonIdempotent: header.NonIdempotent},
+		next:   platform.Offset(header.Next),
+	}
+	budgets := s.loadBudgets(r)
+	s.loadOpenRequests(r)
+	for n := r.count(); n > 0 && r.err == nil; n-- {
+		s.loadMember(r, budgets)
+	}
+	s.loadClosed(r, idempotentQueue)
+	s.loadClosed(r, nonIdempotentQueue)
+	s.loadEnded(r)
+	r.check(len(r.rest) == 0)
+	s.checkSums(r)
+	if r.err != nil {
+		return nil, fmt.Errorf("loading a snapshot: %w", r.err)
+	}
+	return s, nil
+}
+
+// loadBudgets reads the section of the budgets.
+func (s *State) loadBudgets(r *snapshotReader) []*budget {
+	n := r.count()
+	budgets := make([]*budget, 0, n)
+	s.budgets = make(map[string]*budget, n)
+	var row budgetRow
+	for ; n > 0 && r.err == nil; n-- {
+		r.row(&row)
+		b := s.addBudget(row.Name)
+		b.ticket = row.Ticket
+		b.prepaid, b.spent = Tokens(row.Prepaid), Tokens(row.Spent)
+		b.frozen = row.Frozen
+		b.reserve = ReservePolicy{Share: Tokens(row.Share), ForfeitResidue: row.Forfeit}
+		r.check(b.spent >= 0)
+		budgets = append(budgets, b)
+	}
+	r.check(len(s.budgets) == len(budgets))
+	return budgets
+}
+
+// loadOpenRequests reads the section of the requests with opens, which are counted with the incarnations.
+func (s *State) loadOpenRequests(r *snapshotReader) {
+	n := r.count()
+	s.requests.known = make(map[RequestIdentifier]request, n)
+	var row requestRow
+	for ; n > 0 && r.err == nil; n-- {
+		r.row(&row)
+		s.requests.known[row.Request] = request{
+			fingerprint: Fingerprint(row.Fingerprint), closed: platform.Offset(row.Closed),
+			idempotent: row.Idempotent, billed: row.Billed,
+		}
+	}
+}
+
+// loadMember reads an incarnation.
+func (s *State) loadMember(r *snapshotReader, budgets []*budget) {
+	var row memberRow
+	r.row(&row)
+	m := &member{
+		incarnation: Incarnation{Instance: row.Instance, Number: row.Number},
+		join:        Join{AvailabilityZone: row.AvailabilityZone, Region: row.Region, Version: row.Version},
+		heartbeat: Heartbeat{
+			ConfigurationOffset: platform.Offset(row.ConfigurationOffset),
+			ConfigurationNumber: row.ConfigurationNumber,
+		},
+		lastSeen: platform.Offset(row.LastSeen),
+		applied:  row.Applied,
+		attempts: attemptWindow{highest: row.HighestAttempt, used: row.UsedAttempts},
+	}
+	if row.Suspended {
+		m.status = suspended
+	}
+	m.loadGroups(r)
+	m.loadShares(r, budgets)
+	s.loadOpens(r, m, budgets)
+	if s.members == nil {
+		s.members = make(map[Incarnation]*member)
+	}
+	_, twice := s.members[m.incarnation]
+	r.check(!twice)
+	s.members[m.incarnation] = m
+}
+
+// loadGroups reads the missing and the buffered groups of an incarnation.
+func (m *member) loadGroups(r *snapshotReader) {
+	for n := r.count(); n > 0 && r.err == nil; n-- {
+		gap := span{From: r.number(), To: r.number()}
+		r.check(gap.From > 0 && gap.From <= gap.To && gap.To <= m.applied)
+		m.missing = append(m.missing, gap)
+	}
+	for n := r.count(); n > 0 && r.err == nil; n-- {
+		var g Group
+		g, r.rest, r.err = readGroup(r.rest)
+		m.buffered = append(m.buffered, g)
+	}
+}
+
+// loadShares reads what an incarnation holds.
+func (m *member) loadShares(r *snapshotReader, budgets []*budget) {
+	var row shareRow
+	for n := r.count(); n > 0 && r.err == nil; n-- {
+		r.row(&row)
+		r.check(int(row.Budget) < len(budgets) && row.WorkingFree >= 0 && row.ReserveFree >= 0)
+		if r.err != nil {
+			return
+		}
+		b := budgets[row.Budget]
+		b.shareOf(m).free = [2]Tokens{Working: Tokens(row.WorkingFree), Reserve: Tokens(row.ReserveFree)}
+		b.shared += Tokens(row.WorkingFree) + Tokens(row.ReserveFree)
+	}
+}
+
+// loadOpens reads the opens of an incarnation.
+func (s *State) loadOpens(r *snapshotReader, m *member, budgets []*budget) {
+	n := r.count()
+	m.opens = make(map[uint64]reservation, n)
+	var row reservationRow
+	for ; n > 0 && r.err == nil; n-- {
+		r.row(&row)
+		q, ok := s.requests.known[row.Request]
+		r.check(ok && int(row.Budget) < len(budgets) && row.Amount >= 0 && row.Kind <= uint8(Reserve))
+		if r.err != nil {
+			return
+		}
+		q.opens++
+		s.requests.known[row.Request] = q
+		b := budgets[row.Budget]
+		b.opens++
+		o := reservation{request: row.Request, budget: b, amount: Tokens(row.Amount), kind: ShareKind(row.Kind)}
+		m.opens[row.Attempt] = o
+		if o.amount > 0 {
+			b.shareOf(m).reserved[o.kind] += o.amount
+			b.shared += o.amount
+		}
+	}
+}
+
+// loadClosed reads a section of requests without opens.
+func (s *State) loadClosed(r *snapshotReader, queue int) {
+	n := r.count()
+	s.requests.closed[queue].entries = make([]closedRequest, 0, n)
+	var row closedRow
+	for ; n > 0 && r.err == nil; n-- {
+		r.row(&row)
+		c := closedRequest{closed: platform.Offset(row.Closed), id: row.Request}
+		s.requests.closed[queue].push(c)
+		s.requests.known[c.id] = request{
+			fingerprint: Fingerprint(row.Fingerprint), closed: c.closed,
+			idempotent: queue == idempotentQueue, billed: true,
+		}
+	}
+}
+
+// loadEnded reads the section of the incarnations that ended.
+func (s *State) loadEnded(r *snapshotReader) {
+	n := r.count()
+	s.ended = make(map[string]uint64, n)
+	var row endedRow
+	for ; n > 0 && r.err == nil; n-- {
+		r.row(&row)
+		s.ended[row.Instance] = row.Number
+	}
+}
+
+// checkSums checks that no budget is overspent and that every open request has an open.
+func (s *State) checkSums(r *snapshotReader) {
+	for _, b := range s.budgets {
+		r.check(b.shared >= 0 && b.spent <= b.prepaid && b.shared <= b.prepaid-b.spent)
+	}
+	for _, q := range s.requests.known {
+		r.check(q.opens > 0 || q.billed)
+	}
+}
--- /dev/null
+++ b/fleet/ledger/span.go
@@ -0,0 +1,32 @@
+package ledger
+
+import "slices"
+
+// span is a range of sequence numbers, both ends included.
+type span struct{ From, To uint64 }
+
+// skipGap notes the numbers that are missing before the first buffered group.
+func (m *member) skipGap() {
+	if before := m.buffered[0].First - 1; before > m.applied {
+		m.missing = append(m.missing, span{From: m.applied + 1, To: before})
+	}
+}
+
+// takeMissing takes a range out of the missing numbers; false if not all of it is missing.
+func (m *member) takeMissing(from, to uint64) bool {
+	for i, gap := range m.missing {
+		if from < gap.From || to > gap.To {
+			continue
+		}
+		var rest []span
+		if from > gap.From {
+			rest = append(rest, span{From: gap.From, To: from - 1})
+		}
+		if to < gap.To {
+			rest = append(rest, span{From: to + 1, To: gap.To})
+		}
+		m.missing = slices.Replace(m.missing, i, i+1, rest...)
+		return true
+	}
+	return false
+}
--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -93,7 +93,7 @@
 // advance moves the state past an offset and forgets the request identifiers that leave their window.
 func (s *State) advance(offset platform.Offset) {
 	s.next = offset + 1
-	s.counters.Forgotten += s.requests.forget(offset, s.Window.orDefault())
+	s.counters.Forgotten += s.requests.forget(s.next, s.Window.orDefault())
 }
 
 // fold applies a valid group.
--- a/fleet/ledger/window.go
+++ b/fleet/ledger/window.go
@@ -38,32 +38,38 @@
 	return nonIdempotentQueue
 }
 
-// forget drops the identifiers whose window ended before an offset, and returns their number.
-func (t *requestTable) forget(offset platform.Offset, w Window) uint64 {
-	return t.forgetClosed(&t.closed[idempotentQueue], offset, w.Idempotent) +
-		t.forgetClosed(&t.closed[nonIdempotentQueue], offset, w.NonIdempotent)
+// forget drops the identifiers whose window ended before the entry below next, and returns their number.
+func (t *requestTable) forget(next platform.Offset, w Window) uint64 {
+	return t.forgetClosed(&t.closed[idempotentQueue], next, w.Idempotent) +
+		t.forgetClosed(&t.closed[nonIdempotentQueue], next, w.NonIdempotent)
 }
 
 // forgetClosed drops identifiers from the front of a queue. An identifier that was opened again is
 // listed again when it is closed, so that its older line is void.
-func (t *requestTable) forgetClosed(queue *closedQueue, offset platform.Offset, window uint64) uint64 {
+func (t *requestTable) forgetClosed(queue *closedQueue, next platform.Offset, window uint64) uint64 {
 	forgotten := uint64(0)
 	for {
 		c, ok := queue.first()
-		if !ok || uint64(offset)-uint64(c.offset) <= window {
+		if !ok || uint64(next-c.closed) <= window {
 			return forgotten
 		}
 		queue.pop()
-		if q, ok := t.known[c.id]; ok && q.opens == 0 && q.closedAt == c.offset {
+		if t.isCurrent(c) {
 			delete(t.known, c.id)
 			forgotten++
 		}
 	}
 }
 
+// isCurrent reports whether a line of a queue is the newest one of its request.
+func (t *requestTable) isCurrent(c closedRequest) bool {
+	q, ok := t.known[c.id]
+	return ok && q.opens == 0 && q.closed == c.closed
+}
+
 // closedRequest says when a request's last open was closed.
 type closedRequest struct {
-	offset platform.Offset
+	closed platform.Offset
 	id     RequestIdentifier
 }
 
