--- /dev/null
+++ b/fleet/ledger/assembler_test.go
@@ -0,0 +1,114 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// chunksOf returns the snapshot chunks of a small state.
+func chunksOf(t *testing.T, s *stream, writer Incarnation) [][]byte {
+	t.Helper()
+	chunks, err := s.state.EncodeSnapshot(writer, 16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return chunks
+}
+
+// add adds payloads and returns the last complete state and the last error.
+func add(a *Assembler, payloads ...[]byte) (*State, error) {
+	var state *State
+	var fault error
+	for _, p := range payloads {
+		found, err := a.Add(p)
+		if found != nil {
+			state = found
+		}
+		if err != nil {
+			fault = err
+		}
+	}
+	return state, fault
+}
+
+func assertError(t *testing.T, want, got error) {
+	t.Helper()
+	if diff := cmp.Diff(want, got, cmpopts.EquateErrors()); diff != "" {
+		t.Errorf("unexpected error (-want +got):\n%s", diff)
+	}
+}
+
+func TestAssembler(t *testing.T) {
+	s := newStream(t)
+	chunks := chunksOf(t, s, router(1))
+	t.Run("half", func(t *testing.T) {
+		state, err := add(&Assembler{}, chunks[1:]...)
+		assertError(t, nil, err)
+		assertEqual(t, true, state == nil)
+	})
+	t.Run("corrupt chunk", func(t *testing.T) {
+		corrupt := bytes.Clone(chunks[0])
+		corrupt[len(corrupt)/2] ^= 1
+		state, err := add(&Assembler{}, append([][]byte{corrupt}, chunks...)...)
+		assertError(t, ErrChunk, err)
+		assertEqual(t, s.state.Next(), state.Next())
+	})
+	t.Run("wrong digest", func(t *testing.T) {
+		var chunk snapshotChunk
+		if _, err := chunk.UnmarshalMsg(chunks[0]); err != nil {
+			t.Fatal(err)
+		}
+		chunk.Data[0] ^= 1
+		payload, err := chunk.MarshalMsg(nil)
+		assertError(t, nil, err)
+		payload = msgp.AppendUint64(payload, xxhash.Sum64(payload))
+		_, err = add(&Assembler{}, append([][]byte{payload}, chunks[1:]...)...)
+		assertError(t, ErrDigest, err)
+	})
+	t.Run("older than the newest", func(t *testing.T) {
+		later := newStream(t)
+		later.write(t, router(1), &Heartbeat{})
+		a := &Assembler{}
+		state, _ := add(a, chunksOf(t, later, router(1))...)
+		assertEqual(t, later.state.Next(), state.Next())
+		state, err := add(a, chunks...)
+		assertError(t, nil, err)
+		assertEqual(t, true, state == nil)
+	})
+	t.Run("bounded memory", func(t *testing.T) {
+		a := &Assembler{MaxBytes: 100}
+		for n := range 50 {
+			_, err := add(a, chunksOf(t, s, router(n))[1:]...)
+			assertError(t, nil, err)
+			if a.bytes > a.MaxBytes || len(a.incomplete) > maxIncomplete {
+				t.Fatalf("%d bytes of %d snapshots are kept", a.bytes, len(a.incomplete))
+			}
+		}
+		state, _ := add(&Assembler{}, chunks...)
+		assertEqual(t, s.state.Next(), state.Next())
+	})
+}
+
+func TestDecodeIsBounded(t *testing.T) {
+	header, err := Encode(Group{Writer: router(1), First: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	huge := msgp.AppendArrayHeader(header[:len(header)-1], 1<<31)
+	_, err = Decode(huge)
+	assertError(t, ErrTooLong, err)
+	for _, record := range []Record{
+		&Draw{Wanted: -1}, &Open{Amount: -1}, &Return{Amount: -1}, &Prepaid{Total: -1}, &Bill{Usage: -1},
+	} {
+		_, err := Encode(Group{Writer: router(1), First: 1, Records: []Record{record}})
+		assertEqual(t, true, errors.Is(err, ErrNegativeAmount))
+	}
+	_, err = Encode(Group{Writer: router(1), First: 1, Records: []Record{&Draw{Kind: 2}}})
+	assertError(t, ErrShareKind, err)
+}
--- /dev/null
+++ b/fleet/ledger/oracle_test.go
@@ -0,0 +1,266 @@
+package ledger
+
+import (
+	"fmt"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// oracle follows the events of a fold with books of its own and fails when they break a rule.
+type oracle struct {
+	t        *rapid.T
+	sim      *simulation
+	window   Window
+	budgets  map[string]*BudgetView
+	holders  map[holding]*HolderView
+	opens    map[AttemptIdentifier]*Open
+	requests map[RequestIdentifier]*oracleRequest
+	members  map[Incarnation]*oracleMember
+	ended    map[string]uint64
+	// seen counts the kinds of events.
+	seen map[string]int
+}
+
+type holding struct {
+	incarnation Incarnation
+	budget      string
+}
+
+type oracleRequest struct {
+	open     Open
+	opens    int
+	billed   bool
+	closedAt platform.Offset
+}
+
+// oracleMember is an incarnation; decisions counts the draws and opens that were answered.
+type oracleMember struct {
+	suspended bool
+	lastSeen  platform.Offset
+	received  map[uint64]Group
+	decisions int
+}
+
+func newOracle(t *rapid.T, sim *simulation, window Window, seen map[string]int) *oracle {
+	return &oracle{
+		t: t, sim: sim, window: window, seen: seen,
+		budgets: make(map[string]*BudgetView), holders: make(map[holding]*HolderView),
+		opens: make(map[AttemptIdentifier]*Open), requests: make(map[RequestIdentifier]*oracleRequest),
+		members: make(map[Incarnation]*oracleMember), ended: make(map[string]uint64),
+	}
+}
+
+// require fails the check unless a rule holds.
+func (o *oracle) require(holds bool, rule string, details ...any) {
+	o.t.Helper()
+	if !holds {
+		o.t.Fatalf("%s: %+v", rule, details)
+	}
+}
+
+// follow checks the events of an entry and compares the state with the books.
+func (o *oracle) follow(offset platform.Offset, g Group, events []Event, s *State) {
+	o.forget(offset)
+	if m, ok := o.members[g.Writer]; ok {
+		m.lastSeen = offset
+		m.received[g.First] = g
+	}
+	for _, event := range events {
+		o.seen[fmt.Sprintf("%T", event)]++
+		o.event(offset, g, event)
+		for _, b := range o.budgets {
+			o.require(b.Spent+b.Shared <= b.Prepaid, "spent + shared ≤ prepaid", b, event)
+		}
+	}
+	o.compare(s)
+}
+
+// forget drops the requests whose window has ended.
+func (o *oracle) forget(offset platform.Offset) {
+	for id, r := range o.requests {
+		window := o.window.NonIdempotent
+		if r.open.Idempotent {
+			window = o.window.Idempotent
+		}
+		if r.opens == 0 && uint64(offset-r.closedAt) > window {
+			delete(o.requests, id)
+		}
+	}
+}
+
+// event checks one event and enters it into the books.
+func (o *oracle) event(offset platform.Offset, g Group, event Event) {
+	switch e := event.(type) {
+	case *Joined:
+		o.require(e.Incarnation.Number > o.ended[e.Incarnation.Instance], "an ended incarnation stays ended", e)
+		o.members[e.Incarnation] = &oracleMember{lastSeen: offset, received: map[uint64]Group{g.First: g}}
+	case *JoinRefused:
+		o.require(e.Incarnation.Number <= o.ended[e.Incarnation.Instance], "a new incarnation may join", e)
+	case *Ended:
+		o.end(e)
+	case *FenceRefused:
+		m, ok := o.members[e.Target]
+		o.require(!ok || m.lastSeen != e.LastSeen || o.sim.hasFence(e.Target, Reserve, e.LastSeen) || m.suspended,
+			"a fence of a silent incarnation is accepted", e)
+	case *PrepaidAccepted:
+		o.prepaid(e)
+	case *PrepaidRefused:
+		b := o.budgets[e.Budget]
+		o.require(e.Needed == b.Spent+b.Shared && prepaidOf(e.Budget, e.Ticket).Total < e.Needed, "only too low a total is refused", e)
+	case *Granted:
+		o.granted(e)
+	case *DrawRefused:
+		o.drawRefused(e)
+	case *Returned:
+		o.move(e.Incarnation, e.Budget, e.Kind, -e.Amount, 0)
+	case *Forfeited:
+		o.require(o.budgets[e.Budget].Reserve.ForfeitResidue, "a residue returns unless the policy forfeits it", e)
+		o.budgets[e.Budget].Spent += e.Amount
+		o.move(e.Incarnation, e.Budget, Reserve, -e.Amount, 0)
+	case *Opened:
+		o.opened(e)
+	case *OpenRefused:
+		o.openRefused(e)
+	case *Billed:
+		o.billed(offset, e)
+	case *Released:
+		open := o.close(offset, e.Attempt, e.Request)
+		o.move(e.Attempt.Incarnation, open.Budget, open.Kind, open.Amount, -open.Amount)
+		if r := o.requests[e.Request]; r.opens == 0 && !r.billed {
+			delete(o.requests, e.Request)
+		}
+	}
+}
+
+func (o *oracle) end(e *Ended) {
+	m := o.members[e.Incarnation]
+	o.require(m != nil, "only a live incarnation ends", e)
+	if !e.Left && e.Kind == Working {
+		o.require(!m.suspended && o.sim.hasFence(e.Incarnation, Working, m.lastSeen), "a fence names the last-seen offset", e, m.lastSeen)
+		m.suspended = true
+		return
+	}
+	for h, v := range o.holders {
+		o.require(h.incarnation != e.Incarnation || v.WorkingFree+v.WorkingReserved+v.ReserveFree+v.ReserveReserved == 0,
+			"an ended incarnation holds nothing", v)
+	}
+	o.require(e.Left || m.suspended, "a reserve ends after the lease", e)
+	delete(o.members, e.Incarnation)
+	o.ended[e.Incarnation.Instance] = max(o.ended[e.Incarnation.Instance], e.Incarnation.Number)
+}
+
+func (o *oracle) prepaid(e *PrepaidAccepted) {
+	if o.budgets[e.Budget] == nil {
+		o.budgets[e.Budget] = &BudgetView{Budget: e.Budget}
+	}
+	b := o.budgets[e.Budget]
+	o.require(e.Ticket > b.Ticket, "the highest ticket wins", e)
+	p := prepaidOf(e.Budget, e.Ticket)
+	b.Ticket, b.Prepaid, b.Frozen, b.Reserve = e.Ticket, p.Total, p.Frozen, p.Reserve
+}
+
+func (o *oracle) granted(e *Granted) {
+	m := o.members[e.Incarnation]
+	o.require(m != nil && !m.suspended && !o.budgets[e.Budget].Frozen, "only a live incarnation draws, and not on a frozen budget", e)
+	o.require(e.Amount > 0, "a grant reaches the minimum", e)
+	m.decisions++
+	o.move(e.Incarnation, e.Budget, e.Kind, e.Amount, 0)
+}
+
+func (o *oracle) drawRefused(e *DrawRefused) {
+	m := o.members[e.Incarnation]
+	m.decisions++
+	b := o.budgets[e.Draw.Budget]
+	if b == nil {
+		o.require(e.Reason == UnknownBudget || m.suspended, "the budget is unknown", e)
+		return
+	}
+	o.require(e.Available == b.Available(), "a refusal states what is available", e)
+	unmet := e.Draw.Minimum == 0 || min(e.Draw.Wanted, b.Available()) < e.Draw.Minimum
+	o.require(m.suspended || b.Frozen || unmet, "a draw that can be met is granted", e)
+}
+
+func (o *oracle) opened(e *Opened) {
+	m := o.members[e.Attempt.Incarnation]
+	o.require(m != nil && (!m.suspended || e.Open.Kind == Reserve), "a suspended incarnation spends only reserve", e)
+	o.require(!o.budgets[e.Open.Budget].Frozen, "a frozen budget accepts no open", e)
+	o.require(o.opens[e.Attempt] == nil, "an attempt is open once", e)
+	m.decisions++
+	r := o.requests[e.Open.Request]
+	if r == nil {
+		r = &oracleRequest{open: *e.Open}
+		o.requests[e.Open.Request] = r
+	}
+	o.require(r.open.Fingerprint == e.Open.Fingerprint && r.open.Idempotent == e.Open.Idempotent, "a request keeps its contents", e)
+	o.require(e.Open.Idempotent || (r.opens == 0 && !r.billed), "a non-idempotent request runs at most once", e)
+	o.require(r.billed == e.AlreadyBilled, "a billed request costs nothing more", e)
+	r.opens++
+	open := *e.Open
+	if r.billed {
+		open.Amount = 0
+	}
+	o.opens[e.Attempt] = &open
+	o.move(e.Attempt.Incarnation, open.Budget, open.Kind, -open.Amount, open.Amount)
+}
+
+func (o *oracle) openRefused(e *OpenRefused) {
+	o.seen[string(e.Reason)]++
+	o.members[e.Attempt.Incarnation].decisions++
+	r := o.requests[e.Open.Request]
+	switch e.Reason {
+	case AlreadyRan:
+		o.require(r != nil && r.billed && !r.open.Idempotent, "a request that may run is not refused", e)
+	case AlreadyOpen:
+		o.require(r != nil && r.opens > 0 && !r.open.Idempotent, "a request that may run is not refused", e)
+	case FingerprintMismatch:
+		o.require(r != nil && r.open.Fingerprint != e.Open.Fingerprint, "equal contents are accepted", e)
+	}
+}
+
+func (o *oracle) billed(offset platform.Offset, e *Billed) {
+	wasBilled := o.requests[e.Request].billed
+	open := o.close(offset, e.Attempt, e.Request)
+	expected := open.Amount
+	if !e.Settled {
+		expected = min(open.Amount, usageOf(e.Attempt.Number))
+	}
+	if wasBilled {
+		expected = 0
+	}
+	o.require(e.Charged == expected, "the first bill is charged, up to its reservation", e, expected)
+	o.requests[e.Request].billed = true
+	o.budgets[open.Budget].Spent += e.Charged
+	o.move(e.Attempt.Incarnation, open.Budget, open.Kind, open.Amount-e.Charged, -open.Amount)
+}
+
+// close takes an attempt out of the books.
+func (o *oracle) close(offset platform.Offset, attempt AttemptIdentifier, request RequestIdentifier) *Open {
+	open := o.opens[attempt]
+	o.require(open != nil && open.Request == request, "a bill closes its own open", attempt)
+	delete(o.opens, attempt)
+	o.requests[request].opens--
+	o.requests[request].closedAt = offset
+	return open
+}
+
+// move changes a holder's free and reserved parts.
+func (o *oracle) move(i Incarnation, budget string, kind ShareKind, free, reserved Tokens) {
+	h := holding{incarnation: i, budget: budget}
+	if o.holders[h] == nil {
+		o.holders[h] = &HolderView{Incarnation: i}
+	}
+	v := o.holders[h]
+	if kind == Reserve {
+		v.ReserveFree += free
+		v.ReserveReserved += reserved
+	} else {
+		v.WorkingFree += free
+		v.WorkingReserved += reserved
+	}
+	o.budgets[budget].Shared += free + reserved
+	o.require(v.WorkingFree >= 0 && v.ReserveFree >= 0 && v.WorkingReserved >= 0 && v.ReserveReserved >= 0, "no part of a share is negative", v)
+	m := o.members[i]
+	o.require(v.WorkingFree+v.WorkingReserved == 0 || m != nil && !m.suspended, "a suspended incarnation holds only reserve", v)
+}
--- /dev/null
+++ b/fleet/ledger/simulation_test.go
@@ -0,0 +1,209 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// Sizes of a simulated partition: small, so that identifiers, budgets and routers collide.
+const (
+	simulatedRouters  = 3
+	simulatedBudgets  = 2
+	simulatedRequests = 6
+	simulatedTickets  = 12
+	simulatedSteps    = 80
+)
+
+// writer is an incarnation with the groups that it has cut.
+type writer struct {
+	incarnation Incarnation
+	groups      []Group
+	last        uint64
+	opens       []Open
+}
+
+// simulation cuts groups of arbitrary records and appends them in arbitrary order, any number of times.
+type simulation struct {
+	t       *rapid.T
+	writers []*writer
+	fences  []Fence
+}
+
+func (s *simulation) number(low, high int, label string) int {
+	return rapid.IntRange(low, high).Draw(s.t, label)
+}
+
+// oneIn is true once in n draws.
+func (s *simulation) oneIn(n int, label string) bool { return s.number(1, n, label) == n }
+
+// join starts an incarnation of a router; its first group joins.
+func (s *simulation) join() *writer {
+	i := Incarnation{
+		Instance: fmt.Sprintf("router-%d", s.number(1, simulatedRouters, "router")),
+		Number:   uint64(s.number(1, 3, "number")),
+	}
+	for _, w := range s.writers {
+		if w.incarnation == i {
+			return w
+		}
+	}
+	w := &writer{incarnation: i, last: 1}
+	w.groups = append(w.groups, Group{Writer: i, First: 1, Records: []Record{&Join{Region: "luzon-a"}}})
+	s.writers = append(s.writers, w)
+	return w
+}
+
+// next returns the group of the next entry: a newly cut one, a copy or one that was held back.
+func (s *simulation) next(state *State) Group {
+	if len(s.writers) < 2 || s.oneIn(12, "join") {
+		return s.join().groups[0]
+	}
+	if state.Next() == 3 {
+		w := s.writers[0]
+		g := Group{Writer: w.incarnation, First: w.last + 1}
+		for n := range simulatedBudgets {
+			g.Records = append(g.Records, prepaidOf(fmt.Sprintf("budget-%d", n+1), 1))
+		}
+		w.last = g.last()
+		w.groups = append(w.groups, g)
+		return g
+	}
+	w := rapid.SampledFrom(s.writers).Draw(s.t, "writer")
+	if s.oneIn(4, "old") {
+		return rapid.SampledFrom(w.groups).Draw(s.t, "group")
+	}
+	if applied := state.AppliedSequence(w.incarnation); applied < w.last && s.oneIn(2, "resend") {
+		for _, g := range w.groups {
+			if g.First == applied+1 {
+				return g
+			}
+		}
+	}
+	if s.oneIn(6, "held back") {
+		s.cut(w, state)
+	}
+	return s.cut(w, state)
+}
+
+// cut makes a writer's next group.
+func (s *simulation) cut(w *writer, state *State) Group {
+	g := Group{Writer: w.incarnation, First: w.last + 1}
+	for range s.number(1, 4, "records") {
+		g.Records = append(g.Records, s.record(w, state))
+	}
+	w.last = g.last()
+	w.groups = append(w.groups, g)
+	return g
+}
+
+// record makes a record of a writer.
+func (s *simulation) record(w *writer, state *State) Record {
+	budget := fmt.Sprintf("budget-%d", s.number(1, simulatedBudgets, "budget"))
+	kind := ShareKind(s.number(0, 1, "kind"))
+	switch s.number(1, 24, "type") {
+	case 1, 2, 3, 4, 5, 6, 7, 8:
+		if h := state.Holder(budget, w.incarnation); h.WorkingFree+h.ReserveFree == 0 && !s.oneIn(6, "nothing held") {
+			return s.draw(budget, kind)
+		}
+		return s.open(w, state, budget, kind)
+	case 9, 10, 11, 12, 13, 14:
+		if o, ok := s.anyOpen(w); ok && !s.oneIn(4, "release") {
+			return &Bill{Request: o.Request, Attempt: o.Attempt, Usage: usageOf(o.Attempt)}
+		} else if ok {
+			return &Release{Request: o.Request, Attempt: o.Attempt}
+		}
+	case 15, 16, 17:
+		return s.draw(budget, kind)
+	case 18:
+		return &Return{Budget: budget, Kind: kind, Amount: Tokens(s.number(0, 60, "amount"))}
+	case 19, 20:
+		return prepaidOf(budget, uint64(s.number(1, simulatedTickets, "ticket")))
+	case 21, 22:
+		return s.fence(state)
+	case 23:
+		if s.oneIn(4, "leave") {
+			return &Leave{}
+		}
+		return &Unknown{Type: 99, Body: []byte{0x90}}
+	}
+	return s.draw(budget, kind)
+}
+
+func (s *simulation) draw(budget string, kind ShareKind) *Draw {
+	return &Draw{
+		Budget: budget, Kind: kind,
+		Wanted: Tokens(s.number(0, 60, "wanted")), Minimum: Tokens(s.number(0, 10, "minimum")),
+	}
+}
+
+// open makes an open of a new attempt, and now and then of one that was used. It mostly fits into the share.
+func (s *simulation) open(w *writer, state *State, budget string, kind ShareKind) *Open {
+	request := s.number(1, simulatedRequests, "request")
+	o := Open{
+		Request: RequestIdentifier{byte(request)}, Attempt: uint64(len(w.opens) + 1), Budget: budget, Kind: kind,
+		Amount: Tokens(s.number(0, 30, "amount")), Idempotent: request%2 == 0,
+	}
+	h := state.Holder(budget, w.incarnation)
+	if free := max(h.WorkingFree, h.ReserveFree); free > 0 && !s.oneIn(5, "too much") {
+		o.Amount = min(o.Amount, free)
+		o.Kind = Working
+		if free == h.ReserveFree {
+			o.Kind = Reserve
+		}
+	}
+	if s.oneIn(10, "other fingerprint") {
+		o.Fingerprint = 1
+	}
+	if s.oneIn(10, "same attempt") {
+		o.Attempt = uint64(s.number(1, len(w.opens)+1, "attempt"))
+	}
+	w.opens = append(w.opens, o)
+	return &o
+}
+
+// anyOpen returns one of the last opens of a writer.
+func (s *simulation) anyOpen(w *writer) (Open, bool) {
+	if len(w.opens) == 0 {
+		return Open{}, false
+	}
+	return rapid.SampledFrom(w.opens[max(0, len(w.opens)-3):]).Draw(s.t, "open"), true
+}
+
+// fence makes a fence of an incarnation, mostly with its true last-seen offset.
+func (s *simulation) fence(state *State) *Fence {
+	target := rapid.SampledFrom(s.writers).Draw(s.t, "target").incarnation
+	f := Fence{Target: target, Kind: ShareKind(s.number(0, 1, "fence kind"))}
+	for _, view := range state.Incarnations() {
+		if view.Incarnation == target {
+			f.LastSeen = view.LastSeen
+			if view.Suspended {
+				f.Kind = Reserve
+			}
+		}
+	}
+	if s.oneIn(3, "late") && f.LastSeen > 0 {
+		f.LastSeen--
+	}
+	s.fences = append(s.fences, f)
+	return &f
+}
+
+// hasFence reports whether a fence was cut that names an offset.
+func (s *simulation) hasFence(target Incarnation, kind ShareKind, lastSeen platform.Offset) bool {
+	return slices.Contains(s.fences, Fence{Target: target, Kind: kind, LastSeen: lastSeen})
+}
+
+// usageOf returns the usage of an attempt.
+func usageOf(attempt uint64) Tokens { return Tokens(attempt * 7 % 40) }
+
+// prepaidOf returns the contents of a ticket: totals rise and fall, some tickets freeze.
+func prepaidOf(budget string, ticket uint64) *Prepaid {
+	return &Prepaid{
+		Budget: budget, Ticket: ticket, Total: Tokens(100 + ticket*53%300), Frozen: ticket%5 == 0,
+		Reserve: ReservePolicy{Share: 20, ForfeitResidue: ticket%2 == 0},
+	}
+}
