--- a/fleet/ledger/assembler_test.go
+++ b/fleet/ledger/assembler_test.go
@@ -82,15 +82,17 @@
 		assertEqual(t, true, state == nil)
 	})
 	t.Run("bounded memory", func(t *testing.T) {
-		a := &Assembler{MaxBytes: 100}
+		few, many := &Assembler{MaxBytes: 100}, &Assembler{}
 		for n := range 50 {
-			_, err := add(a, chunksOf(t, s, router(n))[1:]...)
-			assertError(t, nil, err)
-			if a.bytes > a.MaxBytes || len(a.incomplete) > maxIncomplete {
-				t.Fatalf("%d bytes of %d snapshots are kept", a.bytes, len(a.incomplete))
+			for _, a := range []*Assembler{few, many} {
+				_, err := add(a, chunksOf(t, s, router(n))[1:]...)
+				assertError(t, nil, err)
+			}
+			if few.bytes > few.MaxBytes || len(many.incomplete) > maxIncomplete {
+				t.Fatalf("%d bytes and %d snapshots are kept", few.bytes, len(many.incomplete))
 			}
 		}
-		state, _ := add(&Assembler{}, chunks...)
+		state, _ := add(many, chunks...)
 		assertEqual(t, s.state.Next(), state.Next())
 	})
 }
--- a/fleet/ledger/oracle_test.go
+++ b/fleet/ledger/oracle_test.go
@@ -41,6 +41,8 @@
 	lastSeen  platform.Offset
 	received  map[uint64]Group
 	decisions int
+	// settledReserve says that an open against a reserve share was settled.
+	settledReserve bool
 }
 
 func newOracle(t *rapid.T, sim *simulation, window Window, seen map[string]int) *oracle {
@@ -64,6 +66,9 @@
 func (o *oracle) follow(offset platform.Offset, g Group, events []Event, s *State) {
 	o.forget(offset)
 	if m, ok := o.members[g.Writer]; ok {
+		if applied, _ := m.prefix(); g.First == applied+1 {
+			o.answered(g, events)
+		}
 		m.lastSeen = offset
 		m.received[g.First] = g
 	}
@@ -77,6 +82,26 @@
 	o.compare(s)
 }
 
+// answered checks that the first record of a group that is next in sequence has its outcome.
+func (o *oracle) answered(g Group, events []Event) {
+	kind := "none"
+	if len(events) > 0 {
+		kind = fmt.Sprintf("%T", events[0])
+	}
+	switch r := g.Records[0].(type) {
+	case *Bill:
+		open := o.opens[AttemptIdentifier{Incarnation: g.Writer, Number: r.Attempt}]
+		o.require(open == nil || open.Request != r.Request || kind == "*ledger.Billed", "a bill closes its open", g, kind)
+	case *Release:
+		open := o.opens[AttemptIdentifier{Incarnation: g.Writer, Number: r.Attempt}]
+		o.require(open == nil || open.Request != r.Request || kind == "*ledger.Released", "a release closes its open", g, kind)
+	case *Open:
+		o.require(kind == "*ledger.Opened" || kind == "*ledger.OpenRefused", "an open is answered", g, kind)
+	case *Draw:
+		o.require(kind == "*ledger.Granted" || kind == "*ledger.DrawRefused", "a draw is answered", g, kind)
+	}
+}
+
 // forget drops the requests whose window has ended.
 func (o *oracle) forget(offset platform.Offset) {
 	for id, r := range o.requests {
@@ -139,6 +164,7 @@
 	o.require(m != nil, "only a live incarnation ends", e)
 	if !e.Left && e.Kind == Working {
 		o.require(!m.suspended && o.sim.hasFence(e.Incarnation, Working, m.lastSeen), "a fence names the last-seen offset", e, m.lastSeen)
+		o.require(!m.settledReserve, "reserve opens outlive the lease", e)
 		m.suspended = true
 		return
 	}
@@ -220,6 +246,9 @@
 }
 
 func (o *oracle) billed(offset platform.Offset, e *Billed) {
+	if e.Settled && o.opens[e.Attempt].Kind == Reserve {
+		o.members[e.Attempt.Incarnation].settledReserve = true
+	}
 	wasBilled := o.requests[e.Request].billed
 	open := o.close(offset, e.Attempt, e.Request)
 	expected := open.Amount
--- a/fleet/ledger/property_test.go
+++ b/fleet/ledger/property_test.go
@@ -37,10 +37,26 @@
 		o.equal(m.lastSeen, view.LastSeen)
 		applied, decisions := m.prefix()
 		o.equal(applied, s.AppliedSequence(view.Incarnation))
+		o.require(!m.suspended || o.holdsAnything(view.Incarnation), "an empty suspended incarnation ends", view)
 		o.require(m.suspended || decisions == m.decisions, "each record is applied once", view, decisions, m.decisions)
 	}
 }
 
+// holdsAnything reports whether an incarnation has a share or an open.
+func (o *oracle) holdsAnything(i Incarnation) bool {
+	for h, v := range o.holders {
+		if h.incarnation == i && v.ReserveFree+v.ReserveReserved > 0 {
+			return true
+		}
+	}
+	for attempt := range o.opens {
+		if attempt.Incarnation == i {
+			return true
+		}
+	}
+	return false
+}
+
 // prefix returns the last sequence number before the first gap, and the draws and opens up to it.
 func (m *oracleMember) prefix() (uint64, int) {
 	applied, decisions := uint64(0), 0
