--- a/fleet/ledger/budget.go
+++ b/fleet/ledger/budget.go
@@ -1,11 +1,21 @@
 package ledger
 
 import (
-	"maps"
+	"iter"
 	"slices"
 	"strings"
 )
 
+// budgetChunk is the number of budgets that are allocated together.
+const budgetChunk = 256
+
+// budgetTable holds the budgets of a partition. They are allocated in chunks, which keeps them close
+// together and their addresses stable.
+type budgetTable struct {
+	byName map[string]*budget
+	chunks [][]budget
+}
+
 // budget is the state of a prepaid budget: spent + shared ≤ prepaid.
 type budget struct {
 	name    string
@@ -13,12 +23,16 @@
 	prepaid Tokens
 	spent   Tokens
 	shared  Tokens
-	reserve ReservePolicy
+	// reserve is the reserve share of the policy.
+	reserve Tokens
 	// shares are sorted by incarnation.
-	shares []*share
+	shares []share
 	// opens counts the reservations that are neither billed nor released.
-	opens  int
-	frozen bool
+	opens uint32
+	// position is the budget's place in the snapshot that is being written.
+	position uint32
+	frozen   bool
+	forfeit  bool
 }
 
 // share is what one incarnation holds of a budget; both fields are indexed by ShareKind.
@@ -28,6 +42,45 @@
 	reserved [2]Tokens
 }
 
+// add adds an empty budget.
+func (t *budgetTable) add(name string) *budget {
+	if t.byName == nil {
+		t.byName = make(map[string]*budget)
+	}
+	last := len(t.chunks) - 1
+	if last < 0 || len(t.chunks[last]) == budgetChunk {
+		t.chunks = append(t.chunks, make([]budget, 0, budgetChunk))
+		last++
+	}
+	t.chunks[last] = append(t.chunks[last], budget{name: name})
+	b := &t.chunks[last][len(t.chunks[last])-1]
+	t.byName[name] = b
+	return b
+}
+
+// all returns the budgets in the order in which they were added.
+func (t *budgetTable) all() iter.Seq[*budget] {
+	return func(yield func(*budget) bool) {
+		for _, chunk := range t.chunks {
+			for i := range chunk {
+				if !yield(&chunk[i]) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// sorted returns the budgets by name.
+func (t *budgetTable) sorted() []*budget {
+	budgets := slices.AppendSeq(make([]*budget, 0, len(t.byName)), t.all())
+	slices.SortFunc(budgets, compareNames)
+	return budgets
+}
+
+// compareNames orders budgets by name.
+func compareNames(a, b *budget) int { return strings.Compare(a.name, b.name) }
+
 // available returns what a draw could be granted.
 func (b *budget) available() Tokens { return b.prepaid - b.spent - b.shared }
 
@@ -36,7 +89,7 @@
 
 // prepay puts a ticket's total in force.
 func (s *State) prepay(r *Prepaid) {
-	b, ok := s.budgets[r.Budget]
+	b, ok := s.budgets.byName[r.Budget]
 	if ok && r.Ticket <= b.ticket {
 		return
 	}
@@ -45,28 +98,19 @@
 		return
 	}
 	if !ok {
-		b = s.addBudget(r.Budget)
+		b = s.budgets.add(r.Budget)
 	}
 	b.ticket = r.Ticket
 	b.prepaid = r.Total
 	b.frozen = r.Frozen
-	b.reserve = r.Reserve
+	b.reserve = r.Reserve.Share
+	b.forfeit = r.Reserve.ForfeitResidue
 	s.emit(&PrepaidAccepted{Budget: r.Budget, Ticket: r.Ticket})
 }
 
-// addBudget adds an empty budget.
-func (s *State) addBudget(name string) *budget {
-	if s.budgets == nil {
-		s.budgets = make(map[string]*budget)
-	}
-	b := &budget{name: name}
-	s.budgets[name] = b
-	return b
-}
-
 // draw grants a share or records the unmet demand.
 func (s *State) draw(m *member, r *Draw) {
-	b, ok := s.budgets[r.Budget]
+	b, ok := s.budgets.byName[r.Budget]
 	if !ok {
 		s.refuseDraw(m, r, UnknownBudget)
 		return
@@ -81,14 +125,14 @@
 		return
 	}
 	b.shared += amount
-	b.shareOf(m).free[r.Kind] += amount
+	b.addShare(m).free[r.Kind] += amount
 	s.emit(&Granted{Incarnation: m.incarnation, Budget: r.Budget, Kind: r.Kind, Amount: amount})
 }
 
 // refuseDraw records an unmet demand.
 func (s *State) refuseDraw(m *member, r *Draw, reason RefusalReason) {
 	refused := &DrawRefused{Incarnation: m.incarnation, Draw: r, Reason: reason}
-	if b, ok := s.budgets[r.Budget]; ok {
+	if b, ok := s.budgets.byName[r.Budget]; ok {
 		refused.Available = b.available()
 	}
 	s.emit(refused)
@@ -96,16 +140,14 @@
 
 // giveBack returns a part of a share to its budget.
 func (s *State) giveBack(m *member, r *Return) {
-	b, ok := s.budgets[r.Budget]
+	b, ok := s.budgets.byName[r.Budget]
 	if !ok {
 		return
 	}
-	h, ok := m.holdings[b]
-	if !ok {
-		return
+	if h := b.shareOf(m); h != nil {
+		s.returnFree(b, h, r.Kind, r.Amount)
+		b.dropIfEmpty(h)
 	}
-	s.returnFree(b, h, r.Kind, r.Amount)
-	b.dropIfEmpty(h)
 }
 
 // returnFree moves up to amount from the free part of a share back to the budget.
@@ -119,19 +161,28 @@
 	s.emit(&Returned{Incarnation: h.member.incarnation, Budget: b.name, Kind: kind, Amount: amount})
 }
 
-// shareOf returns the share of an incarnation, which is made if there is none.
+// shareOf returns the share of an incarnation; nil if there is none. It is valid until a share is added
+// or dropped.
 func (b *budget) shareOf(m *member) *share {
-	if h, ok := m.holdings[b]; ok {
-		return h
+	for i := range b.shares {
+		if b.shares[i].member == m {
+			return &b.shares[i]
+		}
 	}
-	h := &share{member: m}
-	if m.holdings == nil {
-		m.holdings = make(map[*budget]*share)
+	return nil
+}
+
+// addShare returns the share of an incarnation, which is made if there is none.
+func (b *budget) addShare(m *member) *share {
+	if h := b.shareOf(m); h != nil {
+		return h
 	}
-	m.holdings[b] = h
-	position, _ := b.position(m)
-	b.shares = slices.Insert(b.shares, position, h)
-	return h
+	position, _ := slices.BinarySearchFunc(b.shares, m.incarnation, func(h share, i Incarnation) int {
+		return h.member.incarnation.compare(i)
+	})
+	b.shares = slices.Insert(b.shares, position, share{member: m})
+	m.shares++
+	return &b.shares[position]
 }
 
 // dropIfEmpty removes a share that holds nothing.
@@ -139,25 +190,20 @@
 	if !h.isEmpty() {
 		return
 	}
-	delete(h.member.holdings, b)
-	if position, ok := b.position(h.member); ok {
-		b.shares = slices.Delete(b.shares, position, position+1)
+	m := h.member
+	m.shares--
+	b.shares = slices.DeleteFunc(b.shares, func(h share) bool { return h.member == m })
+	if len(b.shares) == 0 {
+		b.shares = nil
 	}
 }
 
-// position finds the share of an incarnation.
-func (b *budget) position(m *member) (int, bool) {
-	return slices.BinarySearchFunc(b.shares, m.incarnation, func(h *share, i Incarnation) int {
-		return h.member.incarnation.compare(i)
-	})
-}
-
 // settle closes an incarnation's opens of one kind and ends its shares of that kind.
 func (s *State) settle(m *member, kind ShareKind) {
 	s.settleOpens(m, kind)
-	for _, b := range sortedHoldings(m) {
-		h := m.holdings[b]
-		if kind == Reserve && b.reserve.ForfeitResidue {
+	for _, b := range s.budgetsOf(m) {
+		h := b.shareOf(m)
+		if kind == Reserve && b.forfeit {
 			s.forfeit(b, h)
 		}
 		s.returnFree(b, h, kind, h.free[kind])
@@ -179,17 +225,26 @@
 
 // returnAll returns the free parts of all shares.
 func (s *State) returnAll(m *member) {
-	for _, b := range sortedHoldings(m) {
-		h := m.holdings[b]
+	for _, b := range s.budgetsOf(m) {
+		h := b.shareOf(m)
 		s.returnFree(b, h, Working, h.free[Working])
 		s.returnFree(b, h, Reserve, h.free[Reserve])
 		b.dropIfEmpty(h)
 	}
 }
 
-// sortedHoldings returns the budgets of which an incarnation holds a share, by name.
-func sortedHoldings(m *member) []*budget {
-	return slices.SortedFunc(maps.Keys(m.holdings), func(a, b *budget) int {
-		return strings.Compare(a.name, b.name)
-	})
+// budgetsOf returns the budgets of which an incarnation holds a share, by name. It looks at all budgets,
+// because incarnations end rarely.
+func (s *State) budgetsOf(m *member) []*budget {
+	var budgets []*budget
+	for b := range s.budgets.all() {
+		if m.shares == len(budgets) {
+			break
+		}
+		if b.shareOf(m) != nil {
+			budgets = append(budgets, b)
+		}
+	}
+	slices.SortFunc(budgets, compareNames)
+	return budgets
 }
--- /dev/null
+++ b/fleet/ledger/fuzz_test.go
@@ -0,0 +1,103 @@
+package ledger
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// FuzzDecode checks that a payload is refused or has a group that survives another encoding, and that the
+// fold of it keeps every budget whole.
+func FuzzDecode(f *testing.F) {
+	for _, records := range [][]Record{
+		{},
+		{&Join{AvailabilityZone: "luzon-a", Region: "luzon", Version: "1"}, &Heartbeat{ConfigurationNumber: 1}, &Leave{}},
+		{&Prepaid{Budget: "atelier", Ticket: 1, Total: 1000}, &Draw{Budget: "atelier", Wanted: 100, Minimum: 1}},
+		{&Open{Budget: "atelier", Amount: 50, Attempt: 1}, &Bill{Attempt: 1, Usage: 20}, &Release{Attempt: 1}},
+		{&Return{Budget: "atelier", Amount: 10}, &Fence{Target: router(2)}, &Unknown{Type: 99, Body: []byte{0xc0}}},
+	} {
+		payload, err := Encode(Group{Writer: router(1), First: 1, Records: records})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(payload)
+		f.Add(payload[:len(payload)/2])
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		g, err := Decode(payload)
+		if err != nil {
+			return
+		}
+		again, err := Encode(g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		copied, err := Decode(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertEqual(t, g, copied)
+		s := newStream(t)
+		s.state.Apply(platform.Entry{Offset: s.state.Next(), Payload: payload})
+		for _, b := range s.state.Budgets() {
+			if b.Available() < 0 || b.Spent < 0 || b.Shared < 0 {
+				t.Fatalf("budget %+v", b)
+			}
+		}
+	})
+}
+
+// FuzzAssembler checks that a payload between the chunks of a snapshot neither completes another state nor
+// keeps the snapshot from completing.
+func FuzzAssembler(f *testing.F) {
+	s := &stream{}
+	payload, err := Encode(Group{Writer: router(1), First: 1, Records: []Record{&Join{}, &Prepaid{Budget: "atelier", Total: 9}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	s.state.Apply(platform.Entry{Payload: payload})
+	chunks, err := s.state.EncodeSnapshot(router(1), 32)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte{})
+	f.Add(chunks[0])
+	f.Add(chunks[len(chunks)-1][:20])
+	f.Add(bytes.Repeat([]byte{0xdf}, 40))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		state, _ := add(&Assembler{}, payload)
+		if state != nil {
+			t.Fatal("one chunk completed a snapshot")
+		}
+		state, _ = add(&Assembler{}, append([][]byte{chunks[0], payload}, chunks[1:]...)...)
+		if state == nil {
+			t.Fatal("the snapshot was not completed")
+		}
+		assertEqual(t, s.state.Next(), state.Next())
+	})
+}
+
+// FuzzLoad checks that the data of a snapshot with a correct digest is refused or loads to a whole state.
+func FuzzLoad(f *testing.F) {
+	data, err := newPartition(3, 2).encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := loadState(data)
+		if err != nil {
+			return
+		}
+		for _, b := range s.Budgets() {
+			if b.Available() < 0 {
+				t.Fatalf("budget %+v", b)
+			}
+		}
+		if _, err := s.EncodeSnapshot(router(1), 0); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/fleet/ledger/member.go
+++ b/fleet/ledger/member.go
@@ -38,8 +38,10 @@
 	// opens are its reservations by attempt.
 	opens    map[uint64]reservation
 	attempts attemptWindow
-	// holdings are the budgets of which it holds a share.
-	holdings map[*budget]*share
+	// shares is the number of budgets of which it holds a share.
+	shares int
+	// position is its place in the snapshot that is being written.
+	position uint32
 }
 
 // mayWrite reports whether a record of the incarnation counts.
@@ -188,7 +190,7 @@
 
 // endIfEmpty ends a suspended incarnation that holds nothing any more.
 func (s *State) endIfEmpty(m *member) {
-	if m.status == suspended && len(m.holdings) == 0 && len(m.opens) == 0 {
+	if m.status == suspended && m.shares == 0 && len(m.opens) == 0 {
 		s.end(m, Reserve, false)
 	}
 }
--- a/fleet/ledger/read.go
+++ b/fleet/ledger/read.go
@@ -3,12 +3,11 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 )
 
 // Budget returns the state of a budget.
 func (s *State) Budget(name string) (BudgetView, bool) {
-	b, ok := s.budgets[name]
+	b, ok := s.budgets.byName[name]
 	if !ok {
 		return BudgetView{}, false
 	}
@@ -17,32 +16,26 @@
 
 // Budgets returns the state of all budgets by name.
 func (s *State) Budgets() []BudgetView {
-	views := make([]BudgetView, 0, len(s.budgets))
-	for _, b := range s.sortedBudgets() {
+	views := make([]BudgetView, 0, len(s.budgets.byName))
+	for _, b := range s.budgets.sorted() {
 		views = append(views, b.view())
 	}
 	return views
 }
 
-// sortedBudgets returns all budgets by name.
-func (s *State) sortedBudgets() []*budget {
-	budgets := slices.AppendSeq(make([]*budget, 0, len(s.budgets)), maps.Values(s.budgets))
-	slices.SortFunc(budgets, func(a, b *budget) int { return strings.Compare(a.name, b.name) })
-	return budgets
-}
-
 // view returns a copy of a budget's state.
 func (b *budget) view() BudgetView {
 	view := BudgetView{
 		Budget: b.name, Ticket: b.ticket, Prepaid: b.prepaid, Spent: b.spent, Shared: b.shared,
-		Frozen: b.frozen, Reserve: b.reserve, OpenRequests: b.opens,
+		Frozen: b.frozen, Reserve: ReservePolicy{Share: b.reserve, ForfeitResidue: b.forfeit},
+		OpenRequests: int(b.opens),
 	}
 	if len(b.shares) == 0 {
 		return view
 	}
 	view.Holders = make([]HolderView, len(b.shares))
-	for i, h := range b.shares {
-		view.Holders[i] = h.view()
+	for i := range b.shares {
+		view.Holders[i] = b.shares[i].view()
 	}
 	return view
 }
@@ -58,10 +51,10 @@
 
 // Holder returns what an incarnation holds of a budget.
 func (s *State) Holder(name string, i Incarnation) HolderView {
-	b, knownBudget := s.budgets[name]
+	b, knownBudget := s.budgets.byName[name]
 	m, knownMember := s.members[i]
 	if knownBudget && knownMember {
-		if h, ok := m.holdings[b]; ok {
+		if h := b.shareOf(m); h != nil {
 			return h.view()
 		}
 	}
--- a/fleet/ledger/request.go
+++ b/fleet/ledger/request.go
@@ -19,17 +19,17 @@
 // open reserves the cost of an attempt.
 func (s *State) open(m *member, r *Open) {
 	known, isKnown := s.requests.known[r.Request]
-	if reason := s.checkOpen(m, r, known, isKnown); reason != "" {
+	b := s.budgets.byName[r.Budget]
+	if reason := m.checkOpen(r, b, known, isKnown); reason != "" {
 		s.emit(&OpenRefused{Attempt: m.attempt(r.Attempt), Open: r, Reason: reason})
 		return
 	}
-	b := s.budgets[r.Budget]
 	amount := r.Amount
 	if known.billed {
 		amount = 0
 	}
 	if amount > 0 {
-		h := m.holdings[b]
+		h := b.shareOf(m)
 		h.free[r.Kind] -= amount
 		h.reserved[r.Kind] += amount
 	}
@@ -39,13 +39,13 @@
 	m.opens[r.Attempt] = reservation{request: r.Request, budget: b, amount: amount, kind: r.Kind}
 	m.attempts.add(r.Attempt)
 	b.opens++
-	s.requests.open(r)
+	s.requests.open(r, known)
 	s.emit(&Opened{Attempt: m.attempt(r.Attempt), Open: r, AlreadyBilled: known.billed})
 }
 
 // checkOpen returns why an open is refused; empty if it is accepted. What is known of the request comes
 // first, because it says whether an earlier attempt may have run.
-func (s *State) checkOpen(m *member, r *Open, known request, isKnown bool) RefusalReason {
+func (m *member) checkOpen(r *Open, b *budget, known request, isKnown bool) RefusalReason {
 	if isKnown {
 		if reason := known.check(r); reason != "" {
 			return reason
@@ -57,9 +57,8 @@
 	if m.status == suspended && r.Kind == Working {
 		return NotLive
 	}
-	b, ok := s.budgets[r.Budget]
 	switch {
-	case !ok:
+	case b == nil:
 		return UnknownBudget
 	case b.frozen:
 		return FrozenBudget
@@ -86,7 +85,7 @@
 
 // canReserve reports whether the free part of the share covers an open.
 func (m *member) canReserve(b *budget, r *Open) bool {
-	if h, ok := m.holdings[b]; ok {
+	if h := b.shareOf(m); h != nil {
 		return h.free[r.Kind] >= r.Amount
 	}
 	return r.Amount <= 0
@@ -104,14 +103,21 @@
 		s.counters.Unmatched++
 		return
 	}
-	charged := Tokens(0)
-	if !s.requests.isBilled(o.request) {
-		charged = min(r.Usage, o.amount)
+	s.charge(m, r.Attempt, o, min(r.Usage, o.amount), false)
+}
+
+// charge closes an open and charges an amount, unless its request was billed before.
+func (s *State) charge(m *member, attempt uint64, o reservation, amount Tokens, settled bool) {
+	q := s.requests.known[o.request]
+	if q.billed {
+		amount = 0
 	}
-	s.closeOpen(m, r.Attempt, o, charged)
-	s.freeRest(m, o, charged)
-	s.requests.bill(o.request, s.next)
-	s.emit(&Billed{Attempt: m.attempt(r.Attempt), Request: r.Request, Budget: o.budget.name, Charged: charged})
+	q.billed = true
+	s.closeOpen(m, attempt, o, amount)
+	s.requests.closeOne(o.request, q, s.next)
+	s.emit(&Billed{
+		Attempt: m.attempt(attempt), Request: o.request, Budget: o.budget.name, Charged: amount, Settled: settled,
+	})
 }
 
 // release closes an open whose attempt was not run.
@@ -122,29 +128,21 @@
 		return
 	}
 	s.closeOpen(m, r.Attempt, o, 0)
-	s.freeRest(m, o, 0)
 	s.requests.release(o.request, s.next)
 	s.emit(&Released{Attempt: m.attempt(r.Attempt), Request: r.Request})
 }
 
-// closeOpen takes the reservation off its share and charges a part of it.
+// closeOpen takes the reservation off its share, charges a part of it and makes the rest free again.
 func (s *State) closeOpen(m *member, attempt uint64, o reservation, charged Tokens) {
 	delete(m.opens, attempt)
 	o.budget.opens--
 	if o.amount == 0 {
 		return
 	}
-	m.holdings[o.budget].reserved[o.kind] -= o.amount
 	o.budget.shared -= charged
 	o.budget.spent += charged
-}
-
-// freeRest makes the uncharged rest of a reservation free again in the same share.
-func (s *State) freeRest(m *member, o reservation, charged Tokens) {
-	if o.amount == 0 {
-		return
-	}
-	h := m.holdings[o.budget]
+	h := o.budget.shareOf(m)
+	h.reserved[o.kind] -= o.amount
 	h.free[o.kind] += o.amount - charged
 	o.budget.dropIfEmpty(h)
 }
@@ -153,20 +151,9 @@
 // its whole reservation.
 func (s *State) settleOpens(m *member, kind ShareKind) {
 	for _, attempt := range slices.Sorted(maps.Keys(m.opens)) {
-		o := m.opens[attempt]
-		if o.kind != kind {
-			continue
-		}
-		charged := o.amount
-		if s.requests.isBilled(o.request) {
-			charged = 0
+		if o := m.opens[attempt]; o.kind == kind {
+			s.charge(m, attempt, o, o.amount, true)
 		}
-		s.closeOpen(m, attempt, o, charged)
-		s.freeRest(m, o, charged)
-		s.requests.bill(o.request, s.next)
-		s.emit(&Billed{
-			Attempt: m.attempt(attempt), Request: o.request, Budget: o.budget.name, Charged: charged, Settled: true,
-		})
 	}
 }
 
@@ -188,28 +175,17 @@
 	closed [2]closedQueue
 }
 
-// isBilled reports whether a request was billed.
-func (t *requestTable) isBilled(id RequestIdentifier) bool { return t.known[id].billed }
-
-// open counts an accepted open.
-func (t *requestTable) open(r *Open) {
+// open counts an accepted open of a request.
+func (t *requestTable) open(r *Open, q request) {
 	if t.known == nil {
 		t.known = make(map[RequestIdentifier]request)
 	}
-	q := t.known[r.Request]
 	q.fingerprint = r.Fingerprint
 	q.idempotent = r.Idempotent
 	q.opens++
 	t.known[r.Request] = q
 }
 
-// bill marks a request as billed and closes one of its opens.
-func (t *requestTable) bill(id RequestIdentifier, next platform.Offset) {
-	q := t.known[id]
-	q.billed = true
-	t.closeOne(id, q, next)
-}
-
 // release closes one of a request's opens and forgets a request that has no other and no bill.
 func (t *requestTable) release(id RequestIdentifier, next platform.Offset) {
 	q := t.known[id]
--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -18,12 +18,12 @@
 const DefaultChunkBytes = 256 << 10
 
 // EncodeSnapshot returns the payloads of the entries that carry the state, each with up to chunkBytes of
-// data; DefaultChunkBytes if that is not positive. States that have read the same entries have the same data.
+// data; DefaultChunkBytes if that is not positive. Like Apply, it needs the state for itself. States that have read the same entries have the same data.
 func (s *State) EncodeSnapshot(writer Incarnation, chunkBytes int) ([][]byte, error) {
 	if chunkBytes <= 0 {
 		chunkBytes = DefaultChunkBytes
 	}
-	data, err := s.appendState(nil)
+	data, err := s.encode()
 	if err != nil {
 		return nil, fmt.Errorf("encoding a snapshot: %w", err)
 	}
@@ -44,27 +44,39 @@
 	return payloads, nil
 }
 
-// appendState appends the data of a snapshot.
-func (s *State) appendState(b []byte) ([]byte, error) {
+// Usual lengths of rows, by which the data's buffer is sized.
+const (
+	usualBudgetBytes  = 64
+	usualRequestBytes = 34
+)
+
+// encode returns the data of a snapshot.
+func (s *State) encode() ([]byte, error) {
 	window := s.Window.orDefault()
 	header := snapshotHeader{
 		Version: snapshotVersion, Next: uint64(s.next),
 		Idempotent: window.Idempotent, NonIdempotent: window.NonIdempotent,
 	}
-	b, err := header.MarshalMsg(b)
+	size := len(s.budgets.byName)*usualBudgetBytes + len(s.requests.known)*usualRequestBytes
+	b, err := header.MarshalMsg(make([]byte, 0, size))
 	if err != nil {
 		return b, err
 	}
-	budgets := s.sortedBudgets()
-	if b, err = appendBudgets(b, budgets); err != nil {
+	members := s.sortedMembers()
+	if b, err = appendMembers(b, members); err != nil {
 		return b, err
 	}
-	if b, err = s.requests.appendOpen(b); err != nil {
+	if b, err = appendBudgets(b, s.budgets.sorted()); err != nil {
 		return b, err
 	}
-	if b, err = s.appendMembers(b, budgets); err != nil {
+	if b, err = s.requests.appendOpen(b); err != nil {
 		return b, err
 	}
+	for _, m := range members {
+		if b, err = m.appendOpens(b); err != nil {
+			return b, err
+		}
+	}
 	for queue := range s.requests.closed {
 		if b, err = s.requests.appendClosed(b, &s.requests.closed[queue]); err != nil {
 			return b, err
@@ -73,19 +85,38 @@
 	return s.appendEnded(b)
 }
 
-// appendBudgets appends the section of the budgets.
+// appendBudgets appends the section of the budgets and notes their positions.
 func appendBudgets(b []byte, budgets []*budget) ([]byte, error) {
 	b = msgp.AppendArrayHeader(b, uint32(len(budgets)))
 	var row budgetRow
 	var err error
-	for _, u := range budgets {
+	for i, u := range budgets {
+		u.position = uint32(i)
 		row = budgetRow{
 			Name: u.name, Ticket: u.ticket, Prepaid: int64(u.prepaid), Spent: int64(u.spent),
-			Frozen: u.frozen, Share: int64(u.reserve.Share), Forfeit: u.reserve.ForfeitResidue,
+			Frozen: u.frozen, Share: int64(u.reserve), Forfeit: u.forfeit,
 		}
 		if b, err = row.MarshalMsg(b); err != nil {
 			return b, err
 		}
+		if b, err = appendShares(b, u.shares); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+// appendShares appends the shares of a budget.
+func appendShares(b []byte, shares []share) ([]byte, error) {
+	b = msgp.AppendArrayHeader(b, uint32(len(shares)))
+	var row shareRow
+	var err error
+	for i := range shares {
+		h := &shares[i]
+		row = shareRow{Member: h.member.position, WorkingFree: int64(h.free[Working]), ReserveFree: int64(h.free[Reserve])}
+		if b, err = row.MarshalMsg(b); err != nil {
+			return b, err
+		}
 	}
 	return b, nil
 }
@@ -137,26 +168,13 @@
 	return b, nil
 }
 
-// appendMembers appends the section of the incarnations.
-func (s *State) appendMembers(b []byte, budgets []*budget) ([]byte, error) {
-	positions := make(map[*budget]uint32)
-	for _, m := range s.members {
-		for u := range m.holdings {
-			positions[u] = 0
-		}
-		for _, o := range m.opens {
-			positions[o.budget] = 0
-		}
-	}
-	for i, u := range budgets {
-		if _, ok := positions[u]; ok {
-			positions[u] = uint32(i)
-		}
-	}
-	b = msgp.AppendArrayHeader(b, uint32(len(s.members)))
+// appendMembers appends the section of the incarnations and notes their positions.
+func appendMembers(b []byte, members []*member) ([]byte, error) {
+	b = msgp.AppendArrayHeader(b, uint32(len(members)))
 	var err error
-	for _, m := range s.sortedMembers() {
-		if b, err = m.append(b, positions); err != nil {
+	for i, m := range members {
+		m.position = uint32(i)
+		if b, err = m.append(b); err != nil {
 			return b, err
 		}
 	}
@@ -164,7 +182,7 @@
 }
 
 // append appends an incarnation.
-func (m *member) append(b []byte, positions map[*budget]uint32) ([]byte, error) {
+func (m *member) append(b []byte) ([]byte, error) {
 	row := memberRow{
 		Instance: m.incarnation.Instance, Number: m.incarnation.Number, Suspended: m.status == suspended,
 		AvailabilityZone: m.join.AvailabilityZone, Region: m.join.Region, Version: m.join.Version,
@@ -187,34 +205,17 @@
 			return b, err
 		}
 	}
-	if b, err = m.appendShares(b, positions); err != nil {
-		return b, err
-	}
-	return m.appendOpens(b, positions)
-}
-
-// appendShares appends what an incarnation holds.
-func (m *member) appendShares(b []byte, positions map[*budget]uint32) ([]byte, error) {
-	b = msgp.AppendArrayHeader(b, uint32(len(m.holdings)))
-	var err error
-	for _, u := range sortedHoldings(m) {
-		free := m.holdings[u].free
-		row := shareRow{Budget: positions[u], WorkingFree: int64(free[Working]), ReserveFree: int64(free[Reserve])}
-		if b, err = row.MarshalMsg(b); err != nil {
-			return b, err
-		}
-	}
 	return b, nil
 }
 
 // appendOpens appends the opens of an incarnation.
-func (m *member) appendOpens(b []byte, positions map[*budget]uint32) ([]byte, error) {
+func (m *member) appendOpens(b []byte) ([]byte, error) {
 	b = msgp.AppendArrayHeader(b, uint32(len(m.opens)))
 	var err error
 	for _, attempt := range slices.Sorted(maps.Keys(m.opens)) {
 		o := m.opens[attempt]
 		row := reservationRow{
-			Attempt: attempt, Request: o.request, Budget: positions[o.budget],
+			Attempt: attempt, Request: o.request, Budget: o.budget.position,
 			Amount: int64(o.amount), Kind: uint8(o.kind),
 		}
 		if b, err = row.MarshalMsg(b); err != nil {
--- a/fleet/ledger/snapshot_load.go
+++ b/fleet/ledger/snapshot_load.go
@@ -70,16 +70,20 @@
 		Window: Window{Idempotent: header.Idempotent, NonIdempotent: header.NonIdempotent},
 		next:   platform.Offset(header.Next),
 	}
-	budgets := s.loadBudgets(r)
-	s.loadOpenRequests(r)
+	var members []*member
 	for n := r.count(); n > 0 && r.err == nil; n-- {
-		s.loadMember(r, budgets)
+		members = append(members, s.loadMember(r))
+	}
+	budgets := s.loadBudgets(r, members)
+	s.loadOpenRequests(r)
+	for _, m := range members {
+		s.loadOpens(r, m, budgets)
 	}
 	s.loadClosed(r, idempotentQueue)
 	s.loadClosed(r, nonIdempotentQueue)
 	s.loadEnded(r)
 	r.check(len(r.rest) == 0)
-	s.checkSums(r)
+	s.checkOpens(r)
 	if r.err != nil {
 		return nil, fmt.Errorf("loading a snapshot: %w", r.err)
 	}
@@ -87,22 +91,23 @@
 }
 
 // loadBudgets reads the section of the budgets.
-func (s *State) loadBudgets(r *snapshotReader) []*budget {
+func (s *State) loadBudgets(r *snapshotReader, members []*member) []*budget {
 	n := r.count()
 	budgets := make([]*budget, 0, n)
-	s.budgets = make(map[string]*budget, n)
+	s.budgets.byName = make(map[string]*budget, n)
 	var row budgetRow
 	for ; n > 0 && r.err == nil; n-- {
 		r.row(&row)
-		b := s.addBudget(row.Name)
+		b := s.budgets.add(row.Name)
 		b.ticket = row.Ticket
 		b.prepaid, b.spent = Tokens(row.Prepaid), Tokens(row.Spent)
 		b.frozen = row.Frozen
-		b.reserve = ReservePolicy{Share: Tokens(row.Share), ForfeitResidue: row.Forfeit}
-		r.check(b.spent >= 0)
+		b.reserve, b.forfeit = Tokens(row.Share), row.Forfeit
+		r.check(b.spent >= 0 && b.spent <= b.prepaid)
+		b.loadShares(r, members)
 		budgets = append(budgets, b)
 	}
-	r.check(len(s.budgets) == len(budgets))
+	r.check(len(s.budgets.byName) == len(budgets))
 	return budgets
 }
 
@@ -121,7 +126,7 @@
 }
 
 // loadMember reads an incarnation.
-func (s *State) loadMember(r *snapshotReader, budgets []*budget) {
+func (s *State) loadMember(r *snapshotReader) *member {
 	var row memberRow
 	r.row(&row)
 	m := &member{
@@ -139,14 +144,13 @@
 		m.status = suspended
 	}
 	m.loadGroups(r)
-	m.loadShares(r, budgets)
-	s.loadOpens(r, m, budgets)
 	if s.members == nil {
 		s.members = make(map[Incarnation]*member)
 	}
 	_, twice := s.members[m.incarnation]
 	r.check(!twice)
 	s.members[m.incarnation] = m
+	return m
 }
 
 // loadGroups reads the missing and the buffered groups of an incarnation.
@@ -163,18 +167,33 @@
 	}
 }
 
-// loadShares reads what an incarnation holds.
-func (m *member) loadShares(r *snapshotReader, budgets []*budget) {
+// loadShares reads the shares of a budget.
+func (b *budget) loadShares(r *snapshotReader, members []*member) {
+	n := r.count()
+	if n == 0 {
+		return
+	}
+	r.check(n <= len(members))
+	b.shares = make([]share, 0, min(n, len(members)))
 	var row shareRow
-	for n := r.count(); n > 0 && r.err == nil; n-- {
+	for ; n > 0 && r.err == nil; n-- {
 		r.row(&row)
-		r.check(int(row.Budget) < len(budgets) && row.WorkingFree >= 0 && row.ReserveFree >= 0)
+		r.check(int(row.Member) < len(members))
+		free := [2]Tokens{Working: Tokens(row.WorkingFree), Reserve: Tokens(row.ReserveFree)}
+		b.hold(r, free[Working])
+		b.hold(r, free[Reserve])
 		if r.err != nil {
 			return
 		}
-		b := budgets[row.Budget]
-		b.shareOf(m).free = [2]Tokens{Working: Tokens(row.WorkingFree), Reserve: Tokens(row.ReserveFree)}
-		b.shared += Tokens(row.WorkingFree) + Tokens(row.ReserveFree)
+		b.addShare(members[row.Member]).free = free
+	}
+}
+
+// hold adds an amount to what is shared, which may not exceed what is available.
+func (b *budget) hold(r *snapshotReader, amount Tokens) {
+	r.check(amount >= 0 && amount <= b.available())
+	if r.err == nil {
+		b.shared += amount
 	}
 }
 
@@ -186,7 +205,7 @@
 	for ; n > 0 && r.err == nil; n-- {
 		r.row(&row)
 		q, ok := s.requests.known[row.Request]
-		r.check(ok && int(row.Budget) < len(budgets) && row.Amount >= 0 && row.Kind <= uint8(Reserve))
+		r.check(ok && int(row.Budget) < len(budgets) && row.Kind <= uint8(Reserve))
 		if r.err != nil {
 			return
 		}
@@ -196,9 +215,9 @@
 		b.opens++
 		o := reservation{request: row.Request, budget: b, amount: Tokens(row.Amount), kind: ShareKind(row.Kind)}
 		m.opens[row.Attempt] = o
-		if o.amount > 0 {
-			b.shareOf(m).reserved[o.kind] += o.amount
-			b.shared += o.amount
+		if o.amount != 0 {
+			b.hold(r, o.amount)
+			b.addShare(m).reserved[o.kind] += o.amount
 		}
 	}
 }
@@ -230,11 +249,8 @@
 	}
 }
 
-// checkSums checks that no budget is overspent and that every open request has an open.
-func (s *State) checkSums(r *snapshotReader) {
-	for _, b := range s.budgets {
-		r.check(b.shared >= 0 && b.spent <= b.prepaid && b.shared <= b.prepaid-b.spent)
-	}
+// checkOpens checks that every request has an open or was billed.
+func (s *State) checkOpens(r *snapshotReader) {
 	for _, q := range s.requests.known {
 		r.check(q.opens > 0 || q.billed)
 	}
--- a/fleet/ledger/snapshot_row.go
+++ b/fleet/ledger/snapshot_row.go
@@ -28,19 +28,8 @@
 	NonIdempotent uint64
 }
 
-// budgetRow is a budget; other rows refer to it by its position.
-type budgetRow struct {
-	Name    string
-	Ticket  uint64
-	Prepaid int64
-	Spent   int64
-	Frozen  bool
-	Share   int64
-	Forfeit bool
-}
-
-// memberRow is a live or suspended incarnation. Its missing spans, buffered groups, shares and
-// reservations follow it as arrays.
+// memberRow is a live or suspended incarnation. Its missing spans and buffered groups follow it as arrays.
+// Shares refer to it by its position; its reservations stand in a section of their own.
 type memberRow struct {
 	Instance            string
 	Number              uint64
@@ -56,22 +45,24 @@
 	UsedAttempts        [16]uint64
 }
 
+// budgetRow is a budget; its shares follow it as an array. Other rows refer to it by its position.
+type budgetRow struct {
+	Name    string
+	Ticket  uint64
+	Prepaid int64
+	Spent   int64
+	Frozen  bool
+	Share   int64
+	Forfeit bool
+}
+
 // shareRow is what an incarnation holds of a budget without its open reservations.
 type shareRow struct {
-	Budget      uint32
+	Member      uint32
 	WorkingFree int64
 	ReserveFree int64
 }
 
-// reservationRow is an open of an incarnation.
-type reservationRow struct {
-	Attempt uint64
-	Request [16]byte
-	Budget  uint32
-	Amount  int64
-	Kind    uint8
-}
-
 // requestRow is a request with opens.
 type requestRow struct {
 	Request     [16]byte
@@ -81,6 +72,15 @@
 	Billed      bool
 }
 
+// reservationRow is an open of an incarnation.
+type reservationRow struct {
+	Attempt uint64
+	Request [16]byte
+	Budget  uint32
+	Amount  int64
+	Kind    uint8
+}
+
 // closedRow is a billed request without opens; idempotent and other ones have a section each.
 type closedRow struct {
 	Request     [16]byte
--- a/fleet/ledger/snapshot_row_gen.go
+++ b/fleet/ledger/snapshot_row_gen.go
@@ -410,7 +410,7 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
 	o = append(o, 0x93)
-	o = msgp.AppendUint32(o, z.Budget)
+	o = msgp.AppendUint32(o, z.Member)
 	o = msgp.AppendInt64(o, z.WorkingFree)
 	o = msgp.AppendInt64(o, z.ReserveFree)
 	return
@@ -428,9 +428,9 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	z.Budget, bts, err = msgp.ReadUint32Bytes(bts)
+	z.Member, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Budget")
+		err = msgp.WrapError(err, "Member")
 		return
 	}
 	z.WorkingFree, bts, err = msgp.ReadInt64Bytes(bts)
--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -15,7 +15,7 @@
 
 	next     platform.Offset
 	counters Counters
-	budgets  map[string]*budget
+	budgets  budgetTable
 	members  map[Incarnation]*member
 	// ended holds the highest incarnation number that ended, by instance.
 	ended    map[string]uint64
@@ -99,6 +99,7 @@
 // fold applies a valid group.
 func (s *State) fold(offset platform.Offset, g *Group) []Event {
 	s.advance(offset)
+	s.events = make([]Event, 0, len(g.Records))
 	m := s.member(offset, g)
 	if m == nil {
 		s.counters.NotLive++
