--- a/fleet/ledger/fold_test.go
+++ b/fleet/ledger/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -102,3 +103,21 @@
 	assertEqual(t, []Event{&JoinRefused{Incarnation: second}},
 		s.state.ApplyGroup(s.state.Next(), Group{Writer: second, First: 1, Records: []Record{&Join{}}}))
 }
+
+func TestBufferIsBounded(t *testing.T) {
+	for _, size := range []int{1, MaxGroupRecords} {
+		t.Run(fmt.Sprintf("groups of %d", size), func(t *testing.T) {
+			s := newStream(t)
+			records := slices.Repeat([]Record{&Heartbeat{}}, size)
+			for n := range 3 * maxBufferedGroups {
+				g := Group{Writer: router(2), First: uint64(3 + n*size), Records: records}
+				s.state.ApplyGroup(s.state.Next(), g)
+			}
+			kept := min(maxBufferedGroups, maxBufferedRecords/size)
+			assertEqual(t, kept, len(s.state.members[router(2)].buffered))
+			assertEqual(t, uint64(3*maxBufferedGroups-kept), s.state.Counters().Dropped)
+			s.write(t, router(2), &Heartbeat{})
+			assertEqual(t, uint64(2+kept*size), s.state.AppliedSequence(router(2)))
+		})
+	}
+}
--- a/fleet/ledger/oracle_test.go
+++ b/fleet/ledger/oracle_test.go
@@ -67,7 +67,7 @@
 	o.forget(offset)
 	if m, ok := o.members[g.Writer]; ok {
 		if applied, _ := m.prefix(); g.First == applied+1 {
-			o.answered(g, events)
+			o.answered(m, g, events)
 		}
 		m.lastSeen = offset
 		m.received[g.First] = g
@@ -83,18 +83,23 @@
 }
 
 // answered checks that the first record of a group that is next in sequence has its outcome.
-func (o *oracle) answered(g Group, events []Event) {
+func (o *oracle) answered(m *oracleMember, g Group, events []Event) {
 	kind := "none"
 	if len(events) > 0 {
 		kind = fmt.Sprintf("%T", events[0])
 	}
+	alone := len(g.Records) == 1 && !m.isAhead(g)
 	switch r := g.Records[0].(type) {
 	case *Bill:
 		open := o.opens[AttemptIdentifier{Incarnation: g.Writer, Number: r.Attempt}]
-		o.require(open == nil || open.Request != r.Request || kind == "*ledger.Billed", "a bill closes its open", g, kind)
+		matches := open != nil && open.Request == r.Request
+		o.require(!matches || kind == "*ledger.Billed", "a bill closes its open", g, kind)
+		o.require(matches || !alone || kind != "*ledger.Billed", "a bill without its open changes nothing", g, kind)
 	case *Release:
 		open := o.opens[AttemptIdentifier{Incarnation: g.Writer, Number: r.Attempt}]
-		o.require(open == nil || open.Request != r.Request || kind == "*ledger.Released", "a release closes its open", g, kind)
+		matches := open != nil && open.Request == r.Request
+		o.require(!matches || kind == "*ledger.Released", "a release closes its open", g, kind)
+		o.require(matches || !alone || kind != "*ledger.Released", "a release without its open changes nothing", g, kind)
 	case *Open:
 		o.require(kind == "*ledger.Opened" || kind == "*ledger.OpenRefused", "an open is answered", g, kind)
 	case *Draw:
@@ -102,6 +107,16 @@
 	}
 }
 
+// isAhead reports whether a group with a higher number than g's has arrived.
+func (m *oracleMember) isAhead(g Group) bool {
+	for first := range m.received {
+		if first > g.First {
+			return true
+		}
+	}
+	return false
+}
+
 // forget drops the requests whose window has ended.
 func (o *oracle) forget(offset platform.Offset) {
 	for id, r := range o.requests {
