--- a/fleet/ledger/bench_test.go
+++ b/fleet/ledger/bench_test.go
@@ -45,17 +45,14 @@
 	return s
 }
 
-// trafficGroups returns groups that draw, open and bill: three records a request and four a second router's.
+// trafficGroups returns groups that open and bill requests and draw for every eighth.
 func trafficGroups(s *State, budgets int) []Group {
-	groups := make([]Group, 0, benchmarkGroups)
-	next := make([]uint64, benchmarkRouters)
-	for n := range next {
-		next[n] = s.AppliedSequence(router(n)) + 1
-	}
+	groups := make([]Group, benchmarkGroups)
+	next := make(map[Incarnation]uint64)
 	request := 0
-	for n := range benchmarkGroups {
-		writer := n % benchmarkRouters
-		g := Group{Writer: router(writer), First: next[writer]}
+	for n := range groups {
+		g := Group{Writer: router(n % benchmarkRouters)}
+		g.First = max(next[g.Writer], s.AppliedSequence(g.Writer)+1)
 		for len(g.Records) < benchmarkGroupRecords {
 			request++
 			name, id := budgetName(request*7919%budgets), requestNumber(request)
@@ -66,8 +63,8 @@
 				&Open{Request: id, Attempt: uint64(request), Budget: name, Amount: 700, Idempotent: request%16 != 0},
 				&Bill{Request: id, Attempt: uint64(request), Usage: 500})
 		}
-		next[writer] += uint64(len(g.Records))
-		groups = append(groups, g)
+		next[g.Writer] = g.last() + 1
+		groups[n] = g
 	}
 	return groups
 }
@@ -75,42 +72,45 @@
 func BenchmarkFold(b *testing.B) {
 	for _, budgets := range []int{1000, benchmarkBudgets} {
 		state := newPartition(budgets, benchmarkRouters)
-		groups := trafficGroups(state, budgets)
-		payloads, records := make([][]byte, len(groups)), 0
-		for n, g := range groups {
-			payloads[n], _ = Encode(g)
-			records += len(g.Records)
-		}
 		data, err := state.encode()
 		if err != nil {
 			b.Fatal(err)
 		}
-		run := func(b *testing.B, fold func(s *State, n int)) {
-			b.Helper()
-			b.ReportAllocs()
-			for range b.N {
-				b.StopTimer()
-				s, err := loadState(data)
-				if err != nil {
-					b.Fatal(err)
-				}
-				runtime.GC()
-				b.StartTimer()
-				for n := range groups {
-					fold(s, n)
-				}
-			}
-			b.ReportMetric(float64(records*b.N)/b.Elapsed().Seconds(), "records/s")
+		groups := trafficGroups(state, budgets)
+		payloads := make([][]byte, len(groups))
+		for n, g := range groups {
+			payloads[n], _ = Encode(g)
 		}
 		b.Run(fmt.Sprintf("decoded/budgets=%d", budgets), func(b *testing.B) {
-			run(b, func(s *State, n int) { s.ApplyGroup(s.Next(), groups[n]) })
+			benchmarkFold(b, data, func(s *State, n int) { s.ApplyGroup(s.Next(), groups[n]) })
 		})
 		b.Run(fmt.Sprintf("encoded/budgets=%d", budgets), func(b *testing.B) {
-			run(b, func(s *State, n int) { s.Apply(platform.Entry{Offset: s.Next(), Payload: payloads[n]}) })
+			benchmarkFold(b, data, func(s *State, n int) { s.Apply(platform.Entry{Offset: s.Next(), Payload: payloads[n]}) })
 		})
 	}
 }
 
+// benchmarkFold folds all groups into the state of a snapshot.
+func benchmarkFold(b *testing.B, data []byte, fold func(s *State, n int)) {
+	b.Helper()
+	b.ReportAllocs()
+	records := uint64(0)
+	for range b.N {
+		b.StopTimer()
+		s, err := loadState(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		runtime.GC()
+		b.StartTimer()
+		for n := range benchmarkGroups {
+			fold(s, n)
+		}
+		records += s.Counters().Records
+	}
+	b.ReportMetric(float64(records)/b.Elapsed().Seconds(), "records/s")
+}
+
 // heapBytes returns the live bytes of the heap.
 func heapBytes() int64 {
 	runtime.GC()
@@ -122,34 +122,36 @@
 
 func BenchmarkMemory(b *testing.B) {
 	const requests = 200_000
-	for name, build := range map[string]func(s *State) (int, *State){
-		"budget":         func(*State) (int, *State) { return benchmarkBudgets, newPartition(benchmarkBudgets, 0) },
-		"budget+holders": func(*State) (int, *State) { return benchmarkBudgets, newPartition(benchmarkBudgets, benchmarkRouters) },
-		"open": func(s *State) (int, *State) {
-			for n := range requests {
-				open := &Open{Request: requestNumber(n), Attempt: uint64(n), Budget: budgetName(n % 1000), Amount: 1, Idempotent: true}
-				s.apply(s.members[router(n%benchmarkRouters)], open)
-			}
-			return requests, s
-		},
-		"remembered": func(s *State) (int, *State) {
-			for n := range requests {
-				s.apply(s.members[router(0)], &Open{Request: requestNumber(n), Attempt: uint64(n), Budget: budgetName(0), Amount: 1, Idempotent: true})
-				s.apply(s.members[router(0)], &Bill{Request: requestNumber(n), Attempt: uint64(n), Usage: 1})
-			}
-			s.events = nil
-			return requests, s
-		},
+	open := func(s *State, n int) {
+		s.apply(s.members[router(0)], &Open{Request: requestNumber(n), Attempt: uint64(n), Budget: budgetName(n % 1000), Amount: 1})
+	}
+	for _, c := range []struct {
+		name    string
+		count   int
+		holders int
+		apply   func(s *State, n int)
+	}{
+		{name: "budget", count: benchmarkBudgets},
+		{name: "budget+holders", count: benchmarkBudgets, holders: benchmarkRouters},
+		{name: "open", count: requests, apply: open},
+		{name: "remembered", count: requests, apply: func(s *State, n int) {
+			open(s, n)
+			s.apply(s.members[router(0)], &Bill{Request: requestNumber(n), Attempt: uint64(n), Usage: 1})
+		}},
 	} {
-		b.Run(name, func(b *testing.B) {
+		b.Run(c.name, func(b *testing.B) {
 			for range b.N {
 				start := newPartition(1000, benchmarkRouters)
-				before := heapBytes()
-				count, s := build(start)
+				before, s := heapBytes(), start
+				if c.apply == nil {
+					s = newPartition(c.count, c.holders)
+				}
+				for n := 0; c.apply != nil && n < c.count; n++ {
+					c.apply(s, n)
+				}
 				s.events = nil
-				b.ReportMetric(float64(heapBytes()-before)/float64(count), "bytes/"+name)
-				runtime.KeepAlive(s)
-				runtime.KeepAlive(start)
+				b.ReportMetric(float64(heapBytes()-before)/float64(c.count), "bytes/"+c.name)
+				runtime.KeepAlive([]*State{start, s})
 			}
 		})
 	}
@@ -192,24 +194,16 @@
 	for n := range names {
 		names[n] = budgetName(n * 499)
 	}
-	b.Run("budget", func(b *testing.B) {
-		b.ReportAllocs()
-		for n := range b.N {
-			s.Budget(names[n%len(names)])
-		}
-	})
-	b.Run("holder", func(b *testing.B) {
-		b.ReportAllocs()
-		for n := range b.N {
-			s.Holder(names[n%len(names)], router(0))
-		}
-	})
-}
-
-// BenchmarkEnd looks for the shares of an incarnation that ends.
-func BenchmarkEnd(b *testing.B) {
-	s := newPartition(benchmarkBudgets, 1)
-	for b.Loop() {
-		s.budgetsOf(s.members[router(0)])
+	for name, read := range map[string]func(n int){
+		"budget": func(n int) { s.Budget(names[n%len(names)]) },
+		"holder": func(n int) { s.Holder(names[n%len(names)], router(0)) },
+		"end":    func(int) { s.budgetsOf(s.members[router(0)]) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for n := range b.N {
+				read(n)
+			}
+		})
 	}
 }
