--- a/fleet/ledger/event.go
+++ b/fleet/ledger/event.go
@@ -6,8 +6,12 @@
 // Every router sees the same events in the same order.
 type Event interface{ isEvent() }
 
-// Joined reports that an incarnation is live.
-type Joined struct{ Incarnation Incarnation }
+// Joined reports that an incarnation is live. A process whose own join has another nonce is not this
+// incarnation and has to take a higher number.
+type Joined struct {
+	Incarnation Incarnation
+	Nonce       uint64
+}
 
 // JoinRefused reports that an incarnation may not join: its number is not above that of one that ended.
 type JoinRefused struct{ Incarnation Incarnation }
--- a/fleet/ledger/fold_test.go
+++ b/fleet/ledger/fold_test.go
@@ -104,6 +104,14 @@
 		s.state.ApplyGroup(s.state.Next(), Group{Writer: second, First: 1, Records: []Record{&Join{}}}))
 }
 
+func TestFirstJoinOfANumberWins(t *testing.T) {
+	var s State
+	assertEqual(t, []Event{&Joined{Incarnation: router(1), Nonce: 7}},
+		s.ApplyGroup(0, Group{Writer: router(1), First: 1, Records: []Record{&Join{Nonce: 7}}}))
+	assertEqual(t, 0, len(s.ApplyGroup(1, Group{Writer: router(1), First: 1, Records: []Record{&Join{Nonce: 8}}})))
+	assertEqual(t, uint64(7), s.Incarnations()[0].Join.Nonce)
+}
+
 func TestBufferIsBounded(t *testing.T) {
 	for _, size := range []int{1, MaxGroupRecords} {
 		t.Run(fmt.Sprintf("groups of %d", size), func(t *testing.T) {
--- a/fleet/ledger/member.go
+++ b/fleet/ledger/member.go
@@ -78,7 +78,7 @@
 		s.members = make(map[Incarnation]*member)
 	}
 	s.members[g.Writer] = m
-	s.emit(&Joined{Incarnation: g.Writer})
+	s.emit(&Joined{Incarnation: g.Writer, Nonce: join.Nonce})
 	return m
 }
 
--- a/fleet/ledger/property_test.go
+++ b/fleet/ledger/property_test.go
@@ -33,6 +33,7 @@
 	o.equal(len(o.members), len(s.Incarnations()))
 	for _, view := range s.Incarnations() {
 		m := o.members[view.Incarnation]
+		o.equal(Join{Region: "luzon-a", Nonce: view.Incarnation.Number}, view.Join)
 		o.equal(m.suspended, view.Suspended)
 		o.equal(m.lastSeen, view.LastSeen)
 		applied, decisions := m.prefix()
--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -70,6 +70,9 @@
 	Region           string
 	// Version is the program's version, for the operators.
 	Version string
+	// Nonce is a random number by which a process tells its own join from that of another process that
+	// took the same incarnation number.
+	Nonce uint64
 }
 
 // Heartbeat renews the lease of an idle incarnation.
--- a/fleet/ledger/simulation_test.go
+++ b/fleet/ledger/simulation_test.go
@@ -52,7 +52,7 @@
 		}
 	}
 	w := &writer{incarnation: i, last: 1}
-	w.groups = append(w.groups, Group{Writer: i, First: 1, Records: []Record{&Join{Region: "luzon-a"}}})
+	w.groups = append(w.groups, Group{Writer: i, First: 1, Records: []Record{&Join{Region: "luzon-a", Nonce: i.Number}}})
 	s.writers = append(s.writers, w)
 	return w
 }
--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -185,7 +185,7 @@
 func (m *member) append(b []byte) ([]byte, error) {
 	row := memberRow{
 		Instance: m.incarnation.Instance, Number: m.incarnation.Number, Suspended: m.status == suspended,
-		AvailabilityZone: m.join.AvailabilityZone, Region: m.join.Region, Version: m.join.Version,
+		AvailabilityZone: m.join.AvailabilityZone, Region: m.join.Region, Version: m.join.Version, Nonce: m.join.Nonce,
 		ConfigurationOffset: uint64(m.heartbeat.ConfigurationOffset),
 		ConfigurationNumber: m.heartbeat.ConfigurationNumber,
 		LastSeen:            uint64(m.lastSeen), Applied: m.applied,
--- a/fleet/ledger/snapshot_load.go
+++ b/fleet/ledger/snapshot_load.go
@@ -131,7 +131,9 @@
 	r.row(&row)
 	m := &member{
 		incarnation: Incarnation{Instance: row.Instance, Number: row.Number},
-		join:        Join{AvailabilityZone: row.AvailabilityZone, Region: row.Region, Version: row.Version},
+		join: Join{
+			AvailabilityZone: row.AvailabilityZone, Region: row.Region, Version: row.Version, Nonce: row.Nonce,
+		},
 		heartbeat: Heartbeat{
 			ConfigurationOffset: platform.Offset(row.ConfigurationOffset),
 			ConfigurationNumber: row.ConfigurationNumber,
--- a/fleet/ledger/snapshot_row.go
+++ b/fleet/ledger/snapshot_row.go
@@ -37,6 +37,7 @@
 	AvailabilityZone    string
 	Region              string
 	Version             string
+	Nonce               uint64
 	ConfigurationOffset uint64
 	ConfigurationNumber uint64
 	LastSeen            uint64
