--- /dev/null
+++ b/fleet/operator/outcome.go
@@ -0,0 +1,82 @@
+package operator
+
+import "github.com/dragonflyworks/dragonflyworks/fleet/platform"
+
+// Outcome is what the fold made of an entry of the configuration stream; the types below are all there are.
+type Outcome interface{ isOutcome() }
+
+// Accepted reports that a ticket's objects are in force.
+type Accepted struct{ Number uint64 }
+
+// Refused reports that a ticket changed nothing.
+type Refused struct {
+	Number uint64
+	Reason RefusalReason
+	// Detail names the objects that the reason is about.
+	Detail string
+}
+
+// Duplicate reports a further copy of an accepted ticket.
+type Duplicate struct{ Number uint64 }
+
+// Malformed reports an entry that is no valid ticket; Err is a *TicketError.
+type Malformed struct{ Err error }
+
+// OutOfOrder reports an entry that is not the next one of the stream; the configuration stays as it was.
+type OutOfOrder struct {
+	Offset platform.Offset
+	Next   platform.Offset
+}
+
+func (*Accepted) isOutcome()   {}
+func (*Refused) isOutcome()    {}
+func (*Duplicate) isOutcome()  {}
+func (*Malformed) isOutcome()  {}
+func (*OutOfOrder) isOutcome() {}
+
+// RefusalReason says why the fold refused a ticket.
+type RefusalReason string
+
+// The reasons for which a ticket is refused; their meaning stands in RefusalReasons.
+const (
+	NumberReused     RefusalReason = "NumberReused"
+	NumberForgotten  RefusalReason = "NumberForgotten"
+	AlreadyRefused   RefusalReason = "AlreadyRefused"
+	NotNewer         RefusalReason = "NotNewer"
+	UnknownTeam      RefusalReason = "UnknownTeam"
+	TeamChanged      RefusalReason = "TeamChanged"
+	LowersWithOthers RefusalReason = "LowersWithOthers"
+	KeyTaken         RefusalReason = "KeyTaken"
+	UnknownService   RefusalReason = "UnknownService"
+	KindMismatch     RefusalReason = "KindMismatch"
+	UnknownFallback  RefusalReason = "UnknownFallback"
+	ModelTaken       RefusalReason = "ModelTaken"
+	PathTaken        RefusalReason = "PathTaken"
+	EndpointTaken    RefusalReason = "EndpointTaken"
+)
+
+// RefusalDescription says what a reason means.
+type RefusalDescription struct {
+	Reason  RefusalReason
+	Meaning string
+}
+
+// RefusalReasons lists every reason in the order in which the fold checks them.
+func RefusalReasons() []RefusalDescription {
+	return []RefusalDescription{
+		{NumberReused, "A ticket with this number and other contents was accepted."},
+		{NumberForgotten, "The number is too old for the fold to know whether it was used."},
+		{AlreadyRefused, "The same ticket was refused before; submit it with a new number."},
+		{NotNewer, "An object of the ticket was set by a ticket with the same or a higher number."},
+		{UnknownTeam, "A budget names a team that doesn't exist, or a new one a team that was removed."},
+		{TeamChanged, "A budget can't move to another team."},
+		{LowersWithOthers, "A ticket that lowers a budget's total may touch that budget alone."},
+		{KeyTaken, "A key digest belongs to another team."},
+		{EndpointTaken, "Another instance set has an endpoint of this name."},
+		{ModelTaken, "Another route serves the model."},
+		{PathTaken, "Another route has the path prefix."},
+		{UnknownService, "A route names a service that no endpoint serves."},
+		{KindMismatch, "A model route needs endpoints of kind Engine, a plain route those of kind Plain."},
+		{UnknownFallback, "A fallback doesn't exist, was removed, or is of the other kind of route."},
+	}
+}
