--- a/fleet/operator/configuration.go
+++ b/fleet/operator/configuration.go
@@ -1,6 +1,10 @@
 package operator
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -50,14 +54,26 @@
 	Highest ledger.Tokens
 }
 
-// TicketDigest is the SHA-256 digest of a ticket's bytes.
-type TicketDigest [32]byte
+// Digest is a SHA-256 digest, written in hexadecimal.
+type Digest [sha256.Size]byte
+
+// MarshalText returns the digest in hexadecimal.
+func (d Digest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText reads a hexadecimal digest.
+func (d *Digest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return fmt.Errorf("digest of %d characters", len(text))
+	}
+	_, err := hex.Decode(d[:], text)
+	return err
+}
 
 // DecidedTicket is a ticket that was accepted at an offset.
 type DecidedTicket struct {
 	Number uint64
 	Offset platform.Offset
-	Digest TicketDigest
+	Digest Digest
 }
 
 // RefusedTicket is a ticket that a cross check refused. A copy of it, appended later, stays refused.
--- /dev/null
+++ b/fleet/operator/decode_test.go
@@ -0,0 +1,108 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func assertEqual[T any](t *testing.T, want, got T, options ...cmp.Option) {
+	t.Helper()
+	if diff := cmp.Diff(want, got, options...); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
+
+// TestDecodeBadTickets compares the messages with the files named expected; UPDATE=1 rewrites them.
+func TestDecodeBadTickets(t *testing.T) {
+	for _, directory := range glob(t, "testdata/bad/*") {
+		t.Run(filepath.Base(directory), func(t *testing.T) {
+			_, err := DecodeTicket("ticket.yaml", []byte(read(t, directory+"/ticket.yaml")))
+			if err == nil {
+				t.Fatal("the ticket was accepted")
+			}
+			if os.Getenv("UPDATE") != "" {
+				write(t, directory+"/expected", err.Error()+"\n")
+			}
+			assertEqual(t, read(t, directory+"/expected"), err.Error()+"\n")
+		})
+	}
+}
+
+func TestDecodeTicket(t *testing.T) {
+	got, err := DecodeTicket("ticket.yaml", []byte(read(t, "testdata/full.yaml")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertEqual(t, &Ticket{
+		Number: 1_200,
+		Teams: []Team{{
+			Name: "studio", KeyDigests: []string{KeyDigest("studio-example-key")},
+			Limits: TeamLimits{RequestsPerSecond: 5, TokensPerSecond: 100, Concurrency: 8, Weight: 2},
+		}},
+		Budgets: []Budget{{Name: "studio-main", Team: "studio", Prepaid: 250_000, Frozen: true, Reserve: Reserve{Share: 100, ForfeitResidue: true}}},
+		Routes: []Route{
+			{Name: "brush", Service: "brush-llm", Model: "studio/brush-7b:2", Fallbacks: []string{"other"}, Limits: RouteLimits{TokenTimeout: 1500 * time.Millisecond}},
+			{Name: "deposits", Service: "atelier-app", PathPrefix: "/deposits", NonIdempotent: true, Removed: true},
+		},
+		InstanceSets: []InstanceSet{{Name: "engines", Endpoints: []Endpoint{{
+			Name: "runner-1", Service: "brush-llm", Kind: EngineEndpoint, Address: "[fd00::1]:8000",
+			AvailabilityZone: "luzon-a1", Region: "luzon-a", ChecksFencing: true, Concurrency: 32,
+		}}}},
+	}, got)
+}
+
+func TestDecodeBounds(t *testing.T) {
+	for name, data := range map[string]string{
+		"size":        "Number: 1\n" + strings.Repeat("# more\n", MaxTicketBytes/7),
+		"line":        "Number: 1 # " + strings.Repeat("x", MaxLineBytes),
+		"brackets":    "Number: " + strings.Repeat("[\n", 100_000),
+		"braces":      strings.Repeat("{a: \n", 100_000),
+		"sequences":   strings.Repeat("- ", 2000),
+		"indentation": nestedMappings(1000),
+		"not UTF-8":   "Number: 1 # \xff",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := DecodeTicket("", []byte(data)); err == nil {
+				t.Error("the ticket was accepted")
+			}
+		})
+	}
+}
+
+func nestedMappings(depth int) string {
+	var text strings.Builder
+	for i := range depth {
+		text.WriteString(strings.Repeat(" ", i) + "a:\n")
+	}
+	return text.String()
+}
+
+func glob(t *testing.T, pattern string) []string {
+	t.Helper()
+	paths, err := filepath.Glob(pattern)
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no file matches %s: %v", pattern, err)
+	}
+	return paths
+}
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
