--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/standin/platform"
+	"github.com/dragonflyworks/dragonflyworks/standin/serve"
+)
+
+// platformCommand holds the flags of the verb platform.
+type platformCommand struct {
+	Listen           string        `default:"127.0.0.1:19000" env:"STANDIN_LISTEN" help:"IP address and port to listen on."`
+	RetentionEntries int           `default:"0" env:"STANDIN_RETENTION_ENTRIES" help:"Entries that each stream keeps; 0 keeps all."`
+	RetentionAge     time.Duration `default:"0s" env:"STANDIN_RETENTION_AGE" help:"Time that an entry is kept; 0s keeps it for ever."`
+}
+
+// Run serves the platform until the process is told to stop.
+func (c *platformCommand) Run(container *dig.Container) error {
+	return container.Invoke(func(ctx context.Context, logger *log.Logger) error {
+		service := &platform.Service{}
+		service.Log.Retain(memory.Retention{Entries: c.RetentionEntries, Age: c.RetentionAge})
+		server := serve.Server{Listen: c.Listen, Handler: service.Handler(), Logger: logger}
+		return server.Run(ctx)
+	})
+}
--- a/standin/run.go
+++ b/standin/run.go
@@ -1,16 +1,114 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"go.uber.org/dig"
+)
+
+// Exit codes of the program.
+const (
+	exitOK = iota
+	exitFailure
+	exitUsage
 )
 
+// verb is a command of the program. Its Run method takes the container with the values of provide.
+type verb struct {
+	name    string
+	help    string
+	command any
+}
+
+// verbs lists every command; the help is generated from it.
+func verbs() []verb {
+	return []verb{
+		{"platform", "Serves the platform's log and instance list.", &platformCommand{}},
+	}
+}
+
+// settings are the flags of every command.
+type settings struct {
+	LogFormat string `default:"text" enum:"text,json" env:"STANDIN_LOG_FORMAT" help:"Format of the log lines: text or json."`
+	LogLevel  string `default:"info" enum:"debug,info,warn,error" env:"STANDIN_LOG_LEVEL" help:"Lowest level that is logged."`
+}
+
+// output is where a command writes its result.
+type output struct{ io.Writer }
+
 // Main runs the program with its arguments and returns its exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
-	if len(arguments) > 0 {
-		_, _ = fmt.Fprintf(stderr, "standin: unexpected argument %q\n", arguments[0])
-		return 2
+	exited := false
+	s := &settings{}
+	parser, err := kong.New(s, options(stdout, stderr, func(int) { exited = true })...)
+	if err != nil {
+		return report(stderr, err, exitFailure)
+	}
+	parsed, err := parser.Parse(arguments)
+	if exited {
+		return exitOK
+	}
+	if err != nil {
+		return report(stderr, err, exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	container, err := provide(ctx, s, stdout, stderr)
+	if err != nil {
+		return report(stderr, err, exitFailure)
 	}
-	_, _ = fmt.Fprintln(stdout, "standin: not yet wired")
-	return 1
+	if err := parsed.Run(container); err != nil {
+		return report(stderr, dig.RootCause(err), exitFailure)
+	}
+	return exitOK
+}
+
+func options(stdout, stderr io.Writer, exit func(int)) []kong.Option {
+	options := []kong.Option{
+		kong.Name("standin"),
+		kong.Description("Small stand-ins for what surrounds the router fleet, a bounded load and a check of the ledger."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(exit),
+	}
+	for _, v := range verbs() {
+		options = append(options, kong.DynamicCommand(v.name, v.help, "", v.command))
+	}
+	return options
+}
+
+// provide returns a container with what every command needs.
+func provide(ctx context.Context, s *settings, stdout, stderr io.Writer) (*dig.Container, error) {
+	container := dig.New()
+	return container, errors.Join(
+		container.Provide(func() context.Context { return ctx }),
+		container.Provide(func() output { return output{stdout} }),
+		container.Provide(func() (*log.Logger, error) { return newLogger(s, stderr) }),
+	)
+}
+
+func newLogger(s *settings, stderr io.Writer) (*log.Logger, error) {
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("parse log level: %w", err)
+	}
+	logger := &log.Logger{Handler: text.New(stderr), Level: level}
+	if s.LogFormat == "json" {
+		logger.Handler = json.New(stderr)
+	}
+	return logger, nil
+}
+
+func report(stderr io.Writer, err error, code int) int {
+	_, _ = fmt.Fprintf(stderr, "standin: %v\n", err)
+	return code
 }
--- /dev/null
+++ b/standin/serve/server.go
@@ -0,0 +1,59 @@
+// Package serve listens for HTTP until its context ends.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	drainTimeout  = 5 * time.Second
+)
+
+// Server serves one handler at one address.
+type Server struct {
+	// Listen is an IP address with a port.
+	Listen  string
+	Handler http.Handler
+	Logger  log.Interface
+	// Wrap changes the listener; nil leaves it as it is.
+	Wrap func(net.Listener) net.Listener
+}
+
+// Run serves until the context ends, then lets requests in progress finish for a bounded time.
+func (s *Server) Run(ctx context.Context) error {
+	if _, err := netip.ParseAddrPort(s.Listen); err != nil {
+		return fmt.Errorf("listen address %q is not an IP address with a port: %w", s.Listen, err)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if s.Wrap != nil {
+		listener = s.Wrap(listener)
+	}
+	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
+	s.Logger.WithField("Listen", s.Listen).Info("serving")
+	stop := context.AfterFunc(ctx, func() { shutDown(server) })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
