--- a/standin/run.go
+++ b/standin/run.go
@@ -34,6 +34,8 @@
 func verbs() []verb {
 	return []verb{
 		{"platform", "Serves the platform's log and instance list.", &platformCommand{}},
+		{"engine", "Serves a model engine with the OpenAI interface.", &engineCommand{}},
+		{"service", "Serves a plain service that counts the runs of each Idempotency-Key.", &serviceCommand{}},
 	}
 }
 
--- a/standin/serve/query.go
+++ b/standin/serve/query.go
@@ -41,6 +41,17 @@
 	})
 }
 
+// Float reads a number that is not negative.
+func (q *Query) Float(name string) float64 {
+	return parse(q, name, func(text string) (float64, error) {
+		value, err := strconv.ParseFloat(text, 64)
+		if err == nil && value < 0 {
+			err = fmt.Errorf("negative")
+		}
+		return value, err
+	})
+}
+
 // Duration reads a duration such as 5s.
 func (q *Query) Duration(name string) time.Duration {
 	return parse(q, name, time.ParseDuration)
--- a/standin/serve/server.go
+++ b/standin/serve/server.go
@@ -26,6 +26,8 @@
 	Logger  log.Interface
 	// Wrap changes the listener; nil leaves it as it is.
 	Wrap func(net.Listener) net.Listener
+	// Context changes the context of a connection's requests; nil leaves it as it is.
+	Context func(context.Context, net.Conn) context.Context
 }
 
 // Run serves until the context ends, then lets requests in progress finish for a bounded time.
@@ -40,7 +42,7 @@
 	if s.Wrap != nil {
 		listener = s.Wrap(listener)
 	}
-	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, ConnContext: s.Context}
 	s.Logger.WithField("Listen", s.Listen).Info("serving")
 	stop := context.AfterFunc(ctx, func() { shutDown(server) })
 	defer stop()
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/standin/serve"
+	"github.com/dragonflyworks/dragonflyworks/standin/service"
+)
+
+// serviceCommand holds the flags of the verb service.
+type serviceCommand struct {
+	Listen string        `default:"127.0.0.1:19200" env:"STANDIN_LISTEN" help:"IP address and port to listen on."`
+	Name   string        `default:"service" env:"STANDIN_NAME" help:"Name that every answer repeats."`
+	Delay  time.Duration `default:"0s" env:"STANDIN_DELAY" help:"Time that a run takes."`
+}
+
+// Run serves the plain service until the process is told to stop.
+func (c *serviceCommand) Run(container *dig.Container) error {
+	return container.Invoke(func(ctx context.Context, logger *log.Logger) error {
+		s := &service.Service{Name: c.Name, Delay: c.Delay}
+		server := serve.Server{
+			Listen:  c.Listen,
+			Handler: s.Handler(),
+			Logger:  logger.WithField("Name", c.Name),
+			Wrap:    s.Faults.Listener,
+			Context: s.Faults.Context,
+		}
+		return server.Run(ctx)
+	})
+}
