--- /dev/null
+++ b/router/endpoint/dispatcher_test.go
@@ -0,0 +1,372 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+)
+
+const (
+	testService = "brush-llm"
+	promptBound = 10
+	maxTokens   = 5
+	testZone    = "luzon-a"
+)
+
+// fixture is a dispatcher before fake endpoints.
+type fixture struct {
+	*Dispatcher
+	board *blackboard.Board
+	set   operator.InstanceSet
+}
+
+func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
+	t.Helper()
+	f := &fixture{board: &blackboard.Board{Metrics: metrics.NewRegistry()}}
+	for _, handler := range handlers {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		f.add(server.Listener.Addr().String())
+	}
+	f.Dispatcher = NewDispatcher(f.board, Settings{Region: testZone, AvailabilityZone: testZone})
+	return f
+}
+
+// add declares one more endpoint.
+func (f *fixture) add(address string) {
+	f.set.Endpoints = append(f.set.Endpoints, operator.Endpoint{
+		Name: fmt.Sprintf("engine-%d", len(f.set.Endpoints)), Service: testService, Address: address,
+		Region: testZone, AvailabilityZone: testZone,
+	})
+	set := operator.InstanceSet{Name: "engines", Endpoints: append([]operator.Endpoint(nil), f.set.Endpoints...)}
+	f.board.Configuration.Store(&operator.Configuration{InstanceSets: map[string]operator.InstanceSet{set.Name: set}})
+}
+
+func (f *fixture) counter(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, f.board.Metrics).Count()
+}
+
+func streamCall() *Call {
+	return &Call{
+		Route: operator.Route{Name: "chat", Service: testService, Limits: operator.RouteLimits{RequestTimeout: 20 * time.Second}},
+		Team:  "studio", Method: http.MethodPost, Path: "/v1/chat/completions", Idempotent: true, Body: []byte(`{}`),
+		Model: &ModelCall{Stream: true, MaxTokens: maxTokens, PromptBound: promptBound},
+	}
+}
+
+func plainCall() *Call {
+	call := streamCall()
+	call.Model, call.Idempotent = nil, false
+	call.Header = http.Header{"Idempotency-Key": {"booking-1"}}
+	return call
+}
+
+// delta is an event with one token.
+func delta(text string) string {
+	return fmt.Sprintf("data: {\"id\":\"c\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", text)
+}
+
+const (
+	usageEvent = "data: {\"id\":\"c\",\"choices\":[],\"usage\":{\"prompt_tokens\":4,\"completion_tokens\":2,\"total_tokens\":6}}\n\n"
+	doneEvent  = "data: [DONE]\n\n"
+)
+
+// sends answers with an event stream.
+func sends(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", eventStreamType)
+		for _, e := range events {
+			_, _ = io.WriteString(w, e)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// breaks answers with events and then breaks the connection.
+func breaks(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if len(events) > 0 {
+			sends(events...)(w, r)
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// silent answers with events and then nothing until the request is cancelled.
+func silent(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if len(events) > 0 {
+			sends(events...)(w, r)
+		}
+		<-r.Context().Done()
+	}
+}
+
+// outcomeOf is what tests compare.
+type outcomeOf struct {
+	Verdict  string
+	Reason   verdict.Reason
+	Usage    ledger.Tokens
+	Started  bool
+	Attempts int
+	Body     string
+}
+
+func perform(t *testing.T, f *fixture, ctx context.Context, call *Call) outcomeOf { //nolint:revive // t first in tests
+	t.Helper()
+	w := httptest.NewRecorder()
+	result, err := f.Do(ctx, call, w)
+	got := outcomeOf{
+		Verdict: result.Verdict.String(), Usage: result.Usage, Started: result.Started,
+		Attempts: result.Attempts, Body: w.Body.String(),
+	}
+	var refusal *verdict.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		got.Reason = refusal.Reason
+		assertEqual(t, result.Verdict, refusal.Verdict)
+	case err != nil:
+		t.Errorf("error %v is no refusal", err)
+	}
+	return got
+}
+
+func assertEqual[T any](t *testing.T, want, got T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
+
+func TestStream(t *testing.T) {
+	errorText := string(errorEvent(verdict.EndpointFailed))
+	full := []string{delta("a"), delta("b"), usageEvent, doneEvent}
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		change  func(*Call)
+		want    outcomeOf
+	}{
+		{"usage event dropped", sends(full...), nil, outcomeOf{"Ran", "", 6, true, 1, delta("a") + delta("b") + doneEvent}},
+		{
+			"usage event passed on", sends(full...), func(c *Call) { c.Model.ReportUsage = true },
+			outcomeOf{"Ran", "", 6, true, 1, strings.Join(full, "")},
+		},
+		{"usage counted", sends(delta("a"), doneEvent), nil, outcomeOf{"Ran", "", 11, true, 1, delta("a") + doneEvent}},
+		{"killed within the stream", breaks(delta("a")), nil, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 11, true, 1, delta("a") + errorText}},
+		{"no end", sends(delta("a")), nil, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 11, true, 1, delta("a") + errorText}},
+		{
+			"cut at the limit", sends(delta("a"), delta("b"), usageEvent, doneEvent), func(c *Call) { c.Model.MaxTokens = 1 },
+			outcomeOf{"Ran", "", 11, true, 1, delta("a") + string(chunk{ID: "c", Object: "chat.completion.chunk"}.lastEvents(nil))},
+		},
+		{"wrong content type", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, delta("a"))
+		}, once, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 10, false, 1, ""}},
+		{"event too long", sends(delta(strings.Repeat("x", DefaultEventBytes))), once, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 10, false, 1, ""}},
+		{
+			"refused unrun", refuses, once, outcomeOf{"NotRun", verdict.EndpointRefused, 0, false, 1, ""},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			call := streamCall()
+			if c.change != nil {
+				c.change(call)
+			}
+			assertEqual(t, c.want, perform(t, newFixture(t, c.handler), t.Context(), call))
+		})
+	}
+}
+
+// once keeps a call from being tried again.
+func once(c *Call) { c.Route.Limits.Attempts = 1 }
+
+// refuses answers that the request was not run.
+func refuses(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(verdictHeader, "NotRun")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func TestRetry(t *testing.T) {
+	t.Run("idempotent call after a broken answer", func(t *testing.T) {
+		f := newFixture(t, breaks())
+		f.add(f.set.Endpoints[0].Address)
+		good := httptest.NewServer(sends(delta("a"), doneEvent))
+		defer good.Close()
+		f.set.Endpoints[1].Address = good.Listener.Addr().String()
+		f.set.Endpoints = f.set.Endpoints[:2]
+		f.add(good.Listener.Addr().String())
+		for range 10 {
+			got := perform(t, f, t.Context(), streamCall())
+			assertEqual(t, delta("a")+doneEvent, got.Body)
+		}
+	})
+	t.Run("never after MayHaveRun for non-idempotent calls", func(t *testing.T) {
+		var runs atomic.Int64
+		handler := func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		f := newFixture(t, handler, handler, handler)
+		assertEqual(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, perform(t, f, t.Context(), plainCall()))
+		assertEqual(t, 1, runs.Load())
+	})
+	t.Run("after NotRun for all", func(t *testing.T) {
+		f := newFixture(t, refuses, refuses, refuses)
+		assertEqual(t, outcomeOf{"NotRun", verdict.EndpointRefused, 0, false, 3, ""}, perform(t, f, t.Context(), plainCall()))
+		assertEqual(t, 2, f.counter("retry.endpoint_refused"))
+	})
+	t.Run("lease lapsed", func(t *testing.T) {
+		var runs atomic.Int64
+		f := newFixture(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+		call := plainCall()
+		call.CheckDispatch = func() error { return verdict.Refuse(verdict.LeaseLapsed, "") }
+		assertEqual(t, outcomeOf{"NotRun", verdict.LeaseLapsed, 0, false, 1, ""}, perform(t, f, t.Context(), call))
+		assertEqual(t, 0, runs.Load())
+	})
+}
+
+func TestSilence(t *testing.T) {
+	brief := func(c *Call) *Call {
+		c.Route.Limits.HeaderTimeout, c.Route.Limits.FirstTokenTimeout = 30*time.Millisecond, 30*time.Millisecond
+		c.Route.Limits.TokenTimeout, c.Route.Limits.Attempts = 30*time.Millisecond, 1
+		return c
+	}
+	assertSilent := func(t *testing.T, handler http.HandlerFunc, want outcomeOf) {
+		t.Helper()
+		assertEqual(t, want, perform(t, newFixture(t, handler), t.Context(), brief(streamCall())))
+	}
+	t.Run("no headers", func(t *testing.T) {
+		assertSilent(t, silent(), outcomeOf{"MayHaveRun", verdict.EndpointSilent, 0, false, 1, ""})
+	})
+	t.Run("no first event", func(t *testing.T) {
+		assertSilent(t, silent(": alive\n\n"), outcomeOf{"MayHaveRun", verdict.EndpointSilent, 10, false, 1, ""})
+	})
+	t.Run("within the stream", func(t *testing.T) {
+		want := delta("a") + string(errorEvent(verdict.EndpointSilent))
+		assertSilent(t, silent(delta("a")), outcomeOf{"MayHaveRun", verdict.EndpointSilent, 11, true, 1, want})
+	})
+	t.Run("whole request", func(t *testing.T) {
+		call := streamCall()
+		call.Route.Limits.RequestTimeout = 50 * time.Millisecond
+		got := perform(t, newFixture(t, silent()), t.Context(), call)
+		assertEqual(t, outcomeOf{"MayHaveRun", verdict.OutcomeUnknown, 0, false, 1, ""}, got)
+	})
+}
+
+func TestCallerGone(t *testing.T) {
+	cancelled := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		sends(delta("a"))(w, r)
+		cancel()
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	got := perform(t, f, ctx, streamCall())
+	<-cancelled
+	assertEqual(t, verdict.CallerWentAway, got.Reason)
+	assertEqual(t, "MayHaveRun", got.Verdict)
+}
+
+func TestReusedConnectionClosed(t *testing.T) {
+	var runs atomic.Int64
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if runs.Add(1) == 1 {
+			return
+		}
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = connection.Close()
+		}
+	})
+	for _, body := range []string{"{}", ""} {
+		runs.Store(0)
+		call := plainCall()
+		call.Body = []byte(body)
+		assertEqual(t, "Ran", perform(t, f, t.Context(), call).Verdict)
+		got := perform(t, f, t.Context(), call)
+		assertEqual(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, got)
+		assertEqual(t, 2, runs.Load())
+	}
+}
+
+func TestWhole(t *testing.T) {
+	t.Run("headers", func(t *testing.T) {
+		var got http.Header
+		f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+			got = r.Header
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(http.StatusFound)
+		})
+		call := plainCall()
+		call.Header.Set("Authorization", "Bearer key")
+		call.Header.Set("Connection", "X-Hop")
+		call.Header.Set("X-Hop", "1")
+		assertEqual(t, outcomeOf{"Ran", "", 1, true, 1, ""}, perform(t, f, t.Context(), call))
+		got.Del(timeoutHeader)
+		assertEqual(t, http.Header{"Idempotency-Key": {"booking-1"}, "Content-Length": {"2"}}, got)
+	})
+	t.Run("usage", func(t *testing.T) {
+		body := `{"usage":{"prompt_tokens":3,"completion_tokens":4}}`
+		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+		call := streamCall()
+		call.Model.Stream = false
+		assertEqual(t, outcomeOf{"Ran", "", 7, true, 1, body}, perform(t, f, t.Context(), call))
+	})
+	t.Run("long answer", func(t *testing.T) {
+		body := strings.Repeat("x", 3*DefaultBufferBytes)
+		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+		assertEqual(t, outcomeOf{"Ran", "", 1, true, 1, body}, perform(t, f, t.Context(), plainCall()))
+	})
+	t.Run("broken answer", func(t *testing.T) {
+		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+		})
+		assertEqual(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, perform(t, f, t.Context(), plainCall()))
+	})
+}
+
+func TestOwnAnswers(t *testing.T) {
+	const streams = 200
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		nonce, _ := io.ReadAll(r.Body)
+		sends(delta(string(nonce)), delta(string(nonce)), doneEvent)(w, r)
+	}
+	f := newFixture(t, echo, echo, echo)
+	bodies := make([]string, streams)
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() {
+			call := streamCall()
+			call.Body = fmt.Appendf(nil, "nonce-%d", i)
+			w := httptest.NewRecorder()
+			_, _ = f.Do(t.Context(), call, w)
+			bodies[i] = w.Body.String()
+		})
+	}
+	group.Wait()
+	for i, body := range bodies {
+		nonce := delta(fmt.Sprintf("nonce-%d", i))
+		assertEqual(t, nonce+nonce+doneEvent, body)
+	}
+}
--- /dev/null
+++ b/router/endpoint/job.go
@@ -0,0 +1,137 @@
+package endpoint
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// job is one call on its way through its attempts.
+type job struct {
+	dispatcher *Dispatcher
+	call       *Call
+	limits     operator.RouteLimits
+	w          http.ResponseWriter
+	service    string
+	tried      []*peer
+	result     Result
+	// mayHaveRun says that an attempt may have run; from then on no failure is NotRun.
+	mayHaveRun bool
+}
+
+// do makes attempts until one succeeds or the call is given up.
+func (j *job) do(ctx context.Context) (Result, error) {
+	for {
+		p, refusal := j.dispatcher.acquire(ctx, j.service, j.tried)
+		if refusal != nil {
+			return j.refuse(refusal)
+		}
+		out := j.attempt(ctx, p)
+		j.merge(out)
+		if out.cause == nil {
+			return j.result, nil
+		}
+		switch decision := j.decide(ctx, out).(type) {
+		case *endpoint.Retry:
+			j.dispatcher.board.Count("retry." + string(out.reason))
+			if !sleep(ctx, decision.After) {
+				return j.refuse(j.interrupted(ctx))
+			}
+		case *endpoint.GiveUp:
+			if decision.BudgetSpent {
+				j.dispatcher.board.Count(retryBudgetSpent)
+			}
+			decision.Refusal.Cause = out.cause
+			return j.refuse(decision.Refusal)
+		}
+	}
+}
+
+// attempt sends the call to one endpoint.
+func (j *job) attempt(ctx context.Context, p *peer) outcome {
+	x := &exchange{
+		settings: j.dispatcher.settings, buffers: &j.dispatcher.buffers, call: j.call, limits: j.limits, peer: p,
+		w: j.w, control: http.NewResponseController(j.w),
+	}
+	out := x.perform(ctx)
+	j.dispatcher.release(p, out)
+	j.tried = append(j.tried, p)
+	j.result.Attempts++
+	j.result.Endpoint = p.endpoint.Name
+	j.result.Started = x.started
+	j.result.Abort = out.abort
+	return out
+}
+
+// merge adds an attempt's outcome to the result of the call.
+func (j *job) merge(out outcome) {
+	switch out.verdict {
+	case verdict.Ran:
+		j.result.Verdict, j.result.Usage = verdict.Ran, out.usage
+	case verdict.MayHaveRun:
+		j.mayHaveRun = true
+		j.result.Verdict, j.result.Usage = verdict.MayHaveRun, max(j.result.Usage, out.usage)
+		if j.call.Model == nil {
+			j.result.Usage = j.limits.CallCost
+		}
+	case verdict.NotRun:
+		if !j.mayHaveRun {
+			j.result.Verdict = verdict.NotRun
+		}
+	}
+}
+
+// decide asks for the decision after a failed attempt.
+func (j *job) decide(ctx context.Context, out outcome) endpoint.Decision {
+	remaining := j.limits.RequestTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining = time.Until(deadline)
+	}
+	failure := endpoint.Failure{
+		Verdict: j.result.Verdict, Reason: out.reason, Idempotent: j.call.Idempotent, Started: j.result.Started,
+		Final: out.final, Attempts: j.result.Attempts, Limit: j.limits.Attempts, RetryAfter: out.retryAfter,
+		Remaining: remaining,
+	}
+	d := j.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return endpoint.Decide(failure, &d.serviceLocked(j.service).retries, rand.Float64()) //nolint:gosec // spreads retries
+}
+
+// refuse ends the call. The refusal's verdict is that of all attempts together.
+func (j *job) refuse(refusal *verdict.Refusal) (Result, error) {
+	if j.result.Attempts == 0 {
+		j.result.Verdict = verdict.NotRun
+	}
+	refusal.Verdict = j.result.Verdict
+	if refusal.RetryAfter == 0 {
+		refusal.RetryAfter = verdict.Describe(refusal.Reason).RetryAfter
+	}
+	return j.result, refusal
+}
+
+// interrupted tells why a wait of the call ended early.
+func (j *job) interrupted(ctx context.Context) *verdict.Refusal {
+	reason := verdict.CallerWentAway
+	if ctx.Err() == context.DeadlineExceeded {
+		reason = verdict.DeadlineTooShort
+	}
+	return &verdict.Refusal{Reason: reason, Cause: context.Cause(ctx)}
+}
+
+// sleep waits and reports whether the context lasted.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/router/endpoint/settings.go
@@ -0,0 +1,69 @@
+package endpoint
+
+import "time"
+
+// Defaults of the settings that are left at zero.
+const (
+	DefaultBufferBytes   = 256 << 10
+	DefaultLineBytes     = 256 << 10
+	DefaultEventBytes    = 512 << 10
+	DefaultWriteTimeout  = 10 * time.Second
+	DefaultDialTimeout   = 2 * time.Second
+	DefaultIdleTimeout   = 30 * time.Second
+	DefaultProbeTimeout  = 2 * time.Second
+	DefaultProbePath     = "/health"
+	DefaultTickInterval  = 100 * time.Millisecond
+	DefaultQueueLength   = 256
+	DefaultQueueTimeout  = 2 * time.Second
+	DefaultIdlePerPool   = 64
+	DefaultHeaderBytes   = 64 << 10
+	DefaultProbeParallel = 16
+)
+
+// Settings of the dispatcher; every zero takes its default.
+type Settings struct {
+	// Region and AvailabilityZone are those of the router.
+	Region           string
+	AvailabilityZone string
+	// BufferBytes bounds what is held of a whole answer before any of it goes to the caller.
+	BufferBytes int64
+	// LineBytes and EventBytes bound one line and one event of an event stream.
+	LineBytes  int
+	EventBytes int
+	// WriteTimeout bounds one write to a caller.
+	WriteTimeout time.Duration
+	DialTimeout  time.Duration
+	// IdleTimeout closes connections that carried nothing for that time.
+	IdleTimeout  time.Duration
+	ProbeTimeout time.Duration
+	// ProbePath is asked of endpoints that are probed; any answer shows that the endpoint is alive.
+	ProbePath string
+	// TickInterval is the time between two looks at ejections and waiting calls.
+	TickInterval time.Duration
+	// QueueLength bounds the calls that wait for one service, QueueTimeout how long each waits.
+	QueueLength  int
+	QueueTimeout time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	s.BufferBytes = orDefault(s.BufferBytes, DefaultBufferBytes)
+	s.LineBytes = orDefault(s.LineBytes, DefaultLineBytes)
+	s.EventBytes = orDefault(s.EventBytes, DefaultEventBytes)
+	s.WriteTimeout = orDefault(s.WriteTimeout, DefaultWriteTimeout)
+	s.DialTimeout = orDefault(s.DialTimeout, DefaultDialTimeout)
+	s.IdleTimeout = orDefault(s.IdleTimeout, DefaultIdleTimeout)
+	s.ProbeTimeout = orDefault(s.ProbeTimeout, DefaultProbeTimeout)
+	s.ProbePath = orDefault(s.ProbePath, DefaultProbePath)
+	s.TickInterval = orDefault(s.TickInterval, DefaultTickInterval)
+	s.QueueLength = orDefault(s.QueueLength, DefaultQueueLength)
+	s.QueueTimeout = orDefault(s.QueueTimeout, DefaultQueueTimeout)
+	return s
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
