--- a/fleet/verdict/reason.go
+++ b/fleet/verdict/reason.go
@@ -23,6 +23,7 @@
 	BodyTooLarge          Reason = "body_too_large"
 	HeadersTooLarge       Reason = "headers_too_large"
 	SenderTooSlow         Reason = "sender_too_slow"
+	InvalidHeader         Reason = "invalid_header"
 	IdempotencyKeyMissing Reason = "idempotency_key_missing"
 	IdempotencyKeyInvalid Reason = "idempotency_key_invalid"
 	IdempotencyKeyReused  Reason = "idempotency_key_reused"
@@ -81,6 +82,7 @@
 		{BodyTooLarge, http.StatusRequestEntityTooLarge, retryInvalid, "The body is longer than the route allows."},
 		{HeadersTooLarge, http.StatusRequestHeaderFieldsTooLarge, retryInvalid, "The headers are longer than the router allows."},
 		{SenderTooSlow, http.StatusRequestTimeout, retryInvalid, "The body didn't arrive in time."},
+		{InvalidHeader, http.StatusBadRequest, retryInvalid, "A header of the request has a value that is not allowed."},
 		{IdempotencyKeyMissing, http.StatusBadRequest, retryInvalid, "A non-idempotent request needs an Idempotency-Key."},
 		{IdempotencyKeyInvalid, http.StatusBadRequest, retryInvalid, "The Idempotency-Key is empty, too long or holds control characters."},
 		{IdempotencyKeyReused, http.StatusUnprocessableEntity, retryInvalid, "The Idempotency-Key was used with other contents."},
--- a/router/blackboard/board.go
+++ b/router/blackboard/board.go
@@ -20,15 +20,22 @@
 	Listing atomic.Pointer[platform.Listing]
 	// LedgerReady says that the ledger has been read to its end and the incarnation has joined.
 	LedgerReady atomic.Bool
-	// Draining says that the router takes no new work.
+	// Leaving says that the router has told the balancer to send no new work.
+	Leaving atomic.Bool
+	// Draining says that the router refuses new work.
 	Draining atomic.Bool
 	// Metrics counts refusals, retries and state changes by reason.
 	Metrics metrics.Registry
 }
 
-// Ready reports whether the router takes new work.
+// CaughtUp reports whether the router has read the configuration and the ledger to their ends.
+func (b *Board) CaughtUp() bool {
+	return b.Configuration.Load() != nil && b.LedgerReady.Load()
+}
+
+// Ready reports whether the balancer should send new work.
 func (b *Board) Ready() bool {
-	return b.Configuration.Load() != nil && b.LedgerReady.Load() && !b.Draining.Load()
+	return b.CaughtUp() && !b.Leaving.Load() && !b.Draining.Load()
 }
 
 // Count adds one to the counter of the given name.
--- /dev/null
+++ b/router/caller/model.go
@@ -0,0 +1,178 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+)
+
+// prefixBytes is the length of the beginning of a prompt that decides its cache affinity.
+const prefixBytes = 512
+
+// modelBody is what the router reads of a completion request; the rest is passed on unread.
+type modelBody struct {
+	Model               string          `json:"model"`
+	MaxTokens           *int64          `json:"max_tokens"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	Count               *int64          `json:"n"`
+	BestOf              *int64          `json:"best_of"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       streamOptions   `json:"stream_options"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// readModelRequest reads a completion request. The reservation is an upper bound: a prompt has at
+// most one token for each byte of the body, and the answer at most max_tokens.
+func (s *Server) readModelRequest(w http.ResponseWriter, r *http.Request, c *client) (*order, error) {
+	raw, err := s.readBody(w, r, modelBodyLimit(c.configuration))
+	if err != nil {
+		return nil, err
+	}
+	body, err := parseModelBody(raw)
+	if err != nil {
+		return nil, err
+	}
+	route, found := c.configuration.RouteForModel(body.Model)
+	if !found {
+		return nil, verdict.Refuse(verdict.ModelUnknown, fmt.Sprintf("%q", body.Model))
+	}
+	if limit := route.Limits.WithDefaults().BodyBytes; int64(len(raw)) > limit {
+		return nil, verdict.Refuse(verdict.BodyTooLarge, fmt.Sprintf("the limit is %d bytes", limit))
+	}
+	o, err := newOrder(r, c, route, raw)
+	if err != nil {
+		return nil, err
+	}
+	maxTokens, err := body.answerLimit(o.call.Route.Limits)
+	if err != nil {
+		return nil, err
+	}
+	o.call.Body, err = rewriteModelBody(raw, body, maxTokens)
+	if err != nil {
+		return nil, err
+	}
+	o.call.Model = &endpoint.ModelCall{
+		Stream:      body.Stream,
+		ReportUsage: body.StreamOptions.IncludeUsage,
+		MaxTokens:   maxTokens,
+		PromptBound: int64(len(raw)),
+		PrefixHash:  body.prefixHash(),
+	}
+	o.demand.Amount = ledger.Tokens(int64(len(raw)) + maxTokens)
+	return o, nil
+}
+
+// modelBodyLimit returns the largest body that any model route accepts: the model, and with it
+// the route, is known only once the body was read.
+func modelBodyLimit(configuration *operator.Configuration) int64 {
+	limit := int64(0)
+	for _, route := range configuration.Routes {
+		if route.Model != "" {
+			limit = max(limit, route.Limits.WithDefaults().BodyBytes)
+		}
+	}
+	return max(limit, operator.DefaultBodyBytes)
+}
+
+func parseModelBody(raw []byte) (*modelBody, error) {
+	body := &modelBody{}
+	if err := json.Unmarshal(raw, body); err != nil {
+		return nil, verdict.Refuse(verdict.InvalidBody, err.Error())
+	}
+	if body.Model == "" {
+		return nil, verdict.Refuse(verdict.InvalidBody, "model is missing")
+	}
+	if (body.Messages == nil) == (body.Prompt == nil) {
+		return nil, verdict.Refuse(verdict.InvalidBody, "either messages or prompt is needed")
+	}
+	for _, count := range []*int64{body.Count, body.BestOf} {
+		if count != nil && *count != 1 {
+			return nil, verdict.Refuse(verdict.InvalidBody, "n and best_of must be 1: one answer is reserved for a request")
+		}
+	}
+	return body, nil
+}
+
+// answerLimit returns the length that is reserved for the answer, in tokens.
+func (b *modelBody) answerLimit(limits operator.RouteLimits) (int64, error) {
+	asked := b.MaxTokens
+	if b.MaxCompletionTokens != nil {
+		asked = b.MaxCompletionTokens
+	}
+	if asked == nil {
+		return min(limits.DefaultMaxTokens, limits.MaxTokens), nil
+	}
+	if *asked < 1 || *asked > limits.MaxTokens {
+		return 0, verdict.Refuse(verdict.InvalidBody, fmt.Sprintf("max_tokens is %d, allowed are 1 to %d", *asked, limits.MaxTokens))
+	}
+	return *asked, nil
+}
+
+func (b *modelBody) prefixHash() uint64 {
+	prompt := b.Messages
+	if prompt == nil {
+		prompt = b.Prompt
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// rewriteModelBody sets the answer's limit, which the engine has to keep to, and asks for the usage of a
+// stream, which the bill needs.
+func rewriteModelBody(raw []byte, body *modelBody, maxTokens int64) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return nil, verdict.Refuse(verdict.InvalidBody, err.Error())
+	}
+	limit := json.RawMessage(fmt.Appendf(nil, "%d", maxTokens))
+	delete(fields, "max_tokens")
+	delete(fields, "max_completion_tokens")
+	if body.MaxCompletionTokens != nil {
+		fields["max_completion_tokens"] = limit
+	} else {
+		fields["max_tokens"] = limit
+	}
+	if body.Stream {
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
+	rewritten, err := json.Marshal(fields)
+	if err != nil {
+		return nil, verdict.Refuse(verdict.InvalidBody, err.Error())
+	}
+	return rewritten, nil
+}
+
+// listModels answers GET /v1/models in the shape of the OpenAI API.
+func (s *Server) listModels(w http.ResponseWriter, r *http.Request) {
+	c, err := s.admit(r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, name := range c.configuration.Models() {
+		list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "dragonflyworks"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/router/caller/order.go
@@ -0,0 +1,150 @@
+package caller
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+)
+
+// maxKeyLength bounds an Idempotency-Key, in bytes.
+const maxKeyLength = 255
+
+// order is a request that has been read and checked and may be paid for.
+type order struct {
+	team operator.Team
+	// key is the request's identifier as the caller knows it.
+	key     string
+	demand  ledgerstream.Demand
+	call    *endpoint.Call
+	timeout time.Duration
+}
+
+// newOrder checks the headers that all kinds of requests share. The body stands in it as the
+// caller sent it, so that the fingerprint doesn't depend on what the router rewrites.
+func newOrder(r *http.Request, c *client, route operator.Route, body []byte) (*order, error) {
+	route.Limits = route.Limits.WithDefaults()
+	budget, err := c.budget(r)
+	if err != nil {
+		return nil, err
+	}
+	idempotent, err := readIdempotent(r, route)
+	if err != nil {
+		return nil, err
+	}
+	key, err := readKey(r, idempotent)
+	if err != nil {
+		return nil, err
+	}
+	timeout, err := readTimeout(r, route.Limits.RequestTimeout)
+	if err != nil {
+		return nil, err
+	}
+	o := &order{team: c.team, key: key, timeout: timeout}
+	o.demand = ledgerstream.Demand{
+		Budget:      budget.Name,
+		Request:     ledger.NewRequestIdentifier(c.team.Name, key),
+		Fingerprint: ledger.NewFingerprint([]byte(r.Method), []byte(r.URL.RequestURI()), body),
+		Idempotent:  idempotent,
+	}
+	o.call = &endpoint.Call{
+		Route:       route,
+		Team:        c.team.Name,
+		Method:      r.Method,
+		Path:        r.URL.RequestURI(),
+		Header:      passedHeader(r.Header, key),
+		Body:        body,
+		Idempotent:  idempotent,
+		Fingerprint: o.demand.Fingerprint,
+	}
+	return o, nil
+}
+
+func readIdempotent(r *http.Request, route operator.Route) (bool, error) {
+	switch value := r.Header.Get(HeaderIdempotent); value {
+	case "", "true":
+		return !route.NonIdempotent, nil
+	case "false":
+		return false, nil
+	default:
+		return false, verdict.Refuse(verdict.InvalidHeader, fmt.Sprintf("%s: %q is neither true nor false", HeaderIdempotent, value))
+	}
+}
+
+func readKey(r *http.Request, idempotent bool) (string, error) {
+	values := r.Header.Values(HeaderIdempotencyKey)
+	if len(values) == 0 && idempotent {
+		return rand.Text(), nil
+	}
+	if len(values) == 0 {
+		return "", verdict.Refuse(verdict.IdempotencyKeyMissing, "")
+	}
+	if len(values) > 1 || !validKey(values[0]) {
+		return "", verdict.Refuse(verdict.IdempotencyKeyInvalid, "send one value of 1 to 255 printable ASCII characters")
+	}
+	return values[0], nil
+}
+
+func validKey(key string) bool {
+	if key == "" || len(key) > maxKeyLength {
+		return false
+	}
+	for _, b := range []byte(key) {
+		if b < ' ' || b > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// readTimeout returns the time that the caller and the route leave to the request.
+func readTimeout(r *http.Request, bound time.Duration) (time.Duration, error) {
+	value := r.Header.Get(HeaderTimeout)
+	if value == "" {
+		return bound, nil
+	}
+	timeout, err := time.ParseDuration(value)
+	if err != nil || timeout <= 0 {
+		return 0, verdict.Refuse(verdict.InvalidHeader, fmt.Sprintf("%s: %q is not a duration such as 30s", HeaderTimeout, value))
+	}
+	return min(timeout, bound), nil
+}
+
+// passedHeader copies the headers that an endpoint may see. The caller's key stays here.
+func passedHeader(header http.Header, key string) http.Header {
+	passed := header.Clone()
+	for _, name := range []string{HeaderAuthorization, HeaderBudget, HeaderIdempotent, HeaderTimeout, "Accept-Encoding", "Content-Length"} {
+		passed.Del(name)
+	}
+	passed.Set(HeaderIdempotencyKey, key)
+	return passed
+}
+
+// readBody reads a body of bounded length in bounded time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, leaves the sender unbounded in time.
+	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = controller.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, verdict.Refuse(verdict.BodyTooLarge, fmt.Sprintf("the limit is %d bytes", limit))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, verdict.Refuse(verdict.SenderTooSlow, fmt.Sprintf("the body must arrive within %s", s.settings.BodyTimeout))
+	default:
+		return nil, &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.CallerWentAway, Cause: err}
+	}
+}
--- /dev/null
+++ b/router/caller/plain.go
@@ -0,0 +1,25 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// readPlainRequest reads a call of a plain service. It costs the route's price whatever it answers.
+func (s *Server) readPlainRequest(w http.ResponseWriter, r *http.Request, c *client) (*order, error) {
+	route, found := c.configuration.RouteForPath(r.URL.Path)
+	if !found {
+		return nil, verdict.Refuse(verdict.RouteUnknown, r.URL.Path)
+	}
+	body, err := s.readBody(w, r, route.Limits.WithDefaults().BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	o, err := newOrder(r, c, route, body)
+	if err != nil {
+		return nil, err
+	}
+	o.demand.Amount = o.call.Route.Limits.CallCost
+	return o, nil
+}
