--- /dev/null
+++ b/router/caller/server_test.go
@@ -0,0 +1,217 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+)
+
+const chatBody = `{"model":"brush","messages":[{"role":"user","content":"a cat"}],"max_tokens":10}`
+
+func newBody(body string) io.Reader { return strings.NewReader(body) }
+
+// refused is what a caller sees of a refusal.
+type refused struct {
+	Status  int
+	Code    string
+	Verdict string
+	Retry   bool
+}
+
+func refusedBy(t *testing.T, w *httptest.ResponseRecorder) refused {
+	t.Helper()
+	shape := errorShape{}
+	if err := json.Unmarshal(w.Body.Bytes(), &shape); err != nil {
+		t.Fatalf("the answer is no error object: %v: %s", err, w.Body)
+	}
+	return refused{w.Code, shape.Error.Code, w.Header().Get(HeaderVerdict), w.Header().Get("Retry-After") != ""}
+}
+
+func TestRefusalsBeforeReserving(t *testing.T) {
+	luzon := "Bearer " + keyLuzon
+	cebu := "Bearer " + keyCebu
+	cases := []struct {
+		name, method, path, body string
+		header                   []string
+		reason                   verdict.Reason
+	}{
+		{"no key", "POST", "/v1/chat/completions", chatBody, nil, verdict.InvalidKey},
+		{"wrong key", "POST", "/v1/chat/completions", chatBody, []string{HeaderAuthorization, "Bearer wrong"}, verdict.InvalidKey},
+		{"basic scheme", "POST", "/v1/chat/completions", chatBody, []string{HeaderAuthorization, "Basic " + keyLuzon}, verdict.InvalidKey},
+		{"other team's budget", "POST", "/v1/chat/completions", chatBody, []string{HeaderAuthorization, luzon, HeaderBudget, "cebu-one"}, verdict.BudgetForbidden},
+		{"unknown budget", "POST", "/v1/chat/completions", chatBody, []string{HeaderAuthorization, luzon, HeaderBudget, "none"}, verdict.BudgetUnknown},
+		{"several budgets", "POST", "/v1/chat/completions", chatBody, []string{HeaderAuthorization, cebu}, verdict.BudgetAmbiguous},
+		{"frozen budget", "POST", "/v1/chat/completions", chatBody, []string{HeaderAuthorization, cebu, HeaderBudget, "cebu-two"}, verdict.BudgetFrozen},
+		{"bad JSON", "POST", "/v1/chat/completions", "{", []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"no model", "POST", "/v1/chat/completions", `{"messages":[]}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"no prompt", "POST", "/v1/completions", `{"model":"brush"}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"two answers", "POST", "/v1/completions", `{"model":"brush","prompt":"a","n":2}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"max_tokens above the route's", "POST", "/v1/completions", `{"model":"brush","prompt":"a","max_tokens":101}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"max_tokens of zero", "POST", "/v1/completions", `{"model":"brush","prompt":"a","max_tokens":0}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"unknown model", "POST", "/v1/completions", `{"model":"pen","prompt":"a"}`, []string{HeaderAuthorization, luzon}, verdict.ModelUnknown},
+		{"long body", "POST", "/v1/completions", `{"model":"brush","prompt":"` + strings.Repeat("a", 4096) + `"}`, []string{HeaderAuthorization, luzon}, verdict.BodyTooLarge},
+		{"long plain body", "POST", "/deposits", strings.Repeat("a", 65), []string{HeaderAuthorization, luzon, HeaderIdempotencyKey, "k"}, verdict.BodyTooLarge},
+		{"long headers", "GET", "/atelier", "", []string{HeaderAuthorization, luzon, "X-Long", strings.Repeat("a", DefaultHeaderBytes)}, verdict.HeadersTooLarge},
+		{"unknown path", "GET", "/elsewhere", "", []string{HeaderAuthorization, luzon}, verdict.RouteUnknown},
+		{"method of a model path", "GET", "/v1/completions", "", []string{HeaderAuthorization, luzon}, verdict.RouteUnknown},
+		{"non-idempotent without key", "POST", "/deposits", "", []string{HeaderAuthorization, luzon}, verdict.IdempotencyKeyMissing},
+		{"non-idempotent by header without key", "POST", "/atelier", "", []string{HeaderAuthorization, luzon, HeaderIdempotent, "false"}, verdict.IdempotencyKeyMissing},
+		{"control character in key", "POST", "/deposits", "", []string{HeaderAuthorization, luzon, HeaderIdempotencyKey, "a\tb"}, verdict.IdempotencyKeyInvalid},
+		{"bad idempotent header", "POST", "/atelier", "", []string{HeaderAuthorization, luzon, HeaderIdempotent, "maybe"}, verdict.InvalidHeader},
+		{"bad timeout header", "POST", "/atelier", "", []string{HeaderAuthorization, luzon, HeaderTimeout, "-3s"}, verdict.InvalidHeader},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, accounts, _ := setUp(t)
+			w := send(s, c.method, c.path, c.body, c.header...)
+			d := verdict.Describe(c.reason)
+			assertEqual(t, refused{d.Status, string(c.reason), "NotRun", d.RetryAfter > 0}, refusedBy(t, w))
+			assertEqual(t, 0, len(accounts.demands))
+			if strings.Contains(w.Body.String(), keyLuzon) {
+				t.Errorf("the answer holds the caller's key: %s", w.Body)
+			}
+		})
+	}
+}
+
+func TestAdmission(t *testing.T) {
+	t.Run("draining", func(t *testing.T) {
+		s, _, _ := setUp(t)
+		s.board.Draining.Store(true)
+		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
+		assertEqual(t, refused{503, string(verdict.ShuttingDown), "NotRun", true}, refusedBy(t, w))
+	})
+	t.Run("ledger not read", func(t *testing.T) {
+		s, _, _ := setUp(t)
+		s.board.LedgerReady.Store(false)
+		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
+		assertEqual(t, refused{503, string(verdict.NotReady), "NotRun", true}, refusedBy(t, w))
+	})
+	t.Run("leaving but not draining still serves", func(t *testing.T) {
+		s, _, _ := setUp(t)
+		s.board.Leaving.Store(true)
+		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
+		assertEqual(t, http.StatusOK, w.Code)
+	})
+	t.Run("concurrency of the team", func(t *testing.T) {
+		s, _, _ := setUp(t)
+		team, _ := s.board.Configuration.Load().TeamForKey(keyLuzon)
+		for range team.Limits.Concurrency {
+			if _, err := s.limits.enter(team, 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
+		assertEqual(t, refused{429, string(verdict.ConcurrencyLimited), "NotRun", true}, refusedBy(t, w))
+	})
+}
+
+// slowBody never ends; its read fails as a connection's does at the read deadline.
+type slowBody struct{}
+
+func (slowBody) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+func TestSlowSender(t *testing.T) {
+	s, accounts, _ := setUp(t)
+	r := httptest.NewRequest("POST", "/atelier", slowBody{})
+	r.Header.Set(HeaderAuthorization, "Bearer "+keyLuzon)
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	assertEqual(t, refused{408, string(verdict.SenderTooSlow), "NotRun", false}, refusedBy(t, w))
+	assertEqual(t, 0, len(accounts.demands))
+}
+
+func TestReservedCost(t *testing.T) {
+	cases := []struct {
+		name, path, body string
+		amount           ledger.Tokens
+	}{
+		{"prompt bound and answer limit", "/v1/chat/completions", chatBody, ledger.Tokens(len(chatBody)) + 10},
+		{"default answer limit", "/v1/completions", `{"model":"brush","prompt":"a"}`, 30 + 20},
+		{"max_completion_tokens goes first", "/v1/chat/completions", `{"model":"brush","messages":[],"max_tokens":9,"max_completion_tokens":5}`, 72 + 5},
+		{"price of a plain call", "/deposits", "x", 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, accounts, _ := setUp(t)
+			w := send(s, "POST", c.path, c.body, HeaderAuthorization, "Bearer "+keyLuzon, HeaderIdempotencyKey, "k1")
+			assertEqual(t, http.StatusOK, w.Code)
+			assertEqual(t, c.amount, accounts.demands[0].Amount)
+			assertEqual(t, ledger.NewRequestIdentifier("luzon", "k1"), accounts.demands[0].Request)
+			assertEqual(t, []ledger.Tokens{7}, accounts.bills)
+			assertEqual(t, "k1", w.Header().Get(HeaderRequestID))
+		})
+	}
+}
+
+func TestPassedOn(t *testing.T) {
+	s, _, calls := setUp(t)
+	send(s, "POST", "/v1/chat/completions", `{"model":"brush","messages":[],"stream":true,"max_tokens":4,"max_tokens":6,"seed":1}`,
+		HeaderAuthorization, "Bearer "+keyLuzon, HeaderBudget, "luzon-main")
+	assertEqual(t, `{"max_tokens":6,"messages":[],"model":"brush","seed":1,"stream":true,"stream_options":{"include_usage":true}}`, string(calls.call.Body))
+	assertEqual(t, "", calls.call.Header.Get(HeaderAuthorization))
+	assertEqual(t, "", calls.call.Header.Get(HeaderBudget))
+	assertEqual(t, int64(6), calls.call.Model.MaxTokens)
+	assertEqual(t, false, calls.call.Model.ReportUsage)
+}
+
+// settled is what became of a reservation and what the caller was told.
+type settled struct {
+	Bills    []ledger.Tokens
+	Releases int
+	Verdict  string
+}
+
+func TestSettlement(t *testing.T) {
+	broken := func(v verdict.Verdict) error { return &verdict.Refusal{Verdict: v, Reason: verdict.EndpointFailed} }
+	cases := []struct {
+		name       string
+		path       string
+		result     endpoint.Result
+		err        error
+		releaseErr error
+		want       settled
+	}{
+		{"not run is released", "/atelier", endpoint.Result{Verdict: verdict.NotRun}, broken(verdict.NotRun), nil, settled{nil, 1, "NotRun"}},
+		{"not run whose release is unknown may have run", "/atelier", endpoint.Result{Verdict: verdict.NotRun}, broken(verdict.NotRun), errors.New("timeout"), settled{nil, 1, "MayHaveRun"}},
+		{"idempotent that delivered nothing frees its identifier", "/atelier", endpoint.Result{}, broken(verdict.MayHaveRun), nil, settled{nil, 1, "MayHaveRun"}},
+		{"idempotent that delivered a part is billed", "/atelier", endpoint.Result{Usage: 5}, broken(verdict.MayHaveRun), nil, settled{[]ledger.Tokens{5}, 0, "MayHaveRun"}},
+		{"non-idempotent keeps its identifier", "/deposits", endpoint.Result{}, broken(verdict.MayHaveRun), nil, settled{[]ledger.Tokens{0}, 0, "MayHaveRun"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, accounts, calls := setUp(t)
+			calls.result, calls.err, accounts.releaseErr = c.result, c.err, c.releaseErr
+			w := send(s, "POST", c.path, "", HeaderAuthorization, "Bearer "+keyLuzon, HeaderIdempotencyKey, "k")
+			assertEqual(t, c.want, settled{accounts.bills, accounts.releases, refusedBy(t, w).Verdict})
+		})
+	}
+	t.Run("a whole answer that breaks is cut", func(t *testing.T) {
+		s, accounts, calls := setUp(t)
+		calls.result, calls.err = endpoint.Result{Started: true, Usage: 2}, broken(verdict.MayHaveRun)
+		defer func() {
+			assertEqual(t, true, recover() != nil)
+			assertEqual(t, []ledger.Tokens{2}, accounts.bills)
+		}()
+		send(s, "POST", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
+	})
+}
+
+func TestRefusedReservation(t *testing.T) {
+	s, accounts, calls := setUp(t)
+	accounts.refusal = verdict.Refuse(verdict.BudgetExhausted, "")
+	w := send(s, "POST", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
+	assertEqual(t, refused{429, string(verdict.BudgetExhausted), "NotRun", true}, refusedBy(t, w))
+	if calls.call != nil {
+		t.Error("a request without a reservation was sent")
+	}
+}
