--- /dev/null
+++ b/fleet/ledgerstream/account.go
@@ -0,0 +1,259 @@
+package ledgerstream
+
+import (
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+)
+
+// reserveDrawInterval is the least time between two draws of one reserve share.
+const reserveDrawInterval = 5 * time.Second
+
+// account is this router's business with one budget.
+type account struct {
+	budget     string
+	demand     decision.Demand
+	demandedAt time.Time
+	// waiting are the requests without a share, in their order of arrival.
+	waiting []*attempt
+	// drawing says that a draw of a working share has not been read back yet.
+	drawing        bool
+	drawnAt        time.Time
+	reserveDrawnAt time.Time
+	// refusedAt is when a draw of this router was refused, recalledUntil the time up to which the
+	// refused draw of another router calls free shares home.
+	refusedAt     time.Time
+	recalledUntil time.Time
+}
+
+// account returns the account of a budget.
+func (c *Client) account(budget string) *account {
+	b := c.accounts[budget]
+	if b == nil {
+		b = &account{budget: budget}
+		c.accounts[budget] = b
+	}
+	return b
+}
+
+// recalled says that another router's demand was unmet lately.
+func (b *account) recalled(now time.Time) bool { return now.Before(b.recalledUntil) }
+
+// amounts returns what the waiting requests ask for.
+func (b *account) amounts() []ledger.Tokens {
+	amounts := make([]ledger.Tokens, 0, len(b.waiting))
+	for _, a := range b.waiting {
+		amounts = append(amounts, a.demand.Amount)
+	}
+	return amounts
+}
+
+// free returns what this incarnation's shares hold and neither the ledger nor the outbox has taken.
+func (c *Client) free(budget string) (working, reserve ledger.Tokens) {
+	if c.current == nil || !c.current.joined {
+		return 0, 0
+	}
+	holder := c.state.Holder(budget, c.current.incarnation)
+	working = holder.WorkingFree - c.current.pending[shareKey{budget: budget, kind: ledger.Working}]
+	reserve = holder.ReserveFree - c.current.pending[shareKey{budget: budget, kind: ledger.Reserve}]
+	return working, reserve
+}
+
+// feed serves every account in which requests wait.
+func (c *Client) feed() {
+	for _, b := range c.hungry {
+		c.serve(b)
+	}
+}
+
+// serve opens the waiting requests that the share can pay for and draws for the others.
+func (c *Client) serve(b *account) {
+	if c.current == nil || !c.current.joined {
+		return
+	}
+	free, _ := c.free(b.budget)
+	unserved := b.waiting[:0]
+	for _, a := range b.waiting {
+		if a.demand.Amount > free {
+			unserved = append(unserved, a)
+			continue
+		}
+		free -= a.demand.Amount
+		a.queue()
+	}
+	clear(b.waiting[len(unserved):])
+	b.waiting = unserved
+	if len(b.waiting) == 0 {
+		delete(c.hungry, b.budget)
+	}
+	c.draw(b, free)
+}
+
+// draw asks for a share unless a draw is under way. A demand that was refused lately is announced
+// again only after an interval, or once the budget could grant it.
+func (c *Client) draw(b *account, free ledger.Tokens) {
+	if b.drawing || c.draining && len(b.waiting) == 0 {
+		return
+	}
+	view, known := c.state.Budget(b.budget)
+	if !known || view.Frozen {
+		c.refuseWaiting(b, known)
+		return
+	}
+	now := time.Now()
+	size := decision.SizeDraw(decision.DrawInput{
+		Waiting:   b.amounts(),
+		Free:      free,
+		Expected:  b.demand.Within(now, c.settings.DrawHorizon),
+		Available: view.Available(),
+		Routers:   c.routers,
+		Contended: b.recalled(now) || now.Before(b.refusedAt.Add(c.settings.DrawWait)),
+	})
+	if size.Wanted == 0 {
+		return
+	}
+	hopeless := view.Available() < size.Minimum && now.Before(b.refusedAt.Add(c.settings.DrawInterval))
+	inAdvance := len(b.waiting) == 0 && now.Before(b.drawnAt.Add(c.settings.DrawInterval))
+	if hopeless || inAdvance {
+		return
+	}
+	b.drawing = true
+	b.drawnAt = now
+	c.count(drawSent, 1)
+	c.add(&ledger.Draw{Budget: b.budget, Kind: ledger.Working, Wanted: size.Wanted, Minimum: size.Minimum})
+}
+
+// refuseWaiting refuses the requests of a budget that is frozen or not in the ledger.
+func (c *Client) refuseWaiting(b *account, known bool) {
+	reason := ledger.FrozenBudget
+	if !known {
+		reason = ledger.UnknownBudget
+	}
+	for _, a := range b.waiting {
+		a.refuse(refusalOf(reason))
+	}
+	b.waiting = nil
+	delete(c.hungry, b.budget)
+}
+
+func (c *Client) onGranted(e *ledger.Granted) {
+	if e.Kind != ledger.Working || c.current == nil || e.Incarnation != c.current.incarnation {
+		return
+	}
+	b := c.account(e.Budget)
+	b.drawing = false
+	c.serve(b)
+	if b.recalled(time.Now()) {
+		c.sendHome(b, true)
+	}
+}
+
+func (c *Client) onDrawRefused(e *ledger.DrawRefused) {
+	if c.current != nil && e.Incarnation == c.current.incarnation {
+		c.onOwnDrawRefused(e)
+		return
+	}
+	if e.Reason != ledger.Insufficient || !c.caughtUp || e.Draw.Kind != ledger.Working {
+		return
+	}
+	b := c.accounts[e.Draw.Budget]
+	if b == nil {
+		return
+	}
+	c.count(recallSeen, 1)
+	wait := decision.DrawDeadline(c.settings.DrawWait, c.roundTrip, c.settings.OpenWait)
+	b.recalledUntil = time.Now().Add(wait)
+	c.sendHome(b, true)
+}
+
+func (c *Client) onOwnDrawRefused(e *ledger.DrawRefused) {
+	if e.Draw.Kind != ledger.Working {
+		return
+	}
+	c.count(drawRefused, 1)
+	b := c.account(e.Draw.Budget)
+	b.drawing = false
+	b.refusedAt = time.Now()
+	for _, a := range b.waiting {
+		a.drawsRefused++
+	}
+}
+
+// sendHome returns the parts of the shares that the budget needs more than this router.
+func (c *Client) sendHome(b *account, recalled bool) {
+	if c.current == nil || !c.current.joined {
+		return
+	}
+	now := time.Now()
+	working, reserve := c.free(b.budget)
+	amount := decision.SizeReturn(decision.ReturnInput{
+		Free:     working,
+		Expected: b.demand.Within(now, c.settings.DrawHorizon),
+		Recalled: recalled,
+		Idle:     now.After(b.demandedAt.Add(c.settings.IdleTerm)),
+	})
+	c.giveBack(b.budget, ledger.Working, amount)
+	if recalled {
+		c.giveBack(b.budget, ledger.Reserve, reserve)
+	}
+}
+
+// giveBack queues a return.
+func (c *Client) giveBack(budget string, kind ledger.ShareKind, amount ledger.Tokens) {
+	if amount <= 0 {
+		return
+	}
+	c.count(returnSent, 1)
+	c.add(&ledger.Return{Budget: budget, Kind: kind, Amount: amount})
+}
+
+// tickAccounts returns idle and excess shares, serves waiting requests and forgets idle accounts.
+func (c *Client) tickAccounts(now time.Time) {
+	for name, b := range c.accounts {
+		c.serve(b)
+		c.sendHome(b, b.recalled(now) && len(b.waiting) == 0)
+		working, reserve := c.free(name)
+		idle := now.After(b.demandedAt.Add(c.settings.IdleTerm))
+		if idle && !b.drawing && len(b.waiting) == 0 && working == 0 && reserve == 0 {
+			delete(c.accounts, name)
+		}
+	}
+}
+
+// tickReserves draws the reserve shares that the budgets' policies name.
+func (c *Client) tickReserves(now time.Time) {
+	if c.draining {
+		return
+	}
+	left := DefaultReserveDrawsPerTick
+	for name := range c.reserves {
+		view, known := c.state.Budget(name)
+		if !known || view.Frozen || view.Reserve.Share == 0 || left == 0 {
+			continue
+		}
+		b := c.account(name)
+		if now.Before(b.reserveDrawnAt.Add(reserveDrawInterval)) {
+			continue
+		}
+		amount := c.reserveDraw(now, b, view)
+		if amount == 0 {
+			continue
+		}
+		left--
+		b.reserveDrawnAt = now
+		c.add(&ledger.Draw{Budget: name, Kind: ledger.Reserve, Wanted: amount, Minimum: amount})
+	}
+}
+
+// reserveDraw returns what to draw as a reserve share.
+func (c *Client) reserveDraw(now time.Time, b *account, view ledger.BudgetView) ledger.Tokens {
+	holder := c.state.Holder(b.budget, c.current.incarnation)
+	return decision.SizeReserve(decision.ReserveInput{
+		Policy:    view.Reserve.Share,
+		Held:      holder.ReserveFree + holder.ReserveReserved,
+		Available: view.Available(),
+		Routers:   c.routers,
+		Contended: b.recalled(now) || now.Before(b.refusedAt.Add(reserveDrawInterval)),
+	})
+}
--- /dev/null
+++ b/fleet/ledgerstream/attempt.go
@@ -0,0 +1,209 @@
+package ledgerstream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// attempt is one reservation from its demand to its bill or release. Its fields are guarded by the
+// client's lock; its channels are closed under it.
+type attempt struct {
+	client *Client
+	demand Demand
+	// outbox and number are set once the open is queued.
+	outbox *outbox
+	number uint64
+	// cut says that the open may have left the process.
+	cut bool
+	// accepted and refusal are the ledger's decision, of which neither is set at first.
+	accepted bool
+	refusal  *verdict.Refusal
+	// settled says that the open was charged because its incarnation was fenced.
+	settled  bool
+	released bool
+	// finished says that the bill or the release was queued.
+	finished bool
+	// drawsRefused counts the refused draws that this attempt waited through.
+	drawsRefused int
+
+	queuedSignal       chan struct{}
+	acknowledgedSignal chan struct{}
+	decidedSignal      chan struct{}
+	releaseSignal      chan struct{}
+}
+
+// newAttempt returns the attempt of a demand.
+func (c *Client) newAttempt(demand Demand) *attempt {
+	return &attempt{
+		client:             c,
+		demand:             demand,
+		queuedSignal:       make(chan struct{}),
+		acknowledgedSignal: make(chan struct{}),
+		decidedSignal:      make(chan struct{}),
+		releaseSignal:      make(chan struct{}),
+	}
+}
+
+// queue puts the attempt's open into the outbox of the incarnation in use.
+func (a *attempt) queue() {
+	c := a.client
+	c.attempts++
+	a.number = c.attempts
+	a.outbox = c.current
+	a.outbox.attempts[a.number] = a
+	c.addTo(a.outbox, outboxEntry{attempt: a, record: &ledger.Open{
+		Request:     a.demand.Request,
+		Fingerprint: a.demand.Fingerprint,
+		Attempt:     a.number,
+		Budget:      a.demand.Budget,
+		Kind:        ledger.Working,
+		Amount:      a.demand.Amount,
+		Idempotent:  a.demand.Idempotent,
+	}})
+	close(a.queuedSignal)
+}
+
+func (a *attempt) decided() bool { return a.accepted || a.refusal != nil }
+
+// accept notes that the open was read back as accepted.
+func (a *attempt) accept() {
+	if a.decided() {
+		return
+	}
+	a.accepted = true
+	close(a.decidedSignal)
+}
+
+// refuse ends an attempt that holds no reservation.
+func (a *attempt) refuse(refusal *verdict.Refusal) {
+	if a.decided() {
+		return
+	}
+	a.refusal = refusal
+	if a.outbox != nil {
+		delete(a.outbox.attempts, a.number)
+	}
+	close(a.decidedSignal)
+}
+
+// refuseUndecided ends an attempt whose open was applied without a decision.
+func (a *attempt) refuseUndecided() {
+	a.refuse(&verdict.Refusal{Reason: verdict.Internal, Detail: "the ledger did not decide on the reservation"})
+}
+
+// acknowledge notes that the open is in the log within a valid lease.
+func (a *attempt) acknowledge() {
+	if !isClosed(a.acknowledgedSignal) {
+		close(a.acknowledgedSignal)
+	}
+}
+
+// closeRelease notes that the release was read back or can't change anything any more.
+func (a *attempt) closeRelease() {
+	if !isClosed(a.releaseSignal) {
+		close(a.releaseSignal)
+	}
+}
+
+// notRun says whether the ledger holds nothing against the request: it was released or never accepted.
+func (a *attempt) notRun() bool { return a.released || a.refusal != nil && !a.accepted }
+
+// CheckDispatch fails if the incarnation's lease has lapsed. The reservation is in the log, so that
+// only a release can show that the request was not run.
+func (a *attempt) CheckDispatch() error {
+	c := a.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.refusal != nil {
+		return a.refusal
+	}
+	if a.outbox.ended || a.settled || !a.outbox.lease.Valid(time.Now()) {
+		c.count(dispatchRefused, 1)
+		return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.LeaseLapsed}
+	}
+	return nil
+}
+
+// Bill closes the reservation with its usage.
+func (a *attempt) Bill(usage ledger.Tokens) {
+	c := a.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.finish(&ledger.Bill{Request: a.demand.Request, Attempt: a.number, Usage: max(usage, 0)})
+}
+
+// Release frees the reservation of a request that was not run.
+func (a *attempt) Release(ctx context.Context) error {
+	c := a.client
+	c.mu.Lock()
+	a.finish(&ledger.Release{Request: a.demand.Request, Attempt: a.number})
+	c.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-a.releaseSignal:
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.notRun() {
+		return nil
+	}
+	c.count(releaseUnknown, 1)
+	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.OutcomeUnknown, Cause: ctx.Err()}
+}
+
+// finish queues the record that closes the reservation, once.
+func (a *attempt) finish(record ledger.Record) {
+	if a.finished {
+		return
+	}
+	a.finished = true
+	a.client.addTo(a.outbox, outboxEntry{record: record, attempt: a})
+}
+
+// refusalOf returns the refusal that a caller sees for the ledger's refusal of an open.
+func refusalOf(reason ledger.RefusalReason) *verdict.Refusal {
+	switch reason {
+	case ledger.UnknownBudget:
+		return verdict.Refuse(verdict.BudgetNotYetInLedger, "")
+	case ledger.FrozenBudget:
+		return verdict.Refuse(verdict.BudgetFrozen, "")
+	case ledger.Insufficient:
+		return verdict.Refuse(verdict.BudgetExhausted, "")
+	case ledger.NotLive:
+		return leaseLapsed()
+	case ledger.FingerprintMismatch:
+		return verdict.Refuse(verdict.IdempotencyKeyReused, "")
+	case ledger.AlreadyOpen:
+		return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.RequestInProgress}
+	case ledger.AlreadyRan:
+		return &verdict.Refusal{Verdict: verdict.Ran, Reason: verdict.RequestAlreadyRan}
+	default:
+		return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.Internal, Detail: string(reason)}
+	}
+}
+
+func leaseLapsed() *verdict.Refusal { return verdict.Refuse(verdict.LeaseLapsed, "") }
+
+func unreachable() *verdict.Refusal { return verdict.Refuse(verdict.LedgerUnreachable, "") }
+
+// interrupted returns the refusal of a request whose context ended before anything left the process.
+func interrupted(ctx context.Context) *verdict.Refusal {
+	reason := verdict.CallerWentAway
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = verdict.DeadlineTooShort
+	}
+	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: reason, Cause: context.Cause(ctx)}
+}
+
+func isClosed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/fleet/ledgerstream/counters.go
@@ -0,0 +1,87 @@
+package ledgerstream
+
+import (
+	"github.com/rcrowley/go-metrics"
+)
+
+// Names of the counters and gauges.
+const (
+	appendGroups      = "ledger.append.groups"
+	appendRecords     = "ledger.append.records"
+	appendBytes       = "ledger.append.bytes"
+	appendFailed      = "ledger.append.failed"
+	appendRepeated    = "ledger.append.repeated"
+	readEntries       = "ledger.read.entries"
+	readFailed        = "ledger.read.failed"
+	readTruncated     = "ledger.read.truncated"
+	joinSent          = "ledger.join.sent"
+	joinRefused       = "ledger.join.refused"
+	leaseFenced       = "ledger.lease.fenced"
+	fenceSent         = "ledger.fence.sent"
+	fenceRefused      = "ledger.fence.refused"
+	drawSent          = "ledger.draw.sent"
+	drawRefused       = "ledger.draw.refused"
+	recallSeen        = "ledger.recall.seen"
+	returnSent        = "ledger.return.sent"
+	prepaidSent       = "ledger.prepaid.sent"
+	prepaidRefused    = "ledger.prepaid.refused"
+	openAccepted      = "ledger.open.accepted"
+	openRefused       = "ledger.open.refused"
+	openWithdrawn     = "ledger.open.withdrawn"
+	openAbandoned     = "ledger.open.abandoned"
+	releaseUnknown    = "ledger.release.unknown"
+	dispatchRefused   = "ledger.dispatch.refused"
+	reserveRefusedFor = "ledger.reserve.refused."
+	outboxLength      = "ledger.outbox.length"
+	logReachable      = "ledger.log.reachable"
+)
+
+// Description says what a counter counts.
+type Description struct {
+	Name    string
+	Meaning string
+}
+
+// Counters lists every counter and gauge of this package.
+func Counters() []Description {
+	return []Description{
+		{appendGroups, "groups of records that the log acknowledged"},
+		{appendRecords, "records in acknowledged groups"},
+		{appendBytes, "bytes of acknowledged groups"},
+		{appendFailed, "appends whose outcome is unknown: an error or a timeout"},
+		{appendRepeated, "groups that were appended again"},
+		{readEntries, "entries read from the log"},
+		{readFailed, "reads that failed"},
+		{readTruncated, "reads below the offsets that the log still keeps; the router isn't ready"},
+		{joinSent, "incarnations that this process announced"},
+		{joinRefused, "incarnations whose number was too low"},
+		{leaseFenced, "times that this router's lease was ended by another router"},
+		{fenceSent, "fences that this router appended against silent incarnations"},
+		{fenceRefused, "fences that came after a sign of life or after another fence"},
+		{drawSent, "draws that this router appended"},
+		{drawRefused, "draws of this router that the budget could not grant"},
+		{recallSeen, "refused draws of other routers, which call this router's free shares home"},
+		{returnSent, "returns that this router appended"},
+		{prepaidSent, "prepaid totals that this router copied into the ledger"},
+		{prepaidRefused, "prepaid totals below what is spent and held in shares"},
+		{openAccepted, "reservations that were accepted"},
+		{openRefused, "reservations that the ledger refused"},
+		{openWithdrawn, "reservations that were withdrawn before they left the process"},
+		{openAbandoned, "reservations given up after they may have left the process"},
+		{releaseUnknown, "releases that were not read back in time"},
+		{dispatchRefused, "dispatches refused because the lease had lapsed"},
+		{reserveRefusedFor + "REASON", "requests refused by Reserve, by the reason that the caller sees"},
+		{outboxLength, "gauge: records that were not yet read back"},
+		{logReachable, "gauge: 1 if the log answers, 0 if not"},
+	}
+}
+
+// count adds to a counter.
+func (c *Client) count(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, c.counters).Inc(n)
+}
+
+// gauge sets a gauge.
+func (c *Client) gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, c.counters).Update(value)
+}
--- /dev/null
+++ b/fleet/ledgerstream/membership.go
@@ -0,0 +1,119 @@
+package ledgerstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+)
+
+// watch is what this router knows of another incarnation's silence.
+type watch struct {
+	silence decision.Silence
+	jitter  time.Duration
+	// fencedAt is when this router last appended a fence; zero if it never did.
+	fencedAt time.Time
+}
+
+// loopTick looks at what is due by time: heartbeats, fences, idle shares, prepaid totals.
+func (c *Client) loopTick(ctx context.Context) {
+	ticker := time.NewTicker(c.settings.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick(time.Now())
+		}
+	}
+}
+
+// tick does what is due.
+func (c *Client) tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.caughtUp || c.truncated || c.current == nil {
+		return
+	}
+	incarnations := c.state.Incarnations()
+	c.countRouters(incarnations)
+	c.heartbeat(now)
+	if !c.current.joined {
+		return
+	}
+	if !c.current.lease.Valid(now) {
+		c.refuseUnsent()
+		return
+	}
+	c.fenceSilent(now, incarnations)
+	c.tickAccounts(now)
+	c.tickReserves(now)
+	c.tickPrepaid(now)
+}
+
+// countRouters counts the incarnations that share the fleet's appends.
+func (c *Client) countRouters(incarnations []ledger.IncarnationView) {
+	live := 0
+	for _, v := range incarnations {
+		if !v.Suspended {
+			live++
+		}
+	}
+	c.routers = max(live, 1)
+}
+
+// join announces a new incarnation with a number above that of every earlier one of this instance.
+func (c *Client) join() {
+	if c.current != nil || !c.caughtUp || c.truncated || c.draining {
+		return
+	}
+	number := max(uint64(time.Now().UnixNano()), c.state.HighestIncarnation(c.settings.Instance)+1)
+	for _, o := range c.former {
+		number = max(number, o.incarnation.Number+1)
+	}
+	incarnation := ledger.Incarnation{Instance: c.settings.Instance, Number: number}
+	c.current = newOutbox(incarnation, decision.Lease{Term: c.settings.Lease, Margin: c.settings.LeaseMargin})
+	c.count(joinSent, 1)
+	c.add(&ledger.Join{
+		AvailabilityZone: c.settings.AvailabilityZone,
+		Region:           c.settings.Region,
+		Version:          c.settings.Version,
+	})
+}
+
+// heartbeat renews the lease of an idle incarnation; any record that waits for the log renews it too.
+func (c *Client) heartbeat(now time.Time) {
+	o := c.current
+	if o.length() > 0 || now.Before(o.queuedAt.Add(c.settings.HeartbeatInterval)) {
+		return
+	}
+	c.add(&ledger.Heartbeat{
+		ConfigurationOffset: c.configurationNext,
+		ConfigurationNumber: c.configurationNumber,
+	})
+}
+
+// fenceSilent fences the incarnations of which nothing was seen for a lease and its margin, and ends
+// the reserve shares of those that were silent for the reserve term.
+func (c *Client) fenceSilent(now time.Time, incarnations []ledger.IncarnationView) {
+	for _, v := range incarnations {
+		if c.own(v.Incarnation) != nil {
+			continue
+		}
+		w := c.silences[v.Incarnation]
+		if w == nil {
+			w = &watch{jitter: decision.Jitter(c.settings.HeartbeatInterval, c.random)}
+			c.silences[v.Incarnation] = w
+		}
+		w.silence.Update(&c.observation, v.LastSeen)
+		kind, due := decision.FenceDue(&c.observation, &w.silence, v.Suspended, c.settings.fenceTerms(w.jitter))
+		if !due || now.Before(w.fencedAt.Add(c.settings.Lease)) {
+			continue
+		}
+		w.fencedAt = now
+		c.count(fenceSent, 1)
+		c.add(&ledger.Fence{Target: v.Incarnation, LastSeen: v.LastSeen, Kind: kind})
+	}
+}
--- /dev/null
+++ b/fleet/ledgerstream/outbox.go
@@ -0,0 +1,271 @@
+package ledgerstream
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// recordBytes is the size, beside its names, that a record is counted with when a group is cut.
+const recordBytes = 64
+
+// outboxEntry is a record on its way to the log with the attempt that it opens or closes, if any.
+type outboxEntry struct {
+	record  ledger.Record
+	attempt *attempt
+}
+
+// outboxGroup is a cut group: it never changes and stays in the outbox until it was read back.
+type outboxGroup struct {
+	first   uint64
+	entries []outboxEntry
+	payload []byte
+	cutAt   time.Time
+	// firstSentAt is the time before the first append of the group; zero if there was none.
+	firstSentAt time.Time
+	tries       int
+	// acknowledged groups were appended at offset.
+	acknowledged bool
+	offset       platform.Offset
+}
+
+// last returns the sequence number of the group's last record.
+func (g *outboxGroup) last() uint64 { return g.first + uint64(len(g.entries)) - 1 }
+
+// shareKey names one of the incarnation's shares.
+type shareKey struct {
+	budget string
+	kind   ledger.ShareKind
+}
+
+// outbox holds one incarnation's records until they were read back, and what is known of its lease.
+type outbox struct {
+	incarnation ledger.Incarnation
+	lease       decision.Lease
+	// joined is set once the incarnation's Join was read back as accepted.
+	joined bool
+	// ended incarnations left, lost their lease or were refused: their records change nothing, so
+	// that an acknowledgement is all that is waited for.
+	ended bool
+	// leaving says that Leave was queued.
+	leaving  bool
+	queue    []outboxEntry
+	groups   []*outboxGroup
+	sequence uint64
+	// attempts are the reservations that are not closed yet.
+	attempts map[uint64]*attempt
+	// pending is what opens and returns in the outbox take from the free part of each share.
+	pending  map[shareKey]ledger.Tokens
+	queuedAt time.Time
+}
+
+// newOutbox returns the empty outbox of an incarnation.
+func newOutbox(incarnation ledger.Incarnation, lease decision.Lease) *outbox {
+	return &outbox{
+		incarnation: incarnation,
+		lease:       lease,
+		sequence:    1,
+		attempts:    map[uint64]*attempt{},
+		pending:     map[shareKey]ledger.Tokens{},
+	}
+}
+
+// add queues a record for the next group. Once the incarnation is leaving, only bills and releases
+// are of use.
+func (o *outbox) add(now time.Time, entry outboxEntry) {
+	if o.leaving && !closesAttempt(entry.record) {
+		return
+	}
+	if _, ok := entry.record.(*ledger.Leave); ok {
+		o.leaving = true
+	}
+	o.queue = append(o.queue, entry)
+	o.queuedAt = now
+	o.addPending(entry.record, 1)
+}
+
+// addPending adds the amount that a record takes from a share, or takes it off again.
+func (o *outbox) addPending(record ledger.Record, sign ledger.Tokens) {
+	key, amount := shareKey{}, ledger.Tokens(0)
+	switch r := record.(type) {
+	case *ledger.Open:
+		key, amount = shareKey{budget: r.Budget, kind: r.Kind}, r.Amount
+	case *ledger.Return:
+		key, amount = shareKey{budget: r.Budget, kind: r.Kind}, r.Amount
+	default:
+		return
+	}
+	o.pending[key] += sign * amount
+	if o.pending[key] == 0 {
+		delete(o.pending, key)
+	}
+}
+
+// withdraw takes an attempt's open out of the queue. It reports false if the open was cut already.
+func (o *outbox) withdraw(a *attempt) bool {
+	at := slices.IndexFunc(o.queue, func(e outboxEntry) bool {
+		_, isOpen := e.record.(*ledger.Open)
+		return isOpen && e.attempt == a
+	})
+	if at < 0 {
+		return false
+	}
+	o.addPending(o.queue[at].record, -1)
+	o.queue = slices.Delete(o.queue, at, at+1)
+	delete(o.attempts, a.number)
+	return true
+}
+
+// length returns the number of records that were not read back yet.
+func (o *outbox) length() int {
+	n := len(o.queue)
+	for _, g := range o.groups {
+		n += len(g.entries)
+	}
+	return n
+}
+
+// unsent returns the oldest cut group that isn't known to be in the log.
+func (o *outbox) unsent() *outboxGroup {
+	for _, g := range o.groups {
+		if !g.acknowledged {
+			return g
+		}
+	}
+	return nil
+}
+
+// cut makes a group of the queued records, as many as fit into limit bytes. The result is nil if
+// nothing is queued.
+func (o *outbox) cut(now time.Time, limit int) (*outboxGroup, error) {
+	n, size := 0, 0
+	for n < len(o.queue) && (n == 0 || size < limit) {
+		size += sizeOf(o.queue[n].record)
+		n++
+	}
+	if n == 0 {
+		return nil, nil
+	}
+	g := &outboxGroup{first: o.sequence, entries: slices.Clone(o.queue[:n]), cutAt: now}
+	records := make([]ledger.Record, 0, n)
+	for _, e := range g.entries {
+		records = append(records, e.record)
+	}
+	payload, err := ledger.Encode(ledger.Group{Writer: o.incarnation, First: g.first, Records: records})
+	if err != nil {
+		return nil, err
+	}
+	g.payload = payload
+	o.queue = slices.Delete(o.queue, 0, n)
+	o.sequence += uint64(n)
+	o.groups = append(o.groups, g)
+	for _, e := range g.entries {
+		if e.attempt != nil {
+			e.attempt.cut = true
+		}
+	}
+	return g, nil
+}
+
+// sizeOf estimates the encoded size of a record.
+func sizeOf(record ledger.Record) int {
+	switch r := record.(type) {
+	case *ledger.Prepaid:
+		return recordBytes + len(r.Budget)
+	case *ledger.Draw:
+		return recordBytes + len(r.Budget)
+	case *ledger.Return:
+		return recordBytes + len(r.Budget)
+	case *ledger.Open:
+		return recordBytes + len(r.Budget)
+	default:
+		return recordBytes
+	}
+}
+
+// drop removes the groups up to a sequence number and returns them: the fold has applied them.
+func (o *outbox) drop(applied uint64) []*outboxGroup {
+	n := 0
+	for n < len(o.groups) && o.groups[n].last() <= applied {
+		for _, e := range o.groups[n].entries {
+			o.addPending(e.record, -1)
+		}
+		n++
+	}
+	dropped := slices.Clone(o.groups[:n])
+	o.groups = slices.Delete(o.groups, 0, n)
+	return dropped
+}
+
+// dropAcknowledged removes the acknowledged groups of an incarnation whose records count no longer.
+func (o *outbox) dropAcknowledged() []*outboxGroup {
+	applied := uint64(0)
+	for _, g := range o.groups {
+		if !g.acknowledged {
+			break
+		}
+		applied = g.last()
+	}
+	return o.drop(applied)
+}
+
+// repeatMissing marks groups for another append that the log acknowledged below next but that the
+// fold has not applied, because it dropped them from its buffer.
+func (o *outbox) repeatMissing(next platform.Offset) {
+	for _, g := range o.groups {
+		if g.acknowledged && g.offset < next {
+			g.acknowledged = false
+		}
+	}
+}
+
+// withdrawAll takes all opens out of the queue and returns their attempts.
+func (o *outbox) withdrawAll() []*attempt {
+	return o.removeQueued(func(record ledger.Record) bool {
+		_, isOpen := record.(*ledger.Open)
+		return isOpen
+	})
+}
+
+// withdrawStale takes out of the queue what means nothing once the incarnation's lease has ended:
+// everything but bills and releases. It returns the attempts of the opens.
+func (o *outbox) withdrawStale() []*attempt {
+	return o.removeQueued(func(record ledger.Record) bool { return !closesAttempt(record) })
+}
+
+// removeQueued removes the queued records that match and returns the attempts of the opens among them.
+func (o *outbox) removeQueued(match func(ledger.Record) bool) []*attempt {
+	withdrawn := []*attempt{}
+	kept := []outboxEntry{}
+	for _, e := range o.queue {
+		if !match(e.record) {
+			kept = append(kept, e)
+			continue
+		}
+		o.addPending(e.record, -1)
+		if e.attempt != nil {
+			withdrawn = append(withdrawn, e.attempt)
+			delete(o.attempts, e.attempt.number)
+		}
+	}
+	o.queue = kept
+	return withdrawn
+}
+
+// closesAttempt says whether a record closes an open.
+func closesAttempt(record ledger.Record) bool {
+	switch record.(type) {
+	case *ledger.Bill, *ledger.Release:
+		return true
+	default:
+		return false
+	}
+}
+
+// finished says that nothing is left to append and no reservation is open.
+func (o *outbox) finished() bool {
+	return len(o.queue) == 0 && len(o.groups) == 0 && len(o.attempts) == 0
+}
--- /dev/null
+++ b/fleet/ledgerstream/prepaid.go
@@ -0,0 +1,77 @@
+package ledgerstream
+
+import (
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+)
+
+// prepaidCopy is a declared total that the ledger does not show yet.
+type prepaidCopy struct {
+	record ledger.Prepaid
+	dueAt  time.Time
+}
+
+// DeclarePrepaid takes the budgets of the router's configuration. Those that the ledger does not
+// show yet are copied into it after a jittered wait, unless another router was faster.
+func (c *Client) DeclarePrepaid(list []ledger.Prepaid) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, p := range list {
+		if c.isDecided(p) || c.prepaid[p.Budget].record.Ticket >= p.Ticket {
+			continue
+		}
+		c.prepaid[p.Budget] = prepaidCopy{
+			record: p,
+			dueAt:  now.Add(decision.Jitter(c.settings.PrepaidJitter, c.random)),
+		}
+	}
+}
+
+// isDecided says whether the ledger shows a ticket of a budget or has refused it.
+func (c *Client) isDecided(p ledger.Prepaid) bool {
+	view, known := c.state.Budget(p.Budget)
+	return known && view.Ticket >= p.Ticket || c.refusedTickets[p.Budget] >= p.Ticket
+}
+
+// tickPrepaid copies the totals that are due.
+func (c *Client) tickPrepaid(now time.Time) {
+	left := DefaultPrepaidCopiesPerTick
+	for name, p := range c.prepaid {
+		if c.isDecided(p.record) {
+			delete(c.prepaid, name)
+			continue
+		}
+		if left == 0 || now.Before(p.dueAt) {
+			continue
+		}
+		left--
+		p.dueAt = now.Add(c.settings.OpenWait)
+		c.prepaid[name] = p
+		c.count(prepaidSent, 1)
+		record := p.record
+		c.add(&record)
+	}
+}
+
+func (c *Client) onPrepaidAccepted(e *ledger.PrepaidAccepted) {
+	if c.prepaid[e.Budget].record.Ticket <= e.Ticket {
+		delete(c.prepaid, e.Budget)
+	}
+	view, _ := c.state.Budget(e.Budget)
+	if view.Reserve.Share > 0 {
+		c.reserves[e.Budget] = struct{}{}
+	} else {
+		delete(c.reserves, e.Budget)
+	}
+	if b := c.accounts[e.Budget]; b != nil && view.Frozen {
+		c.sendHome(b, true)
+	}
+}
+
+func (c *Client) onPrepaidRefused(e *ledger.PrepaidRefused) {
+	c.count(prepaidRefused, 1)
+	c.refusedTickets[e.Budget] = max(c.refusedTickets[e.Budget], e.Ticket)
+}
--- /dev/null
+++ b/fleet/ledgerstream/reader.go
@@ -0,0 +1,179 @@
+package ledgerstream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// roundTripWeight is the weight of a new measurement in the usual round trip.
+const roundTripWeight = 4
+
+// loopRead reads the stream from its beginning and then follows its tail.
+func (c *Client) loopRead(ctx context.Context) {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		from, number := c.beginRead()
+		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+		entries, err := c.log.Read(call, c.stream, from, c.settings.ReadLimit)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			waitFor(ctx, nil, c.readFailed(err))
+			continue
+		}
+		if complete := c.apply(entries, begun, number); complete {
+			waitFor(ctx, c.wakeReader, c.settings.PollInterval)
+		}
+	}
+}
+
+// beginRead returns the offset to read from and the number of the read.
+func (c *Client) beginRead() (from platform.Offset, number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsBegun++
+	return c.state.Next(), c.readsBegun
+}
+
+// readFailed notes a failed read and returns the wait before the next one.
+func (c *Client) readFailed(err error) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(readFailed, 1)
+	c.readFailures++
+	c.observation.Break()
+	c.noteTruncation(err)
+	c.updateReachable()
+	return c.settings.backoff().Delay(c.readFailures, c.random)
+}
+
+// noteTruncation makes the client unready if the log no longer keeps the next offset: the balances
+// can't be known any more, and the lease is left to lapse.
+func (c *Client) noteTruncation(err error) {
+	truncated := &platform.TruncatedError{}
+	if !errors.As(err, &truncated) {
+		return
+	}
+	c.count(readTruncated, 1)
+	if !c.truncated {
+		c.logger().WithError(err).Error("the log no longer keeps the next offset; refusing requests")
+	}
+	c.truncated = true
+}
+
+// apply folds what was read and reports whether the read reached the stream's end.
+func (c *Client) apply(entries []platform.Entry, begun time.Time, number uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readFailures = 0
+	c.updateReachable()
+	c.count(readEntries, int64(len(entries)))
+	for _, entry := range entries {
+		c.applyEntry(entry)
+	}
+	complete := len(entries) < c.settings.ReadLimit
+	if complete {
+		c.lastComplete = number
+		c.observation.Read(begun)
+		c.caughtUp = true
+		c.join()
+		c.repeatMissing()
+	}
+	c.feed()
+	c.gauge(outboxLength, int64(c.outboxLength()))
+	return complete
+}
+
+// applyEntry folds one entry and dispatches its events.
+func (c *Client) applyEntry(entry platform.Entry) {
+	events := c.state.Apply(entry)
+	dropped := map[*outbox][]*outboxGroup{}
+	for _, o := range c.outboxes() {
+		dropped[o] = c.dropApplied(o)
+	}
+	for _, event := range events {
+		c.dispatch(event)
+	}
+	for o, groups := range dropped {
+		c.closeGroups(o, groups)
+	}
+	c.closeFormer()
+}
+
+// dropApplied removes the groups that the fold has applied and renews the lease from them.
+func (c *Client) dropApplied(o *outbox) []*outboxGroup {
+	if len(o.groups) == 0 || o.ended {
+		return nil
+	}
+	groups := o.drop(c.state.AppliedSequence(o.incarnation))
+	now := time.Now()
+	live := c.state.IsLive(o.incarnation)
+	for _, g := range groups {
+		if live {
+			o.lease.Renew(g.firstSentAt)
+		}
+		c.measureRoundTrip(now.Sub(g.cutAt))
+	}
+	return groups
+}
+
+// repeatMissing lets groups be appended again that are in the log but were not applied.
+func (c *Client) repeatMissing() {
+	if c.current != nil && !c.current.ended {
+		c.current.repeatMissing(c.state.Next())
+	}
+}
+
+// closeGroups ends the attempts of applied groups on which the fold reported nothing.
+func (c *Client) closeGroups(o *outbox, groups []*outboxGroup) {
+	for _, g := range groups {
+		for _, e := range g.entries {
+			c.closeEntry(o, e)
+		}
+	}
+}
+
+func (c *Client) closeEntry(o *outbox, e outboxEntry) {
+	switch e.record.(type) {
+	case *ledger.Open:
+		e.attempt.refuseUndecided()
+	case *ledger.Bill:
+		delete(o.attempts, e.attempt.number)
+	case *ledger.Release:
+		delete(o.attempts, e.attempt.number)
+		e.attempt.closeRelease()
+	}
+}
+
+// measureRoundTrip averages the time from cutting a group to reading it back.
+func (c *Client) measureRoundTrip(measured time.Duration) {
+	if c.roundTrip == 0 {
+		c.roundTrip = measured
+		return
+	}
+	c.roundTrip += (measured - c.roundTrip) / roundTripWeight
+}
+
+// updateReachable tells from the failed calls whether the log answers, and logs each change.
+func (c *Client) updateReachable() {
+	limit := c.settings.UnreachableFailures
+	reachable := c.readFailures < limit && c.appendFailures < limit
+	if reachable == c.reachable {
+		return
+	}
+	c.reachable = reachable
+	if reachable {
+		c.gauge(logReachable, 1)
+		c.logger().Info("the log answers again")
+		return
+	}
+	c.gauge(logReachable, 0)
+	c.logger().Warn("the log can't be reached")
+	c.refuseUnsent()
+}
--- /dev/null
+++ b/fleet/ledgerstream/reserve.go
@@ -0,0 +1,241 @@
+package ledgerstream
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// Reserve reserves a demand's amount in this router's share of the budget, drawing a share first if
+// need be, and returns once the reservation is in the log.
+func (c *Client) Reserve(ctx context.Context, demand Demand) (Reservation, error) {
+	a, refusal := c.admit(demand)
+	if refusal == nil {
+		refusal = a.wait(ctx)
+	}
+	if refusal != nil {
+		c.count(reserveRefusedFor+string(refusal.Reason), 1)
+		return nil, refusal
+	}
+	return a, nil
+}
+
+// admit queues the open of a demand or lets it wait for a share.
+func (c *Client) admit(demand Demand) (*attempt, *verdict.Refusal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if refusal := c.refuseNow(now, demand); refusal != nil {
+		return nil, refusal
+	}
+	a := c.newAttempt(demand)
+	b := c.account(demand.Budget)
+	b.demand.Add(now, demand.Amount)
+	b.demandedAt = now
+	b.waiting = append(b.waiting, a)
+	c.hungry[b.budget] = b
+	c.serve(b)
+	return a, nil
+}
+
+// refuseNow returns the refusal of a demand that can't be paid for, whatever the other routers return.
+func (c *Client) refuseNow(now time.Time, demand Demand) *verdict.Refusal {
+	switch {
+	case c.draining:
+		return verdict.Refuse(verdict.ShuttingDown, "")
+	case !c.ready():
+		return verdict.Refuse(verdict.NotReady, "")
+	case !c.reachable || !c.current.lease.Valid(now):
+		return unreachable()
+	case c.outboxLength() >= c.settings.OutboxLimit:
+		return verdict.Refuse(verdict.Overloaded, "too many records wait for the log")
+	case demand.Amount < 0:
+		return verdict.Refuse(verdict.Internal, "the amount is negative")
+	}
+	view, known := c.state.Budget(demand.Budget)
+	switch {
+	case !known:
+		return verdict.Refuse(verdict.BudgetNotYetInLedger, "")
+	case view.Frozen:
+		return verdict.Refuse(verdict.BudgetFrozen, "")
+	case demand.Amount > view.Prepaid-view.Spent:
+		return verdict.Refuse(verdict.BudgetExhausted, "")
+	}
+	return nil
+}
+
+// wait waits for a share and then for the log.
+func (a *attempt) wait(ctx context.Context) *verdict.Refusal {
+	if refusal := a.waitForShare(ctx); refusal != nil {
+		return refusal
+	}
+	return a.waitForLog(ctx)
+}
+
+// waitForShare waits until the open was queued. Holders get the time of a recall to return what they
+// can spare; a request that no refused draw has spoken for yet waits as long as for the log.
+func (a *attempt) waitForShare(ctx context.Context) *verdict.Refusal {
+	c := a.client
+	begun := time.Now()
+	timer := time.NewTimer(c.drawDeadline())
+	defer timer.Stop()
+	for {
+		select {
+		case <-a.queuedSignal:
+			return nil
+		case <-a.decidedSignal:
+			return a.refusal
+		case <-ctx.Done():
+			if c.leave(a) {
+				return interrupted(ctx)
+			}
+		case <-timer.C:
+			left := c.settings.OpenWait - time.Since(begun)
+			if c.drawsRefused(a) == 0 && left > 0 {
+				timer.Reset(left)
+				continue
+			}
+			if c.leave(a) {
+				return a.exhausted()
+			}
+		}
+	}
+}
+
+// drawDeadline returns how long requests wait for other holders' shares.
+func (c *Client) drawDeadline() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return decision.DrawDeadline(c.settings.DrawWait, c.roundTrip, c.settings.OpenWait)
+}
+
+func (c *Client) drawsRefused(a *attempt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return a.drawsRefused
+}
+
+// exhausted returns the refusal of a request that waited for a share in vain.
+func (a *attempt) exhausted() *verdict.Refusal {
+	if a.drawsRefused == 0 {
+		return unreachable()
+	}
+	return verdict.Refuse(verdict.BudgetExhausted, "")
+}
+
+// leave takes an attempt out of its account's queue. It reports false if it is not there any more.
+func (c *Client) leave(a *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.account(a.demand.Budget)
+	at := slices.Index(b.waiting, a)
+	if at < 0 {
+		return false
+	}
+	b.waiting = slices.Delete(b.waiting, at, at+1)
+	if len(b.waiting) == 0 {
+		delete(c.hungry, b.budget)
+	}
+	return true
+}
+
+// waitForLog waits until the open was read back. For an idempotent request its acknowledgement
+// suffices if it isn't read back soon after.
+func (a *attempt) waitForLog(ctx context.Context) *verdict.Refusal {
+	s := a.client.settings
+	timer := time.NewTimer(s.OpenWait)
+	defer timer.Stop()
+	acknowledged := a.acknowledgedSignal
+	if !a.demand.Idempotent {
+		acknowledged = nil
+	}
+	readBack := (<-chan time.Time)(nil)
+	for {
+		select {
+		case <-a.decidedSignal:
+			return a.refusal
+		case <-acknowledged:
+			acknowledged = nil
+			readBack = time.After(s.ReadBackWait)
+		case <-readBack:
+			return nil
+		case <-ctx.Done():
+			return a.abandon(ctx, interrupted(ctx))
+		case <-timer.C:
+			return a.abandon(ctx, unreachable())
+		}
+	}
+}
+
+// abandon gives an attempt up. Its refusal says that the request was not run only if the open never
+// left the process or its release was read back in time.
+func (a *attempt) abandon(ctx context.Context, refusal *verdict.Refusal) *verdict.Refusal {
+	c := a.client
+	if a.withdrawn() {
+		return refusal
+	}
+	if a.awaitRelease(ctx) {
+		return refusal
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.refusal != nil {
+		return a.refusal
+	}
+	unknown := *refusal
+	unknown.Verdict = verdict.MayHaveRun
+	return &unknown
+}
+
+// withdrawn takes the open out of the outbox; if it may have left, a release is queued instead.
+func (a *attempt) withdrawn() bool {
+	c := a.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.refusal != nil {
+		return false
+	}
+	if a.outbox.withdraw(a) {
+		c.count(openWithdrawn, 1)
+		return true
+	}
+	c.count(openAbandoned, 1)
+	a.finish(&ledger.Release{Request: a.demand.Request, Attempt: a.number})
+	return false
+}
+
+// awaitRelease waits for a queued release for as long as the caller does, and reports whether it was
+// read back.
+func (a *attempt) awaitRelease(ctx context.Context) bool {
+	wait, cancel := context.WithTimeout(ctx, a.client.settings.DrawWait)
+	defer cancel()
+	select {
+	case <-wait.Done():
+	case <-a.releaseSignal:
+	}
+	a.client.mu.Lock()
+	defer a.client.mu.Unlock()
+	return a.released
+}
+
+// refuseUnsent ends every request whose open has not left the process, because the log can't be reached.
+func (c *Client) refuseUnsent() {
+	for _, b := range c.hungry {
+		for _, a := range b.waiting {
+			a.refuse(unreachable())
+		}
+		b.waiting = nil
+	}
+	clear(c.hungry)
+	if c.current == nil {
+		return
+	}
+	for _, a := range c.current.withdrawAll() {
+		c.count(openWithdrawn, 1)
+		a.refuse(unreachable())
+	}
+}
