--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -87,25 +87,25 @@
 	s = s.withDefaults()
 	seed := s.Seed
 	if seed == 0 {
-		seed = rand.Uint64()
+		seed = rand.Uint64() //nolint:gosec // jitter needs no secrecy
 	}
 	return &Client{
-		log:          log,
-		stream:       platform.LedgerStream(s.Partition),
-		settings:     s,
-		counters:     counters,
-		wakeAppender: make(chan struct{}, 1),
-		wakeReader:   make(chan struct{}, 1),
-		random:       rand.New(rand.NewPCG(seed, uint64(s.Partition))), //nolint:gosec // jitter needs no secrecy
-		accounts:     map[string]*account{},
-		hungry:       map[string]*account{},
-		prepaid:      map[string]prepaidCopy{},
+		log:            log,
+		stream:         platform.LedgerStream(s.Partition),
+		settings:       s,
+		counters:       counters,
+		wakeAppender:   make(chan struct{}, 1),
+		wakeReader:     make(chan struct{}, 1),
+		random:         rand.New(rand.NewPCG(seed, uint64(s.Partition))), //nolint:gosec // jitter needs no secrecy
+		accounts:       map[string]*account{},
+		hungry:         map[string]*account{},
+		prepaid:        map[string]prepaidCopy{},
 		refusedTickets: map[string]uint64{},
-		reserves:     map[string]struct{}{},
-		silences:     map[ledger.Incarnation]*watch{},
-		observation:  decision.Observation{GapLimit: s.gapLimit()},
-		reachable:    true,
-		routers:      1,
+		reserves:       map[string]struct{}{},
+		silences:       map[ledger.Incarnation]*watch{},
+		observation:    decision.Observation{GapLimit: s.gapLimit()},
+		reachable:      true,
+		routers:        1,
 	}
 }
 
--- a/fleet/ledgerstream/dispatch.go
+++ b/fleet/ledgerstream/dispatch.go
@@ -1,6 +1,7 @@
 package ledgerstream
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -80,13 +81,16 @@
 	}
 	if e.Left {
 		o.ended = true
+		c.closeGroups(o, o.drop(math.MaxUint64))
 		return
 	}
 	c.count(leaseFenced, 1)
 	c.logger().Warn("the lease was ended by another router")
 	c.retire(o)
-	// The reserve shares would otherwise stay out until their own term ends.
-	c.addTo(o, outboxEntry{record: &ledger.Leave{}})
+	if c.state.AppliedSequence(o.incarnation) > 0 {
+		// The reserve shares would otherwise stay out until their own term ends.
+		c.addTo(o, outboxEntry{record: &ledger.Leave{}})
+	}
 }
 
 // retire ends the use of an incarnation: what it had not sent is withdrawn, its shares are lost, and
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -89,16 +89,16 @@
 
 // addPending adds the amount that a record takes from a share, or takes it off again.
 func (o *outbox) addPending(record ledger.Record, sign ledger.Tokens) {
-	key, amount := shareKey{}, ledger.Tokens(0)
 	switch r := record.(type) {
 	case *ledger.Open:
-		key, amount = shareKey{budget: r.Budget, kind: r.Kind}, r.Amount
+		o.changePending(shareKey{budget: r.Budget, kind: r.Kind}, sign*r.Amount)
 	case *ledger.Return:
-		key, amount = shareKey{budget: r.Budget, kind: r.Kind}, r.Amount
-	default:
-		return
+		o.changePending(shareKey{budget: r.Budget, kind: r.Kind}, sign*r.Amount)
 	}
-	o.pending[key] += sign * amount
+}
+
+func (o *outbox) changePending(key shareKey, amount ledger.Tokens) {
+	o.pending[key] += amount
 	if o.pending[key] == 0 {
 		delete(o.pending, key)
 	}
