--- /dev/null
+++ b/fleet/ledgerstream/client_test.go
@@ -0,0 +1,261 @@
+package ledgerstream
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+func TestReserveAndBill(t *testing.T) {
+	inBubble(t, 3, 1000, func(c *cluster) {
+		t := c.tb
+		for i, m := range c.members {
+			r := mustReserve(t, m, demand(uint64(i), 100, i != 0))
+			assertEqual(t, "dispatch", nil, r.CheckDispatch())
+			r.Bill(30)
+		}
+		time.Sleep(time.Second)
+		assertSpent(t, c, 90)
+		assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		assertEqual(t, "outbox", 0, c.members[0].Status().Outbox)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		t := c.tb
+		frozen := ledger.Prepaid{Budget: "frozen", Ticket: 2, Total: 100, Frozen: true}
+		c.members[0].DeclarePrepaid([]ledger.Prepaid{frozen})
+		time.Sleep(time.Second)
+		running := mustReserve(t, c.members[0], demand(1, 10, false))
+		mustReserve(t, c.members[0], demand(2, 10, false)).Bill(5)
+		mustReserve(t, c.members[0], demand(3, 10, true)).Bill(5)
+		time.Sleep(time.Second)
+		other := func(d Demand, change func(*Demand)) Demand { change(&d); return d }
+		for _, row := range []struct {
+			Name   string
+			Demand Demand
+			Want   outcome
+		}{
+			{"open elsewhere", demand(1, 10, false), outcome{"MayHaveRun", verdict.RequestInProgress}},
+			{"ran", demand(2, 10, false), outcome{"Ran", verdict.RequestAlreadyRan}},
+			{"other contents", other(demand(3, 10, true), func(d *Demand) { d.Fingerprint++ }), outcome{"NotRun", verdict.IdempotencyKeyReused}},
+			{"unknown budget", other(demand(4, 10, true), func(d *Demand) { d.Budget = "none" }), outcome{"NotRun", verdict.BudgetNotYetInLedger}},
+			{"frozen budget", other(demand(5, 10, true), func(d *Demand) { d.Budget = "frozen" }), outcome{"NotRun", verdict.BudgetFrozen}},
+			{"more than is left", demand(6, 991, true), outcome{"NotRun", verdict.BudgetExhausted}},
+			{"more than is not reserved", demand(7, 985, true), outcome{"NotRun", verdict.BudgetExhausted}},
+		} {
+			_, err := c.members[1].Reserve(context.Background(), row.Demand)
+			assertEqual(t, row.Name, row.Want, outcomeOf(err))
+		}
+		running.Bill(10)
+	})
+}
+
+func TestReleaseFreesTheRequest(t *testing.T) {
+	inBubble(t, 2, 100, func(c *cluster) {
+		t := c.tb
+		r := mustReserve(t, c.members[0], demand(1, 100, false))
+		assertEqual(t, "release", nil, r.Release(context.Background()))
+		mustReserve(t, c.members[1], demand(1, 100, false)).Bill(100)
+		time.Sleep(time.Second)
+		assertSpent(t, c, 100)
+	})
+}
+
+func TestNonIdempotentRequestsRunOnce(t *testing.T) {
+	inBubble(t, 6, 100_000, func(c *cluster) {
+		t := c.tb
+		for request := range uint64(20) {
+			dispatched := atomic.Int64{}
+			callers := sync.WaitGroup{}
+			for _, m := range c.members {
+				callers.Go(func() {
+					r, err := m.Reserve(context.Background(), demand(request, 10, false))
+					if err == nil && r.CheckDispatch() == nil {
+						dispatched.Add(1)
+						r.Bill(10)
+					}
+				})
+			}
+			callers.Wait()
+			assertEqual(t, "dispatches", 1, dispatched.Load())
+		}
+		time.Sleep(time.Second)
+		assertSpent(t, c, 200)
+	})
+}
+
+func TestLostAnswersAndCopies(t *testing.T) {
+	inBubble(t, 3, 1_000_000, func(c *cluster) {
+		t := c.tb
+		c.log.set(func() {
+			for _, m := range c.members {
+				m.link.lostAnswers, m.link.copies = 0.3, 0.3
+			}
+		})
+		callers := sync.WaitGroup{}
+		for i := range 300 {
+			callers.Go(func() { mustReserve(t, c.members[i%3], demand(uint64(i), 50, i%2 == 0)).Bill(7) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		callers.Wait()
+		time.Sleep(5 * time.Second)
+		assertSpent(t, c, 300*7)
+		assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		if c.counter(appendFailed) == 0 {
+			t.Error("no answer was lost")
+		}
+	})
+}
+
+func TestRecallDownToTheLastRequest(t *testing.T) {
+	inBubble(t, 3, 1000, func(c *cluster) {
+		t := c.tb
+		for i := range 200 {
+			mustReserve(t, c.members[i%3], demand(uint64(i), 5, true)).Bill(5)
+			time.Sleep(time.Duration(i%7) * 20 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		assertSpent(t, c, 1000)
+		_, err := c.members[0].Reserve(context.Background(), demand(1000, 1, true))
+		assertOutcome(t, outcome{"NotRun", verdict.BudgetExhausted}, err)
+	})
+}
+
+func TestRecallOfIdleShares(t *testing.T) {
+	inBubble(t, 3, 1000, func(c *cluster) {
+		t := c.tb
+		for i := range 30 {
+			mustReserve(t, c.members[i%2], demand(uint64(i), 100, true)).Bill(1)
+		}
+		r := mustReserve(t, c.members[2], demand(100, 970, true))
+		r.Bill(970)
+		time.Sleep(time.Second)
+		assertSpent(t, c, 1000)
+	})
+}
+
+func TestOutage(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		t := c.tb
+		running := mustReserve(t, c.members[0], demand(1, 100, true))
+		c.log.set(func() { c.log.down = true })
+		_, err := c.members[0].Reserve(context.Background(), demand(2, 100, false))
+		assertEqual(t, "reason", verdict.LedgerUnreachable, outcomeOf(err).Reason)
+		time.Sleep(time.Second)
+		begun := time.Now()
+		_, err = c.members[1].Reserve(context.Background(), demand(3, 100, true))
+		assertOutcome(t, outcome{"NotRun", verdict.LedgerUnreachable}, err)
+		assertEqual(t, "time of the refusal", 0, time.Since(begun))
+		running.Bill(40)
+		time.Sleep(10 * time.Minute)
+		c.log.set(func() { c.log.down = false })
+		time.Sleep(5 * time.Second)
+		assertSpent(t, c, 40)
+		assertEqual(t, "fences", 0, c.counter(leaseFenced))
+		mustReserve(t, c.members[0], demand(2, 100, false)).Bill(100)
+		mustReserve(t, c.members[1], demand(3, 100, true)).Bill(100)
+		time.Sleep(time.Second)
+		assertSpent(t, c, 240)
+	})
+}
+
+func TestNotRunAfterLostOpen(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		t := c.tb
+		c.log.set(func() { c.members[0].link.lostAnswers = 1 })
+		mustReserve(t, c.members[0], demand(1, 10, true)).Bill(1)
+		time.Sleep(time.Second)
+		c.log.set(func() { c.members[0].link.silent = true })
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := c.members[0].Reserve(ctx, demand(2, 5, true))
+		assertOutcome(t, outcome{"MayHaveRun", verdict.DeadlineTooShort}, err)
+		_, err = c.members[0].Reserve(context.Background(), demand(3, 10, true))
+		assertEqual(t, "reason", verdict.LedgerUnreachable, outcomeOf(err).Reason)
+		c.log.set(func() { c.members[0].link.silent, c.members[0].link.lostAnswers = false, 0 })
+		time.Sleep(time.Minute)
+		assertSpent(t, c, 1)
+		assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+	})
+}
+
+func TestPauseBetweenCheckAndDispatch(t *testing.T) {
+	inBubble(t, 3, 1000, func(c *cluster) {
+		t := c.tb
+		paused := c.members[0]
+		r := mustReserve(t, paused, demand(1, 100, false))
+		assertEqual(t, "dispatch before the pause", nil, r.CheckDispatch())
+		former := paused.Incarnation()
+		c.log.set(func() { paused.link.silent = true })
+		time.Sleep(30 * time.Second)
+		assertOutcome(t, outcome{"MayHaveRun", verdict.LeaseLapsed}, r.CheckDispatch())
+		_, err := c.members[1].Reserve(context.Background(), demand(1, 100, false))
+		assertOutcome(t, outcome{"Ran", verdict.RequestAlreadyRan}, err)
+		c.log.set(func() { paused.link.silent = false })
+		time.Sleep(10 * time.Second)
+		assertOutcome(t, outcome{"MayHaveRun", verdict.LeaseLapsed}, r.CheckDispatch())
+		assertOutcome(t, outcome{"MayHaveRun", verdict.OutcomeUnknown}, r.Release(context.Background()))
+		if former == paused.Incarnation() || !paused.Ready() {
+			t.Error("the fenced router did not rejoin as a new incarnation")
+		}
+		mustReserve(t, paused, demand(2, 900, true)).Bill(900)
+		time.Sleep(time.Second)
+		assertSpent(t, c, 1000)
+	})
+}
+
+func TestFenceWhileStreaming(t *testing.T) {
+	inBubble(t, 3, 1000, func(c *cluster) {
+		t := c.tb
+		cut := c.members[0]
+		r := mustReserve(t, cut, demand(1, 100, true))
+		c.log.set(func() { cut.link.down = true })
+		time.Sleep(30 * time.Second)
+		r.Bill(20)
+		c.log.set(func() { cut.link.down = false })
+		time.Sleep(10 * time.Second)
+		assertSpent(t, c, 100)
+		assertEqual(t, "fenced", 1, c.counter(leaseFenced))
+		assertEqual(t, "outbox", 0, cut.Status().Outbox)
+		assertEqual(t, "shares after the fence", 0, len(c.budget().Holders))
+	})
+}
+
+func TestDrain(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		t := c.tb
+		leaving := c.members[0]
+		r := mustReserve(t, leaving, demand(1, 100, true))
+		done := make(chan error)
+		go func() { done <- leaving.Drain(context.Background()) }()
+		time.Sleep(time.Second)
+		_, err := leaving.Reserve(context.Background(), demand(2, 100, true))
+		assertOutcome(t, outcome{"NotRun", verdict.ShuttingDown}, err)
+		r.Bill(60)
+		assertEqual(t, "drain", nil, <-done)
+		assertSpent(t, c, 60)
+		assertEqual(t, "holders", 0, len(c.budget().Holders))
+		assertEqual(t, "incarnations", 1, len(c.fold().Incarnations()))
+		assertEqual(t, "ready", false, leaving.Ready())
+	})
+}
+
+func TestTruncatedStreamIsRefused(t *testing.T) {
+	inBubble(t, 1, 1000, func(c *cluster) {
+		t := c.tb
+		c.log.set(func() { c.log.first = 1 })
+		late := c.start(Settings{})
+		time.Sleep(5 * time.Second)
+		assertEqual(t, "ready", false, late.Ready())
+		assertEqual(t, "truncated", true, late.Status().Truncated)
+		_, err := late.Reserve(context.Background(), demand(1, 1, true))
+		assertOutcome(t, outcome{"NotRun", verdict.NotReady}, err)
+	})
+}
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -119,7 +119,10 @@
 			o.lease.Renew(g.firstSentAt)
 		}
 		c.measureRoundTrip(now.Sub(g.cutAt))
+		// An append whose answer was lost has reached the log all the same.
+		c.appendFailures = 0
 	}
+	c.updateReachable()
 	return groups
 }
 
