--- /dev/null
+++ b/standin/load/table.go
@@ -0,0 +1,51 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+)
+
+const tablePadding = 2
+
+// WriteTable writes a summary of the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
+	row := func(cells ...any) {
+		for i, cell := range cells {
+			if i > 0 {
+				_, _ = fmt.Fprint(table, "\t")
+			}
+			_, _ = fmt.Fprint(table, cell)
+		}
+		_, _ = fmt.Fprintln(table)
+	}
+	row("requests", len(r.Requests))
+	row("seconds", fmt.Sprintf("%.1f", r.Seconds))
+	counts(row, "outcome", r.Outcomes)
+	counts(row, "refusal", r.Refusals)
+	counts(row, "retry", r.Retries)
+	row("milliseconds", "count", "mean", "p50", "p95", "p99", "max")
+	percentiles(row, "latency", r.Latency)
+	percentiles(row, "first token", r.FirstToken)
+	percentiles(row, "token gap", r.TokenGap)
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+// counts writes a row for each count, in the order of names.
+func counts[K ~string](row func(...any), title string, counted map[K]int) {
+	for _, name := range slices.Sorted(maps.Keys(counted)) {
+		row(title, string(name), counted[name])
+	}
+}
+
+func percentiles(row func(...any), title string, p Percentiles) {
+	row(title, p.Count, number(p.Mean), number(p.P50), number(p.P95), number(p.P99), number(p.Max))
+}
+
+func number(m Milliseconds) string { return fmt.Sprintf("%.2f", float64(m)) }
--- a/standin/run.go
+++ b/standin/run.go
@@ -36,6 +36,7 @@
 		{"platform", "Serves the platform's log and instance list.", &platformCommand{}},
 		{"engine", "Serves a model engine with the OpenAI interface.", &engineCommand{}},
 		{"service", "Serves a plain service that counts the runs of each Idempotency-Key.", &serviceCommand{}},
+		{"load", "Sends a bounded load and checks that each caller gets its own whole answer.", &loadCommand{}},
 	}
 }
 
