--- /dev/null
+++ b/standin/check.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/standin/check"
+	"github.com/dragonflyworks/dragonflyworks/standin/load"
+)
+
+// checkCommand holds the flags of the verb check.
+type checkCommand struct {
+	Platform   string        `default:"http://127.0.0.1:19000" env:"STANDIN_PLATFORM" help:"Base URL of the platform's log."`
+	Report     []string      `required:"" env:"STANDIN_REPORT" help:"Reports of loads."`
+	Engine     []string      `env:"STANDIN_ENGINE" help:"Base URLs of engines that count runs."`
+	Service    []string      `env:"STANDIN_SERVICE" help:"Base URLs of plain services that count runs."`
+	Partitions int           `default:"1" env:"STANDIN_PARTITIONS" help:"Partitions of the ledger."`
+	Wait       time.Duration `default:"30s" env:"STANDIN_WAIT" help:"Longest wait for bills and settlements."`
+}
+
+// errBrokenPromise reports that the table above it lists broken promises.
+var errBrokenPromise = errors.New("a promise was broken")
+
+const (
+	checkInterval  = 500 * time.Millisecond
+	requestTimeout = 10 * time.Second
+)
+
+// Run prints the evidence and fails if a promise was broken.
+func (c *checkCommand) Run(container *dig.Container) error {
+	err := errors.Join(
+		container.Provide(func() (platform.Log, error) { return platform.NewHTTPLog(c.Platform, nil) }),
+		container.Provide(func() *http.Client { return &http.Client{Timeout: requestTimeout} }),
+		container.Provide(c.evidence),
+	)
+	if err != nil {
+		return err
+	}
+	return container.Invoke(func(evidence *check.Evidence, stdout output) error {
+		if err := evidence.WriteTable(stdout); err != nil {
+			return err
+		}
+		for _, promise := range evidence.Promises() {
+			if len(promise.Broken) > 0 {
+				return errBrokenPromise
+			}
+		}
+		return nil
+	})
+}
+
+// evidence reads the reports, follows the ledger until everything is settled, and reads the runs last.
+func (c *checkCommand) evidence(ctx context.Context, ledger platform.Log, client *http.Client, logger *log.Logger) (*check.Evidence, error) {
+	if c.Partitions < 1 {
+		return nil, errors.New("partitions must be positive")
+	}
+	evidence := &check.Evidence{Ledgers: check.NewLedgers(c.Partitions)}
+	for _, path := range c.Report {
+		report, err := load.ReadReport(path)
+		if err != nil {
+			return nil, err
+		}
+		evidence.Requests = append(evidence.Requests, report.Requests...)
+	}
+	if err := c.settle(ctx, ledger, evidence); err != nil {
+		return nil, err
+	}
+	if unsettled := evidence.Unsettled(); unsettled > 0 {
+		logger.WithField("Unsettled", unsettled).Warn("bills or settlements are missing")
+	}
+	endpoints := slices.Concat(c.Engine, c.Service)
+	if len(endpoints) == 0 {
+		return evidence, nil
+	}
+	runs, err := check.ReadRuns(ctx, client, endpoints)
+	evidence.Runs = runs
+	return evidence, err
+}
+
+func (c *checkCommand) settle(ctx context.Context, ledger platform.Log, evidence *check.Evidence) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+requestTimeout)
+	defer cancel()
+	deadline := time.Now().Add(c.Wait)
+	for {
+		err := evidence.Ledgers.Follow(ctx, ledger)
+		if err == nil && evidence.Unsettled() == 0 {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for settlement: %w", ctx.Err())
+		case <-time.After(checkInterval):
+		}
+	}
+}
--- a/standin/load/answer.go
+++ b/standin/load/answer.go
@@ -34,6 +34,8 @@
 	finish string
 	// completion is the count of tokens that the answer reports; negative if it reports none.
 	completion int
+	// usage is the count of all tokens that the answer reports.
+	usage      int
 	firstToken time.Time
 	gaps       []time.Duration
 }
@@ -94,6 +96,7 @@
 	} `json:"choices"`
 	Usage *struct {
 		CompletionTokens int `json:"completion_tokens"`
+		TotalTokens      int `json:"total_tokens"`
 	} `json:"usage"`
 	Error *struct {
 		Code string `json:"code"`
@@ -109,6 +112,7 @@
 	}
 	if c.Usage != nil {
 		r.completion = c.Usage.CompletionTokens
+		r.usage = c.Usage.TotalTokens
 	}
 }
 
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
 // Outcome is how a request ended for its caller.
@@ -41,6 +44,7 @@
 
 // Request is one request as its caller saw it.
 type Request struct {
+	index   int
 	Key     string
 	Team    string
 	Kind    Kind
@@ -53,8 +57,19 @@
 	// first token of the last attempt.
 	Latency    Milliseconds
 	FirstToken Milliseconds
-	Tokens     int
-	Detail     string
+	// Usage is the count of tokens that the answer reports, prompt included; zero for plain calls.
+	Usage  int
+	Detail string
+}
+
+// IsNotRun reports whether the caller was told of every attempt that the request was not run.
+func (r *Request) IsNotRun() bool {
+	for _, attempt := range r.Attempts {
+		if attempt.Verdict != verdict.NotRun.String() || attempt.Status == http.StatusOK {
+			return false
+		}
+	}
+	return len(r.Attempts) > 0
 }
 
 // Milliseconds is a duration in a report.
--- a/standin/load/runner.go
+++ b/standin/load/runner.go
@@ -1,10 +1,12 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,7 +100,7 @@
 	if began.IsZero() {
 		began = time.Now()
 	}
-	request := Request{Key: j.key, Team: j.team.Name, Kind: j.kind}
+	request := Request{index: j.index, Key: j.key, Team: j.team.Name, Kind: j.kind}
 	target, last := "", result{}
 	for attempt := range r.Attempts {
 		if attempt > 0 {
@@ -145,7 +147,7 @@
 	defer r.mutex.Unlock()
 	if request.Outcome == Completed {
 		r.latency.add(time.Since(began))
-		request.Tokens = max(0, last.received.completion)
+		request.Usage = last.received.usage
 		if !last.received.firstToken.IsZero() {
 			first := last.received.firstToken.Sub(began)
 			request.FirstToken = milliseconds(first)
@@ -173,6 +175,7 @@
 }
 
 func (r *Runner) finish(began time.Time) {
+	slices.SortFunc(r.report.Requests, func(a, b Request) int { return cmp.Compare(a.index, b.index) })
 	r.report.Started = began
 	r.report.Seconds = time.Since(began).Seconds()
 	r.report.Latency = r.latency.percentiles()
--- a/standin/run.go
+++ b/standin/run.go
@@ -37,6 +37,7 @@
 		{"engine", "Serves a model engine with the OpenAI interface.", &engineCommand{}},
 		{"service", "Serves a plain service that counts the runs of each Idempotency-Key.", &serviceCommand{}},
 		{"load", "Sends a bounded load and checks that each caller gets its own whole answer.", &loadCommand{}},
+		{"check", "Checks the fleet's promises against the ledger, a load's report and the endpoints' runs.", &checkCommand{}},
 	}
 }
 
