--- a/router/endpoint/counters.go
+++ b/router/endpoint/counters.go
@@ -1,6 +1,46 @@
 package endpoint
 
-// Names of the counters that are not formed from a reason.
+import (
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// Names of the counters, and the beginnings of those that end with a reason.
 const (
+	retryPrefix      = "retry."
 	retryBudgetSpent = "retry.budget_spent"
+	retryFallback    = "retry.fallback"
+	ejectedPrefix    = "endpoint.ejected."
+	endpointAdmitted = "endpoint.admitted"
+	endpointCleared  = "endpoint.cleared"
+	quarantineCaught = "quarantine.caught"
+	queueWaited      = "queue.waited"
+	listingIgnored   = "listing.ignored"
+	answerCut        = "answer.cut"
 )
+
+// Description tells what a counter counts.
+type Description struct {
+	Name    string
+	Meaning string
+}
+
+// Counters lists every counter of this package in the order of the documentation.
+func Counters() []Description {
+	return []Description{
+		{retryPrefix + string(verdict.EndpointRefused), "Attempts sent again because the endpoint refused the request before running it."},
+		{retryPrefix + string(verdict.EndpointFailed), "Attempts sent again because no connection was had or the exchange was broken off."},
+		{retryPrefix + string(verdict.EndpointSilent), "Attempts sent again because the endpoint sent nothing in time."},
+		{retryBudgetSpent, "Attempts not made because the service's retry budget was spent."},
+		{retryFallback, "Calls that went over to a fallback route because no endpoint of theirs was available."},
+		{ejectedPrefix + string(endpoint.Unreachable), "Endpoints ejected because no connection was had, also by a probe."},
+		{ejectedPrefix + string(endpoint.Broken), "Endpoints ejected because exchanges were broken off and the probe failed, or five broke in a row."},
+		{ejectedPrefix + string(endpoint.Silent), "Endpoints ejected because they were silent and the probe failed, or five calls in a row got nothing."},
+		{endpointAdmitted, "Ejected endpoints that answered a probe and get work again."},
+		{endpointCleared, "Endpoints that answered a probe after a failure: the connection was at fault, not the endpoint."},
+		{quarantineCaught, "Requests quarantined because they were in progress at two crashes."},
+		{queueWaited, "Calls that waited for a place at an endpoint."},
+		{listingIgnored, "Instance lists not taken in because they were empty or older than the one before."},
+		{answerCut, "Answers cut at their reserved length."},
+	}
+}
--- a/router/endpoint/dispatcher.go
+++ b/router/endpoint/dispatcher.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
-	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 )
 
@@ -26,90 +23,120 @@
 	configuration *operator.Configuration
 	listing       *platform.Listing
 	membership    endpoint.Membership
-	peers         map[string]*peer
+	quarantine    endpoint.Quarantine
+	peers         map[peerKey]*peer
 	services      map[string]*service
 }
 
+// peerKey tells endpoints apart: one address may serve several services.
+type peerKey struct{ service, name string }
+
 // service is what the endpoints of one service share.
 type service struct {
+	// peers may get new work; those that are leaving are not among them.
 	peers   []*peer
 	retries endpoint.RetryBudget
+	queue   endpoint.Queue[*waiter]
+	// candidates and places are the space in which a choice is made.
+	candidates []endpoint.Candidate
+	places     []*peer
 }
 
 // NewDispatcher returns a dispatcher that reads its endpoints from the board.
 func NewDispatcher(board *blackboard.Board, settings Settings) *Dispatcher {
 	return &Dispatcher{
 		board: board, settings: settings.withDefaults(),
-		peers: make(map[string]*peer), services: make(map[string]*service),
+		peers: make(map[peerKey]*peer), services: make(map[string]*service),
 	}
 }
 
-// Run probes endpoints and ends waits until the context ends.
+// Run probes ejected endpoints, reads load reports and takes new configurations and lists in until the
+// context ends. Then it closes idle connections.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	ticker := time.NewTicker(d.settings.TickInterval)
 	defer ticker.Stop()
+	defer d.closeIdle()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			d.refresh()
+			d.tick(time.Now())
 		}
 	}
 }
 
-// refresh takes a new configuration or instance list in.
-func (d *Dispatcher) refresh() {
+func (d *Dispatcher) closeIdle() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refreshLocked()
+	for _, p := range d.peers {
+		p.transport().CloseIdleConnections()
+	}
+}
+
+// Do performs a call.
+func (d *Dispatcher) Do(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
+	limits := call.Route.Limits.WithDefaults()
+	ctx, cancel := context.WithTimeoutCause(ctx, limits.RequestTimeout, errRequestTimeout)
+	defer cancel()
+	j := &job{dispatcher: d, call: call, limits: limits, w: w, route: call.Route, body: call.Body}
+	return j.do(ctx)
 }
 
+// refreshLocked takes a new configuration or instance list in.
 func (d *Dispatcher) refreshLocked() {
 	configuration, listing := d.board.Configuration.Load(), d.board.Listing.Load()
 	if configuration == d.configuration && listing == d.listing {
 		return
 	}
-	if listing != nil && listing != d.listing {
-		d.membership.Merge(*listing)
+	if listing != nil && listing != d.listing && !d.membership.Merge(*listing) {
+		d.board.Count(listingIgnored)
 	}
 	d.configuration, d.listing = configuration, listing
 	for _, s := range d.services {
 		s.peers = s.peers[:0]
 	}
-	if configuration == nil {
-		return
-	}
-	declared := make(map[string]bool)
-	for _, set := range configuration.InstanceSets {
-		for _, e := range d.membership.Members(set.Endpoints) {
-			d.addLocked(e)
-		}
-		for _, e := range set.Endpoints {
-			declared[e.Name] = true
+	declared := make(map[peerKey]bool)
+	if configuration != nil {
+		for _, set := range configuration.InstanceSets {
+			for _, e := range set.Endpoints {
+				d.declareLocked(e, declared)
+			}
 		}
 	}
 	d.forgetLocked(declared)
+	for _, s := range d.services {
+		d.wakeLocked(s)
+	}
 }
 
-// addLocked makes an endpoint a candidate of its service.
-func (d *Dispatcher) addLocked(e operator.Endpoint) {
-	p, ok := d.peers[e.Name]
+// declareLocked makes an endpoint a candidate of its service unless it is leaving.
+func (d *Dispatcher) declareLocked(e operator.Endpoint, declared map[peerKey]bool) {
+	key := peerKey{e.Service, e.Name}
+	if declared[key] {
+		return
+	}
+	declared[key] = true
+	p, ok := d.peers[key]
 	if !ok || p.endpoint.Address != e.Address {
 		p = newPeer(e, d.settings)
-		d.peers[e.Name] = p
+		d.peers[key] = p
+	}
+	p.declare(e)
+	if d.membership.Leaving(e) {
+		p.transport().CloseIdleConnections()
+		return
 	}
-	p.endpoint = e
 	s := d.serviceLocked(e.Service)
 	s.peers = append(s.peers, p)
 }
 
 // forgetLocked drops the endpoints that are no longer declared. Attempts in progress go on.
-func (d *Dispatcher) forgetLocked(declared map[string]bool) {
-	for name, p := range d.peers {
-		if !declared[name] {
+func (d *Dispatcher) forgetLocked(declared map[peerKey]bool) {
+	for key, p := range d.peers {
+		if !declared[key] {
 			p.transport().CloseIdleConnections()
-			delete(d.peers, name)
+			delete(d.peers, key)
 		}
 	}
 }
@@ -118,44 +145,42 @@
 	s, ok := d.services[name]
 	if !ok {
 		s = &service{}
+		s.queue.Length = d.settings.QueueLength
 		d.services[name] = s
 	}
 	return s
 }
 
-// acquire reserves a place at an endpoint of the service.
-func (d *Dispatcher) acquire(_ context.Context, name string, tried []*peer) (*peer, *verdict.Refusal) {
+// observe takes an observation of an endpoint in.
+func (d *Dispatcher) observe(p *peer, observation endpoint.Observation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refreshLocked()
-	candidates := d.serviceLocked(name).peers
-	if len(candidates) == 0 {
-		return nil, verdict.Refuse(verdict.NoEndpoint, "")
-	}
-	fresh := slices.DeleteFunc(slices.Clone(candidates), func(p *peer) bool { return slices.Contains(tried, p) })
-	if len(fresh) > 0 {
-		candidates = fresh
-	}
-	p := candidates[rand.IntN(len(candidates))] //nolint:gosec // spreads load, no secret
-	p.inFlight++
-	return p, nil
+	d.observeLocked(p, observation)
+	d.wakeLocked(d.serviceLocked(p.endpoint.Service))
 }
 
-// release gives the place back.
-func (d *Dispatcher) release(p *peer, out outcome) {
-	if out.reason == verdict.EndpointSilent {
+func (d *Dispatcher) observeLocked(p *peer, observation endpoint.Observation) {
+	now := time.Now()
+	switch action := p.health.Observe(now, observation).(type) {
+	case *endpoint.Probe:
+		d.probeLocked(p)
+	case *endpoint.Eject:
+		d.board.Count(ejectedPrefix + string(action.Kind))
 		p.dropPool()
+		d.countCrashLocked(now, p)
+	case *endpoint.Admit:
+		p.broken, p.crashed = nil, nil
+		if action.Ejected {
+			d.board.Count(endpointAdmitted)
+		} else {
+			d.board.Count(endpointCleared)
+		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p.inFlight--
 }
 
-// Do performs a call.
-func (d *Dispatcher) Do(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
-	limits := call.Route.Limits.WithDefaults()
-	ctx, cancel := context.WithTimeoutCause(ctx, limits.RequestTimeout, errRequestTimeout)
-	defer cancel()
-	j := &job{dispatcher: d, call: call, limits: limits, w: w, service: call.Route.Service}
-	return j.do(ctx)
+// countCrashLocked holds the requests that were in progress at a crash under suspicion.
+func (d *Dispatcher) countCrashLocked(now time.Time, p *peer) {
+	for range d.quarantine.Crash(now, p.crash()) {
+		d.board.Count(quarantineCaught)
+	}
 }
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	f := &fixture{board: &blackboard.Board{Metrics: metrics.NewRegistry()}}
 	for _, handler := range handlers {
-		server := httptest.NewServer(handler)
+		server := httptest.NewServer(alive(handler))
 		t.Cleanup(server.Close)
 		f.add(server.Listener.Addr().String())
 	}
@@ -48,6 +48,15 @@
 	return f
 }
 
+// alive answers probes itself, so that handlers see nothing but calls.
+func alive(handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != DefaultProbePath {
+			handler(w, r)
+		}
+	}
+}
+
 // add declares one more endpoint.
 func (f *fixture) add(address string) {
 	f.set.Endpoints = append(f.set.Endpoints, operator.Endpoint{
@@ -206,13 +215,7 @@
 
 func TestRetry(t *testing.T) {
 	t.Run("idempotent call after a broken answer", func(t *testing.T) {
-		f := newFixture(t, breaks())
-		f.add(f.set.Endpoints[0].Address)
-		good := httptest.NewServer(sends(delta("a"), doneEvent))
-		defer good.Close()
-		f.set.Endpoints[1].Address = good.Listener.Addr().String()
-		f.set.Endpoints = f.set.Endpoints[:2]
-		f.add(good.Listener.Addr().String())
+		f := newFixture(t, breaks(), sends(delta("a"), doneEvent))
 		for range 10 {
 			got := perform(t, f, t.Context(), streamCall())
 			assertEqual(t, delta("a")+doneEvent, got.Body)
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -33,26 +35,28 @@
 	final      bool
 	retryAfter time.Duration
 	usage      ledger.Tokens
-	// firstByte is the time from the dispatch to the first byte or event; zero if none came.
-	firstByte time.Duration
-	// unreachable says that no connection was had.
-	unreachable bool
+	// fault is how the endpoint failed; empty if it is not to blame.
+	fault endpoint.FailureKind
+	// begun is when the attempt began.
+	begun time.Time
+	// crash says that the connection broke after the request was sent.
+	crash bool
 	// abort says that the caller must not take the answer for complete.
 	abort bool
 }
 
 // exchange is one attempt of a call at one endpoint.
 type exchange struct {
-	settings Settings
-	buffers  *bufferPool
-	call     *Call
-	limits   operator.RouteLimits
-	peer     *peer
-	w        http.ResponseWriter
-	control  *http.ResponseController
-	gate     gate
-	watch    *watchdog
-	begun    time.Time
+	dispatcher *Dispatcher
+	call       *Call
+	body       []byte
+	limits     operator.RouteLimits
+	peer       *peer
+	w          http.ResponseWriter
+	control    *http.ResponseController
+	gate       gate
+	watch      *watchdog
+	begun      time.Time
 	// started says that a part of the answer has been written to the caller.
 	started bool
 }
@@ -119,9 +123,9 @@
 		left := time.Until(deadline).Milliseconds()
 		request.Header.Set(timeoutHeader, strconv.FormatInt(left, 10))
 	}
-	if len(x.call.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(x.call.Body))
-		request.ContentLength = int64(len(x.call.Body))
+	if len(x.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(x.body))
+		request.ContentLength = int64(len(x.body))
 	}
 	return request.WithContext(x.gate.trace(ctx))
 }
@@ -129,7 +133,7 @@
 // failed classifies an attempt without a complete answer by where it broke.
 func (x *exchange) failed(ctx context.Context, err error) outcome {
 	written, refused := x.gate.seal()
-	out := outcome{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err}
+	out := outcome{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err, begun: x.begun}
 	if !written {
 		out.verdict = verdict.NotRun
 	}
@@ -142,8 +146,7 @@
 			out.reason, out.retryAfter = refusal.Reason, refusal.RetryAfter
 		}
 	case errors.Is(cause, errSilent):
-		out.reason, out.cause = verdict.EndpointSilent, errSilent
-		out.unreachable = !written
+		out.reason, out.cause, out.fault = verdict.EndpointSilent, errSilent, endpoint.Silent
 	case errors.Is(cause, errRequestTimeout), errors.Is(cause, context.DeadlineExceeded):
 		out.reason, out.cause, out.final = verdict.OutcomeUnknown, cause, true
 		if !written {
@@ -151,12 +154,32 @@
 		}
 	case cause != nil:
 		out.reason, out.cause, out.final = verdict.CallerWentAway, cause, true
+	case written:
+		out.fault, out.crash = endpoint.Broken, !isFormat(err)
+	case isDial(err):
+		out.fault = endpoint.Unreachable
 	default:
-		out.unreachable = !written
+		// The endpoint closed an idle connection, which it may do at any time.
 	}
 	return out
 }
 
+// isFormat reports whether an error is about the contents of the answer and not about the connection.
+func isFormat(err error) bool {
+	for _, format := range []error{errFormat, errNoEnd, errLineTooLong, errEventTooLong} {
+		if errors.Is(err, format) {
+			return true
+		}
+	}
+	return false
+}
+
+// isDial reports whether no connection was had.
+func isDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // callerGone ends an attempt whose answer could not be written.
 func callerGone(err error, v verdict.Verdict) outcome {
 	return outcome{verdict: v, reason: verdict.CallerWentAway, cause: err, final: true, abort: true}
@@ -187,7 +210,7 @@
 	x.watch.stop()
 	x.started = true
 	// Writers without deadlines, such as recorders, never block.
-	_ = x.control.SetWriteDeadline(time.Now().Add(x.settings.WriteTimeout))
+	_ = x.control.SetWriteDeadline(time.Now().Add(x.dispatcher.settings.WriteTimeout))
 	_, err := x.w.Write(p)
 	return err
 }
--- a/router/endpoint/job.go
+++ b/router/endpoint/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -17,9 +19,15 @@
 	call       *Call
 	limits     operator.RouteLimits
 	w          http.ResponseWriter
-	service    string
-	tried      []*peer
-	result     Result
+	// route is the call's route or the fallback that is being tried, body is what its model is sent.
+	route operator.Route
+	body  []byte
+	// fallbacks counts the fallbacks tried.
+	fallbacks int
+	tried     []*peer
+	// suspect says that the attempt under way counts among its endpoint's suspects.
+	suspect bool
+	result  Result
 	// mayHaveRun says that an attempt may have run; from then on no failure is NotRun.
 	mayHaveRun bool
 }
@@ -27,7 +35,7 @@
 // do makes attempts until one succeeds or the call is given up.
 func (j *job) do(ctx context.Context) (Result, error) {
 	for {
-		p, refusal := j.dispatcher.acquire(ctx, j.service, j.tried)
+		p, refusal := j.acquire(ctx)
 		if refusal != nil {
 			return j.refuse(refusal)
 		}
@@ -38,7 +46,7 @@
 		}
 		switch decision := j.decide(ctx, out).(type) {
 		case *endpoint.Retry:
-			j.dispatcher.board.Count("retry." + string(out.reason))
+			j.dispatcher.board.Count(retryPrefix + string(out.reason))
 			if !sleep(ctx, decision.After) {
 				return j.refuse(j.interrupted(ctx))
 			}
@@ -52,14 +60,64 @@
 	}
 }
 
+// acquire reserves a place at an endpoint of the route, or of its first fallback with one.
+func (j *job) acquire(ctx context.Context) (*peer, *verdict.Refusal) {
+	for {
+		p, refusal := j.dispatcher.acquire(ctx, j)
+		if refusal == nil || refusal.Reason != verdict.NoEndpoint || !j.fallBack() {
+			return p, refusal
+		}
+	}
+}
+
+// fallBack goes over to the next fallback of the call's route and reports whether there was one.
+func (j *job) fallBack() bool {
+	configuration := j.dispatcher.board.Configuration.Load()
+	if configuration == nil {
+		return false
+	}
+	for j.fallbacks < len(j.call.Route.Fallbacks) {
+		route, ok := configuration.Routes[j.call.Route.Fallbacks[j.fallbacks]]
+		j.fallbacks++
+		if !ok || route.Removed || (route.Model == "") != (j.call.Model == nil) {
+			continue
+		}
+		body, err := withModel(j.call.Body, route.Model)
+		if err != nil {
+			continue
+		}
+		j.route, j.body = route, body
+		j.dispatcher.board.Count(retryFallback)
+		return true
+	}
+	return false
+}
+
+// withModel returns a body that names another model. Plain bodies stay as they are.
+func withModel(body []byte, model string) ([]byte, error) {
+	if model == "" {
+		return body, nil
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, fmt.Errorf("reading the body: %w", err)
+	}
+	name, err := json.Marshal(model)
+	if err != nil {
+		return nil, fmt.Errorf("naming the model: %w", err)
+	}
+	fields["model"] = name
+	return json.Marshal(fields)
+}
+
 // attempt sends the call to one endpoint.
 func (j *job) attempt(ctx context.Context, p *peer) outcome {
 	x := &exchange{
-		settings: j.dispatcher.settings, buffers: &j.dispatcher.buffers, call: j.call, limits: j.limits, peer: p,
+		dispatcher: j.dispatcher, call: j.call, body: j.body, limits: j.limits, peer: p,
 		w: j.w, control: http.NewResponseController(j.w),
 	}
 	out := x.perform(ctx)
-	j.dispatcher.release(p, out)
+	j.dispatcher.release(p, j, out)
 	j.tried = append(j.tried, p)
 	j.result.Attempts++
 	j.result.Endpoint = p.endpoint.Name
@@ -100,7 +158,7 @@
 	d := j.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return endpoint.Decide(failure, &d.serviceLocked(j.service).retries, rand.Float64()) //nolint:gosec // spreads retries
+	return endpoint.Decide(failure, &d.serviceLocked(j.route.Service).retries, rand.Float64()) //nolint:gosec // spreads retries
 }
 
 // refuse ends the call. The refusal's verdict is that of all attempts together.
--- /dev/null
+++ b/router/endpoint/place.go
@@ -0,0 +1,273 @@
+package endpoint
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// random is the random source of choices.
+type random struct{}
+
+// IntN returns a number in [0, n).
+func (random) IntN(n int) int { return rand.IntN(n) } //nolint:gosec // spreads load, protects nothing
+
+// waiter is a call that waits for a place at an endpoint.
+type waiter struct {
+	job *job
+	// ready gets the endpoint, or the reason why there will be none. It has room for one.
+	ready chan placed
+}
+
+// placed is the end of a wait.
+type placed struct {
+	peer   *peer
+	reason verdict.Reason
+}
+
+// acquire reserves a place at an endpoint of the job's service, in the queue's order if none is free.
+func (d *Dispatcher) acquire(ctx context.Context, j *job) (*peer, *verdict.Refusal) {
+	now := time.Now()
+	w := &waiter{job: j, ready: make(chan placed, 1)}
+	entry, p, reason := d.place(ctx, now, w)
+	switch {
+	case reason != "":
+		return nil, verdict.Refuse(reason, "")
+	case p != nil:
+		return p, nil
+	}
+	d.board.Count(queueWaited)
+	timer := time.NewTimer(entry.Deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case end := <-w.ready:
+		return end.result()
+	case <-ctx.Done():
+		return nil, d.abandon(j, entry, j.interrupted(ctx))
+	case <-timer.C:
+		return nil, d.abandon(j, entry, verdict.Refuse(verdict.Overloaded, ""))
+	}
+}
+
+func (e placed) result() (*peer, *verdict.Refusal) {
+	if e.peer == nil {
+		return nil, verdict.Refuse(e.reason, "")
+	}
+	return e.peer, nil
+}
+
+// place picks an endpoint or queues the call.
+func (d *Dispatcher) place(ctx context.Context, now time.Time, w *waiter) (*endpoint.Entry[*waiter], *peer, verdict.Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refreshLocked()
+	j := w.job
+	if d.quarantine.Held(now, j.call.Fingerprint) > 0 {
+		return nil, nil, verdict.Quarantined
+	}
+	s := d.serviceLocked(j.route.Service)
+	if j.result.Attempts == 0 {
+		s.retries.Deposit()
+	}
+	if !d.hopefulLocked(now, s) {
+		return nil, nil, verdict.NoEndpoint
+	}
+	if s.queue.Len() == 0 {
+		if p := d.pickLocked(now, s, j); p != nil {
+			return nil, p, ""
+		}
+	}
+	entry, dropped, reason := s.queue.Push(now, d.waiting(ctx, now, j), w)
+	if dropped != nil {
+		dropped.Value.ready <- placed{reason: verdict.Overloaded}
+	}
+	return entry, nil, reason
+}
+
+// waiting describes the call to the queue.
+func (d *Dispatcher) waiting(ctx context.Context, now time.Time, j *job) endpoint.Waiter {
+	deadline := now.Add(d.settings.QueueTimeout)
+	if end, ok := ctx.Deadline(); ok && end.Before(deadline) {
+		deadline = end
+	}
+	waiter := endpoint.Waiter{Team: j.call.Team, Deadline: deadline}
+	if d.configuration != nil {
+		waiter.Weight = d.configuration.Teams[j.call.Team].Limits.Weight
+	}
+	return waiter
+}
+
+// abandon ends a wait. A place that was given meanwhile goes back.
+func (d *Dispatcher) abandon(j *job, entry *endpoint.Entry[*waiter], refusal *verdict.Refusal) *verdict.Refusal {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.serviceLocked(j.route.Service)
+	if s.queue.Remove(entry) {
+		return refusal
+	}
+	select {
+	case end := <-entry.Value.ready:
+		if end.peer != nil {
+			d.leaveLocked(end.peer, j)
+			d.wakeLocked(s)
+		}
+	default:
+		// The queue dropped the entry because its time was up.
+	}
+	return refusal
+}
+
+// hopefulLocked reports whether an endpoint of the service has work or may get some soon. It probes
+// ejected endpoints whose time has come.
+func (d *Dispatcher) hopefulLocked(now time.Time, s *service) bool {
+	hopeful := false
+	for _, p := range s.peers {
+		d.probeIfDueLocked(now, p)
+		hopeful = hopeful || !p.health.Ejected()
+	}
+	return hopeful
+}
+
+// pickLocked reserves a place, at an endpoint that has not failed the call before if there is one.
+func (d *Dispatcher) pickLocked(now time.Time, s *service, j *job) *peer {
+	p := d.pickAmongLocked(now, s, j, j.tried)
+	if p == nil && len(j.tried) > 0 {
+		p = d.pickAmongLocked(now, s, j, nil)
+	}
+	if p == nil {
+		return nil
+	}
+	p.inFlight++
+	p.load.used = true
+	j.suspect = d.quarantine.Suspect(now, j.call.Fingerprint)
+	if j.suspect {
+		p.suspects++
+	}
+	return p
+}
+
+func (d *Dispatcher) pickAmongLocked(now time.Time, s *service, j *job, without []*peer) *peer {
+	suspect := d.quarantine.Suspect(now, j.call.Fingerprint)
+	s.candidates, s.places = s.candidates[:0], s.places[:0]
+	for _, p := range s.peers {
+		if !p.health.Available() || suspect && p.suspects > 0 || slices.Contains(without, p) {
+			continue
+		}
+		s.candidates = append(s.candidates, p.candidate(now))
+		s.places = append(s.places, p)
+	}
+	prefix := uint64(0)
+	if j.call.Model != nil {
+		prefix = j.call.Model.PrefixHash
+	}
+	i, ok := d.settings.Policy.Choose(s.candidates, prefix, random{})
+	if !ok {
+		return nil
+	}
+	return s.places[i]
+}
+
+// leaveLocked gives a place back.
+func (d *Dispatcher) leaveLocked(p *peer, j *job) {
+	p.inFlight--
+	if j.suspect {
+		p.suspects--
+		j.suspect = false
+	}
+}
+
+// release gives the place of an attempt back and takes its outcome in.
+func (d *Dispatcher) release(p *peer, j *job, out outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learnLocked(p, j, out)
+	d.leaveLocked(p, j)
+	d.wakeLocked(d.serviceLocked(p.endpoint.Service))
+}
+
+// learnLocked takes the outcome of an attempt in.
+func (d *Dispatcher) learnLocked(p *peer, j *job, out outcome) {
+	now := time.Now()
+	if out.cause == nil {
+		d.quarantine.Complete(j.call.Fingerprint)
+		d.observeLocked(p, &endpoint.Answered{})
+		return
+	}
+	if out.reason == verdict.EndpointRefused {
+		p.limit.Fail(now)
+		d.observeLocked(p, &endpoint.Answered{})
+		return
+	}
+	if out.fault == "" {
+		return
+	}
+	if out.fault == endpoint.Silent {
+		p.dropPool()
+	}
+	if out.crash {
+		p.broken = append(p.broken, j.call.Fingerprint)
+	}
+	d.observeLocked(p, &endpoint.Failed{Kind: out.fault, Begun: out.begun})
+	if out.crash && p.health.Ejected() {
+		d.countCrashLocked(now, p)
+	}
+}
+
+// noteFirstByte takes the time to the first byte of an answer in. Whole answers of engines say nothing
+// by it: they come after the last token.
+func (d *Dispatcher) noteFirstByte(p *peer, call *Call, latency time.Duration) {
+	if call.Model != nil && !call.Model.Stream {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p.limit.Observe(time.Now(), latency, p.inFlight)
+}
+
+// wakeLocked gives free places to waiting calls, or sends them away if there will be none.
+func (d *Dispatcher) wakeLocked(s *service) {
+	now := time.Now()
+	for s.queue.Len() > 0 {
+		if !d.hopefulLocked(now, s) {
+			d.sendAwayLocked(now, s)
+			return
+		}
+		if !hasRoom(s) {
+			return
+		}
+		entry, ok := s.queue.Pop(now)
+		if !ok {
+			return
+		}
+		p := d.pickLocked(now, s, entry.Value.job)
+		if p == nil {
+			// None of the free places is fit for this call.
+			s.queue.Return(entry)
+			return
+		}
+		entry.Value.ready <- placed{peer: p}
+	}
+}
+
+func (d *Dispatcher) sendAwayLocked(now time.Time, s *service) {
+	for {
+		entry, ok := s.queue.Pop(now)
+		if !ok {
+			return
+		}
+		entry.Value.ready <- placed{reason: verdict.NoEndpoint}
+	}
+}
+
+func hasRoom(s *service) bool {
+	for _, p := range s.peers {
+		if p.health.Available() && p.inFlight < p.limit.Value() {
+			return true
+		}
+	}
+	return false
+}
--- a/router/endpoint/settings.go
+++ b/router/endpoint/settings.go
@@ -1,23 +1,28 @@
 package endpoint
 
-import "time"
+import (
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+)
 
 // Defaults of the settings that are left at zero.
 const (
-	DefaultBufferBytes   = 256 << 10
-	DefaultLineBytes     = 256 << 10
-	DefaultEventBytes    = 512 << 10
-	DefaultWriteTimeout  = 10 * time.Second
-	DefaultDialTimeout   = 2 * time.Second
-	DefaultIdleTimeout   = 30 * time.Second
-	DefaultProbeTimeout  = 2 * time.Second
-	DefaultProbePath     = "/health"
-	DefaultTickInterval  = 100 * time.Millisecond
-	DefaultQueueLength   = 256
-	DefaultQueueTimeout  = 2 * time.Second
-	DefaultIdlePerPool   = 64
-	DefaultHeaderBytes   = 64 << 10
-	DefaultProbeParallel = 16
+	DefaultBufferBytes  = 256 << 10
+	DefaultLineBytes    = 256 << 10
+	DefaultEventBytes   = 512 << 10
+	DefaultWriteTimeout = 10 * time.Second
+	DefaultDialTimeout  = 2 * time.Second
+	DefaultIdleTimeout  = 30 * time.Second
+	DefaultProbeTimeout = 2 * time.Second
+	DefaultProbePath    = "/healthz"
+	DefaultTickInterval = 100 * time.Millisecond
+	DefaultQueueLength  = 256
+	DefaultQueueTimeout = 2 * time.Second
+	DefaultIdlePerPool  = 64
+	DefaultHeaderBytes  = 64 << 10
+	DefaultLoadInterval = 1 * time.Second
+	DefaultLoadPath     = "/control/load"
 )
 
 // Settings of the dispatcher; every zero takes its default.
@@ -38,6 +43,11 @@
 	ProbeTimeout time.Duration
 	// ProbePath is asked of endpoints that are probed; any answer shows that the endpoint is alive.
 	ProbePath string
+	// LoadInterval is the time between two questions for an engine's load, at LoadPath.
+	LoadInterval time.Duration
+	LoadPath     string
+	// Policy weighs nearness, load and affinity.
+	Policy endpoint.Policy
 	// TickInterval is the time between two looks at ejections and waiting calls.
 	TickInterval time.Duration
 	// QueueLength bounds the calls that wait for one service, QueueTimeout how long each waits.
@@ -54,6 +64,8 @@
 	s.IdleTimeout = orDefault(s.IdleTimeout, DefaultIdleTimeout)
 	s.ProbeTimeout = orDefault(s.ProbeTimeout, DefaultProbeTimeout)
 	s.ProbePath = orDefault(s.ProbePath, DefaultProbePath)
+	s.LoadInterval = orDefault(s.LoadInterval, DefaultLoadInterval)
+	s.LoadPath = orDefault(s.LoadPath, DefaultLoadPath)
 	s.TickInterval = orDefault(s.TickInterval, DefaultTickInterval)
 	s.QueueLength = orDefault(s.QueueLength, DefaultQueueLength)
 	s.QueueTimeout = orDefault(s.QueueTimeout, DefaultQueueTimeout)
--- a/router/endpoint/stream.go
+++ b/router/endpoint/stream.go
@@ -26,16 +26,15 @@
 	response *http.Response
 	reader   *eventReader
 	// tokens counts the content deltas passed on; reported is the engine's own count, once known.
-	tokens    int64
-	reported  *usage
-	firstByte time.Duration
+	tokens   int64
+	reported *usage
 }
 
 // passStream passes the events of the answer on, one by one. Nothing is written to the caller before
 // the first event.
 func (x *exchange) passStream(ctx context.Context, response *http.Response) outcome {
 	media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	s := &stream{exchange: x, response: response, reader: newEventReader(response.Body, x.settings)}
+	s := &stream{exchange: x, response: response, reader: newEventReader(response.Body, x.dispatcher.settings)}
 	if err != nil || media != eventStreamType {
 		return s.broken(ctx, errFormat)
 	}
@@ -60,8 +59,8 @@
 	if len(e.data) == 0 {
 		return s.passComment(e)
 	}
-	if s.firstByte == 0 {
-		s.firstByte = time.Since(s.begun)
+	if !s.started {
+		s.dispatcher.noteFirstByte(s.peer, s.call, time.Since(s.begun))
 	}
 	if bytes.Equal(e.data, []byte("[DONE]")) {
 		return s.finish(e.raw)
@@ -103,11 +102,12 @@
 	if err := s.send(end); err != nil {
 		return s.gone(err), true
 	}
-	return outcome{verdict: verdict.Ran, usage: s.usage(), firstByte: s.firstByte}, true
+	return outcome{verdict: verdict.Ran, usage: s.usage()}, true
 }
 
 // cut ends an answer at its limit. The engine's request is cancelled when the attempt returns.
 func (s *stream) cut(c chunk) (outcome, bool) {
+	s.dispatcher.board.Count(answerCut)
 	s.reported = nil
 	var reported *usage
 	if s.call.Model.ReportUsage {
@@ -149,7 +149,7 @@
 		err = errNoEnd
 	}
 	out := s.failed(ctx, err)
-	out.usage, out.firstByte = s.usage(), s.firstByte
+	out.usage = s.usage()
 	if !s.started {
 		return out
 	}
@@ -166,7 +166,7 @@
 // gone ends an answer whose caller takes no more.
 func (s *stream) gone(err error) outcome {
 	out := callerGone(err, verdict.MayHaveRun)
-	out.usage, out.firstByte = s.usage(), s.firstByte
+	out.usage = s.usage()
 	return out
 }
 
--- a/router/endpoint/whole.go
+++ b/router/endpoint/whole.go
@@ -47,25 +47,22 @@
 // passWhole holds the answer back until it is complete, so that a broken one can be tried again.
 // What is longer than the buffer is passed on as it comes.
 func (x *exchange) passWhole(ctx context.Context, response *http.Response) outcome {
-	firstByte := time.Since(x.begun)
+	x.dispatcher.noteFirstByte(x.peer, x.call, time.Since(x.begun))
 	x.watch.reset(x.limits.TokenTimeout)
 	body := &watchedReader{source: response.Body, watch: x.watch, timeout: x.limits.TokenTimeout}
-	buffer := x.buffers.take()
-	defer x.buffers.put(buffer)
-	read, err := io.Copy(buffer, io.LimitReader(body, x.settings.BufferBytes+1))
+	buffer := x.dispatcher.buffers.take()
+	defer x.dispatcher.buffers.put(buffer)
+	read, err := io.Copy(buffer, io.LimitReader(body, x.dispatcher.settings.BufferBytes+1))
 	if err != nil {
 		out := x.failed(ctx, err)
-		out.firstByte = firstByte
 		out.usage = x.beginningUsage(response, 0)
 		return out
 	}
 	x.watch.stop()
-	if read > x.settings.BufferBytes {
-		out := x.passLong(ctx, response, buffer.Bytes(), body)
-		out.firstByte = firstByte
-		return out
+	if read > x.dispatcher.settings.BufferBytes {
+		return x.passLong(ctx, response, buffer.Bytes(), body)
 	}
-	out := outcome{verdict: verdict.Ran, usage: x.wholeUsage(buffer.Bytes(), response.StatusCode), firstByte: firstByte}
+	out := outcome{verdict: verdict.Ran, usage: x.wholeUsage(buffer.Bytes(), response.StatusCode)}
 	copyResponseHeader(x.w.Header(), response.Header)
 	if x.call.Method != http.MethodHead && response.StatusCode != http.StatusNoContent &&
 		response.StatusCode != http.StatusNotModified {
@@ -78,7 +75,7 @@
 	}
 	if err := x.write(buffer.Bytes()); err != nil {
 		gone := callerGone(err, verdict.Ran)
-		gone.usage, gone.firstByte = out.usage, firstByte
+		gone.usage = out.usage
 		return gone
 	}
 	return out
