--- /dev/null
+++ b/router/build.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/router/admin"
+	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+	"github.com/dragonflyworks/dragonflyworks/router/caller"
+	"github.com/dragonflyworks/dragonflyworks/router/controller"
+	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+)
+
+// build returns a container with every part of the router.
+func build(settings *Settings, stderr io.Writer) (*dig.Container, error) {
+	container := dig.New()
+	constructors := []any{
+		func() *Settings { return settings },
+		func() (log.Interface, error) { return newLogger(settings, stderr) },
+		metrics.NewRegistry,
+		func(r metrics.Registry) *blackboard.Board { return &blackboard.Board{Metrics: r} },
+		newPlatformClient,
+		newLog,
+		newInstanceList,
+		newLedgerClient,
+		func(c *ledgerstream.Client) ledgerstream.Accounts { return c },
+		newDispatcher,
+		func(d *endpoint.Dispatcher) endpoint.Caller { return d },
+		newCallers,
+		admin.NewServer,
+		controller.NewConfiguration,
+		newSnapshots,
+		controller.NewInstances,
+	}
+	for _, c := range constructors {
+		if err := container.Provide(c); err != nil {
+			return nil, err
+		}
+	}
+	return container, nil
+}
+
+func newLogger(settings *Settings, stderr io.Writer) (log.Interface, error) {
+	level, err := log.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("reading --log-level: %w", err)
+	}
+	logger := &log.Logger{Level: level}
+	switch settings.LogFormat {
+	case "text":
+		logger.Handler = text.New(stderr)
+	default:
+		logger.Handler = json.New(stderr)
+	}
+	return logger, nil
+}
+
+const (
+	// platformDialTimeout bounds the opening of a connection to the platform.
+	platformDialTimeout = 2 * time.Second
+	// platformIdleTimeout ends connections to the platform before something between the ends forgets them.
+	platformIdleTimeout = 30 * time.Second
+)
+
+// newPlatformClient returns a client that takes no proxy from the environment.
+func newPlatformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: platformDialTimeout}).DialContext,
+		IdleConnTimeout:       platformIdleTimeout,
+		ResponseHeaderTimeout: platformIdleTimeout,
+		MaxIdleConnsPerHost:   4,
+	}}
+}
+
+func newLog(settings *Settings, client *http.Client) (platform.Log, error) {
+	return platform.NewHTTPLog(settings.Platform, client)
+}
+
+func newInstanceList(settings *Settings, client *http.Client) (platform.InstanceList, error) {
+	return platform.NewHTTPInstanceList(settings.Platform, client)
+}
+
+func newLedgerClient(settings *Settings, stream platform.Log, registry metrics.Registry) *ledgerstream.Client {
+	return ledgerstream.NewClient(stream, ledgerstream.Settings{
+		Instance:              settings.Instance,
+		AvailabilityZone:      settings.AvailabilityZone,
+		Region:                settings.Region,
+		Version:               version(),
+		Lease:                 settings.Lease,
+		LeaseMargin:           settings.LeaseMargin,
+		FleetAppendsPerSecond: settings.FleetAppendsPerSecond,
+	}, registry)
+}
+
+func newDispatcher(settings *Settings, board *blackboard.Board) *endpoint.Dispatcher {
+	return endpoint.NewDispatcher(board, endpoint.Settings{
+		Region:           settings.Region,
+		AvailabilityZone: settings.AvailabilityZone,
+	})
+}
+
+func newCallers(settings *Settings, board *blackboard.Board, accounts ledgerstream.Accounts, calls endpoint.Caller) *caller.Server {
+	return caller.NewServer(board, accounts, calls, caller.Settings{
+		HeaderBytes: settings.HeaderBytes,
+		BodyTimeout: settings.BodyTimeout,
+	})
+}
+
+func newSnapshots(settings *Settings, board *blackboard.Board, stream platform.Log) *controller.ConfigurationSnapshots {
+	return controller.NewConfigurationSnapshots(board, stream, settings.SnapshotInterval)
+}
--- /dev/null
+++ b/router/controller/configuration.go
@@ -0,0 +1,172 @@
+// Package controller holds the loops that keep the blackboard up to date from the platform.
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+)
+
+const (
+	// configurationPoll is the time between two reads of the configuration stream at its end.
+	configurationPoll = 250 * time.Millisecond
+	// configurationBatch bounds the entries of one read.
+	configurationBatch = 256
+	// platformTimeout bounds one call of a service of the platform.
+	platformTimeout = 5 * time.Second
+)
+
+// Configuration follows the configuration stream. It never puts an older configuration on the
+// blackboard: it only ever folds entries above the ones it has folded.
+type Configuration struct {
+	board  *blackboard.Board
+	stream platform.Log
+	ledger *ledgerstream.Client
+	logger log.Interface
+	// current is ahead of the blackboard until the stream was read to its end for the first time.
+	current *operator.Configuration
+}
+
+// NewConfiguration returns a controller that has read nothing.
+func NewConfiguration(board *blackboard.Board, stream platform.Log, client *ledgerstream.Client, logger log.Interface) *Configuration {
+	return &Configuration{
+		board:   board,
+		stream:  stream,
+		ledger:  client,
+		logger:  logger,
+		current: &operator.Configuration{},
+	}
+}
+
+// Run follows the stream until ctx ends.
+func (c *Configuration) Run(ctx context.Context) error {
+	for {
+		more := c.step(ctx)
+		if more {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(configurationPoll):
+		}
+	}
+}
+
+// step reads and folds one batch. It reports whether more may be waiting.
+func (c *Configuration) step(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	entries, err := c.stream.Read(bounded, platform.ConfigurationStream, c.current.Next, configurationBatch)
+	var truncated *platform.TruncatedError
+	if errors.As(err, &truncated) {
+		return c.recover(bounded)
+	}
+	if err != nil {
+		c.board.Count("configuration.read.failed")
+		return false
+	}
+	for _, e := range entries {
+		c.fold(e)
+	}
+	if len(entries) > 0 {
+		return true
+	}
+	c.publish()
+	return false
+}
+
+func (c *Configuration) fold(e platform.Entry) {
+	next, outcome := c.current.Apply(e)
+	c.current = next
+	switch o := outcome.(type) {
+	case *operator.Accepted:
+		c.board.Count("configuration.ticket.accepted")
+		c.logger.WithField("Number", o.Number).Info("change ticket in force")
+	case *operator.Refused:
+		c.board.Count("configuration.ticket.refused")
+		c.logger.WithFields(log.Fields{"Number": o.Number, "Reason": o.Reason}).Warn("change ticket refused")
+	case *operator.Duplicate:
+		c.board.Count("configuration.ticket.duplicate")
+	case *operator.Malformed:
+		c.board.Count("configuration.ticket.malformed")
+	}
+}
+
+// publish puts the configuration on the blackboard once the stream has been read to its end, and tells
+// the ledger's client about the budgets that the ledger has to learn.
+func (c *Configuration) publish() {
+	if c.board.Configuration.Load() == c.current {
+		return
+	}
+	c.board.Configuration.Store(c.current)
+	c.ledger.SetConfigurationPosition(c.current.Next, c.current.Number)
+	c.ledger.DeclarePrepaid(prepaidRecords(c.current))
+}
+
+func prepaidRecords(c *operator.Configuration) []ledger.Prepaid {
+	records := make([]ledger.Prepaid, 0, len(c.Budgets))
+	for _, b := range c.Budgets {
+		records = append(records, ledger.Prepaid{
+			Budget: b.Name,
+			Ticket: b.Ticket,
+			Total:  b.Prepaid,
+			Frozen: b.Frozen,
+			Reserve: ledger.ReservePolicy{
+				Share:          b.Reserve.Share,
+				ForfeitResidue: b.Reserve.ForfeitResidue,
+			},
+		})
+	}
+	return records
+}
+
+// recover continues from the newest usable snapshot when the log has dropped entries that were not read
+// yet. Without one the router keeps what it has, which for a new router is nothing: it stays unready.
+func (c *Configuration) recover(ctx context.Context) bool {
+	c.board.Count("configuration.read.truncated")
+	snapshot := c.newestSnapshot(ctx)
+	if snapshot == nil || snapshot.Next <= c.current.Next {
+		c.board.Count("configuration.snapshot.missing")
+		return false
+	}
+	c.current = snapshot
+	c.logger.WithField("Next", snapshot.Next).Info("configuration continued from a snapshot")
+	return true
+}
+
+// newestSnapshot returns the usable snapshot that covers the most; nil if there is none.
+func (c *Configuration) newestSnapshot(ctx context.Context) *operator.Configuration {
+	var newest *operator.Configuration
+	var from platform.Offset
+	for {
+		entries, err := c.stream.Read(ctx, platform.ConfigurationSnapshotStream, from, configurationBatch)
+		var truncated *platform.TruncatedError
+		if errors.As(err, &truncated) && truncated.First > from {
+			from = truncated.First
+			continue
+		}
+		if err != nil || len(entries) == 0 {
+			return newest
+		}
+		for _, e := range entries {
+			from = e.Offset + 1
+			snapshot, err := operator.DecodeSnapshot(e.Payload)
+			if err != nil {
+				c.board.Count("configuration.snapshot.malformed")
+				continue
+			}
+			if newest == nil || snapshot.Next > newest.Next {
+				newest = snapshot
+			}
+		}
+	}
+}
--- a/router/run.go
+++ b/router/run.go
@@ -1,16 +1,89 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the router.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+	// exitForced says that a second signal ended the process before its requests had finished.
+	exitForced = 3
 )
 
 // Main runs the program with its arguments and returns its exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
-	if len(arguments) > 0 {
-		_, _ = fmt.Fprintf(stderr, "router: unexpected argument %q\n", arguments[0])
-		return 2
+	settings := &Settings{}
+	if code, ended := parse(settings, arguments, stdout, stderr); ended {
+		return code
+	}
+	if settings.Version {
+		_, _ = fmt.Fprintln(stdout, version())
+		return exitDone
+	}
+	if err := settings.Check(); err != nil {
+		_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
+		return exitUsage
+	}
+	signals := make(chan os.Signal, signalBacklog)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	err := serve(context.Background(), settings, stderr, signals)
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, errForced):
+		_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
+		return exitForced
+	default:
+		_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
+		return exitFailed
+	}
+}
+
+// signalBacklog keeps the second signal while the first is being handled.
+const signalBacklog = 2
+
+// parse reads the arguments. It reports whether the program is done, with its exit code.
+func parse(settings *Settings, arguments []string, stdout, stderr io.Writer) (int, bool) {
+	code, ended := exitDone, false
+	parser, err := kong.New(settings,
+		kong.Name("router"),
+		kong.Description("Routes callers' requests to endpoints against prepaid budgets."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(c int) { code, ended = c, true }),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
+		return exitFailed, true
+	}
+	if len(arguments) == 1 && arguments[0] == "--version" {
+		settings.Version = true
+		return exitDone, false
+	}
+	if _, err := parser.Parse(arguments); err != nil && !ended {
+		_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
+		return exitUsage, true
+	}
+	return code, ended
+}
+
+// version returns the version that the build recorded.
+func version() string {
+	info, found := debug.ReadBuildInfo()
+	if !found || info.Main.Version == "" {
+		return "devel"
 	}
-	_, _ = fmt.Fprintln(stdout, "router: not yet wired")
-	return 1
+	return info.Main.Version
 }
--- /dev/null
+++ b/router/settings.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Settings are the flags and environment variables of the router; there is no settings file.
+type Settings struct {
+	Listen           string `help:"Address of the callers' listener, IP:port." env:"DRAGONFLY_LISTEN" default:"127.0.0.1:8080"`
+	AdminListen      string `help:"Address of the operators' listener, IP:port." env:"DRAGONFLY_ADMIN_LISTEN" default:"127.0.0.1:8081"`
+	Platform         string `help:"Base URL of the platform's log and instance list, with an IP address." env:"DRAGONFLY_PLATFORM" required:""`
+	Instance         string `help:"Name of this instance, unique at the site." env:"DRAGONFLY_INSTANCE" required:""`
+	Region           string `help:"Region of this instance." env:"DRAGONFLY_REGION" required:""`
+	AvailabilityZone string `help:"Availability zone of this instance." env:"DRAGONFLY_AVAILABILITY_ZONE" required:""`
+
+	Lease                 time.Duration `help:"Time without a record in the log after which a router may spend nothing more from its working shares." env:"DRAGONFLY_LEASE" default:"10s"`
+	LeaseMargin           time.Duration `help:"Time that others add to the lease before they fence a silent router." env:"DRAGONFLY_LEASE_MARGIN" default:"2s"`
+	FleetAppendsPerSecond float64       `help:"Appends a second that the whole fleet may make; each router takes an equal part." env:"DRAGONFLY_FLEET_APPENDS_PER_SECOND" default:"240"`
+	SnapshotInterval      time.Duration `help:"Mean time between two snapshots of this router." env:"DRAGONFLY_SNAPSHOT_INTERVAL" default:"10m"`
+
+	HeaderBytes int           `help:"Longest headers of a request, in bytes." env:"DRAGONFLY_HEADER_BYTES" default:"16384"`
+	BodyTimeout time.Duration `help:"Time in which a request's body has to arrive." env:"DRAGONFLY_BODY_TIMEOUT" default:"10s"`
+
+	DrainDelay   time.Duration `help:"Time after SIGTERM for which new work is still taken, until the balancer has noticed." env:"DRAGONFLY_DRAIN_DELAY" default:"5s"`
+	DrainMaximum time.Duration `help:"Time after the drain delay in which running requests have to finish." env:"DRAGONFLY_DRAIN_MAXIMUM" default:"3m"`
+
+	LogFormat string `help:"Format of the log lines: json or text." env:"DRAGONFLY_LOG_FORMAT" default:"json"`
+	LogLevel  string `help:"Least level of the log lines: debug, info, warn or error." env:"DRAGONFLY_LOG_LEVEL" default:"info"`
+	Version   bool   `help:"Print the version and end."`
+}
+
+// settingsErrors is the class of errors for settings that are not allowed.
+//
+//nolint:gochecknoglobals // an errorx namespace is a constant that Go can't declare as one
+var settingsErrors = errorx.NewNamespace("settings")
+
+// errNotAllowed reports a flag whose value is not allowed.
+//
+//nolint:gochecknoglobals // an errorx type is a constant that Go can't declare as one
+var errNotAllowed = settingsErrors.NewType("not_allowed")
+
+// settingCheck is one rule for one flag.
+type settingCheck struct {
+	flag    string
+	value   any
+	valid   bool
+	allowed string
+}
+
+// Check returns an error that names the first flag whose value is not allowed, the value and what is.
+func (s *Settings) Check() error {
+	for _, c := range s.checks() {
+		if !c.valid {
+			return errNotAllowed.New("--%s is %q; allowed: %s", c.flag, fmt.Sprint(c.value), c.allowed)
+		}
+	}
+	return nil
+}
+
+// Bounds of the settings, which keep a mistyped unit from passing as a value.
+const (
+	leaseMinimum            = 500 * time.Millisecond
+	leaseMaximum            = 5 * time.Minute
+	appendsMaximum          = 100_000
+	snapshotIntervalMinimum = time.Second
+	snapshotIntervalMaximum = 24 * time.Hour
+	headerBytesMinimum      = 1 << 10
+	headerBytesMaximum      = 1 << 20
+	bodyTimeoutMaximum      = 10 * time.Minute
+	drainDelayMaximum       = 10 * time.Minute
+	drainMaximumMaximum     = time.Hour
+)
+
+func (s *Settings) checks() []settingCheck {
+	const name = "1 to 64 letters, digits, dots and dashes"
+	return []settingCheck{
+		{"listen", s.Listen, validAddress(s.Listen), "an IP address with a port"},
+		{"admin-listen", s.AdminListen, validAddress(s.AdminListen) && (s.AdminListen != s.Listen || portIsFree(s.Listen)), "an IP address with a port, other than --listen"},
+		{"platform", s.Platform, validURL(s.Platform), "an http or https URL whose host is an IP address"},
+		{"instance", s.Instance, validName(s.Instance), name},
+		{"region", s.Region, validName(s.Region), name},
+		{"availability-zone", s.AvailabilityZone, validName(s.AvailabilityZone), name},
+		{"lease", s.Lease, within(s.Lease, leaseMinimum, leaseMaximum), "500ms to 5m"},
+		{"lease-margin", s.LeaseMargin, within(s.LeaseMargin, leaseMinimum, s.Lease), "500ms to the lease"},
+		{"fleet-appends-per-second", s.FleetAppendsPerSecond, s.FleetAppendsPerSecond >= 1 && s.FleetAppendsPerSecond <= appendsMaximum, "1 to 100000"},
+		{"snapshot-interval", s.SnapshotInterval, within(s.SnapshotInterval, snapshotIntervalMinimum, snapshotIntervalMaximum), "1s to 24h"},
+		{"header-bytes", s.HeaderBytes, s.HeaderBytes >= headerBytesMinimum && s.HeaderBytes <= headerBytesMaximum, "1024 to 1048576"},
+		{"body-timeout", s.BodyTimeout, within(s.BodyTimeout, time.Millisecond, bodyTimeoutMaximum), "1ms to 10m"},
+		{"drain-delay", s.DrainDelay, within(s.DrainDelay, 0, drainDelayMaximum), "0s to 10m"},
+		{"drain-maximum", s.DrainMaximum, within(s.DrainMaximum, time.Second, drainMaximumMaximum), "1s to 1h"},
+		{"log-format", s.LogFormat, s.LogFormat == "json" || s.LogFormat == "text", "json or text"},
+		{"log-level", s.LogLevel, validLevel(s.LogLevel), "debug, info, warn or error"},
+	}
+}
+
+func validAddress(value string) bool {
+	_, err := netip.ParseAddrPort(value)
+	return err == nil
+}
+
+// portIsFree says that the system picks the port, so that two equal addresses don't clash.
+func portIsFree(value string) bool {
+	address, err := netip.ParseAddrPort(value)
+	return err == nil && address.Port() == 0
+}
+
+func validURL(value string) bool {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		return false
+	}
+	_, err = netip.ParseAddr(u.Hostname())
+	return err == nil
+}
+
+func validName(value string) bool {
+	return regexp.MustCompile(`^[A-Za-z0-9.-]{1,64}$`).MatchString(value)
+}
+
+func within(value, low, high time.Duration) bool {
+	return value >= low && value <= high
+}
+
+func validLevel(value string) bool {
+	switch value {
+	case "debug", "info", "warn", "error":
+		return true
+	default:
+		return false
+	}
+}
