--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,172 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflyworks/dragonflyworks/standin/runs"
+)
+
+func TestCompletions(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		e := newEngine()
+		body := call(t, e, "/v1/chat/completions", `{"model":"brush","max_tokens":3,"messages":[{"content":"a nonce-1 b"}]}`).Body.String()
+		assertContains(t, body, `"content":"nonce-1 word-1 word-2"`, `"finish_reason":"length"`, `"prompt_tokens":3,"completion_tokens":3`)
+		assertEqual(t, []runs.Run{{Key: "k", Started: 1, Finished: 1, Tokens: 6}}, e.Runs.Runs())
+	})
+	t.Run("parts of content", func(t *testing.T) {
+		body := call(t, newEngine(), "/v1/chat/completions",
+			`{"model":"brush","messages":[{"content":[{"type":"text","text":"nonce-1"},{"type":"text","text":"b"}]}]}`).Body.String()
+		assertContains(t, body, `"content":"nonce-1 word-1 word-2 word-3"`, `"finish_reason":"stop"`)
+	})
+	t.Run("stream", func(t *testing.T) {
+		body := call(t, newEngine(), "/v1/completions",
+			`{"model":"brush","stream":true,"stream_options":{"include_usage":true},"prompt":"nonce-1 a"}`).Body.String()
+		var pieces []string
+		for line := range strings.SplitSeq(body, "\n\n") {
+			if _, text, found := strings.Cut(line, `"text":"`); found {
+				piece, _, _ := strings.Cut(text, `"`)
+				pieces = append(pieces, piece)
+			}
+		}
+		assertEqual(t, []string{"nonce-1", " word-1", " word-2", " word-3", ""}, pieces)
+		assertContains(t, body, `"finish_reason":"stop"`, `"choices":[],"usage":{"prompt_tokens":2,"completion_tokens":4`, "data: [DONE]\n\n")
+	})
+	t.Run("refusals", func(t *testing.T) {
+		assertEqual(t, http.StatusNotFound, call(t, newEngine(), "/v1/completions", `{"model":"other"}`).Code)
+		assertEqual(t, http.StatusBadRequest, call(t, newEngine(), "/v1/completions", `{"model":"brush","max_tokens":0}`).Code)
+		assertEqual(t, http.StatusBadRequest, call(t, newEngine(), "/v1/completions", `{"model":`).Code)
+	})
+	t.Run("crash marker", func(t *testing.T) {
+		e := newEngine()
+		crashes := 0
+		e.CrashMarker, e.Crash = "marker", func() { crashes++ }
+		call(t, e, "/v1/completions", `{"model":"brush","prompt":"nonce-1 marker-free"}`)
+		assertEqual(t, 0, crashes)
+		call(t, e, "/v1/completions", `{"model":"brush","prompt":"nonce-1 marker"}`)
+		assertEqual(t, 1, crashes)
+	})
+	t.Run("cached prefix", func(t *testing.T) {
+		e := newEngine()
+		prompt := strings.Repeat("word ", blockWords)
+		for _, cached := range []int{0, blockWords} {
+			body := call(t, e, "/v1/completions", fmt.Sprintf(`{"model":"brush","prompt":%q}`, prompt+"tail")).Body.String()
+			assertContains(t, body, fmt.Sprintf(`"cached_tokens":%d`, cached))
+		}
+	})
+}
+
+func TestDelays(t *testing.T) {
+	for factor, want := range map[float64]time.Duration{1: 13 * time.Second, 3: 39 * time.Second} {
+		t.Run(fmt.Sprintf("slow factor %g", factor), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newEngine()
+				e.FirstTokenDelay, e.TokenDelay = 10*time.Second, time.Second
+				e.SetSlow(factor)
+				began := time.Now()
+				call(t, e, "/v1/completions", `{"model":"brush","prompt":"nonce-1"}`)
+				assertEqual(t, want, time.Since(began))
+			})
+		})
+	}
+	t.Run("canceled by the caller", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e := newEngine()
+			e.TokenDelay = time.Second
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			defer cancel()
+			assertAborts(t, func() { send(ctx, e, "/v1/completions", `{"model":"brush","prompt":"a"}`) })
+			assertEqual(t, []runs.Run{{Key: "k", Started: 1, Finished: 0, Tokens: 3}}, e.Runs.Runs())
+		})
+	})
+	t.Run("load lags", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e := newEngine()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			e.Start(ctx)
+			synctest.Wait()
+			e.count(func() { e.queued = 5 })
+			time.Sleep(DefaultLoadLag * 3 / 2)
+			assertContains(t, control(t, e, "/control/load"), `"Queued":0`)
+			time.Sleep(DefaultLoadLag)
+			assertContains(t, control(t, e, "/control/load"), `"Queued":5`)
+		})
+	})
+}
+
+func TestOrders(t *testing.T) {
+	for checks, want := range map[bool]int{true: http.StatusConflict, false: http.StatusNoContent} {
+		t.Run(fmt.Sprintf("checks fencing %t", checks), func(t *testing.T) {
+			e := newEngine()
+			e.ChecksFencing = checks
+			order := func(number int, model string) int {
+				return call(t, e, "/control/orders", fmt.Sprintf(`{"FencingNumber":%d,"Kind":"LoadModel","Model":%q}`, number, model)).Code
+			}
+			assertEqual(t, http.StatusNoContent, order(7, "a"))
+			assertEqual(t, http.StatusNoContent, order(7, "a"))
+			assertEqual(t, want, order(6, "b"))
+			assertEqual(t, !checks, e.serves("b"))
+		})
+	}
+}
+
+func newEngine() *Engine {
+	return &Engine{Settings: Settings{Models: []string{"brush"}, AnswerTokens: 4}}
+}
+
+func send(ctx context.Context, e *Engine, path, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
+	request.Header.Set(runs.Header, "k")
+	recorder := httptest.NewRecorder()
+	e.Handler().ServeHTTP(recorder, request)
+	return recorder
+}
+
+func call(t *testing.T, e *Engine, path, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	return send(t.Context(), e, path, body)
+}
+
+func control(t *testing.T, e *Engine, path string) string {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	e.Handler().ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, nil))
+	body, err := io.ReadAll(recorder.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+// assertAborts asserts that a handler breaks its connection off, so that a cut answer doesn't look whole.
+func assertAborts(t *testing.T, run func()) {
+	t.Helper()
+	defer func() { assertEqual[any](t, http.ErrAbortHandler.Error(), fmt.Sprint(recover())) }()
+	run()
+}
+
+func assertContains(t *testing.T, text string, wanted ...string) {
+	t.Helper()
+	for _, want := range wanted {
+		if !strings.Contains(text, want) {
+			t.Errorf("%s is not in\n%s", want, text)
+		}
+	}
+}
+
+func assertEqual[T any](t *testing.T, want, got T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/standin/load/runner_test.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflyworks/dragonflyworks/standin/engine"
+	"github.com/dragonflyworks/dragonflyworks/standin/runs"
+	"github.com/dragonflyworks/dragonflyworks/standin/service"
+)
+
+// requests is how many requests each test sends.
+const requests = 20
+
+func TestSoundEndpoints(t *testing.T) {
+	for kind, handler := range map[Kind]http.Handler{
+		Stream: newEngine(), Whole: newEngine(), Plain: (&service.Service{}).Handler(), NonIdempotent: (&service.Service{}).Handler(),
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			report := send(t, kind, handler)
+			assertEqual(t, map[Outcome]int{Completed: requests}, report.Outcomes)
+			assertEqual(t, int64(requests), report.Latency.Count)
+		})
+	}
+}
+
+// Each fault is one that a load has to notice; without the checks of answer.go these tests fail.
+func TestFaultyAnswers(t *testing.T) {
+	for name, fault := range map[string]struct {
+		kind Kind
+		from string
+		to   string
+		want Outcome
+	}{
+		"foreign nonce in a stream":     {Stream, engine.NoncePrefix, engine.NoncePrefix + "f", WrongAnswer},
+		"foreign nonce in an answer":    {Whole, engine.NoncePrefix, engine.NoncePrefix + "f", WrongAnswer},
+		"foreign nonce in a plain call": {Plain, engine.NoncePrefix, engine.NoncePrefix + "f", WrongAnswer},
+		"second nonce":                  {Whole, " word-2", " nonce-2", WrongAnswer},
+		"word lost from a stream":       {Stream, " word-2", "", CutAnswer},
+		"word doubled in a stream":      {Stream, " word-2", " word-2 word-2", CutAnswer},
+		"word lost from an answer":      {Whole, " word-3", "", CutAnswer},
+		"stream without an end":         {Stream, "data: [DONE]\n\n", "", CutAnswer},
+		"data after the end":            {Stream, "[DONE]\n\n", "[DONE]\n\ndata: {}\n\n", WrongAnswer},
+		"usage of another answer":       {Whole, `"completion_tokens":4`, `"completion_tokens":5`, CutAnswer},
+		"limit reported too early":      {Whole, `"finish_reason":"stop"`, `"finish_reason":"length"`, CutAnswer},
+		"no finish reason":              {Stream, `"finish_reason":"stop"`, `"finish_reason":null`, CutAnswer},
+		"malformed body":                {Plain, "}", "", CutAnswer},
+		"error within a stream":         {Stream, "data: [DONE]", `data: {"error":{"code":"endpoint_failed"}}`, Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			handler := newEngine()
+			if fault.kind == Plain {
+				handler = (&service.Service{}).Handler()
+			}
+			report := send(t, fault.kind, replace(handler, fault.from, fault.to))
+			assertEqual(t, map[Outcome]int{fault.want: requests}, report.Outcomes)
+		})
+	}
+}
+
+func TestRetries(t *testing.T) {
+	t.Run("connection broken off within a stream", func(t *testing.T) {
+		var keys sync.Map
+		sound := newEngine()
+		report := send(t, Stream, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, again := keys.LoadOrStore(r.Header.Get(runs.Header), true); !again {
+				_, _ = io.WriteString(w, "data: {}\n\n")
+				panic(http.ErrAbortHandler)
+			}
+			sound.ServeHTTP(w, r)
+		}))
+		assertEqual(t, map[Outcome]int{Completed: requests}, report.Outcomes)
+		assertEqual(t, map[string]int{"connection": requests}, report.Retries)
+	})
+	t.Run("busy with Retry-After", func(t *testing.T) {
+		report := send(t, Whole, refusing(http.StatusServiceUnavailable, "0"))
+		assertEqual(t, map[string]int{"overloaded": requests}, report.Refusals)
+		assertEqual(t, map[string]int{"overloaded": 2 * requests}, report.Retries)
+		assertEqual(t, true, report.Requests[0].IsNotRun())
+	})
+	t.Run("other refusals are final", func(t *testing.T) {
+		report := send(t, Whole, refusing(http.StatusBadGateway, "0"))
+		assertEqual(t, map[Outcome]int{Refused: requests}, report.Outcomes)
+		assertEqual(t, map[string]int{}, report.Retries)
+	})
+}
+
+func TestPlanIsRepeatable(t *testing.T) {
+	settings := newSettings(Stream, "http://127.0.0.1:1")
+	settings.Mix = map[Kind]int{Stream: 1, Whole: 1, Plain: 1, NonIdempotent: 1}
+	for index := range requests {
+		first, second := newJob(&settings, index), newJob(&settings, index)
+		assertEqual(t, []string{first.key, first.nonce, first.method, first.path, first.body},
+			[]string{second.key, second.nonce, second.method, second.path, second.body})
+	}
+}
+
+func newEngine() http.Handler {
+	e := &engine.Engine{Settings: engine.Settings{Models: []string{"brush"}, AnswerTokens: 4}}
+	return e.Handler()
+}
+
+func newSettings(kind Kind, target string) Settings {
+	return Settings{
+		Targets:     []string{target},
+		Teams:       []Team{{Name: "a", BearerKey: "k"}, {Name: "b", BearerKey: "l", Budget: "b"}},
+		Requests:    requests,
+		Duration:    time.Minute,
+		Concurrency: 4,
+		Seed:        1,
+		KeyPrefix:   "test",
+		Mix:         map[Kind]int{kind: 1},
+		Model:       "brush",
+		MaxTokens:   1000,
+		PromptWords: 4,
+		Attempts:    3,
+		Timeout:     10 * time.Second,
+	}
+}
+
+func send(t *testing.T, kind Kind, handler http.Handler) *Report {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	runner := &Runner{Settings: newSettings(kind, server.URL)}
+	report, err := runner.Do(t.Context())
+	if err != nil {
+		t.Fatalf("load: %v", err)
+	}
+	assertEqual(t, requests, len(report.Requests))
+	return report
+}
+
+// replace changes the body of every answer, as a faulty endpoint or router would.
+func replace(handler http.Handler, from, to string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		w.WriteHeader(recorder.Code)
+		_, _ = io.WriteString(w, strings.ReplaceAll(recorder.Body.String(), from, to))
+	})
+}
+
+func refusing(status int, retryAfter string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", retryAfter)
+		w.Header().Set("Dragonfly-Verdict", "NotRun")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, `{"error":{"code":"overloaded"}}`)
+	})
+}
+
+func assertEqual[T any](t *testing.T, want, got T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
