--- a/standin/check/promise.go
+++ b/standin/check/promise.go
@@ -125,14 +125,14 @@
 
 func wrongAnswer(_ *Evidence, r *load.Request) string {
 	if r.Outcome == load.WrongAnswer {
-		return r.Detail
+		return "the caller saw: " + r.Detail
 	}
 	return ""
 }
 
 func cutAnswer(_ *Evidence, r *load.Request) string {
 	if r.Outcome == load.CutAnswer {
-		return r.Detail
+		return "the caller saw: " + r.Detail
 	}
 	return ""
 }
--- /dev/null
+++ b/standin/check/promise_test.go
@@ -0,0 +1,147 @@
+package check
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/standin/load"
+)
+
+const (
+	team   = "studio-luzon"
+	budget = "portraits"
+	key    = "key-1"
+)
+
+func TestPromises(t *testing.T) {
+	var (
+		identifier = ledger.NewRequestIdentifier(team, key)
+		open       = &ledger.Open{Request: identifier, Attempt: 1, Budget: budget, Amount: 50}
+		bill       = &ledger.Bill{Request: identifier, Attempt: 1, Usage: 30}
+		ran        = map[string]int{key: 1}
+		completed  = load.Request{Outcome: load.Completed, Usage: 30, Attempts: []load.Attempt{{Status: 200, Verdict: "Ran"}}}
+		notRun     = load.Request{Outcome: load.Refused, Attempts: []load.Attempt{{Status: 429, Verdict: "NotRun"}}}
+		unknown    = load.Request{Outcome: load.Refused, Attempts: []load.Attempt{{}, {Status: 429, Verdict: "NotRun"}}}
+		billed     = []ledger.Record{open, bill}
+	)
+	for name, c := range map[string]struct {
+		request load.Request
+		records []ledger.Record
+		runs    map[string]int
+		broken  []string
+	}{
+		"kept":                       {completed, billed, ran, nil},
+		"never billed":               {completed, nil, ran, []string{"completed and never billed"}},
+		"open and never billed":      {completed, []ledger.Record{open}, ran, []string{"completed and never billed"}},
+		"settled":                    {completed, []ledger.Record{open, &ledger.Leave{}}, ran, nil},
+		"billed otherwise":           {with(completed, 31), billed, ran, []string{"billed other than the usage reported"}},
+		"never ran":                  {completed, billed, map[string]int{}, []string{"completed and never ran"}},
+		"runs not asked for":         {completed, billed, nil, nil},
+		"not run":                    {notRun, nil, nil, nil},
+		"not run but billed":         {notRun, billed, nil, []string{"billed although reported as not run"}},
+		"not run but ran":            {notRun, nil, ran, []string{"ran although reported as not run"}},
+		"an earlier attempt may run": {unknown, billed, ran, nil},
+		"ran twice":                  {of(load.NonIdempotent), nil, map[string]int{key: 2}, []string{"non-idempotent and ran twice"}},
+		"idempotent ran twice":       {of(load.Plain), nil, map[string]int{key: 2}, nil},
+		"wrong answer":               {ended(load.WrongAnswer), nil, nil, []string{"answer of another caller"}},
+		"cut answer":                 {ended(load.CutAnswer), nil, nil, []string{"answer cut"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.request.Key, c.request.Team = key, team
+			evidence := &Evidence{Ledgers: fold(t, c.records), Requests: []load.Request{c.request}, Runs: c.runs}
+			var broken []string
+			for _, promise := range evidence.Promises() {
+				if len(promise.Broken) > 0 {
+					broken = append(broken, promise.Name)
+				}
+			}
+			assertEqual(t, c.broken, broken)
+			assertTable(t, evidence, c.broken)
+		})
+	}
+}
+
+// The fold itself never overspends, so the check is shown a state that it can't reach by records.
+func TestOverspentIsSeen(t *testing.T) {
+	ledgers := fold(t, nil)
+	ledgers[0].overspent = []string{"portraits at offset 1 of partition 0"}
+	promises := (&Evidence{Ledgers: ledgers}).Promises()
+	assertEqual(t, Promise{Name: "spent or shared out more than prepaid", Broken: ledgers[0].overspent}, promises[0])
+}
+
+func TestBilledTwiceIsSeen(t *testing.T) {
+	ledgers := fold(t, nil)
+	for range 2 {
+		ledgers[0].charge(&ledger.Billed{Request: ledger.NewRequestIdentifier(team, key), Charged: 1})
+	}
+	evidence := &Evidence{Ledgers: ledgers, Requests: []load.Request{{Key: key, Team: team}}}
+	assertEqual(t, Promise{Name: "billed twice", Broken: []string{key + ": 2 bills"}}, evidence.Promises()[1])
+}
+
+func TestUnsettled(t *testing.T) {
+	open := &ledger.Open{Request: ledger.NewRequestIdentifier(team, key), Attempt: 1, Budget: budget, Amount: 50}
+	evidence := &Evidence{Ledgers: fold(t, []ledger.Record{open})}
+	assertEqual(t, 1, evidence.Unsettled())
+	evidence.Requests = []load.Request{{Key: key, Team: team, Outcome: load.Completed}}
+	assertEqual(t, 2, evidence.Unsettled())
+}
+
+func with(r load.Request, usage int) load.Request {
+	r.Usage = usage
+	return r
+}
+
+func of(kind load.Kind) load.Request { return load.Request{Kind: kind} }
+
+func ended(outcome load.Outcome) load.Request { return load.Request{Outcome: outcome} }
+
+// fold follows a log with a router, a budget of 100 tokens, a share of 80 and further records.
+func fold(t *testing.T, records []ledger.Record) Ledgers {
+	t.Helper()
+	log := &memory.Log{}
+	payload, err := ledger.Encode(ledger.Group{
+		Writer: ledger.Incarnation{Instance: "router-1", Number: 1},
+		First:  1,
+		Records: append([]ledger.Record{
+			&ledger.Join{},
+			&ledger.Prepaid{Budget: budget, Ticket: 1, Total: 100},
+			&ledger.Draw{Budget: budget, Wanted: 80, Minimum: 1},
+		}, records...),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(t.Context(), platform.LedgerStream(0), payload); err != nil {
+		t.Fatal(err)
+	}
+	ledgers := NewLedgers(1)
+	if err := ledgers.Follow(t.Context(), log); err != nil {
+		t.Fatal(err)
+	}
+	return ledgers
+}
+
+func assertTable(t *testing.T, evidence *Evidence, broken []string) {
+	t.Helper()
+	var table strings.Builder
+	if err := evidence.WriteTable(&table); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range broken {
+		if !strings.Contains(table.String(), name+": "+key) {
+			t.Errorf("%q has no example in\n%s", name, table.String())
+		}
+	}
+}
+
+func assertEqual[T any](t *testing.T, want, got T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
