--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 bench: ## prints the benchmarks of every module
 	go test -run '^$$' -bench . -benchmem ./fleet/... ./router/...
+
+demo: ## runs a whole site on 127.0.0.1 for about a minute and checks the fleet's promises
+	scripts/demo.sh
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,143 @@
+#!/usr/bin/env bash
+# Starts a whole site on 127.0.0.1, sends a load through it while a router is killed and the log has an
+# outage, and exits with the code of the check of the fleet's promises. Logs and reports go to demo-logs/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+platform=http://127.0.0.1:19000
+logs=demo-logs
+load_seconds=20
+grace_seconds=15
+lost_router=router-3
+regions=(luzon-a luzon-a visayas-a visayas-a mindanao-a mindanao-a)
+declare -A pids
+
+# start NAME COMMAND... runs a command in the background and remembers its process.
+start() {
+  local name=$1
+  shift
+  "$@" >"$logs/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# stop_all ends the processes that this script started, and no others.
+stop_all() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill "${pids[$name]}" 2>/dev/null || true
+  done
+  for name in "${!pids[@]}"; do
+    stop_at_last "${pids[$name]}"
+  done
+}
+
+# stop_at_last waits for a process and kills it if it outlives the grace time.
+stop_at_last() {
+  local tenths
+  for ((tenths = 0; tenths < grace_seconds * 10; tenths++)); do
+    kill -0 "$1" 2>/dev/null || return 0
+    sleep 0.1
+  done
+  echo "demo: process $1 outlived the grace time" >&2
+  kill -9 "$1" 2>/dev/null || true
+}
+
+# check_running fails if a process that was started has ended, such as one whose address was in use.
+check_running() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill -0 "${pids[$name]}" 2>/dev/null || fail "$name has ended"
+  done
+}
+
+# fail prints the ends of the logs and exits.
+fail() {
+  echo "demo: $1" >&2
+  tail -n 5 "$logs"/*.log >&2 || true
+  exit 1
+}
+
+start_surroundings() {
+  local i urls=("$platform/healthz")
+  start platform bin/standin platform --listen 127.0.0.1:19000
+  for i in 0 1 2 3 4 5; do
+    start "engine-$i" bin/standin engine --listen "127.0.0.1:1910$i" --name "engine-$i"
+    urls+=("http://127.0.0.1:1910$i/healthz")
+  done
+  for i in 0 1 2; do
+    start "service-$i" bin/standin service --listen "127.0.0.1:1920$i" --name "service-$i" --delay 5ms
+    urls+=("http://127.0.0.1:1920$i/healthz")
+  done
+  bin/standin wait --timeout 15s "${urls[@]}" || fail "a stand-in does not answer"
+  check_running
+}
+
+start_routers() {
+  local i region zone
+  for i in 1 2 3 4 5 6; do
+    region=${regions[i - 1]}
+    zone=$region-$((2 - i % 2))
+    bin/standin control "$platform/control/instances" --body \
+      "{\"Name\":\"router-$i\",\"Address\":\"127.0.0.1:1930$i\",\"Region\":\"$region\",\"AvailabilityZone\":\"$zone\"}"
+    start "router-$i" bin/router --listen "127.0.0.1:1930$i" --admin-listen "127.0.0.1:1940$i" \
+      --platform "$platform" --instance "router-$i" --region "$region" --availability-zone "$zone"
+  done
+}
+
+submit_tickets() {
+  local ticket
+  for ticket in examples/demo/*.yaml; do
+    bin/dragonflyctl ticket submit --platform "$platform" "$ticket" || fail "$ticket was not accepted"
+  done
+}
+
+wait_for_routers() {
+  bin/standin wait --timeout 30s http://127.0.0.1:1940{1,2,3,4,5,6}/readyz || fail "a router is not ready"
+  check_running
+}
+
+send_load() {
+  local targets=() i
+  for i in 1 2 3 4 5 6; do
+    targets+=(--target "http://127.0.0.1:1930$i")
+  done
+  start load bin/standin load "${targets[@]}" \
+    --key 'studio-luzon=demo-key-luzon;studio-cebu=demo-key-cebu' \
+    --requests 100000 --duration "${load_seconds}s" --rate 40 --concurrency 64 --report "$logs/load.json"
+  sleep 5
+  echo "demo: killing $lost_router"
+  kill -9 "${pids[$lost_router]}"
+  wait "${pids[$lost_router]}" 2>/dev/null || true
+  unset "pids[$lost_router]"
+  sleep 4
+  echo "demo: the log is down for 5 s"
+  bin/standin control "$platform/control/log/outage?For=5s"
+  wait "${pids[load]}" || echo "demo: the load met faults"
+  unset "pids[load]"
+  cat "$logs/load.log"
+}
+
+# check_promises waits for bills and for the settlement of the lost router.
+check_promises() {
+  local endpoints=() i code=0
+  for i in 0 1 2 3 4 5; do
+    endpoints+=(--engine "http://127.0.0.1:1910$i")
+  done
+  for i in 0 1 2; do
+    endpoints+=(--service "http://127.0.0.1:1920$i")
+  done
+  bin/standin check --platform "$platform" --report "$logs/load.json" "${endpoints[@]}" --wait 60s || code=$?
+  bin/dragonflyctl budget list --platform "$platform" || fail "budgets can't be listed"
+  return "$code"
+}
+
+rm -rf "$logs"
+mkdir -p "$logs"
+trap stop_all EXIT
+make build
+start_surroundings
+start_routers
+submit_tickets
+wait_for_routers
+send_load
+check_promises
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -49,6 +49,7 @@
 	router.Get("/control/runs", s.Runs.ServeHTTP)
 	router.Post("/control/silence", s.Faults.Silence)
 	router.Post("/control/close-reused", s.Faults.Close)
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.NotFound(s.run)
 	router.MethodNotAllowed(s.run)
 	return router
