--- /dev/null
+++ b/router/drain_test.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+)
+
+// testKey is the bearer key of the test's team.
+const testKey = "test-key"
+
+// site is a router in this process with a log in memory and an endpoint that answers when it is told to.
+type site struct {
+	stream   *memory.Log
+	endpoint *httptest.Server
+	entered  chan struct{}
+	answer   chan struct{}
+	signals  chan os.Signal
+	ended    chan error
+	callers  string
+}
+
+func startSite(t *testing.T, drainDelay time.Duration) *site {
+	t.Helper()
+	s := &site{
+		stream:  &memory.Log{},
+		entered: make(chan struct{}),
+		answer:  make(chan struct{}),
+		signals: make(chan os.Signal, signalBacklog),
+		ended:   make(chan error, 1),
+	}
+	s.endpoint = httptest.NewServer(s)
+	t.Cleanup(s.endpoint.Close)
+	s.submit(t)
+	settings := &Settings{
+		Listen: freeAddress(t), AdminListen: freeAddress(t), Platform: "http://127.0.0.1:1",
+		Instance: "r1", Region: "a", AvailabilityZone: "a-1",
+		FleetAppendsPerSecond: 1000, DrainDelay: drainDelay, DrainMaximum: time.Minute, LogLevel: "error",
+	}
+	container, err := build(settings, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = container.Decorate(func(platform.Log) platform.Log { return s.stream })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		s.ended <- container.Invoke(func(p program) error { return p.run(context.Background(), s.signals) })
+	}()
+	s.callers = "http://" + settings.Listen
+	eventually(t, func() bool { return s.status("http://"+settings.AdminListen+"/readyz") == http.StatusOK })
+	return s
+}
+
+// ServeHTTP lets the test hold a request back.
+func (s *site) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	s.entered <- struct{}{}
+	<-s.answer
+	_, _ = io.WriteString(w, "booked")
+}
+
+func (s *site) submit(t *testing.T) {
+	t.Helper()
+	ticket := fmt.Sprintf(`
+Number: 1
+Teams: [{Name: studio, KeyDigests: [%s]}]
+Budgets: [{Name: main, Team: studio, Prepaid: 1000}]
+Routes: [{Name: seats, Service: app, PathPrefix: /seats, NonIdempotent: true, Limits: {CallCost: 5}}]
+InstanceSets: [{Name: all, Endpoints: [{Name: app-1, Service: app, Kind: Plain, Address: "%s", AvailabilityZone: a-1, Region: a}]}]
+`, operator.KeyDigest(testKey), s.endpoint.Listener.Addr())
+	if _, err := s.stream.Append(context.Background(), platform.ConfigurationStream, []byte(ticket)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (s *site) status(url string) int {
+	r, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = r.Body.Close()
+	return r.StatusCode
+}
+
+// book sends a booking and returns the status and the body of its answer; an error's text as the body.
+func (s *site) book(key string) string {
+	r, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, s.callers+"/seats", nil)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Idempotency-Key", key)
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body)
+	return fmt.Sprint(response.StatusCode, " ", string(body))
+}
+
+// ledger folds what the log holds.
+func (s *site) ledger(t *testing.T) *ledger.State {
+	t.Helper()
+	entries, err := s.stream.Read(context.Background(), platform.LedgerStream(0), 0, 1_000_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := &ledger.State{}
+	for _, e := range entries {
+		state.Apply(e)
+	}
+	return state
+}
+
+func TestGracefulEnd(t *testing.T) {
+	s := startSite(t, time.Millisecond)
+	eventually(t, func() bool { _, found := s.ledger(t).Budget("main"); return found })
+	answer := make(chan string, 1)
+	go func() { answer <- s.book("running") }()
+	<-s.entered
+	s.signals <- syscall.SIGTERM
+	// A request without a key is answered 401 until new work is refused.
+	eventually(t, func() bool { return s.status(s.callers+"/seats") != http.StatusUnauthorized })
+	close(s.answer)
+	assertEqual(t, "200 booked", <-answer)
+	assertEqual(t, nil, <-s.ended)
+
+	state := s.ledger(t)
+	budget, _ := state.Budget("main")
+	assertEqual(t, 5, budget.Spent)
+	assertEqual(t, 0, budget.Shared)
+	assertEqual(t, 0, budget.OpenRequests)
+	assertEqual(t, 0, len(state.Incarnations()))
+}
+
+func TestSecondSignal(t *testing.T) {
+	s := startSite(t, time.Minute)
+	s.signals <- syscall.SIGTERM
+	s.signals <- syscall.SIGTERM
+	if err := <-s.ended; !errors.Is(err, errForced) {
+		t.Errorf("got %v, want %v", err, errForced)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(nil)
+	defer server.Close()
+	return server.Listener.Addr().String()
+}
+
+// eventually waits until a condition holds. It has no time limit of its own: the test's is the only one.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
