--- a/fleet/ledgerstream/attempt.go
+++ b/fleet/ledgerstream/attempt.go
@@ -155,12 +155,18 @@
 	return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.OutcomeUnknown, Cause: ctx.Err()}
 }
 
-// finish queues the record that closes the reservation, once.
+// finish queues the record that closes the reservation, once. A reservation that the ledger refused
+// after its acknowledgement has nothing to close.
 func (a *attempt) finish(record ledger.Record) {
 	if a.finished {
 		return
 	}
 	a.finished = true
+	if a.refusal != nil {
+		a.client.count(closeRefused, 1)
+		a.closeRelease()
+		return
+	}
 	a.client.addTo(a.outbox, outboxEntry{record: record, attempt: a})
 }
 
--- a/fleet/ledgerstream/cluster_test.go
+++ b/fleet/ledgerstream/cluster_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/binary"
+	"flag"
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,13 +40,26 @@
 	*Client
 	link *fakeLink
 	stop context.CancelFunc
+	// crashed clients answer no callers.
+	crashed atomic.Bool
 }
 
 func TestMain(m *testing.M) {
 	apex.SetHandler(discard.New())
+	flag.Parse()
+	fixFlag("rapid.seed", "1")
+	fixFlag("rapid.checks", "30")
 	os.Exit(m.Run())
 }
 
+// fixFlag sets a flag that the command line leaves at its default.
+func fixFlag(name, value string) {
+	f := flag.Lookup(name)
+	if f.Value.String() == f.DefValue {
+		_ = f.Value.Set(value)
+	}
+}
+
 // inBubble runs a test with n ready clients and a prepaid budget on the paused clock.
 func inBubble(t *testing.T, n int, prepaid ledger.Tokens, test func(c *cluster)) {
 	t.Helper()
--- a/fleet/ledgerstream/counters.go
+++ b/fleet/ledgerstream/counters.go
@@ -29,6 +29,7 @@
 	openRefused       = "ledger.open.refused"
 	openWithdrawn     = "ledger.open.withdrawn"
 	openAbandoned     = "ledger.open.abandoned"
+	closeRefused      = "ledger.close.refused"
 	releaseUnknown    = "ledger.release.unknown"
 	dispatchRefused   = "ledger.dispatch.refused"
 	reserveRefusedFor = "ledger.reserve.refused."
@@ -68,6 +69,7 @@
 		{openRefused, "reservations that the ledger refused"},
 		{openWithdrawn, "reservations that were withdrawn before they left the process"},
 		{openAbandoned, "reservations given up after they may have left the process"},
+		{closeRefused, "bills and releases of reservations that the ledger refused after their acknowledgement"},
 		{releaseUnknown, "releases that were not read back in time"},
 		{dispatchRefused, "dispatches refused because the lease had lapsed"},
 		{reserveRefusedFor + "REASON", "requests refused by Reserve, by the reason that the caller sees"},
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -112,7 +112,7 @@
 }
 
 // gapLimit is the longest time between two reads that counts as reading without a gap.
-func (s Settings) gapLimit() time.Duration { return s.LeaseMargin / 2 }
+func (s Settings) gapLimit() time.Duration { return s.Lease / 2 }
 
 // fenceTerms returns the silences after which others are fenced, with this router's jitter.
 func (s Settings) fenceTerms(jitter time.Duration) decision.FenceTerms {
