--- a/fleet/platform/memory/log.go
+++ b/fleet/platform/memory/log.go
@@ -25,6 +25,9 @@
 	mutex     sync.Mutex
 	retention Retention
 	streams   map[string]*stream
+	// interval lies between two appends; nextAppend is when the next one may take effect.
+	interval   time.Duration
+	nextAppend time.Time
 }
 
 // stream holds the kept entries; times runs parallel to entries.
@@ -41,11 +44,24 @@
 	l.retention = retention
 }
 
+// SetAppendRate bounds the appends of all streams together; those above the rate wait. Zero sets no bound.
+func (l *Log) SetAppendRate(perSecond int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.interval = 0
+	if perSecond > 0 {
+		l.interval = time.Second / time.Duration(perSecond)
+	}
+}
+
 // Append implements platform.Log.
 func (l *Log) Append(ctx context.Context, name string, payload []byte) (platform.Offset, error) {
 	if err := l.enter(ctx); err != nil {
 		return 0, fmt.Errorf("append to stream %s: %w", name, err)
 	}
+	if err := sleep(ctx, l.reserveAppend()); err != nil {
+		return 0, fmt.Errorf("append to stream %s: %w: %w", name, platform.ErrUnavailable, err)
+	}
 	offset := l.append(name, payload)
 	if l.losesAnswer() {
 		return 0, fmt.Errorf("append to stream %s: %w: answer lost", name, platform.ErrUnavailable)
@@ -53,6 +69,19 @@
 	return offset, nil
 }
 
+// reserveAppend takes the next place of the append rate and returns the time until then.
+func (l *Log) reserveAppend() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	if l.nextAppend.Before(now) {
+		l.nextAppend = now
+	}
+	wait := l.nextAppend.Sub(now)
+	l.nextAppend = l.nextAppend.Add(l.interval)
+	return wait
+}
+
 func (l *Log) append(name string, payload []byte) platform.Offset {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/fleet/platform/memory/memory_test.go
+++ b/fleet/platform/memory/memory_test.go
@@ -83,6 +83,15 @@
 			assertRead(t, log, 0, 9)
 		})
 	})
+	t.Run("append rate", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log := &Log{}
+			log.SetAppendRate(100)
+			began := time.Now()
+			appendAll(t, log, "a", "b", "c")
+			assertEqual(t, 20*time.Millisecond, time.Since(began))
+		})
+	})
 	t.Run("lost answers took effect", func(t *testing.T) {
 		log := &Log{}
 		log.LoseAnswers(1, 7)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,7 +59,7 @@
 
 start_surroundings() {
   local i urls=("$platform/healthz")
-  start platform bin/standin platform --listen 127.0.0.1:19000
+  start platform bin/standin platform --listen 127.0.0.1:19000 --append-rate 400 --delay 1ms
   for i in 0 1 2 3 4 5; do
     start "engine-$i" bin/standin engine --listen "127.0.0.1:1910$i" --name "engine-$i"
     urls+=("http://127.0.0.1:1910$i/healthz")
--- /dev/null
+++ b/standin/compare.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/standin/load"
+)
+
+// compareCommand holds the arguments of the verb compare.
+type compareCommand struct {
+	Base  string `arg:"" help:"Report that the other one is compared with."`
+	Other string `arg:"" help:"The other report."`
+}
+
+// Run prints two reports of loads side by side.
+func (c *compareCommand) Run(container *dig.Container) error {
+	return container.Invoke(func(stdout output) error {
+		base, err := load.ReadReport(c.Base)
+		if err != nil {
+			return err
+		}
+		other, err := load.ReadReport(c.Other)
+		if err != nil {
+			return err
+		}
+		return load.Comparison{Base: base, Other: other}.WriteTable(stdout)
+	})
+}
--- /dev/null
+++ b/standin/load/compare_test.go
@@ -0,0 +1,40 @@
+package load
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestComparison(t *testing.T) {
+	base := &Report{
+		Name:     "endpoint",
+		Seconds:  2,
+		Requests: make([]Request, 4),
+		Outcomes: map[Outcome]int{Completed: 4},
+		Latency:  Percentiles{Count: 4, P50: 2},
+	}
+	other := &Report{
+		Name:     "router",
+		Seconds:  1,
+		Requests: make([]Request, 4),
+		Outcomes: map[Outcome]int{Completed: 3, Refused: 1},
+		Latency:  Percentiles{Count: 3, P50: 3.5},
+	}
+	var table strings.Builder
+	if err := (Comparison{Base: base, Other: other}).WriteTable(&table); err != nil {
+		t.Fatal(err)
+	}
+	var rows []string
+	for line := range strings.Lines(table.String()) {
+		rows = append(rows, strings.Join(strings.Fields(line), " "))
+	}
+	assertEqual(t, []string{
+		"endpoint router difference",
+		"requests 4 4",
+		"requests per second 2.0 4.0",
+		"outcome Completed 4 3 -1",
+		"outcome Refused 0 1 +1",
+		"latency mean, ms 0.00 0.00 +0.00",
+		"latency p50, ms 2.00 3.50 +1.50",
+	}, rows[:7])
+}
--- a/standin/load/table.go
+++ b/standin/load/table.go
@@ -45,6 +45,9 @@
 }
 
 func percentiles(row func(...any), title string, p Percentiles) {
+	if p.Count == 0 {
+		return
+	}
 	row(title, p.Count, number(p.Mean), number(p.P50), number(p.P95), number(p.P99), number(p.Max))
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -17,6 +17,8 @@
 	Listen           string        `default:"127.0.0.1:19000" env:"STANDIN_LISTEN" help:"IP address and port to listen on."`
 	RetentionEntries int           `default:"0" env:"STANDIN_RETENTION_ENTRIES" help:"Entries that each stream keeps; 0 keeps all."`
 	RetentionAge     time.Duration `default:"0s" env:"STANDIN_RETENTION_AGE" help:"Time that an entry is kept; 0s keeps it for ever."`
+	AppendRate       int           `default:"0" env:"STANDIN_APPEND_RATE" help:"Appends per second; those above the rate wait; 0 sets no bound."`
+	Delay            time.Duration `default:"0s" env:"STANDIN_DELAY" help:"Time that every call of the log takes."`
 }
 
 // Run serves the platform until the process is told to stop.
@@ -24,6 +26,8 @@
 	return container.Invoke(func(ctx context.Context, logger *log.Logger) error {
 		service := &platform.Service{}
 		service.Log.Retain(memory.Retention{Entries: c.RetentionEntries, Age: c.RetentionAge})
+		service.Log.SetAppendRate(c.AppendRate)
+		service.Log.SetDelay(c.Delay)
 		server := serve.Server{Listen: c.Listen, Handler: service.Handler(), Logger: logger}
 		return server.Run(ctx)
 	})
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -11,8 +11,7 @@
 	"github.com/dragonflyworks/dragonflyworks/standin/serve"
 )
 
-// control registers the paths that switch faults. The instance list shares the log's outage and
-// delay only if asked by its own paths.
+// control registers the paths that switch faults. The log and the instance list have their own.
 func (s *Service) control(router chi.Router) {
 	router.Post("/log/outage", outage(&s.Log.Faults))
 	router.Post("/log/delay", delay(&s.Log.Faults))
@@ -21,6 +20,10 @@
 		retention := memory.Retention{Entries: q.Int("Entries"), Age: q.Duration("Age")}
 		return func() { s.Log.Retain(retention) }
 	}))
+	router.Post("/log/append-rate", serve.Control(func(q *serve.Query) func() {
+		perSecond := q.Int("PerSecond")
+		return func() { s.Log.SetAppendRate(perSecond) }
+	}))
 	router.Post("/instance-list/outage", outage(&s.Instances.Faults))
 	router.Post("/instance-list/delay", delay(&s.Instances.Faults))
 	router.Post("/instance-list/lag", serve.Control(func(q *serve.Query) func() {
