--- a/fleet/endpoint/choose.go
+++ b/fleet/endpoint/choose.go
@@ -117,7 +117,8 @@
 			if seen[t] <= k {
 				continue
 			}
-			if score := p.score(&candidates[i]); score < lowest {
+			score := p.score(&candidates[i])
+			if score < lowest || score == lowest && random.IntN(2) == 0 {
 				best, lowest = i, score
 			}
 		}
--- /dev/null
+++ b/fleet/endpoint/endpoint_test.go
@@ -0,0 +1,342 @@
+package endpoint
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
+
+func assertEqual[T any](t *testing.T, want, got T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
+
+// check fails a property whose condition does not hold.
+func check(t *rapid.T, holds bool, format string, values ...any) {
+	t.Helper()
+	if !holds {
+		t.Fatalf(format, values...)
+	}
+}
+
+func start() time.Time { return time.Unix(1_000_000, 0) }
+
+func TestDecide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := &RetryBudget{}
+		calls := rapid.IntRange(1, 60).Draw(t, "calls")
+		retries := 0
+		for range calls {
+			budget.Deposit()
+			f := Failure{
+				Idempotent: rapid.Bool().Draw(t, "idempotent"), Limit: rapid.IntRange(1, 5).Draw(t, "limit"),
+				Remaining: time.Minute, Reason: verdict.EndpointFailed, Verdict: verdict.NotRun,
+			}
+			for retried := true; retried; {
+				f.Attempts++
+				if f.Verdict == verdict.NotRun {
+					f.Verdict = rapid.SampledFrom([]verdict.Verdict{verdict.NotRun, verdict.MayHaveRun}).Draw(t, "verdict")
+				}
+				f.Started = rapid.IntRange(0, 9).Draw(t, "started") == 0
+				f.Final = rapid.IntRange(0, 9).Draw(t, "final") == 0
+				switch d := Decide(f, budget, rapid.Float64Range(0, 0.99).Draw(t, "random")).(type) {
+				case *Retry:
+					retries++
+					check(t, f.Verdict == verdict.NotRun || f.Idempotent, "a non-idempotent call goes on after MayHaveRun")
+					check(t, !f.Started && !f.Final && f.Attempts < f.Limit, "retry of %+v", f)
+					check(t, d.After > 0 && d.After <= longBackoff, "wait of %v", d.After)
+				case *GiveUp:
+					retried = false
+					check(t, d.Refusal.Verdict == f.Verdict && d.Refusal.RetryAfter > 0, "refusal %+v", d.Refusal)
+				}
+			}
+		}
+		check(t, float64(retries) <= DefaultRetryBurst+DefaultRetryShare*float64(calls), "%d retries of %d calls", retries, calls)
+	})
+}
+
+func drawCandidates(t *rapid.T) []Candidate {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Candidate {
+		return Candidate{
+			NameHash: rapid.Uint64().Draw(t, "name"), Tier: Tier(rapid.IntRange(0, 2).Draw(t, "tier")),
+			InFlight: rapid.IntRange(0, 20).Draw(t, "in flight"), Limit: rapid.IntRange(1, 20).Draw(t, "limit"),
+			Reported: rapid.IntRange(0, 30).Draw(t, "reported"), ReportedOwn: rapid.IntRange(0, 20).Draw(t, "own"),
+			Warmth: rapid.Float64Range(0.1, 1).Draw(t, "warmth"),
+		}
+	}), 0, 12).Draw(t, "candidates")
+}
+
+func TestChoose(t *testing.T) {
+	t.Run("room and bounded load", rapid.MakeCheck(func(t *rapid.T) {
+		candidates := drawCandidates(t)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		i, ok := Policy{}.Choose(candidates, rapid.Uint64Min(1).Draw(t, "prefix"), random)
+		room, total, warmth := false, 0, 0.0
+		for k := range candidates {
+			room = room || candidates[k].InFlight < candidates[k].limit()
+		}
+		check(t, ok == room, "chosen %v with room %v", ok, room)
+		if !ok {
+			return
+		}
+		chosen := &candidates[i]
+		check(t, chosen.InFlight < chosen.limit(), "no room at %+v", chosen)
+		for k := range candidates {
+			if inAffinitySet(&candidates[k], chosen.Tier == OtherRegion) {
+				total += candidates[k].Load()
+				warmth += candidates[k].warmth()
+			}
+		}
+		bound := max(DefaultAffinityBound*float64(total+1)*chosen.warmth()/warmth+1, DefaultAffinityFloor*float64(chosen.limit())+1)
+		check(t, float64(chosen.Load()) < bound, "load %d of bound %f", chosen.Load(), bound)
+	}))
+	t.Run("stays near until the near ones are fuller", func(t *testing.T) {
+		candidates := []Candidate{{Tier: OtherRegion}, {Tier: SameZone, InFlight: 30}}
+		assertChosen(t, candidates, 1)
+		candidates[1].InFlight = 60
+		assertChosen(t, candidates, 0)
+	})
+	t.Run("one prefix, one endpoint", func(t *testing.T) {
+		candidates := make([]Candidate, 9)
+		for i := range candidates {
+			candidates[i].NameHash = HashName(fmt.Sprint(i))
+		}
+		for prefix := range uint64(50) {
+			first, _ := Policy{}.chooseByPrefix(candidates, prefix+1)
+			candidates[first].InFlight = 5
+			again, _ := Policy{}.chooseByPrefix(candidates, prefix+1)
+			candidates[first].InFlight = 0
+			assertEqual(t, first, again)
+		}
+	})
+}
+
+func assertChosen(t *testing.T, candidates []Candidate, want int) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 2))
+	got, ok := Policy{}.Choose(candidates, 0, random)
+	assertEqual(t, true, ok)
+	assertEqual(t, want, got)
+}
+
+func TestHealth(t *testing.T) {
+	now := start()
+	failed := func(kind FailureKind) Observation { return &Failed{Kind: kind, Begun: now} }
+	observe := func(t *testing.T, h *Health, o Observation, want Action) {
+		t.Helper()
+		assertEqual(t, fmt.Sprintf("%T%+v", want, want), fmt.Sprintf("%T%+v", h.Observe(now, o), want))
+	}
+	t.Run("a lost connection blames nobody", func(t *testing.T) {
+		h := &Health{}
+		observe(t, h, failed(Silent), &Probe{})
+		assertEqual(t, false, h.Available())
+		observe(t, h, failed(Silent), nil)
+		observe(t, h, &Probed{Alive: true}, &Admit{})
+		assertEqual(t, true, h.Available())
+	})
+	t.Run("older attempts of the same incident don't count", func(t *testing.T) {
+		h := &Health{}
+		observe(t, h, failed(Silent), &Probe{})
+		observe(t, h, &Probed{Alive: true}, &Admit{})
+		assertEqual(t, Action(nil), h.Observe(now, &Failed{Kind: Silent, Begun: now.Add(-time.Second)}))
+	})
+	t.Run("dead endpoint", func(t *testing.T) {
+		h := &Health{}
+		observe(t, h, failed(Unreachable), &Probe{})
+		observe(t, h, &Probed{}, &Eject{Kind: Unreachable})
+		assertEqual(t, false, h.ProbeDue(now))
+		now = now.Add(firstEjection)
+		assertEqual(t, true, h.ProbeDue(now))
+		assertEqual(t, false, h.ProbeDue(now))
+		observe(t, h, &Probed{}, nil)
+		assertEqual(t, 2*firstEjection, h.NextProbe(now))
+		now = now.Add(2 * firstEjection)
+		observe(t, h, &Probed{Alive: true}, &Admit{Ejected: true})
+		assertEqual(t, coldWarmth, h.Warmth(now))
+		assertEqual(t, 1.0, h.Warmth(now.Add(slowStart)))
+	})
+	t.Run("answers probes and nothing else", func(t *testing.T) {
+		h := &Health{}
+		for range failureLimit - 1 {
+			observe(t, h, failed(Silent), &Probe{})
+			observe(t, h, &Probed{Alive: true}, &Admit{})
+		}
+		observe(t, h, failed(Silent), &Eject{Kind: Silent})
+	})
+}
+
+func TestLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &Limit{Most: rapid.IntRange(1, 100).Draw(t, "most")}
+		now := start()
+		for range rapid.IntRange(1, 100).Draw(t, "samples") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "step")) * time.Millisecond)
+			l.Observe(now, time.Duration(rapid.IntRange(1, 5000).Draw(t, "latency"))*time.Millisecond, l.Value())
+			check(t, l.Value() >= min(limitFloor, l.Most) && l.Value() <= l.Most, "limit %d of %d", l.Value(), l.Most)
+		}
+	})
+	t.Run("shrinks under latency and grows back", func(t *testing.T) {
+		l, now := &Limit{Most: 64}, start()
+		observe := func(latency time.Duration) {
+			now = now.Add(time.Second)
+			l.Observe(now, latency, l.Value())
+		}
+		observe(10 * time.Millisecond)
+		for range 20 {
+			observe(time.Second)
+		}
+		assertEqual(t, true, l.Value() < 16)
+		for range 5000 {
+			observe(10 * time.Millisecond)
+		}
+		assertEqual(t, 64, l.Value())
+	})
+}
+
+func TestQueue(t *testing.T) {
+	t.Run("fair among teams with something to send", rapid.MakeCheck(func(t *rapid.T) {
+		q := &Queue[int]{Length: 1000}
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 4).Draw(t, "weights")
+		push := func(team int) {
+			_, _, reason := q.Push(start(), Waiter{Team: fmt.Sprint(team), Weight: weights[team]}, team)
+			check(t, reason == "", "refused for %s", reason)
+		}
+		for team := range weights {
+			for range rapid.IntRange(1, 20).Draw(t, "backlog") {
+				push(team)
+			}
+		}
+		served := make([]float64, len(weights))
+		for range rapid.IntRange(1, 200).Draw(t, "departures") {
+			entry, _ := q.Pop(start())
+			served[entry.Value] += 1 / float64(weights[entry.Value])
+			push(entry.Value)
+			for a := range weights {
+				for b := range weights {
+					bound := 1/float64(weights[a]) + 1/float64(weights[b]) + 1e-9
+					check(t, served[a]-served[b] <= bound, "service %v with weights %v", served, weights)
+				}
+			}
+		}
+	}))
+	t.Run("length", rapid.MakeCheck(func(t *rapid.T) {
+		q := &Queue[int]{Length: rapid.IntRange(1, 5).Draw(t, "length")}
+		var waiting []*Entry[int]
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				_, _ = q.Pop(start())
+			case 1:
+				if len(waiting) > 0 {
+					entry := rapid.SampledFrom(waiting).Draw(t, "entry")
+					queued := entry.queued
+					check(t, queued == q.Remove(entry), "removal of %+v", entry)
+				}
+			default:
+				entry, dropped, reason := q.Push(start(), Waiter{Team: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "team"))}, i)
+				check(t, (entry == nil) == (reason != ""), "reason %q", reason)
+				check(t, dropped == nil || !dropped.queued, "dropped %+v", dropped)
+				if entry != nil {
+					waiting = append(waiting, entry)
+				}
+			}
+			count := 0
+			for _, entry := range waiting {
+				if entry.queued {
+					count++
+				}
+			}
+			check(t, count == q.Len() && count <= q.Length, "%d waiting, %d counted", count, q.Len())
+		}
+	}))
+	t.Run("a full queue drops the newest of the longest team", func(t *testing.T) {
+		q := &Queue[string]{Length: 2}
+		_, _, _ = q.Push(start(), Waiter{Team: "a"}, "a1")
+		second, _, _ := q.Push(start(), Waiter{Team: "a"}, "a2")
+		_, dropped, _ := q.Push(start(), Waiter{Team: "b"}, "b1")
+		assertEqual(t, second.Value, dropped.Value)
+		_, _, reason := q.Push(start(), Waiter{Team: "a"}, "a3")
+		assertEqual(t, verdict.Overloaded, reason)
+	})
+	t.Run("deadlines", func(t *testing.T) {
+		q, now := &Queue[int]{}, start()
+		for i := range 200 {
+			_, _, _ = q.Push(now, Waiter{}, i)
+		}
+		for range 100 {
+			now = now.Add(time.Second)
+			_, _ = q.Pop(now)
+		}
+		_, _, reason := q.Push(now, Waiter{Deadline: now.Add(time.Second)}, 0)
+		assertEqual(t, verdict.DeadlineTooShort, reason)
+		late := &Queue[int]{}
+		_, _, _ = late.Push(now, Waiter{Deadline: now.Add(time.Second)}, 0)
+		_, ok := late.Pop(now.Add(2 * time.Second))
+		assertEqual(t, false, ok)
+	})
+}
+
+func TestQuarantine(t *testing.T) {
+	const poison, innocent = ledger.Fingerprint(1), ledger.Fingerprint(2)
+	q, now := &Quarantine{}, start()
+	assertEqual(t, 0, len(q.Crash(now, []ledger.Fingerprint{poison, innocent, poison})))
+	assertEqual(t, true, q.Suspect(now, innocent))
+	q.Complete(innocent)
+	assertEqual(t, []ledger.Fingerprint{poison}, q.Crash(now, []ledger.Fingerprint{innocent, poison}))
+	assertEqual(t, quarantineTime, q.Held(now, poison))
+	assertEqual(t, 0, q.Held(now, innocent))
+	assertEqual(t, 0, q.Held(now.Add(quarantineTime), poison))
+}
+
+func TestMembership(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &Membership{}
+		endpoints := []operator.Endpoint{{Name: "a", Address: "1"}, {Name: "b", Address: "2"}, {Name: "c", Address: "3"}}
+		newest := make(map[string]platform.InstanceState)
+		for range rapid.IntRange(1, 20).Draw(t, "lists") {
+			listing := platform.Listing{Version: rapid.Uint64Range(0, 30).Draw(t, "version")}
+			for _, e := range endpoints {
+				state := rapid.SampledFrom([]platform.InstanceState{"", platform.Live, platform.Leaving}).Draw(t, "state")
+				if state != "" {
+					listing.Instances = append(listing.Instances, platform.Instance{Name: e.Name, Address: e.Address, State: state})
+				}
+			}
+			counts := len(listing.Instances) > 0 && listing.Version >= m.Version
+			check(t, m.Merge(listing) == counts, "list %+v", listing)
+			for _, instance := range listing.Instances {
+				if counts {
+					newest[instance.Name] = instance.State
+				}
+			}
+			for _, e := range endpoints {
+				check(t, m.Leaving(e) == (newest[e.Name] == platform.Leaving), "endpoint %s, states %v", e.Name, newest)
+			}
+		}
+	})
+	t.Run("by address", func(t *testing.T) {
+		m := &Membership{}
+		m.Merge(platform.Listing{Instances: []platform.Instance{{Name: "i-1", Address: "1", State: platform.Leaving}}})
+		assertEqual(t, 1, len(m.Members([]operator.Endpoint{{Name: "a", Address: "1"}, {Name: "b", Address: "2"}})))
+	})
+}
--- a/fleet/endpoint/limit.go
+++ b/fleet/endpoint/limit.go
@@ -7,7 +7,9 @@
 	// limitFloor is the lowest limit, so that an endpoint is still measured.
 	limitFloor = 2.0
 	// latencyTolerance is the latency, as a multiple of the baseline, from which on the limit shrinks.
+	// latencySlack is added to it, so that the noise of very short latencies counts for nothing.
 	latencyTolerance = 3.0
+	latencySlack     = 20 * time.Millisecond
 	// limitDecrease is the factor by which it shrinks, at most once a decreaseInterval.
 	limitDecrease    = 0.9
 	decreaseInterval = 100 * time.Millisecond
@@ -49,7 +51,7 @@
 	l.sample(latency)
 	value := l.value()
 	switch {
-	case float64(latency) > latencyTolerance*float64(l.baseline):
+	case float64(latency-latencySlack) > latencyTolerance*float64(l.baseline):
 		if now.Sub(l.decreased) < decreaseInterval {
 			return
 		}
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -77,6 +77,7 @@
 	switch {
 	case refusedUnrun(response):
 		_, _ = x.gate.seal()
+		_, _ = io.CopyN(io.Discard, response.Body, drainBytes)
 		return outcome{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
 			retryAfter: retryAfter(response.Header),
--- /dev/null
+++ b/router/endpoint/peer_test.go
@@ -0,0 +1,261 @@
+package endpoint
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// eventually waits for something that happens in another goroutine.
+func eventually(t *testing.T, what string, happened func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if happened() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%s did not happen", what)
+}
+
+// assertReason performs a call and compares the reason of its refusal.
+func assertReason(t *testing.T, f *fixture, call *Call, want verdict.Reason) {
+	t.Helper()
+	assertEqual(t, want, perform(t, f, t.Context(), call).Reason)
+}
+
+// forwarder is something between the router and an endpoint that can forget its connections.
+type forwarder struct {
+	listener net.Listener
+	target   string
+	// forgotten connections stay open and carry nothing any more.
+	generation atomic.Int64
+}
+
+func newForwarder(t *testing.T, target string) *forwarder {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	f := &forwarder{listener: listener, target: target}
+	go f.run()
+	return f
+}
+
+func (f *forwarder) run() {
+	for {
+		near, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", f.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		generation := f.generation.Load()
+		go f.loop(near, far, generation)
+		go f.loop(far, near, generation)
+	}
+}
+
+func (f *forwarder) loop(to, from net.Conn, generation int64) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		known := generation == f.generation.Load()
+		switch {
+		case err == nil && known:
+			_, _ = to.Write(buffer[:n])
+		case err != nil && known:
+			_ = to.Close()
+			return
+		case err != nil:
+			return
+		}
+	}
+}
+
+func TestSilentConnection(t *testing.T) {
+	server := httptest.NewServer(alive(sends(delta("a"), doneEvent)))
+	defer server.Close()
+	between := newForwarder(t, server.Listener.Addr().String())
+	f := newFixture(t)
+	f.add(between.listener.Addr().String())
+	assertReason(t, f, streamCall(), "")
+	between.generation.Add(1)
+	call := streamCall()
+	call.Route.Limits.HeaderTimeout = 50 * time.Millisecond
+	assertReason(t, f, call, "")
+	assertEqual(t, 1, f.counter("retry.endpoint_silent"))
+	assertEqual(t, 1, f.counter("endpoint.cleared"))
+	assertEqual(t, 0, f.counter("endpoint.ejected.silent"))
+}
+
+func TestEjection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	f := newFixture(t)
+	f.add(address)
+	assertReason(t, f, plainCall(), verdict.NoEndpoint)
+	assertEqual(t, 1, f.counter("endpoint.ejected.unreachable"))
+
+	// The dispatcher's own loop probes the endpoint back in.
+	go func() { _ = f.Run(t.Context()) }()
+	listener, err = net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(alive(func(http.ResponseWriter, *http.Request) {}))
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	defer server.Close()
+	eventually(t, "admission", func() bool { return f.counter("endpoint.admitted") == 1 })
+	assertReason(t, f, plainCall(), "")
+}
+
+func TestLeaving(t *testing.T) {
+	var leaving, staying atomic.Int64
+	f := newFixture(t,
+		func(http.ResponseWriter, *http.Request) { leaving.Add(1) },
+		func(http.ResponseWriter, *http.Request) { staying.Add(1) })
+	list := func(version uint64, states ...platform.InstanceState) {
+		listing := &platform.Listing{Version: version}
+		for i, state := range states {
+			listing.Instances = append(listing.Instances, platform.Instance{Name: f.set.Endpoints[i].Name, State: state})
+		}
+		f.board.Listing.Store(listing)
+		leaving.Store(0)
+		staying.Store(0)
+		for range 30 {
+			assertReason(t, f, plainCall(), "")
+		}
+		assertEqual(t, 30, leaving.Load()+staying.Load())
+	}
+	list(1, platform.Live, platform.Live)
+	assertEqual(t, true, leaving.Load() > 0 && staying.Load() > 0)
+	list(2, platform.Leaving, platform.Live)
+	assertEqual(t, 0, leaving.Load())
+	list(1, platform.Live, platform.Live)
+	assertEqual(t, 0, leaving.Load())
+	list(3)
+	assertEqual(t, 0, leaving.Load())
+	assertEqual(t, 2, f.counter("listing.ignored"))
+}
+
+func TestQuarantine(t *testing.T) {
+	var crashes atomic.Int64
+	servers := make([]*httptest.Server, 3)
+	f := newFixture(t)
+	for i := range servers {
+		servers[i] = httptest.NewServer(alive(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			if string(body) == "poison" {
+				crashes.Add(1)
+				_ = servers[i].Listener.Close()
+				servers[i].CloseClientConnections()
+				panic(http.ErrAbortHandler)
+			}
+			sends(delta("a"), doneEvent)(w, r)
+		}))
+		defer servers[i].Close()
+		f.add(servers[i].Listener.Addr().String())
+	}
+	poison, innocent := streamCall(), streamCall()
+	poison.Body, poison.Fingerprint = []byte("poison"), ledger.Fingerprint(1)
+	innocent.Fingerprint = ledger.Fingerprint(2)
+	for range 4 {
+		_ = perform(t, f, t.Context(), poison)
+		assertReason(t, f, innocent, "")
+	}
+	assertReason(t, f, poison, verdict.Quarantined)
+	assertEqual(t, 2, crashes.Load())
+	assertEqual(t, 1, f.counter("quarantine.caught"))
+}
+
+func TestQueue(t *testing.T) {
+	begun, end := make(chan struct{}, 1), make(chan struct{})
+	f := newFixture(t, func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-end
+	})
+	f.set.Endpoints[0].Concurrency = 1
+	f.board.Configuration.Store(&operator.Configuration{InstanceSets: map[string]operator.InstanceSet{"engines": f.set}})
+	f.settings.QueueLength = 1
+	reasons := make(chan verdict.Reason, 2)
+	for range 2 {
+		go func() { reasons <- perform(t, f, t.Context(), plainCall()).Reason }()
+	}
+	<-begun
+	eventually(t, "waiting", func() bool { return f.counter("queue.waited") == 1 })
+	assertReason(t, f, plainCall(), verdict.Overloaded)
+	end <- struct{}{}
+	<-begun
+	end <- struct{}{}
+	assertEqual(t, "", <-reasons)
+	assertEqual(t, "", <-reasons)
+}
+
+func TestFallback(t *testing.T) {
+	var got string
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got = string(body)
+		sends(delta("a"), doneEvent)(w, r)
+	})
+	configuration := *f.board.Configuration.Load()
+	configuration.Routes = map[string]operator.Route{"small": {Name: "small", Service: testService, Model: "small"}}
+	f.board.Configuration.Store(&configuration)
+	call := streamCall()
+	call.Route.Service, call.Route.Model, call.Body = "other-llm", "large", []byte(`{"model":"large"}`)
+	assertReason(t, f, call, verdict.NoEndpoint)
+	call.Route.Fallbacks = []string{"unknown", "small"}
+	assertReason(t, f, call, "")
+	assertEqual(t, `{"model":"small"}`, got)
+}
+
+func TestSlowReader(t *testing.T) {
+	cancelled := make(chan struct{})
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		text := delta(strings.Repeat("x", 64<<10))
+		for r.Context().Err() == nil {
+			sends(text)(w, r)
+		}
+		close(cancelled)
+	})
+	f.settings.WriteTimeout = 50 * time.Millisecond
+	ended := make(chan error, 1)
+	router := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call := streamCall()
+		call.Model.MaxTokens = 1 << 40
+		_, err := f.Do(r.Context(), call, w)
+		ended <- err
+	}))
+	defer router.Close()
+	connection, err := net.Dial("tcp", router.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: router\r\nContent-Length: 0\r\n\r\n")
+	assertEqual(t, verdict.MayHaveRun, verdict.Of(<-ended))
+	<-cancelled
+}
--- a/router/endpoint/stream.go
+++ b/router/endpoint/stream.go
@@ -17,6 +17,12 @@
 // eventStreamType is the media type of server-sent events.
 const eventStreamType = "text/event-stream"
 
+// Bounds of what is read behind the last event of a stream.
+const (
+	drainTimeout = 50 * time.Millisecond
+	drainBytes   = 4 << 10
+)
+
 // errNoEnd is the cause of an event stream that ends without [DONE].
 var errNoEnd = errors.New("event stream ended without [DONE]")
 
@@ -63,7 +69,9 @@
 		s.dispatcher.noteFirstByte(s.peer, s.call, time.Since(s.begun))
 	}
 	if bytes.Equal(e.data, []byte("[DONE]")) {
-		return s.finish(e.raw)
+		out, done := s.finish(e.raw)
+		s.drain()
+		return out, done
 	}
 	var c chunk
 	if err := json.Unmarshal(e.data, &c); err != nil {
@@ -105,6 +113,12 @@
 	return outcome{verdict: verdict.Ran, usage: s.usage()}, true
 }
 
+// drain reads the end of the answer behind the last event: only then the connection can be used again.
+func (s *stream) drain() {
+	s.watch.reset(drainTimeout)
+	_, _ = io.CopyN(io.Discard, s.reader.source, drainBytes)
+}
+
 // cut ends an answer at its limit. The engine's request is cancelled when the attempt returns.
 func (s *stream) cut(c chunk) (outcome, bool) {
 	s.dispatcher.board.Count(answerCut)
