--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -70,6 +70,8 @@
 	Region           string
 	// Version is the program's version, for the operators.
 	Version string
+	// PeerAddress is where other routers reach this one, IP:port; empty if it takes no copies.
+	PeerAddress string
 }
 
 // Heartbeat renews the lease of an idle incarnation.
--- a/fleet/ledger/record_gen.go
+++ b/fleet/ledger/record_gen.go
@@ -316,13 +316,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Join) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Join) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.AvailabilityZone)
 	o = msgp.AppendString(o, z.Region)
 	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendString(o, z.PeerAddress)
 	return
 }
 
@@ -334,8 +335,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.AvailabilityZone, bts, err = msgp.ReadStringBytes(bts)
@@ -353,13 +354,18 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Join) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.AvailabilityZone) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.Version)
+func (z *Join) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.AvailabilityZone) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.Version) + msgp.StringPrefixSize + len(z.PeerAddress)
 	return
 }
 
--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -168,6 +168,7 @@
 	row := memberRow{
 		Instance: m.incarnation.Instance, Number: m.incarnation.Number, Suspended: m.status == suspended,
 		AvailabilityZone: m.join.AvailabilityZone, Region: m.join.Region, Version: m.join.Version,
+		PeerAddress:         m.join.PeerAddress,
 		ConfigurationOffset: uint64(m.heartbeat.ConfigurationOffset),
 		ConfigurationNumber: m.heartbeat.ConfigurationNumber,
 		LastSeen:            uint64(m.lastSeen), Applied: m.applied,
--- a/fleet/ledger/snapshot_load.go
+++ b/fleet/ledger/snapshot_load.go
@@ -126,7 +126,9 @@
 	r.row(&row)
 	m := &member{
 		incarnation: Incarnation{Instance: row.Instance, Number: row.Number},
-		join:        Join{AvailabilityZone: row.AvailabilityZone, Region: row.Region, Version: row.Version},
+		join: Join{
+			AvailabilityZone: row.AvailabilityZone, Region: row.Region, Version: row.Version, PeerAddress: row.PeerAddress,
+		},
 		heartbeat: Heartbeat{
 			ConfigurationOffset: platform.Offset(row.ConfigurationOffset),
 			ConfigurationNumber: row.ConfigurationNumber,
--- a/fleet/ledger/snapshot_row.go
+++ b/fleet/ledger/snapshot_row.go
@@ -48,6 +48,7 @@
 	AvailabilityZone    string
 	Region              string
 	Version             string
+	PeerAddress         string
 	ConfigurationOffset uint64
 	ConfigurationNumber uint64
 	LastSeen            uint64
--- a/fleet/ledger/snapshot_row_gen.go
+++ b/fleet/ledger/snapshot_row_gen.go
@@ -171,14 +171,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *memberRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 12
-	o = append(o, 0x9c)
+	// array header, size 13
+	o = append(o, 0x9d)
 	o = msgp.AppendString(o, z.Instance)
 	o = msgp.AppendUint64(o, z.Number)
 	o = msgp.AppendBool(o, z.Suspended)
 	o = msgp.AppendString(o, z.AvailabilityZone)
 	o = msgp.AppendString(o, z.Region)
 	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendString(o, z.PeerAddress)
 	o = msgp.AppendUint64(o, z.ConfigurationOffset)
 	o = msgp.AppendUint64(o, z.ConfigurationNumber)
 	o = msgp.AppendUint64(o, z.LastSeen)
@@ -199,8 +200,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.Instance, bts, err = msgp.ReadStringBytes(bts)
@@ -233,6 +234,11 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
+	z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
 	z.ConfigurationOffset, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "ConfigurationOffset")
@@ -281,7 +287,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *memberRow) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Instance) + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.AvailabilityZone) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.Version) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (16 * (msgp.Uint64Size))
+	s = 1 + msgp.StringPrefixSize + len(z.Instance) + msgp.Uint64Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.AvailabilityZone) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.Version) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (16 * (msgp.Uint64Size))
 	return
 }
 
--- a/fleet/ledger/validate.go
+++ b/fleet/ledger/validate.go
@@ -49,7 +49,7 @@
 func validateRecord(record Record) error {
 	switch r := record.(type) {
 	case *Join:
-		return validateNames(r.AvailabilityZone, r.Region, r.Version)
+		return validateNames(r.AvailabilityZone, r.Region, r.Version, r.PeerAddress)
 	case *Prepaid:
 		return errors.Join(validateNames(r.Budget), validateAmounts(r.Total, r.Reserve.Share))
 	case *Draw:
--- a/fleet/ledgerstream/membership.go
+++ b/fleet/ledgerstream/membership.go
@@ -80,6 +80,7 @@
 		AvailabilityZone: c.settings.AvailabilityZone,
 		Region:           c.settings.Region,
 		Version:          c.settings.Version,
+		PeerAddress:      c.settings.PeerAddress,
 	})
 }
 
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -40,7 +40,9 @@
 	AvailabilityZone string
 	Region           string
 	Version          string
-	Partition        int
+	// PeerAddress is where other routers hand over copies of their groups; empty takes none.
+	PeerAddress string
+	Partition   int
 	// Lease is how long an incarnation may spend after its newest record; LeaseMargin is what other
 	// routers wait beyond it and what the holder keeps free before its end.
 	Lease       time.Duration
