--- /dev/null
+++ b/fleet/peer/counters.go
@@ -0,0 +1,37 @@
+package peer
+
+import "github.com/rcrowley/go-metrics"
+
+// Names of the counters.
+const (
+	copiesSent          = "peer.copy.sent"
+	copiesFailed        = "peer.copy.failed"
+	copiesAccepted      = "peer.copy.accepted"
+	requestsRefused     = "peer.request.refused"
+	connectionsRefused  = "peer.connection.refused"
+	dialsFailed         = "peer.dial.failed"
+	configurationFailed = "peer.configuration.failed"
+)
+
+// Description says what a counter counts.
+type Description struct {
+	Name    string
+	Meaning string
+}
+
+// Counters lists the counters of the package.
+func Counters() []Description {
+	return []Description{
+		{copiesSent, "Copies of groups that another router has taken over."},
+		{copiesFailed, "Copies of groups that a router did not take over."},
+		{copiesAccepted, "Copies of groups that this router took over from others."},
+		{requestsRefused, "Requests of other routers that were malformed, foreign or beyond the queue's bound."},
+		{connectionsRefused, "Connections of other routers beyond the bound or without an instance's name."},
+		{dialsFailed, "Connections to other routers that could not be opened."},
+		{configurationFailed, "Requests for configuration that no router answered."},
+	}
+}
+
+func (n *Node) count(name string) {
+	metrics.GetOrRegisterCounter(name, n.counters).Inc(1)
+}
--- /dev/null
+++ b/fleet/peer/credentials.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+)
+
+// protocol is the name that both ends have to agree on.
+const protocol = "dragonfly-peer/1"
+
+// ErrNoName reports a certificate without the name of an instance.
+var ErrNoName = errors.New("certificate names no instance")
+
+// Credentials are the files with this instance's certificate, its key and the site's authority, all in
+// PEM. They are read anew for each handshake, so that a rotation needs no restart.
+type Credentials struct {
+	CertificateFile string
+	KeyFile         string
+	AuthorityFile   string
+}
+
+// Check reads the files once, so that a mistake shows at the start. It returns the instance's name.
+func (c Credentials) Check() (string, error) {
+	pair, err := c.certificate()
+	if err != nil {
+		return "", err
+	}
+	if _, err := c.authority(); err != nil {
+		return "", err
+	}
+	return nameOf(pair.Leaf)
+}
+
+func (c Credentials) certificate() (*tls.Certificate, error) {
+	pair, err := tls.LoadX509KeyPair(c.CertificateFile, c.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("reading the certificate: %w", err)
+	}
+	return &pair, nil
+}
+
+func (c Credentials) authority() (*x509.CertPool, error) {
+	data, err := os.ReadFile(c.AuthorityFile)
+	if err != nil {
+		return nil, fmt.Errorf("reading the authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("reading the authority: %s holds no certificate", c.AuthorityFile)
+	}
+	return pool, nil
+}
+
+// nameOf returns the instance that a certificate was issued to: its first DNS name.
+func nameOf(certificate *x509.Certificate) (string, error) {
+	if certificate == nil || len(certificate.DNSNames) == 0 {
+		return "", ErrNoName
+	}
+	return certificate.DNSNames[0], nil
+}
+
+// serverConfig requires a certificate of the site's authority from each router that connects.
+func (c Credentials) serverConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, err := c.certificate()
+			if err != nil {
+				return nil, err
+			}
+			pool, err := c.authority()
+			if err != nil {
+				return nil, err
+			}
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{protocol},
+				Certificates: []tls.Certificate{*pair},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    pool,
+				// A resumed session would keep a certificate beyond its rotation.
+				SessionTicketsDisabled: true,
+			}, nil
+		},
+	}
+}
+
+// clientConfig checks that the other end shows a certificate that was issued to the given instance.
+func (c Credentials) clientConfig(instance string) (*tls.Config, error) {
+	pair, err := c.certificate()
+	if err != nil {
+		return nil, err
+	}
+	pool, err := c.authority()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
+		ServerName:   instance,
+		RootCAs:      pool,
+		Certificates: []tls.Certificate{*pair},
+	}, nil
+}
--- /dev/null
+++ b/fleet/peer/message.go
@@ -0,0 +1,104 @@
+// Package peer speaks to the other routers of the fleet: it hands over copies of groups that can't
+// reach the log, and brings configuration to a router that the log can't reach.
+//
+// Each message is one QUIC stream: the sender writes a request and closes its side, the receiver
+// answers and closes the other. Both ends show a certificate of the site's own authority.
+package peer
+
+import (
+	"errors"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
+
+//msgp:tuple request answer entry
+//msgp:ignore Copy
+//msgp:limit arrays:4096 maps:0
+
+// Bounds of a message; longer ones are refused.
+const (
+	// MaxRequestBytes bounds a request: a group of the ledger and its frame.
+	MaxRequestBytes = 1<<20 + 4096
+	// MaxAnswerBytes bounds an answer: the tickets that a router lacks.
+	MaxAnswerBytes = 4 << 20
+)
+
+// Copy is a group of the ledger on its way to the log.
+type Copy struct {
+	// Partition of the ledger.
+	Partition int
+	// Payload is the encoded group, exactly as its writer appends it.
+	Payload []byte
+}
+
+// messageKind tells the kinds of requests apart.
+type messageKind uint8
+
+const (
+	copyMessage messageKind = iota + 1
+	configurationMessage
+)
+
+// request is what a router asks of another; the fields in use depend on the kind.
+type request struct {
+	Kind      messageKind
+	Partition int
+	Payload   []byte
+	// Next is the first offset of the configuration stream that the sender lacks.
+	Next uint64
+}
+
+// answer is what a router answers; an empty Refusal means that the request was accepted.
+type answer struct {
+	Refusal string
+	Entries []entry
+}
+
+// entry is an entry of the configuration stream.
+type entry struct {
+	Offset  uint64
+	Payload []byte
+}
+
+// The reasons for which a peer refuses a request.
+var (
+	// ErrQueueFull reports that the peer holds as many copies as it can.
+	ErrQueueFull = errors.New("peer holds as many copies as it can")
+	// ErrForeignWriter reports a copy of a group that the sending instance did not write.
+	ErrForeignWriter = errors.New("group was written by another instance")
+	// ErrMalformed reports a message that can't be read.
+	ErrMalformed = errors.New("message can't be read")
+	// ErrRefused reports a refusal for a reason that this version doesn't know.
+	ErrRefused = errors.New("peer refused the request")
+)
+
+// refusals maps the reasons to what stands in an answer.
+func refusals() []error { return []error{ErrQueueFull, ErrForeignWriter, ErrMalformed} }
+
+// refusalError returns the error that an answer's refusal stands for.
+func refusalError(text string) error {
+	for _, err := range refusals() {
+		if err.Error() == text {
+			return err
+		}
+	}
+	return ErrRefused
+}
+
+func newEntries(entries []platform.Entry) []entry {
+	list := make([]entry, len(entries))
+	for i, e := range entries {
+		list[i] = entry{Offset: uint64(e.Offset), Payload: e.Payload}
+	}
+	return list
+}
+
+func platformEntries(list []entry) []platform.Entry {
+	entries := make([]platform.Entry, len(list))
+	for i, e := range list {
+		entries[i] = platform.Entry{Offset: platform.Offset(e.Offset), Payload: e.Payload}
+	}
+	return entries
+}
--- /dev/null
+++ b/fleet/peer/send.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// SendCopy hands a copy to another router. It returns nil once that router has taken it over.
+func (n *Node) SendCopy(ctx context.Context, to Address, c Copy) error {
+	_, err := n.ask(ctx, to, request{Kind: copyMessage, Partition: c.Partition, Payload: c.Payload})
+	if err != nil {
+		n.count(copiesFailed)
+		return fmt.Errorf("handing a copy to %s: %w", to.Instance, err)
+	}
+	n.count(copiesSent)
+	return nil
+}
+
+// FetchConfiguration returns the entries of the configuration stream from an offset on that another router knows.
+func (n *Node) FetchConfiguration(ctx context.Context, to Address, next platform.Offset) ([]platform.Entry, error) {
+	a, err := n.ask(ctx, to, request{Kind: configurationMessage, Next: uint64(next)})
+	if err != nil {
+		n.count(configurationFailed)
+		return nil, fmt.Errorf("fetching the configuration from %s: %w", to.Instance, err)
+	}
+	return platformEntries(a.Entries), nil
+}
+
+// ask sends a request and returns its answer. A connection on which that fails is dropped, so that the
+// next request dials anew.
+func (n *Node) ask(ctx context.Context, to Address, r request) (answer, error) {
+	data, err := r.MarshalMsg(nil)
+	if err != nil {
+		return answer{}, err
+	}
+	connection, err := n.connection(ctx, to)
+	if err != nil {
+		return answer{}, err
+	}
+	reply, err := exchangeOn(ctx, connection, data)
+	if err != nil {
+		n.drop(to, connection)
+		return answer{}, err
+	}
+	a := answer{}
+	if rest, err := a.UnmarshalMsg(reply); err != nil || len(rest) > 0 {
+		return answer{}, ErrMalformed
+	}
+	if a.Refusal != "" {
+		return answer{}, refusalError(a.Refusal)
+	}
+	return a, nil
+}
+
+func exchangeOn(ctx context.Context, connection *quic.Conn, data []byte) ([]byte, error) {
+	stream, err := connection.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.CancelRead(0)
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		deadline = time.Now().Add(messageTimeout)
+	}
+	_ = stream.SetDeadline(deadline)
+	if _, err := stream.Write(data); err != nil {
+		return nil, err
+	}
+	if err := stream.Close(); err != nil {
+		return nil, err
+	}
+	return readBounded(stream, MaxAnswerBytes)
+}
+
+// connection returns the open connection to a router, or dials one.
+func (n *Node) connection(ctx context.Context, to Address) (*quic.Conn, error) {
+	n.mutex.Lock()
+	known, transport := n.dialled[to], n.transport
+	n.mutex.Unlock()
+	if known != nil && known.Context().Err() == nil {
+		return known, nil
+	}
+	if transport == nil {
+		return nil, fmt.Errorf("dialling %s: %w", to.Instance, net.ErrClosed)
+	}
+	address, err := net.ResolveUDPAddr("udp", to.Address)
+	if err != nil {
+		return nil, err
+	}
+	config, err := n.credentials.clientConfig(to.Instance)
+	if err != nil {
+		return nil, err
+	}
+	connection, err := transport.Dial(ctx, address, config, quicConfig())
+	if err != nil {
+		n.count(dialsFailed)
+		return nil, fmt.Errorf("dialling %s: %w", to.Instance, err)
+	}
+	return n.keep(to, connection), nil
+}
+
+// keep remembers a connection; of two that were dialled at once, the first stays.
+func (n *Node) keep(to Address, connection *quic.Conn) *quic.Conn {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if known := n.dialled[to]; known != nil && known.Context().Err() == nil {
+		_ = connection.CloseWithError(0, "second connection")
+		return known
+	}
+	if n.dialled == nil {
+		n.dialled = make(map[Address]*quic.Conn)
+	}
+	n.forgetClosed()
+	n.dialled[to] = connection
+	return connection
+}
+
+// forgetClosed removes connections that have ended, so that replaced routers leave nothing behind.
+func (n *Node) forgetClosed() {
+	for address, c := range n.dialled {
+		if c.Context().Err() != nil {
+			delete(n.dialled, address)
+		}
+	}
+}
+
+func (n *Node) drop(to Address, connection *quic.Conn) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.dialled[to] == connection {
+		delete(n.dialled, to)
+	}
+	_ = connection.CloseWithError(0, "request failed")
+}
