--- a/fleet/ledgerstream/cluster_test.go
+++ b/fleet/ledgerstream/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -114,12 +115,19 @@
 // fold returns the state that a new reader of the stream would have.
 func (c *cluster) fold() *ledger.State {
 	state := &ledger.State{}
-	for _, entry := range c.log.all(platform.LedgerStream(0)) {
+	for _, entry := range c.unread(state) {
 		state.Apply(entry)
 	}
 	return state
 }
 
+// unread returns the entries that a state has not folded yet.
+func (c *cluster) unread(state *ledger.State) []platform.Entry {
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	return c.log.entriesFrom(platform.LedgerStream(0), state.Next(), math.MaxInt)
+}
+
 func (c *cluster) budget() ledger.BudgetView {
 	view, _ := c.fold().Budget(testBudget)
 	return view
--- a/fleet/ledgerstream/fake_test.go
+++ b/fleet/ledgerstream/fake_test.go
@@ -50,12 +50,11 @@
 	return platform.Offset(len(l.entries[stream]) - 1)
 }
 
-func (l *fakeLog) all(stream string) []platform.Entry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// entriesFrom returns what a stream holds from an offset on, up to limit entries.
+func (l *fakeLog) entriesFrom(stream string, from platform.Offset, limit int) []platform.Entry {
 	entries := []platform.Entry{}
-	for i, payload := range l.entries[stream] {
-		entries = append(entries, platform.Entry{Offset: platform.Offset(i), Payload: payload})
+	for i := int(from); i < len(l.entries[stream]) && len(entries) < limit; i++ {
+		entries = append(entries, platform.Entry{Offset: platform.Offset(i), Payload: l.entries[stream][i]})
 	}
 	return entries
 }
@@ -109,9 +108,5 @@
 	if from < l.first {
 		return nil, &platform.TruncatedError{Stream: stream, First: l.first}
 	}
-	entries := []platform.Entry{}
-	for i := int(from); i < len(l.entries[stream]) && len(entries) < limit; i++ {
-		entries = append(entries, platform.Entry{Offset: platform.Offset(i), Payload: l.entries[stream][i]})
-	}
-	return entries, nil
+	return l.entriesFrom(stream, from, limit), nil
 }
--- a/fleet/ledgerstream/schedule_test.go
+++ b/fleet/ledgerstream/schedule_test.go
@@ -11,7 +11,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
-	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
@@ -180,7 +179,7 @@
 
 // check folds what is new in the log and checks what must always hold.
 func (r *trial) check() {
-	for _, entry := range r.log.all(platform.LedgerStream(0)) {
+	for _, entry := range r.unread(&r.audit) {
 		for _, event := range r.audit.Apply(entry) {
 			if b, ok := event.(*ledger.Billed); ok && b.Charged > 0 {
 				r.count(b)
