--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,14 +20,23 @@
   pids[$name]=$!
 }
 
-# stop_all ends the processes that this script started, and no others.
+# stop_all ends the processes that this script started, and no others: the routers first, since they return
+# their shares through the log.
 stop_all() {
+  stop_named router-
+  stop_named ""
+}
+
+# stop_named ends the processes whose names begin with a prefix.
+stop_named() {
   local name
   for name in "${!pids[@]}"; do
-    kill "${pids[$name]}" 2>/dev/null || true
+    [[ $name == "$1"* ]] && kill "${pids[$name]}" 2>/dev/null || true
   done
   for name in "${!pids[@]}"; do
+    [[ $name == "$1"* ]] || continue
     stop_at_last "${pids[$name]}"
+    unset "pids[$name]"
   done
 }
 
@@ -72,16 +81,20 @@
   check_running
 }
 
+# start_routers starts the routers of the given numbers and waits until they are ready.
 start_routers() {
-  local i region zone
-  for i in 1 2 3 4 5 6; do
+  local i region zone urls=()
+  for i in "$@"; do
     region=${regions[i - 1]}
     zone=$region-$((2 - i % 2))
     bin/standin control "$platform/control/instances" --body \
       "{\"Name\":\"router-$i\",\"Address\":\"127.0.0.1:1930$i\",\"Region\":\"$region\",\"AvailabilityZone\":\"$zone\"}"
     start "router-$i" bin/router --listen "127.0.0.1:1930$i" --admin-listen "127.0.0.1:1940$i" \
-      --platform "$platform" --instance "router-$i" --region "$region" --availability-zone "$zone"
+      --platform "$platform" --instance "router-$i" --region "$region" --availability-zone "$zone" --drain-delay 1s
+    urls+=("http://127.0.0.1:1940$i/readyz")
   done
+  bin/standin wait --timeout 30s "${urls[@]}" || fail "a router is not ready"
+  check_running
 }
 
 submit_tickets() {
@@ -91,11 +104,6 @@
   done
 }
 
-wait_for_routers() {
-  bin/standin wait --timeout 30s http://127.0.0.1:1940{1,2,3,4,5,6}/readyz || fail "a router is not ready"
-  check_running
-}
-
 send_load() {
   local targets=() i
   for i in 1 2 3 4 5 6; do
@@ -126,7 +134,7 @@
   for i in 0 1 2; do
     endpoints+=(--service "http://127.0.0.1:1920$i")
   done
-  bin/standin check --platform "$platform" --report "$logs/load.json" "${endpoints[@]}" --wait 60s || code=$?
+  bin/standin check --platform "$platform" --report "$logs/load.json" "${endpoints[@]}" --live 5 --wait 60s || code=$?
   bin/dragonflyctl budget list --platform "$platform" || fail "budgets can't be listed"
   return "$code"
 }
@@ -136,8 +144,9 @@
 trap stop_all EXIT
 make build
 start_surroundings
-start_routers
+# Budgets are accepted in the ledger, which takes a router; the others start with the tickets in force.
+start_routers 1
 submit_tickets
-wait_for_routers
+start_routers 2 3 4 5 6
 send_load
 check_promises
--- a/standin/check.go
+++ b/standin/check.go
@@ -23,6 +23,7 @@
 	Engine     []string      `env:"STANDIN_ENGINE" help:"Base URLs of engines that count runs."`
 	Service    []string      `env:"STANDIN_SERVICE" help:"Base URLs of plain services that count runs."`
 	Partitions int           `default:"1" env:"STANDIN_PARTITIONS" help:"Partitions of the ledger."`
+	Live       int           `default:"0" env:"STANDIN_LIVE" help:"Routers that have to hold a lease in the end; 0 for any number."`
 	Wait       time.Duration `default:"30s" env:"STANDIN_WAIT" help:"Longest wait for bills and settlements."`
 }
 
@@ -76,6 +77,9 @@
 	if unsettled := evidence.Unsettled(); unsettled > 0 {
 		logger.WithField("Unsettled", unsettled).Warn("bills or settlements are missing")
 	}
+	if live := evidence.Ledgers.Live(); c.Live > 0 && live != c.Live {
+		return nil, fmt.Errorf("%d routers hold a lease in place of %d", live, c.Live)
+	}
 	endpoints := slices.Concat(c.Engine, c.Service)
 	if len(endpoints) == 0 {
 		return evidence, nil
@@ -91,7 +95,7 @@
 	deadline := time.Now().Add(c.Wait)
 	for {
 		err := evidence.Ledgers.Follow(ctx, ledger)
-		if err == nil && evidence.Unsettled() == 0 {
+		if err == nil && c.isSettled(evidence) {
 			return nil
 		}
 		if time.Now().After(deadline) {
@@ -104,3 +108,7 @@
 		}
 	}
 }
+
+func (c *checkCommand) isSettled(evidence *check.Evidence) bool {
+	return evidence.Unsettled() == 0 && (c.Live == 0 || evidence.Ledgers.Live() == c.Live)
+}
--- a/standin/check/ledger.go
+++ b/standin/check/ledger.go
@@ -137,3 +137,14 @@
 	}
 	return budgets
 }
+
+// Live counts the incarnations that hold a lease; partitions of one ledger have the same ones.
+func (l Ledgers) Live() int {
+	live := 0
+	for _, incarnation := range l[0].state.Incarnations() {
+		if !incarnation.Suspended {
+			live++
+		}
+	}
+	return live
+}
--- a/standin/check/promise_test.go
+++ b/standin/check/promise_test.go
@@ -87,6 +87,7 @@
 	open := &ledger.Open{Request: ledger.NewRequestIdentifier(team, key), Attempt: 1, Budget: budget, Amount: 50}
 	evidence := &Evidence{Ledgers: fold(t, []ledger.Record{open})}
 	assertEqual(t, 1, evidence.Unsettled())
+	assertEqual(t, 1, evidence.Ledgers.Live())
 	evidence.Requests = []load.Request{{Key: key, Team: team, Outcome: load.Completed}}
 	assertEqual(t, 2, evidence.Unsettled())
 }
--- a/standin/load/attempt.go
+++ b/standin/load/attempt.go
@@ -42,6 +42,7 @@
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
+		r.avoid(target, err)
 		return disconnected(target, 0, err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/standin/load/runner.go
+++ b/standin/load/runner.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -21,7 +23,9 @@
 	jobs   chan *job
 	done   sync.WaitGroup
 
-	mutex      sync.Mutex
+	mutex sync.Mutex
+	// avoided says until when the balancer leaves out a target that refused a connection.
+	avoided    map[string]time.Time
 	report     Report
 	latency    distribution
 	firstToken distribution
@@ -54,6 +58,7 @@
 		DisableCompression:  true,
 	}}
 	r.jobs = make(chan *job)
+	r.avoided = make(map[string]time.Time)
 	r.report = Report{
 		Seed:     r.Seed,
 		Targets:  r.Targets,
@@ -106,7 +111,7 @@
 		if attempt > 0 {
 			time.Sleep(r.retryWait(last, attempt, j.random))
 		}
-		target = another(r.Targets, target, j.random)
+		target = r.balance(target, j.random)
 		last = r.try(ctx, j, target)
 		request.Attempts = append(request.Attempts, last.attempt)
 		if !last.retry {
@@ -132,14 +137,34 @@
 	return min(backoff/2+time.Duration(random.Int64N(int64(backoff))), r.MaxRetryWait)
 }
 
-// another picks a target at random, other than the last one if there is a choice.
-func another(targets []string, last string, random *rand.Rand) string {
-	for {
-		target := targets[random.IntN(len(targets))]
-		if target != last || len(targets) == 1 {
-			return target
+// avoidance is how long the balancer leaves out a target that refused a connection.
+const avoidance = 5 * time.Second
+
+// balance picks a target at random as a balancer with health checks does: one that takes connections, and if
+// there is a choice not the last one.
+func (r *Runner) balance(last string, random *rand.Rand) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	healthy := slices.DeleteFunc(slices.Clone(r.Targets), func(t string) bool { return now.Before(r.avoided[t]) })
+	others := slices.DeleteFunc(slices.Clone(healthy), func(t string) bool { return t == last })
+	for _, candidates := range [][]string{others, healthy} {
+		if len(candidates) > 0 {
+			return candidates[random.IntN(len(candidates))]
 		}
 	}
+	return r.Targets[random.IntN(len(r.Targets))]
+}
+
+// avoid leaves out a target if the attempt could not connect to it.
+func (r *Runner) avoid(target string, err error) {
+	var failed *net.OpError
+	if !errors.As(err, &failed) || failed.Op != "dial" {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.avoided[target] = time.Now().Add(avoidance)
 }
 
 func (r *Runner) record(request Request, last result, began time.Time) {
--- a/standin/load/runner_test.go
+++ b/standin/load/runner_test.go
@@ -79,6 +79,21 @@
 		assertEqual(t, map[Outcome]int{Completed: requests}, report.Outcomes)
 		assertEqual(t, map[string]int{"connection": requests}, report.Retries)
 	})
+	t.Run("target that takes no connections", func(t *testing.T) {
+		gone := httptest.NewServer(newEngine())
+		gone.Close()
+		server := httptest.NewServer(newEngine())
+		t.Cleanup(server.Close)
+		settings := newSettings(Whole, gone.URL)
+		settings.Targets = append(settings.Targets, server.URL)
+		settings.Concurrency = 1
+		report, err := (&Runner{Settings: settings}).Do(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertEqual(t, map[Outcome]int{Completed: requests}, report.Outcomes)
+		assertEqual(t, map[string]int{"connection": 1}, report.Retries)
+	})
 	t.Run("busy with Retry-After", func(t *testing.T) {
 		report := send(t, Whole, refusing(http.StatusServiceUnavailable, "0"))
 		assertEqual(t, map[string]int{"overloaded": requests}, report.Refusals)
