--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -70,7 +70,7 @@
   local i urls=("$platform/healthz")
   start platform bin/standin platform --listen 127.0.0.1:19000 --append-rate 400 --delay 1ms
   for i in 0 1 2 3 4 5; do
-    start "engine-$i" bin/standin engine --listen "127.0.0.1:1910$i" --name "engine-$i"
+    start "engine-$i" bin/standin engine --listen "127.0.0.1:1910$i" --name "engine-$i" --token-delay 20ms
     urls+=("http://127.0.0.1:1910$i/healthz")
   done
   for i in 0 1 2; do
@@ -86,7 +86,7 @@
   local i region zone urls=()
   for i in "$@"; do
     region=${regions[i - 1]}
-    zone=$region-$((2 - i % 2))
+    zone=$region$((2 - i % 2))
     bin/standin control "$platform/control/instances" --body \
       "{\"Name\":\"router-$i\",\"Address\":\"127.0.0.1:1930$i\",\"Region\":\"$region\",\"AvailabilityZone\":\"$zone\"}"
     start "router-$i" bin/router --listen "127.0.0.1:1930$i" --admin-listen "127.0.0.1:1940$i" \
@@ -111,7 +111,8 @@
   done
   start load bin/standin load "${targets[@]}" \
     --key 'studio-luzon=demo-key-luzon;studio-cebu=demo-key-cebu' \
-    --requests 100000 --duration "${load_seconds}s" --rate 40 --concurrency 64 --report "$logs/load.json"
+    --budget 'studio-cebu=studio-cebu-main,studio-cebu-main,studio-cebu-main,studio-cebu-trial' \
+    --requests 100000 --duration "${load_seconds}s" --rate 40 --concurrency 256 --report "$logs/load.json"
   sleep 5
   echo "demo: killing $lost_router"
   kill -9 "${pids[$lost_router]}"
--- a/standin/load.go
+++ b/standin/load.go
@@ -8,6 +8,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/dig"
@@ -19,7 +20,7 @@
 type loadCommand struct {
 	Target            []string          `required:"" env:"STANDIN_TARGET" help:"Base URLs of routers; each attempt picks one at random."`
 	Key               map[string]string `required:"" env:"STANDIN_KEY" help:"Bearer keys by team, such as team-a=key-a;team-b=key-b."`
-	Budget            map[string]string `env:"STANDIN_BUDGET" help:"Budget that a team's requests name."`
+	Budget            map[string]string `env:"STANDIN_BUDGET" help:"Budgets that a team's requests name, such as team-a=main,main,trial; one that stands twice is named twice as often."`
 	Requests          int               `default:"200" env:"STANDIN_REQUESTS" help:"Most requests that are sent."`
 	Duration          time.Duration     `default:"30s" env:"STANDIN_DURATION" help:"Time after which no further request begins."`
 	Rate              float64           `default:"0" env:"STANDIN_RATE" help:"Requests per second; 0 sends as fast as the concurrency allows."`
@@ -64,7 +65,11 @@
 	}
 	var teams []load.Team
 	for _, name := range slices.Sorted(maps.Keys(c.Key)) {
-		teams = append(teams, load.Team{Name: name, BearerKey: c.Key[name], Budget: c.Budget[name]})
+		team := load.Team{Name: name, BearerKey: c.Key[name]}
+		if budgets := c.Budget[name]; budgets != "" {
+			team.Budgets = strings.Split(budgets, ",")
+		}
+		teams = append(teams, team)
 	}
 	return load.Settings{
 		Targets:           c.Target,
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -19,6 +19,7 @@
 	index  int
 	kind   Kind
 	team   Team
+	budget string
 	key    string
 	nonce  string
 	method string
@@ -43,6 +44,9 @@
 		maxTokens: 1 + random.IntN(s.MaxTokens),
 		random:    random,
 	}
+	if budgets := j.team.Budgets; len(budgets) > 0 {
+		j.budget = budgets[random.IntN(len(budgets))]
+	}
 	switch j.kind {
 	case Stream, Whole:
 		j.modelCall(s)
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -47,6 +47,7 @@
 	index   int
 	Key     string
 	Team    string
+	Budget  string
 	Kind    Kind
 	Outcome Outcome
 	// Verdict and Code are those of the last attempt.
--- a/standin/load/settings.go
+++ b/standin/load/settings.go
@@ -32,8 +32,8 @@
 type Team struct {
 	Name      string
 	BearerKey string
-	// Budget is named in a header; empty leaves the header out.
-	Budget string
+	// Budgets are named in a header, each as often as it stands here; without any there is no header.
+	Budgets []string
 }
 
 // Settings bound the load and say what it consists of.
