--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -40,6 +40,9 @@
 	Verdict string
 	Code    string
 	Error   string
+	// Start is the time from the load's beginning to the attempt's, Latency that from there to its end.
+	Start   Milliseconds
+	Latency Milliseconds
 }
 
 // Request is one request as its caller saw it.
--- a/standin/load/runner.go
+++ b/standin/load/runner.go
@@ -37,14 +37,13 @@
 		return nil, fmt.Errorf("load settings: %w", err)
 	}
 	r.prepare()
-	began := time.Now()
 	r.done.Add(r.Concurrency)
 	for range r.Concurrency {
 		go r.run(context.WithoutCancel(ctx))
 	}
 	r.generate(ctx)
 	r.done.Wait()
-	r.finish(began)
+	r.finish()
 	return &r.report, nil
 }
 
@@ -58,6 +57,7 @@
 	r.jobs = make(chan *job)
 	r.avoided = make(map[string]time.Time)
 	r.report = Report{
+		Started:  time.Now(),
 		Seed:     r.Seed,
 		Targets:  r.Targets,
 		Outcomes: make(map[Outcome]int),
@@ -127,7 +127,10 @@
 	last := result{}
 	for range r.Targets {
 		target := r.balance(last.attempt.Target, j.random)
+		began := time.Now()
 		last = r.try(ctx, j, target)
+		last.attempt.Start = milliseconds(began.Sub(r.report.Started))
+		last.attempt.Latency = milliseconds(time.Since(began))
 		request.Attempts = append(request.Attempts, last.attempt)
 		if !last.unconnected {
 			break
@@ -206,10 +209,9 @@
 	return "connection"
 }
 
-func (r *Runner) finish(began time.Time) {
+func (r *Runner) finish() {
 	slices.SortFunc(r.report.Requests, func(a, b Request) int { return cmp.Compare(a.index, b.index) })
-	r.report.Started = began
-	r.report.Seconds = time.Since(began).Seconds()
+	r.report.Seconds = time.Since(r.report.Started).Seconds()
 	r.report.Latency = r.latency.percentiles()
 	r.report.FirstToken = r.firstToken.percentiles()
 	r.report.TokenGap = r.tokenGap.percentiles()
