--- a/standin/load/runner.go
+++ b/standin/load/runner.go
@@ -21,7 +21,9 @@
 	jobs   chan *job
 	done   sync.WaitGroup
 
-	mutex      sync.Mutex
+	mutex sync.Mutex
+	// avoided says until when the balancer leaves out a target that refused a connection.
+	avoided    map[string]time.Time
 	report     Report
 	latency    distribution
 	firstToken distribution
@@ -35,14 +37,13 @@
 		return nil, fmt.Errorf("load settings: %w", err)
 	}
 	r.prepare()
-	began := time.Now()
 	r.done.Add(r.Concurrency)
 	for range r.Concurrency {
 		go r.run(context.WithoutCancel(ctx))
 	}
 	r.generate(ctx)
 	r.done.Wait()
-	r.finish(began)
+	r.finish()
 	return &r.report, nil
 }
 
@@ -54,7 +55,9 @@
 		DisableCompression:  true,
 	}}
 	r.jobs = make(chan *job)
+	r.avoided = make(map[string]time.Time)
 	r.report = Report{
+		Started:  time.Now(),
 		Seed:     r.Seed,
 		Targets:  r.Targets,
 		Outcomes: make(map[Outcome]int),
@@ -100,15 +103,13 @@
 	if began.IsZero() {
 		began = time.Now()
 	}
-	request := Request{index: j.index, Key: j.key, Team: j.team.Name, Kind: j.kind}
-	target, last := "", result{}
+	request := Request{index: j.index, Key: j.key, Team: j.team.Name, Budget: j.budget, Kind: j.kind}
+	last := result{}
 	for attempt := range r.Attempts {
 		if attempt > 0 {
 			time.Sleep(r.retryWait(last, attempt, j.random))
 		}
-		target = another(r.Targets, target, j.random)
-		last = r.try(ctx, j, target)
-		request.Attempts = append(request.Attempts, last.attempt)
+		last = r.connect(ctx, j, &request)
 		if !last.retry {
 			break
 		}
@@ -121,6 +122,24 @@
 	r.record(request, last, began)
 }
 
+// connect tries targets until one takes the connection, as a balancer does.
+func (r *Runner) connect(ctx context.Context, j *job, request *Request) result {
+	last := result{}
+	for range r.Targets {
+		target := r.balance(last.attempt.Target, j.random)
+		began := time.Now()
+		last = r.try(ctx, j, target)
+		last.attempt.Start = milliseconds(began.Sub(r.report.Started))
+		last.attempt.Latency = milliseconds(time.Since(began))
+		request.Attempts = append(request.Attempts, last.attempt)
+		if !last.unconnected {
+			break
+		}
+		r.avoid(target)
+	}
+	return last
+}
+
 const retryBackoff = 50 * time.Millisecond
 
 // retryWait returns the time that the answer asked for, within bounds; without an answer a jittered backoff.
@@ -132,14 +151,30 @@
 	return min(backoff/2+time.Duration(random.Int64N(int64(backoff))), r.MaxRetryWait)
 }
 
-// another picks a target at random, other than the last one if there is a choice.
-func another(targets []string, last string, random *rand.Rand) string {
-	for {
-		target := targets[random.IntN(len(targets))]
-		if target != last || len(targets) == 1 {
-			return target
+// avoidance is how long the balancer leaves out a target that refused a connection.
+const avoidance = 5 * time.Second
+
+// balance picks a target at random as a balancer with health checks does: one that takes connections, and if
+// there is a choice not the last one.
+func (r *Runner) balance(last string, random *rand.Rand) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	healthy := slices.DeleteFunc(slices.Clone(r.Targets), func(t string) bool { return now.Before(r.avoided[t]) })
+	others := slices.DeleteFunc(slices.Clone(healthy), func(t string) bool { return t == last })
+	for _, candidates := range [][]string{others, healthy} {
+		if len(candidates) > 0 {
+			return candidates[random.IntN(len(candidates))]
 		}
 	}
+	return r.Targets[random.IntN(len(r.Targets))]
+}
+
+// avoid leaves out a target for a time.
+func (r *Runner) avoid(target string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.avoided[target] = time.Now().Add(avoidance)
 }
 
 func (r *Runner) record(request Request, last result, began time.Time) {
@@ -174,10 +209,9 @@
 	return "connection"
 }
 
-func (r *Runner) finish(began time.Time) {
+func (r *Runner) finish() {
 	slices.SortFunc(r.report.Requests, func(a, b Request) int { return cmp.Compare(a.index, b.index) })
-	r.report.Started = began
-	r.report.Seconds = time.Since(began).Seconds()
+	r.report.Seconds = time.Since(r.report.Started).Seconds()
 	r.report.Latency = r.latency.percentiles()
 	r.report.FirstToken = r.firstToken.percentiles()
 	r.report.TokenGap = r.tokenGap.percentiles()
