--- a/fleet/endpoint/choose.go
+++ b/fleet/endpoint/choose.go
@@ -9,14 +9,12 @@
 // Defaults of a Policy.
 const (
 	// DefaultZoneCost and DefaultRegionCost are what it costs to leave the availability zone and the
-	// region, in parts of an endpoint's limit: a remote endpoint is taken when the near ones are that
+	// region, in parts of an endpoint's capacity: a remote endpoint is taken when the near ones are that
 	// much fuller.
 	DefaultZoneCost   = 0.02
 	DefaultRegionCost = 0.5
 	// DefaultAffinityBound is the load, as a multiple of the mean, up to which affinity decides.
-	DefaultAffinityBound = 1.25
-	// DefaultAffinityFloor is the part of an endpoint's limit up to which affinity always decides.
-	DefaultAffinityFloor = 0.25
+	DefaultAffinityBound = 2.0
 	// DefaultEndpointConcurrency is the limit of candidates that state none.
 	DefaultEndpointConcurrency = 64
 )
@@ -54,21 +52,25 @@
 	// Reported is the load that the endpoint last reported, ReportedOwn the router's own part of it.
 	Reported    int
 	ReportedOwn int
-	// Limit is the most requests that the router has in progress there; zero counts as
+	// Capacity is the most requests that all routers together have in progress there; zero counts as
 	// DefaultEndpointConcurrency.
+	Capacity int
+	// Limit is the most that this router has; zero counts as Capacity.
 	Limit int
 	// Warmth is the part of its share that an endpoint gets during its slow start; zero counts as 1.
 	Warmth float64
-	// Latency is the recent time to the first byte relative to the other endpoints of the service;
-	// zero counts as 1.
-	Latency float64
 }
 
 // Load returns the requests in progress: the router's own, which it knows exactly, and those of the
 // others as of the last report.
 func (c *Candidate) Load() int { return max(0, c.Reported-c.ReportedOwn) + c.InFlight }
 
-func (c *Candidate) limit() int { return orDefault(c.Limit, DefaultEndpointConcurrency) }
+// HasRoom reports whether the endpoint may get one more request.
+func (c *Candidate) HasRoom() bool {
+	return c.InFlight < orDefault(c.Limit, c.capacity()) && c.Load() < c.capacity()
+}
+
+func (c *Candidate) capacity() int { return orDefault(c.Capacity, DefaultEndpointConcurrency) }
 
 func (c *Candidate) warmth() float64 { return orDefault(c.Warmth, 1) }
 
@@ -76,12 +78,11 @@
 func HashName(name string) uint64 { return xxhash.Sum64String(name) }
 
 // Policy weighs nearness, load and affinity. Its zero value has the defaults; a negative value
-// stands for zero.
+// stands for zero. AffinityBound is at least 1.
 type Policy struct {
 	ZoneCost      float64
 	RegionCost    float64
 	AffinityBound float64
-	AffinityFloor float64
 }
 
 // Random is the random source of a choice.
@@ -105,7 +106,7 @@
 	var seen [tiers]int
 	for i := range candidates {
 		c := &candidates[i]
-		if c.InFlight >= c.limit() {
+		if !c.HasRoom() {
 			continue
 		}
 		seen[c.Tier]++
@@ -143,9 +144,9 @@
 	}
 }
 
-// score is the part of its limit that a candidate would use, with the price of the way there.
+// score is the part of its capacity that a candidate would use, with the price of the way there.
 func (p Policy) score(c *Candidate) float64 {
-	score := float64(c.Load()+1) / (float64(c.limit()) * c.warmth()) * orDefault(c.Latency, 1)
+	score := float64(c.Load()+1) / (float64(c.capacity()) * c.warmth())
 	switch c.Tier {
 	case SameRegion:
 		score += weight(p.ZoneCost, DefaultZoneCost)
@@ -160,7 +161,7 @@
 func (p Policy) chooseByPrefix(candidates []Candidate, prefix uint64) (int, bool) {
 	remote := true
 	for i := range candidates {
-		remote = remote && (candidates[i].Tier == OtherRegion || candidates[i].InFlight >= candidates[i].limit())
+		remote = remote && (candidates[i].Tier == OtherRegion || !candidates[i].HasRoom())
 	}
 	total, warmth := 0, 0.0
 	for i := range candidates {
@@ -183,16 +184,14 @@
 }
 
 func inAffinitySet(c *Candidate, remote bool) bool {
-	return c.InFlight < c.limit() && (c.Tier == OtherRegion) == remote
+	return c.HasRoom() && (c.Tier == OtherRegion) == remote
 }
 
 // affinityBound returns the load from which on affinity passes a candidate by. The bounds of all
 // candidates together are above their load, so that one is always left.
 func (p Policy) affinityBound(c *Candidate, total int, warmth float64) int {
 	share := c.warmth() / warmth
-	bound := math.Ceil(orDefault(p.AffinityBound, DefaultAffinityBound) * float64(total+1) * share)
-	floor := weight(p.AffinityFloor, DefaultAffinityFloor) * float64(c.limit()) * c.warmth()
-	return int(max(bound, floor))
+	return int(math.Ceil(orDefault(p.AffinityBound, DefaultAffinityBound) * float64(total+1) * share))
 }
 
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
--- a/fleet/endpoint/endpoint_test.go
+++ b/fleet/endpoint/endpoint_test.go
@@ -81,6 +81,7 @@
 		return Candidate{
 			NameHash: rapid.Uint64().Draw(t, "name"), Tier: Tier(rapid.IntRange(0, 2).Draw(t, "tier")),
 			InFlight: rapid.IntRange(0, 20).Draw(t, "in flight"), Limit: rapid.IntRange(1, 20).Draw(t, "limit"),
+			Capacity: rapid.IntRange(1, 40).Draw(t, "capacity"),
 			Reported: rapid.IntRange(0, 30).Draw(t, "reported"), ReportedOwn: rapid.IntRange(0, 20).Draw(t, "own"),
 			Warmth: rapid.Float64Range(0.1, 1).Draw(t, "warmth"),
 		}
@@ -94,21 +95,21 @@
 		i, ok := Policy{}.Choose(candidates, rapid.Uint64Min(1).Draw(t, "prefix"), random)
 		room, total, warmth := false, 0, 0.0
 		for k := range candidates {
-			room = room || candidates[k].InFlight < candidates[k].limit()
+			room = room || candidates[k].HasRoom()
 		}
 		check(t, ok == room, "chosen %v with room %v", ok, room)
 		if !ok {
 			return
 		}
 		chosen := &candidates[i]
-		check(t, chosen.InFlight < chosen.limit(), "no room at %+v", chosen)
+		check(t, chosen.InFlight < chosen.Limit && chosen.Load() < chosen.Capacity, "no room at %+v", chosen)
 		for k := range candidates {
 			if inAffinitySet(&candidates[k], chosen.Tier == OtherRegion) {
 				total += candidates[k].Load()
 				warmth += candidates[k].warmth()
 			}
 		}
-		bound := max(DefaultAffinityBound*float64(total+1)*chosen.warmth()/warmth+1, DefaultAffinityFloor*float64(chosen.limit())+1)
+		bound := DefaultAffinityBound*float64(total+1)*chosen.warmth()/warmth + 1
 		check(t, float64(chosen.Load()) < bound, "load %d of bound %f", chosen.Load(), bound)
 	}))
 	t.Run("stays near until the near ones are fuller", func(t *testing.T) {
@@ -124,9 +125,13 @@
 		}
 		for prefix := range uint64(50) {
 			first, _ := Policy{}.chooseByPrefix(candidates, prefix+1)
-			candidates[first].InFlight = 5
+			candidates[first].InFlight = 1
+			candidates[(first+1)%len(candidates)].InFlight = 4
 			again, _ := Policy{}.chooseByPrefix(candidates, prefix+1)
-			candidates[first].InFlight = 0
+			candidates[first].InFlight = 2
+			other, _ := Policy{}.chooseByPrefix(candidates, prefix+1)
+			assertEqual(t, true, first != other)
+			candidates[first].InFlight, candidates[(first+1)%len(candidates)].InFlight = 0, 0
 			assertEqual(t, first, again)
 		}
 	})
@@ -193,7 +198,7 @@
 		for range rapid.IntRange(1, 100).Draw(t, "samples") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "step")) * time.Millisecond)
 			l.Observe(now, time.Duration(rapid.IntRange(1, 5000).Draw(t, "latency"))*time.Millisecond, l.Value())
-			check(t, l.Value() >= min(limitFloor, l.Most) && l.Value() <= l.Most, "limit %d of %d", l.Value(), l.Most)
+			check(t, l.Value() >= limitFloor && l.Value() <= l.Most, "limit %d of %d", l.Value(), l.Most)
 		}
 	})
 	t.Run("shrinks under latency and grows back", func(t *testing.T) {
@@ -202,12 +207,16 @@
 			now = now.Add(time.Second)
 			l.Observe(now, latency, l.Value())
 		}
-		observe(10 * time.Millisecond)
+		assertEqual(t, 8, l.Value())
+		for range 3000 {
+			observe(10 * time.Millisecond)
+		}
+		assertEqual(t, 64, l.Value())
 		for range 20 {
 			observe(time.Second)
 		}
-		assertEqual(t, true, l.Value() < 16)
-		for range 5000 {
+		assertEqual(t, 1, l.Value())
+		for range 3000 {
 			observe(10 * time.Millisecond)
 		}
 		assertEqual(t, 64, l.Value())
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -80,7 +80,7 @@
 		_, _ = io.CopyN(io.Discard, response.Body, drainBytes)
 		return outcome{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
-			retryAfter: retryAfter(response.Header),
+			retryAfter: retryAfter(response.Header), begun: x.begun,
 		}
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return x.failed(ctx, errFormat)
--- a/router/endpoint/peer.go
+++ b/router/endpoint/peer.go
@@ -71,7 +71,8 @@
 // candidate returns what the choice knows of the endpoint.
 func (p *peer) candidate(now time.Time) endpoint.Candidate {
 	c := endpoint.Candidate{
-		NameHash: p.nameHash, Tier: p.tier, InFlight: p.inFlight, Limit: p.limit.Value(), Warmth: p.health.Warmth(now),
+		NameHash: p.nameHash, Tier: p.tier, InFlight: p.inFlight, Limit: p.limit.Value(), Capacity: p.limit.Most,
+		Warmth: p.health.Warmth(now),
 	}
 	if now.Sub(p.load.at) < loadReportAge {
 		c.Reported, c.ReportedOwn = p.load.reported, p.load.own
--- a/router/endpoint/place.go
+++ b/router/endpoint/place.go
@@ -198,7 +198,7 @@
 		return
 	}
 	if out.reason == verdict.EndpointRefused {
-		p.limit.Fail(now)
+		p.limit.Refused(now, now.Sub(out.begun))
 		d.observeLocked(p, &endpoint.Answered{})
 		return
 	}
@@ -236,7 +236,7 @@
 			d.sendAwayLocked(now, s)
 			return
 		}
-		if !hasRoom(s) {
+		if !hasRoom(now, s) {
 			return
 		}
 		entry, ok := s.queue.Pop(now)
@@ -263,9 +263,10 @@
 	}
 }
 
-func hasRoom(s *service) bool {
+func hasRoom(now time.Time, s *service) bool {
 	for _, p := range s.peers {
-		if p.health.Available() && p.inFlight < p.limit.Value() {
+		c := p.candidate(now)
+		if p.health.Available() && c.HasRoom() {
 			return true
 		}
 	}
--- a/router/endpoint/probe.go
+++ b/router/endpoint/probe.go
@@ -95,6 +95,10 @@
 			go l.run()
 		}
 	}
+	// Reports make room that no answer tells of.
+	for _, s := range d.services {
+		d.wakeLocked(s)
+	}
 }
 
 func (d *Dispatcher) probeIfDueLocked(now time.Time, p *peer) {
