--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -9,6 +9,11 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file record.go -o record_gen.go
+//msgp:replace platform.Offset with:uint64
+//msgp:tuple Incarnation Join Heartbeat Leave Prepaid ReservePolicy Draw Return Open Bill Release Fence
+//msgp:ignore Group AttemptIdentifier Unknown
+
 // Tokens is an amount of a prepaid budget.
 type Tokens int64
 
@@ -53,6 +58,9 @@
 	Records []Record
 }
 
+// last returns the sequence number of the last record.
+func (g *Group) last() uint64 { return g.First + uint64(len(g.Records)) - 1 }
+
 // Record is one fact of the ledger; the types below are all there are.
 type Record interface{ isRecord() }
 
@@ -62,6 +70,8 @@
 	Region           string
 	// Version is the program's version, for the operators.
 	Version string
+	// PeerAddress is where other routers reach this one, IP:port; empty if it takes no copies.
+	PeerAddress string
 }
 
 // Heartbeat renews the lease of an idle incarnation.
@@ -150,6 +160,14 @@
 	Kind ShareKind
 }
 
+// Unknown stands for a record of a type that this version doesn't know. It takes its sequence number
+// and changes nothing.
+type Unknown struct {
+	Type uint64
+	// Body is the record as it was encoded.
+	Body []byte
+}
+
 func (*Join) isRecord()      {}
 func (*Heartbeat) isRecord() {}
 func (*Leave) isRecord()     {}
@@ -160,3 +178,4 @@
 func (*Bill) isRecord()      {}
 func (*Release) isRecord()   {}
 func (*Fence) isRecord()     {}
+func (*Unknown) isRecord()   {}
