--- a/router/endpoint/call.go
+++ b/router/endpoint/call.go
@@ -55,8 +55,9 @@
 	Usage ledger.Tokens
 	// Started says that a part of the answer has been written to the caller.
 	Started bool
-	// Abort says that the answer was broken off after its start: the handler must end with
-	// panic(http.ErrAbortHandler), or the caller could take the answer for complete.
+	// Abort says that the answer was broken off after its start and does not show it: the handler must end
+	// with panic(http.ErrAbortHandler), or the caller could take the answer for complete. Event streams
+	// show it by their error event.
 	Abort bool
 	// Endpoint is the name of the endpoint of the last attempt.
 	Endpoint string
--- a/router/endpoint/dispatcher.go
+++ b/router/endpoint/dispatcher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,8 +100,9 @@
 	}
 	declared := make(map[peerKey]bool)
 	if configuration != nil {
-		for _, set := range configuration.InstanceSets {
-			for _, e := range set.Endpoints {
+		// In the order of names, so that all routers take the same one of two declarations.
+		for _, name := range slices.Sorted(maps.Keys(configuration.InstanceSets)) {
+			for _, e := range configuration.InstanceSets[name].Endpoints {
 				d.declareLocked(e, declared)
 			}
 		}
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,9 +46,27 @@
 		f.add(server.Listener.Addr().String())
 	}
 	f.Dispatcher = NewDispatcher(f.board, Settings{Region: testZone, AvailabilityZone: testZone})
+	t.Cleanup(func() { assertSettled(t, f) })
 	return f
 }
 
+// assertSettled checks that every place was given back and every counter is described.
+func assertSettled(t *testing.T, f *fixture) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		assertEqual(t, 0, p.inFlight)
+		assertEqual(t, 0, p.suspects)
+	}
+	f.board.Metrics.Each(func(name string, _ any) {
+		described := slices.ContainsFunc(Counters(), func(d Description) bool { return d.Name == name })
+		if !described {
+			t.Errorf("counter %s is not described", name)
+		}
+	})
+}
+
 // alive answers probes itself, so that handlers see nothing but calls.
 func alive(handler http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/router/endpoint/event.go
+++ b/router/endpoint/event.go
@@ -34,8 +34,12 @@
 	return &eventReader{source: bufio.NewReader(r), lineBytes: s.LineBytes, eventBytes: s.EventBytes}
 }
 
-// buffered reports whether more of the stream has arrived already.
-func (r *eventReader) buffered() bool { return r.source.Buffered() > 0 }
+// hasEvent reports whether a whole event has arrived already.
+func (r *eventReader) hasEvent() bool {
+	// Peeking at what is buffered can't fail.
+	arrived, _ := r.source.Peek(r.source.Buffered())
+	return bytes.Contains(arrived, []byte("\n\n")) || bytes.Contains(arrived, []byte("\r\n\r\n"))
+}
 
 // next returns the next event. It fails with io.EOF at the end of a stream whose last event was
 // complete, and with io.ErrUnexpectedEOF within an event.
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -120,6 +120,10 @@
 		Header: requestHeader(x.call.Header),
 		Host:   x.peer.endpoint.Address,
 	}
+	if x.call.Model != nil {
+		// The router reads these answers.
+		request.Header.Del("Accept-Encoding")
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
 		request.Header.Set(timeoutHeader, strconv.FormatInt(left, 10))
--- /dev/null
+++ b/router/endpoint/faults_test.go
@@ -0,0 +1,99 @@
+package endpoint
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// runs counts the executions of each request.
+type runs struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (r *runs) add(nonce string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count[nonce]++
+}
+
+// faulty runs requests and fails in random ways, before or after it has run them.
+func (r *runs) faulty(w http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	nonce := string(body)
+	answer := sends(delta(nonce), delta(nonce), doneEvent)
+	switch rand.IntN(10) {
+	case 0:
+		refuses(w, request)
+	case 1:
+		panic(http.ErrAbortHandler)
+	case 2:
+		r.add(nonce)
+		panic(http.ErrAbortHandler)
+	case 3:
+		r.add(nonce)
+		breaks(delta(nonce))(w, request)
+	case 4:
+		r.add(nonce)
+		answer(w, request)
+		// The connection closes when it is used again, or just before.
+		if connection, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = connection.Close()
+		}
+	default:
+		r.add(nonce)
+		answer(w, request)
+	}
+}
+
+// TestFaults checks the promises to callers while endpoints fail at random: non-idempotent calls run at
+// most once, "not run" is true, and each caller gets its own answer or none.
+func TestFaults(t *testing.T) {
+	const calls = 600
+	r := &runs{count: make(map[string]int)}
+	f := newFixture(t, r.faulty, r.faulty, r.faulty)
+	f.settings.QueueTimeout, f.settings.QueueLength = 10*time.Second, calls
+	var group sync.WaitGroup
+	for i := range calls {
+		group.Go(func() {
+			call := streamCall()
+			call.Idempotent = i%2 == 0
+			call.Header = http.Header{"Idempotency-Key": {fmt.Sprint(i)}}
+			call.Body = fmt.Appendf(nil, "nonce-%d", i)
+			w := httptest.NewRecorder()
+			result, err := f.Do(t.Context(), call, w)
+			r.assertPromises(t, call, result, err, w.Body.String())
+		})
+	}
+	group.Wait()
+}
+
+func (r *runs) assertPromises(t *testing.T, call *Call, result Result, err error, body string) {
+	t.Helper()
+	r.mu.Lock()
+	count := r.count[string(call.Body)]
+	r.mu.Unlock()
+	if !call.Idempotent && count > 1 {
+		t.Errorf("non-idempotent call ran %d times", count)
+	}
+	if result.Verdict == verdict.NotRun && count > 0 {
+		t.Errorf("call ran %d times, verdict %s", count, result.Verdict)
+	}
+	first := delta(string(call.Body))
+	switch {
+	case err == nil:
+		assertEqual(t, first+first+doneEvent, body)
+	case result.Started:
+		assertEqual(t, first+string(errorEvent(verdict.EndpointFailed)), body)
+	default:
+		assertEqual(t, "", body)
+	}
+}
--- a/router/endpoint/stream.go
+++ b/router/endpoint/stream.go
@@ -132,8 +132,8 @@
 	return s.finish(c.lastEvents(reported))
 }
 
-// send writes events to the caller, with the headers before the first. It flushes unless more has
-// arrived already.
+// send writes events to the caller, with the headers before the first. It flushes unless the next
+// one has arrived already.
 func (s *stream) send(events []byte) error {
 	if !s.started {
 		copyResponseHeader(s.w.Header(), s.response.Header)
@@ -143,7 +143,7 @@
 	if err := s.write(events); err != nil {
 		return err
 	}
-	if s.reader.buffered() {
+	if s.reader.hasEvent() {
 		return nil
 	}
 	return s.flush()
@@ -167,7 +167,6 @@
 	if !s.started {
 		return out
 	}
-	out.abort = true
 	if out.reason == verdict.CallerWentAway {
 		return out
 	}
