--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -80,7 +80,7 @@
 		_, _ = io.CopyN(io.Discard, response.Body, drainBytes)
 		return outcome{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
-			retryAfter: retryAfter(response.Header),
+			retryAfter: retryAfter(response.Header), begun: x.begun,
 		}
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return x.failed(ctx, errFormat)
@@ -120,6 +120,10 @@
 		Header: requestHeader(x.call.Header),
 		Host:   x.peer.endpoint.Address,
 	}
+	if x.call.Model != nil {
+		// The router reads these answers.
+		request.Header.Del("Accept-Encoding")
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
 		request.Header.Set(timeoutHeader, strconv.FormatInt(left, 10))
