--- /dev/null
+++ b/dragonflyctl/budget/list.go
@@ -0,0 +1,60 @@
+package budget
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/exit"
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/output"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// List is the verb "budget list".
+type List struct {
+	Team string `help:"Lists the budgets of this team only." default:""`
+}
+
+// Help returns the verb's description.
+func (*List) Help() string {
+	return "Prepaid is the total in force; IN FORCE is the ticket that set it. Available is what routers can still draw."
+}
+
+// Run lists the budgets.
+func (l *List) Run(container *dig.Container) error {
+	return container.Invoke(func(ctx context.Context, log platform.Log, p output.Printer) error {
+		return newLister(log, p, l.Team).list(ctx)
+	})
+}
+
+// lister prints the budgets.
+type lister struct {
+	log     platform.Log
+	printer output.Printer
+	team    string
+}
+
+func newLister(log platform.Log, p output.Printer, team string) *lister {
+	return &lister{log: log, printer: p, team: team}
+}
+
+func (l *lister) list(ctx context.Context) error {
+	all, err := accounts(ctx, l.log)
+	if err != nil {
+		return err
+	}
+	list := make([]account, 0, len(all))
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		a := all[name]
+		if l.team == "" || l.team == a.Team {
+			a.Holders = nil
+			list = append(list, a)
+		}
+	}
+	if l.team != "" && len(list) == 0 {
+		return exit.NotAllowed("team", l.team, "the name of a team that has a budget")
+	}
+	return l.printer.Print(list, table(list))
+}
--- /dev/null
+++ b/dragonflyctl/run_test.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/exit"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+)
+
+const (
+	teamTicket   = "Number: 1\nTeams: [{Name: studio, KeyDigests: [1111111111111111111111111111111111111111111111111111111111111111]}]\n"
+	budgetTicket = "Number: 2\nBudgets: [{Name: main, Team: studio, Prepaid: 1000}]\n"
+	lowerTicket  = "Number: 3\nBudgets: [{Name: main, Team: studio, Prepaid: 10}]\n"
+	orphanTicket = "Number: 4\nBudgets: [{Name: orphan, Team: nobody, Prepaid: 10}]\n"
+)
+
+// site is a log in memory on which the program is run.
+type site struct {
+	t      *testing.T
+	log    memory.Log
+	groups uint64
+}
+
+// result is what a run of the program left behind.
+type result struct {
+	Code   exit.Code
+	Stdout string
+	Stderr string
+}
+
+func (s *site) run(arguments ...string) result {
+	s.t.Helper()
+	var stdout, stderr bytes.Buffer
+	code := run(s.t.Context(), arguments, &stdout, &stderr, func(string) (platform.Log, error) { return &s.log, nil })
+	return result{Code: exit.Code(code), Stdout: stdout.String(), Stderr: stderr.String()}
+}
+
+// submit writes a ticket to a file and submits it.
+func (s *site) submit(text string) result {
+	s.t.Helper()
+	return s.run("ticket", "submit", s.write(text))
+}
+
+func (s *site) write(text string) string {
+	s.t.Helper()
+	file := filepath.Join(s.t.TempDir(), "ticket.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return file
+}
+
+func (s *site) append(stream string, payload []byte) {
+	s.t.Helper()
+	if _, err := s.log.Append(s.t.Context(), stream, payload); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// record appends a group of the only router to the ledger.
+func (s *site) record(records ...ledger.Record) {
+	s.t.Helper()
+	payload, err := ledger.Encode(ledger.Group{
+		Writer: ledger.Incarnation{Instance: "router-1", Number: 1}, First: s.groups + 1, Records: records,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.groups += uint64(len(records))
+	s.append(platform.LedgerStream(0), payload)
+}
+
+// newSite returns a site with a team, a budget of 1000 tokens and a router that holds 100 of them.
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t}
+	s.append(platform.ConfigurationStream, []byte(teamTicket))
+	s.append(platform.ConfigurationStream, []byte("garbage"))
+	s.record(
+		&ledger.Join{Region: "luzon-a", AvailabilityZone: "luzon-a1", Version: "1.0"},
+		&ledger.Prepaid{Budget: "main", Ticket: 2, Total: 1000},
+		&ledger.Draw{Budget: "main", Wanted: 100, Minimum: 1},
+		&ledger.Heartbeat{ConfigurationOffset: 2, ConfigurationNumber: 1},
+	)
+	return s
+}
+
+func assertResult(t *testing.T, code exit.Code, stderr string, got result) {
+	t.Helper()
+	if diff := cmp.Diff(code, got.Code); diff != "" {
+		t.Errorf("exit code (-want +got):\n%s\n%s%s", diff, got.Stdout, got.Stderr)
+	}
+	if !strings.Contains(got.Stderr, stderr) || (stderr == "" && got.Stderr != "") {
+		t.Errorf("stderr %q doesn't contain %q", got.Stderr, stderr)
+	}
+}
+
+func assertLines(t *testing.T, want []string, got string) {
+	t.Helper()
+	var lines []string
+	for line := range strings.Lines(got) {
+		lines = append(lines, strings.Join(strings.Fields(line), " "))
+	}
+	if diff := cmp.Diff(want, lines); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
+
+func TestSubmit(t *testing.T) {
+	t.Run("accepted", func(t *testing.T) {
+		s := &site{t: t}
+		got := s.submit(teamTicket)
+		assertResult(t, exit.OK, "", got)
+		assertLines(t, []string{"NUMBER OUTCOME OFFSET REASON DETAIL", "1 accepted 0 - -"}, got.Stdout)
+	})
+	t.Run("a second time", func(t *testing.T) {
+		s := &site{t: t}
+		s.submit(teamTicket)
+		assertResult(t, exit.OK, "", s.submit(teamTicket))
+		assertLines(t, []string{"OFFSET NUMBER OUTCOME REASON DETAIL", "0 1 accepted - -"}, s.run("ticket", "list").Stdout)
+	})
+	t.Run("refused", func(t *testing.T) {
+		got := newSite(t).submit(orphanTicket)
+		assertResult(t, exit.Refused, `ticket 4 was refused: UnknownTeam: budget "orphan": team "nobody"`, got)
+	})
+	t.Run("mistakes", func(t *testing.T) {
+		got := newSite(t).submit("Number: 0\nTeams: []\n")
+		assertResult(t, exit.Failed, "ticket.yaml:1: Number: is missing or zero", got)
+	})
+	t.Run("answer lost", func(t *testing.T) {
+		s := &site{t: t}
+		s.log.LoseAnswers(1, 1)
+		assertResult(t, exit.OK, "", s.submit(teamTicket))
+		assertLines(t, []string{"OFFSET NUMBER OUTCOME REASON DETAIL", "0 1 accepted - -"}, s.run("ticket", "list").Stdout)
+	})
+}
+
+func TestSubmitBudget(t *testing.T) {
+	t.Run("total in the ledger", func(t *testing.T) {
+		got := newSite(t).submit(budgetTicket)
+		assertResult(t, exit.OK, "", got)
+		assertLines(t, []string{
+			"NUMBER OUTCOME OFFSET REASON DETAIL", "2 accepted 2 - -", "", "BUDGET LEDGER PREPAID DETAIL", "main accepted 1000 -",
+		}, got.Stdout)
+	})
+	t.Run("total refused by the ledger", func(t *testing.T) {
+		s := newSite(t)
+		s.submit(budgetTicket)
+		s.record(&ledger.Prepaid{Budget: "main", Ticket: 3, Total: 10})
+		assertResult(t, exit.Refused, `the ledger refused the total of budget "main": 10 is below what is spent and in shares; lowest total possible then: 100`, s.submit(lowerTicket))
+	})
+	t.Run("a later total is in force", func(t *testing.T) {
+		s := newSite(t)
+		s.record(&ledger.Prepaid{Budget: "main", Ticket: 9, Total: 3000})
+		got := s.submit(budgetTicket)
+		assertResult(t, exit.OK, "", got)
+		if !strings.Contains(got.Stdout, "ticket 9 is in force") {
+			t.Error(got.Stdout)
+		}
+	})
+}
+
+func TestSubmitFaults(t *testing.T) {
+	t.Run("no router", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t)
+			s.submit(budgetTicket)
+			assertResult(t, exit.TimedOut, `ticket 3 is accepted, but the ledger doesn't show budget "main" yet`, s.submit(lowerTicket))
+		})
+	})
+	t.Run("no platform", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t)
+			s.log.SetOutage(true)
+			assertResult(t, exit.Unreachable, "it isn't known whether ticket 1 is in the log", s.submit(teamTicket))
+			assertResult(t, exit.Unreachable, "platform service unavailable", s.run("budget", "list"))
+		})
+	})
+	t.Run("platform comes back", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t)
+			s.log.OutageFor(10 * time.Second)
+			assertResult(t, exit.OK, "", s.submit(teamTicket))
+		})
+	})
+}
+
+func TestTruncated(t *testing.T) {
+	s := newSite(t)
+	c, _ := (*operator.Configuration)(nil).Apply(platform.Entry{Payload: []byte(teamTicket)})
+	snapshot, err := c.EncodeSnapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.log.Retain(memory.Retention{Entries: 1})
+	s.append(platform.ConfigurationSnapshotStream, []byte("garbage"))
+	assertResult(t, exit.Failed, "no usable snapshot covers it", s.run("config", "show"))
+	s.append(platform.ConfigurationSnapshotStream, snapshot)
+	assertLines(t, []string{"OFFSET NUMBER OUTCOME REASON DETAIL", "0 1 accepted - -",
+		`1 - malformed - ticket:1: ticket: is the text "garbage"; allowed: one YAML document with the fields of a ticket`,
+	}, s.run("ticket", "list").Stdout)
+	s.record(&ledger.Heartbeat{})
+	assertResult(t, exit.Failed, "no usable snapshot covers it", s.run("fleet", "status"))
+}
+
+func TestShow(t *testing.T) {
+	s := newSite(t)
+	s.append(platform.ConfigurationStream, []byte(budgetTicket))
+	line := "main studio 2 2 1000 0 100 900 0 false"
+	title := "BUDGET TEAM TICKET IN FORCE PREPAID SPENT IN SHARES AVAILABLE OPEN FROZEN"
+	assertLines(t, []string{title, line}, s.run("budget", "list", "--team", "studio").Stdout)
+	assertLines(t, []string{
+		title, line, "", "HOLDER WORKING FREE WORKING RESERVED RESERVE FREE RESERVE RESERVED", "router-1/1 100 0 0 0",
+	}, s.run("budget", "show", "main").Stdout)
+	assertLines(t, []string{
+		"CONFIGURATION CONFIGURATION NEXT LEDGER NEXT ROUTERS", "2 3 1 1", "",
+		"ROUTER REGION AVAILABILITY ZONE VERSION LEASE LAST SEEN CONFIGURATION CURRENT", "router-1/1 luzon-a luzon-a1 1.0 live 0 1 false",
+	}, s.run("fleet", "status").Stdout)
+	assertResult(t, exit.Failed, `no budget is named "other"`, s.run("budget", "show", "other"))
+	assertResult(t, exit.Usage, `--team is "other"; allowed: the name of a team that has a budget`, s.run("budget", "list", "--team", "other"))
+}
+
+func TestJSON(t *testing.T) {
+	s := newSite(t)
+	for _, arguments := range [][]string{
+		{"ticket", "list"}, {"config", "show"}, {"budget", "list"}, {"budget", "show", "main"}, {"fleet", "status"}, {"version"},
+		{"ticket", "check", s.write(teamTicket)}, {"ticket", "submit", s.write(teamTicket)},
+	} {
+		t.Run(strings.Join(arguments[:min(2, len(arguments))], " "), func(t *testing.T) {
+			got := s.run(append(arguments, "--output", "json")...)
+			assertResult(t, exit.OK, "", got)
+			if !json.Valid([]byte(got.Stdout)) {
+				t.Errorf("no JSON:\n%s", got.Stdout)
+			}
+		})
+	}
+}
+
+func TestUsage(t *testing.T) {
+	s := newSite(t)
+	for arguments, message := range map[string]string{
+		"version --output xml":                 `--output must be one of "table","json" but got "xml"`,
+		"ticket submit ticket --timeout 1ms":   `--timeout is "1ms"; allowed: 100ms to 1h`,
+		"ticket submit ticket --timeout never": `--timeout`,
+		"ticket submit":                        `<file>`,
+		"ticket frobnicate":                    `frobnicate`,
+		"fleet status --partitions 3":          `--partitions`,
+	} {
+		t.Run(arguments, func(t *testing.T) {
+			assertResult(t, exit.Usage, message, s.run(strings.Fields(arguments)...))
+		})
+	}
+	t.Run("platform", func(t *testing.T) {
+		var stdout, stderr bytes.Buffer
+		code := Main([]string{"budget", "list", "--platform", "http://platform.internal"}, &stdout, &stderr)
+		assertResult(t, exit.Usage, `--platform is "http://platform.internal"; allowed: an http or https URL whose host is an IP address`,
+			result{exit.Code(code), stdout.String(), stderr.String()})
+	})
+	t.Run("help", func(t *testing.T) {
+		got := s.run("--help")
+		assertResult(t, exit.OK, "", got)
+		for _, d := range exit.Codes() {
+			if !strings.Contains(got.Stdout, d.Meaning) {
+				t.Errorf("help lacks %q", d.Meaning)
+			}
+		}
+	})
+}
+
+func TestCodeOf(t *testing.T) {
+	assertCode := func(want exit.Code, err error) {
+		t.Helper()
+		if diff := cmp.Diff(want, exit.CodeOf(err)); diff != "" {
+			t.Error(diff)
+		}
+	}
+	assertCode(exit.OK, nil)
+	assertCode(exit.Failed, errors.New("other"))
+	assertCode(exit.Unreachable, platform.ErrUnavailable)
+}
--- /dev/null
+++ b/dragonflyctl/streams/read.go
@@ -0,0 +1,80 @@
+// Package streams follows the streams of the platform's log for the verbs.
+package streams
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+const (
+	// readLimit bounds the entries of one read.
+	readLimit = 1024
+	// callTimeout bounds one call of the log.
+	callTimeout = 5 * time.Second
+	// pollInterval is the time between two reads at the end of a stream.
+	pollInterval = 100 * time.Millisecond
+)
+
+// ErrTruncated reports a stream whose beginning the log has dropped while there is no usable snapshot.
+var ErrTruncated = errors.New("the beginning of the stream is no longer kept and no usable snapshot covers it")
+
+// read reads entries and reports whether they may have reached the stream's end. An answer that is short
+// because of its bytes is longer than half of what an answer may carry.
+func read(ctx context.Context, log platform.Log, stream string, from platform.Offset) ([]platform.Entry, bool, error) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, err := log.Read(bounded, stream, from, readLimit)
+	if err != nil {
+		return nil, false, err
+	}
+	size := 0
+	for _, e := range entries {
+		size += len(e.Payload)
+	}
+	return entries, len(entries) < readLimit && size < platform.MaxReadBytes/2, nil
+}
+
+// readAll calls visit with each entry that a stream still keeps.
+func readAll(ctx context.Context, log platform.Log, stream string, visit func(platform.Entry)) error {
+	var from platform.Offset
+	for {
+		entries, atEnd, err := read(ctx, log, stream, from)
+		var truncated *platform.TruncatedError
+		if errors.As(err, &truncated) && truncated.First > from {
+			from = truncated.First
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		for _, e := range entries {
+			visit(e)
+			from = e.Offset + 1
+		}
+		if atEnd {
+			return nil
+		}
+	}
+}
+
+// Append appends a payload within the time of one call.
+func Append(ctx context.Context, log platform.Log, stream string, payload []byte) error {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := log.Append(bounded, stream, payload)
+	return err
+}
+
+// Wait pauses before the next read at the end of a stream, or until ctx ends.
+func Wait(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pollInterval):
+	}
+}
+
+func truncation(err error) error { return fmt.Errorf("%w: %w", ErrTruncated, err) }
--- /dev/null
+++ b/dragonflyctl/ticket/verbs.go
@@ -0,0 +1,9 @@
+// Package ticket holds the verbs for change tickets.
+package ticket
+
+// Verbs is the table of the verbs for tickets.
+type Verbs struct {
+	Check  Check  `cmd:"" help:"Checks ticket files without the platform and prints each mistake with its line and field."`
+	Submit Submit `cmd:"" help:"Submits a ticket and waits until the log shows that it was accepted or refused."`
+	List   List   `cmd:"" help:"Lists the tickets of the log with what became of them."`
+}
--- /dev/null
+++ b/dragonflyctl/version.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"runtime/debug"
+
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/output"
+)
+
+// versionVerb is the verb "version".
+type versionVerb struct{}
+
+// Run prints the version that the build recorded.
+func (*versionVerb) Run(container *dig.Container) error {
+	return container.Invoke(func(p output.Printer) error {
+		v := version()
+		return p.Print(struct{ Version string }{v}, output.Table{Columns: []string{"dragonflyctl " + v}})
+	})
+}
+
+func version() string {
+	info, found := debug.ReadBuildInfo()
+	if !found || info.Main.Version == "" {
+		return "devel"
+	}
+	return info.Main.Version
+}
