--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -115,6 +115,7 @@
 	loops.Go(func() { c.loopRead(ctx) })
 	loops.Go(func() { c.loopAppend(ctx) })
 	loops.Go(func() { c.loopTick(ctx) })
+	loops.Go(func() { c.loopSnapshot(ctx) })
 	loops.Wait()
 	return context.Cause(ctx)
 }
@@ -211,7 +212,7 @@
 	if c.current != nil {
 		fields["Incarnation"] = c.current.incarnation.Number
 	}
-	return apex.WithFields(fields)
+	return c.settings.Logger.WithFields(fields)
 }
 
 // wake signals a loop that may be waiting; a signal that is already pending suffices.
--- a/fleet/ledgerstream/counters.go
+++ b/fleet/ledgerstream/counters.go
@@ -33,6 +33,10 @@
 	releaseUnknown    = "ledger.release.unknown"
 	dispatchRefused   = "ledger.dispatch.refused"
 	reserveRefusedFor = "ledger.reserve.refused."
+	snapshotWritten   = "ledger.snapshot.written"
+	snapshotFailed    = "ledger.snapshot.failed"
+	snapshotLoaded    = "ledger.snapshot.loaded"
+	snapshotMalformed = "ledger.snapshot.malformed"
 	outboxLength      = "ledger.outbox.length"
 	logReachable      = "ledger.log.reachable"
 )
@@ -73,6 +77,10 @@
 		{releaseUnknown, "releases that were not read back in time"},
 		{dispatchRefused, "dispatches refused because the lease had lapsed"},
 		{reserveRefusedFor + "REASON", "requests refused by Reserve, by the reason that the caller sees"},
+		{snapshotWritten, "snapshots that this router wrote"},
+		{snapshotFailed, "snapshots that could not be encoded or appended whole"},
+		{snapshotLoaded, "times that this router continued from a snapshot"},
+		{snapshotMalformed, "chunks of snapshots that are malformed or complete one with a wrong digest"},
 		{outboxLength, "gauge: records that were not yet read back"},
 		{logReachable, "gauge: 1 if the log answers, 0 if not"},
 	}
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -12,8 +12,9 @@
 // roundTripWeight is the weight of a new measurement in the usual round trip.
 const roundTripWeight = 4
 
-// loopRead reads the stream from its beginning and then follows its tail.
+// loopRead reads the stream from the newest snapshot or its beginning and then follows its tail.
 func (c *Client) loopRead(ctx context.Context) {
+	c.loadSnapshot(ctx)
 	for ctx.Err() == nil {
 		begun := time.Now()
 		from, number := c.beginRead()
@@ -24,7 +25,10 @@
 			return
 		}
 		if err != nil {
-			waitFor(ctx, nil, c.readFailed(err))
+			delay := c.readFailed(err)
+			if !c.isTruncated() || !c.loadSnapshot(ctx) {
+				waitFor(ctx, nil, delay)
+			}
 			continue
 		}
 		if complete := c.apply(entries, begun, number); complete {
@@ -67,6 +71,12 @@
 	c.truncated = true
 }
 
+func (c *Client) isTruncated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.truncated
+}
+
 // apply folds what was read and reports whether the read reached the stream's end.
 func (c *Client) apply(entries []platform.Entry, begun time.Time, number uint64) bool {
 	c.mu.Lock()
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"time"
 
+	apex "github.com/apex/log"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
 )
 
@@ -29,6 +31,7 @@
 	DefaultOutboxLimit          = 20_000
 	DefaultGroupBytes           = 64 * 1024
 	DefaultReadLimit            = 256
+	DefaultSnapshotInterval     = 10 * time.Minute
 	DefaultUnreachableFailures  = 3
 	DefaultReserveDrawsPerTick  = 16
 	DefaultPrepaidCopiesPerTick = 256
@@ -83,6 +86,10 @@
 	ReadLimit int
 	// UnreachableFailures is the number of failed calls in a row after which the log counts as unreachable.
 	UnreachableFailures int
+	// SnapshotInterval is the mean time between two snapshots of the whole fleet.
+	SnapshotInterval time.Duration
+	// Logger takes the changes of state; nil takes the standard logger.
+	Logger apex.Interface
 	// Seed fixes the jitter; zero takes a random one.
 	Seed uint64
 }
@@ -109,6 +116,10 @@
 	s.OutboxLimit = cmp.Or(s.OutboxLimit, DefaultOutboxLimit)
 	s.GroupBytes = cmp.Or(s.GroupBytes, DefaultGroupBytes)
 	s.ReadLimit = cmp.Or(s.ReadLimit, DefaultReadLimit)
+	s.SnapshotInterval = cmp.Or(s.SnapshotInterval, DefaultSnapshotInterval)
+	if s.Logger == nil {
+		s.Logger = apex.Log
+	}
 	s.UnreachableFailures = cmp.Or(s.UnreachableFailures, DefaultUnreachableFailures)
 	return s
 }
--- /dev/null
+++ b/fleet/ledgerstream/snapshot.go
@@ -0,0 +1,130 @@
+package ledgerstream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// loopSnapshot writes snapshots of the folded state, so that the log may drop old records. The routers'
+// jittered intervals add up to one snapshot an interval for the whole fleet.
+func (c *Client) loopSnapshot(ctx context.Context) {
+	for ctx.Err() == nil {
+		waitFor(ctx, nil, c.snapshotWait())
+		if ctx.Err() == nil {
+			c.writeSnapshot(ctx)
+		}
+	}
+}
+
+// snapshotWait returns the time until this router's next snapshot: on average one interval for each router.
+func (c *Client) snapshotWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mean := c.settings.SnapshotInterval * time.Duration(c.routers)
+	return mean/2 + time.Duration(c.random.Int64N(int64(mean)))
+}
+
+// writeSnapshot appends the chunks of a snapshot. A snapshot that stays incomplete does no harm: readers ignore it.
+func (c *Client) writeSnapshot(ctx context.Context) {
+	chunks, err := c.encodeSnapshot()
+	if err != nil {
+		c.count(snapshotFailed, 1)
+		c.logger().WithError(err).Error("can't encode a snapshot")
+		return
+	}
+	for _, chunk := range chunks {
+		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+		_, err := c.log.Append(call, platform.LedgerSnapshotStream(c.settings.Partition), chunk)
+		cancel()
+		if err != nil {
+			c.count(snapshotFailed, 1)
+			return
+		}
+		waitFor(ctx, nil, time.Duration(float64(time.Second)/c.appendRate()))
+	}
+	if len(chunks) > 0 {
+		c.count(snapshotWritten, 1)
+	}
+}
+
+// encodeSnapshot returns the chunks of a snapshot; none while the state is not up to date.
+func (c *Client) encodeSnapshot() ([][]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready() {
+		return nil, nil
+	}
+	return c.state.EncodeSnapshot(c.current.incarnation, ledger.DefaultChunkBytes)
+}
+
+// loadSnapshot continues from the newest complete snapshot that covers more than the state. It reports
+// whether there was one.
+func (c *Client) loadSnapshot(ctx context.Context) bool {
+	newest := c.newestSnapshot(ctx)
+	if newest == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if newest.Next() <= c.state.Next() {
+		return false
+	}
+	newest.Window = c.state.Window
+	c.state = *newest
+	c.truncated = false
+	c.observation.Break()
+	c.count(snapshotLoaded, 1)
+	c.logger().WithField("Next", newest.Next()).Info("continued from a snapshot")
+	c.resumeAfterJump()
+	return true
+}
+
+// newestSnapshot reads the snapshot stream to its end; nil if it holds no complete snapshot.
+func (c *Client) newestSnapshot(ctx context.Context) *ledger.State {
+	stream := platform.LedgerSnapshotStream(c.settings.Partition)
+	var newest *ledger.State
+	assembler := &ledger.Assembler{}
+	from := platform.Offset(0)
+	for {
+		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+		entries, err := c.log.Read(call, stream, from, c.settings.ReadLimit)
+		cancel()
+		truncated := &platform.TruncatedError{}
+		if errors.As(err, &truncated) && truncated.First > from {
+			from = truncated.First
+			continue
+		}
+		if err != nil || len(entries) == 0 {
+			return newest
+		}
+		for _, e := range entries {
+			from = e.Offset + 1
+			state, err := assembler.Add(e.Payload)
+			if err != nil {
+				c.count(snapshotMalformed, 1)
+			}
+			if state != nil {
+				newest = state
+			}
+		}
+	}
+}
+
+// resumeAfterJump closes what the skipped records decided: their events were never seen, so that an open
+// among them may have been accepted. A draw among them is simply made again.
+func (c *Client) resumeAfterJump() {
+	for _, b := range c.accounts {
+		b.drawing = false
+	}
+	for _, o := range c.outboxes() {
+		c.closeGroups(o, c.dropApplied(o))
+	}
+	if c.current != nil && c.current.joined && !c.state.IsLive(c.current.incarnation) {
+		c.count(leaseFenced, 1)
+		c.retire(c.current)
+	}
+}
--- /dev/null
+++ b/fleet/ledgerstream/snapshot_test.go
@@ -0,0 +1,160 @@
+package ledgerstream
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+)
+
+// retainedEntries is how many entries of each stream the log of these tests keeps.
+const retainedEntries = 40
+
+// startOn starts a client on a log and returns it with the function that ends it.
+func startOn(log platform.Log, instance string, s Settings) (*Client, func()) {
+	s.Instance = instance
+	c := NewClient(log, s, metrics.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = c.Run(ctx)
+		close(ended)
+	}()
+	return c, func() {
+		cancel()
+		<-ended
+	}
+}
+
+// spend reserves and bills an amount.
+func spend(t *testing.T, c *Client, key string, amount ledger.Tokens) {
+	t.Helper()
+	r, err := c.Reserve(context.Background(), Demand{
+		Budget: testBudget, Request: ledger.NewRequestIdentifier("team", key), Amount: amount, Idempotent: true,
+	})
+	if err != nil {
+		t.Fatalf("reserving for %s: %v", key, err)
+	}
+	r.Bill(amount)
+}
+
+func spent(c *Client) ledger.Tokens {
+	var view ledger.BudgetView
+	c.View(func(s *ledger.State) { view, _ = s.Budget(testBudget) })
+	return view.Spent
+}
+
+func TestSnapshots(t *testing.T) {
+	t.Run("a new router continues after the log dropped the beginning", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log := &memory.Log{}
+			log.Retain(memory.Retention{Entries: retainedEntries})
+			first, stop := startOn(log, "first", Settings{SnapshotInterval: 20 * time.Second})
+			defer stop()
+			time.Sleep(time.Second)
+			first.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: 1, Total: 1000}})
+			time.Sleep(time.Second)
+			spend(t, first, "a", 300)
+			time.Sleep(10 * time.Minute)
+			_, err := log.Read(context.Background(), platform.LedgerStream(0), 0, 1)
+			assertEqual(t, "the log dropped the beginning", true, err != nil)
+
+			second, stopSecond := startOn(log, "second", Settings{})
+			defer stopSecond()
+			time.Sleep(time.Second)
+			assertEqual(t, "second is ready", true, second.Ready())
+			assertEqual(t, "spent as second sees it", ledger.Tokens(300), spent(second))
+			spend(t, second, "b", 700)
+			time.Sleep(time.Second)
+			assertEqual(t, "spent as first sees it", 1000, spent(first))
+		})
+	})
+	t.Run("without a snapshot a new router refuses to start", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log := &memory.Log{}
+			log.Retain(memory.Retention{Entries: retainedEntries})
+			_, stop := startOn(log, "first", Settings{SnapshotInterval: 24 * time.Hour})
+			defer stop()
+			time.Sleep(10 * time.Minute)
+			second, stopSecond := startOn(log, "second", Settings{})
+			defer stopSecond()
+			time.Sleep(time.Minute)
+			assertEqual(t, "second is ready", false, second.Ready())
+			assertEqual(t, "second is truncated", true, second.Status().Truncated)
+		})
+	})
+	t.Run("a reader that fell behind the retention jumps and rejoins", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log := newFakeLog(testSeed)
+			shared := &memory.Log{}
+			shared.Retain(memory.Retention{Entries: retainedEntries})
+			first, stop := startOn(shared, "first", Settings{SnapshotInterval: 20 * time.Second})
+			defer stop()
+			link := &cuttableLog{Log: shared, gate: log}
+			second, stopSecond := startOn(link, "second", Settings{SnapshotInterval: 24 * time.Hour})
+			defer stopSecond()
+			time.Sleep(time.Second)
+			first.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: 1, Total: 1000}})
+			time.Sleep(time.Second)
+			spend(t, second, "a", 100)
+			former := second.Incarnation()
+			log.set(func() { log.down = true })
+			time.Sleep(10 * time.Minute)
+			assertEqual(t, "lease is left", false, second.Status().LeaseLeft > 0)
+			log.set(func() { log.down = false })
+			time.Sleep(time.Minute)
+			assertEqual(t, "second is ready", true, second.Ready())
+			assertEqual(t, "the incarnation is the former one", false, former == second.Incarnation())
+			spend(t, second, "b", 900)
+			time.Sleep(time.Second)
+			assertEqual(t, "spent as first sees it", 1000, spent(first))
+		})
+	})
+	t.Run("garbage on the snapshot stream is counted and skipped", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log := &memory.Log{}
+			for _, payload := range []string{"", "garbage"} {
+				if _, err := log.Append(context.Background(), platform.LedgerSnapshotStream(0), []byte(payload)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c, stop := startOn(log, "first", Settings{})
+			defer stop()
+			time.Sleep(time.Second)
+			assertEqual(t, "the client is ready", true, c.Ready())
+			assertEqual(t, "malformed chunks", int64(2), metrics.GetOrRegisterCounter(snapshotMalformed, c.counters).Count())
+		})
+	})
+}
+
+// cuttableLog is one client's way to a log that the test can cut.
+type cuttableLog struct {
+	platform.Log
+	gate *fakeLog
+}
+
+func (l *cuttableLog) cut() bool {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	return l.gate.down
+}
+
+func (l *cuttableLog) Append(ctx context.Context, stream string, payload []byte) (platform.Offset, error) {
+	if l.cut() {
+		return 0, platform.ErrUnavailable
+	}
+	return l.Log.Append(ctx, stream, payload)
+}
+
+func (l *cuttableLog) Read(ctx context.Context, stream string, from platform.Offset, limit int) ([]platform.Entry, error) {
+	if l.cut() {
+		return nil, platform.ErrUnavailable
+	}
+	return l.Log.Read(ctx, stream, from, limit)
+}
--- a/router/build.go
+++ b/router/build.go
@@ -91,7 +91,7 @@
 	return platform.NewHTTPInstanceList(settings.Platform, client)
 }
 
-func newLedgerClient(settings *Settings, stream platform.Log, registry metrics.Registry) *ledgerstream.Client {
+func newLedgerClient(settings *Settings, stream platform.Log, registry metrics.Registry, logger log.Interface) *ledgerstream.Client {
 	return ledgerstream.NewClient(stream, ledgerstream.Settings{
 		Instance:              settings.Instance,
 		AvailabilityZone:      settings.AvailabilityZone,
@@ -100,6 +100,8 @@
 		Lease:                 settings.Lease,
 		LeaseMargin:           settings.LeaseMargin,
 		FleetAppendsPerSecond: settings.FleetAppendsPerSecond,
+		SnapshotInterval:      settings.SnapshotInterval,
+		Logger:                logger,
 	}, registry)
 }
 
