--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -23,7 +23,7 @@
 		Created int64  `json:"created"`
 		OwnedBy string `json:"owned_by"`
 	}
-	var served []model
+	served := []model{}
 	e.count(func() {
 		for _, name := range e.Models {
 			served = append(served, model{name, "model", 0, "standin"})
@@ -37,7 +37,9 @@
 
 // run is one call of the engine.
 type run struct {
-	engine  *Engine
+	engine *Engine
+	// id names the answer; every chunk of it bears it.
+	id      string
 	request *request
 	dialect dialect
 	key     string
@@ -66,6 +68,7 @@
 	defer e.leave()
 	c := &run{
 		engine:  e,
+		id:      "cmpl-" + e.Name + "-" + strconv.FormatInt(e.calls.Add(1), 10),
 		request: decoded,
 		dialect: d,
 		key:     r.Header.Get(runs.Header),
@@ -162,7 +165,7 @@
 		choices = []any{}
 	}
 	return envelope{
-		ID:      "cmpl-" + c.engine.Name + "-" + strconv.Itoa(c.prompt),
+		ID:      c.id,
 		Object:  object(c.dialect, chunk),
 		Created: time.Now().Unix(),
 		Model:   c.request.Model,
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -59,6 +60,7 @@
 	once  sync.Once
 	slots chan struct{}
 	cache prefixCache
+	calls atomic.Int64
 
 	mutex    sync.Mutex
 	slow     float64
