--- a/router/endpoint/chunk.go
+++ b/router/endpoint/chunk.go
@@ -27,40 +27,62 @@
 	return ledger.Tokens(max(u.TotalTokens, u.PromptTokens+u.CompletionTokens))
 }
 
+// textLength is the length of a JSON value that is not read, such as a delta's text; that of null is 0.
+type textLength int
+
+// UnmarshalJSON measures the value without its quotation marks.
+func (l *textLength) UnmarshalJSON(value []byte) error {
+	*l = 0
+	if !bytes.Equal(value, []byte("null")) {
+		*l = textLength(len(value) - len(`""`))
+	}
+	return nil
+}
+
 // message is the part of a choice that carries content, in a delta or in a whole message.
 type message struct {
-	Content          string          `json:"content"`
-	ReasoningContent string          `json:"reasoning_content"`
-	Refusal          string          `json:"refusal"`
-	ToolCalls        json.RawMessage `json:"tool_calls"`
+	Content          textLength `json:"content"`
+	ReasoningContent textLength `json:"reasoning_content"`
+	Refusal          textLength `json:"refusal"`
+	ToolCalls        textLength `json:"tool_calls"`
 }
 
 func (m message) length() int {
-	return len(m.Content) + len(m.ReasoningContent) + len(m.Refusal) + len(m.ToolCalls)
+	return int(m.Content + m.ReasoningContent + m.Refusal + m.ToolCalls)
 }
 
 // choice is one of the answers that an engine gives at once.
 type choice struct {
-	Index   int     `json:"index"`
-	Text    string  `json:"text"`
-	Delta   message `json:"delta"`
-	Message message `json:"message"`
+	Text    textLength `json:"text"`
+	Delta   message    `json:"delta"`
+	Message message    `json:"message"`
 }
 
-func (c choice) length() int { return len(c.Text) + c.Delta.length() + c.Message.length() }
+func (c choice) length() int { return int(c.Text) + c.Delta.length() + c.Message.length() }
 
 // chunk is what the router reads of an engine's answer, whole or a single event of it.
 type chunk struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
 	Choices []choice `json:"choices"`
 	Usage   *usage   `json:"usage"`
 }
 
+// read parses an answer into the space of the one before.
+func (c *chunk) read(data []byte) error {
+	clear(c.Choices[:cap(c.Choices)])
+	c.Choices, c.Usage = c.Choices[:0], nil
+	return json.Unmarshal(data, c)
+}
+
+// origin is what all chunks of an answer have in common.
+type origin struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+}
+
 // tokens counts the choices that carry content: engines send a token an event.
-func (c chunk) tokens() int64 {
+func (c *chunk) tokens() int64 {
 	count := int64(0)
 	for _, choice := range c.Choices {
 		if choice.length() > 0 {
@@ -71,11 +93,11 @@
 }
 
 // reportsUsage says that the chunk carries nothing but the usage.
-func (c chunk) reportsUsage() bool { return c.Usage != nil && len(c.Choices) == 0 }
+func (c *chunk) reportsUsage() bool { return c.Usage != nil && len(c.Choices) == 0 }
 
 // lastEvents returns the events that end an answer at its limit: a chunk with finish_reason "length",
 // the usage if the caller asked for it, and the end of the stream.
-func (c chunk) lastEvents(reported *usage) []byte {
+func (o origin) lastEvents(reported *usage) []byte {
 	finish := finishLength
 	var events bytes.Buffer
 	type ending struct {
@@ -85,7 +107,7 @@
 		FinishReason *string   `json:"finish_reason"`
 	}
 	last := ending{FinishReason: &finish}
-	if c.Object == "text_completion" {
+	if o.Object == "text_completion" {
 		last.Text = new(string)
 	} else {
 		last.Delta = new(struct{})
@@ -93,13 +115,10 @@
 	write := func(choices []ending, u *usage) {
 		// Marshalling plain strings and numbers can't fail.
 		body, _ := json.Marshal(struct {
-			ID      string   `json:"id"`
-			Object  string   `json:"object"`
-			Created int64    `json:"created"`
-			Model   string   `json:"model"`
+			origin
 			Choices []ending `json:"choices"`
 			Usage   *usage   `json:"usage,omitempty"`
-		}{c.ID, c.Object, c.Created, c.Model, choices, u})
+		}{o, choices, u})
 		fmt.Fprintf(&events, "data: %s\n\n", body)
 	}
 	write([]ending{last}, nil)
--- a/router/endpoint/dispatcher_bench_test.go
+++ b/router/endpoint/dispatcher_bench_test.go
@@ -22,6 +22,9 @@
 func (w *discard) Header() http.Header         { return w.header }
 func (w *discard) Write(p []byte) (int, error) { return len(p), nil }
 func (w *discard) WriteHeader(int)             {}
+func (w *discard) FlushError() error           { return nil }
+
+func (w *discard) SetWriteDeadline(time.Time) error { return nil }
 
 // engines starts endpoints that answer with a stream of ten tokens.
 func engines(b *testing.B, count int) *blackboard.Board {
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -202,7 +202,7 @@
 		{"no end", sends(delta("a")), nil, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 11, true, 1, delta("a") + errorText}},
 		{
 			"cut at the limit", sends(delta("a"), delta("b"), usageEvent, doneEvent), func(c *Call) { c.Model.MaxTokens = 1 },
-			outcomeOf{"Ran", "", 11, true, 1, delta("a") + string(chunk{ID: "c", Object: "chat.completion.chunk"}.lastEvents(nil))},
+			outcomeOf{"Ran", "", 11, true, 1, delta("a") + string(origin{ID: "c", Object: "chat.completion.chunk"}.lastEvents(nil))},
 		},
 		{"wrong content type", func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, delta("a"))
--- a/router/endpoint/stream.go
+++ b/router/endpoint/stream.go
@@ -31,6 +31,7 @@
 	*exchange
 	response *http.Response
 	reader   *eventReader
+	chunk    chunk
 	// tokens counts the content deltas passed on; reported is the engine's own count, once known.
 	tokens   int64
 	reported *usage
@@ -73,8 +74,8 @@
 		s.drain()
 		return out, done
 	}
-	var c chunk
-	if err := json.Unmarshal(e.data, &c); err != nil {
+	c := &s.chunk
+	if err := c.read(e.data); err != nil {
 		return s.broken(ctx, errFormat), true
 	}
 	if c.Usage != nil {
@@ -85,7 +86,7 @@
 	}
 	tokens := c.tokens()
 	if s.tokens+tokens > s.call.Model.MaxTokens {
-		return s.cut(c)
+		return s.cut(e.data)
 	}
 	if err := s.send(e.raw); err != nil {
 		return s.gone(err), true
@@ -120,7 +121,10 @@
 }
 
 // cut ends an answer at its limit. The engine's request is cancelled when the attempt returns.
-func (s *stream) cut(c chunk) (outcome, bool) {
+func (s *stream) cut(data []byte) (outcome, bool) {
+	var o origin
+	// The data has been read once already.
+	_ = json.Unmarshal(data, &o)
 	s.dispatcher.board.Count(answerCut)
 	s.reported = nil
 	var reported *usage
@@ -129,7 +133,7 @@
 			PromptTokens: s.call.Model.PromptBound, CompletionTokens: s.tokens, TotalTokens: s.call.Model.PromptBound + s.tokens,
 		}
 	}
-	return s.finish(c.lastEvents(reported))
+	return s.finish(o.lastEvents(reported))
 }
 
 // send writes events to the caller, with the headers before the first. It flushes unless the next
