--- a/fleet/ledger/codec.go
+++ b/fleet/ledger/codec.go
@@ -111,27 +111,37 @@
 	}
 }
 
-// Decode returns the group of a payload. Records of unknown types become *Unknown, so that the others
-// keep their sequence numbers.
+// Decode returns the group of a payload that holds one. Records of unknown types become *Unknown, so that
+// the others keep their sequence numbers.
 func Decode(payload []byte) (Group, error) {
+	g, rest, err := decodeNext(payload)
+	if err != nil {
+		return Group{}, err
+	}
+	if len(rest) > 0 {
+		return Group{}, fmt.Errorf("%w: %d bytes after the last record", ErrMalformed, len(rest))
+	}
+	return g, nil
+}
+
+// decodeNext returns the first group of a payload and what follows it. An entry of the log may hold several
+// groups, of one writer or of many, one after the other.
+func decodeNext(payload []byte) (Group, []byte, error) {
 	if len(payload) > MaxGroupBytes {
-		return Group{}, fmt.Errorf("%w: %w", ErrMalformed, ErrTooLong)
+		return Group{}, nil, fmt.Errorf("%w: %w", ErrMalformed, ErrTooLong)
 	}
 	version, rest, err := msgp.ReadUint64Bytes(payload)
 	if err != nil {
-		return Group{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+		return Group{}, nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	if version != envelopeVersion {
-		return Group{}, fmt.Errorf("%w %d", ErrVersion, version)
+		return Group{}, nil, fmt.Errorf("%w %d", ErrVersion, version)
 	}
 	g, rest, err := readGroup(rest)
 	if err != nil {
-		return Group{}, fmt.Errorf("%w: %w", ErrMalformed, err)
-	}
-	if len(rest) > 0 {
-		return Group{}, fmt.Errorf("%w: %d bytes after the last record", ErrMalformed, len(rest))
+		return Group{}, nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return g, nil
+	return g, rest, nil
 }
 
 // readGroup reads a group without its envelope version.
--- a/fleet/ledger/read.go
+++ b/fleet/ledger/read.go
@@ -98,6 +98,12 @@
 	return highest
 }
 
+// HasEnded reports whether an incarnation is gone for good.
+func (s *State) HasEnded(i Incarnation) bool {
+	_, known := s.members[i]
+	return !known && i.Number <= s.ended[i.Instance]
+}
+
 // AppliedSequence returns the highest sequence number of a live or suspended incarnation up to which all
 // records were applied; 0 if there is none.
 func (s *State) AppliedSequence(i Incarnation) uint64 {
--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -59,13 +59,18 @@
 	if e.Offset < s.next {
 		return nil
 	}
-	g, err := Decode(e.Payload)
-	if err != nil {
-		s.advance(e.Offset)
-		s.countFault(err)
-		return nil
+	s.advance(e.Offset)
+	var events []Event
+	for rest := e.Payload; len(rest) > 0 || len(e.Payload) == 0; {
+		g, following, err := decodeNext(rest)
+		if err != nil {
+			s.countFault(err)
+			break
+		}
+		events = append(events, s.fold(e.Offset, &g)...)
+		rest = following
 	}
-	return s.fold(e.Offset, &g)
+	return events
 }
 
 // ApplyGroup folds a decoded group that lies at an offset of the stream. The state keeps the group's records.
--- a/fleet/ledgerstream/appender.go
+++ b/fleet/ledgerstream/appender.go
@@ -13,7 +13,25 @@
 // appendBurst is the number of appends that an idle router may make at once.
 const appendBurst = 1
 
-// loopAppend appends one group at a time, while the next one gathers.
+// bundle is what one append carries: own groups that are not known to be in the log, and copies of others.
+type bundle struct {
+	parts   []bundlePart
+	copies  []*heldCopy
+	payload []byte
+}
+
+// bundlePart is an own group of a bundle.
+type bundlePart struct {
+	outbox *outbox
+	group  *outboxGroup
+}
+
+// hasRoom says whether a payload fits; the first one always does.
+func (b *bundle) hasRoom(size, limit int) bool {
+	return len(b.payload) == 0 || len(b.payload)+size <= limit
+}
+
+// loopAppend appends one bundle at a time, while the next group gathers.
 func (c *Client) loopAppend(ctx context.Context) {
 	limiter := rate.NewLimiter(rate.Limit(c.settings.FleetAppendsPerSecond), appendBurst)
 	for ctx.Err() == nil {
@@ -25,11 +43,11 @@
 		if limiter.Wait(ctx) != nil {
 			return
 		}
-		o, g := c.nextGroup()
-		if g == nil {
+		b := c.nextBundle(time.Now())
+		if len(b.payload) == 0 {
 			continue
 		}
-		c.appendGroup(ctx, o, g)
+		c.appendBundle(ctx, b)
 	}
 }
 
@@ -40,7 +58,7 @@
 	return decision.AppendRate(c.settings.FleetAppendsPerSecond, c.routers)
 }
 
-// hasUnsent says whether any record waits for its append.
+// hasUnsent says whether anything waits for its append.
 func (c *Client) hasUnsent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -49,32 +67,59 @@
 			return true
 		}
 	}
-	return false
+	return len(c.dueCopies(time.Now())) > 0
 }
 
-// nextGroup returns the group to append: the oldest that isn't known to be in the log, or a new one.
-func (c *Client) nextGroup() (*outbox, *outboxGroup) {
+// nextBundle returns what to append next: the oldest groups that aren't known to be in the log, a new group
+// of what is queued, and the copies that are due, as far as they fit. After an outage this carries many small
+// groups in few appends.
+func (c *Client) nextBundle(now time.Time) *bundle {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	b := &bundle{}
+	limit := c.settings.GroupBytes
 	for _, o := range c.outboxes() {
-		g := o.unsent()
-		if g == nil {
-			g = c.cutGroup(now, o)
+		if !c.addUnsent(b, o, now) {
+			return b
 		}
-		if g == nil {
-			continue
+		if g := c.cutGroup(now, o); g != nil && !c.addGroup(b, o, g, now) {
+			return b
 		}
-		if g.tries > 0 {
-			c.count(appendRepeated, 1)
+	}
+	for _, h := range c.dueCopies(now) {
+		if !b.hasRoom(len(h.payload), limit) {
+			return b
 		}
-		g.tries++
-		if g.firstSentAt.IsZero() {
-			g.firstSentAt = now
+		b.copies = append(b.copies, h)
+		b.payload = append(b.payload, h.payload...)
+	}
+	return b
+}
+
+// addUnsent adds an outbox's cut groups in their order and reports whether all of them fitted.
+func (c *Client) addUnsent(b *bundle, o *outbox, now time.Time) bool {
+	for _, g := range o.groups {
+		if !g.acknowledged && !c.addGroup(b, o, g, now) {
+			return false
 		}
-		return o, g
 	}
-	return nil, nil
+	return true
+}
+
+func (c *Client) addGroup(b *bundle, o *outbox, g *outboxGroup, now time.Time) bool {
+	if !b.hasRoom(len(g.payload), c.settings.GroupBytes) {
+		return false
+	}
+	if g.tries > 0 {
+		c.count(appendRepeated, 1)
+	}
+	g.tries++
+	if g.firstSentAt.IsZero() {
+		g.firstSentAt = now
+	}
+	b.parts = append(b.parts, bundlePart{outbox: o, group: g})
+	b.payload = append(b.payload, g.payload...)
+	return true
 }
 
 // cutGroup cuts the next group of an outbox.
@@ -86,15 +131,15 @@
 	return g
 }
 
-// appendGroup appends a group once. After a failure it waits, and then for the tail to be read, in
-// which the group may be found.
-func (c *Client) appendGroup(ctx context.Context, o *outbox, g *outboxGroup) {
+// appendBundle appends a bundle once. After a failure it waits, and then for the tail to be read, in
+// which the groups may be found.
+func (c *Client) appendBundle(ctx context.Context, b *bundle) {
 	sentAt := time.Now()
 	call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
-	offset, err := c.log.Append(call, c.stream, g.payload)
+	offset, err := c.log.Append(call, c.stream, b.payload)
 	cancel()
 	if err == nil {
-		c.acknowledge(o, g, sentAt, offset)
+		c.acknowledge(b, sentAt, offset)
 		wake(c.wakeReader)
 		return
 	}
@@ -106,26 +151,33 @@
 	c.waitForTail(ctx, begun)
 }
 
-// acknowledge notes that a group is in the log. Within the lease no fence can lie before it, so that
-// it renews the lease and its opens will be accepted; after a lapse only reading it back shows that.
-func (c *Client) acknowledge(o *outbox, g *outboxGroup, sentAt time.Time, offset platform.Offset) {
+// acknowledge notes that a bundle is in the log.
+func (c *Client) acknowledge(b *bundle, sentAt time.Time, offset platform.Offset) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.count(appendGroups, 1)
-	c.count(appendRecords, int64(len(g.entries)))
-	c.count(appendBytes, int64(len(g.payload)))
+	c.count(appendEntries, 1)
+	c.count(appendBytes, int64(len(b.payload)))
 	c.appendFailures = 0
 	c.updateReachable()
+	for _, p := range b.parts {
+		c.acknowledgeGroup(p.outbox, p.group, sentAt, offset)
+	}
+	c.count(copyAppended, int64(len(b.copies)))
+	c.removeCopies(b.copies)
+	c.closeFormer()
+}
+
+// acknowledgeGroup notes that a group is in the log. Within the lease no fence can lie before it, so that
+// it renews the lease and its opens will be accepted; after a lapse only reading it back shows that.
+func (c *Client) acknowledgeGroup(o *outbox, g *outboxGroup, sentAt time.Time, offset platform.Offset) {
+	c.count(appendGroups, 1)
+	c.count(appendRecords, int64(len(g.entries)))
 	g.acknowledged = true
 	g.offset = offset
-	if o.ended {
-		c.closeFormer()
-		return
-	}
-	if !o.lease.Valid(time.Now()) {
+	if o.ended || o.suspended || !o.lease.Valid(time.Now()) {
 		return
 	}
-	o.lease.Renew(sentAt)
+	o.renew(sentAt)
 	for _, e := range g.entries {
 		if e.attempt != nil {
 			e.attempt.acknowledge()
--- a/fleet/ledgerstream/attempt.go
+++ b/fleet/ledgerstream/attempt.go
@@ -17,6 +17,8 @@
 	// outbox and number are set once the open is queued.
 	outbox *outbox
 	number uint64
+	// kind is the share that pays.
+	kind ledger.ShareKind
 	// cut says that the open may have left the process.
 	cut bool
 	// accepted and refusal are the ledger's decision, of which neither is set at first.
@@ -34,6 +36,8 @@
 	acknowledgedSignal chan struct{}
 	decidedSignal      chan struct{}
 	releaseSignal      chan struct{}
+	// copiedSignal is closed once another availability zone holds a copy of the open.
+	copiedSignal chan struct{}
 }
 
 // newAttempt returns the attempt of a demand.
@@ -45,6 +49,7 @@
 		acknowledgedSignal: make(chan struct{}),
 		decidedSignal:      make(chan struct{}),
 		releaseSignal:      make(chan struct{}),
+		copiedSignal:       make(chan struct{}),
 	}
 }
 
@@ -60,7 +65,7 @@
 		Fingerprint: a.demand.Fingerprint,
 		Attempt:     a.number,
 		Budget:      a.demand.Budget,
-		Kind:        ledger.Working,
+		Kind:        a.kind,
 		Amount:      a.demand.Amount,
 		Idempotent:  a.demand.Idempotent,
 	}})
@@ -121,7 +126,7 @@
 	if a.refusal != nil {
 		return a.refusal
 	}
-	if a.outbox.ended || a.settled || !a.outbox.lease.Valid(time.Now()) {
+	if a.settled || !a.outbox.maySpend(time.Now(), a.kind) {
 		c.count(dispatchRefused, 1)
 		return &verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.LeaseLapsed}
 	}
--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -42,6 +42,11 @@
 	reserves map[string]struct{}
 	silences map[ledger.Incarnation]*watch
 
+	// couriers hand this router's groups to others; copies are held for others, copyBytes is their size.
+	couriers  []*courier
+	copies    []*heldCopy
+	copyBytes int
+
 	observation decision.Observation
 	// caughtUp is set once the stream was read to its end; truncated once the log no longer keeps
 	// the next offset.
@@ -54,6 +59,7 @@
 	readFailures   int
 	appendFailures int
 	reachable      bool
+	reachableSince time.Time
 	routers        int
 	roundTrip      time.Duration
 
@@ -78,6 +84,8 @@
 	Attempts int
 	// Routers is the number of live incarnations.
 	Routers int
+	// Copies is the number of groups held for other routers.
+	Copies int
 	// RoundTrip is the usual time from cutting a group to reading it back.
 	RoundTrip time.Duration
 }
@@ -89,7 +97,7 @@
 	if seed == 0 {
 		seed = rand.Uint64() //nolint:gosec // jitter needs no secrecy
 	}
-	return &Client{
+	c := &Client{
 		log:            log,
 		stream:         platform.LedgerStream(s.Partition),
 		settings:       s,
@@ -107,6 +115,10 @@
 		reachable:      true,
 		routers:        1,
 	}
+	for rank := range couriers {
+		c.couriers = append(c.couriers, &courier{client: c, rank: rank, avoidedUntil: map[string]time.Time{}})
+	}
+	return c
 }
 
 // Run reads and appends until ctx ends, and returns when its loops have stopped.
@@ -116,6 +128,11 @@
 	loops.Go(func() { c.loopAppend(ctx) })
 	loops.Go(func() { c.loopTick(ctx) })
 	loops.Go(func() { c.loopSnapshot(ctx) })
+	if c.settings.Relay != nil {
+		for _, r := range c.couriers {
+			loops.Go(func() { r.loop(ctx) })
+		}
+	}
 	loops.Wait()
 	return context.Cause(ctx)
 }
@@ -168,6 +185,7 @@
 		Next:      c.state.Next(),
 		Outbox:    c.outboxLength(),
 		Routers:   c.routers,
+		Copies:    len(c.copies),
 		RoundTrip: c.roundTrip,
 	}
 	if c.current != nil {
--- /dev/null
+++ b/fleet/ledgerstream/copies.go
@@ -0,0 +1,105 @@
+package ledgerstream
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+)
+
+// heldCopy is another router's group on its way to the log.
+type heldCopy struct {
+	writer  ledger.Incarnation
+	first   uint64
+	last    uint64
+	payload []byte
+	heldAt  time.Time
+	// jitter spreads the appends of the routers that hold the same group.
+	jitter time.Duration
+}
+
+// AcceptCopy holds a copy of another router's group in bounded memory until the group is in the log. The
+// sender may only hand over its own groups; what they are worth, the fold decides.
+func (c *Client) AcceptCopy(from string, p peer.Copy) error {
+	if p.Partition != c.settings.Partition {
+		return fmt.Errorf("%w: partition %d", peer.ErrMalformed, p.Partition)
+	}
+	g, err := ledger.Decode(p.Payload)
+	if err != nil || len(g.Records) == 0 {
+		return peer.ErrMalformed
+	}
+	if g.Writer.Instance != from {
+		return peer.ErrForeignWriter
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holdCopy(&heldCopy{
+		writer:  g.Writer,
+		first:   g.First,
+		last:    g.First + uint64(len(g.Records)) - 1,
+		payload: p.Payload,
+		heldAt:  time.Now(),
+		jitter:  decision.Jitter(c.settings.CopyDelay, c.random),
+	})
+}
+
+func (c *Client) holdCopy(h *heldCopy) error {
+	for _, known := range c.copies {
+		if known.writer == h.writer && known.first == h.first {
+			return nil
+		}
+	}
+	if c.copyBytes+len(h.payload) > c.settings.CopyBytes {
+		c.count(copyRefused, 1)
+		return peer.ErrQueueFull
+	}
+	c.copies = append(c.copies, h)
+	c.copyBytes += len(h.payload)
+	c.count(copyHeld, 1)
+	return nil
+}
+
+// dropCopies forgets the copies that the log shows, and those of incarnations that have ended.
+func (c *Client) dropCopies() {
+	kept := c.copies[:0]
+	c.copyBytes = 0
+	for _, h := range c.copies {
+		if c.state.AppliedSequence(h.writer) >= h.last || c.state.HasEnded(h.writer) {
+			continue
+		}
+		kept = append(kept, h)
+		c.copyBytes += len(h.payload)
+	}
+	clear(c.copies[len(kept):])
+	c.copies = kept
+}
+
+// dueCopies returns the copies to append: the writer, if it lives and reaches the log, has had its time.
+func (c *Client) dueCopies(now time.Time) []*heldCopy {
+	due := []*heldCopy{}
+	for _, h := range c.copies {
+		since := h.heldAt
+		if c.reachableSince.After(since) {
+			since = c.reachableSince
+		}
+		if now.Sub(since) >= c.settings.CopyDelay+h.jitter {
+			due = append(due, h)
+		}
+	}
+	return due
+}
+
+// removeCopies forgets copies that the log has acknowledged.
+func (c *Client) removeCopies(appended []*heldCopy) {
+	for _, h := range appended {
+		for i, known := range c.copies {
+			if known == h {
+				c.copies = append(c.copies[:i], c.copies[i+1:]...)
+				c.copyBytes -= len(h.payload)
+				break
+			}
+		}
+	}
+}
--- a/fleet/ledgerstream/counters.go
+++ b/fleet/ledgerstream/counters.go
@@ -6,6 +6,7 @@
 
 // Names of the counters and gauges.
 const (
+	appendEntries     = "ledger.append.entries"
 	appendGroups      = "ledger.append.groups"
 	appendRecords     = "ledger.append.records"
 	appendBytes       = "ledger.append.bytes"
@@ -37,6 +38,11 @@
 	snapshotFailed    = "ledger.snapshot.failed"
 	snapshotLoaded    = "ledger.snapshot.loaded"
 	snapshotMalformed = "ledger.snapshot.malformed"
+	copyHandedOver    = "ledger.copy.handed_over"
+	copyHeld          = "ledger.copy.held"
+	copyRefused       = "ledger.copy.refused"
+	copyAppended      = "ledger.copy.appended"
+	reservePaid       = "ledger.reserve_share.paid"
 	outboxLength      = "ledger.outbox.length"
 	logReachable      = "ledger.log.reachable"
 )
@@ -50,6 +56,7 @@
 // Counters lists every counter and gauge of this package.
 func Counters() []Description {
 	return []Description{
+		{appendEntries, "entries that the log acknowledged; each carries one or more groups"},
 		{appendGroups, "groups of records that the log acknowledged"},
 		{appendRecords, "records in acknowledged groups"},
 		{appendBytes, "bytes of acknowledged groups"},
@@ -81,6 +88,11 @@
 		{snapshotFailed, "snapshots that could not be encoded or appended whole"},
 		{snapshotLoaded, "times that this router continued from a snapshot"},
 		{snapshotMalformed, "chunks of snapshots that are malformed or complete one with a wrong digest"},
+		{copyHandedOver, "copies of this router's groups that other routers hold"},
+		{copyHeld, "groups of other routers that this router held on their way to the log"},
+		{copyRefused, "groups of other routers refused because too many are held"},
+		{copyAppended, "groups of other routers that this router appended"},
+		{reservePaid, "requests paid from a reserve share because the log did not answer"},
 		{outboxLength, "gauge: records that were not yet read back"},
 		{logReachable, "gauge: 1 if the log answers, 0 if not"},
 	}
--- a/fleet/ledgerstream/dispatch.go
+++ b/fleet/ledgerstream/dispatch.go
@@ -87,8 +87,17 @@
 	c.count(leaseFenced, 1)
 	c.logger().Warn("the lease was ended by another router")
 	c.retire(o)
+	o.suspended = e.Kind == ledger.Working && o.holdsReserve()
+	o.ended = !o.suspended
+	if o.ended {
+		c.leaveFormer(o)
+	}
+}
+
+// leaveFormer lets an incarnation without a lease leave: its reserve shares would otherwise stay out until
+// their own term ends.
+func (c *Client) leaveFormer(o *outbox) {
 	if c.state.AppliedSequence(o.incarnation) > 0 {
-		// The reserve shares would otherwise stay out until their own term ends.
 		c.addTo(o, outboxEntry{record: &ledger.Leave{}})
 	}
 }
@@ -117,6 +126,10 @@
 // forgets the outboxes that have nothing left to append.
 func (c *Client) closeFormer() {
 	for _, o := range c.former {
+		if o.suspended && !o.ended {
+			c.closeSuspended(o)
+			continue
+		}
 		for _, a := range o.attempts {
 			a.refuse(leaseLapsed())
 		}
@@ -125,6 +138,13 @@
 	c.former = slices.DeleteFunc(c.former, (*outbox).finished)
 }
 
+// closeSuspended lets a suspended incarnation leave once its last reservation in a reserve share is closed.
+func (c *Client) closeSuspended(o *outbox) {
+	if !o.leaving && !o.holdsReserve() {
+		c.leaveFormer(o)
+	}
+}
+
 func (c *Client) onFenceRefused(e *ledger.FenceRefused) {
 	if w := c.silences[e.Target]; w != nil && !w.fencedAt.IsZero() {
 		c.count(fenceRefused, 1)
--- a/fleet/ledgerstream/membership.go
+++ b/fleet/ledgerstream/membership.go
@@ -74,7 +74,7 @@
 		number = max(number, o.incarnation.Number+1)
 	}
 	incarnation := ledger.Incarnation{Instance: c.settings.Instance, Number: number}
-	c.current = newOutbox(incarnation, decision.Lease{Term: c.settings.Lease, Margin: c.settings.LeaseMargin})
+	c.current = newOutbox(incarnation, c.settings)
 	c.count(joinSent, 1)
 	c.add(&ledger.Join{
 		AvailabilityZone: c.settings.AvailabilityZone,
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -27,6 +27,8 @@
 	// firstSentAt is the time before the first append of the group; zero if there was none.
 	firstSentAt time.Time
 	tries       int
+	// copies are the instances that hold a copy of the group.
+	copies []string
 	// acknowledged groups were appended at offset.
 	acknowledged bool
 	offset       platform.Offset
@@ -45,11 +47,16 @@
 type outbox struct {
 	incarnation ledger.Incarnation
 	lease       decision.Lease
+	// reserveLease is the right to spend the reserve shares.
+	reserveLease decision.Lease
 	// joined is set once the incarnation's Join was read back as accepted.
 	joined bool
 	// ended incarnations left, lost their lease or were refused: their records change nothing, so
 	// that an acknowledgement is all that is waited for.
 	ended bool
+	// suspended incarnations lost their lease while reservations in a reserve share were open: these count
+	// until they are closed and the incarnation leaves.
+	suspended bool
 	// leaving says that Leave was queued.
 	leaving  bool
 	queue    []outboxEntry
@@ -63,16 +70,45 @@
 }
 
 // newOutbox returns the empty outbox of an incarnation.
-func newOutbox(incarnation ledger.Incarnation, lease decision.Lease) *outbox {
+func newOutbox(incarnation ledger.Incarnation, s Settings) *outbox {
 	return &outbox{
-		incarnation: incarnation,
-		lease:       lease,
-		sequence:    1,
-		attempts:    map[uint64]*attempt{},
-		pending:     map[shareKey]ledger.Tokens{},
+		incarnation:  incarnation,
+		lease:        decision.Lease{Term: s.Lease, Margin: s.LeaseMargin},
+		reserveLease: decision.Lease{Term: s.ReserveTerm, Margin: s.LeaseMargin},
+		sequence:     1,
+		attempts:     map[uint64]*attempt{},
+		pending:      map[shareKey]ledger.Tokens{},
 	}
 }
 
+// renew extends both leases from the time before the send of a record that is in the log.
+func (o *outbox) renew(sentAt time.Time) {
+	o.lease.Renew(sentAt)
+	o.reserveLease.Renew(sentAt)
+}
+
+// maySpend says whether a reservation in a share of the given kind may be dispatched.
+func (o *outbox) maySpend(now time.Time, kind ledger.ShareKind) bool {
+	switch {
+	case o.ended:
+		return false
+	case kind == ledger.Reserve:
+		return o.reserveLease.Valid(now)
+	default:
+		return !o.suspended && o.lease.Valid(now)
+	}
+}
+
+// holdsReserve says whether a reservation in a reserve share is open.
+func (o *outbox) holdsReserve() bool {
+	for _, a := range o.attempts {
+		if a.kind == ledger.Reserve {
+			return true
+		}
+	}
+	return false
+}
+
 // add queues a record for the next group. Once the incarnation is leaving, only bills and releases
 // are of use.
 func (o *outbox) add(now time.Time, entry outboxEntry) {
@@ -84,16 +120,24 @@
 	}
 	o.queue = append(o.queue, entry)
 	o.queuedAt = now
-	o.addPending(entry.record, 1)
+	o.addPending(entry, 1)
 }
 
-// addPending adds the amount that a record takes from a share, or takes it off again.
-func (o *outbox) addPending(record ledger.Record, sign ledger.Tokens) {
-	switch r := record.(type) {
+// addPending adds the amount that a record takes from a share, or takes it off again. The fold applies
+// an incarnation's records in sequence, so that what a bill or a release frees counts for every open behind it.
+func (o *outbox) addPending(entry outboxEntry, sign ledger.Tokens) {
+	switch r := entry.record.(type) {
 	case *ledger.Open:
 		o.changePending(shareKey{budget: r.Budget, kind: r.Kind}, sign*r.Amount)
 	case *ledger.Return:
 		o.changePending(shareKey{budget: r.Budget, kind: r.Kind}, sign*r.Amount)
+	case *ledger.Bill:
+		demand := entry.attempt.demand
+		unspent := demand.Amount - min(r.Usage, demand.Amount)
+		o.changePending(shareKey{budget: demand.Budget, kind: entry.attempt.kind}, -sign*unspent)
+	case *ledger.Release:
+		demand := entry.attempt.demand
+		o.changePending(shareKey{budget: demand.Budget, kind: entry.attempt.kind}, -sign*demand.Amount)
 	}
 }
 
@@ -113,7 +157,7 @@
 	if at < 0 {
 		return false
 	}
-	o.addPending(o.queue[at].record, -1)
+	o.addPending(o.queue[at], -1)
 	o.queue = slices.Delete(o.queue, at, at+1)
 	delete(o.attempts, a.number)
 	return true
@@ -191,7 +235,7 @@
 	n := 0
 	for n < len(o.groups) && o.groups[n].last() <= applied {
 		for _, e := range o.groups[n].entries {
-			o.addPending(e.record, -1)
+			o.addPending(e, -1)
 		}
 		n++
 	}
@@ -222,11 +266,11 @@
 	}
 }
 
-// withdrawAll takes all opens out of the queue and returns their attempts.
-func (o *outbox) withdrawAll() []*attempt {
+// withdrawWorking takes all opens in working shares out of the queue and returns their attempts.
+func (o *outbox) withdrawWorking() []*attempt {
 	return o.removeQueued(func(record ledger.Record) bool {
-		_, isOpen := record.(*ledger.Open)
-		return isOpen
+		open, isOpen := record.(*ledger.Open)
+		return isOpen && open.Kind == ledger.Working
 	})
 }
 
@@ -245,7 +289,7 @@
 			kept = append(kept, e)
 			continue
 		}
-		o.addPending(e.record, -1)
+		o.addPending(e, -1)
 		if e.attempt != nil {
 			withdrawn = append(withdrawn, e.attempt)
 			delete(o.attempts, e.attempt.number)
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -114,6 +114,7 @@
 		c.closeGroups(o, groups)
 	}
 	c.closeFormer()
+	c.dropCopies()
 }
 
 // dropApplied removes the groups that the fold has applied and renews the lease from them.
@@ -126,7 +127,7 @@
 	live := c.state.IsLive(o.incarnation)
 	for _, g := range groups {
 		if live {
-			o.lease.Renew(g.firstSentAt)
+			o.renew(g.firstSentAt)
 		}
 		c.measureRoundTrip(now.Sub(g.cutAt))
 		// An append whose answer was lost has reached the log all the same.
@@ -138,8 +139,10 @@
 
 // repeatMissing lets groups be appended again that are in the log but were not applied.
 func (c *Client) repeatMissing() {
-	if c.current != nil && !c.current.ended {
-		c.current.repeatMissing(c.state.Next())
+	for _, o := range c.outboxes() {
+		if !o.ended {
+			o.repeatMissing(c.state.Next())
+		}
 	}
 }
 
@@ -182,6 +185,7 @@
 	}
 	c.reachable = reachable
 	if reachable {
+		c.reachableSince = time.Now()
 		c.gauge(logReachable, 1)
 		c.logger().Info("the log answers again")
 		return
--- /dev/null
+++ b/fleet/ledgerstream/relay.go
@@ -0,0 +1,170 @@
+package ledgerstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+)
+
+// Relay hands copies of groups to other routers, which append them in their writer's place.
+type Relay interface {
+	// SendCopy returns nil once the other router holds the copy.
+	SendCopy(ctx context.Context, to peer.Address, c peer.Copy) error
+}
+
+// couriers is the number of routers that hold a copy of each group.
+const couriers = 2
+
+// courier hands this router's groups to one other router at a time while the log does not take them.
+type courier struct {
+	client *Client
+	// rank is the courier's place among the couriers; each has a target of its own.
+	rank   int
+	target peer.Address
+	// avoidedUntil are the instances that failed lately.
+	avoidedUntil map[string]time.Time
+}
+
+// loop sends copies until ctx ends.
+func (r *courier) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.step(ctx) {
+			continue
+		}
+		waitFor(ctx, nil, r.client.settings.PollInterval)
+	}
+}
+
+// step hands over one group and reports whether it succeeded.
+func (r *courier) step(ctx context.Context) bool {
+	g, payload, found := r.next()
+	if !found {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, r.client.settings.CopyWait)
+	err := r.client.settings.Relay.SendCopy(call, r.target, peer.Copy{Partition: r.client.settings.Partition, Payload: payload})
+	cancel()
+	if err != nil {
+		r.avoid(time.Now())
+		return false
+	}
+	r.client.noteCopy(g, r.target.Instance)
+	return true
+}
+
+// next returns the oldest group that the courier's target lacks.
+func (r *courier) next() (*outboxGroup, []byte, bool) {
+	c := r.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.needsCopies(now) || !r.choose(now) {
+		return nil, nil, false
+	}
+	for _, o := range c.outboxes() {
+		g := o.uncopied(r.target.Instance)
+		if g == nil {
+			g = c.cutGroup(now, o)
+		}
+		if g != nil {
+			return g, g.payload, true
+		}
+	}
+	return nil, nil, false
+}
+
+// choose keeps the courier's target or takes the next one. It reports false if there is none.
+func (r *courier) choose(now time.Time) bool {
+	c := r.client
+	targets := decision.ChooseCopyTargets(decision.CopyTargetInput{
+		Instance:         c.settings.Instance,
+		AvailabilityZone: c.settings.AvailabilityZone,
+		Region:           c.settings.Region,
+		Incarnations:     c.state.Incarnations(),
+		Avoided:          func(instance string) bool { return now.Before(c.couriers[r.rank].avoidedUntil[instance]) },
+		Count:            couriers,
+	})
+	if r.rank >= len(targets) {
+		return false
+	}
+	r.target = targets[r.rank]
+	return true
+}
+
+// avoid leaves the target out for a while. All couriers do, so that they agree on the order of the others.
+func (r *courier) avoid(now time.Time) {
+	c := r.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, other := range c.couriers {
+		other.avoidedUntil[r.target.Instance] = now.Add(c.settings.Lease)
+	}
+}
+
+// needsCopies says whether the log keeps records waiting.
+func (c *Client) needsCopies(now time.Time) bool {
+	if !c.caughtUp || c.current == nil {
+		return false
+	}
+	if !c.reachable || !c.current.lease.Valid(now) {
+		return true
+	}
+	for _, o := range c.outboxes() {
+		if g := o.unsent(); g != nil && now.Sub(g.cutAt) > c.settings.ReserveAfter || o.copiesUrgent() {
+			return true
+		}
+	}
+	return false
+}
+
+// noteCopy notes that an instance holds a copy of a group, which lets reservations in reserve shares go ahead.
+func (c *Client) noteCopy(g *outboxGroup, instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(copyHandedOver, 1)
+	g.copies = append(g.copies, instance)
+	for _, e := range g.entries {
+		if _, isOpen := e.record.(*ledger.Open); isOpen {
+			e.attempt.noteCopied()
+		}
+	}
+}
+
+// noteCopied notes that another availability zone holds a copy of the open.
+func (a *attempt) noteCopied() {
+	if !isClosed(a.copiedSignal) {
+		close(a.copiedSignal)
+	}
+}
+
+// uncopied returns the oldest group that is neither known to be in the log nor held by an instance.
+func (o *outbox) uncopied(instance string) *outboxGroup {
+	for _, g := range o.groups {
+		if !g.acknowledged && !g.isHeldBy(instance) {
+			return g
+		}
+	}
+	return nil
+}
+
+func (g *outboxGroup) isHeldBy(instance string) bool {
+	for _, holder := range g.copies {
+		if holder == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// copiesUrgent says whether a reservation waits for a copy to be held elsewhere.
+func (o *outbox) copiesUrgent() bool {
+	for _, a := range o.attempts {
+		if a.kind == ledger.Reserve && !a.decided() && !isClosed(a.copiedSignal) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/ledgerstream/relay_test.go
@@ -0,0 +1,232 @@
+package ledgerstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// reserveShare is the reserve share of each router in these tests.
+const reserveShare = 1000
+
+// errCut reports a router that can't be reached.
+var errCut = errors.New("peer can't be reached")
+
+// fakeRelay joins the clients of a cluster; cut instances neither send nor receive.
+type fakeRelay struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+	cut     map[string]bool
+}
+
+// fakeRelayEnd is one client's end of the relay.
+type fakeRelayEnd struct {
+	relay *fakeRelay
+	from  string
+}
+
+func (e *fakeRelayEnd) SendCopy(ctx context.Context, to peer.Address, p peer.Copy) error {
+	waitFor(ctx, nil, time.Millisecond)
+	e.relay.mu.Lock()
+	target, cut := e.relay.clients[to.Instance], e.relay.cut[to.Instance] || e.relay.cut[e.from]
+	e.relay.mu.Unlock()
+	if cut || target == nil || ctx.Err() != nil {
+		return errCut
+	}
+	return target.AcceptCopy(e.from, p)
+}
+
+func (r *fakeRelay) setCut(instance string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[instance] = cut
+}
+
+// inRelayedBubble runs a test with four ready clients in two regions of two availability zones each.
+func inRelayedBubble(t *testing.T, prepaid ledger.Tokens, test func(c *cluster, r *fakeRelay)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeRelay{clients: map[string]*Client{}, cut: map[string]bool{}}
+		c := &cluster{tb: t, log: newFakeLog(testSeed + 1)}
+		defer c.stop()
+		for i := range 4 {
+			name := fmt.Sprintf("router-%d", i)
+			m := c.start(Settings{
+				Instance:         name,
+				Region:           fmt.Sprintf("region-%d", i/2),
+				AvailabilityZone: fmt.Sprintf("zone-%d", i),
+				PeerAddress:      "127.0.0.1:1",
+				ReserveTerm:      15 * time.Minute,
+				Relay:            &fakeRelayEnd{relay: r, from: name},
+			})
+			r.mu.Lock()
+			r.clients[name] = m.Client
+			r.mu.Unlock()
+		}
+		time.Sleep(time.Second)
+		budget := ledger.Prepaid{Budget: testBudget, Ticket: 1, Total: prepaid, Reserve: ledger.ReservePolicy{Share: reserveShare}}
+		for _, m := range c.members {
+			m.DeclarePrepaid([]ledger.Prepaid{budget})
+		}
+		time.Sleep(10 * time.Second)
+		test(c, r)
+	})
+}
+
+// outage takes the log away from every client.
+func (c *cluster) outage(down bool) { c.log.set(func() { c.log.down = down }) }
+
+// cut takes a client's way to the log away, and with it the fake relay's if both is said.
+func (c *cluster) cut(i int, down bool) { c.log.set(func() { c.members[i].link.down = down }) }
+
+func TestSpendingWithoutLog(t *testing.T) {
+	t.Run("an outage is paid from the reserve shares, exactly", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+			c.outage(true)
+			time.Sleep(time.Minute)
+			for i := range uint64(6) {
+				mustReserve(t, c.members[0], demand(i, 500, true)).Bill(90)
+			}
+			time.Sleep(9 * time.Minute)
+			c.outage(false)
+			time.Sleep(time.Minute)
+			assertSpent(t, c, 540)
+			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			assertEqual(t, "opens refused by the ledger", int64(0), c.counter(openRefused))
+		})
+	})
+	t.Run("what exceeds the reserve share is not run", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+			c.outage(true)
+			time.Sleep(time.Minute)
+			mustReserve(t, c.members[0], demand(1, 600, true))
+			_, err := c.members[0].Reserve(context.Background(), demand(2, 600, true))
+			assertOutcome(t, outcome{"NotRun", verdict.LedgerUnreachable}, err)
+		})
+	})
+	t.Run("non-idempotent requests are not run", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+			c.outage(true)
+			time.Sleep(time.Minute)
+			_, err := c.members[0].Reserve(context.Background(), demand(1, 10, false))
+			assertOutcome(t, outcome{"NotRun", verdict.LedgerUnreachable}, err)
+		})
+	})
+	t.Run("with neither log nor other routers nothing is paid", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+			c.outage(true)
+			r.setCut("router-0", true)
+			time.Sleep(time.Minute)
+			_, err := c.members[0].Reserve(context.Background(), demand(1, 10, true))
+			assertEqual(t, "reason", verdict.LedgerUnreachable, outcomeOf(err).Reason)
+			c.outage(false)
+			time.Sleep(time.Minute)
+			assertSpent(t, c, 0)
+			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		})
+	})
+	t.Run("the bills of a router that dies in an outage survive it", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+			c.outage(true)
+			time.Sleep(time.Minute)
+			mustReserve(t, c.members[0], demand(1, 300, true)).Bill(90)
+			time.Sleep(time.Second)
+			mustReserve(t, c.members[0], demand(2, 300, true))
+			c.members[0].stop()
+			r.setCut("router-0", true)
+			time.Sleep(time.Minute)
+			c.outage(false)
+			time.Sleep(20 * time.Minute)
+			// The second request's end was seen by nobody: it is billed at its reservation.
+			assertSpent(t, c, 90+300)
+			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		})
+	})
+	t.Run("a router that is cut off and fenced bills what it served and rejoins", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+			former := c.members[0].Incarnation()
+			c.cut(0, true)
+			time.Sleep(time.Minute)
+			running := mustReserve(t, c.members[0], demand(1, 300, true))
+			mustReserve(t, c.members[0], demand(2, 300, true)).Bill(50)
+			c.members[1].DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: 2, Total: 200_000, Reserve: ledger.ReservePolicy{Share: reserveShare}}})
+			time.Sleep(9 * time.Minute)
+			c.cut(0, false)
+			time.Sleep(5 * time.Second)
+			assertEqual(t, "dispatch of a running request", nil, running.CheckDispatch())
+			running.Bill(70)
+			time.Sleep(time.Minute)
+			assertSpent(t, c, 120)
+			assertEqual(t, "prepaid", ledger.Tokens(200_000), c.budget().Prepaid)
+			assertEqual(t, "the former incarnation is in use", false, c.members[0].Incarnation() == former)
+			assertEqual(t, "incarnations", 4, len(c.fold().Incarnations()))
+			mustReserve(t, c.members[0], demand(3, 300, true)).Bill(1)
+		})
+	})
+	t.Run("a log that goes silent does not stop idempotent requests", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+			c.log.set(func() {
+				for _, m := range c.members {
+					m.link.silent = true
+				}
+			})
+			mustReserve(t, c.members[0], demand(1, 300, true)).Bill(40)
+			time.Sleep(time.Minute)
+			c.log.set(func() {
+				for _, m := range c.members {
+					m.link.silent = false
+				}
+			})
+			time.Sleep(time.Minute)
+			assertSpent(t, c, 40)
+			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		})
+	})
+}
+
+func TestCopies(t *testing.T) {
+	t.Run("a group of another writer is refused", func(t *testing.T) {
+		inRelayedBubble(t, 1000, func(c *cluster, _ *fakeRelay) {
+			payload, err := ledger.Encode(ledger.Group{Writer: c.members[1].Incarnation(), First: 99, Records: []ledger.Record{&ledger.Leave{}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = c.members[0].AcceptCopy("router-2", peer.Copy{Payload: payload})
+			assertEqual(t, "foreign writer", true, errors.Is(err, peer.ErrForeignWriter))
+			err = c.members[0].AcceptCopy("router-1", peer.Copy{Payload: payload[1:]})
+			assertEqual(t, "malformed", true, errors.Is(err, peer.ErrMalformed))
+			err = c.members[0].AcceptCopy("router-1", peer.Copy{Payload: payload, Partition: 1})
+			assertEqual(t, "other partition", true, errors.Is(err, peer.ErrMalformed))
+		})
+	})
+	t.Run("memory is bounded", func(t *testing.T) {
+		const limit = 1000
+		c := NewClient(&fakeLink{log: newFakeLog(testSeed)}, Settings{CopyBytes: limit}, metrics.NewRegistry())
+		held := 0
+		for i := range uint64(100) {
+			payload, err := ledger.Encode(ledger.Group{
+				Writer: ledger.Incarnation{Instance: "x", Number: i + 1}, First: 1, Records: []ledger.Record{&ledger.Leave{}},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := c.AcceptCopy("x", peer.Copy{Payload: payload}); err == nil {
+				held += len(payload)
+				continue
+			} else if !errors.Is(err, peer.ErrQueueFull) {
+				t.Fatal(err)
+			}
+		}
+		assertEqual(t, "held within the bound", true, held > limit/2 && held <= limit)
+	})
+}
--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -17,6 +17,9 @@
 	if refusal == nil {
 		refusal = a.wait(ctx)
 	}
+	if refusal != nil && refusal.Reason == verdict.LedgerUnreachable && demand.Idempotent && c.settings.Relay != nil {
+		a, refusal = c.reserveWithoutLog(ctx, demand, refusal)
+	}
 	if refusal != nil {
 		c.count(reserveRefusedFor+string(refusal.Reason), 1)
 		return nil, refusal
@@ -147,7 +150,7 @@
 // suffices if it isn't read back soon after.
 func (a *attempt) waitForLog(ctx context.Context) *verdict.Refusal {
 	s := a.client.settings
-	timer := time.NewTimer(s.OpenWait)
+	timer := time.NewTimer(a.logWait())
 	defer timer.Stop()
 	acknowledged := a.acknowledgedSignal
 	if !a.demand.Idempotent {
@@ -171,6 +174,20 @@
 	}
 }
 
+// logWait returns how long the log may take: what can be paid from a reserve share does not wait as long.
+func (a *attempt) logWait() time.Duration {
+	if a.hasReserve() {
+		return a.client.settings.ReserveAfter
+	}
+	return a.client.settings.OpenWait
+}
+
+// hasReserve says whether a reserve share could pay for the request.
+func (a *attempt) hasReserve() bool {
+	c := a.client
+	return a.demand.Idempotent && c.settings.Relay != nil && c.reserveFree(a.demand.Budget) >= a.demand.Amount
+}
+
 // abandon gives an attempt up. Its refusal says that the request was not run only if the open never
 // left the process or its release was read back in time.
 func (a *attempt) abandon(ctx context.Context, refusal *verdict.Refusal) *verdict.Refusal {
@@ -178,7 +195,8 @@
 	if a.withdrawn() {
 		return refusal
 	}
-	if a.awaitRelease(ctx) {
+	// A request that a reserve share can pay for doesn't wait for the release: its second open decides.
+	if (refusal.Reason != verdict.LedgerUnreachable || !a.hasReserve()) && a.awaitRelease(ctx) {
 		return refusal
 	}
 	c.mu.Lock()
@@ -234,7 +252,7 @@
 	if c.current == nil {
 		return
 	}
-	for _, a := range c.current.withdrawAll() {
+	for _, a := range c.current.withdrawWorking() {
 		c.count(openWithdrawn, 1)
 		a.refuse(unreachable())
 	}
--- /dev/null
+++ b/fleet/ledgerstream/reserve_share.go
@@ -0,0 +1,81 @@
+package ledgerstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// reserveWithoutLog pays an idempotent request from a reserve share while the log doesn't answer. It returns
+// once a router in another availability zone holds a copy of the reservation, so that the bill survives this
+// router's death. The former refusal stands if that can't be had.
+func (c *Client) reserveWithoutLog(ctx context.Context, demand Demand, former *verdict.Refusal) (*attempt, *verdict.Refusal) {
+	a := c.admitReserve(demand)
+	if a == nil {
+		return nil, former
+	}
+	timer := time.NewTimer(c.settings.CopyWait)
+	defer timer.Stop()
+	select {
+	case <-a.copiedSignal:
+	case <-a.decidedSignal:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	if refusal := a.decideWithoutLog(former); refusal != nil {
+		return nil, refusal
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(reservePaid, 1)
+	return a, nil
+}
+
+// admitReserve queues the open of a demand in the reserve share; nil if the share can't pay for it.
+func (c *Client) admitReserve(demand Demand) *attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ready() || c.draining || !c.current.maySpend(time.Now(), ledger.Reserve) {
+		return nil
+	}
+	view, known := c.state.Budget(demand.Budget)
+	_, reserve := c.free(demand.Budget)
+	if !known || view.Frozen || reserve < demand.Amount || c.outboxLength() >= c.settings.OutboxLimit {
+		return nil
+	}
+	a := c.newAttempt(demand)
+	a.kind = ledger.Reserve
+	a.queue()
+	return a
+}
+
+// reserveFree returns what the reserve share of a budget could pay for.
+func (c *Client) reserveFree(budget string) ledger.Tokens {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, reserve := c.free(budget)
+	return reserve
+}
+
+// decideWithoutLog returns nil if the reservation may be used. Otherwise it is withdrawn; if it may have left
+// the process, a release follows it and nothing can be promised to the caller.
+func (a *attempt) decideWithoutLog(former *verdict.Refusal) *verdict.Refusal {
+	a.client.mu.Lock()
+	copied := a.refusal == nil && (isClosed(a.copiedSignal) || a.accepted)
+	refused := a.refusal
+	a.client.mu.Unlock()
+	switch {
+	case copied:
+		return nil
+	case refused != nil:
+		return refused
+	case a.withdrawn():
+		return former
+	default:
+		unknown := *former
+		unknown.Verdict = verdict.MayHaveRun
+		return &unknown
+	}
+}
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -32,6 +32,10 @@
 	DefaultGroupBytes           = 64 * 1024
 	DefaultReadLimit            = 256
 	DefaultSnapshotInterval     = 10 * time.Minute
+	DefaultReserveAfter         = 1 * time.Second
+	DefaultCopyWait             = 1 * time.Second
+	DefaultCopyDelay            = 2 * time.Second
+	DefaultCopyBytes            = 16 << 20
 	DefaultUnreachableFailures  = 3
 	DefaultReserveDrawsPerTick  = 16
 	DefaultPrepaidCopiesPerTick = 256
@@ -90,6 +94,17 @@
 	SnapshotInterval time.Duration
 	// Logger takes the changes of state; nil takes the standard logger.
 	Logger apex.Interface
+	// Relay hands copies of groups to other routers while the log can't be reached; nil does without, and
+	// then nothing is spent from reserve shares.
+	Relay Relay
+	// ReserveAfter is the wait for the log after which a request is paid from a reserve share, CopyWait the
+	// wait for another router to hold a copy of its reservation.
+	ReserveAfter time.Duration
+	CopyWait     time.Duration
+	// CopyDelay is how long a copy is held before it is appended in its writer's place.
+	CopyDelay time.Duration
+	// CopyBytes bounds the copies held for other routers.
+	CopyBytes int
 	// Seed fixes the jitter; zero takes a random one.
 	Seed uint64
 }
@@ -117,6 +132,10 @@
 	s.GroupBytes = cmp.Or(s.GroupBytes, DefaultGroupBytes)
 	s.ReadLimit = cmp.Or(s.ReadLimit, DefaultReadLimit)
 	s.SnapshotInterval = cmp.Or(s.SnapshotInterval, DefaultSnapshotInterval)
+	s.ReserveAfter = cmp.Or(s.ReserveAfter, DefaultReserveAfter)
+	s.CopyWait = cmp.Or(s.CopyWait, DefaultCopyWait)
+	s.CopyDelay = cmp.Or(s.CopyDelay, DefaultCopyDelay)
+	s.CopyBytes = cmp.Or(s.CopyBytes, DefaultCopyBytes)
 	if s.Logger == nil {
 		s.Logger = apex.Log
 	}
