--- a/fleet/operator/decode.go
+++ b/fleet/operator/decode.go
@@ -11,18 +11,17 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
-	"github.com/goccy/go-yaml/token"
 )
 
-// Bounds of a ticket's bytes. They are checked before the parser runs, which recurses into nested values.
+// Bounds of a ticket's bytes.
 const (
-	MaxTicketBytes  = 1 << 20
-	MaxLineBytes    = 1 << 12
-	maxFlowNesting  = 16
-	maxIndentation  = 64
-	ticketFieldPath = "ticket"
+	MaxTicketBytes = 256 << 10
+	MaxLineBytes   = 4 << 10
 )
 
+// ticketFieldPath stands for the whole ticket in problems.
+const ticketFieldPath = "ticket"
+
 // DecodeTicket reads and validates a ticket. Its error is a *TicketError that lists every problem; file is the
 // name that the problems give, for people. Bytes that were accepted once mean the same ticket for ever.
 func DecodeTicket(file string, data []byte) (*Ticket, error) {
@@ -46,16 +45,22 @@
 type decoder struct {
 	file     string
 	problems []Problem
+	// more counts the problems beyond maxProblems.
+	more int
 	// lines holds the line of each field that was read.
 	lines map[string]int
 }
 
 func (d *decoder) err() error {
 	slices.SortStableFunc(d.problems, func(a, b Problem) int { return cmp.Compare(a.Line, b.Line) })
-	return &TicketError{Problems: d.problems}
+	return &TicketError{Problems: d.problems, More: d.more}
 }
 
 func (d *decoder) report(line int, field, message, allowed string) {
+	if len(d.problems) == maxProblems {
+		d.more++
+		return
+	}
 	d.problems = append(d.problems, Problem{File: d.file, Line: line, Field: field, Message: message, Allowed: allowed})
 }
 
@@ -65,7 +70,8 @@
 		return nil, false
 	}
 	tokens := lexer.Tokenize(string(data))
-	if !d.checkTokens(tokens) {
+	if p := (&structure{}).check(tokens); p != nil {
+		d.report(p.Line, p.Field, p.Message, p.Allowed)
 		return nil, false
 	}
 	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
@@ -108,36 +114,6 @@
 // isText leaves out tabs and carriage returns because parsers differ in what they make of them.
 func isText(b byte) bool { return b == '\n' || (b >= ' ' && b != 0x7f) }
 
-func (d *decoder) checkTokens(tokens token.Tokens) bool {
-	nesting := 0
-	for _, t := range tokens {
-		switch t.Type {
-		case token.AnchorType, token.AliasType, token.MergeKeyType, token.TagType, token.DirectiveType, token.MappingKeyType:
-			d.report(t.Position.Line, ticketFieldPath, fmt.Sprintf("uses %q", t.Value), "plain YAML without anchors, aliases, tags, directives and complex keys")
-			return false
-		case token.MappingStartType, token.SequenceStartType:
-			nesting++
-		case token.MappingEndType, token.SequenceEndType:
-			nesting--
-		case token.SequenceEntryType, token.MappingValueType:
-			if nesting == 0 && t.Type == token.SequenceEntryType && t.Position.Column > maxIndentation {
-				d.reportNesting(t.Position.Line)
-				return false
-			}
-		}
-		if nesting > maxFlowNesting {
-			d.reportNesting(t.Position.Line)
-			return false
-		}
-	}
-	return true
-}
-
-func (d *decoder) reportNesting(line int) {
-	d.report(line, ticketFieldPath, "is nested too deeply",
-		fmt.Sprintf("up to %d brackets and %d columns of indentation", maxFlowNesting, maxIndentation))
-}
-
 func (d *decoder) reportSyntax(err error) {
 	line, message := 1, err.Error()
 	var syntax yaml.Error
--- a/fleet/operator/problem.go
+++ b/fleet/operator/problem.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// maxProblems bounds the problems that an error's text lists.
+// maxProblems bounds the problems that an error lists.
 const maxProblems = 20
 
 // Problem is one thing that is wrong with a ticket.
@@ -30,17 +30,20 @@
 }
 
 // TicketError lists what is wrong with a ticket.
-type TicketError struct{ Problems []Problem }
+type TicketError struct {
+	Problems []Problem
+	// More counts the problems that aren't listed.
+	More int
+}
 
 // Error returns one problem a line.
 func (e *TicketError) Error() string {
 	lines := make([]string, 0, maxProblems+1)
-	for i, p := range e.Problems {
-		if i == maxProblems {
-			lines = append(lines, fmt.Sprintf("and %d more", len(e.Problems)-maxProblems))
-			break
-		}
+	for _, p := range e.Problems {
 		lines = append(lines, p.String())
 	}
+	if e.More > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", e.More))
+	}
 	return strings.Join(lines, "\n")
 }
