--- a/dragonflyctl/budget/account.go
+++ b/dragonflyctl/budget/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/output"
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/streams"
@@ -25,7 +26,17 @@
 	Available    ledger.Tokens
 	OpenRequests int
 	Frozen       bool
-	Holders      []ledger.HolderView `json:",omitempty"`
+	Holders      []holder `json:",omitempty"`
+}
+
+// holder is a process start of a router that holds shares of a budget.
+type holder struct {
+	// Holder is the router's name and the number of its process start, which is too large for some readers of JSON.
+	Holder          string
+	WorkingFree     ledger.Tokens
+	WorkingReserved ledger.Tokens
+	ReserveFree     ledger.Tokens
+	ReserveReserved ledger.Tokens
 }
 
 // accounts reads the configuration and the ledger. The two streams have no common order, so a total may be
@@ -53,11 +64,19 @@
 }
 
 func newAccount(b operator.NumberedBudget, view ledger.BudgetView) account {
-	return account{
+	a := account{
 		Budget: b.Name, Team: b.Team, Ticket: b.Ticket, Declared: b.Prepaid,
 		InForce: view.Ticket, Prepaid: view.Prepaid, Spent: view.Spent, Shared: view.Shared,
-		Available: view.Available(), OpenRequests: view.OpenRequests, Frozen: view.Frozen, Holders: view.Holders,
+		Available: view.Available(), OpenRequests: view.OpenRequests, Frozen: view.Frozen,
+	}
+	for _, h := range view.Holders {
+		a.Holders = append(a.Holders, holder{
+			Holder:      fmt.Sprintf("%s/%d", h.Incarnation.Instance, h.Incarnation.Number),
+			WorkingFree: h.WorkingFree, WorkingReserved: h.WorkingReserved,
+			ReserveFree: h.ReserveFree, ReserveReserved: h.ReserveReserved,
+		})
 	}
+	return a
 }
 
 func table(list []account) output.Table {
--- a/dragonflyctl/budget/show.go
+++ b/dragonflyctl/budget/show.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"go.uber.org/dig"
 
@@ -54,8 +53,7 @@
 func holders(a account) output.Table {
 	t := output.Table{Columns: []string{"HOLDER", "WORKING FREE", "WORKING RESERVED", "RESERVE FREE", "RESERVE RESERVED"}}
 	for _, h := range a.Holders {
-		holder := fmt.Sprintf("%s/%d", h.Incarnation.Instance, h.Incarnation.Number)
-		t.Rows = append(t.Rows, output.Cells(holder, h.WorkingFree, h.WorkingReserved, h.ReserveFree, h.ReserveReserved))
+		t.Rows = append(t.Rows, output.Cells(h.Holder, h.WorkingFree, h.WorkingReserved, h.ReserveFree, h.ReserveReserved))
 	}
 	return t
 }
--- a/dragonflyctl/fleet/status.go
+++ b/dragonflyctl/fleet/status.go
@@ -46,8 +46,9 @@
 
 // router is one process start of a router.
 type router struct {
-	Instance            string
-	Incarnation         uint64
+	Instance string
+	// Incarnation is a text in JSON, since it is too large for the numbers of some readers.
+	Incarnation         uint64 `json:",string"`
 	Region              string
 	AvailabilityZone    string
 	Version             string
--- a/fleet/operator/examples_test.go
+++ b/fleet/operator/examples_test.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"fmt"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -43,6 +45,15 @@
 	})
 }
 
+func TestReasonsDocumented(t *testing.T) {
+	page := read(t, "../../docs/tickets.md")
+	for _, d := range RefusalReasons() {
+		if line := fmt.Sprintf("| `%s` | %s |", d.Reason, d.Meaning); !strings.Contains(page, line) {
+			t.Errorf("the page lacks %q", line)
+		}
+	}
+}
+
 // foldExamples folds a site's tickets in the order of their file names; each must be accepted.
 func foldExamples(t *testing.T, site string) *Configuration {
 	t.Helper()
