--- /dev/null
+++ b/dragonflyctl/certificate/authority.go
@@ -0,0 +1,50 @@
+package certificate
+
+import (
+	"path/filepath"
+	"time"
+
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/output"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+)
+
+// Authority is the verb "certificate authority".
+type Authority struct {
+	Directory string        `arg:"" help:"Directory that takes authority.pem and authority-key.pem."`
+	Name      string        `help:"Name of the authority." default:"dragonflyworks"`
+	Lifetime  time.Duration `help:"Time for which the authority's certificate holds." default:"87600h"`
+}
+
+// Help returns the verb's description.
+func (*Authority) Help() string {
+	return "Keep authority-key.pem away from the routers; they need authority.pem alone."
+}
+
+// Run makes the authority.
+func (a *Authority) Run(container *dig.Container) error {
+	return container.Invoke(func(p output.Printer) error {
+		if err := checkLifetime(a.Lifetime); err != nil {
+			return err
+		}
+		pair, err := peer.NewAuthority(a.Name, a.Lifetime)
+		if err != nil {
+			return err
+		}
+		certificate := filepath.Join(a.Directory, authorityCertificate)
+		key := filepath.Join(a.Directory, authorityKey)
+		if err := writePair(pair, certificate, key); err != nil {
+			return err
+		}
+		return printFiles(p, certificate, key)
+	})
+}
+
+// printFiles prints the names of the files that were written.
+func printFiles(p output.Printer, certificate, key string) error {
+	return p.Print(
+		struct{ Certificate, Key string }{certificate, key},
+		output.Table{Columns: []string{"CERTIFICATE", "KEY"}, Rows: [][]string{output.Cells(certificate, key)}},
+	)
+}
--- /dev/null
+++ b/dragonflyctl/certificate/issue.go
@@ -0,0 +1,56 @@
+package certificate
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/output"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+)
+
+// Issue is the verb "certificate issue".
+type Issue struct {
+	Instance  string        `arg:"" help:"Instance as the router's --instance names it."`
+	Directory string        `arg:"" help:"Directory that takes INSTANCE.pem and INSTANCE-key.pem."`
+	Authority string        `help:"Directory with authority.pem and authority-key.pem." default:"."`
+	Lifetime  time.Duration `help:"Time for which the certificate holds." default:"2160h"`
+}
+
+// Run issues the certificate.
+func (i *Issue) Run(container *dig.Container) error {
+	return container.Invoke(func(p output.Printer) error {
+		if err := checkLifetime(i.Lifetime); err != nil {
+			return err
+		}
+		authority, err := readAuthority(i.Authority)
+		if err != nil {
+			return err
+		}
+		pair, err := authority.Issue(i.Instance, i.Lifetime)
+		if err != nil {
+			return err
+		}
+		certificate := filepath.Join(i.Directory, i.Instance+".pem")
+		key := filepath.Join(i.Directory, i.Instance+"-key.pem")
+		if err := writePair(pair, certificate, key); err != nil {
+			return err
+		}
+		return printFiles(p, certificate, key)
+	})
+}
+
+func readAuthority(directory string) (peer.Pair, error) {
+	certificate, err := os.ReadFile(filepath.Join(directory, authorityCertificate)) //nolint:gosec // the operator names the file
+	if err != nil {
+		return peer.Pair{}, fmt.Errorf("reading the authority: %w", err)
+	}
+	key, err := os.ReadFile(filepath.Join(directory, authorityKey)) //nolint:gosec // the operator names the file
+	if err != nil {
+		return peer.Pair{}, fmt.Errorf("reading the authority: %w", err)
+	}
+	return peer.Pair{Certificate: certificate, Key: key}, nil
+}
--- a/dragonflyctl/verbs.go
+++ b/dragonflyctl/verbs.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/budget"
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/certificate"
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/config"
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/fleet"
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/ticket"
@@ -21,6 +22,7 @@
 		{"config", "The configuration in force.", &config.Verbs{}},
 		{"budget", "Prepaid budgets.", &budget.Verbs{}},
 		{"fleet", "The routers.", &fleet.Verbs{}},
+		{"certificate", "Certificates of the routers.", &certificate.Verbs{}},
 		{"version", "Prints the version.", &versionVerb{}},
 	}
 }
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -77,6 +77,16 @@
 // refusals maps the reasons to what stands in an answer.
 func refusals() []error { return []error{ErrQueueFull, ErrForeignWriter, ErrMalformed} }
 
+// refusalText returns what an answer says of an error.
+func refusalText(err error) string {
+	for _, reason := range refusals() {
+		if errors.Is(err, reason) {
+			return reason.Error()
+		}
+	}
+	return err.Error()
+}
+
 // refusalError returns the error that an answer's refusal stands for.
 func refusalError(text string) error {
 	for _, err := range refusals() {
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -217,7 +217,7 @@
 	switch r.Kind {
 	case copyMessage:
 		if err := n.handler.AcceptCopy(from, Copy{Partition: r.Partition, Payload: r.Payload}); err != nil {
-			return answer{Refusal: err.Error()}
+			return answer{Refusal: refusalText(err)}
 		}
 		n.count(copiesAccepted)
 		return answer{}
--- a/fleet/peer/node_test.go
+++ b/fleet/peer/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"os"
 	"path/filepath"
@@ -123,7 +124,7 @@
 	})
 	t.Run("refusals keep their reason", func(t *testing.T) {
 		for _, reason := range refusals() {
-			b.holder.refuseWith(reason)
+			b.holder.refuseWith(fmt.Errorf("holding a copy: %w", reason))
 			assertError(t, reason, a.send(b.address, "four"))
 		}
 		b.holder.refuseWith(errors.New("a reason of a later version"))
--- a/router/blackboard/board.go
+++ b/router/blackboard/board.go
@@ -16,6 +16,8 @@
 type Board struct {
 	// Configuration is the configuration in force; nil until the stream was read to its end once.
 	Configuration atomic.Pointer[operator.Configuration]
+	// Entries are the newest entries of the configuration stream, for routers that can't reach the log.
+	Entries RecentEntries
 	// Listing is the newest instance list; nil until one was read.
 	Listing atomic.Pointer[platform.Listing]
 	// LedgerReady says that the ledger has been read to its end and the incarnation has joined.
--- /dev/null
+++ b/router/blackboard/entries.go
@@ -0,0 +1,45 @@
+package blackboard
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+const (
+	// recentEntries bounds the number of entries that are kept.
+	recentEntries = 256
+	// recentBytes bounds their size together, so that they fit into one answer to a peer.
+	recentBytes = 2 << 20
+)
+
+// RecentEntries keeps the newest entries of a stream in bounded memory. Its zero value is empty.
+type RecentEntries struct {
+	mutex   sync.Mutex
+	entries []platform.Entry
+	bytes   int
+}
+
+// Add appends an entry and drops the oldest ones beyond the bounds.
+func (r *RecentEntries) Add(e platform.Entry) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.entries = append(r.entries, e)
+	r.bytes += len(e.Payload)
+	for len(r.entries) > recentEntries || r.bytes > recentBytes {
+		r.bytes -= len(r.entries[0].Payload)
+		r.entries = slices.Delete(r.entries, 0, 1)
+	}
+}
+
+// From returns the entries from an offset on; none if the entry at the offset isn't kept.
+func (r *RecentEntries) From(next platform.Offset) []platform.Entry {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at := slices.IndexFunc(r.entries, func(e platform.Entry) bool { return e.Offset == next })
+	if at < 0 {
+		return nil
+	}
+	return slices.Clone(r.entries[at:])
+}
--- a/router/build.go
+++ b/router/build.go
@@ -33,12 +33,14 @@
 		newPlatformClient,
 		newLog,
 		newInstanceList,
+		newPeers,
 		newLedgerClient,
 		func(c *ledgerstream.Client) ledgerstream.Accounts { return c },
 		newDispatcher,
 		func(d *endpoint.Dispatcher) endpoint.Caller { return d },
 		newCallers,
 		admin.NewServer,
+		func(p *peers) controller.ConfigurationPeers { return p },
 		controller.NewConfiguration,
 		newSnapshots,
 		controller.NewInstances,
@@ -91,8 +93,8 @@
 	return platform.NewHTTPInstanceList(settings.Platform, client)
 }
 
-func newLedgerClient(settings *Settings, stream platform.Log, registry metrics.Registry, logger log.Interface) *ledgerstream.Client {
-	return ledgerstream.NewClient(stream, ledgerstream.Settings{
+func newLedgerClient(settings *Settings, stream platform.Log, registry metrics.Registry, logger log.Interface, peers *peers) *ledgerstream.Client {
+	ledgerSettings := ledgerstream.Settings{
 		Instance:              settings.Instance,
 		AvailabilityZone:      settings.AvailabilityZone,
 		Region:                settings.Region,
@@ -102,7 +104,14 @@
 		FleetAppendsPerSecond: settings.FleetAppendsPerSecond,
 		SnapshotInterval:      settings.SnapshotInterval,
 		Logger:                logger,
-	}, registry)
+	}
+	if peers.node != nil {
+		ledgerSettings.PeerAddress = settings.PeerListen
+		ledgerSettings.Relay = peers.node
+	}
+	client := ledgerstream.NewClient(stream, ledgerSettings, registry)
+	peers.client = client
+	return client
 }
 
 func newDispatcher(settings *Settings, board *blackboard.Board) *endpoint.Dispatcher {
--- a/router/controller/configuration.go
+++ b/router/controller/configuration.go
@@ -24,23 +24,32 @@
 	platformTimeout = 5 * time.Second
 )
 
+// ConfigurationPeers are the other routers, as a source of configuration while the log doesn't answer.
+type ConfigurationPeers interface {
+	// NewestConfiguration returns the entries of the configuration stream from an offset on, as far as a
+	// router in reach knows them.
+	NewestConfiguration(ctx context.Context, next platform.Offset) []platform.Entry
+}
+
 // Configuration follows the configuration stream. It never puts an older configuration on the
 // blackboard: it only ever folds entries above the ones it has folded.
 type Configuration struct {
 	board  *blackboard.Board
 	stream platform.Log
 	ledger *ledgerstream.Client
+	peers  ConfigurationPeers
 	logger log.Interface
 	// current is ahead of the blackboard until the stream was read to its end for the first time.
 	current *operator.Configuration
 }
 
 // NewConfiguration returns a controller that has read nothing.
-func NewConfiguration(board *blackboard.Board, stream platform.Log, client *ledgerstream.Client, logger log.Interface) *Configuration {
+func NewConfiguration(board *blackboard.Board, stream platform.Log, client *ledgerstream.Client, peers ConfigurationPeers, logger log.Interface) *Configuration {
 	return &Configuration{
 		board:   board,
 		stream:  stream,
 		ledger:  client,
+		peers:   peers,
 		logger:  logger,
 		current: &operator.Configuration{},
 	}
@@ -72,11 +81,9 @@
 	}
 	if err != nil {
 		c.board.Count("configuration.read.failed")
-		return false
-	}
-	for _, e := range entries {
-		c.fold(e)
+		return c.stepFromPeers(ctx)
 	}
+	c.foldAll(entries)
 	if len(entries) > 0 {
 		return true
 	}
@@ -84,9 +91,36 @@
 	return false
 }
 
+// stepFromPeers takes over what other routers know while the log doesn't answer. Only a router that has been
+// ready before does so: a new one can't tell how far the peers are behind the log.
+func (c *Configuration) stepFromPeers(ctx context.Context) bool {
+	if c.board.Configuration.Load() == nil {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	entries := c.peers.NewestConfiguration(bounded, c.current.Next)
+	if len(entries) == 0 {
+		return false
+	}
+	c.board.Count("configuration.peer.entries")
+	c.foldAll(entries)
+	c.publish()
+	return false
+}
+
+func (c *Configuration) foldAll(entries []platform.Entry) {
+	for _, e := range entries {
+		if e.Offset == c.current.Next {
+			c.fold(e)
+		}
+	}
+}
+
 func (c *Configuration) fold(e platform.Entry) {
 	next, outcome := c.current.Apply(e)
 	c.current = next
+	c.board.Entries.Add(e)
 	switch o := outcome.(type) {
 	case *operator.Accepted:
 		c.board.Count("configuration.ticket.accepted")
--- a/router/serve.go
+++ b/router/serve.go
@@ -50,6 +50,7 @@
 	Configuration *controller.Configuration
 	Snapshots     *controller.ConfigurationSnapshots
 	Instances     *controller.Instances
+	Peers         *peers
 }
 
 // serve runs the router until a signal comes.
@@ -71,12 +72,15 @@
 	if err != nil {
 		return fmt.Errorf("opening --admin-listen: %w", err)
 	}
+	if err := p.Peers.listen(ctx); err != nil {
+		return fmt.Errorf("opening --peer-listen: %w", err)
+	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
 		p.Ledger.Run, p.Dispatcher.Run, p.Configuration.Run, p.Snapshots.Run, p.Instances.Run, p.loopReady,
-		callers.run, operators.run,
+		p.Peers.Run, callers.run, operators.run,
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
--- a/router/settings.go
+++ b/router/settings.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 )
 
 // Settings are the flags and environment variables of the router; there is no settings file.
@@ -19,6 +21,11 @@
 	Region           string `help:"Region of this instance." env:"DRAGONFLY_REGION" required:""`
 	AvailabilityZone string `help:"Availability zone of this instance." env:"DRAGONFLY_AVAILABILITY_ZONE" required:""`
 
+	PeerListen     string `help:"Address on which other routers hand over copies, IP:port of UDP; empty does without." env:"DRAGONFLY_PEER_LISTEN"`
+	TLSCertificate string `help:"File with this instance's certificate, PEM; its first DNS name is the instance." env:"DRAGONFLY_TLS_CERTIFICATE"`
+	TLSKey         string `help:"File with the certificate's key, PEM." env:"DRAGONFLY_TLS_KEY"`
+	TLSAuthority   string `help:"File with the site's authority, PEM." env:"DRAGONFLY_TLS_AUTHORITY"`
+
 	Lease                 time.Duration `help:"Time without a record in the log after which a router may spend nothing more from its working shares." env:"DRAGONFLY_LEASE" default:"10s"`
 	LeaseMargin           time.Duration `help:"Time that others add to the lease before they fence a silent router." env:"DRAGONFLY_LEASE_MARGIN" default:"2s"`
 	FleetAppendsPerSecond float64       `help:"Appends a second that the whole fleet may make; each router takes an equal part." env:"DRAGONFLY_FLEET_APPENDS_PER_SECOND" default:"240"`
@@ -86,6 +93,8 @@
 		{"instance", s.Instance, validName(s.Instance), name},
 		{"region", s.Region, validName(s.Region), name},
 		{"availability-zone", s.AvailabilityZone, validName(s.AvailabilityZone), name},
+		{"peer-listen", s.PeerListen, s.PeerListen == "" || validAddress(s.PeerListen), "an IP address with a port, or nothing"},
+		{"tls-certificate", s.TLSCertificate, s.PeerListen == "" || s.certificateNames(s.Instance), "a PEM file, with --tls-key and --tls-authority, whose certificate names --instance; needed with --peer-listen"},
 		{"lease", s.Lease, within(s.Lease, leaseMinimum, leaseMaximum), "500ms to 5m"},
 		{"lease-margin", s.LeaseMargin, within(s.LeaseMargin, leaseMinimum, s.Lease), "500ms to the lease"},
 		{"fleet-appends-per-second", s.FleetAppendsPerSecond, s.FleetAppendsPerSecond >= 1 && s.FleetAppendsPerSecond <= appendsMaximum, "1 to 100000"},
@@ -99,6 +108,17 @@
 	}
 }
 
+// credentials are the files for the connections between routers.
+func (s *Settings) credentials() peer.Credentials {
+	return peer.Credentials{CertificateFile: s.TLSCertificate, KeyFile: s.TLSKey, AuthorityFile: s.TLSAuthority}
+}
+
+// certificateNames says whether the credentials can be read and were issued to an instance.
+func (s *Settings) certificateNames(instance string) bool {
+	name, err := s.credentials().Check()
+	return err == nil && name == instance
+}
+
 func validAddress(value string) bool {
 	_, err := netip.ParseAddrPort(value)
 	return err == nil
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -81,6 +81,15 @@
   check_running
 }
 
+# make_certificates lets the routers know each other.
+make_certificates() {
+  local i
+  bin/dragonflyctl certificate authority "$logs/certificates" >"$logs/certificates.log"
+  for i in 1 2 3 4 5 6; do
+    bin/dragonflyctl certificate issue "router-$i" "$logs/certificates" --authority "$logs/certificates" >>"$logs/certificates.log"
+  done
+}
+
 # start_routers starts the routers of the given numbers and waits until they are ready.
 start_routers() {
   local i region zone urls=()
@@ -90,7 +99,9 @@
     bin/standin control "$platform/control/instances" --body \
       "{\"Name\":\"router-$i\",\"Address\":\"127.0.0.1:1930$i\",\"Region\":\"$region\",\"AvailabilityZone\":\"$zone\"}"
     start "router-$i" bin/router --listen "127.0.0.1:1930$i" --admin-listen "127.0.0.1:1940$i" \
-      --platform "$platform" --instance "router-$i" --region "$region" --availability-zone "$zone" --drain-delay 1s
+      --platform "$platform" --instance "router-$i" --region "$region" --availability-zone "$zone" \
+      --peer-listen "127.0.0.1:1950$i" --tls-certificate "$logs/certificates/router-$i.pem" \
+      --tls-key "$logs/certificates/router-$i-key.pem" --tls-authority "$logs/certificates/authority.pem" --drain-delay 1s
     urls+=("http://127.0.0.1:1940$i/readyz")
   done
   bin/standin wait --timeout 30s "${urls[@]}" || fail "a router is not ready"
@@ -145,6 +156,7 @@
 trap stop_all EXIT
 make build
 start_surroundings
+make_certificates
 # Budgets are accepted in the ledger, which takes a router; the others start with the tickets in force.
 start_routers 1
 submit_tickets
