--- a/standin/check/promise_test.go
+++ b/standin/check/promise_test.go
@@ -92,6 +92,19 @@
 	assertEqual(t, 2, evidence.Unsettled())
 }
 
+func TestFalseRefusals(t *testing.T) {
+	refused := func(budget, code string, bound int) load.Request {
+		return load.Request{Outcome: load.Refused, Budget: budget, Code: code, CostBound: bound}
+	}
+	evidence := &Evidence{Ledgers: fold(t, nil), Requests: []load.Request{
+		refused(budget, "budget_exhausted", 100), refused(budget, "budget_exhausted", 101),
+		refused(budget, "overloaded", 100), refused(budget, "overloaded", 101),
+		refused("", "overloaded", 1), refused("", "budget_exhausted", 1),
+		{Outcome: load.Completed, Budget: budget},
+	}}
+	assertEqual(t, map[string]int{"budget_exhausted": 1, "overloaded": 2}, evidence.FalseRefusals())
+}
+
 func with(r load.Request, usage int) load.Request {
 	r.Usage = usage
 	return r
--- a/standin/check/table.go
+++ b/standin/check/table.go
@@ -51,7 +51,13 @@
 	for _, partition := range e.Ledgers {
 		settled += partition.settled
 	}
-	_, _ = fmt.Fprintf(w, "settled after a router's death\t%d\n\n", settled)
+	_, _ = fmt.Fprintf(w, "settled after a router's death\t%d\n", settled)
+	refused := e.FalseRefusals()
+	_, _ = fmt.Fprintf(w, "refused although the budget could have paid\t%d\n", sum(refused))
+	for _, code := range slices.Sorted(maps.Keys(refused)) {
+		_, _ = fmt.Fprintf(w, "  %s\t%d\n", code, refused[code])
+	}
+	_, _ = fmt.Fprintln(w)
 }
 
 func (e *Evidence) writeBudgets(w io.Writer) {
--- a/standin/load.go
+++ b/standin/load.go
@@ -33,6 +33,7 @@
 	NonIdempotentPath string            `default:"/deposits" env:"STANDIN_NON_IDEMPOTENT_PATH" help:"Path of the non-idempotent calls."`
 	MaxTokens         int               `default:"48" env:"STANDIN_MAX_TOKENS" help:"Highest max_tokens of a model call."`
 	PromptWords       int               `default:"48" env:"STANDIN_PROMPT_WORDS" help:"Words of a prompt besides its nonce."`
+	CallCost          int               `default:"1" env:"STANDIN_CALL_COST" help:"Price of a plain call, as its route states it."`
 	Attempts          int               `default:"5" env:"STANDIN_ATTEMPTS" help:"Attempts of a request at the most."`
 	Timeout           time.Duration     `default:"30s" env:"STANDIN_TIMEOUT" help:"Time that an attempt may take."`
 	MaxRetryWait      time.Duration     `default:"3s" env:"STANDIN_MAX_RETRY_WAIT" help:"Longest wait before a further attempt."`
@@ -86,6 +87,7 @@
 		NonIdempotentPath: c.NonIdempotentPath,
 		MaxTokens:         c.MaxTokens,
 		PromptWords:       c.PromptWords,
+		CallCost:          c.CallCost,
 		Attempts:          c.Attempts,
 		Timeout:           c.Timeout,
 		MaxRetryWait:      c.MaxRetryWait,
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -27,6 +27,7 @@
 	body   string
 	// maxTokens is set for model calls.
 	maxTokens int
+	costBound int
 	// due is when the request should have been sent; zero if the load has no rate.
 	due    time.Time
 	random *rand.Rand
@@ -51,9 +52,9 @@
 	case Stream, Whole:
 		j.modelCall(s)
 	case NonIdempotent:
-		j.plainCall(s.NonIdempotentPath, http.MethodPost)
+		j.plainCall(s, s.NonIdempotentPath, http.MethodPost)
 	default:
-		j.plainCall(s.PlainPath, []string{http.MethodGet, http.MethodPost}[random.IntN(2)])
+		j.plainCall(s, s.PlainPath, []string{http.MethodGet, http.MethodPost}[random.IntN(2)])
 	}
 	return j
 }
@@ -100,6 +101,7 @@
 	j.method = http.MethodPost
 	j.path = "/v1/chat/completions"
 	j.body = string(encoded)
+	j.costBound = len(encoded) + j.maxTokens
 }
 
 // prompt ends with the nonce; its beginning is one of a few documents.
@@ -112,7 +114,8 @@
 	return text.String() + j.nonce
 }
 
-func (j *job) plainCall(path, method string) {
+func (j *job) plainCall(s *Settings, path, method string) {
+	j.costBound = s.CallCost
 	j.method = method
 	j.path = fmt.Sprintf("%s/%d", strings.TrimSuffix(path, "/"), j.index)
 	if method == http.MethodPost {
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -62,8 +62,11 @@
 	Latency    Milliseconds
 	FirstToken Milliseconds
 	// Usage is the count of tokens that the answer reports, prompt included; zero for plain calls.
-	Usage  int
-	Detail string
+	Usage int
+	// CostBound is the most that the request can cost: a token for each byte of a model call's body and for each of its
+	// answer's limit, or the price of a plain call.
+	CostBound int
+	Detail    string
 }
 
 // IsNotRun reports whether the caller was told of every attempt that the request was not run.
--- a/standin/load/runner.go
+++ b/standin/load/runner.go
@@ -103,7 +103,7 @@
 	if began.IsZero() {
 		began = time.Now()
 	}
-	request := Request{index: j.index, Key: j.key, Team: j.team.Name, Budget: j.budget, Kind: j.kind}
+	request := Request{index: j.index, Key: j.key, Team: j.team.Name, Budget: j.budget, Kind: j.kind, CostBound: j.costBound}
 	last := result{}
 	for attempt := range r.Attempts {
 		if attempt > 0 {
--- a/standin/load/settings.go
+++ b/standin/load/settings.go
@@ -57,6 +57,8 @@
 	NonIdempotentPath string
 	MaxTokens         int
 	PromptWords       int
+	// CallCost is the price of a plain call.
+	CallCost int
 	// Attempts bounds the attempts of one request, Timeout each of them.
 	Attempts int
 	Timeout  time.Duration
