--- /dev/null
+++ b/fleet/ledgerstream/experiment_test.go
@@ -0,0 +1,291 @@
+package ledgerstream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"text/tabwriter"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// The load of the experiment.
+const (
+	experimentRouters = 6
+	experimentRate    = 40.0
+	experimentSeed    = 20261203
+)
+
+// scenario is a fault and the time in which it happens.
+type scenario struct {
+	Name   string
+	Length time.Duration
+	// OutageAt and Outage are the begin and the length of the log's outage.
+	OutageAt time.Duration
+	Outage   time.Duration
+	// Dead are the routers that stop at DeadAt.
+	Dead   []int
+	DeadAt time.Duration
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{Name: "calm", Length: 3 * time.Minute},
+		{Name: "outage of 10 min", Length: 13 * time.Minute, OutageAt: time.Minute, Outage: 10 * time.Minute},
+		{Name: "one router dead", Length: 3 * time.Minute, Dead: []int{0}, DeadAt: time.Minute},
+		{Name: "two routers dead", Length: 3 * time.Minute, Dead: []int{0, 1}, DeadAt: time.Minute},
+	}
+}
+
+// measures are the figures of one run.
+type measures struct {
+	Requests, Dispatched int
+	// Refused counts refusals although the unspent budget could have paid, RefusedFree those although
+	// its part that no running request had reserved could have paid.
+	Refused, RefusedFree int
+	Overspend            ledger.Tokens
+	// Idle is the mean part of the budgets in shares that no request had reserved, Stranded the
+	// highest part in shares of dead routers, Readmission the time until that was back.
+	Idle, Stranded float64
+	Readmission    time.Duration
+	Records, Bytes float64
+	// Recall are the times from an unmet demand to the next return to the budget.
+	Recall []time.Duration
+}
+
+// experiment is one run of a policy.
+type experiment struct {
+	policy   policy
+	scenario scenario
+	budgets  []ledger.Prepaid
+	log      *fakeLog
+	random   *rand.Rand
+	calls    sync.WaitGroup
+
+	mu       sync.Mutex
+	dead     map[int]bool
+	usage    map[string]ledger.Tokens
+	samples  int
+	diedAt   time.Time
+	measures measures
+}
+
+// experimentBudgets are sized so that the load of three minutes spends them.
+func experimentBudgets() []ledger.Prepaid {
+	return []ledger.Prepaid{
+		{Budget: "hot", Ticket: 1, Total: 800_000},
+		{Budget: "warm", Ticket: 2, Total: 150_000},
+		{Budget: "small", Ticket: 3, Total: 50_000},
+	}
+}
+
+// run puts the load on the policy for the scenario's length.
+func (e *experiment) run() {
+	begun := time.Now()
+	nextSample := begun
+	for request := uint64(1); ; request++ {
+		time.Sleep(time.Duration(e.random.ExpFloat64() / experimentRate * float64(time.Second)))
+		passed := time.Since(begun)
+		if passed > e.scenario.Length {
+			break
+		}
+		e.fail(passed)
+		if !time.Now().Before(nextSample) {
+			e.sample()
+			nextSample = nextSample.Add(time.Second)
+		}
+		router, d := e.draw(request)
+		usage := d.Amount * ledger.Tokens(10+e.random.IntN(50)) / 100
+		hold := time.Duration(200+e.random.IntN(2800)) * time.Millisecond
+		if !e.dead[router] {
+			e.calls.Go(func() { e.runCall(router, d, usage, hold) })
+		}
+	}
+	e.calls.Wait()
+	e.finish()
+}
+
+// fail brings the scenario's faults about.
+func (e *experiment) fail(passed time.Duration) {
+	s := e.scenario
+	down := s.Outage > 0 && passed >= s.OutageAt && passed < s.OutageAt+s.Outage
+	e.log.set(func() { e.log.down = down })
+	if len(s.Dead) == 0 || passed < s.DeadAt || len(e.dead) > 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.diedAt = time.Now()
+	for _, router := range s.Dead {
+		e.dead[router] = true
+		e.policy.stop(router)
+	}
+}
+
+// draw returns the next request: the balancer prefers some routers, as callers' connections last.
+func (e *experiment) draw(request uint64) (int, Demand) {
+	router := []int{0, 0, 0, 1, 1, 2, 3, 4, 5}[e.random.IntN(9)]
+	budget := []string{"hot", "hot", "hot", "hot", "hot", "hot", "hot", "hot", "warm", "warm", "small"}[e.random.IntN(11)]
+	d := demand(request, ledger.Tokens(200+e.random.IntN(1000)), true)
+	d.Budget = budget
+	return router, d
+}
+
+// runCall is one request.
+func (e *experiment) runCall(router int, d Demand, usage ledger.Tokens, hold time.Duration) {
+	r, err := e.policy.reserve(router, d)
+	all, unreserved := e.policy.unspent(d.Budget)
+	e.mu.Lock()
+	if e.dead[router] {
+		e.mu.Unlock()
+		return
+	}
+	e.measures.Requests++
+	if err != nil {
+		e.measures.Refused += countIf(all >= d.Amount)
+		e.measures.RefusedFree += countIf(unreserved >= d.Amount)
+		e.mu.Unlock()
+		return
+	}
+	e.measures.Dispatched++
+	e.usage[d.Budget] += usage
+	e.mu.Unlock()
+	time.Sleep(hold)
+	if !e.isDead(router) {
+		r.Bill(usage)
+	}
+}
+
+func (e *experiment) isDead(router int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dead[router]
+}
+
+func countIf(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
+// sample measures what lies idle in shares.
+func (e *experiment) sample() {
+	total, idle, stranded := ledger.Tokens(0), ledger.Tokens(0), ledger.Tokens(0)
+	for _, b := range e.budgets {
+		total += b.Total
+		for router := range experimentRouters {
+			amount := e.policy.idle(router, b.Budget)
+			idle += amount
+			if e.dead[router] {
+				stranded += amount
+			}
+		}
+	}
+	e.samples++
+	e.measures.Idle += float64(idle) / float64(total)
+	e.measures.Stranded = max(e.measures.Stranded, float64(stranded)/float64(total))
+	if stranded > 0 {
+		e.measures.Readmission = time.Since(e.diedAt)
+	}
+}
+
+func (e *experiment) finish() {
+	m := &e.measures
+	for _, b := range e.budgets {
+		m.Overspend += max(0, e.usage[b.Budget]-b.Total)
+	}
+	m.Idle /= float64(e.samples)
+	records, bytes := e.policy.written()
+	m.Records = float64(records) / float64(m.Requests)
+	m.Bytes = float64(bytes) / float64(m.Requests)
+	m.Recall = e.recalls()
+}
+
+// recalls returns the times from each unmet demand to the next return to its budget.
+func (e *experiment) recalls() []time.Duration {
+	stream := platform.LedgerStream(0)
+	state, unmet, waits := ledger.State{}, map[string]time.Time{}, []time.Duration{}
+	for _, entry := range e.log.entriesFrom(stream, 0, len(e.log.entries[stream])) {
+		at := e.log.times[stream][entry.Offset]
+		for _, event := range state.Apply(entry) {
+			switch v := event.(type) {
+			case *ledger.DrawRefused:
+				if _, known := unmet[v.Draw.Budget]; !known {
+					unmet[v.Draw.Budget] = at
+				}
+			case *ledger.Returned:
+				if begun, known := unmet[v.Budget]; known {
+					waits = append(waits, at.Sub(begun))
+				}
+				delete(unmet, v.Budget)
+			}
+		}
+	}
+	slices.Sort(waits)
+	return waits
+}
+
+// measure runs a policy in a bubble of its own.
+func measure(t *testing.T, name string, s scenario) measures {
+	t.Helper()
+	result := measures{}
+	synctest.Test(t, func(t *testing.T) {
+		budgets := experimentBudgets()
+		c := newCluster(t, countOf(name), Settings{}, budgets...)
+		defer c.stop()
+		e := &experiment{
+			scenario: s, budgets: budgets, log: c.log, dead: map[int]bool{}, usage: map[string]ledger.Tokens{},
+			random: rand.New(rand.NewPCG(experimentSeed, 0)),
+		}
+		switch name {
+		case "clients":
+			e.policy = clients{c}
+		case "equal quotas":
+			e.policy = newQuotas(experimentRouters, budgets)
+		default:
+			e.policy = newDrawers(c, experimentRouters, budgets)
+		}
+		e.run()
+		result = e.measures
+	})
+	return result
+}
+
+func countOf(name string) int {
+	if name == "clients" {
+		return experimentRouters
+	}
+	return 0
+}
+
+// TestExperiment prints the measures of each policy in each scenario.
+func TestExperiment(t *testing.T) {
+	text := &strings.Builder{}
+	w := tabwriter.NewWriter(text, 0, 0, 1, ' ', tabwriter.Debug)
+	_, _ = fmt.Fprintln(w, "Scenario\tPolicy\tRequests\tDispatched\tOverspend\tRefused, unspent pays\tRefused, unreserved pays"+
+		"\tIdle %\tStranded %\tReadmission s\tRecords/request\tBytes/request\tRecall median ms\tmax ms")
+	for _, s := range scenarios() {
+		for _, name := range []string{"clients", "equal quotas", "draw per request"} {
+			m := measure(t, name, s)
+			median, highest := time.Duration(0), time.Duration(0)
+			if n := len(m.Recall); n > 0 {
+				median, highest = m.Recall[n/2], m.Recall[n-1]
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.2f\t%.0f\t%.2f\t%.0f\t%d\t%d\n",
+				s.Name, name, m.Requests, m.Dispatched, m.Overspend, m.Refused, m.RefusedFree, 100*m.Idle, 100*m.Stranded,
+				m.Readmission.Seconds(), m.Records, m.Bytes, median.Milliseconds(), highest.Milliseconds())
+			if name == "clients" {
+				assertEqual(t, "overspend", 0, m.Overspend)
+			}
+		}
+	}
+	_ = w.Flush()
+	t.Log("\n" + text.String())
+}
