--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -77,7 +77,7 @@
 }
 
 // waitForShare waits until the open was queued. Holders get the time of a recall to return what they
-// can spare; a request that no refused draw has spoken for yet waits as long as for the log.
+// can spare, and more of it while the budget could still pay, but never longer than for the log.
 func (a *attempt) waitForShare(ctx context.Context) *verdict.Refusal {
 	c := a.client
 	begun := time.Now()
@@ -95,8 +95,8 @@
 			}
 		case <-timer.C:
 			left := c.settings.OpenWait - time.Since(begun)
-			if c.drawsRefused(a) == 0 && left > 0 {
-				timer.Reset(left)
+			if left > 0 && c.mayStillBePaid(a) {
+				timer.Reset(min(left, c.settings.DrawInterval))
 				continue
 			}
 			if c.leave(a) {
@@ -113,10 +113,20 @@
 	return decision.DrawDeadline(c.settings.DrawWait, c.roundTrip, c.settings.OpenWait)
 }
 
-func (c *Client) drawsRefused(a *attempt) int {
+// mayStillBePaid says whether a request waits on for a share: no draw that was refused has spoken for
+// it yet, or the shares of all routers together hold enough that no running request has reserved.
+func (c *Client) mayStillBePaid(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return a.drawsRefused
+	if a.drawsRefused == 0 {
+		return true
+	}
+	view, _ := c.state.Budget(a.demand.Budget)
+	unreserved := view.Prepaid - view.Spent
+	for _, h := range view.Holders {
+		unreserved -= h.WorkingReserved + h.ReserveReserved
+	}
+	return unreserved >= a.demand.Amount
 }
 
 // exhausted returns the refusal of a request that waited for a share in vain.
