--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -129,7 +129,10 @@
 		if live {
 			o.renew(g.firstSentAt)
 		}
-		c.measureRoundTrip(now.Sub(g.cutAt))
+		// A group that was held up by an outage says nothing about the usual round trip.
+		if g.tries == 1 {
+			c.measureRoundTrip(now.Sub(g.cutAt))
+		}
 		// An append whose answer was lost has reached the log all the same.
 		c.appendFailures = 0
 	}
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -26,7 +26,7 @@
 	DefaultPrepaidJitter        = 500 * time.Millisecond
 	DefaultCallTimeout          = 3 * time.Second
 	DefaultRetryFirst           = 50 * time.Millisecond
-	DefaultRetryLimit           = 2 * time.Second
+	DefaultRetryLimit           = 500 * time.Millisecond
 	DefaultFleetAppendsPerSec   = 240.0
 	DefaultOutboxLimit          = 20_000
 	DefaultGroupBytes           = 64 * 1024
