--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -115,6 +115,7 @@
 	loops.Go(func() { c.loopRead(ctx) })
 	loops.Go(func() { c.loopAppend(ctx) })
 	loops.Go(func() { c.loopTick(ctx) })
+	loops.Go(func() { c.loopSnapshot(ctx) })
 	loops.Wait()
 	return context.Cause(ctx)
 }
--- a/fleet/ledgerstream/counters.go
+++ b/fleet/ledgerstream/counters.go
@@ -33,6 +33,11 @@
 	releaseUnknown    = "ledger.release.unknown"
 	dispatchRefused   = "ledger.dispatch.refused"
 	reserveRefusedFor = "ledger.reserve.refused."
+	snapshotChunks    = "ledger.snapshot.chunks"
+	snapshotBytes     = "ledger.snapshot.bytes"
+	snapshotFailed    = "ledger.snapshot.failed"
+	snapshotLoaded    = "ledger.snapshot.loaded"
+	snapshotMalformed = "ledger.snapshot.malformed"
 	outboxLength      = "ledger.outbox.length"
 	logReachable      = "ledger.log.reachable"
 )
@@ -73,6 +78,11 @@
 		{releaseUnknown, "releases that were not read back in time"},
 		{dispatchRefused, "dispatches refused because the lease had lapsed"},
 		{reserveRefusedFor + "REASON", "requests refused by Reserve, by the reason that the caller sees"},
+		{snapshotChunks, "chunks of snapshots that the log acknowledged"},
+		{snapshotBytes, "bytes of those chunks"},
+		{snapshotFailed, "snapshots that were given up"},
+		{snapshotLoaded, "snapshots that this router started from or caught up by"},
+		{snapshotMalformed, "chunks that were malformed or completed a snapshot with a wrong digest"},
 		{outboxLength, "gauge: records that were not yet read back"},
 		{logReachable, "gauge: 1 if the log answers, 0 if not"},
 	}
--- a/fleet/ledgerstream/prepaid.go
+++ b/fleet/ledgerstream/prepaid.go
@@ -61,16 +61,21 @@
 		delete(c.prepaid, e.Budget)
 	}
 	view, _ := c.state.Budget(e.Budget)
-	if view.Reserve.Share > 0 {
-		c.reserves[e.Budget] = struct{}{}
-	} else {
-		delete(c.reserves, e.Budget)
-	}
+	c.noteReserve(view)
 	if b := c.accounts[e.Budget]; b != nil && view.Frozen {
 		c.sendHome(b, true)
 	}
 }
 
+// noteReserve notes whether a budget's policy names a reserve share.
+func (c *Client) noteReserve(view ledger.BudgetView) {
+	if view.Reserve.Share > 0 {
+		c.reserves[view.Budget] = struct{}{}
+		return
+	}
+	delete(c.reserves, view.Budget)
+}
+
 func (c *Client) onPrepaidRefused(e *ledger.PrepaidRefused) {
 	c.count(prepaidRefused, 1)
 	c.refusedTickets[e.Budget] = max(c.refusedTickets[e.Budget], e.Ticket)
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -12,9 +12,17 @@
 // roundTripWeight is the weight of a new measurement in the usual round trip.
 const roundTripWeight = 4
 
-// loopRead reads the stream from its beginning and then follows its tail.
+// loopRead reads the stream from the newest snapshot, or its beginning, and then follows its tail.
 func (c *Client) loopRead(ctx context.Context) {
+	recovered := false
 	for ctx.Err() == nil {
+		if !recovered {
+			if err := c.recover(ctx); err != nil {
+				waitFor(ctx, nil, c.readFailed(err))
+				continue
+			}
+			recovered = true
+		}
 		begun := time.Now()
 		from, number := c.beginRead()
 		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
@@ -24,6 +32,7 @@
 			return
 		}
 		if err != nil {
+			recovered = !isTruncated(err)
 			waitFor(ctx, nil, c.readFailed(err))
 			continue
 		}
@@ -53,11 +62,16 @@
 	return c.settings.backoff().Delay(c.readFailures, c.random)
 }
 
-// noteTruncation makes the client unready if the log no longer keeps the next offset: the balances
-// can't be known any more, and the lease is left to lapse.
-func (c *Client) noteTruncation(err error) {
+// isTruncated says whether the log no longer keeps the offsets that were asked for.
+func isTruncated(err error) bool {
 	truncated := &platform.TruncatedError{}
-	if !errors.As(err, &truncated) {
+	return errors.As(err, &truncated)
+}
+
+// noteTruncation makes the client unready if the log no longer keeps the next offset: until a
+// snapshot covers it, the balances can't be known, and the lease is left to lapse.
+func (c *Client) noteTruncation(err error) {
+	if !isTruncated(err) {
 		return
 	}
 	c.count(readTruncated, 1)
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
 )
 
@@ -30,6 +31,7 @@
 	DefaultGroupBytes           = 64 * 1024
 	DefaultReadLimit            = 256
 	DefaultUnreachableFailures  = 3
+	DefaultSnapshotInterval     = 2 * time.Minute
 	DefaultReserveDrawsPerTick  = 16
 	DefaultPrepaidCopiesPerTick = 256
 )
@@ -81,6 +83,10 @@
 	ReadLimit int
 	// UnreachableFailures is the number of failed calls in a row after which the log counts as unreachable.
 	UnreachableFailures int
+	// SnapshotInterval is the mean time between two snapshots of the fleet.
+	SnapshotInterval time.Duration
+	// SnapshotChunkBytes is the size of a snapshot's chunks.
+	SnapshotChunkBytes int
 	// Seed fixes the jitter; zero takes a random one.
 	Seed uint64
 }
@@ -107,6 +113,8 @@
 	s.OutboxLimit = cmp.Or(s.OutboxLimit, DefaultOutboxLimit)
 	s.GroupBytes = cmp.Or(s.GroupBytes, DefaultGroupBytes)
 	s.ReadLimit = cmp.Or(s.ReadLimit, DefaultReadLimit)
+	s.SnapshotInterval = cmp.Or(s.SnapshotInterval, DefaultSnapshotInterval)
+	s.SnapshotChunkBytes = cmp.Or(s.SnapshotChunkBytes, ledger.DefaultChunkBytes)
 	s.UnreachableFailures = cmp.Or(s.UnreachableFailures, DefaultUnreachableFailures)
 	return s
 }
