--- a/fleet/ledgerstream/dispatch.go
+++ b/fleet/ledgerstream/dispatch.go
@@ -84,10 +84,15 @@
 		c.closeGroups(o, o.drop(math.MaxUint64))
 		return
 	}
+	c.loseLease(o, e.Kind)
+}
+
+// loseLease ends the use of an incarnation that another router has fenced.
+func (c *Client) loseLease(o *outbox, kind ledger.ShareKind) {
 	c.count(leaseFenced, 1)
 	c.logger().Warn("the lease was ended by another router")
 	c.retire(o)
-	o.suspended = e.Kind == ledger.Working && o.holdsReserve()
+	o.suspended = kind == ledger.Working && o.holdsReserve()
 	o.ended = !o.suspended
 	if o.ended {
 		c.leaveFormer(o)
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -6,6 +6,7 @@
 
 	apex "github.com/apex/log"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
 )
 
@@ -90,8 +91,6 @@
 	ReadLimit int
 	// UnreachableFailures is the number of failed calls in a row after which the log counts as unreachable.
 	UnreachableFailures int
-	// SnapshotInterval is the mean time between two snapshots of the whole fleet.
-	SnapshotInterval time.Duration
 	// Logger takes the changes of state; nil takes the standard logger.
 	Logger apex.Interface
 	// Relay hands copies of groups to other routers while the log can't be reached; nil does without, and
@@ -105,6 +104,10 @@
 	CopyDelay time.Duration
 	// CopyBytes bounds the copies held for other routers.
 	CopyBytes int
+	// SnapshotInterval is the mean time between two snapshots of the fleet.
+	SnapshotInterval time.Duration
+	// SnapshotChunkBytes is the size of a snapshot's chunks.
+	SnapshotChunkBytes int
 	// Seed fixes the jitter; zero takes a random one.
 	Seed uint64
 }
@@ -139,6 +142,7 @@
 	if s.Logger == nil {
 		s.Logger = apex.Log
 	}
+	s.SnapshotChunkBytes = cmp.Or(s.SnapshotChunkBytes, ledger.DefaultChunkBytes)
 	s.UnreachableFailures = cmp.Or(s.UnreachableFailures, DefaultUnreachableFailures)
 	return s
 }
--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -9,101 +9,79 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
-// loopSnapshot writes snapshots of the folded state, so that the log may drop old records. The routers'
-// jittered intervals add up to one snapshot an interval for the whole fleet.
+// snapshotReadLimit is the number of chunks that one read asks for.
+const snapshotReadLimit = 8
+
+// loopSnapshot writes a snapshot now and then. Each router waits for a random time around the
+// interval times the number of routers, so that the fleet writes about one an interval.
 func (c *Client) loopSnapshot(ctx context.Context) {
 	for ctx.Err() == nil {
-		waitFor(ctx, nil, c.snapshotWait())
-		if ctx.Err() == nil {
-			c.writeSnapshot(ctx)
+		waitFor(ctx, nil, c.snapshotDelay())
+		for _, payload := range c.encodeSnapshot() {
+			if !c.appendChunk(ctx, payload) {
+				break
+			}
+			// Records go first: chunks are spaced out.
+			waitFor(ctx, nil, c.settings.PollInterval)
 		}
 	}
 }
 
-// snapshotWait returns the time until this router's next snapshot: on average one interval for each router.
-func (c *Client) snapshotWait() time.Duration {
+// snapshotDelay returns the time to this router's next snapshot.
+func (c *Client) snapshotDelay() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	mean := c.settings.SnapshotInterval * time.Duration(c.routers)
 	return mean/2 + time.Duration(c.random.Int64N(int64(mean)))
 }
 
-// writeSnapshot appends the chunks of a snapshot. A snapshot that stays incomplete does no harm: readers ignore it.
-func (c *Client) writeSnapshot(ctx context.Context) {
-	chunks, err := c.encodeSnapshot()
-	if err != nil {
-		c.count(snapshotFailed, 1)
-		c.logger().WithError(err).Error("can't encode a snapshot")
-		return
-	}
-	for _, chunk := range chunks {
-		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
-		_, err := c.log.Append(call, platform.LedgerSnapshotStream(c.settings.Partition), chunk)
-		cancel()
-		if err != nil {
-			c.count(snapshotFailed, 1)
-			return
-		}
-		waitFor(ctx, nil, time.Duration(float64(time.Second)/c.appendRate()))
-	}
-	if len(chunks) > 0 {
-		c.count(snapshotWritten, 1)
-	}
-}
-
-// encodeSnapshot returns the chunks of a snapshot; none while the state is not up to date.
-func (c *Client) encodeSnapshot() ([][]byte, error) {
+// encodeSnapshot returns the chunks of a snapshot; none if this router can't tell the newest state.
+func (c *Client) encodeSnapshot() [][]byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ready() {
-		return nil, nil
+	if !c.ready() || !c.reachable || !c.current.lease.Valid(time.Now()) {
+		return nil
+	}
+	payloads, err := c.state.EncodeSnapshot(c.current.incarnation, c.settings.SnapshotChunkBytes)
+	if err != nil {
+		c.logger().WithError(err).Error("can't encode a snapshot")
+		c.count(snapshotFailed, 1)
+		return nil
 	}
-	return c.state.EncodeSnapshot(c.current.incarnation, ledger.DefaultChunkBytes)
+	return payloads
 }
 
-// loadSnapshot continues from the newest complete snapshot that covers more than the state. It reports
-// whether there was one.
-func (c *Client) loadSnapshot(ctx context.Context) bool {
-	newest := c.newestSnapshot(ctx)
-	if newest == nil {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if newest.Next() <= c.state.Next() {
+// appendChunk appends a chunk and reports success. An incomplete snapshot is ignored by its readers.
+func (c *Client) appendChunk(ctx context.Context, payload []byte) bool {
+	call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	if _, err := c.log.Append(call, platform.LedgerSnapshotStream(c.settings.Partition), payload); err != nil {
+		c.count(snapshotFailed, 1)
 		return false
 	}
-	newest.Window = c.state.Window
-	c.state = *newest
-	c.truncated = false
-	c.observation.Break()
-	c.count(snapshotLoaded, 1)
-	c.logger().WithField("Next", newest.Next()).Info("continued from a snapshot")
-	c.resumeAfterJump()
+	c.count(snapshotChunks, 1)
+	c.count(snapshotBytes, int64(len(payload)))
 	return true
 }
 
-// newestSnapshot reads the snapshot stream to its end; nil if it holds no complete snapshot.
-func (c *Client) newestSnapshot(ctx context.Context) *ledger.State {
-	stream := platform.LedgerSnapshotStream(c.settings.Partition)
-	var newest *ledger.State
-	assembler := &ledger.Assembler{}
-	from := platform.Offset(0)
-	for {
-		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
-		entries, err := c.log.Read(call, stream, from, c.settings.ReadLimit)
-		cancel()
+// recover loads the newest complete snapshot if it covers more than what was read. An error means
+// that the snapshot stream could not be read to its end.
+func (c *Client) recover(ctx context.Context) error {
+	newest := (*ledger.State)(nil)
+	assembler := ledger.Assembler{}
+	for from := platform.Offset(0); ; {
+		entries, err := c.readChunks(ctx, from)
 		truncated := &platform.TruncatedError{}
 		if errors.As(err, &truncated) && truncated.First > from {
 			from = truncated.First
 			continue
 		}
-		if err != nil || len(entries) == 0 {
-			return newest
+		if err != nil {
+			return err
 		}
-		for _, e := range entries {
-			from = e.Offset + 1
-			state, err := assembler.Add(e.Payload)
+		for _, entry := range entries {
+			from = entry.Offset + 1
+			state, err := assembler.Add(entry.Payload)
 			if err != nil {
 				c.count(snapshotMalformed, 1)
 			}
@@ -111,20 +89,62 @@
 				newest = state
 			}
 		}
+		if len(entries) < snapshotReadLimit {
+			break
+		}
 	}
+	c.load(newest)
+	return nil
+}
+
+func (c *Client) readChunks(ctx context.Context, from platform.Offset) ([]platform.Entry, error) {
+	call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	return c.log.Read(call, platform.LedgerSnapshotStream(c.settings.Partition), from, snapshotReadLimit)
 }
 
-// resumeAfterJump closes what the skipped records decided: their events were never seen, so that an open
-// among them may have been accepted. A draw among them is simply made again.
-func (c *Client) resumeAfterJump() {
+// load takes a snapshot's state in place of the state that was read, if it covers more.
+func (c *Client) load(state *ledger.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == nil || state.Next() <= c.state.Next() {
+		return
+	}
+	c.state = *state
+	c.truncated = false
+	c.caughtUp = false
+	c.count(snapshotLoaded, 1)
+	c.logger().WithField("Next", uint64(c.state.Next())).Info("loaded a snapshot")
+	for _, view := range c.state.Budgets() {
+		c.noteReserve(view)
+	}
+	clear(c.silences)
+	c.resume()
+}
+
+// resume brings this process's incarnations in line with a state whose events were not seen.
+func (c *Client) resume() {
 	for _, b := range c.accounts {
 		b.drawing = false
 	}
 	for _, o := range c.outboxes() {
-		c.closeGroups(o, c.dropApplied(o))
+		groups := c.dropApplied(o)
+		c.resumeIncarnation(o)
+		c.closeGroups(o, groups)
 	}
-	if c.current != nil && c.current.joined && !c.state.IsLive(c.current.incarnation) {
-		c.count(leaseFenced, 1)
-		c.retire(c.current)
+	c.closeFormer()
+}
+
+// resumeIncarnation notes what became of an incarnation.
+func (c *Client) resumeIncarnation(o *outbox) {
+	switch {
+	case c.state.IsLive(o.incarnation):
+		o.joined = true
+	case o.suspended && c.state.HasEnded(o.incarnation):
+		o.ended = true
+	case o.joined && c.state.HasEnded(o.incarnation):
+		c.loseLease(o, ledger.Reserve)
+	case o.joined:
+		c.loseLease(o, ledger.Working)
 	}
 }
