--- a/dragonflyctl/streams/configuration.go
+++ b/dragonflyctl/streams/configuration.go
@@ -55,8 +55,9 @@
 // recover continues from the newest usable snapshot.
 func (c *Configuration) recover(ctx context.Context, truncated *platform.TruncatedError) error {
 	newest := c.Current
+	assembler := &operator.SnapshotAssembler{}
 	err := readAll(ctx, c.Log, platform.ConfigurationSnapshotStream, func(e platform.Entry) {
-		if snapshot, err := operator.DecodeSnapshot(e.Payload); err == nil {
+		if snapshot, err := assembler.Add(e.Payload); err == nil && snapshot != nil {
 			newest = operator.Newer(newest, snapshot)
 		}
 	})
--- a/fleet/operator/benchmark_test.go
+++ b/fleet/operator/benchmark_test.go
@@ -65,3 +65,17 @@
 		_, _ = c.RouteForPath("/atelier/sittings/7")
 	}
 }
+
+func BenchmarkSnapshot(b *testing.B) {
+	c := largeConfiguration()
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		data, err := c.EncodeSnapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(size)/benchmarkBudgets, "B/budget")
+}
