--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -12,8 +12,9 @@
 // roundTripWeight is the weight of a new measurement in the usual round trip.
 const roundTripWeight = 4
 
-// loopRead reads the stream from its beginning and then follows its tail.
+// loopRead reads the stream from the newest snapshot or its beginning and then follows its tail.
 func (c *Client) loopRead(ctx context.Context) {
+	c.loadSnapshot(ctx)
 	for ctx.Err() == nil {
 		begun := time.Now()
 		from, number := c.beginRead()
@@ -24,7 +25,10 @@
 			return
 		}
 		if err != nil {
-			waitFor(ctx, nil, c.readFailed(err))
+			delay := c.readFailed(err)
+			if !c.isTruncated() || !c.loadSnapshot(ctx) {
+				waitFor(ctx, nil, delay)
+			}
 			continue
 		}
 		if complete := c.apply(entries, begun, number); complete {
@@ -67,6 +71,12 @@
 	c.truncated = true
 }
 
+func (c *Client) isTruncated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.truncated
+}
+
 // apply folds what was read and reports whether the read reached the stream's end.
 func (c *Client) apply(entries []platform.Entry, begun time.Time, number uint64) bool {
 	c.mu.Lock()
@@ -104,6 +114,7 @@
 		c.closeGroups(o, groups)
 	}
 	c.closeFormer()
+	c.dropCopies()
 }
 
 // dropApplied removes the groups that the fold has applied and renews the lease from them.
@@ -116,7 +127,7 @@
 	live := c.state.IsLive(o.incarnation)
 	for _, g := range groups {
 		if live {
-			o.lease.Renew(g.firstSentAt)
+			o.renew(g.firstSentAt)
 		}
 		c.measureRoundTrip(now.Sub(g.cutAt))
 		// An append whose answer was lost has reached the log all the same.
@@ -128,8 +139,10 @@
 
 // repeatMissing lets groups be appended again that are in the log but were not applied.
 func (c *Client) repeatMissing() {
-	if c.current != nil && !c.current.ended {
-		c.current.repeatMissing(c.state.Next())
+	for _, o := range c.outboxes() {
+		if !o.ended {
+			o.repeatMissing(c.state.Next())
+		}
 	}
 }
 
@@ -172,6 +185,7 @@
 	}
 	c.reachable = reachable
 	if reachable {
+		c.reachableSince = time.Now()
 		c.gauge(logReachable, 1)
 		c.logger().Info("the log answers again")
 		return
--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -17,6 +17,9 @@
 	if refusal == nil {
 		refusal = a.wait(ctx)
 	}
+	if refusal != nil && refusal.Reason == verdict.LedgerUnreachable && demand.Idempotent && c.settings.Relay != nil {
+		a, refusal = c.reserveWithoutLog(ctx, demand, refusal)
+	}
 	if refusal != nil {
 		c.count(reserveRefusedFor+string(refusal.Reason), 1)
 		return nil, refusal
@@ -77,7 +80,7 @@
 }
 
 // waitForShare waits until the open was queued. Holders get the time of a recall to return what they
-// can spare; a request that no refused draw has spoken for yet waits as long as for the log.
+// can spare, and more of it while the budget could still pay, but never longer than for the log.
 func (a *attempt) waitForShare(ctx context.Context) *verdict.Refusal {
 	c := a.client
 	begun := time.Now()
@@ -95,8 +98,8 @@
 			}
 		case <-timer.C:
 			left := c.settings.OpenWait - time.Since(begun)
-			if c.drawsRefused(a) == 0 && left > 0 {
-				timer.Reset(left)
+			if left > 0 && c.mayStillBePaid(a) {
+				timer.Reset(min(left, c.settings.DrawInterval))
 				continue
 			}
 			if c.leave(a) {
@@ -113,10 +116,20 @@
 	return decision.DrawDeadline(c.settings.DrawWait, c.roundTrip, c.settings.OpenWait)
 }
 
-func (c *Client) drawsRefused(a *attempt) int {
+// mayStillBePaid says whether a request waits on for a share: no draw that was refused has spoken for
+// it yet, or the shares of all routers together hold enough that no running request has reserved.
+func (c *Client) mayStillBePaid(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return a.drawsRefused
+	if a.drawsRefused == 0 {
+		return true
+	}
+	view, _ := c.state.Budget(a.demand.Budget)
+	unreserved := view.Prepaid - view.Spent
+	for _, h := range view.Holders {
+		unreserved -= h.WorkingReserved + h.ReserveReserved
+	}
+	return unreserved >= a.demand.Amount
 }
 
 // exhausted returns the refusal of a request that waited for a share in vain.
@@ -147,7 +160,7 @@
 // suffices if it isn't read back soon after.
 func (a *attempt) waitForLog(ctx context.Context) *verdict.Refusal {
 	s := a.client.settings
-	timer := time.NewTimer(s.OpenWait)
+	timer := time.NewTimer(a.logWait())
 	defer timer.Stop()
 	acknowledged := a.acknowledgedSignal
 	if !a.demand.Idempotent {
@@ -171,6 +184,20 @@
 	}
 }
 
+// logWait returns how long the log may take: what can be paid from a reserve share does not wait as long.
+func (a *attempt) logWait() time.Duration {
+	if a.hasReserve() {
+		return a.client.settings.ReserveAfter
+	}
+	return a.client.settings.OpenWait
+}
+
+// hasReserve says whether a reserve share could pay for the request.
+func (a *attempt) hasReserve() bool {
+	c := a.client
+	return a.demand.Idempotent && c.settings.Relay != nil && c.reserveFree(a.demand.Budget) >= a.demand.Amount
+}
+
 // abandon gives an attempt up. Its refusal says that the request was not run only if the open never
 // left the process or its release was read back in time.
 func (a *attempt) abandon(ctx context.Context, refusal *verdict.Refusal) *verdict.Refusal {
@@ -178,7 +205,8 @@
 	if a.withdrawn() {
 		return refusal
 	}
-	if a.awaitRelease(ctx) {
+	// A request that a reserve share can pay for doesn't wait for the release: its second open decides.
+	if (refusal.Reason != verdict.LedgerUnreachable || !a.hasReserve()) && a.awaitRelease(ctx) {
 		return refusal
 	}
 	c.mu.Lock()
@@ -234,7 +262,7 @@
 	if c.current == nil {
 		return
 	}
-	for _, a := range c.current.withdrawAll() {
+	for _, a := range c.current.withdrawWorking() {
 		c.count(openWithdrawn, 1)
 		a.refuse(unreachable())
 	}
--- a/router/endpoint/stream.go
+++ b/router/endpoint/stream.go
@@ -17,6 +17,12 @@
 // eventStreamType is the media type of server-sent events.
 const eventStreamType = "text/event-stream"
 
+// Bounds of what is read behind the last event of a stream.
+const (
+	drainTimeout = 50 * time.Millisecond
+	drainBytes   = 4 << 10
+)
+
 // errNoEnd is the cause of an event stream that ends without [DONE].
 var errNoEnd = errors.New("event stream ended without [DONE]")
 
@@ -25,6 +31,7 @@
 	*exchange
 	response *http.Response
 	reader   *eventReader
+	chunk    chunk
 	// tokens counts the content deltas passed on; reported is the engine's own count, once known.
 	tokens   int64
 	reported *usage
@@ -63,10 +70,12 @@
 		s.dispatcher.noteFirstByte(s.peer, s.call, time.Since(s.begun))
 	}
 	if bytes.Equal(e.data, []byte("[DONE]")) {
-		return s.finish(e.raw)
+		out, done := s.finish(e.raw)
+		s.drain()
+		return out, done
 	}
-	var c chunk
-	if err := json.Unmarshal(e.data, &c); err != nil {
+	c := &s.chunk
+	if err := c.read(e.data); err != nil {
 		return s.broken(ctx, errFormat), true
 	}
 	if c.Usage != nil {
@@ -77,7 +86,7 @@
 	}
 	tokens := c.tokens()
 	if s.tokens+tokens > s.call.Model.MaxTokens {
-		return s.cut(c)
+		return s.cut(e.data)
 	}
 	if err := s.send(e.raw); err != nil {
 		return s.gone(err), true
@@ -105,8 +114,17 @@
 	return outcome{verdict: verdict.Ran, usage: s.usage()}, true
 }
 
+// drain reads the end of the answer behind the last event: only then the connection can be used again.
+func (s *stream) drain() {
+	s.watch.reset(drainTimeout)
+	_, _ = io.CopyN(io.Discard, s.reader.source, drainBytes)
+}
+
 // cut ends an answer at its limit. The engine's request is cancelled when the attempt returns.
-func (s *stream) cut(c chunk) (outcome, bool) {
+func (s *stream) cut(data []byte) (outcome, bool) {
+	var o origin
+	// The data has been read once already.
+	_ = json.Unmarshal(data, &o)
 	s.dispatcher.board.Count(answerCut)
 	s.reported = nil
 	var reported *usage
@@ -115,11 +133,11 @@
 			PromptTokens: s.call.Model.PromptBound, CompletionTokens: s.tokens, TotalTokens: s.call.Model.PromptBound + s.tokens,
 		}
 	}
-	return s.finish(c.lastEvents(reported))
+	return s.finish(o.lastEvents(reported))
 }
 
-// send writes events to the caller, with the headers before the first. It flushes unless more has
-// arrived already.
+// send writes events to the caller, with the headers before the first. It flushes unless the next
+// one has arrived already.
 func (s *stream) send(events []byte) error {
 	if !s.started {
 		copyResponseHeader(s.w.Header(), s.response.Header)
@@ -129,7 +147,7 @@
 	if err := s.write(events); err != nil {
 		return err
 	}
-	if s.reader.buffered() {
+	if s.reader.hasEvent() {
 		return nil
 	}
 	return s.flush()
@@ -153,7 +171,6 @@
 	if !s.started {
 		return out
 	}
-	out.abort = true
 	if out.reason == verdict.CallerWentAway {
 		return out
 	}
--- a/standin/load.go
+++ b/standin/load.go
@@ -8,6 +8,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/dig"
@@ -19,7 +20,7 @@
 type loadCommand struct {
 	Target            []string          `required:"" env:"STANDIN_TARGET" help:"Base URLs of routers; each attempt picks one at random."`
 	Key               map[string]string `required:"" env:"STANDIN_KEY" help:"Bearer keys by team, such as team-a=key-a;team-b=key-b."`
-	Budget            map[string]string `env:"STANDIN_BUDGET" help:"Budget that a team's requests name."`
+	Budget            map[string]string `env:"STANDIN_BUDGET" help:"Budgets that a team's requests name, such as team-a=main,main,trial; one that stands twice is named twice as often."`
 	Requests          int               `default:"200" env:"STANDIN_REQUESTS" help:"Most requests that are sent."`
 	Duration          time.Duration     `default:"30s" env:"STANDIN_DURATION" help:"Time after which no further request begins."`
 	Rate              float64           `default:"0" env:"STANDIN_RATE" help:"Requests per second; 0 sends as fast as the concurrency allows."`
@@ -32,6 +33,7 @@
 	NonIdempotentPath string            `default:"/deposits" env:"STANDIN_NON_IDEMPOTENT_PATH" help:"Path of the non-idempotent calls."`
 	MaxTokens         int               `default:"48" env:"STANDIN_MAX_TOKENS" help:"Highest max_tokens of a model call."`
 	PromptWords       int               `default:"48" env:"STANDIN_PROMPT_WORDS" help:"Words of a prompt besides its nonce."`
+	CallCost          int               `default:"1" env:"STANDIN_CALL_COST" help:"Price of a plain call, as its route states it."`
 	Attempts          int               `default:"5" env:"STANDIN_ATTEMPTS" help:"Attempts of a request at the most."`
 	Timeout           time.Duration     `default:"30s" env:"STANDIN_TIMEOUT" help:"Time that an attempt may take."`
 	MaxRetryWait      time.Duration     `default:"3s" env:"STANDIN_MAX_RETRY_WAIT" help:"Longest wait before a further attempt."`
@@ -64,7 +66,11 @@
 	}
 	var teams []load.Team
 	for _, name := range slices.Sorted(maps.Keys(c.Key)) {
-		teams = append(teams, load.Team{Name: name, BearerKey: c.Key[name], Budget: c.Budget[name]})
+		team := load.Team{Name: name, BearerKey: c.Key[name]}
+		if budgets := c.Budget[name]; budgets != "" {
+			team.Budgets = strings.Split(budgets, ",")
+		}
+		teams = append(teams, team)
 	}
 	return load.Settings{
 		Targets:           c.Target,
@@ -81,6 +87,7 @@
 		NonIdempotentPath: c.NonIdempotentPath,
 		MaxTokens:         c.MaxTokens,
 		PromptWords:       c.PromptWords,
+		CallCost:          c.CallCost,
 		Attempts:          c.Attempts,
 		Timeout:           c.Timeout,
 		MaxRetryWait:      c.MaxRetryWait,
