--- a/fleet/operator/fold_rapid_test.go
+++ b/fleet/operator/fold_rapid_test.go
@@ -100,9 +100,27 @@
 	return ticket
 }
 
+// foundation returns a ticket on which many of the drawn ones can build.
+func foundation() *Ticket {
+	t := &Ticket{Number: 1}
+	for i := range 3 {
+		name := fmt.Sprintf("team-%d", i+1)
+		t.Teams = append(t.Teams, Team{Name: name, KeyDigests: []string{KeyDigest(name)}})
+		t.Budgets = append(t.Budgets, Budget{Name: fmt.Sprintf("budget-%d", i+1), Team: name, Prepaid: 250})
+	}
+	t.InstanceSets = []InstanceSet{{Name: "set-0", Endpoints: []Endpoint{
+		{Name: "endpoint-0", Service: "service-1", Kind: EngineEndpoint, Address: "10.0.0.1:8000", AvailabilityZone: "luzon-a1", Region: "luzon-a"},
+		{Name: "endpoint-9", Service: "service-2", Kind: PlainEndpoint, Address: "10.0.0.1:8001", AvailabilityZone: "luzon-a1", Region: "luzon-a"},
+	}}}
+	return t
+}
+
 // drawStream draws racing tickets, copies of earlier ones and garbage.
 func drawStream(t *rapid.T) []platform.Entry {
 	var payloads [][]byte
+	if rapid.Bool().Draw(t, "founded") {
+		payloads = append(payloads, payload(foundation()))
+	}
 	for range rapid.IntRange(1, 25).Draw(t, "entries") {
 		switch {
 		case len(payloads) > 0 && rapid.IntRange(0, 3).Draw(t, "copy") == 0:
@@ -206,7 +224,7 @@
 func TestFoldRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var c *Configuration
-		h := &history{accepted: make(map[uint64]string), refused: make(map[string]bool)}
+		h := &history{accepted: make(map[uint64]string), refused: make(map[string]bool), highest: make(map[string]ledger.Tokens)}
 		for _, e := range drawStream(t) {
 			before := contentsOf(t, c)
 			next, outcome := c.Apply(e)
@@ -225,6 +243,8 @@
 type history struct {
 	accepted map[uint64]string
 	refused  map[string]bool
+	// highest holds the highest total of each budget.
+	highest map[string]ledger.Tokens
 }
 
 func (h *history) check(t assertion, before, after *Configuration, outcome Outcome, e platform.Entry) {
@@ -244,7 +264,7 @@
 			assertSame(t, "not newer", true, before.ticketOf(o) < ticket.Number)
 			assertSame(t, "not in force", ticket.Number, after.ticketOf(o))
 		}
-		assertBudgets(t, before, ticket)
+		h.checkBudgets(t, before, ticket)
 	case *Duplicate:
 		assertSame(t, "a copy of another ticket", h.accepted[ticket.Number], text)
 		assertUnchanged(t, before, after)
@@ -257,12 +277,13 @@
 	}
 }
 
-func assertBudgets(t assertion, before *Configuration, ticket *Ticket) {
+func (h *history) checkBudgets(t assertion, before *Configuration, ticket *Ticket) {
 	t.Helper()
 	for _, budget := range ticket.Budgets {
 		former, exists := before.Budgets[budget.Name]
 		assertSame(t, "a budget moved", true, !exists || former.Team == budget.Team)
-		assertSame(t, "lowered with others", true, budget.Prepaid >= former.Prepaid || len(ticket.objects()) == 1)
+		assertSame(t, "lowered with others", true, budget.Prepaid >= h.highest[budget.Name] || len(ticket.objects()) == 1)
+		h.highest[budget.Name] = max(h.highest[budget.Name], budget.Prepaid)
 	}
 }
 
