--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -12,17 +12,10 @@
 // roundTripWeight is the weight of a new measurement in the usual round trip.
 const roundTripWeight = 4
 
-// loopRead reads the stream from the newest snapshot, or its beginning, and then follows its tail.
+// loopRead reads the stream from the newest snapshot or its beginning and then follows its tail.
 func (c *Client) loopRead(ctx context.Context) {
-	recovered := false
+	c.loadSnapshot(ctx)
 	for ctx.Err() == nil {
-		if !recovered {
-			if err := c.recover(ctx); err != nil {
-				waitFor(ctx, nil, c.readFailed(err))
-				continue
-			}
-			recovered = true
-		}
 		begun := time.Now()
 		from, number := c.beginRead()
 		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
@@ -32,8 +25,10 @@
 			return
 		}
 		if err != nil {
-			recovered = !isTruncated(err)
-			waitFor(ctx, nil, c.readFailed(err))
+			delay := c.readFailed(err)
+			if !c.isTruncated() || !c.loadSnapshot(ctx) {
+				waitFor(ctx, nil, delay)
+			}
 			continue
 		}
 		if complete := c.apply(entries, begun, number); complete {
@@ -62,16 +57,11 @@
 	return c.settings.backoff().Delay(c.readFailures, c.random)
 }
 
-// isTruncated says whether the log no longer keeps the offsets that were asked for.
-func isTruncated(err error) bool {
-	truncated := &platform.TruncatedError{}
-	return errors.As(err, &truncated)
-}
-
-// noteTruncation makes the client unready if the log no longer keeps the next offset: until a
-// snapshot covers it, the balances can't be known, and the lease is left to lapse.
+// noteTruncation makes the client unready if the log no longer keeps the next offset: the balances
+// can't be known any more, and the lease is left to lapse.
 func (c *Client) noteTruncation(err error) {
-	if !isTruncated(err) {
+	truncated := &platform.TruncatedError{}
+	if !errors.As(err, &truncated) {
 		return
 	}
 	c.count(readTruncated, 1)
@@ -81,6 +71,12 @@
 	c.truncated = true
 }
 
+func (c *Client) isTruncated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.truncated
+}
+
 // apply folds what was read and reports whether the read reached the stream's end.
 func (c *Client) apply(entries []platform.Entry, begun time.Time, number uint64) bool {
 	c.mu.Lock()
@@ -118,6 +114,7 @@
 		c.closeGroups(o, groups)
 	}
 	c.closeFormer()
+	c.dropCopies()
 }
 
 // dropApplied removes the groups that the fold has applied and renews the lease from them.
@@ -130,7 +127,7 @@
 	live := c.state.IsLive(o.incarnation)
 	for _, g := range groups {
 		if live {
-			o.lease.Renew(g.firstSentAt)
+			o.renew(g.firstSentAt)
 		}
 		c.measureRoundTrip(now.Sub(g.cutAt))
 		// An append whose answer was lost has reached the log all the same.
@@ -142,8 +139,10 @@
 
 // repeatMissing lets groups be appended again that are in the log but were not applied.
 func (c *Client) repeatMissing() {
-	if c.current != nil && !c.current.ended {
-		c.current.repeatMissing(c.state.Next())
+	for _, o := range c.outboxes() {
+		if !o.ended {
+			o.repeatMissing(c.state.Next())
+		}
 	}
 }
 
@@ -186,6 +185,7 @@
 	}
 	c.reachable = reachable
 	if reachable {
+		c.reachableSince = time.Now()
 		c.gauge(logReachable, 1)
 		c.logger().Info("the log answers again")
 		return
