--- a/fleet/ledgerstream/attempt.go
+++ b/fleet/ledgerstream/attempt.go
@@ -115,7 +115,9 @@
 }
 
 // notRun says whether the ledger holds nothing against the request: it was released or never accepted.
-func (a *attempt) notRun() bool { return a.released || a.refusal != nil && !a.accepted }
+func (a *attempt) notRun() bool {
+	return a.released || a.refusal != nil && a.refusal.Verdict == verdict.NotRun
+}
 
 // CheckDispatch fails if the incarnation's lease has lapsed. The reservation is in the log, so that
 // only a release can show that the request was not run.
--- a/fleet/ledgerstream/fake_test.go
+++ b/fleet/ledgerstream/fake_test.go
@@ -30,6 +30,8 @@
 	delay  time.Duration
 	down   bool
 	silent bool
+	// blind links fail reads only.
+	blind bool
 	// lostAnswers and copies are the parts of appends whose answer is lost after they took effect and
 	// that take effect twice; half of the copies are late.
 	lostAnswers float64
@@ -109,6 +111,9 @@
 	l := k.log
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if k.blind {
+		return nil, platform.ErrUnavailable
+	}
 	if stream == platform.LedgerStream(0) && from < l.first {
 		return nil, &platform.TruncatedError{Stream: stream, First: l.first}
 	}
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -274,6 +274,16 @@
 	})
 }
 
+// refuseCut ends the undecided attempts whose opens may have been accepted, and charged, in records
+// that were never seen.
+func (o *outbox) refuseCut() {
+	for _, a := range o.attempts {
+		if a.cut {
+			a.refuseUndecided()
+		}
+	}
+}
+
 // withdrawStale takes out of the queue what means nothing once the incarnation's lease has ended:
 // everything but bills and releases. It returns the attempts of the opens.
 func (o *outbox) withdrawStale() []*attempt {
--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -128,6 +128,9 @@
 	}
 	for _, o := range c.outboxes() {
 		c.closeGroups(o, c.dropApplied(o))
+		if c.state.AppliedSequence(o.incarnation) == 0 {
+			o.refuseCut()
+		}
 	}
 	if c.current != nil && c.current.joined && !c.state.IsLive(c.current.incarnation) {
 		c.count(leaseFenced, 1)
--- a/fleet/ledgerstream/snapshot_test.go
+++ b/fleet/ledgerstream/snapshot_test.go
@@ -198,3 +198,24 @@
 		assertOutcome(c.tb, outcome{"NotRun", verdict.NotReady}, err)
 	})
 }
+
+func TestReleaseAfterSkippedRecords(t *testing.T) {
+	inBubble(t, 3, 1000, func(c *cluster) {
+		slow := c.members[0]
+		mustReserve(c.tb, slow, demand(1, 100, true)).Bill(1)
+		time.Sleep(100 * time.Millisecond)
+		c.log.set(func() { slow.link.blind = true })
+		r := mustReserve(c.tb, slow, demand(2, 50, true))
+		c.log.set(func() { slow.link.down = true })
+		time.Sleep(3 * DefaultSnapshotInterval * time.Duration(len(c.members)))
+		c.log.set(func() {
+			c.log.first = slow.Status().Next + 3
+			slow.link.down, slow.link.blind = false, false
+		})
+		time.Sleep(10 * time.Second)
+		assertSpent(c.tb, c, 51)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assertOutcome(c.tb, outcome{"MayHaveRun", verdict.OutcomeUnknown}, r.Release(ctx))
+	})
+}
