--- a/fleet/ledgerstream/counters.go
+++ b/fleet/ledgerstream/counters.go
@@ -34,8 +34,7 @@
 	releaseUnknown    = "ledger.release.unknown"
 	dispatchRefused   = "ledger.dispatch.refused"
 	reserveRefusedFor = "ledger.reserve.refused."
-	snapshotChunks    = "ledger.snapshot.chunks"
-	snapshotBytes     = "ledger.snapshot.bytes"
+	snapshotWritten   = "ledger.snapshot.written"
 	snapshotFailed    = "ledger.snapshot.failed"
 	snapshotLoaded    = "ledger.snapshot.loaded"
 	snapshotMalformed = "ledger.snapshot.malformed"
@@ -85,11 +84,10 @@
 		{releaseUnknown, "releases that were not read back in time"},
 		{dispatchRefused, "dispatches refused because the lease had lapsed"},
 		{reserveRefusedFor + "REASON", "requests refused by Reserve, by the reason that the caller sees"},
-		{snapshotChunks, "chunks of snapshots that the log acknowledged"},
-		{snapshotBytes, "bytes of those chunks"},
-		{snapshotFailed, "snapshots that were given up"},
-		{snapshotLoaded, "snapshots that this router started from or caught up by"},
-		{snapshotMalformed, "chunks that were malformed or completed a snapshot with a wrong digest"},
+		{snapshotWritten, "snapshots that this router wrote"},
+		{snapshotFailed, "snapshots that could not be encoded or appended whole"},
+		{snapshotLoaded, "times that this router continued from a snapshot"},
+		{snapshotMalformed, "chunks of snapshots that are malformed or complete one with a wrong digest"},
 		{copyHandedOver, "copies of this router's groups that other routers hold"},
 		{copyHeld, "groups of other routers that this router held on their way to the log"},
 		{copyRefused, "groups of other routers refused because too many are held"},
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -12,17 +12,10 @@
 // roundTripWeight is the weight of a new measurement in the usual round trip.
 const roundTripWeight = 4
 
-// loopRead reads the stream from the newest snapshot, or its beginning, and then follows its tail.
+// loopRead reads the stream from the newest snapshot or its beginning and then follows its tail.
 func (c *Client) loopRead(ctx context.Context) {
-	recovered := false
+	c.loadSnapshot(ctx)
 	for ctx.Err() == nil {
-		if !recovered {
-			if err := c.recover(ctx); err != nil {
-				waitFor(ctx, nil, c.readFailed(err))
-				continue
-			}
-			recovered = true
-		}
 		begun := time.Now()
 		from, number := c.beginRead()
 		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
@@ -32,8 +25,10 @@
 			return
 		}
 		if err != nil {
-			recovered = !isTruncated(err)
-			waitFor(ctx, nil, c.readFailed(err))
+			delay := c.readFailed(err)
+			if !c.isTruncated() || !c.loadSnapshot(ctx) {
+				waitFor(ctx, nil, delay)
+			}
 			continue
 		}
 		if complete := c.apply(entries, begun, number); complete {
@@ -62,16 +57,11 @@
 	return c.settings.backoff().Delay(c.readFailures, c.random)
 }
 
-// isTruncated says whether the log no longer keeps the offsets that were asked for.
-func isTruncated(err error) bool {
-	truncated := &platform.TruncatedError{}
-	return errors.As(err, &truncated)
-}
-
-// noteTruncation makes the client unready if the log no longer keeps the next offset: until a
-// snapshot covers it, the balances can't be known, and the lease is left to lapse.
+// noteTruncation makes the client unready if the log no longer keeps the next offset: the balances
+// can't be known any more, and the lease is left to lapse.
 func (c *Client) noteTruncation(err error) {
-	if !isTruncated(err) {
+	truncated := &platform.TruncatedError{}
+	if !errors.As(err, &truncated) {
 		return
 	}
 	c.count(readTruncated, 1)
@@ -81,6 +71,12 @@
 	c.truncated = true
 }
 
+func (c *Client) isTruncated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.truncated
+}
+
 // apply folds what was read and reports whether the read reached the stream's end.
 func (c *Client) apply(entries []platform.Entry, begun time.Time, number uint64) bool {
 	c.mu.Lock()
