--- a/router/controller/configuration.go
+++ b/router/controller/configuration.go
@@ -109,18 +109,16 @@
 	return false
 }
 
+// foldAll folds entries in one go, so that a long stream copies the configuration once a batch.
 func (c *Configuration) foldAll(entries []platform.Entry) {
-	for _, e := range entries {
-		if e.Offset == c.current.Next {
-			c.fold(e)
-		}
+	next, outcomes := c.current.ApplyAll(entries)
+	c.current = next
+	for i, outcome := range outcomes {
+		c.note(entries[i], outcome)
 	}
 }
 
-func (c *Configuration) fold(e platform.Entry) {
-	next, outcome := c.current.Apply(e)
-	c.current = next
-	c.board.Entries.Add(e)
+func (c *Configuration) note(e platform.Entry, outcome operator.Outcome) {
 	switch o := outcome.(type) {
 	case *operator.Accepted:
 		c.board.Count("configuration.ticket.accepted")
@@ -132,7 +130,11 @@
 		c.board.Count("configuration.ticket.duplicate")
 	case *operator.Malformed:
 		c.board.Count("configuration.ticket.malformed")
+	case *operator.OutOfOrder:
+		c.board.Count("configuration.entry.out_of_order")
+		return
 	}
+	c.board.Entries.Add(e)
 }
 
 // publish puts the configuration on the blackboard once the stream has been read to its end, and tells
@@ -181,6 +183,7 @@
 func (c *Configuration) newestSnapshot(ctx context.Context) *operator.Configuration {
 	var newest *operator.Configuration
 	var from platform.Offset
+	assembler := &operator.SnapshotAssembler{}
 	for {
 		entries, err := c.stream.Read(ctx, platform.ConfigurationSnapshotStream, from, configurationBatch)
 		var truncated *platform.TruncatedError
@@ -193,12 +196,11 @@
 		}
 		for _, e := range entries {
 			from = e.Offset + 1
-			snapshot, err := operator.DecodeSnapshot(e.Payload)
+			snapshot, err := assembler.Add(e.Payload)
 			if err != nil {
 				c.board.Count("configuration.snapshot.malformed")
-				continue
 			}
-			if newest == nil || snapshot.Next > newest.Next {
+			if snapshot != nil {
 				newest = snapshot
 			}
 		}
--- /dev/null
+++ b/router/controller/configuration_test.go
@@ -0,0 +1,189 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+)
+
+// router is what the controllers need of one, on a log in memory.
+type router struct {
+	board      *blackboard.Board
+	controller *Configuration
+	stop       func()
+}
+
+// fakePeers answers with what another router's blackboard holds; nil for none in reach.
+type fakePeers struct{ board *blackboard.Board }
+
+func (f *fakePeers) NewestConfiguration(_ context.Context, next platform.Offset) []platform.Entry {
+	if f.board == nil {
+		return nil
+	}
+	return f.board.Entries.From(next)
+}
+
+func startRouter(stream platform.Log, peers *fakePeers) *router {
+	board := &blackboard.Board{Metrics: metrics.NewRegistry()}
+	client := ledgerstream.NewClient(stream, ledgerstream.Settings{Instance: "r"}, board.Metrics)
+	logger := &log.Logger{Handler: discard.Default}
+	r := &router{board: board, controller: NewConfiguration(board, stream, client, peers, logger)}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+	for _, run := range []func(context.Context) error{
+		r.controller.Run, NewConfigurationSnapshots(board, stream, 10*time.Second).Run,
+	} {
+		go func() {
+			_ = run(ctx)
+			ended <- struct{}{}
+		}()
+	}
+	r.stop = func() {
+		cancel()
+		<-ended
+		<-ended
+	}
+	return r
+}
+
+// number returns the number of the configuration in force; 0 before there is one.
+func (r *router) number() uint64 {
+	if c := r.board.Configuration.Load(); c != nil {
+		return c.Number
+	}
+	return 0
+}
+
+func submit(t *testing.T, stream platform.Log, payload string) {
+	t.Helper()
+	if _, err := stream.Append(context.Background(), platform.ConfigurationStream, []byte(payload)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func ticket(number int) string {
+	return fmt.Sprintf("Number: %d\nTeams: [{Name: studio, KeyDigests: [a%063d]}]\n", number, number)
+}
+
+func TestConfiguration(t *testing.T) {
+	t.Run("garbage is skipped and counted", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			stream := &memory.Log{}
+			for _, payload := range []string{"", "garbage", "\x00\xff", "Number: 9\nNoSuchField: 1\n", ticket(1)} {
+				submit(t, stream, payload)
+			}
+			r := startRouter(stream, &fakePeers{})
+			defer r.stop()
+			time.Sleep(time.Second)
+			assertEqual(t, 1, r.number())
+			assertEqual(t, 4, counted(r.board, "configuration.ticket.malformed"))
+		})
+	})
+	t.Run("a new ticket is in force within 5 s and an older one changes nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			stream := &memory.Log{}
+			r := startRouter(stream, &fakePeers{})
+			defer r.stop()
+			submit(t, stream, ticket(2))
+			time.Sleep(5 * time.Second)
+			assertEqual(t, 2, r.number())
+			submit(t, stream, ticket(1))
+			time.Sleep(5 * time.Second)
+			assertEqual(t, 2, r.number())
+			assertEqual(t, 1, counted(r.board, "configuration.ticket.refused"))
+		})
+	})
+	t.Run("a new router continues from a snapshot when the log dropped the tickets", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			stream := &memory.Log{}
+			submit(t, stream, ticket(3))
+			first := startRouter(stream, &fakePeers{})
+			defer first.stop()
+			time.Sleep(30 * time.Second)
+			stream.Retain(memory.Retention{Age: time.Minute})
+			time.Sleep(2 * time.Minute)
+			second := startRouter(stream, &fakePeers{})
+			defer second.stop()
+			time.Sleep(time.Second)
+			assertEqual(t, 3, second.number())
+		})
+	})
+	t.Run("without a snapshot a new router stays without configuration", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			stream := &memory.Log{}
+			submit(t, stream, ticket(3))
+			stream.Retain(memory.Retention{Age: time.Second})
+			time.Sleep(time.Minute)
+			r := startRouter(stream, &fakePeers{})
+			defer r.stop()
+			time.Sleep(time.Second)
+			assertEqual(t, true, r.board.Configuration.Load() == nil)
+		})
+	})
+}
+
+func TestConfigurationFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reachable, cut := &memory.Log{}, &memory.Log{}
+		for _, stream := range []*memory.Log{reachable, cut} {
+			submit(t, stream, ticket(1))
+		}
+		first := startRouter(reachable, &fakePeers{})
+		defer first.stop()
+		second := startRouter(cut, &fakePeers{board: first.board})
+		defer second.stop()
+		time.Sleep(time.Second)
+		cut.SetOutage(true)
+		fresh := startRouter(cut, &fakePeers{board: first.board})
+		defer fresh.stop()
+		submit(t, reachable, ticket(2))
+		time.Sleep(5 * time.Second)
+		assertEqual(t, 2, second.number())
+		assertEqual(t, 0, fresh.number())
+	})
+}
+
+func TestListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := &blackboard.Board{Metrics: metrics.NewRegistry()}
+		list := &scriptedList{}
+		i := NewInstances(board, list)
+		for _, version := range []uint64{3, 2, 4} {
+			list.version = version
+			i.step(context.Background())
+		}
+		assertEqual(t, 4, board.Listing.Load().Version)
+		assertEqual(t, 1, counted(board, "instances.listing.older"))
+	})
+}
+
+// scriptedList answers with an empty listing of a given version.
+type scriptedList struct{ version uint64 }
+
+func (l *scriptedList) Instances(context.Context) (platform.Listing, error) {
+	return platform.Listing{Version: l.version}, nil
+}
+
+// counted returns the value of a counter.
+func counted(board *blackboard.Board, name string) int64 {
+	return metrics.GetOrRegisterCounter(name, board.Metrics).Count()
+}
+
+func assertEqual[T any](t *testing.T, want, got T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("unexpected value (-want +got):\n%s", diff)
+	}
+}
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 )
@@ -48,16 +49,23 @@
 	if configuration == nil {
 		return
 	}
-	payload, err := configuration.EncodeSnapshot()
+	chunks, err := configuration.EncodeSnapshotChunks(operator.DefaultChunkBytes)
 	if err != nil {
 		s.board.Count("configuration.snapshot.failed")
 		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	if _, err := s.stream.Append(bounded, platform.ConfigurationSnapshotStream, payload); err != nil {
-		s.board.Count("configuration.snapshot.failed")
-		return
+	for _, chunk := range chunks {
+		if !s.append(ctx, chunk) {
+			s.board.Count("configuration.snapshot.failed")
+			return
+		}
 	}
 	s.board.Count("configuration.snapshot.written")
 }
+
+func (s *ConfigurationSnapshots) append(ctx context.Context, chunk []byte) bool {
+	bounded, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	_, err := s.stream.Append(bounded, platform.ConfigurationSnapshotStream, chunk)
+	return err == nil
+}
