--- a/fleet/ledgerstream/appender.go
+++ b/fleet/ledgerstream/appender.go
@@ -192,6 +192,7 @@
 	defer c.mu.Unlock()
 	c.count(appendFailed, 1)
 	c.appendFailures++
+	c.failedAt = time.Now()
 	c.observation.Break()
 	c.updateReachable()
 	return c.settings.backoff().Delay(c.appendFailures, c.random), c.readsBegun
--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -58,6 +58,8 @@
 	lastComplete   uint64
 	readFailures   int
 	appendFailures int
+	// failedAt is when a call of the log failed last.
+	failedAt       time.Time
 	reachable      bool
 	reachableSince time.Time
 	routers        int
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -51,6 +51,7 @@
 	defer c.mu.Unlock()
 	c.count(readFailed, 1)
 	c.readFailures++
+	c.failedAt = time.Now()
 	c.observation.Break()
 	c.noteTruncation(err)
 	c.updateReachable()
@@ -130,7 +131,7 @@
 			o.renew(g.firstSentAt)
 		}
 		// A group that was held up by an outage says nothing about the usual round trip.
-		if g.tries == 1 {
+		if g.cutAt.After(c.failedAt) {
 			c.measureRoundTrip(now.Sub(g.cutAt))
 		}
 		// An append whose answer was lost has reached the log all the same.
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -194,6 +194,23 @@
 	})
 }
 
+func TestExhaustedAfterOutage(t *testing.T) {
+	inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+		c.outage(true)
+		for i := range uint64(4) {
+			mustReserve(t, c.members[0], demand(i, 300, true)).Bill(200)
+		}
+		time.Sleep(10 * time.Second)
+		c.outage(false)
+		time.Sleep(5 * time.Second)
+		mustReserve(t, c.members[1], demand(10, 80_000, true))
+		begun := time.Now()
+		_, err := c.members[0].Reserve(context.Background(), demand(11, 50_000, true))
+		assertOutcome(t, outcome{"NotRun", verdict.BudgetExhausted}, err)
+		assertEqual(t, "refused within twice the wait for a recall", true, time.Since(begun) <= 2*DefaultDrawWait)
+	})
+}
+
 func TestCopies(t *testing.T) {
 	t.Run("a group of another writer is refused", func(t *testing.T) {
 		inRelayedBubble(t, 1000, func(c *cluster, _ *fakeRelay) {
