--- a/fleet/ledgerstream/account.go
+++ b/fleet/ledgerstream/account.go
@@ -102,22 +102,31 @@
 		return
 	}
 	now := time.Now()
+	contended := b.recalled(now) || now.Before(b.refusedAt.Add(c.settings.DrawWait))
+	surrendered := ledger.Tokens(0)
+	if contended && len(b.waiting) > 0 {
+		// A draw that counted on a share which is recalled meanwhile would be granted too little, and the
+		// next one again: a contended share goes back first, in the same group, and the draw asks for all.
+		surrendered, free = max(free, 0), 0
+	}
+	available := view.Available() + surrendered
 	size := decision.SizeDraw(decision.DrawInput{
 		Waiting:   b.amounts(),
 		Free:      free,
 		Expected:  b.demand.Within(now, c.settings.DrawHorizon),
-		Available: view.Available(),
+		Available: available,
 		Routers:   c.routers,
-		Contended: b.recalled(now) || now.Before(b.refusedAt.Add(c.settings.DrawWait)),
+		Contended: contended,
 	})
 	if size.Wanted == 0 {
 		return
 	}
-	hopeless := view.Available() < size.Minimum && now.Before(b.refusedAt.Add(c.settings.DrawInterval))
+	hopeless := available < size.Minimum && now.Before(b.refusedAt.Add(c.settings.DrawInterval))
 	inAdvance := len(b.waiting) == 0 && now.Before(b.drawnAt.Add(c.settings.DrawInterval))
 	if hopeless || inAdvance {
 		return
 	}
+	c.giveBack(b.budget, ledger.Working, surrendered)
 	b.drawing = true
 	b.drawnAt = now
 	c.count(drawSent, 1)
--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -246,3 +247,56 @@
 		assertEqual(t, "ready", false, leaving.Ready())
 	})
 }
+
+// TestContendedRemainder races requests for a remainder that pays for one of them at a time, while a router
+// holds a part of it: one of them must get all of it, and the others must be told in time. The holder is
+// asked at different times after the draws of the others, since a fault of the recall shows in a short window.
+func TestContendedRemainder(t *testing.T) {
+	for _, routers := range []int{2, 3, 5, 6} {
+		for delay := time.Duration(0); delay <= 40*time.Millisecond; delay += 4 * time.Millisecond {
+			t.Run(fmt.Sprint(routers, " routers, ", delay), func(t *testing.T) {
+				inBubble(t, routers, 1000, func(c *cluster) {
+					// Neither this share nor the rest of the budget pays for a request alone.
+					mustReserve(t, c.members[0], demand(1, 400, true)).Bill(0)
+					time.Sleep(100 * time.Millisecond)
+					race := &remainderRace{cluster: c, delay: delay}
+					for i := range 5 * routers {
+						race.callers.Go(func() { race.run(i) })
+					}
+					race.callers.Wait()
+					assertEqual(t, "requests granted", 1, race.granted.Load())
+					assertEqual(t, "answers later than twice the wait for a recall", 0, race.late.Load())
+				})
+			})
+		}
+	}
+}
+
+// remainderRace counts what its callers were told.
+type remainderRace struct {
+	cluster *cluster
+	delay   time.Duration
+	callers sync.WaitGroup
+	granted atomic.Int64
+	late    atomic.Int64
+}
+
+// run sends one caller's request again and again, each time to another router.
+func (r *remainderRace) run(i int) {
+	if i%len(r.cluster.members) == 0 {
+		time.Sleep(r.delay)
+	}
+	for attempt := range 6 {
+		begun := time.Now()
+		m := r.cluster.members[(i+attempt)%len(r.cluster.members)]
+		_, err := m.Reserve(context.Background(), demand(uint64(100+i), ledger.Tokens(700+7*i), true))
+		if time.Since(begun) > 2*DefaultDrawWait {
+			r.late.Add(1)
+		}
+		if err == nil {
+			r.granted.Add(1)
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
