--- a/fleet/ledgerstream/cluster_test.go
+++ b/fleet/ledgerstream/cluster_test.go
@@ -26,6 +26,8 @@
 const (
 	testBudget = "deposits"
 	testSeed   = 1
+	// testSnapshotInterval lets tests wait for snapshots without a long simulation.
+	testSnapshotInterval = 20 * time.Second
 )
 
 // cluster is several clients on one fake log.
@@ -69,7 +71,7 @@
 func inBubble(t *testing.T, n int, prepaid ledger.Tokens, test func(c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, n, Settings{}, ledger.Prepaid{Budget: testBudget, Ticket: 1, Total: prepaid})
+		c := newCluster(t, n, Settings{SnapshotInterval: testSnapshotInterval}, ledger.Prepaid{Budget: testBudget, Ticket: 1, Total: prepaid})
 		defer c.stop()
 		test(c)
 	})
--- a/fleet/ledgerstream/snapshot_test.go
+++ b/fleet/ledgerstream/snapshot_test.go
@@ -207,7 +207,7 @@
 		c.log.set(func() { slow.link.blind = true })
 		r := mustReserve(c.tb, slow, demand(2, 50, true))
 		c.log.set(func() { slow.link.down = true })
-		time.Sleep(3 * DefaultSnapshotInterval * time.Duration(len(c.members)))
+		time.Sleep(3 * testSnapshotInterval * time.Duration(len(c.members)))
 		c.log.set(func() {
 			c.log.first = slow.Status().Next + 3
 			slow.link.down, slow.link.blind = false, false
