--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -15,7 +15,7 @@
 
 	next     platform.Offset
 	counters Counters
-	budgets  map[string]*budget
+	budgets  budgetTable
 	members  map[Incarnation]*member
 	// ended holds the highest incarnation number that ended, by instance.
 	ended    map[string]uint64
@@ -59,13 +59,18 @@
 	if e.Offset < s.next {
 		return nil
 	}
-	g, err := Decode(e.Payload)
-	if err != nil {
-		s.advance(e.Offset)
-		s.countFault(err)
-		return nil
+	s.advance(e.Offset)
+	var events []Event
+	for rest := e.Payload; len(rest) > 0 || len(e.Payload) == 0; {
+		g, following, err := decodeNext(rest)
+		if err != nil {
+			s.countFault(err)
+			break
+		}
+		events = append(events, s.fold(e.Offset, &g)...)
+		rest = following
 	}
-	return s.fold(e.Offset, &g)
+	return events
 }
 
 // ApplyGroup folds a decoded group that lies at an offset of the stream. The state keeps the group's records.
@@ -99,6 +104,7 @@
 // fold applies a valid group.
 func (s *State) fold(offset platform.Offset, g *Group) []Event {
 	s.advance(offset)
+	s.events = make([]Event, 0, len(g.Records))
 	m := s.member(offset, g)
 	if m == nil {
 		s.counters.NotLive++
--- a/fleet/ledgerstream/cluster_test.go
+++ b/fleet/ledgerstream/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,10 @@
 	log     *fakeLog
 	members []*node
 	loops   sync.WaitGroup
+	// audit is the fold of all entries that a check has read; opened are the reservations it accepted.
+	auditLock sync.Mutex
+	audit     ledger.State
+	opened    map[ledger.AttemptIdentifier]bool
 }
 
 // node is a client with its link.
@@ -64,17 +69,17 @@
 func inBubble(t *testing.T, n int, prepaid ledger.Tokens, test func(c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, n, ledger.Prepaid{Budget: testBudget, Ticket: 1, Total: prepaid})
+		c := newCluster(t, n, Settings{}, ledger.Prepaid{Budget: testBudget, Ticket: 1, Total: prepaid})
 		defer c.stop()
 		test(c)
 	})
 }
 
-func newCluster(tb testing.TB, n int, budgets ...ledger.Prepaid) *cluster {
+func newCluster(tb testing.TB, n int, s Settings, budgets ...ledger.Prepaid) *cluster {
 	tb.Helper()
-	c := &cluster{tb: tb, log: newFakeLog(testSeed)}
+	c := &cluster{tb: tb, log: newFakeLog(testSeed), opened: map[ledger.AttemptIdentifier]bool{}}
 	for range n {
-		c.start(Settings{})
+		c.start(s)
 	}
 	for _, m := range c.members {
 		m.DeclarePrepaid(budgets)
@@ -114,12 +119,19 @@
 // fold returns the state that a new reader of the stream would have.
 func (c *cluster) fold() *ledger.State {
 	state := &ledger.State{}
-	for _, entry := range c.log.all(platform.LedgerStream(0)) {
+	for _, entry := range c.unread(state) {
 		state.Apply(entry)
 	}
 	return state
 }
 
+// unread returns the entries that a state has not folded yet.
+func (c *cluster) unread(state *ledger.State) []platform.Entry {
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	return c.log.entriesFrom(platform.LedgerStream(0), state.Next(), math.MaxInt)
+}
+
 func (c *cluster) budget() ledger.BudgetView {
 	view, _ := c.fold().Budget(testBudget)
 	return view
--- a/fleet/ledgerstream/dispatch.go
+++ b/fleet/ledgerstream/dispatch.go
@@ -84,11 +84,25 @@
 		c.closeGroups(o, o.drop(math.MaxUint64))
 		return
 	}
+	c.loseLease(o, e.Kind)
+}
+
+// loseLease ends the use of an incarnation that another router has fenced.
+func (c *Client) loseLease(o *outbox, kind ledger.ShareKind) {
 	c.count(leaseFenced, 1)
 	c.logger().Warn("the lease was ended by another router")
 	c.retire(o)
+	o.suspended = kind == ledger.Working && o.holdsReserve()
+	o.ended = !o.suspended
+	if o.ended {
+		c.leaveFormer(o)
+	}
+}
+
+// leaveFormer lets an incarnation without a lease leave: its reserve shares would otherwise stay out until
+// their own term ends.
+func (c *Client) leaveFormer(o *outbox) {
 	if c.state.AppliedSequence(o.incarnation) > 0 {
-		// The reserve shares would otherwise stay out until their own term ends.
 		c.addTo(o, outboxEntry{record: &ledger.Leave{}})
 	}
 }
@@ -117,6 +131,10 @@
 // forgets the outboxes that have nothing left to append.
 func (c *Client) closeFormer() {
 	for _, o := range c.former {
+		if o.suspended && !o.ended {
+			c.closeSuspended(o)
+			continue
+		}
 		for _, a := range o.attempts {
 			a.refuse(leaseLapsed())
 		}
@@ -125,6 +143,13 @@
 	c.former = slices.DeleteFunc(c.former, (*outbox).finished)
 }
 
+// closeSuspended lets a suspended incarnation leave once its last reservation in a reserve share is closed.
+func (c *Client) closeSuspended(o *outbox) {
+	if !o.leaving && !o.holdsReserve() {
+		c.leaveFormer(o)
+	}
+}
+
 func (c *Client) onFenceRefused(e *ledger.FenceRefused) {
 	if w := c.silences[e.Target]; w != nil && !w.fencedAt.IsZero() {
 		c.count(fenceRefused, 1)
--- a/fleet/ledgerstream/fake_test.go
+++ b/fleet/ledgerstream/fake_test.go
@@ -13,6 +13,9 @@
 type fakeLog struct {
 	mu      sync.Mutex
 	entries map[string][][]byte
+	// times are when the entries were appended.
+	times map[string][]time.Time
+	// first is the lowest offset that the ledger's stream keeps.
 	first   platform.Offset
 	down    bool
 	appends int
@@ -27,6 +30,8 @@
 	delay  time.Duration
 	down   bool
 	silent bool
+	// blind links fail reads only.
+	blind bool
 	// lostAnswers and copies are the parts of appends whose answer is lost after they took effect and
 	// that take effect twice; half of the copies are late.
 	lostAnswers float64
@@ -34,7 +39,7 @@
 }
 
 func newFakeLog(seed uint64) *fakeLog {
-	return &fakeLog{entries: map[string][][]byte{}, random: rand.New(rand.NewPCG(seed, 0))}
+	return &fakeLog{entries: map[string][][]byte{}, times: map[string][]time.Time{}, random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 func (l *fakeLog) set(change func()) {
@@ -45,17 +50,17 @@
 
 func (l *fakeLog) append(stream string, payload []byte) platform.Offset {
 	l.entries[stream] = append(l.entries[stream], payload)
+	l.times[stream] = append(l.times[stream], time.Now())
 	l.appends++
 	l.bytes += len(payload)
 	return platform.Offset(len(l.entries[stream]) - 1)
 }
 
-func (l *fakeLog) all(stream string) []platform.Entry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// entriesFrom returns what a stream holds from an offset on, up to limit entries.
+func (l *fakeLog) entriesFrom(stream string, from platform.Offset, limit int) []platform.Entry {
 	entries := []platform.Entry{}
-	for i, payload := range l.entries[stream] {
-		entries = append(entries, platform.Entry{Offset: platform.Offset(i), Payload: payload})
+	for i := int(from); i < len(l.entries[stream]) && len(entries) < limit; i++ {
+		entries = append(entries, platform.Entry{Offset: platform.Offset(i), Payload: l.entries[stream][i]})
 	}
 	return entries
 }
@@ -106,12 +111,11 @@
 	l := k.log
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if from < l.first {
-		return nil, &platform.TruncatedError{Stream: stream, First: l.first}
+	if k.blind {
+		return nil, platform.ErrUnavailable
 	}
-	entries := []platform.Entry{}
-	for i := int(from); i < len(l.entries[stream]) && len(entries) < limit; i++ {
-		entries = append(entries, platform.Entry{Offset: platform.Offset(i), Payload: l.entries[stream][i]})
+	if stream == platform.LedgerStream(0) && from < l.first {
+		return nil, &platform.TruncatedError{Stream: stream, First: l.first}
 	}
-	return entries, nil
+	return l.entriesFrom(stream, from, limit), nil
 }
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"time"
 
+	apex "github.com/apex/log"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
 )
 
@@ -24,11 +26,16 @@
 	DefaultPrepaidJitter        = 500 * time.Millisecond
 	DefaultCallTimeout          = 3 * time.Second
 	DefaultRetryFirst           = 50 * time.Millisecond
-	DefaultRetryLimit           = 2 * time.Second
+	DefaultRetryLimit           = 500 * time.Millisecond
 	DefaultFleetAppendsPerSec   = 240.0
 	DefaultOutboxLimit          = 20_000
 	DefaultGroupBytes           = 64 * 1024
 	DefaultReadLimit            = 256
+	DefaultSnapshotInterval     = 10 * time.Minute
+	DefaultReserveAfter         = 1 * time.Second
+	DefaultCopyWait             = 1 * time.Second
+	DefaultCopyDelay            = 2 * time.Second
+	DefaultCopyBytes            = 16 << 20
 	DefaultUnreachableFailures  = 3
 	DefaultReserveDrawsPerTick  = 16
 	DefaultPrepaidCopiesPerTick = 256
@@ -83,6 +90,21 @@
 	ReadLimit int
 	// UnreachableFailures is the number of failed calls in a row after which the log counts as unreachable.
 	UnreachableFailures int
+	// SnapshotInterval is the mean time between two snapshots of the whole fleet.
+	SnapshotInterval time.Duration
+	// Logger takes the changes of state; nil takes the standard logger.
+	Logger apex.Interface
+	// Relay hands copies of groups to other routers while the log can't be reached; nil does without, and
+	// then nothing is spent from reserve shares.
+	Relay Relay
+	// ReserveAfter is the wait for the log after which a request is paid from a reserve share, CopyWait the
+	// wait for another router to hold a copy of its reservation.
+	ReserveAfter time.Duration
+	CopyWait     time.Duration
+	// CopyDelay is how long a copy is held before it is appended in its writer's place.
+	CopyDelay time.Duration
+	// CopyBytes bounds the copies held for other routers.
+	CopyBytes int
 	// Seed fixes the jitter; zero takes a random one.
 	Seed uint64
 }
@@ -109,6 +131,14 @@
 	s.OutboxLimit = cmp.Or(s.OutboxLimit, DefaultOutboxLimit)
 	s.GroupBytes = cmp.Or(s.GroupBytes, DefaultGroupBytes)
 	s.ReadLimit = cmp.Or(s.ReadLimit, DefaultReadLimit)
+	s.SnapshotInterval = cmp.Or(s.SnapshotInterval, DefaultSnapshotInterval)
+	s.ReserveAfter = cmp.Or(s.ReserveAfter, DefaultReserveAfter)
+	s.CopyWait = cmp.Or(s.CopyWait, DefaultCopyWait)
+	s.CopyDelay = cmp.Or(s.CopyDelay, DefaultCopyDelay)
+	s.CopyBytes = cmp.Or(s.CopyBytes, DefaultCopyBytes)
+	if s.Logger == nil {
+		s.Logger = apex.Log
+	}
 	s.UnreachableFailures = cmp.Or(s.UnreachableFailures, DefaultUnreachableFailures)
 	return s
 }
