--- a/fleet/endpoint/limit.go
+++ b/fleet/endpoint/limit.go
@@ -41,21 +41,26 @@
 	return min(most, max(limitFloor, orDefault(l.value, firstLimit*most)))
 }
 
-// Observe takes in the time to the first byte of an answer, and how many requests were in progress.
+// Observe takes in the time to the first byte of an answer, and how many requests were in progress. A
+// latency of zero says that the time tells nothing of a queue.
 func (l *Limit) Observe(now time.Time, latency time.Duration, inFlight int) {
-	if latency <= 0 {
-		return
-	}
-	l.sample(latency)
-	queued := time.Duration(latencyTolerance*float64(l.baseline)) + latencySlack
+	bound := l.queuedFrom(latency)
 	switch {
-	case latency > queued:
-		l.shrink(now, latency, float64(queued)/float64(latency))
+	case latency > bound:
+		l.shrink(now, latency, float64(bound)/float64(latency))
 	case inFlight >= l.Value():
 		l.value = l.present() + limitIncrease/l.present()
 	}
 }
 
+// queuedFrom takes a latency into the baseline and returns the one from which on there is a queue.
+func (l *Limit) queuedFrom(latency time.Duration) time.Duration {
+	if latency > 0 {
+		l.sample(latency)
+	}
+	return time.Duration(latencyTolerance*float64(l.baseline)) + latencySlack
+}
+
 // Refused shrinks the limit after an endpoint refused a request that was sent so long ago.
 func (l *Limit) Refused(now time.Time, latency time.Duration) {
 	l.shrink(now, latency, refusedDecrease)
--- a/router/endpoint/call.go
+++ b/router/endpoint/call.go
@@ -32,6 +32,9 @@
 	CheckDispatch func() error
 }
 
+// streams reports whether the answer is a stream of server-sent events.
+func (c *Call) streams() bool { return c.Model != nil && c.Model.Stream }
+
 // ModelCall is what the router knows of a call of a model engine.
 type ModelCall struct {
 	// Stream says that the answer is a stream of server-sent events.
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -54,7 +54,7 @@
 	peer       *peer
 	w          http.ResponseWriter
 	control    *http.ResponseController
-	gate       gate
+	gate       *gate
 	watch      *watchdog
 	begun      time.Time
 	// started says that a part of the answer has been written to the caller.
@@ -66,7 +66,8 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	x.begun = time.Now()
-	x.gate.check = x.call.CheckDispatch
+	x.gate = &gate{check: x.call.CheckDispatch}
+	defer x.gate.forget()
 	x.watch = newWatchdog(cancel, x.headerTimeout())
 	defer x.watch.stop()
 	response, err := x.peer.transport().RoundTrip(x.request(ctx))
@@ -84,7 +85,7 @@
 		}
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return x.failed(ctx, errFormat)
-	case x.call.Model != nil && x.call.Model.Stream && response.StatusCode == http.StatusOK:
+	case x.call.streams() && response.StatusCode == http.StatusOK:
 		return x.passStream(ctx, response)
 	default:
 		return x.passWhole(ctx, response)
--- a/router/endpoint/gate.go
+++ b/router/endpoint/gate.go
@@ -67,6 +67,14 @@
 	return g.carrier != nil, g.refused
 }
 
+// forget ends the attempt for good. The connection keeps the gate while it is idle, and must not keep
+// the call with it.
+func (g *gate) forget() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sealed, g.check, g.refused = true, nil, nil
+}
+
 // trace ties the connection that the transport picks to the attempt.
 func (g *gate) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/router/endpoint/place.go
+++ b/router/endpoint/place.go
@@ -10,6 +10,9 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
+// latencyPerPromptByte is the time to the first token that a long prompt explains.
+const latencyPerPromptByte = 50 * time.Microsecond
+
 // random is the random source of choices.
 type random struct{}
 
@@ -194,6 +197,10 @@
 	now := time.Now()
 	if out.cause == nil {
 		d.quarantine.Complete(j.call.Fingerprint)
+		if !j.call.streams() {
+			// Such an answer takes as long as its contents need, which tells nothing of a queue.
+			p.limit.Observe(now, 0, p.inFlight)
+		}
 		d.observeLocked(p, &endpoint.Answered{})
 		return
 	}
@@ -217,15 +224,12 @@
 	}
 }
 
-// noteFirstByte takes the time to the first byte of an answer in. Whole answers of engines say nothing
-// by it: they come after the last token.
+// noteFirstByte takes the time to the first event of a stream in, less what the prompt may have needed.
 func (d *Dispatcher) noteFirstByte(p *peer, call *Call, latency time.Duration) {
-	if call.Model != nil && !call.Model.Stream {
-		return
-	}
+	latency -= time.Duration(call.Model.PromptBound) * latencyPerPromptByte
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p.limit.Observe(time.Now(), latency, p.inFlight)
+	p.limit.Observe(time.Now(), max(latency, time.Millisecond), p.inFlight)
 }
 
 // wakeLocked gives free places to waiting calls, or sends them away if there will be none.
--- a/router/endpoint/whole.go
+++ b/router/endpoint/whole.go
@@ -47,7 +47,6 @@
 // passWhole holds the answer back until it is complete, so that a broken one can be tried again.
 // What is longer than the buffer is passed on as it comes.
 func (x *exchange) passWhole(ctx context.Context, response *http.Response) outcome {
-	x.dispatcher.noteFirstByte(x.peer, x.call, time.Since(x.begun))
 	x.watch.reset(x.limits.TokenTimeout)
 	body := &watchedReader{source: response.Body, watch: x.watch, timeout: x.limits.TokenTimeout}
 	buffer := x.dispatcher.buffers.take()
