--- a/fleet/ledger/property_test.go
+++ b/fleet/ledger/property_test.go
@@ -101,17 +101,27 @@
 				o.forget(offset)
 				continue
 			}
-			g := sim.next(state)
-			payload, err := Encode(g)
-			if err != nil {
-				t.Fatal(err)
+			state.advance(offset)
+			entry := platform.Entry{Offset: offset}
+			var events []Event
+			for range sim.number(1, 3, "groups") {
+				g := sim.next(state)
+				payload, err := Encode(g)
+				if err != nil {
+					t.Fatal(err)
+				}
+				entry.Payload = append(entry.Payload, payload...)
+				state.fold(offset, &g)
+				outcomes := state.takeEvents()
+				o.follow(offset, g, outcomes, state)
+				events = append(events, outcomes...)
+			}
+			if sim.oneIn(20, "tail") {
+				entry.Payload = append(entry.Payload, sim.groupOfUnknownVersion()...)
 			}
-			entry := platform.Entry{Offset: offset, Payload: payload}
-			events := state.Apply(entry)
-			o.follow(offset, g, events, state)
-			o.equal(events, twice.Apply(entry))
+			o.equal(events, slices.Concat(twice.Apply(entry)))
 			o.equal(0, len(twice.Apply(entry)))
-			o.equal(events, restored.Apply(entry))
+			o.equal(events, slices.Concat(restored.Apply(entry)))
 			if sim.oneIn(8, "restore") {
 				restored = restore(t, sim, restored)
 			}
--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -70,6 +70,8 @@
 	Region           string
 	// Version is the program's version, for the operators.
 	Version string
+	// PeerAddress is where other routers reach this one, IP:port; empty if it takes no copies.
+	PeerAddress string
 	// Nonce is a random number by which a process tells its own join from that of another process that
 	// took the same incarnation number.
 	Nonce uint64
--- a/fleet/ledger/simulation_test.go
+++ b/fleet/ledger/simulation_test.go
@@ -89,6 +89,11 @@
 	return s.cut(w, state)
 }
 
+// groupOfUnknownVersion returns a payload that is skipped.
+func (s *simulation) groupOfUnknownVersion() []byte {
+	return []byte{envelopeVersion + byte(s.number(1, 100, "version")), 0x90}
+}
+
 // cut makes a writer's next group.
 func (s *simulation) cut(w *writer, state *State) Group {
 	g := Group{Writer: w.incarnation, First: w.last + 1}
--- a/fleet/ledger/snapshot_row.go
+++ b/fleet/ledger/snapshot_row.go
@@ -37,6 +37,7 @@
 	AvailabilityZone    string
 	Region              string
 	Version             string
+	PeerAddress         string
 	Nonce               uint64
 	ConfigurationOffset uint64
 	ConfigurationNumber uint64
--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -59,13 +60,17 @@
 	if e.Offset < s.next {
 		return nil
 	}
-	g, err := Decode(e.Payload)
-	if err != nil {
-		s.advance(e.Offset)
-		s.countFault(err)
-		return nil
+	s.advance(e.Offset)
+	for rest := e.Payload; len(rest) > 0 || len(e.Payload) == 0; {
+		g, following, err := decodeNext(rest)
+		if err != nil {
+			s.countFault(err)
+			break
+		}
+		s.fold(e.Offset, &g)
+		rest = following
 	}
-	return s.fold(e.Offset, &g)
+	return s.takeEvents()
 }
 
 // ApplyGroup folds a decoded group that lies at an offset of the stream. The state keeps the group's records.
@@ -73,12 +78,13 @@
 	if offset < s.next {
 		return nil
 	}
+	s.advance(offset)
 	if err := g.validate(); err != nil {
-		s.advance(offset)
 		s.countFault(err)
 		return nil
 	}
-	return s.fold(offset, &g)
+	s.fold(offset, &g)
+	return s.takeEvents()
 }
 
 // countFault counts a group that was skipped.
@@ -96,18 +102,21 @@
 	s.counters.Forgotten += s.requests.forget(s.next, s.Window.orDefault())
 }
 
-// fold applies a valid group.
-func (s *State) fold(offset platform.Offset, g *Group) []Event {
-	s.advance(offset)
-	s.events = make([]Event, 0, len(g.Records))
+// fold applies a valid group of the entry at an offset.
+func (s *State) fold(offset platform.Offset, g *Group) {
+	s.events = slices.Grow(s.events, len(g.Records))
 	m := s.member(offset, g)
 	if m == nil {
 		s.counters.NotLive++
-	} else {
-		m.lastSeen = offset
-		s.receive(m, g)
-		s.endIfEmpty(m)
+		return
 	}
+	m.lastSeen = offset
+	s.receive(m, g)
+	s.endIfEmpty(m)
+}
+
+// takeEvents returns the outcomes of the entry.
+func (s *State) takeEvents() []Event {
 	events := s.events
 	s.events = nil
 	return events
--- /dev/null
+++ b/fleet/ledgerstream/appender.go
@@ -0,0 +1,228 @@
+package ledgerstream
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// appendBurst is the number of appends that an idle router may make at once.
+const appendBurst = 1
+
+// bundle is what one append carries: own groups that are not known to be in the log, and copies of others.
+type bundle struct {
+	parts   []bundlePart
+	copies  []*heldCopy
+	payload []byte
+}
+
+// bundlePart is an own group of a bundle.
+type bundlePart struct {
+	outbox *outbox
+	group  *outboxGroup
+}
+
+// hasRoom says whether a payload fits; the first one always does.
+func (b *bundle) hasRoom(size, limit int) bool {
+	return len(b.payload) == 0 || len(b.payload)+size <= limit
+}
+
+// loopAppend appends one bundle at a time, while the next group gathers.
+func (c *Client) loopAppend(ctx context.Context) {
+	limiter := rate.NewLimiter(rate.Limit(c.settings.FleetAppendsPerSecond), appendBurst)
+	for ctx.Err() == nil {
+		if !c.hasUnsent() {
+			waitFor(ctx, c.wakeAppender, c.settings.HeartbeatInterval)
+			continue
+		}
+		limiter.SetLimit(rate.Limit(c.appendRate()))
+		if limiter.Wait(ctx) != nil {
+			return
+		}
+		b := c.nextBundle(time.Now())
+		if len(b.payload) == 0 {
+			continue
+		}
+		c.appendBundle(ctx, b)
+	}
+}
+
+// appendRate returns this router's part of the fleet's appends a second.
+func (c *Client) appendRate() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return decision.AppendRate(c.settings.FleetAppendsPerSecond, c.routers)
+}
+
+// hasUnsent says whether anything waits for its append.
+func (c *Client) hasUnsent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.outboxes() {
+		if o.unsent() != nil || len(o.queue) > 0 {
+			return true
+		}
+	}
+	return len(c.dueCopies(time.Now())) > 0
+}
+
+// nextBundle returns what to append next: the oldest groups that aren't known to be in the log, a new group
+// of what is queued, and the copies that are due, as far as they fit. After an outage this carries many small
+// groups in few appends.
+func (c *Client) nextBundle(now time.Time) *bundle {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := &bundle{}
+	limit := c.settings.GroupBytes
+	for _, o := range c.outboxes() {
+		if !c.addUnsent(b, o, now) {
+			return b
+		}
+		if g := c.cutGroup(now, o); g != nil && !c.addGroup(b, o, g, now) {
+			return b
+		}
+	}
+	for _, h := range c.dueCopies(now) {
+		if !b.hasRoom(len(h.payload), limit) {
+			return b
+		}
+		b.copies = append(b.copies, h)
+		b.payload = append(b.payload, h.payload...)
+	}
+	return b
+}
+
+// addUnsent adds an outbox's cut groups in their order and reports whether all of them fitted.
+func (c *Client) addUnsent(b *bundle, o *outbox, now time.Time) bool {
+	for _, g := range o.groups {
+		if !g.acknowledged && !c.addGroup(b, o, g, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Client) addGroup(b *bundle, o *outbox, g *outboxGroup, now time.Time) bool {
+	if !b.hasRoom(len(g.payload), c.settings.GroupBytes) {
+		return false
+	}
+	if g.tries > 0 {
+		c.count(appendRepeated, 1)
+	}
+	g.tries++
+	if g.firstSentAt.IsZero() {
+		g.firstSentAt = now
+	}
+	b.parts = append(b.parts, bundlePart{outbox: o, group: g})
+	b.payload = append(b.payload, g.payload...)
+	return true
+}
+
+// cutGroup cuts the next group of an outbox.
+func (c *Client) cutGroup(now time.Time, o *outbox) *outboxGroup {
+	g, err := o.cut(now, c.settings.GroupBytes)
+	if err != nil {
+		c.logger().WithError(err).Error("can't encode a group of records")
+	}
+	return g
+}
+
+// appendBundle appends a bundle once. After a failure it waits, and then for the tail to be read, in
+// which the groups may be found.
+func (c *Client) appendBundle(ctx context.Context, b *bundle) {
+	sentAt := time.Now()
+	call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	offset, err := c.log.Append(call, c.stream, b.payload)
+	cancel()
+	if err == nil {
+		c.acknowledge(b, sentAt, offset)
+		wake(c.wakeReader)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	delay, begun := c.appendFailed()
+	waitFor(ctx, nil, delay)
+	c.waitForTail(ctx, begun)
+}
+
+// acknowledge notes that a bundle is in the log.
+func (c *Client) acknowledge(b *bundle, sentAt time.Time, offset platform.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(appendEntries, 1)
+	c.count(appendBytes, int64(len(b.payload)))
+	c.appendFailures = 0
+	c.updateReachable()
+	for _, p := range b.parts {
+		c.acknowledgeGroup(p.outbox, p.group, sentAt, offset)
+	}
+	c.count(copyAppended, int64(len(b.copies)))
+	c.removeCopies(b.copies)
+	c.closeFormer()
+}
+
+// acknowledgeGroup notes that a group is in the log. Within the lease no fence can lie before it, so that
+// it renews the lease and its opens will be accepted; after a lapse only reading it back shows that.
+func (c *Client) acknowledgeGroup(o *outbox, g *outboxGroup, sentAt time.Time, offset platform.Offset) {
+	c.count(appendGroups, 1)
+	c.count(appendRecords, int64(len(g.entries)))
+	g.acknowledged = true
+	g.offset = offset
+	if o.ended || o.suspended || !o.lease.Valid(time.Now()) {
+		return
+	}
+	o.renew(sentAt)
+	for _, e := range g.entries {
+		if e.attempt != nil {
+			e.attempt.acknowledge()
+		}
+	}
+}
+
+// appendFailed notes a failed append. It returns the wait before the next one and the number of
+// reads begun so far.
+func (c *Client) appendFailed() (delay time.Duration, begun uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count(appendFailed, 1)
+	c.appendFailures++
+	c.failedAt = time.Now()
+	c.observation.Break()
+	c.updateReachable()
+	return c.settings.backoff().Delay(c.appendFailures, c.random), c.readsBegun
+}
+
+// waitForTail waits until a read that began after a failed append has reached the stream's end. It
+// gives up after the call timeout: another copy of the group is harmless.
+func (c *Client) waitForTail(ctx context.Context, begun uint64) {
+	call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	for call.Err() == nil && !c.readSince(begun) {
+		wake(c.wakeReader)
+		waitFor(call, nil, c.settings.PollInterval)
+	}
+}
+
+// readSince says whether a read reached the stream's end that began after the first begun reads.
+func (c *Client) readSince(begun uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastComplete > begun
+}
+
+// waitFor waits for a signal, the end of a time or the end of ctx.
+func waitFor(ctx context.Context, signal <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-signal:
+	case <-timer.C:
+	}
+}
--- a/router/endpoint/call.go
+++ b/router/endpoint/call.go
@@ -32,6 +32,9 @@
 	CheckDispatch func() error
 }
 
+// streams reports whether the answer is a stream of server-sent events.
+func (c *Call) streams() bool { return c.Model != nil && c.Model.Stream }
+
 // ModelCall is what the router knows of a call of a model engine.
 type ModelCall struct {
 	// Stream says that the answer is a stream of server-sent events.
@@ -55,6 +58,10 @@
 	Usage ledger.Tokens
 	// Started says that a part of the answer has been written to the caller.
 	Started bool
+	// Abort says that the answer was broken off after its start and does not show it: the handler must end
+	// with panic(http.ErrAbortHandler), or the caller could take the answer for complete. Event streams
+	// show it by their error event.
+	Abort bool
 	// Endpoint is the name of the endpoint of the last attempt.
 	Endpoint string
 	// Attempts counts the endpoints that the call was sent to.
