--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -248,6 +248,23 @@
 	})
 }
 
+func TestBusyRouterReportsItsConfiguration(t *testing.T) {
+	inBubble(t, 2, 100_000, func(c *cluster) {
+		c.members[0].SetConfigurationPosition(7, 3)
+		for i := range uint64(200) {
+			mustReserve(t, c.members[0], demand(i, 10, true)).Bill(1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		reported := ledger.Heartbeat{}
+		for _, v := range c.fold().Incarnations() {
+			if v.Incarnation == c.members[0].Incarnation() {
+				reported = v.Heartbeat
+			}
+		}
+		assertEqual(t, "position", ledger.Heartbeat{ConfigurationOffset: 7, ConfigurationNumber: 3}, reported)
+	})
+}
+
 // TestContendedRemainder races requests for a remainder that pays for one of them at a time, while a router
 // holds a part of it: one of them must get all of it, and the others must be told in time. The holder is
 // asked at different times after the draws of the others, since a fault of the recall shows in a short window.
--- a/fleet/ledgerstream/membership.go
+++ b/fleet/ledgerstream/membership.go
@@ -84,12 +84,15 @@
 	})
 }
 
-// heartbeat renews the lease of an idle incarnation; any record that waits for the log renews it too.
+// heartbeat renews the lease of an idle incarnation; any record that waits for the log renews it too. A
+// change of the configuration's position is reported by a busy incarnation as well.
 func (c *Client) heartbeat(now time.Time) {
 	o := c.current
-	if o.length() > 0 || now.Before(o.queuedAt.Add(c.settings.HeartbeatInterval)) {
+	idle := o.length() == 0 && !now.Before(o.queuedAt.Add(c.settings.HeartbeatInterval))
+	if !idle && (!o.joined || o.reported == c.configurationNext) {
 		return
 	}
+	o.reported = c.configurationNext
 	c.add(&ledger.Heartbeat{
 		ConfigurationOffset: c.configurationNext,
 		ConfigurationNumber: c.configurationNumber,
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -49,6 +49,8 @@
 	lease       decision.Lease
 	// reserveLease is the right to spend the reserve shares.
 	reserveLease decision.Lease
+	// reported is the position in the configuration that the newest heartbeat names.
+	reported platform.Offset
 	// joined is set once the incarnation's Join was read back as accepted.
 	joined bool
 	// ended incarnations left, lost their lease or were refused: their records change nothing, so
