--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -131,9 +131,21 @@
 		if c.state.AppliedSequence(o.incarnation) == 0 {
 			o.refuseCut()
 		}
+		c.resumeIncarnation(o)
 	}
-	if c.current != nil && c.current.joined && !c.state.IsLive(c.current.incarnation) {
-		c.count(leaseFenced, 1)
-		c.retire(c.current)
+	c.closeFormer()
+}
+
+// resumeIncarnation notes what became of an incarnation in skipped records.
+func (c *Client) resumeIncarnation(o *outbox) {
+	switch {
+	case c.state.IsLive(o.incarnation):
+		o.joined = true
+	case o.suspended && c.state.HasEnded(o.incarnation):
+		o.ended = true
+	case o.joined && c.state.HasEnded(o.incarnation):
+		c.loseLease(o, ledger.Reserve)
+	case o.joined:
+		c.loseLease(o, ledger.Working)
 	}
 }
