--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -117,7 +117,8 @@
 }
 
 // mayStillBePaid says whether a request waits on for a share: no draw that was refused has spoken for
-// it yet, or the shares of all routers together hold enough that no running request has reserved.
+// it yet, or the budget and the free shares of the live routers together could pay. What a router that
+// lost its lease holds in reserve comes back too late.
 func (c *Client) mayStillBePaid(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,11 +126,13 @@
 		return true
 	}
 	view, _ := c.state.Budget(a.demand.Budget)
-	unreserved := view.Prepaid - view.Spent
+	reachable := view.Available()
 	for _, h := range view.Holders {
-		unreserved -= h.WorkingReserved + h.ReserveReserved
+		if c.state.IsLive(h.Incarnation) {
+			reachable += h.WorkingFree + h.ReserveFree
+		}
 	}
-	return unreserved >= a.demand.Amount
+	return reachable >= a.demand.Amount
 }
 
 // exhausted returns the refusal of a request that waited for a share in vain.
