--- a/fleet/endpoint/choose.go
+++ b/fleet/endpoint/choose.go
@@ -14,7 +14,7 @@
 	DefaultZoneCost   = 0.02
 	DefaultRegionCost = 0.5
 	// DefaultAffinityBound is the load, as a multiple of the mean, up to which affinity decides.
-	DefaultAffinityBound = 2.0
+	DefaultAffinityBound = 1.5
 	// DefaultEndpointConcurrency is the limit of candidates that state none.
 	DefaultEndpointConcurrency = 64
 )
--- a/fleet/endpoint/limit.go
+++ b/fleet/endpoint/limit.go
@@ -61,6 +61,14 @@
 	return time.Duration(latencyTolerance*float64(l.baseline)) + latencySlack
 }
 
+// Grow raises a limit in full use after the endpoint reported that nothing waits there: requests that last
+// long give too few answers to grow by.
+func (l *Limit) Grow(inFlight int) {
+	if inFlight >= l.Value() {
+		l.value = l.present() + 1
+	}
+}
+
 // Refused shrinks the limit after an endpoint refused a request that was sent so long ago.
 func (l *Limit) Refused(now time.Time, latency time.Duration) {
 	l.shrink(now, latency, refusedDecrease)
--- a/fleet/endpoint/simulation_test.go
+++ b/fleet/endpoint/simulation_test.go
@@ -116,8 +116,9 @@
 	waiting      []*simAttempt
 	cache        []uint64
 	served       int
-	// reported is the load of one report ago, measured that of now.
+	// reported and queued are of one report ago, measured and waited of the newest measurement.
 	reported, measured int
+	queued, waited     int
 }
 
 // simAttempt is one attempt of a request at an engine.
@@ -266,10 +267,14 @@
 func (s *simulation) measure() {
 	for _, e := range s.engines {
 		e.reported, e.measured = e.measured, e.running+len(e.waiting)
+		e.queued, e.waited = e.waited, len(e.waiting)
 	}
 	for _, r := range s.routers {
 		for _, p := range r.peers {
 			p.ownReported, p.ownMeasured = p.ownMeasured, p.inFlight()
+			if p.engine.queued == 0 {
+				p.limit.Grow(p.inFlight())
+			}
 		}
 		r.wake()
 	}
--- a/fleet/endpoint/table_test.go
+++ b/fleet/endpoint/table_test.go
@@ -23,6 +23,7 @@
 		{name: "least of all", choice: byOwnLoad},
 		{name: "no affinity, no price", noAffinity: true, policy: Policy{RegionCost: -1}},
 		{name: "affinity bound 1.25", policy: Policy{AffinityBound: 1.25}},
+		{name: "affinity bound 2", policy: Policy{AffinityBound: 2}},
 	}
 }
 
--- a/router/endpoint/probe.go
+++ b/router/endpoint/probe.go
@@ -67,6 +67,10 @@
 	load.asking = false
 	if err == nil {
 		load.reported, load.own, load.at = report.Running+report.Queued, load.ownBefore, time.Now()
+		if report.Queued == 0 {
+			l.peer.limit.Grow(l.peer.inFlight)
+		}
+		d.wakeLocked(d.serviceLocked(l.peer.endpoint.Service))
 	}
 	load.ownBefore = l.peer.inFlight
 }
