--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 demo: ## runs a whole site on 127.0.0.1 for about a minute and checks the fleet's promises
 	scripts/demo.sh
+
+capacity: ## measures the slopes of docs/CAPACITY.md in some minutes and rewrites the page's tables
+	CAPACITY_PAGE=$(CURDIR)/docs/CAPACITY.md go test -count 1 -timeout 10m -v -run '^TestMeasure$$' ./router/capacity
