--- a/fleet/ledger/record_gen.go
+++ b/fleet/ledger/record_gen.go
@@ -318,12 +318,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Join) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.AvailabilityZone)
 	o = msgp.AppendString(o, z.Region)
 	o = msgp.AppendString(o, z.Version)
 	o = msgp.AppendString(o, z.PeerAddress)
+	o = msgp.AppendUint64(o, z.Nonce)
 	return
 }
 
@@ -335,8 +336,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.AvailabilityZone, bts, err = msgp.ReadStringBytes(bts)
@@ -359,13 +360,18 @@
 		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
+	z.Nonce, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Nonce")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Join) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.AvailabilityZone) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.Version) + msgp.StringPrefixSize + len(z.PeerAddress)
+	s = 1 + msgp.StringPrefixSize + len(z.AvailabilityZone) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.Version) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.Uint64Size
 	return
 }
 
