--- a/fleet/ledgerstream/account.go
+++ b/fleet/ledgerstream/account.go
@@ -103,13 +103,14 @@
 	}
 	now := time.Now()
 	contended := b.recalled(now) || now.Before(b.refusedAt.Add(c.settings.DrawWait))
-	surrendered := ledger.Tokens(0)
+	working, reserve := ledger.Tokens(0), ledger.Tokens(0)
 	if contended && len(b.waiting) > 0 {
 		// A draw that counted on a share which is recalled meanwhile would be granted too little, and the
-		// next one again: a contended share goes back first, in the same group, and the draw asks for all.
-		surrendered, free = max(free, 0), 0
+		// next one again: contended shares go back first, in the same group, and the draw asks for all.
+		_, reserve = c.free(b.budget)
+		working, free = free, 0
 	}
-	available := view.Available() + surrendered
+	available := view.Available() + max(working, 0) + max(reserve, 0)
 	size := decision.SizeDraw(decision.DrawInput{
 		Waiting:   b.amounts(),
 		Free:      free,
@@ -126,7 +127,8 @@
 	if hopeless || inAdvance {
 		return
 	}
-	c.giveBack(b.budget, ledger.Working, surrendered)
+	c.giveBack(b.budget, ledger.Working, working)
+	c.giveBack(b.budget, ledger.Reserve, reserve)
 	b.drawing = true
 	b.drawnAt = now
 	c.count(drawSent, 1)
