--- a/fleet/ledger/simulation_test.go
+++ b/fleet/ledger/simulation_test.go
@@ -52,7 +52,7 @@
 		}
 	}
 	w := &writer{incarnation: i, last: 1}
-	w.groups = append(w.groups, Group{Writer: i, First: 1, Records: []Record{&Join{Region: "luzon-a"}}})
+	w.groups = append(w.groups, Group{Writer: i, First: 1, Records: []Record{&Join{Region: "luzon-a", Nonce: i.Number}}})
 	s.writers = append(s.writers, w)
 	return w
 }
@@ -89,6 +89,11 @@
 	return s.cut(w, state)
 }
 
+// groupOfUnknownVersion returns a payload that is skipped.
+func (s *simulation) groupOfUnknownVersion() []byte {
+	return []byte{envelopeVersion + byte(s.number(1, 100, "version")), 0x90}
+}
+
 // cut makes a writer's next group.
 func (s *simulation) cut(w *writer, state *State) Group {
 	g := Group{Writer: w.incarnation, First: w.last + 1}
--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -186,7 +186,7 @@
 	row := memberRow{
 		Instance: m.incarnation.Instance, Number: m.incarnation.Number, Suspended: m.status == suspended,
 		AvailabilityZone: m.join.AvailabilityZone, Region: m.join.Region, Version: m.join.Version,
-		PeerAddress:         m.join.PeerAddress,
+		PeerAddress: m.join.PeerAddress, Nonce: m.join.Nonce,
 		ConfigurationOffset: uint64(m.heartbeat.ConfigurationOffset),
 		ConfigurationNumber: m.heartbeat.ConfigurationNumber,
 		LastSeen:            uint64(m.lastSeen), Applied: m.applied,
--- a/fleet/ledger/snapshot_load.go
+++ b/fleet/ledger/snapshot_load.go
@@ -132,7 +132,8 @@
 	m := &member{
 		incarnation: Incarnation{Instance: row.Instance, Number: row.Number},
 		join: Join{
-			AvailabilityZone: row.AvailabilityZone, Region: row.Region, Version: row.Version, PeerAddress: row.PeerAddress,
+			AvailabilityZone: row.AvailabilityZone, Region: row.Region, Version: row.Version,
+			PeerAddress: row.PeerAddress, Nonce: row.Nonce,
 		},
 		heartbeat: Heartbeat{
 			ConfigurationOffset: platform.Offset(row.ConfigurationOffset),
--- a/fleet/ledger/snapshot_row.go
+++ b/fleet/ledger/snapshot_row.go
@@ -38,6 +38,7 @@
 	Region              string
 	Version             string
 	PeerAddress         string
+	Nonce               uint64
 	ConfigurationOffset uint64
 	ConfigurationNumber uint64
 	LastSeen            uint64
