--- a/fleet/ledgerstream/account.go
+++ b/fleet/ledgerstream/account.go
@@ -189,11 +189,6 @@
 	for _, a := range b.waiting {
 		a.drawsRefused++
 	}
-	if e.Reason == ledger.Insufficient {
-		// A request that the log can pay for goes before what is kept for times without the log.
-		_, reserve := c.free(b.budget)
-		c.giveBack(b.budget, ledger.Reserve, reserve)
-	}
 }
 
 // sendHome returns the parts of the shares that the budget needs more than this router.
