--- a/fleet/ledgerstream/lease_test.go
+++ b/fleet/ledgerstream/lease_test.go
@@ -82,3 +82,32 @@
 		assertOutcome(c.tb, outcome{"NotRun", verdict.NotReady}, err)
 	})
 }
+
+func TestPrepaidIsCopiedAgainAfterAFence(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		m := c.members[0]
+		c.log.set(func() { m.link.silent = true })
+		m.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: 2, Total: 2000}})
+		time.Sleep(30 * time.Second)
+		c.log.set(func() { m.link.silent = false })
+		time.Sleep(15 * time.Second)
+		assertEqual(c.tb, "prepaid", 2000, c.budget().Prepaid)
+	})
+}
+
+func TestUnsentOpensEndWithTheLog(t *testing.T) {
+	inBubble(t, 1, 1000, func(c *cluster) {
+		m := c.members[0]
+		mustReserve(c.tb, m, demand(1, 100, true)).Bill(1)
+		time.Sleep(100 * time.Millisecond)
+		c.log.set(func() { c.log.down = true })
+		c.loops.Go(func() { _, _ = m.Reserve(context.Background(), demand(2, 40, true)) })
+		time.Sleep(10 * time.Millisecond)
+		begun := time.Now()
+		_, err := m.Reserve(context.Background(), demand(3, 40, true))
+		assertOutcome(c.tb, outcome{"NotRun", verdict.LedgerUnreachable}, err)
+		assertEqual(c.tb, "waited for the log", false, time.Since(begun) >= DefaultOpenWait)
+		assertEqual(c.tb, "withdrawn", true, c.counter(openWithdrawn) > 0)
+		time.Sleep(2 * DefaultOpenWait)
+	})
+}
