--- a/router/endpoint/place.go
+++ b/router/endpoint/place.go
@@ -84,10 +84,15 @@
 			return nil, p, ""
 		}
 	}
-	entry, dropped, reason := s.queue.Push(now, d.waiting(ctx, now, j), w)
+	waiting := d.waiting(ctx, now, j)
+	entry, dropped, reason := s.queue.Push(now, waiting, w)
 	if dropped != nil {
 		dropped.Value.ready <- placed{reason: verdict.Overloaded}
 	}
+	if reason == verdict.DeadlineTooShort && waiting.Deadline.Equal(now.Add(d.settings.QueueTimeout)) {
+		// The queue's own bound is too short for the wait, not the caller's deadline.
+		reason = verdict.Overloaded
+	}
 	return entry, nil, reason
 }
 
