--- a/router/capacity/measure_test.go
+++ b/router/capacity/measure_test.go
@@ -146,7 +146,7 @@
 	page, err := os.ReadFile(path)
 	r.must(err)
 	text := string(page)
-	for section, rows := range map[string]string{"slopes": r.table(), "sums": r.sums()} {
+	for section, rows := range map[string]string{"slopes": r.table(), "sums": r.sums(), "roles": r.roleTable()} {
 		t.Logf("%s\n%s", section, rows)
 		text, err = replace(text, section, rows)
 		r.must(err)
--- a/router/capacity/sums_test.go
+++ b/router/capacity/sums_test.go
@@ -228,6 +228,60 @@
 	return table(rows)
 }
 
+// role is what a role takes at a size; zero stands for nothing of the kind.
+type role struct {
+	Name, Message        string
+	Messages, Core, Heap func(s site) float64
+}
+
+func (m model) roles() []role {
+	none := func(site) float64 { return 0 }
+	perNode := func(s site) float64 { return m.stream(s, true) / float64(s.Nodes) }
+	own := func(s site) float64 {
+		appends := allowance / float64(s.Nodes)
+		return (s.Requests/float64(s.Nodes)*m.slope("client: Reserve and Bill, 64 callers") + appends*m.slope("client: one append more for 3,072 requests")) / 1e4
+	}
+	state := func(s site) float64 { return m.balances(s) + m.identifiers(s) }
+	return []role{
+		{"Entry router, its own requests", "B/s appended", perNode, own, func(s site) float64 {
+			return m.declared(s) + s.Requests/float64(s.Nodes)*requestSeconds*m.slope("heap: open request")/megabyte
+		}},
+		{"Folder: every router folds everything (built)", "B/s read", func(s site) float64 { return m.stream(s, true) }, m.fold, state},
+		{"Folder of one partition, three a partition, windows divided (not built)", "B/s read", func(s site) float64 { return m.stream(s, true) * m.part(s) },
+			func(s site) float64 { return m.fold(s) * m.part(s) }, func(s site) float64 { return state(s) * m.part(s) }},
+		{"Snapshot writer of the ledger, one at a time", "B/s appended", func(s site) float64 { return m.snapshot(s) / interval() },
+			func(s site) float64 {
+				return float64(s.Budgets) * m.slope("ledger snapshot: encode") / 1e4 / interval()
+			},
+			func(s site) float64 { return m.snapshot(s) / megabyte }},
+		{"Snapshot writer of the configuration, every router", "B/s appended",
+			func(s site) float64 {
+				return float64(s.Budgets) * m.slope("configuration snapshot: bytes") / interval()
+			},
+			func(s site) float64 {
+				return float64(s.Budgets) * m.slope("configuration snapshot: encode") / 1e4 / interval()
+			},
+			func(s site) float64 { return float64(s.Budgets) * m.slope("configuration snapshot: bytes") / megabyte }},
+		{"Relay holder while the log is away, copies of two routers", "B/s taken", func(s site) float64 { return 2 * perNode(s) }, none,
+			func(site) float64 { return ledgerstream.DefaultCopyBytes / megabyte }},
+		{"Log", "B/s read from it", func(s site) float64 { return m.stream(s, true) * float64(s.Nodes) }, none, none},
+		{"dragonflyctl, one call", "B read", m.start, none, func(s site) float64 { return state(s) + m.declared(s) }},
+	}
+}
+
+// roleTable returns what each role takes.
+func (r *results) roleTable() string {
+	rows := [][]string{{"Role", "Messages", "Letter", "Today", "% of a core, letter", "Today", "MB, letter", "Today"}}
+	for _, o := range (model{slope: r.slope}).roles() {
+		row := []string{o.Name, o.Message}
+		for _, value := range []func(site) float64{o.Messages, o.Core, o.Heap} {
+			row = append(row, number(value(letter)), number(value(today)))
+		}
+		rows = append(rows, row)
+	}
+	return table(rows)
+}
+
 // TestPageLists checks that the page's sums are those of the model, in its order.
 func TestPageLists(t *testing.T) {
 	page, err := os.ReadFile("../../docs/CAPACITY.md")
