--- a/router/blackboard/board.go
+++ b/router/blackboard/board.go
@@ -45,7 +45,10 @@
 	metrics.GetOrRegisterCounter(name, b.Metrics).Inc(1)
 }
 
+// RefusalPrefix begins the names of the counters of refusals; the reason follows.
+const RefusalPrefix = "refusal."
+
 // CountRefusal counts a refusal under its reason.
 func (b *Board) CountRefusal(reason verdict.Reason) {
-	b.Count("refusal." + string(reason))
+	b.Count(RefusalPrefix + string(reason))
 }
--- a/router/caller/serve.go
+++ b/router/caller/serve.go
@@ -44,7 +44,7 @@
 func (s *Server) settle(ctx context.Context, w http.ResponseWriter, d settlement) {
 	if d.err == nil {
 		d.reservation.Bill(d.result.Usage)
-		s.board.Count("request.completed")
+		s.board.Count(requestCompleted)
 		return
 	}
 	switch {
@@ -75,7 +75,7 @@
 	if err == nil {
 		return d.err
 	}
-	s.board.Count("release.unconfirmed")
+	s.board.Count(releaseUnconfirmed)
 	var refusal *verdict.Refusal
 	if !errors.As(d.err, &refusal) {
 		return d.err
--- a/router/controller/configuration.go
+++ b/router/controller/configuration.go
@@ -80,7 +80,7 @@
 		return c.recover(bounded)
 	}
 	if err != nil {
-		c.board.Count("configuration.read.failed")
+		c.board.Count(configurationReadFailed)
 		return c.stepFromPeers(ctx)
 	}
 	c.foldAll(entries)
@@ -103,7 +103,7 @@
 	if len(entries) == 0 {
 		return false
 	}
-	c.board.Count("configuration.peer.entries")
+	c.board.Count(configurationPeerEntries)
 	c.foldAll(entries)
 	c.publish()
 	return false
@@ -121,17 +121,17 @@
 func (c *Configuration) note(e platform.Entry, outcome operator.Outcome) {
 	switch o := outcome.(type) {
 	case *operator.Accepted:
-		c.board.Count("configuration.ticket.accepted")
+		c.board.Count(configurationTicketAccepted)
 		c.logger.WithField("Number", o.Number).Info("change ticket in force")
 	case *operator.Refused:
-		c.board.Count("configuration.ticket.refused")
+		c.board.Count(configurationTicketRefused)
 		c.logger.WithFields(log.Fields{"Number": o.Number, "Reason": o.Reason}).Warn("change ticket refused")
 	case *operator.Duplicate:
-		c.board.Count("configuration.ticket.duplicate")
+		c.board.Count(configurationTicketDuplicate)
 	case *operator.Malformed:
-		c.board.Count("configuration.ticket.malformed")
+		c.board.Count(configurationTicketMalformed)
 	case *operator.OutOfOrder:
-		c.board.Count("configuration.entry.out_of_order")
+		c.board.Count(configurationEntryOutOfOrder)
 		return
 	}
 	c.board.Entries.Add(e)
@@ -168,10 +168,10 @@
 // recover continues from the newest usable snapshot when the log has dropped entries that were not read
 // yet. Without one the router keeps what it has, which for a new router is nothing: it stays unready.
 func (c *Configuration) recover(ctx context.Context) bool {
-	c.board.Count("configuration.read.truncated")
+	c.board.Count(configurationReadTruncated)
 	snapshot := c.newestSnapshot(ctx)
 	if snapshot == nil || snapshot.Next <= c.current.Next {
-		c.board.Count("configuration.snapshot.missing")
+		c.board.Count(configurationSnapshotMissing)
 		return false
 	}
 	c.current = snapshot
@@ -198,7 +198,7 @@
 			from = e.Offset + 1
 			snapshot, err := assembler.Add(e.Payload)
 			if err != nil {
-				c.board.Count("configuration.snapshot.malformed")
+				c.board.Count(configurationSnapshotMalformed)
 			}
 			if snapshot != nil {
 				newest = snapshot
--- a/router/controller/instances.go
+++ b/router/controller/instances.go
@@ -41,11 +41,11 @@
 	defer cancel()
 	listing, err := i.list.Instances(bounded)
 	if err != nil {
-		i.board.Count("instances.read.failed")
+		i.board.Count(instancesReadFailed)
 		return
 	}
 	if known := i.board.Listing.Load(); known != nil && listing.Version < known.Version {
-		i.board.Count("instances.listing.older")
+		i.board.Count(instancesListingOlder)
 		return
 	}
 	i.board.Listing.Store(&listing)
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -51,16 +51,16 @@
 	}
 	chunks, err := configuration.EncodeSnapshotChunks(operator.DefaultChunkBytes)
 	if err != nil {
-		s.board.Count("configuration.snapshot.failed")
+		s.board.Count(configurationSnapshotFailed)
 		return
 	}
 	for _, chunk := range chunks {
 		if !s.append(ctx, chunk) {
-			s.board.Count("configuration.snapshot.failed")
+			s.board.Count(configurationSnapshotFailed)
 			return
 		}
 	}
-	s.board.Count("configuration.snapshot.written")
+	s.board.Count(configurationSnapshotWritten)
 }
 
 func (s *ConfigurationSnapshots) append(ctx context.Context, chunk []byte) bool {
--- a/router/run.go
+++ b/router/run.go
@@ -13,15 +13,6 @@
 	"github.com/alecthomas/kong"
 )
 
-// Exit codes of the router.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-	// exitForced says that a second signal ended the process before its requests had finished.
-	exitForced = 3
-)
-
 // Main runs the program with its arguments and returns its exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
 	settings := &Settings{}
@@ -60,7 +51,7 @@
 	code, ended := exitDone, false
 	parser, err := kong.New(settings,
 		kong.Name("router"),
-		kong.Description("Routes callers' requests to endpoints against prepaid budgets."),
+		kong.Description(description()),
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(c int) { code, ended = c, true }),
 	)
@@ -79,6 +70,14 @@
 	return code, ended
 }
 
+func description() string {
+	text := "Routes callers' requests to endpoints against prepaid budgets.\n\nExit codes:"
+	for _, d := range exitCodes() {
+		text += fmt.Sprintf("\n  %d  %-7s %s", d.Code, d.Name, d.Meaning)
+	}
+	return text
+}
+
 // version returns the version that the build recorded.
 func version() string {
 	info, found := debug.ReadBuildInfo()
--- a/router/settings.go
+++ b/router/settings.go
@@ -95,6 +95,8 @@
 		{"availability-zone", s.AvailabilityZone, validName(s.AvailabilityZone), name},
 		{"peer-listen", s.PeerListen, s.PeerListen == "" || validAddress(s.PeerListen), "an IP address with a port, or nothing"},
 		{"tls-certificate", s.TLSCertificate, s.PeerListen == "" || s.certificateNames(s.Instance), "a PEM file, with --tls-key and --tls-authority, whose certificate names --instance; needed with --peer-listen"},
+		{"tls-key", s.TLSKey, true, "a PEM file; needed with --peer-listen"},
+		{"tls-authority", s.TLSAuthority, true, "a PEM file; needed with --peer-listen"},
 		{"lease", s.Lease, within(s.Lease, leaseMinimum, leaseMaximum), "500ms to 5m"},
 		{"lease-margin", s.LeaseMargin, within(s.LeaseMargin, leaseMinimum, s.Lease), "500ms to the lease"},
 		{"fleet-appends-per-second", s.FleetAppendsPerSecond, s.FleetAppendsPerSecond >= 1 && s.FleetAppendsPerSecond <= appendsMaximum, "1 to 100000"},
