--- a/fleet/ledgerstream/lease_test.go
+++ b/fleet/ledgerstream/lease_test.go
@@ -82,3 +82,17 @@
 		assertOutcome(c.tb, outcome{"NotRun", verdict.NotReady}, err)
 	})
 }
+
+func TestIdleRoutersKeepShortLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, Settings{Lease: time.Second, LeaseMargin: 500 * time.Millisecond})
+		defer c.stop()
+		for range 300 {
+			for _, m := range c.members {
+				assertEqual(t, "lease is left", true, m.Status().LeaseLeft > 0)
+			}
+			time.Sleep(101 * time.Millisecond)
+		}
+		assertEqual(t, "fences", int64(0), c.counter(leaseFenced))
+	})
+}
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -41,6 +41,10 @@
 	DefaultPrepaidCopiesPerTick = 256
 )
 
+// heartbeatsPerLease is how many heartbeats an idle router sends in the time that a lease may be used: a lost one
+// must not end the lease.
+const heartbeatsPerLease = 4
+
 // Settings of a client. A field that is zero takes its default.
 type Settings struct {
 	Instance         string
@@ -66,7 +70,9 @@
 	OpenWait time.Duration
 	// ReadBackWait is how long an idempotent request waits for its reservation to be read back once
 	// the append was acknowledged.
-	ReadBackWait      time.Duration
+	ReadBackWait time.Duration
+	// HeartbeatInterval is the time after which an idle router shows a sign of life; its default shrinks with
+	// the lease.
 	HeartbeatInterval time.Duration
 	PollInterval      time.Duration
 	// TickInterval is the time between two looks at idle shares, silent incarnations and the like.
@@ -119,7 +125,7 @@
 	s.DrawInterval = cmp.Or(s.DrawInterval, DefaultDrawInterval)
 	s.OpenWait = cmp.Or(s.OpenWait, DefaultOpenWait)
 	s.ReadBackWait = cmp.Or(s.ReadBackWait, DefaultReadBackWait)
-	s.HeartbeatInterval = cmp.Or(s.HeartbeatInterval, DefaultHeartbeatInterval)
+	s.HeartbeatInterval = cmp.Or(s.HeartbeatInterval, min(DefaultHeartbeatInterval, (s.Lease-s.LeaseMargin)/heartbeatsPerLease))
 	s.PollInterval = cmp.Or(s.PollInterval, DefaultPollInterval)
 	s.TickInterval = cmp.Or(s.TickInterval, DefaultTickInterval)
 	s.IdleTerm = cmp.Or(s.IdleTerm, DefaultIdleTerm)
--- a/router/settings.go
+++ b/router/settings.go
@@ -72,7 +72,8 @@
 
 // Bounds of the settings, which keep a mistyped unit from passing as a value.
 const (
-	leaseMinimum            = 500 * time.Millisecond
+	leaseMinimum            = time.Second
+	leaseMarginMinimum      = 500 * time.Millisecond
 	leaseMaximum            = 5 * time.Minute
 	appendsMaximum          = 100_000
 	snapshotIntervalMinimum = time.Second
@@ -97,8 +98,8 @@
 		{"tls-certificate", s.TLSCertificate, s.PeerListen == "" || s.certificateNames(s.Instance), "a PEM file, with --tls-key and --tls-authority, whose certificate names --instance; needed with --peer-listen"},
 		{"tls-key", s.TLSKey, true, "a PEM file; needed with --peer-listen"},
 		{"tls-authority", s.TLSAuthority, true, "a PEM file; needed with --peer-listen"},
-		{"lease", s.Lease, within(s.Lease, leaseMinimum, leaseMaximum), "500ms to 5m"},
-		{"lease-margin", s.LeaseMargin, within(s.LeaseMargin, leaseMinimum, s.Lease), "500ms to the lease"},
+		{"lease", s.Lease, within(s.Lease, leaseMinimum, leaseMaximum), "1s to 5m"},
+		{"lease-margin", s.LeaseMargin, within(s.LeaseMargin, leaseMarginMinimum, s.Lease/2), "500ms to half of the lease"},
 		{"fleet-appends-per-second", s.FleetAppendsPerSecond, s.FleetAppendsPerSecond >= 1 && s.FleetAppendsPerSecond <= appendsMaximum, "1 to 100000"},
 		{"snapshot-interval", s.SnapshotInterval, within(s.SnapshotInterval, snapshotIntervalMinimum, snapshotIntervalMaximum), "1s to 24h"},
 		{"header-bytes", s.HeaderBytes, s.HeaderBytes >= headerBytesMinimum && s.HeaderBytes <= headerBytesMaximum, "1024 to 1048576"},
