--- a/router/exit.go
+++ b/router/exit.go
@@ -1,11 +1,8 @@
 package main
 
-// exitCode is an exit code of the router.
-type exitCode = int
-
 // Exit codes of the router; their meaning stands in exitCodes.
 const (
-	exitDone exitCode = iota
+	exitDone = iota
 	exitFailed
 	exitUsage
 	exitForced
@@ -13,7 +10,7 @@
 
 // exitDescription says what an exit code means.
 type exitDescription struct {
-	Code    exitCode
+	Code    int
 	Name    string
 	Meaning string
 }
