--- a/fleet/ledger/read.go
+++ b/fleet/ledger/read.go
@@ -97,6 +97,20 @@
 	return !known && i.Number <= s.ended[i.Instance]
 }
 
+// RequestView is what the ledger remembers of a request identifier.
+type RequestView struct {
+	// Open says that a reservation of the request is neither billed nor released.
+	Open bool
+	// Billed says that the request has been billed; a further attempt of an idempotent one costs nothing.
+	Billed bool
+}
+
+// Request returns what is remembered of a request identifier; zero for one that is unknown or forgotten.
+func (s *State) Request(id RequestIdentifier) RequestView {
+	q := s.requests.known[id]
+	return RequestView{Open: q.opens > 0, Billed: q.billed}
+}
+
 // AppliedSequence returns the highest sequence number of a live or suspended incarnation up to which all
 // records were applied; 0 if there is none.
 func (s *State) AppliedSequence(i Incarnation) uint64 {
--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -43,9 +43,11 @@
 	silences map[ledger.Incarnation]*watch
 
 	// couriers hand this router's groups to others; copies are held for others, copyBytes is their size.
-	couriers  []*courier
-	copies    []*heldCopy
-	copyBytes int
+	couriers []*courier
+	// avoidedUntil are the instances that took no copy lately.
+	avoidedUntil map[string]time.Time
+	copies       []*heldCopy
+	copyBytes    int
 
 	observation decision.Observation
 	// caughtUp is set once the stream was read to its end; truncated once the log no longer keeps
@@ -109,6 +111,7 @@
 		random:         rand.New(rand.NewPCG(seed, uint64(s.Partition))), //nolint:gosec // jitter needs no secrecy
 		accounts:       map[string]*account{},
 		hungry:         map[string]*account{},
+		avoidedUntil:   map[string]time.Time{},
 		prepaid:        map[string]prepaidCopy{},
 		refusedTickets: map[string]uint64{},
 		reserves:       map[string]struct{}{},
@@ -118,7 +121,7 @@
 		routers:        1,
 	}
 	for rank := range couriers {
-		c.couriers = append(c.couriers, &courier{client: c, rank: rank, avoidedUntil: map[string]time.Time{}})
+		c.couriers = append(c.couriers, &courier{client: c, rank: rank})
 	}
 	return c
 }
--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -248,6 +249,48 @@
 	})
 }
 
+func TestEarlierAttempts(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		first, second := c.members[0], c.members[1]
+		running := mustReserve(t, first, demand(1, 900, false))
+		time.Sleep(time.Second)
+		c.log.set(func() { c.log.down = true })
+		time.Sleep(time.Minute)
+		_, err := second.Reserve(context.Background(), demand(1, 900, false))
+		assertOutcome(t, outcome{"MayHaveRun", verdict.LedgerUnreachable}, err)
+		c.log.set(func() { c.log.down = false })
+		time.Sleep(time.Minute)
+		running.Bill(900)
+		time.Sleep(time.Second)
+		_, err = second.Reserve(context.Background(), demand(1, 900, false))
+		assertEqual(t, "verdict", "Ran", outcomeOf(err).Verdict)
+	})
+}
+
+func TestRetryOfABilledRequestOnAnExhaustedBudget(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		mustReserve(t, c.members[0], demand(1, 1000, true)).Bill(1000)
+		time.Sleep(time.Second)
+		mustReserve(t, c.members[1], demand(1, 1000, true)).Bill(1000)
+		time.Sleep(time.Second)
+		assertSpent(t, c, 1000)
+	})
+}
+
+func TestTwoProcessesWithOneNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{tb: t, log: newFakeLog(testSeed + 2)}
+		defer c.stop()
+		// Both start at the same nanosecond of the paused clock.
+		for range 2 {
+			c.start(Settings{Instance: "router-x"})
+		}
+		time.Sleep(10 * time.Second)
+		assertEqual(t, "one incarnation for both", false, c.members[0].Incarnation() == c.members[1].Incarnation())
+		assertEqual(t, "live incarnations", 2, len(c.fold().Incarnations()))
+	})
+}
+
 func TestBusyRouterReportsItsConfiguration(t *testing.T) {
 	inBubble(t, 2, 100_000, func(c *cluster) {
 		c.members[0].SetConfigurationPosition(7, 3)
--- a/fleet/ledgerstream/dispatch.go
+++ b/fleet/ledgerstream/dispatch.go
@@ -62,6 +62,12 @@
 	if o == nil {
 		return
 	}
+	if e.Nonce != o.nonce {
+		// Another process of this instance took the same number: the incarnation is that process's.
+		c.count(joinRefused, 1)
+		c.retire(o)
+		return
+	}
 	o.joined = true
 	c.logger().Info("joined the ledger")
 }
--- a/fleet/ledgerstream/growth_test.go
+++ b/fleet/ledgerstream/growth_test.go
@@ -22,7 +22,7 @@
 			r.avoid(time.Now())
 			time.Sleep(time.Second)
 		}
-		if kept := len(r.avoidedUntil); kept > couriers {
+		if kept := len(c.avoidedUntil); kept > couriers {
 			t.Errorf("%d instances are remembered after their time was over", kept)
 		}
 	})
--- a/fleet/ledgerstream/membership.go
+++ b/fleet/ledgerstream/membership.go
@@ -75,12 +75,14 @@
 	}
 	incarnation := ledger.Incarnation{Instance: c.settings.Instance, Number: number}
 	c.current = newOutbox(incarnation, c.settings)
+	c.current.nonce = c.random.Uint64()
 	c.count(joinSent, 1)
 	c.add(&ledger.Join{
 		AvailabilityZone: c.settings.AvailabilityZone,
 		Region:           c.settings.Region,
 		Version:          c.settings.Version,
 		PeerAddress:      c.settings.PeerAddress,
+		Nonce:            c.current.nonce,
 	})
 }
 
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -46,7 +46,9 @@
 // outbox holds one incarnation's records until they were read back, and what is known of its lease.
 type outbox struct {
 	incarnation ledger.Incarnation
-	lease       decision.Lease
+	// nonce tells this process's Join from that of another one with the same number.
+	nonce uint64
+	lease decision.Lease
 	// reserveLease is the right to spend the reserve shares.
 	reserveLease decision.Lease
 	// reported is the position in the configuration that the newest heartbeat names.
--- a/fleet/ledgerstream/relay.go
+++ b/fleet/ledgerstream/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -24,8 +25,6 @@
 	// rank is the courier's place among the couriers; each has a target of its own.
 	rank   int
 	target peer.Address
-	// avoidedUntil are the instances that failed lately.
-	avoidedUntil map[string]time.Time
 }
 
 // loop sends copies until ctx ends.
@@ -84,7 +83,7 @@
 		AvailabilityZone: c.settings.AvailabilityZone,
 		Region:           c.settings.Region,
 		Incarnations:     c.state.Incarnations(),
-		Avoided:          func(instance string) bool { return now.Before(c.couriers[r.rank].avoidedUntil[instance]) },
+		Avoided:          func(instance string) bool { return now.Before(c.avoidedUntil[instance]) },
 		Count:            couriers,
 	})
 	if r.rank >= len(targets) {
@@ -94,14 +93,13 @@
 	return true
 }
 
-// avoid leaves the target out for a while. All couriers do, so that they agree on the order of the others.
+// avoid leaves the target out for a while, for all couriers, so that they agree on the order of the others.
 func (r *courier) avoid(now time.Time) {
 	c := r.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, other := range c.couriers {
-		other.avoidedUntil[r.target.Instance] = now.Add(c.settings.Lease)
-	}
+	maps.DeleteFunc(c.avoidedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	c.avoidedUntil[r.target.Instance] = now.Add(c.settings.Lease)
 }
 
 // needsCopies says whether the log keeps records waiting.
--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -22,16 +22,39 @@
 	}
 	if refusal != nil {
 		c.count(reserveRefusedFor+string(refusal.Reason), 1)
-		return nil, refusal
+		return nil, c.withEarlierAttempts(demand, refusal)
 	}
 	return a, nil
 }
 
+// withEarlierAttempts corrects a refusal for what the ledger shows of the request's earlier attempts, on any
+// router: a caller who is told "not run" may rely on it for the request and not just for this attempt.
+func (c *Client) withEarlierAttempts(demand Demand, refusal *verdict.Refusal) *verdict.Refusal {
+	if refusal.Verdict != verdict.NotRun || refusal.Reason == verdict.IdempotencyKeyReused {
+		return refusal
+	}
+	c.mu.Lock()
+	earlier := c.state.Request(demand.Request)
+	c.mu.Unlock()
+	corrected := *refusal
+	switch {
+	case earlier.Billed:
+		corrected.Verdict = verdict.Ran
+	case earlier.Open:
+		corrected.Verdict = verdict.MayHaveRun
+	}
+	return &corrected
+}
+
 // admit queues the open of a demand or lets it wait for a share.
 func (c *Client) admit(demand Demand) (*attempt, *verdict.Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if demand.Idempotent && c.state.Request(demand.Request).Billed {
+		// A request that was billed is not billed again, so that an exhausted budget can serve its retry.
+		demand.Amount = 0
+	}
 	if refusal := c.refuseNow(now, demand); refusal != nil {
 		return nil, refusal
 	}
--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -73,7 +73,6 @@
 	if newest.Next() <= c.state.Next() {
 		return false
 	}
-	newest.Window = c.state.Window
 	c.state = *newest
 	c.truncated = false
 	// The tail behind the snapshot is still unread.
--- a/router/caller/serve.go
+++ b/router/caller/serve.go
@@ -85,15 +85,15 @@
 	return &cautious
 }
 
-// finishBroken ends an answer that can't be completed. The dispatcher has ended an event stream with an
-// error event; any other answer that was begun is cut, so that it can't be taken for a whole one.
+// finishBroken ends an answer that can't be completed. One that doesn't show this by itself, as an event stream
+// does by its error event, is cut, so that it can't be taken for a whole one.
 func (s *Server) finishBroken(w http.ResponseWriter, d settlement) {
 	if !d.result.Started {
 		s.refuse(w, d.err)
 		return
 	}
 	_ = s.count(d.err)
-	if d.order.call.Model == nil || !d.order.call.Model.Stream {
+	if d.result.Abort {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -197,7 +197,7 @@
 	}
 	t.Run("a whole answer that breaks is cut", func(t *testing.T) {
 		s, accounts, calls := setUp(t)
-		calls.result, calls.err = endpoint.Result{Started: true, Usage: 2}, broken(verdict.MayHaveRun)
+		calls.result, calls.err = endpoint.Result{Started: true, Abort: true, Usage: 2}, broken(verdict.MayHaveRun)
 		defer func() {
 			assertEqual(t, true, recover() != nil)
 			assertEqual(t, []ledger.Tokens{2}, accounts.bills)
