--- /dev/null
+++ b/fleet/order/codec.go
@@ -0,0 +1,150 @@
+package order
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+// envelopeVersion is the version of the encoding of entries. Readers skip entries of other versions.
+const envelopeVersion = 1
+
+// Type numbers of the records on the log. A number is never used for another type.
+const (
+	claimType  = 1
+	renewType  = 2
+	yieldType  = 3
+	fenceType  = 4
+	reportType = 5
+	orderType  = 6
+	doneType   = 7
+)
+
+// maxEntryBytes is the longest encoded entry.
+const maxEntryBytes = 64 << 10
+
+// The faults of a payload that is skipped.
+var (
+	ErrVersion   = errors.New("unknown version")
+	ErrType      = errors.New("unknown type of record")
+	ErrMalformed = errors.New("malformed entry")
+)
+
+// codec is the part of the generated methods that the envelope uses.
+type codec interface {
+	MarshalMsg(b []byte) ([]byte, error)
+	UnmarshalMsg(b []byte) ([]byte, error)
+}
+
+// Encode returns the payload of an entry: version, writer, sequence number, type number and body.
+func Encode(e Entry) ([]byte, error) {
+	number, body := typeNumber(e.Record)
+	if body == nil || e.Sequence == 0 {
+		return nil, fmt.Errorf("encoding an entry: %w", ErrMalformed)
+	}
+	b := msgp.AppendUint8(nil, envelopeVersion)
+	b, err := e.Writer.MarshalMsg(b)
+	if err != nil {
+		return nil, fmt.Errorf("encoding an entry: %w", err)
+	}
+	b = msgp.AppendUint64(b, e.Sequence)
+	b = msgp.AppendUint64(b, number)
+	b, err = body.MarshalMsg(b)
+	if err != nil {
+		return nil, fmt.Errorf("encoding an entry: %w", err)
+	}
+	if len(b) > maxEntryBytes {
+		return nil, fmt.Errorf("encoding an entry: %w: %d bytes", ErrMalformed, len(b))
+	}
+	return b, nil
+}
+
+// typeNumber returns the type number of a record and its codec; nil if there is no record.
+func typeNumber(record Record) (uint64, codec) {
+	switch r := record.(type) {
+	case *Claim:
+		return claimType, r
+	case *Renew:
+		return renewType, r
+	case *Yield:
+		return yieldType, r
+	case *Fence:
+		return fenceType, r
+	case *Report:
+		return reportType, r
+	case *Order:
+		return orderType, r
+	case *Done:
+		return doneType, r
+	default:
+		return 0, nil
+	}
+}
+
+// Decode returns the entry of a payload. With ErrType the writer and the sequence number are valid: the
+// record still renews its writer's lease.
+func Decode(payload []byte) (Entry, error) {
+	if len(payload) > maxEntryBytes {
+		return Entry{}, fmt.Errorf("%w: %d bytes", ErrMalformed, len(payload))
+	}
+	version, b, err := msgp.ReadUint64Bytes(payload)
+	if err != nil {
+		return Entry{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if version != envelopeVersion {
+		return Entry{}, fmt.Errorf("%w %d", ErrVersion, version)
+	}
+	return readEntry(b)
+}
+
+// readEntry reads an entry without its envelope version.
+func readEntry(b []byte) (Entry, error) {
+	var e Entry
+	b, err := e.Writer.UnmarshalMsg(b)
+	if err != nil {
+		return Entry{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if e.Sequence, b, err = msgp.ReadUint64Bytes(b); err != nil {
+		return Entry{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	number, b, err := msgp.ReadUint64Bytes(b)
+	if err != nil || e.Sequence == 0 {
+		return Entry{}, fmt.Errorf("%w: sequence %d: %w", ErrMalformed, e.Sequence, err)
+	}
+	record := newRecord(number)
+	if record == nil {
+		return e, fmt.Errorf("%w: %d", ErrType, number)
+	}
+	rest, err := record.(codec).UnmarshalMsg(b)
+	if err != nil {
+		return Entry{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if len(rest) > 0 {
+		return Entry{}, fmt.Errorf("%w: %d bytes after the record", ErrMalformed, len(rest))
+	}
+	e.Record = record
+	return e, nil
+}
+
+// newRecord returns an empty record of a type number; nil if the number isn't known.
+func newRecord(number uint64) Record {
+	switch number {
+	case claimType:
+		return new(Claim)
+	case renewType:
+		return new(Renew)
+	case yieldType:
+		return new(Yield)
+	case fenceType:
+		return new(Fence)
+	case reportType:
+		return new(Report)
+	case orderType:
+		return new(Order)
+	case doneType:
+		return new(Done)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/fleet/order/fold_test.go
@@ -0,0 +1,143 @@
+package order
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// history is a log that is folded entry by entry.
+type history struct {
+	t     *testing.T
+	state State
+}
+
+func incarnation(instance string) ledger.Incarnation { return ledger.Incarnation{Instance: instance} }
+
+// payload folds a payload.
+func (h *history) payload(b []byte) Result {
+	h.t.Helper()
+	result, ok := h.state.Apply(platform.Entry{Offset: h.state.Next(), Payload: b})
+	if !ok {
+		h.t.Fatal("the entry was not applied")
+	}
+	return result
+}
+
+// expect folds a record and compares its refusal.
+func (h *history) expect(want Refusal, writer string, sequence uint64, r Record) platform.Offset {
+	h.t.Helper()
+	b, err := Encode(Entry{Writer: incarnation(writer), Sequence: sequence, Record: r})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	result := h.payload(b)
+	if diff := cmp.Diff(want, result.Refused); diff != "" {
+		h.t.Fatalf("refusal of %T differs (-want +got):\n%s", r, diff)
+	}
+	return result.Offset
+}
+
+func TestOneOrdererAtATime(t *testing.T) {
+	h := &history{t: t}
+	claim := h.expect("", "a", 1, &Claim{Endpoint: "x"})
+	h.expect(Held, "b", 1, &Claim{Endpoint: "x"})
+	h.expect(NotHolder, "b", 2, &Order{Endpoint: "x", Claim: claim})
+	first := h.expect("", "a", 2, &Order{Endpoint: "x", Claim: claim})
+	h.expect(Copied, "a", 2, &Order{Endpoint: "x", Claim: claim})
+	h.expect(Unfinished, "a", 3, &Order{Endpoint: "x", Claim: claim})
+	h.expect(Unfinished, "a", 4, &Report{Endpoint: "x", Claim: claim})
+	last := h.expect(Unfinished, "a", 5, &Yield{Endpoint: "x", Claim: claim})
+	h.expect(Heard, "b", 3, &Fence{Target: incarnation("a"), LastSeen: first})
+	h.expect("", "b", 4, &Fence{Target: incarnation("a"), LastSeen: last})
+	h.expect(NotHolder, "a", 6, &Done{Endpoint: "x", Claim: claim, Order: first})
+	next := h.expect("", "b", 5, &Claim{Endpoint: "x"})
+	h.expect(NotHolder, "a", 7, &Order{Endpoint: "x", Claim: claim})
+	h.expect(NotHolder, "b", 6, &Order{Endpoint: "x", Claim: claim})
+	second := h.expect("", "b", 7, &Order{Endpoint: "x", Claim: next})
+	h.expect(NoOrder, "b", 8, &Done{Endpoint: "x", Claim: next, Order: first})
+	h.expect("", "b", 9, &Done{Endpoint: "x", Claim: next, Order: second})
+	h.expect("", "b", 10, &Yield{Endpoint: "x", Claim: next})
+}
+
+func TestLastEndpointOfARetiredModel(t *testing.T) {
+	h := &history{t: t}
+	claim := h.expect("", "a", 1, &Claim{Endpoint: "x"})
+	loaded := []Artifact{{Model: "brush", Version: "1"}}
+	h.expect("", "a", 2, &Report{Endpoint: "x", Claim: claim, Loaded: loaded})
+	h.expect(LastLoaded, "a", 3, &Order{Endpoint: "x", Claim: claim, Loaded: loaded})
+	h.expect("", "a", 4, &Order{Endpoint: "x", Claim: claim, Loaded: loaded, Retired: []string{"brush"}})
+}
+
+func TestUnknownRecordsAreSkipped(t *testing.T) {
+	h := &history{t: t}
+	claim := h.expect("", "a", 1, &Claim{Endpoint: "x"})
+	b := msgp.AppendUint8(nil, envelopeVersion)
+	b, err := (&ledger.Incarnation{Instance: "a"}).MarshalMsg(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b = msgp.AppendUint64(b, 2)
+	b = msgp.AppendUint64(b, 99)
+	unknown := h.payload(msgp.AppendBool(b, true))
+	version := h.payload(msgp.AppendUint8(nil, envelopeVersion+1))
+	if diff := cmp.Diff([]Refusal{Unreadable, Unreadable}, []Refusal{unknown.Refused, version.Refused}); diff != "" {
+		t.Fatal(diff)
+	}
+	h.expect(Heard, "b", 1, &Fence{Target: incarnation("a"), LastSeen: claim})
+	h.expect("", "b", 2, &Fence{Target: incarnation("a"), LastSeen: unknown.Offset})
+}
+
+func TestEncodedRecordsAreReadBack(t *testing.T) {
+	artifacts := []Artifact{{Model: "brush", Adapter: "cats", Version: "2"}}
+	for _, record := range []Record{
+		&Claim{Endpoint: "x"}, &Renew{}, &Yield{Endpoint: "x", Claim: 3},
+		&Fence{Target: incarnation("b"), LastSeen: 7},
+		&Report{Endpoint: "x", Claim: 3, Loaded: artifacts, Role: "Decode"},
+		&Order{Endpoint: "x", Claim: 3, Loaded: artifacts, Wanted: artifacts, Role: "r", Retired: []string{"m"}, LoadLimit: 2},
+		&Done{Endpoint: "x", Claim: 3, Order: 5, Outcome: Failed, Loaded: artifacts, Role: "r"},
+	} {
+		want := Entry{Writer: ledger.Incarnation{Instance: "a", Number: 4}, Sequence: 9, Record: record}
+		b, err := Encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(b)
+		if diff := cmp.Diff(want, got); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+		if _, err := Decode(append(b, 0)); !errors.Is(err, ErrMalformed) {
+			t.Fatalf("a byte too many: %v", err)
+		}
+		if _, err := Decode(b[:len(b)-1]); err == nil {
+			t.Fatalf("a byte too few in %T", record)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, err := Encode(Entry{Writer: incarnation("a"), Sequence: 1, Record: &Claim{Endpoint: "x"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		entry, err := Decode(payload)
+		if err != nil {
+			return
+		}
+		encoded, err := Encode(entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Decode(encoded)
+		if diff := cmp.Diff(entry, again); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+	})
+}
--- a/fleet/platform/platform.go
+++ b/fleet/platform/platform.go
@@ -14,6 +14,8 @@
 	ConfigurationStream = "configuration"
 	// ConfigurationSnapshotStream carries snapshots of the folded configuration.
 	ConfigurationSnapshotStream = "configuration-snapshots"
+	// OrdersStream carries the claims of endpoints and the orders to them.
+	OrdersStream = "orders"
 )
 
 // LedgerStream returns the name of the stream of a ledger partition.
