--- a/fleet/order/fold_test.go
+++ b/fleet/order/fold_test.go
@@ -141,3 +141,35 @@
 		}
 	})
 }
+
+func TestSupersededOrdersStillCount(t *testing.T) {
+	h := &history{t: t}
+	both := []Artifact{{Model: "brush", Version: "1"}, {Model: "palette", Version: "1"}}
+	claim := h.expect("", "a", 1, &Claim{Endpoint: "x"})
+	other := h.expect("", "b", 1, &Claim{Endpoint: "y"})
+	h.expect("", "a", 2, &Report{Endpoint: "x", Claim: claim, Loaded: both})
+	h.expect("", "b", 2, &Report{Endpoint: "y", Claim: other, Loaded: both})
+	first := &Order{Endpoint: "x", Claim: claim, Loaded: both, Wanted: append(both[:1:1], Artifact{Model: "easel"}), LoadLimit: 1}
+	last := h.expect("", "a", 3, first)
+	h.expect("", "b", 3, &Fence{Target: incarnation("a"), LastSeen: last})
+	next := h.expect("", "b", 4, &Claim{Endpoint: "x"})
+	second := h.expect("", "b", 5, &Order{Endpoint: "x", Claim: next, Loaded: both, Wanted: both, LoadLimit: 1})
+	// The first order may still take palette from x, and may still load.
+	h.expect(LastLoaded, "b", 6, &Order{Endpoint: "y", Claim: other, Loaded: both, Wanted: both[:1]})
+	loading := &Order{Endpoint: "y", Claim: other, Loaded: both, Wanted: append(both[:2:2], Artifact{Model: "easel"}), LoadLimit: 1}
+	h.expect(LoadLimit, "b", 7, loading)
+	h.expect("", "b", 8, &Done{Endpoint: "x", Claim: next, Order: second, Loaded: both})
+	h.expect("", "b", 9, loading)
+}
+
+func TestCopyOfTheNewestOrderMayDropModels(t *testing.T) {
+	h := &history{t: t}
+	both := []Artifact{{Model: "brush", Version: "1"}, {Model: "palette", Version: "1"}}
+	claim := h.expect("", "a", 1, &Claim{Endpoint: "x"})
+	other := h.expect("", "a", 2, &Claim{Endpoint: "y"})
+	h.expect("", "a", 3, &Report{Endpoint: "y", Claim: other, Loaded: both})
+	number := h.expect("", "a", 4, &Order{Endpoint: "x", Claim: claim, Loaded: both, Wanted: both[:1]})
+	h.expect("", "a", 5, &Done{Endpoint: "x", Claim: claim, Order: number, Outcome: Failed, Loaded: both})
+	h.expect(LastLoaded, "a", 6, &Order{Endpoint: "y", Claim: other, Loaded: both, Wanted: both[:1]})
+	h.expect("", "a", 7, &Order{Endpoint: "y", Claim: other, Loaded: both, Wanted: both[1:]})
+}
