--- a/fleet/ledgerstream/schedule_test.go
+++ b/fleet/ledgerstream/schedule_test.go
@@ -34,7 +34,7 @@
 	return step{
 		Kind: rapid.SampledFrom([]string{
 			"request", "request", "request", "request", "request", "request", "cut", "silence", "heal",
-			"outage", "lose", "crash", "drain", "topup",
+			"outage", "lose", "crash", "drain", "topup", "part",
 		}).Draw(t, "kind"),
 		Router:  rapid.IntRange(0, 5).Draw(t, "router"),
 		Request: rapid.Uint64Range(1, 30).Draw(t, "request"),
@@ -58,6 +58,9 @@
 // trial runs a schedule and gathers what it sees.
 type trial struct {
 	*cluster
+	// relay joins the routers if reserve shares are spent.
+	relay     *fakeRelay
+	losses    int
 	mu        sync.Mutex
 	requests  map[uint64]*history
 	callers   sync.WaitGroup
@@ -144,11 +147,21 @@
 		r.log.set(func() { r.log.down = true })
 	case "heal":
 		r.heal()
+	case "part":
+		if r.relay != nil {
+			r.relay.setCut(m.settings.Instance, true)
+		}
 	case "crash":
+		if !r.mayLose() {
+			return
+		}
 		m.crashed.Store(true)
 		m.stop()
 		r.replace(at)
 	case "drain":
+		if !r.mayLose() {
+			return
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 		_ = m.Drain(ctx)
 		cancel()
@@ -157,20 +170,70 @@
 	case "topup":
 		r.ticket++
 		r.prepaid += 500
-		m.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: r.ticket, Total: r.prepaid}})
+		m.DeclarePrepaid([]ledger.Prepaid{r.total()})
 	}
 	time.Sleep(s.Sleep)
 }
 
+// mayLose says whether one more router may end. With the relay only one does: to lose a router and the one that
+// holds its copies is the stated limit of spending without the log.
+func (r *trial) mayLose() bool {
+	r.losses++
+	return r.relay == nil || r.losses == 1
+}
+
+// startRelayed starts a router that spends reserve shares without the log.
+func (r *trial) startRelayed(at int) *node {
+	name := fmt.Sprintf("router-%d", at)
+	m := r.start(Settings{
+		Instance:         name,
+		Region:           fmt.Sprintf("region-%d", at/2),
+		AvailabilityZone: fmt.Sprintf("zone-%d", at),
+		PeerAddress:      "127.0.0.1:1",
+		Relay:            &fakeRelayEnd{relay: r.relay, from: name},
+		ReserveTerm:      scheduleReserveTerm,
+		PollInterval:     schedulePoll,
+	})
+	r.relay.mu.Lock()
+	defer r.relay.mu.Unlock()
+	r.relay.clients[name] = m.Client
+	return m
+}
+
+// scheduleReserveTerm ends the reserve shares of a router that is cut off within a schedule.
+const scheduleReserveTerm = 3 * time.Minute
+
 // replace starts a new process on a member's instance.
 func (r *trial) replace(at int) {
-	m := r.start(Settings{Instance: r.members[at].settings.Instance, PollInterval: schedulePoll})
+	var m *node
+	if r.relay != nil {
+		m = r.startRelayed(at)
+	} else {
+		m = r.start(Settings{Instance: r.members[at].settings.Instance, PollInterval: schedulePoll})
+	}
 	r.members = r.members[:len(r.members)-1]
 	r.members[at] = m
-	m.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: r.ticket, Total: r.prepaid}})
+	m.DeclarePrepaid([]ledger.Prepaid{r.total()})
+}
+
+// total is the newest prepaid total.
+func (r *trial) total() ledger.Prepaid {
+	p := ledger.Prepaid{Budget: testBudget, Ticket: r.ticket, Total: r.prepaid}
+	if r.relay != nil {
+		p.Reserve.Share = scheduleReserve
+	}
+	return p
 }
 
+// scheduleReserve is the reserve share of each router.
+const scheduleReserve = 400
+
 func (r *trial) heal() {
+	if r.relay != nil {
+		r.relay.mu.Lock()
+		clear(r.relay.cut)
+		r.relay.mu.Unlock()
+	}
 	r.log.set(func() {
 		r.log.down = false
 		for _, m := range r.members {
@@ -243,6 +306,9 @@
 	r.heal()
 	r.callers.Wait()
 	time.Sleep(time.Minute)
+	if r.relay != nil {
+		time.Sleep(2 * scheduleReserveTerm)
+	}
 	r.checkEnd()
 }
 
@@ -263,3 +329,31 @@
 		}
 	})
 }
+
+// TestSchedulesWithRelay runs schedules in which routers spend reserve shares while the log is away.
+func TestSchedulesWithRelay(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		routers := rapid.IntRange(3, 6).Draw(rt, "routers")
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 10, 60).Draw(rt, "steps")
+		violation := error(nil)
+		synctest.Test(t, func(t *testing.T) {
+			r := &trial{requests: map[uint64]*history{}, ticket: 1, prepaid: 20_000}
+			r.relay = &fakeRelay{clients: map[string]*Client{}, cut: map[string]bool{}}
+			r.cluster = &cluster{tb: t, log: newFakeLog(testSeed)}
+			defer r.stop()
+			for i := range routers {
+				r.startRelayed(i)
+			}
+			time.Sleep(time.Second)
+			for _, m := range r.members {
+				m.DeclarePrepaid([]ledger.Prepaid{r.total()})
+			}
+			time.Sleep(10 * time.Second)
+			r.run(steps)
+			violation = r.violation
+		})
+		if violation != nil {
+			rt.Fatal(violation)
+		}
+	})
+}
