--- a/fleet/order/next_test.go
+++ b/fleet/order/next_test.go
@@ -51,6 +51,12 @@
 	return append(claimed(), &Yield{Endpoint: "x"}, &Claim{Endpoint: "x"}, &Report{Endpoint: "x", Claim: 2})
 }
 
+// failed is an order without models that left the endpoint with one.
+func failed() []Record {
+	brush := []Artifact{{Model: "brush", Version: "1"}}
+	return append(reported(), &Order{Endpoint: "x"}, &Done{Endpoint: "x", Order: orderOffset, Outcome: Failed, Loaded: brush})
+}
+
 const orderOffset = platform.Offset(2)
 
 func TestNext(t *testing.T) {
@@ -91,6 +97,7 @@
 		{"a change is ordered", reported(), none, "*order.Order"},
 		{"a busy endpoint is not ordered", reported(), busy, string(Busy)},
 		{"a reading before the claim", reported(), early, "*order.Read"},
+		{"a copy of a former order may come", failed(), func(in *Input) { in.Reading.Loaded = in.Target.Wanted }, "*order.Order"},
 		{"nothing to do", reported(), reached, string(Reached)},
 		{"a claim goes to the preferred router", reported(), with(reached, other), "*order.Yield"},
 		{"no ticket, no order", reported(), undeclared, "*order.Yield"},
