--- a/fleet/ledger/property_test.go
+++ b/fleet/ledger/property_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"reflect"
 	"slices"
 	"testing"
 
@@ -33,6 +34,7 @@
 	o.equal(len(o.members), len(s.Incarnations()))
 	for _, view := range s.Incarnations() {
 		m := o.members[view.Incarnation]
+		o.equal(Join{Region: "luzon-a", Nonce: view.Incarnation.Number}, view.Join)
 		o.equal(m.suspended, view.Suspended)
 		o.equal(m.lastSeen, view.LastSeen)
 		applied, decisions := m.prefix()
@@ -75,7 +77,11 @@
 	}
 }
 
+// equal fails the check unless two values are equal. Most are scalars, for which go-cmp is slow.
 func (o *oracle) equal(want, got any) {
+	if reflect.TypeOf(want).Comparable() && want == got {
+		return
+	}
 	o.t.Helper()
 	if diff := cmp.Diff(want, got); diff != "" {
 		o.t.Fatalf("the state differs from its events (-want +got):\n%s", diff)
@@ -100,17 +106,27 @@
 				o.forget(offset)
 				continue
 			}
-			g := sim.next(state)
-			payload, err := Encode(g)
-			if err != nil {
-				t.Fatal(err)
+			state.advance(offset)
+			entry := platform.Entry{Offset: offset}
+			var events []Event
+			for range sim.number(1, 3, "groups") {
+				g := sim.next(state)
+				payload, err := Encode(g)
+				if err != nil {
+					t.Fatal(err)
+				}
+				entry.Payload = append(entry.Payload, payload...)
+				state.fold(offset, &g)
+				outcomes := state.takeEvents()
+				o.follow(offset, g, outcomes, state)
+				events = append(events, outcomes...)
+			}
+			if sim.oneIn(20, "tail") {
+				entry.Payload = append(entry.Payload, sim.groupOfUnknownVersion()...)
 			}
-			entry := platform.Entry{Offset: offset, Payload: payload}
-			events := state.Apply(entry)
-			o.follow(offset, g, events, state)
-			o.equal(events, twice.Apply(entry))
+			o.equal(events, slices.Concat(twice.Apply(entry)))
 			o.equal(0, len(twice.Apply(entry)))
-			o.equal(events, restored.Apply(entry))
+			o.equal(events, slices.Concat(restored.Apply(entry)))
 			if sim.oneIn(8, "restore") {
 				restored = restore(t, sim, restored)
 			}
@@ -133,12 +149,12 @@
 }
 
 // snapshotOf returns the data of a state's snapshot.
-func snapshotOf(t *rapid.T, s *State) []byte {
+func snapshotOf(t *rapid.T, s *State) string {
 	data, err := s.encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return data
+	return string(data)
 }
 
 // restore sends a state through a snapshot stream with doubled, shuffled, corrupt and interleaved chunks.
--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -72,6 +72,9 @@
 	Version string
 	// PeerAddress is where other routers reach this one, IP:port; empty if it takes no copies.
 	PeerAddress string
+	// Nonce is a random number by which a process tells its own join from that of another process that
+	// took the same incarnation number.
+	Nonce uint64
 }
 
 // Heartbeat renews the lease of an idle incarnation.
--- a/fleet/ledgerstream/membership.go
+++ b/fleet/ledgerstream/membership.go
@@ -75,21 +75,26 @@
 	}
 	incarnation := ledger.Incarnation{Instance: c.settings.Instance, Number: number}
 	c.current = newOutbox(incarnation, c.settings)
+	c.current.nonce = c.random.Uint64()
 	c.count(joinSent, 1)
 	c.add(&ledger.Join{
 		AvailabilityZone: c.settings.AvailabilityZone,
 		Region:           c.settings.Region,
 		Version:          c.settings.Version,
 		PeerAddress:      c.settings.PeerAddress,
+		Nonce:            c.current.nonce,
 	})
 }
 
-// heartbeat renews the lease of an idle incarnation; any record that waits for the log renews it too.
+// heartbeat renews the lease of an idle incarnation; any record that waits for the log renews it too. A
+// change of the configuration's position is reported by a busy incarnation as well.
 func (c *Client) heartbeat(now time.Time) {
 	o := c.current
-	if o.length() > 0 || now.Before(o.queuedAt.Add(c.settings.HeartbeatInterval)) {
+	idle := o.length() == 0 && !now.Before(o.queuedAt.Add(c.settings.HeartbeatInterval))
+	if !idle && (!o.joined || o.reported == c.configurationNext) {
 		return
 	}
+	o.reported = c.configurationNext
 	c.add(&ledger.Heartbeat{
 		ConfigurationOffset: c.configurationNext,
 		ConfigurationNumber: c.configurationNumber,
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -46,9 +46,13 @@
 // outbox holds one incarnation's records until they were read back, and what is known of its lease.
 type outbox struct {
 	incarnation ledger.Incarnation
-	lease       decision.Lease
+	// nonce tells this process's Join from that of another one with the same number.
+	nonce uint64
+	lease decision.Lease
 	// reserveLease is the right to spend the reserve shares.
 	reserveLease decision.Lease
+	// reported is the position in the configuration that the newest heartbeat names.
+	reported platform.Offset
 	// joined is set once the incarnation's Join was read back as accepted.
 	joined bool
 	// ended incarnations left, lost their lease or were refused: their records change nothing, so
--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -22,16 +22,39 @@
 	}
 	if refusal != nil {
 		c.count(reserveRefusedFor+string(refusal.Reason), 1)
-		return nil, refusal
+		return nil, c.withEarlierAttempts(demand, refusal)
 	}
 	return a, nil
 }
 
+// withEarlierAttempts corrects a refusal for what the ledger shows of the request's earlier attempts, on any
+// router: a caller who is told "not run" may rely on it for the request and not just for this attempt.
+func (c *Client) withEarlierAttempts(demand Demand, refusal *verdict.Refusal) *verdict.Refusal {
+	if refusal.Verdict != verdict.NotRun || refusal.Reason == verdict.IdempotencyKeyReused {
+		return refusal
+	}
+	c.mu.Lock()
+	earlier := c.state.Request(demand.Request)
+	c.mu.Unlock()
+	corrected := *refusal
+	switch {
+	case earlier.Billed:
+		corrected.Verdict = verdict.Ran
+	case earlier.Open:
+		corrected.Verdict = verdict.MayHaveRun
+	}
+	return &corrected
+}
+
 // admit queues the open of a demand or lets it wait for a share.
 func (c *Client) admit(demand Demand) (*attempt, *verdict.Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if demand.Idempotent && c.state.Request(demand.Request).Billed {
+		// A request that was billed is not billed again, so that an exhausted budget can serve its retry.
+		demand.Amount = 0
+	}
 	if refusal := c.refuseNow(now, demand); refusal != nil {
 		return nil, refusal
 	}
@@ -117,7 +140,8 @@
 }
 
 // mayStillBePaid says whether a request waits on for a share: no draw that was refused has spoken for
-// it yet, or the shares of all routers together hold enough that no running request has reserved.
+// it yet, or the budget and the free shares of the live routers together could pay. What a router that
+// lost its lease holds in reserve comes back too late.
 func (c *Client) mayStillBePaid(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,11 +149,13 @@
 		return true
 	}
 	view, _ := c.state.Budget(a.demand.Budget)
-	unreserved := view.Prepaid - view.Spent
+	reachable := view.Available()
 	for _, h := range view.Holders {
-		unreserved -= h.WorkingReserved + h.ReserveReserved
+		if c.state.IsLive(h.Incarnation) {
+			reachable += h.WorkingFree + h.ReserveFree
+		}
 	}
-	return unreserved >= a.demand.Amount
+	return reachable >= a.demand.Amount
 }
 
 // exhausted returns the refusal of a request that waited for a share in vain.
--- /dev/null
+++ b/router/docs_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+	"github.com/dragonflyworks/dragonflyworks/router/caller"
+	"github.com/dragonflyworks/dragonflyworks/router/controller"
+	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+)
+
+// generated matches a table of a page with the name that stands before it.
+var generated = regexp.MustCompile(`(?s)<!-- table: (\w+) -->\n.*?<!-- end -->`)
+
+// TestDocumentation compares the tables of the pages with those of the code. UPDATE=1 rewrites the pages.
+func TestDocumentation(t *testing.T) {
+	tables := map[string]string{
+		"flags": flagTable(t), "exits": exitTable(), "refusals": refusalTable(), "caller": counterTable(caller.Counters()),
+		"controller": counterTable(controller.Counters()), "endpoint": counterTable(endpoint.Counters()),
+		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
+	}
+	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
+		text := readAll(t, page)
+		got := generated.ReplaceAllStringFunc(text, func(block string) string {
+			name := generated.FindStringSubmatch(block)[1]
+			table := tables[name]
+			delete(tables, name)
+			return fmt.Sprintf("<!-- table: %s -->\n\n%s\n<!-- end -->", name, table)
+		})
+		if os.Getenv("UPDATE") != "" {
+			assertEqual(t, nil, os.WriteFile(page, []byte(got), 0o600))
+		}
+		if diff := cmp.Diff(text, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", page, diff)
+		}
+	}
+	assertEqual(t, map[string]string{}, tables)
+}
+
+func flagTable(t *testing.T) string {
+	t.Helper()
+	allowed := map[string]string{"help": "true or false", "version": "true or false"}
+	for _, c := range (&Settings{}).checks() {
+		allowed[c.flag] = c.allowed
+	}
+	parser, err := kong.New(&Settings{})
+	assertEqual(t, nil, err)
+	table := "| Flag | Variable | Default | Allowed | Meaning |\n|---|---|---|---|---|\n"
+	for _, f := range parser.Model.Flags {
+		assertEqual(t, true, allowed[f.Name] != "")
+		initial := map[bool]string{true: "none, needed", false: code(f.Default)}[f.Required]
+		table += fmt.Sprintf("| `--%s` | %s | %s | %s | %s |\n", f.Name, code(strings.Join(f.Envs, " ")), initial, allowed[f.Name], f.Help)
+	}
+	return table
+}
+
+func code(text string) string {
+	if text == "" {
+		return ""
+	}
+	return "`" + text + "`"
+}
+
+func exitTable() string {
+	table := "| Code | Name | Meaning |\n|---|---|---|\n"
+	for _, d := range exitCodes() {
+		table += fmt.Sprintf("| %d | %s | %s |\n", d.Code, d.Name, d.Meaning)
+	}
+	return table
+}
+
+func refusalTable() string {
+	table := "| Counter | Status | Retry-After | Meaning |\n|---|---|---|---|\n"
+	for _, d := range verdict.Reasons() {
+		wait := strings.Replace(d.RetryAfter.String(), "0s", "none", 1)
+		table += fmt.Sprintf("| `%s%s` | %d | %s | %s |\n", blackboard.RefusalPrefix, d.Reason, d.Status, wait, d.Meaning)
+	}
+	return table
+}
+
+func counterTable[D ~struct{ Name, Meaning string }](counters []D) string {
+	table := "| Counter | Meaning |\n|---|---|\n"
+	for _, d := range counters {
+		c := struct{ Name, Meaning string }(d)
+		table += fmt.Sprintf("| `%s` | %s%s. |\n", c.Name, strings.ToUpper(c.Meaning[:1]), strings.TrimSuffix(c.Meaning[1:], "."))
+	}
+	return table
+}
+
+// TestCountersAreNamed finds counters that are counted by a literal and so stand in no table.
+func TestCountersAreNamed(t *testing.T) {
+	literal := regexp.MustCompile(`(?i)(count|gauge|RegisterCounter|RegisterGauge)\("[^"]*"`)
+	text := readAll(t, "*.go", "*/*.go", "../fleet/*/*.go", "../fleet/*/*/*.go")
+	assertEqual(t, nil, literal.FindAllString(text, -1))
+}
+
+// TestPagesNameTests checks that each test and counter that the page on failures names exists.
+func TestPagesNameTests(t *testing.T) {
+	page := readAll(t, "../docs/failures.md")
+	tests := readAll(t, "../*/*_test.go", "../*/*/*_test.go", "../*/*/*/*_test.go")
+	for _, name := range regexp.MustCompile("`Test\\w+").FindAllString(page, -1) {
+		if !strings.Contains(tests, "func "+name[1:]+"(") {
+			t.Errorf("there is no test %s", name[1:])
+		}
+	}
+	metrics := readAll(t, "../docs/metrics.md")
+	for _, name := range regexp.MustCompile("`[a-z]+\\.[a-z._]+`").FindAllString(page, -1) {
+		if !strings.Contains(metrics, name) {
+			t.Errorf("there is no counter %s", name)
+		}
+	}
+}
+
+// readAll returns the files that match some patterns as one text; tests only if a pattern is about them.
+func readAll(t *testing.T, patterns ...string) string {
+	t.Helper()
+	var all strings.Builder
+	for _, pattern := range patterns {
+		paths, err := filepath.Glob(pattern)
+		assertEqual(t, nil, err)
+		for _, path := range paths {
+			if strings.HasSuffix(path, "_test.go") && !strings.HasSuffix(pattern, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(path)
+			assertEqual(t, nil, err)
+			all.Write(text)
+		}
+	}
+	return all.String()
+}
--- a/router/settings.go
+++ b/router/settings.go
@@ -29,7 +29,7 @@
 	Lease                 time.Duration `help:"Time without a record in the log after which a router may spend nothing more from its working shares." env:"DRAGONFLY_LEASE" default:"10s"`
 	LeaseMargin           time.Duration `help:"Time that others add to the lease before they fence a silent router." env:"DRAGONFLY_LEASE_MARGIN" default:"2s"`
 	FleetAppendsPerSecond float64       `help:"Appends a second that the whole fleet may make; each router takes an equal part." env:"DRAGONFLY_FLEET_APPENDS_PER_SECOND" default:"240"`
-	SnapshotInterval      time.Duration `help:"Mean time between two snapshots of this router." env:"DRAGONFLY_SNAPSHOT_INTERVAL" default:"10m"`
+	SnapshotInterval      time.Duration `help:"Mean time between two snapshots: of the ledger by the whole fleet, of the configuration by each router." env:"DRAGONFLY_SNAPSHOT_INTERVAL" default:"10m"`
 
 	HeaderBytes int           `help:"Longest headers of a request, in bytes." env:"DRAGONFLY_HEADER_BYTES" default:"16384"`
 	BodyTimeout time.Duration `help:"Time in which a request's body has to arrive." env:"DRAGONFLY_BODY_TIMEOUT" default:"10s"`
@@ -72,7 +72,8 @@
 
 // Bounds of the settings, which keep a mistyped unit from passing as a value.
 const (
-	leaseMinimum            = 500 * time.Millisecond
+	leaseMinimum            = time.Second
+	leaseMarginMinimum      = 500 * time.Millisecond
 	leaseMaximum            = 5 * time.Minute
 	appendsMaximum          = 100_000
 	snapshotIntervalMinimum = time.Second
@@ -95,8 +96,10 @@
 		{"availability-zone", s.AvailabilityZone, validName(s.AvailabilityZone), name},
 		{"peer-listen", s.PeerListen, s.PeerListen == "" || validAddress(s.PeerListen), "an IP address with a port, or nothing"},
 		{"tls-certificate", s.TLSCertificate, s.PeerListen == "" || s.certificateNames(s.Instance), "a PEM file, with --tls-key and --tls-authority, whose certificate names --instance; needed with --peer-listen"},
-		{"lease", s.Lease, within(s.Lease, leaseMinimum, leaseMaximum), "500ms to 5m"},
-		{"lease-margin", s.LeaseMargin, within(s.LeaseMargin, leaseMinimum, s.Lease), "500ms to the lease"},
+		{"tls-key", s.TLSKey, true, "a PEM file; needed with --peer-listen"},
+		{"tls-authority", s.TLSAuthority, true, "a PEM file; needed with --peer-listen"},
+		{"lease", s.Lease, within(s.Lease, leaseMinimum, leaseMaximum), "1s to 5m"},
+		{"lease-margin", s.LeaseMargin, within(s.LeaseMargin, leaseMarginMinimum, s.Lease/2), "500ms to half of the lease"},
 		{"fleet-appends-per-second", s.FleetAppendsPerSecond, s.FleetAppendsPerSecond >= 1 && s.FleetAppendsPerSecond <= appendsMaximum, "1 to 100000"},
 		{"snapshot-interval", s.SnapshotInterval, within(s.SnapshotInterval, snapshotIntervalMinimum, snapshotIntervalMaximum), "1s to 24h"},
 		{"header-bytes", s.HeaderBytes, s.HeaderBytes >= headerBytesMinimum && s.HeaderBytes <= headerBytesMaximum, "1024 to 1048576"},
