--- a/fleet/order/simulation_test.go
+++ b/fleet/order/simulation_test.go
@@ -109,6 +109,9 @@
 	if s.oneIn(2, "pause") {
 		pause = s.upTo(longestPause, "pause length")
 		f.dying = s.oneIn(2, "crash after a send")
+		if f.dying {
+			pause = longestPause - s.upTo(2*time.Second, "rest of the pause")
+		}
 		if t.ChecksFencing {
 			pause *= 8
 		}
