--- a/fleet/ledgerstream/accounts.go
+++ b/fleet/ledgerstream/accounts.go
@@ -13,6 +13,8 @@
 	Budget      string
 	Request     ledger.RequestIdentifier
 	Fingerprint ledger.Fingerprint
+	// Unique says that this router made the request's identifier, so that no other request can have it.
+	Unique bool
 	// Amount is the highest possible cost of the request.
 	Amount ledger.Tokens
 	// Idempotent requests may be sent once their reservation is in the log; others only after it was
--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -249,6 +249,24 @@
 	})
 }
 
+func TestUniqueRequestsGoAtTheAcknowledgement(t *testing.T) {
+	inBubble(t, 1, 1000, func(c *cluster) {
+		m := c.members[0]
+		mustReserve(t, m, demand(1, 100, true)).Bill(1)
+		time.Sleep(time.Second)
+		c.log.set(func() { m.link.blind = true })
+		wait := func(request uint64, unique bool) bool {
+			d := demand(request, 40, true)
+			d.Unique = unique
+			begun := time.Now()
+			mustReserve(t, m, d).Bill(1)
+			return time.Since(begun) >= DefaultReadBackWait
+		}
+		assertEqual(t, "a caller's own identifier is read back", true, wait(2, false))
+		assertEqual(t, "an identifier of this router is read back", false, wait(3, true))
+	})
+}
+
 func TestEarlierAttempts(t *testing.T) {
 	inBubble(t, 2, 1000, func(c *cluster) {
 		first, second := c.members[0], c.members[1]
--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -198,6 +198,11 @@
 		case <-a.decidedSignal:
 			return a.refusal
 		case <-acknowledged:
+			if a.demand.Unique {
+				return nil
+			}
+			// Another router may have seen the identifier with other contents: the ledger would refuse this
+			// open, and what it ran would not be billed.
 			acknowledged = nil
 			readBack = time.After(s.ReadBackWait)
 		case <-readBack:
--- a/router/caller/order.go
+++ b/router/caller/order.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	key, err := readKey(r, idempotent)
+	key, made, err := readKey(r, idempotent)
 	if err != nil {
 		return nil, err
 	}
@@ -55,6 +55,7 @@
 		Request:     ledger.NewRequestIdentifier(c.team.Name, key),
 		Fingerprint: ledger.NewFingerprint([]byte(r.Method), []byte(r.URL.RequestURI()), body),
 		Idempotent:  idempotent,
+		Unique:      made,
 	}
 	o.call = &endpoint.Call{
 		Route:       route,
@@ -80,18 +81,19 @@
 	}
 }
 
-func readKey(r *http.Request, idempotent bool) (string, error) {
+// readKey returns the caller's identifier of a request, or makes one for a request that has none.
+func readKey(r *http.Request, idempotent bool) (key string, made bool, err error) {
 	values := r.Header.Values(HeaderIdempotencyKey)
 	if len(values) == 0 && idempotent {
-		return rand.Text(), nil
+		return rand.Text(), true, nil
 	}
 	if len(values) == 0 {
-		return "", verdict.Refuse(verdict.IdempotencyKeyMissing, "")
+		return "", false, verdict.Refuse(verdict.IdempotencyKeyMissing, "")
 	}
 	if len(values) > 1 || !validKey(values[0]) {
-		return "", verdict.Refuse(verdict.IdempotencyKeyInvalid, "send one value of 1 to 255 printable ASCII characters")
+		return "", false, verdict.Refuse(verdict.IdempotencyKeyInvalid, "send one value of 1 to 255 printable ASCII characters")
 	}
-	return values[0], nil
+	return values[0], false, nil
 }
 
 func validKey(key string) bool {
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -44,25 +44,44 @@
 	s.endpoint = httptest.NewServer(s)
 	t.Cleanup(s.endpoint.Close)
 	s.submit(t)
-	settings := &Settings{
-		Listen: freeAddress(t), AdminListen: freeAddress(t), Platform: "http://127.0.0.1:1",
+	settings := siteSettings(t)
+	settings.DrainDelay = drainDelay
+	s.start(t, settings)
+	return s
+}
+
+// siteSettings returns the settings of a router on free ports.
+func siteSettings(tb testing.TB) *Settings {
+	tb.Helper()
+	return &Settings{
+		Listen: freeAddress(tb), AdminListen: freeAddress(tb), Platform: "http://127.0.0.1:1",
 		Instance: "r1", Region: "a", AvailabilityZone: "a-1",
-		FleetAppendsPerSecond: 1000, DrainDelay: drainDelay, DrainMaximum: time.Minute, LogLevel: "error",
+		FleetAppendsPerSecond: 1000, DrainMaximum: time.Minute, LogLevel: "error",
 	}
+}
+
+// start runs a router on the site's log until it is ready.
+func (s *site) start(tb testing.TB, settings *Settings) {
+	tb.Helper()
 	container, err := build(settings, io.Discard)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	err = container.Decorate(func(platform.Log) platform.Log { return s.stream })
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	go func() {
 		s.ended <- container.Invoke(func(p program) error { return p.run(context.Background(), s.signals) })
 	}()
 	s.callers = "http://" + settings.Listen
-	eventually(t, func() bool { return s.status("http://"+settings.AdminListen+"/readyz") == http.StatusOK })
-	return s
+	eventually(tb, func() bool { return s.status("http://"+settings.AdminListen+"/readyz") == http.StatusOK })
+}
+
+// stop ends the router gracefully and returns what it ended with.
+func (s *site) stop() error {
+	s.signals <- syscall.SIGTERM
+	return <-s.ended
 }
 
 // ServeHTTP lets the test hold a request back.
@@ -153,16 +172,16 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
 	server := httptest.NewServer(nil)
 	defer server.Close()
 	return server.Listener.Addr().String()
 }
 
 // eventually waits until a condition holds. It has no time limit of its own: the test's is the only one.
-func eventually(t *testing.T, holds func() bool) {
-	t.Helper()
+func eventually(tb testing.TB, holds func() bool) {
+	tb.Helper()
 	for !holds() {
 		time.Sleep(10 * time.Millisecond)
 	}
--- /dev/null
+++ b/router/latency_test.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+)
+
+// benchmarkLogDelay is the time of each call of the log.
+const benchmarkLogDelay = 2 * time.Millisecond
+
+const benchmarkBody = `{"model":"brush","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"a grey cat"}]}`
+
+// BenchmarkAddedByRouter sends streams to an engine directly and through a whole router in the same run, half of
+// the callers each way, and reports what the router adds: the log's append and what lies beyond it.
+func BenchmarkAddedByRouter(b *testing.B) {
+	engine := httptest.NewServer(http.HandlerFunc(serveTokens))
+	b.Cleanup(engine.Close)
+	router := startBenchmarkRouter(b, engine.Listener.Addr().String())
+	for _, streams := range []int{1, 64, 512} {
+		b.Run(fmt.Sprint(streams), func(b *testing.B) {
+			direct := &callerCrowd{address: engine.URL, streams: streams, calls: max(b.N, streams)}
+			routed := &callerCrowd{address: router, streams: streams, calls: max(b.N, streams)}
+			begun := time.Now()
+			var crowds sync.WaitGroup
+			crowds.Go(direct.run)
+			crowds.Go(routed.run)
+			crowds.Wait()
+			for _, percent := range []int{50, 99} {
+				b.ReportMetric(float64(direct.percentile(percent).Microseconds()), fmt.Sprintf("direct-p%d-µs", percent))
+				b.ReportMetric(float64((routed.percentile(percent) - direct.percentile(percent)).Microseconds()), fmt.Sprintf("added-p%d-µs", percent))
+			}
+			b.ReportMetric(float64(routed.calls)/time.Since(begun).Seconds(), "requests/s")
+			b.ReportMetric(float64(routed.failed), "failed")
+		})
+	}
+}
+
+// serveTokens answers with a stream of sixteen tokens, one each millisecond.
+func serveTokens(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for range 16 {
+		_, _ = io.WriteString(w, `data: {"choices":[{"index":0,"delta":{"content":"word "}}]}`+"\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = io.WriteString(w, `data: {"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":16}}`+"\n\ndata: [DONE]\n\n")
+}
+
+// startBenchmarkRouter returns the callers' address of a router over a log in memory.
+func startBenchmarkRouter(b *testing.B, engine string) string {
+	b.Helper()
+	stream := &memory.Log{}
+	ticket := fmt.Sprintf(`
+Number: 1
+Teams: [{Name: studio, KeyDigests: [%s]}]
+Budgets: [{Name: main, Team: studio, Prepaid: 1000000000000}]
+Routes: [{Name: brush, Service: llm, Model: brush}]
+InstanceSets: [{Name: all, Endpoints: [{Name: e, Service: llm, Kind: Engine, Address: "%s", AvailabilityZone: a-1, Region: a, Concurrency: 2000}]}]
+`, operator.KeyDigest(testKey), engine)
+	if _, err := stream.Append(context.Background(), platform.ConfigurationStream, []byte(ticket)); err != nil {
+		b.Fatal(err)
+	}
+	stream.SetDelay(benchmarkLogDelay)
+	s := &site{stream: stream, signals: make(chan os.Signal, signalBacklog), ended: make(chan error, 1)}
+	settings := siteSettings(b)
+	s.start(b, settings)
+	b.Cleanup(func() {
+		if err := s.stop(); err != nil {
+			b.Error(err)
+		}
+	})
+	address := "http://" + settings.Listen
+	// The budget's total has to be in the ledger before the first request is paid for.
+	first := &callerCrowd{address: address}
+	eventually(b, func() bool { return first.complete(http.DefaultClient) })
+	return address
+}
+
+// callerCrowd is so many callers who send requests one after the other.
+type callerCrowd struct {
+	address string
+	streams int
+	calls   int
+
+	mutex     sync.Mutex
+	latencies []time.Duration
+	failed    int
+}
+
+func (c *callerCrowd) run() {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.streams}}
+	defer client.CloseIdleConnections()
+	left := make(chan struct{}, c.calls)
+	for range c.calls {
+		left <- struct{}{}
+	}
+	close(left)
+	var callers sync.WaitGroup
+	for range c.streams {
+		callers.Go(func() {
+			for range left {
+				c.call(client)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+func (c *callerCrowd) call(client *http.Client) {
+	begun := time.Now()
+	whole := c.complete(client)
+	latency := time.Since(begun)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.latencies = append(c.latencies, latency)
+	if !whole {
+		c.failed++
+	}
+}
+
+// complete sends one request and reports whether its answer was whole.
+func (c *callerCrowd) complete(client *http.Client) bool {
+	r, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, c.address+"/v1/chat/completions", bytes.NewBufferString(benchmarkBody))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && bytes.HasSuffix(body, []byte("data: [DONE]\n\n"))
+}
+
+func (c *callerCrowd) percentile(percent int) time.Duration {
+	slices.Sort(c.latencies)
+	return c.latencies[(len(c.latencies)-1)*percent/100]
+}
