--- a/fleet/endpoint/endpoint_test.go
+++ b/fleet/endpoint/endpoint_test.go
@@ -8,7 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"pgregory.net/rapid"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -25,13 +26,6 @@
 	os.Exit(m.Run())
 }
 
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
-
 // check fails a property whose condition does not hold.
 func check(t *rapid.T, holds bool, format string, values ...any) {
 	t.Helper()
@@ -130,9 +124,9 @@
 			again, _ := Policy{}.chooseByPrefix(candidates, prefix+1)
 			candidates[first].InFlight = 2
 			other, _ := Policy{}.chooseByPrefix(candidates, prefix+1)
-			assertEqual(t, true, first != other)
+			assert.Equal(t, true, first != other)
 			candidates[first].InFlight, candidates[(first+1)%len(candidates)].InFlight = 0, 0
-			assertEqual(t, first, again)
+			assert.Equal(t, first, again)
 		}
 	})
 }
@@ -141,8 +135,8 @@
 	t.Helper()
 	random := rand.New(rand.NewPCG(1, 2))
 	got, ok := Policy{}.Choose(candidates, 0, random)
-	assertEqual(t, true, ok)
-	assertEqual(t, want, got)
+	assert.Equal(t, true, ok)
+	assert.Equal(t, want, got)
 }
 
 func TestHealth(t *testing.T) {
@@ -150,36 +144,36 @@
 	failed := func(kind FailureKind) Observation { return &Failed{Kind: kind, Begun: now} }
 	observe := func(t *testing.T, h *Health, o Observation, want Action) {
 		t.Helper()
-		assertEqual(t, fmt.Sprintf("%T%+v", want, want), fmt.Sprintf("%T%+v", h.Observe(now, o), want))
+		assert.Equal(t, fmt.Sprintf("%T%+v", want, want), fmt.Sprintf("%T%+v", h.Observe(now, o), want))
 	}
 	t.Run("a lost connection blames nobody", func(t *testing.T) {
 		h := &Health{}
 		observe(t, h, failed(Silent), &Probe{})
-		assertEqual(t, false, h.Available())
+		assert.Equal(t, false, h.Available())
 		observe(t, h, failed(Silent), nil)
 		observe(t, h, &Probed{Alive: true}, &Admit{})
-		assertEqual(t, true, h.Available())
+		assert.Equal(t, true, h.Available())
 	})
 	t.Run("older attempts of the same incident don't count", func(t *testing.T) {
 		h := &Health{}
 		observe(t, h, failed(Silent), &Probe{})
 		observe(t, h, &Probed{Alive: true}, &Admit{})
-		assertEqual(t, Action(nil), h.Observe(now, &Failed{Kind: Silent, Begun: now.Add(-time.Second)}))
+		assert.Equal(t, Action(nil), h.Observe(now, &Failed{Kind: Silent, Begun: now.Add(-time.Second)}))
 	})
 	t.Run("dead endpoint", func(t *testing.T) {
 		h := &Health{}
 		observe(t, h, failed(Unreachable), &Probe{})
 		observe(t, h, &Probed{}, &Eject{Kind: Unreachable})
-		assertEqual(t, false, h.ProbeDue(now))
+		assert.Equal(t, false, h.ProbeDue(now))
 		now = now.Add(firstEjection)
-		assertEqual(t, true, h.ProbeDue(now))
-		assertEqual(t, false, h.ProbeDue(now))
+		assert.Equal(t, true, h.ProbeDue(now))
+		assert.Equal(t, false, h.ProbeDue(now))
 		observe(t, h, &Probed{}, nil)
-		assertEqual(t, 2*firstEjection, h.NextProbe(now))
+		assert.Equal(t, 2*firstEjection, h.NextProbe(now))
 		now = now.Add(2 * firstEjection)
 		observe(t, h, &Probed{Alive: true}, &Admit{Ejected: true})
-		assertEqual(t, coldWarmth, h.Warmth(now))
-		assertEqual(t, 1.0, h.Warmth(now.Add(slowStart)))
+		assert.Equal(t, coldWarmth, h.Warmth(now))
+		assert.Equal(t, 1.0, h.Warmth(now.Add(slowStart)))
 	})
 	t.Run("answers probes and nothing else", func(t *testing.T) {
 		h := &Health{}
@@ -207,23 +201,23 @@
 			now = now.Add(time.Second)
 			l.Observe(now, latency, l.Value())
 		}
-		assertEqual(t, 8, l.Value())
+		assert.Equal(t, 8, l.Value())
 		l.Grow(8)
-		assertEqual(t, 9, l.Value())
+		assert.Equal(t, 9, l.Value())
 		l.Grow(8)
-		assertEqual(t, 9, l.Value())
+		assert.Equal(t, 9, l.Value())
 		for range 3000 {
 			observe(10 * time.Millisecond)
 		}
-		assertEqual(t, 64, l.Value())
+		assert.Equal(t, 64, l.Value())
 		for range 20 {
 			observe(time.Second)
 		}
-		assertEqual(t, 1, l.Value())
+		assert.Equal(t, 1, l.Value())
 		for range 3000 {
 			observe(10 * time.Millisecond)
 		}
-		assertEqual(t, 64, l.Value())
+		assert.Equal(t, 64, l.Value())
 	})
 }
 
@@ -288,9 +282,9 @@
 		_, _, _ = q.Push(start(), Waiter{Team: "a"}, "a1")
 		second, _, _ := q.Push(start(), Waiter{Team: "a"}, "a2")
 		_, dropped, _ := q.Push(start(), Waiter{Team: "b"}, "b1")
-		assertEqual(t, second.Value, dropped.Value)
+		assert.Equal(t, second.Value, dropped.Value)
 		_, _, reason := q.Push(start(), Waiter{Team: "a"}, "a3")
-		assertEqual(t, verdict.Overloaded, reason)
+		assert.Equal(t, verdict.Overloaded, reason)
 	})
 	t.Run("deadlines", func(t *testing.T) {
 		q, now := &Queue[int]{}, start()
@@ -302,24 +296,24 @@
 			_, _ = q.Pop(now)
 		}
 		_, _, reason := q.Push(now, Waiter{Deadline: now.Add(time.Second)}, 0)
-		assertEqual(t, verdict.DeadlineTooShort, reason)
+		assert.Equal(t, verdict.DeadlineTooShort, reason)
 		late := &Queue[int]{}
 		_, _, _ = late.Push(now, Waiter{Deadline: now.Add(time.Second)}, 0)
 		_, ok := late.Pop(now.Add(2 * time.Second))
-		assertEqual(t, false, ok)
+		assert.Equal(t, false, ok)
 	})
 }
 
 func TestQuarantine(t *testing.T) {
 	const poison, innocent = ledger.Fingerprint(1), ledger.Fingerprint(2)
 	q, now := &Quarantine{}, start()
-	assertEqual(t, 0, len(q.Crash(now, []ledger.Fingerprint{poison, innocent, poison})))
-	assertEqual(t, true, q.Suspect(now, innocent))
+	assert.Equal(t, 0, len(q.Crash(now, []ledger.Fingerprint{poison, innocent, poison})))
+	assert.Equal(t, true, q.Suspect(now, innocent))
 	q.Complete(innocent)
-	assertEqual(t, []ledger.Fingerprint{poison}, q.Crash(now, []ledger.Fingerprint{innocent, poison}))
-	assertEqual(t, quarantineTime, q.Held(now, poison))
-	assertEqual(t, 0, q.Held(now, innocent))
-	assertEqual(t, 0, q.Held(now.Add(quarantineTime), poison))
+	assert.Equal(t, []ledger.Fingerprint{poison}, q.Crash(now, []ledger.Fingerprint{innocent, poison}))
+	assert.Equal(t, quarantineTime, q.Held(now, poison))
+	assert.Equal(t, 0, q.Held(now, innocent))
+	assert.Equal(t, 0, q.Held(now.Add(quarantineTime), poison))
 }
 
 func TestMembership(t *testing.T) {
@@ -350,6 +344,6 @@
 	t.Run("by address", func(t *testing.T) {
 		m := &Membership{}
 		m.Merge(platform.Listing{Instances: []platform.Instance{{Name: "i-1", Address: "1", State: platform.Leaving}}})
-		assertEqual(t, 1, len(m.Members([]operator.Endpoint{{Name: "a", Address: "1"}, {Name: "b", Address: "2"}})))
+		assert.Equal(t, 1, len(m.Members([]operator.Endpoint{{Name: "a", Address: "1"}, {Name: "b", Address: "2"}})))
 	})
 }
--- a/fleet/ledger/assembler_test.go
+++ b/fleet/ledger/assembler_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/go-cmp/cmp"
-	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -37,27 +37,20 @@
 	return state, fault
 }
 
-func assertError(t *testing.T, want, got error) {
-	t.Helper()
-	if diff := cmp.Diff(want, got, cmpopts.EquateErrors()); diff != "" {
-		t.Errorf("unexpected error (-want +got):\n%s", diff)
-	}
-}
-
 func TestAssembler(t *testing.T) {
 	s := newStream(t)
 	chunks := chunksOf(t, s, router(1))
 	t.Run("half", func(t *testing.T) {
 		state, err := add(&Assembler{}, chunks[1:]...)
-		assertError(t, nil, err)
-		assertEqual(t, true, state == nil)
+		assert.ErrorIs(t, err, nil)
+		assert.Equal(t, true, state == nil)
 	})
 	t.Run("corrupt chunk", func(t *testing.T) {
 		corrupt := bytes.Clone(chunks[0])
 		corrupt[len(corrupt)/2] ^= 1
 		state, err := add(&Assembler{}, append([][]byte{corrupt}, chunks...)...)
-		assertError(t, ErrChunk, err)
-		assertEqual(t, s.state.Next(), state.Next())
+		assert.ErrorIs(t, err, ErrChunk)
+		assert.Equal(t, s.state.Next(), state.Next())
 	})
 	t.Run("wrong digest", func(t *testing.T) {
 		var chunk snapshotChunk
@@ -66,34 +59,34 @@
 		}
 		chunk.Data[0] ^= 1
 		payload, err := chunk.MarshalMsg(nil)
-		assertError(t, nil, err)
+		assert.ErrorIs(t, err, nil)
 		payload = msgp.AppendUint64(payload, xxhash.Sum64(payload))
 		_, err = add(&Assembler{}, append([][]byte{payload}, chunks[1:]...)...)
-		assertError(t, ErrDigest, err)
+		assert.ErrorIs(t, err, ErrDigest)
 	})
 	t.Run("older than the newest", func(t *testing.T) {
 		later := newStream(t)
 		later.write(t, router(1), &Heartbeat{})
 		a := &Assembler{}
 		state, _ := add(a, chunksOf(t, later, router(1))...)
-		assertEqual(t, later.state.Next(), state.Next())
+		assert.Equal(t, later.state.Next(), state.Next())
 		state, err := add(a, chunks...)
-		assertError(t, nil, err)
-		assertEqual(t, true, state == nil)
+		assert.ErrorIs(t, err, nil)
+		assert.Equal(t, true, state == nil)
 	})
 	t.Run("bounded memory", func(t *testing.T) {
 		few, many := &Assembler{MaxBytes: 100}, &Assembler{}
 		for n := range 50 {
 			for _, a := range []*Assembler{few, many} {
 				_, err := add(a, chunksOf(t, s, router(n))[1:]...)
-				assertError(t, nil, err)
+				assert.ErrorIs(t, err, nil)
 			}
 			if few.bytes > few.MaxBytes || len(many.incomplete) > maxIncomplete {
 				t.Fatalf("%d bytes and %d snapshots are kept", few.bytes, len(many.incomplete))
 			}
 		}
 		state, _ := add(many, chunks...)
-		assertEqual(t, s.state.Next(), state.Next())
+		assert.Equal(t, s.state.Next(), state.Next())
 	})
 }
 
@@ -104,13 +97,13 @@
 	}
 	huge := msgp.AppendArrayHeader(header[:len(header)-1], 1<<31)
 	_, err = Decode(huge)
-	assertError(t, ErrTooLong, err)
+	assert.ErrorIs(t, err, ErrTooLong)
 	for _, record := range []Record{
 		&Draw{Wanted: -1}, &Open{Amount: -1}, &Return{Amount: -1}, &Prepaid{Total: -1}, &Bill{Usage: -1},
 	} {
 		_, err := Encode(Group{Writer: router(1), First: 1, Records: []Record{record}})
-		assertEqual(t, true, errors.Is(err, ErrNegativeAmount))
+		assert.Equal(t, true, errors.Is(err, ErrNegativeAmount))
 	}
 	_, err = Encode(Group{Writer: router(1), First: 1, Records: []Record{&Draw{Kind: 2}}})
-	assertError(t, ErrShareKind, err)
+	assert.ErrorIs(t, err, ErrShareKind)
 }
--- a/fleet/ledger/fold_test.go
+++ b/fleet/ledger/fold_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -45,13 +45,6 @@
 	return s
 }
 
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
-
 func TestRequestIsBilledOnce(t *testing.T) {
 	s, first, second := newStream(t), router(1), router(2)
 	request := NewRequestIdentifier("pintados", "key")
@@ -63,12 +56,12 @@
 	}
 	s.write(t, second, &Bill{Request: request, Attempt: 1, Usage: 40})
 	events := s.write(t, first, &Bill{Request: request, Attempt: 1, Usage: 90}, open(2))
-	assertEqual(t, []Event{
+	assert.Equal(t, []Event{
 		&Billed{Attempt: AttemptIdentifier{Incarnation: first, Number: 1}, Request: request, Budget: "atelier"},
 		&Opened{Attempt: AttemptIdentifier{Incarnation: first, Number: 2}, Open: open(2), AlreadyBilled: true},
 	}, events)
 	view, _ := s.state.Budget("atelier")
-	assertEqual(t, BudgetView{
+	assert.Equal(t, BudgetView{
 		Budget: "atelier", Ticket: 1, Prepaid: 1000, Spent: 40, Shared: 560, OpenRequests: 1,
 		Holders: []HolderView{
 			{Incarnation: first, WorkingFree: 300},
@@ -85,7 +78,7 @@
 		&Open{Request: request, Attempt: 1, Budget: "atelier", Amount: 100})
 	lastSeen := s.state.Next() - 1
 	events := s.write(t, first, &Fence{Target: second, LastSeen: lastSeen})
-	assertEqual(t, []Event{
+	assert.Equal(t, []Event{
 		&Billed{
 			Attempt: AttemptIdentifier{Incarnation: second, Number: 1},
 			Request: request, Budget: "atelier", Charged: 100, Settled: true,
@@ -93,23 +86,23 @@
 		&Returned{Incarnation: second, Budget: "atelier", Amount: 200},
 		&Ended{Incarnation: second},
 	}, events)
-	assertEqual(t, false, s.state.IsLive(second))
-	assertEqual(t, HolderView{Incarnation: second, ReserveFree: 50}, s.state.Holder("atelier", second))
+	assert.Equal(t, false, s.state.IsLive(second))
+	assert.Equal(t, HolderView{Incarnation: second, ReserveFree: 50}, s.state.Holder("atelier", second))
 	events = s.write(t, first, &Fence{Target: second, LastSeen: lastSeen, Kind: Reserve})
-	assertEqual(t, []Event{
+	assert.Equal(t, []Event{
 		&Returned{Incarnation: second, Budget: "atelier", Kind: Reserve, Amount: 50},
 		&Ended{Incarnation: second, Kind: Reserve},
 	}, events)
-	assertEqual(t, []Event{&JoinRefused{Incarnation: second}},
+	assert.Equal(t, []Event{&JoinRefused{Incarnation: second}},
 		s.state.ApplyGroup(s.state.Next(), Group{Writer: second, First: 1, Records: []Record{&Join{}}}))
 }
 
 func TestFirstJoinOfANumberWins(t *testing.T) {
 	var s State
-	assertEqual(t, []Event{&Joined{Incarnation: router(1), Nonce: 7}},
+	assert.Equal(t, []Event{&Joined{Incarnation: router(1), Nonce: 7}},
 		s.ApplyGroup(0, Group{Writer: router(1), First: 1, Records: []Record{&Join{Nonce: 7}}}))
-	assertEqual(t, 0, len(s.ApplyGroup(1, Group{Writer: router(1), First: 1, Records: []Record{&Join{Nonce: 8}}})))
-	assertEqual(t, uint64(7), s.Incarnations()[0].Join.Nonce)
+	assert.Equal(t, 0, len(s.ApplyGroup(1, Group{Writer: router(1), First: 1, Records: []Record{&Join{Nonce: 8}}})))
+	assert.Equal(t, uint64(7), s.Incarnations()[0].Join.Nonce)
 }
 
 func TestBufferIsBounded(t *testing.T) {
@@ -122,10 +115,10 @@
 				s.state.ApplyGroup(s.state.Next(), g)
 			}
 			kept := min(maxBufferedGroups, maxBufferedRecords/size)
-			assertEqual(t, kept, len(s.state.members[router(2)].buffered))
-			assertEqual(t, uint64(3*maxBufferedGroups-kept), s.state.Counters().Dropped)
+			assert.Equal(t, kept, len(s.state.members[router(2)].buffered))
+			assert.Equal(t, uint64(3*maxBufferedGroups-kept), s.state.Counters().Dropped)
 			s.write(t, router(2), &Heartbeat{})
-			assertEqual(t, uint64(2+kept*size), s.state.AppliedSequence(router(2)))
+			assert.Equal(t, uint64(2+kept*size), s.state.AppliedSequence(router(2)))
 		})
 	}
 }
--- a/fleet/ledger/fuzz_test.go
+++ b/fleet/ledger/fuzz_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -37,7 +39,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		assertEqual(t, g, copied)
+		assert.Equal(t, g, copied)
 		s := newStream(t)
 		s.state.Apply(platform.Entry{Offset: s.state.Next(), Payload: payload})
 		for _, b := range s.state.Budgets() {
@@ -74,7 +76,7 @@
 		if state == nil {
 			t.Fatal("the snapshot was not completed")
 		}
-		assertEqual(t, s.state.Next(), state.Next())
+		assert.Equal(t, s.state.Next(), state.Next())
 	})
 }
 
--- a/fleet/ledger/window_test.go
+++ b/fleet/ledger/window_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"pgregory.net/rapid"
 )
 
@@ -30,7 +32,7 @@
 	s.budgets.byName[budgetName(0)].prepaid--
 	s.budgets.byName[budgetName(0)].shares[0].free[Working] = 1 << 40
 	data, err := s.encode()
-	assertError(t, nil, err)
+	assert.ErrorIs(t, err, nil)
 	_, err = loadState(data)
-	assertError(t, ErrInconsistent, err)
+	assert.ErrorIs(t, err, ErrInconsistent)
 }
--- a/fleet/peer/node_test.go
+++ b/fleet/peer/node_test.go
@@ -11,7 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -76,14 +77,14 @@
 	e.write(t, authority, instance)
 	e.node = NewNode("127.0.0.1:0", e.files, e.holder, metrics.NewRegistry())
 	address, err := e.node.Listen(context.Background())
-	assertNoError(t, err)
+	assert.NoError(t, err)
 	e.address = Address{Instance: instance, Address: address}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- e.node.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		assertNoError(t, <-ended)
+		assert.NoError(t, <-ended)
 	})
 	return e
 }
@@ -92,10 +93,10 @@
 func (e *end) write(t *testing.T, authority Pair, instance string) {
 	t.Helper()
 	pair, err := authority.Issue(instance, time.Hour)
-	assertNoError(t, err)
-	assertNoError(t, os.WriteFile(e.files.CertificateFile, pair.Certificate, 0o600))
-	assertNoError(t, os.WriteFile(e.files.KeyFile, pair.Key, 0o600))
-	assertNoError(t, os.WriteFile(e.files.AuthorityFile, authority.Certificate, 0o600))
+	assert.NoError(t, err)
+	assert.NoError(t, os.WriteFile(e.files.CertificateFile, pair.Certificate, 0o600))
+	assert.NoError(t, os.WriteFile(e.files.KeyFile, pair.Key, 0o600))
+	assert.NoError(t, os.WriteFile(e.files.AuthorityFile, authority.Certificate, 0o600))
 }
 
 // send hands a copy from one end to another.
@@ -108,7 +109,7 @@
 func newAuthority(t *testing.T) Pair {
 	t.Helper()
 	authority, err := NewAuthority("site", time.Hour)
-	assertNoError(t, err)
+	assert.NoError(t, err)
 	return authority
 }
 
@@ -116,28 +117,28 @@
 	authority := newAuthority(t)
 	a, b := startEnd(t, authority, "router-a"), startEnd(t, authority, "router-b")
 	t.Run("taken over under the sender's name", func(t *testing.T) {
-		assertNoError(t, a.send(b.address, "one"))
-		assertNoError(t, a.send(b.address, "two"))
-		assertNoError(t, b.send(a.address, "three"))
-		assertEqual(t, map[string][]Copy{"router-a": {{Payload: []byte("one")}, {Payload: []byte("two")}}}, b.holder.taken())
-		assertEqual(t, map[string][]Copy{"router-b": {{Payload: []byte("three")}}}, a.holder.taken())
+		assert.NoError(t, a.send(b.address, "one"))
+		assert.NoError(t, a.send(b.address, "two"))
+		assert.NoError(t, b.send(a.address, "three"))
+		assert.Equal(t, map[string][]Copy{"router-a": {{Payload: []byte("one")}, {Payload: []byte("two")}}}, b.holder.taken())
+		assert.Equal(t, map[string][]Copy{"router-b": {{Payload: []byte("three")}}}, a.holder.taken())
 	})
 	t.Run("refusals keep their reason", func(t *testing.T) {
 		for _, reason := range refusals() {
 			b.holder.refuseWith(fmt.Errorf("holding a copy: %w", reason))
-			assertError(t, reason, a.send(b.address, "four"))
+			assert.ErrorIs(t, a.send(b.address, "four"), reason)
 		}
 		b.holder.refuseWith(errors.New("a reason of a later version"))
-		assertError(t, ErrRefused, a.send(b.address, "four"))
+		assert.ErrorIs(t, a.send(b.address, "four"), ErrRefused)
 		b.holder.refuseWith(nil)
 	})
 	t.Run("too long", func(t *testing.T) {
-		assertError(t, ErrMalformed, a.send(b.address, string(make([]byte, MaxRequestBytes))))
+		assert.ErrorIs(t, a.send(b.address, string(make([]byte, MaxRequestBytes))), ErrMalformed)
 	})
 	t.Run("configuration", func(t *testing.T) {
 		entries, err := a.node.FetchConfiguration(context.Background(), b.address, 7)
-		assertNoError(t, err)
-		assertEqual(t, []platform.Entry{{Offset: 7, Payload: []byte("ticket")}}, entries)
+		assert.NoError(t, err)
+		assert.Equal(t, []platform.Entry{{Offset: 7, Payload: []byte("ticket")}}, entries)
 	})
 }
 
@@ -145,26 +146,26 @@
 	authority := newAuthority(t)
 	a, b := startEnd(t, authority, "router-a"), startEnd(t, authority, "router-b")
 	t.Run("another instance answers at the address", func(t *testing.T) {
-		assertFails(t, a.send(Address{Instance: "router-c", Address: b.address.Address}, "one"))
+		assert.Fails(t, a.send(Address{Instance: "router-c", Address: b.address.Address}, "one"))
 	})
 	t.Run("a foreign authority", func(t *testing.T) {
 		stranger := startEnd(t, newAuthority(t), "router-a")
-		assertFails(t, stranger.send(b.address, "one"))
-		assertFails(t, b.send(stranger.address, "one"))
+		assert.Fails(t, stranger.send(b.address, "one"))
+		assert.Fails(t, b.send(stranger.address, "one"))
 	})
 	t.Run("an instance can't act as an authority", func(t *testing.T) {
 		issued, err := authority.Issue("router-a", time.Hour)
-		assertNoError(t, err)
+		assert.NoError(t, err)
 		_, err = issued.Issue("router-b", time.Hour)
-		assertError(t, ErrNoAuthority, err)
+		assert.ErrorIs(t, err, ErrNoAuthority)
 	})
-	assertEqual(t, 0, len(b.holder.taken()))
+	assert.Equal(t, 0, len(b.holder.taken()))
 }
 
 func TestRotationWithoutRestart(t *testing.T) {
 	former, next := newAuthority(t), newAuthority(t)
 	a, b := startEnd(t, former, "router-a"), startEnd(t, former, "router-b")
-	assertNoError(t, a.send(b.address, "one"))
+	assert.NoError(t, a.send(b.address, "one"))
 	a.write(t, next, "router-a")
 	b.write(t, next, "router-b")
 	for _, n := range []*Node{a.node, b.node} {
@@ -174,22 +175,22 @@
 		}
 		n.mutex.Unlock()
 	}
-	assertNoError(t, a.send(b.address, "two"))
-	assertEqual(t, 2, len(b.holder.taken()["router-a"]))
+	assert.NoError(t, a.send(b.address, "two"))
+	assert.Equal(t, 2, len(b.holder.taken()["router-a"]))
 }
 
 func TestCredentials(t *testing.T) {
 	e := startEnd(t, newAuthority(t), "router-a")
 	name, err := e.files.Check()
-	assertNoError(t, err)
-	assertEqual(t, "router-a", name)
+	assert.NoError(t, err)
+	assert.Equal(t, "router-a", name)
 	broken := e.files
 	broken.AuthorityFile = broken.KeyFile
 	_, err = broken.Check()
-	assertFails(t, err)
+	assert.Fails(t, err)
 	broken.CertificateFile = "missing"
 	_, err = broken.Check()
-	assertError(t, os.ErrNotExist, err)
+	assert.ErrorIs(t, err, os.ErrNotExist)
 }
 
 // FuzzRequest feeds arbitrary bytes to the answer of requests: it must neither fail nor accept garbage.
@@ -216,31 +217,3 @@
 		}
 	})
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
-
-func assertNoError(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Errorf("unexpected error: %v", err)
-	}
-}
-
-func assertError(t *testing.T, want, got error) {
-	t.Helper()
-	if !errors.Is(got, want) {
-		t.Errorf("got error %v, want %v", got, want)
-	}
-}
-
-func assertFails(t *testing.T, err error) {
-	t.Helper()
-	if err == nil {
-		t.Error("got no error")
-	}
-}
--- a/fleet/platform/memory/memory_test.go
+++ b/fleet/platform/memory/memory_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -54,9 +54,9 @@
 		log := &Log{}
 		log.SetOutage(true)
 		_, err := log.Append(t.Context(), streamName, []byte("a"))
-		assertError(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
 		_, err = log.Read(t.Context(), streamName, 0, 1)
-		assertError(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
 		log.SetOutage(false)
 		assertRead(t, log, 0, 9)
 	})
@@ -66,7 +66,7 @@
 			log.OutageFor(5 * time.Second)
 			time.Sleep(5*time.Second - time.Nanosecond)
 			_, err := log.Read(t.Context(), streamName, 0, 1)
-			assertError(t, err, platform.ErrUnavailable)
+			assert.ErrorIs(t, err, platform.ErrUnavailable)
 			time.Sleep(time.Nanosecond)
 			assertRead(t, log, 0, 9)
 		})
@@ -78,8 +78,8 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			_, err := log.Append(ctx, streamName, []byte("a"))
-			assertError(t, err, platform.ErrUnavailable)
-			assertError(t, err, context.DeadlineExceeded)
+			assert.ErrorIs(t, err, platform.ErrUnavailable)
+			assert.ErrorIs(t, err, context.DeadlineExceeded)
 			assertRead(t, log, 0, 9)
 		})
 	})
@@ -89,14 +89,14 @@
 			log.SetAppendRate(100)
 			began := time.Now()
 			appendAll(t, log, "a", "b", "c")
-			assertEqual(t, 20*time.Millisecond, time.Since(began))
+			assert.Equal(t, 20*time.Millisecond, time.Since(began))
 		})
 	})
 	t.Run("lost answers took effect", func(t *testing.T) {
 		log := &Log{}
 		log.LoseAnswers(1, 7)
 		_, err := log.Append(t.Context(), streamName, []byte("a"))
-		assertError(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
 		assertRead(t, log, 0, 9, "a")
 	})
 }
@@ -142,9 +142,9 @@
 	var got []string
 	for i, entry := range entries {
 		got = append(got, string(entry.Payload))
-		assertEqual(t, from+platform.Offset(i), entry.Offset)
+		assert.Equal(t, from+platform.Offset(i), entry.Offset)
 	}
-	assertEqual(t, want, got)
+	assert.Equal(t, want, got)
 }
 
 func assertTruncated(t *testing.T, log platform.Log, from, first platform.Offset) {
@@ -154,7 +154,7 @@
 	if !errors.As(err, &truncated) {
 		t.Fatalf("read below the first offset: %v", err)
 	}
-	assertEqual(t, &platform.TruncatedError{Stream: streamName, First: first}, truncated)
+	assert.Equal(t, &platform.TruncatedError{Stream: streamName, First: first}, truncated)
 }
 
 func assertListing(t *testing.T, list *InstanceList, want platform.Listing) {
@@ -163,19 +163,5 @@
 	if err != nil {
 		t.Fatalf("instances: %v", err)
 	}
-	assertEqual(t, want, got)
-}
-
-func assertError(t *testing.T, err, want error) {
-	t.Helper()
-	if !errors.Is(err, want) {
-		t.Errorf("error %v in place of %v", err, want)
-	}
-}
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
+	assert.Equal(t, want, got)
 }
--- a/fleet/verdict/reason_test.go
+++ b/fleet/verdict/reason_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
 
 func TestReasons(t *testing.T) {
@@ -15,22 +15,15 @@
 				t.Fatalf("reason %s is listed twice", d.Reason)
 			}
 			seen[d.Reason] = true
-			assertEqual(t, d, Describe(d.Reason))
+			assert.Equal(t, d, Describe(d.Reason))
 		})
 	}
 	t.Run("unknown", func(t *testing.T) {
-		assertEqual(t, Internal, Describe("no such reason").Reason)
+		assert.Equal(t, Internal, Describe("no such reason").Reason)
 	})
 }
 
 func TestOf(t *testing.T) {
-	assertEqual(t, NotRun, Of(fmt.Errorf("reserving: %w", Refuse(BudgetExhausted, "no tokens left"))))
-	assertEqual(t, MayHaveRun, Of(fmt.Errorf("connection reset")))
-}
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
+	assert.Equal(t, NotRun, Of(fmt.Errorf("reserving: %w", Refuse(BudgetExhausted, "no tokens left"))))
+	assert.Equal(t, MayHaveRun, Of(fmt.Errorf("connection reset")))
 }
--- a/router/caller/fake_test.go
+++ b/router/caller/fake_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -135,10 +134,3 @@
 	s.Handler().ServeHTTP(w, r)
 	return w
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
--- a/router/caller/openai_test.go
+++ b/router/caller/openai_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/rcrowley/go-metrics"
@@ -78,27 +80,27 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		assertEqual(t, "a small grey cat asleep", completion.Choices[0].Message.Content)
+		assert.Equal(t, "a small grey cat asleep", completion.Choices[0].Message.Content)
 		server.Close()
-		assertEqual(t, []ledger.Tokens{8}, accounts.bills)
+		assert.Equal(t, []ledger.Tokens{8}, accounts.bills)
 	})
 	t.Run("stream", func(t *testing.T) {
 		accounts := &fakeAccounts{}
 		client, server := setUpFleet(t, accounts, keyLuzon)
 		content, reason := readStream(t, client, 10)
-		assertEqual(t, "a small grey cat asleep ", content)
-		assertEqual(t, "stop", reason)
+		assert.Equal(t, "a small grey cat asleep ", content)
+		assert.Equal(t, "stop", reason)
 		server.Close()
-		assertEqual(t, []ledger.Tokens{8}, accounts.bills)
+		assert.Equal(t, []ledger.Tokens{8}, accounts.bills)
 	})
 	t.Run("stream cut at its reservation", func(t *testing.T) {
 		accounts := &fakeAccounts{}
 		client, server := setUpFleet(t, accounts, keyLuzon)
 		content, reason := readStream(t, client, 2)
-		assertEqual(t, "a small ", content)
-		assertEqual(t, "length", reason)
+		assert.Equal(t, "a small ", content)
+		assert.Equal(t, "length", reason)
 		server.Close()
-		assertEqual(t, []ledger.Tokens{5}, accounts.bills)
+		assert.Equal(t, []ledger.Tokens{5}, accounts.bills)
 	})
 	t.Run("models", func(t *testing.T) {
 		client, _ := setUpFleet(t, &fakeAccounts{}, keyLuzon)
@@ -106,7 +108,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		assertEqual(t, "brush", page.Data[0].ID)
+		assert.Equal(t, "brush", page.Data[0].ID)
 	})
 	t.Run("refusals have the client's error type", func(t *testing.T) {
 		client, _ := setUpFleet(t, &fakeAccounts{refusal: verdict.Refuse(verdict.BudgetExhausted, "")}, keyLuzon)
@@ -139,6 +141,6 @@
 	if !errors.As(err, &apiError) {
 		t.Fatalf("got %v, want an error of the API", err)
 	}
-	assertEqual(t, status, apiError.StatusCode)
-	assertEqual(t, string(reason), apiError.Code)
+	assert.Equal(t, status, apiError.StatusCode)
+	assert.Equal(t, string(reason), apiError.Code)
 }
--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
@@ -74,8 +76,8 @@
 			s, accounts, _ := setUp(t)
 			w := send(s, c.method, c.path, c.body, c.header...)
 			d := verdict.Describe(c.reason)
-			assertEqual(t, refused{d.Status, string(c.reason), "NotRun", d.RetryAfter > 0}, refusedBy(t, w))
-			assertEqual(t, 0, len(accounts.demands))
+			assert.Equal(t, refused{d.Status, string(c.reason), "NotRun", d.RetryAfter > 0}, refusedBy(t, w))
+			assert.Equal(t, 0, len(accounts.demands))
 			if strings.Contains(w.Body.String(), keyLuzon) {
 				t.Errorf("the answer holds the caller's key: %s", w.Body)
 			}
@@ -88,19 +90,19 @@
 		s, _, _ := setUp(t)
 		s.board.Draining.Store(true)
 		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
-		assertEqual(t, refused{503, string(verdict.ShuttingDown), "NotRun", true}, refusedBy(t, w))
+		assert.Equal(t, refused{503, string(verdict.ShuttingDown), "NotRun", true}, refusedBy(t, w))
 	})
 	t.Run("ledger not read", func(t *testing.T) {
 		s, _, _ := setUp(t)
 		s.board.LedgerReady.Store(false)
 		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
-		assertEqual(t, refused{503, string(verdict.NotReady), "NotRun", true}, refusedBy(t, w))
+		assert.Equal(t, refused{503, string(verdict.NotReady), "NotRun", true}, refusedBy(t, w))
 	})
 	t.Run("leaving but not draining still serves", func(t *testing.T) {
 		s, _, _ := setUp(t)
 		s.board.Leaving.Store(true)
 		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
-		assertEqual(t, http.StatusOK, w.Code)
+		assert.Equal(t, http.StatusOK, w.Code)
 	})
 	t.Run("concurrency of the team", func(t *testing.T) {
 		s, _, _ := setUp(t)
@@ -111,7 +113,7 @@
 			}
 		}
 		w := send(s, "GET", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
-		assertEqual(t, refused{429, string(verdict.ConcurrencyLimited), "NotRun", true}, refusedBy(t, w))
+		assert.Equal(t, refused{429, string(verdict.ConcurrencyLimited), "NotRun", true}, refusedBy(t, w))
 	})
 }
 
@@ -126,8 +128,8 @@
 	r.Header.Set(HeaderAuthorization, "Bearer "+keyLuzon)
 	w := httptest.NewRecorder()
 	s.Handler().ServeHTTP(w, r)
-	assertEqual(t, refused{408, string(verdict.SenderTooSlow), "NotRun", false}, refusedBy(t, w))
-	assertEqual(t, 0, len(accounts.demands))
+	assert.Equal(t, refused{408, string(verdict.SenderTooSlow), "NotRun", false}, refusedBy(t, w))
+	assert.Equal(t, 0, len(accounts.demands))
 }
 
 func TestReservedCost(t *testing.T) {
@@ -144,11 +146,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			s, accounts, _ := setUp(t)
 			w := send(s, "POST", c.path, c.body, HeaderAuthorization, "Bearer "+keyLuzon, HeaderIdempotencyKey, "k1")
-			assertEqual(t, http.StatusOK, w.Code)
-			assertEqual(t, c.amount, accounts.demands[0].Amount)
-			assertEqual(t, ledger.NewRequestIdentifier("luzon", "k1"), accounts.demands[0].Request)
-			assertEqual(t, []ledger.Tokens{7}, accounts.bills)
-			assertEqual(t, "k1", w.Header().Get(HeaderRequestID))
+			assert.Equal(t, http.StatusOK, w.Code)
+			assert.Equal(t, c.amount, accounts.demands[0].Amount)
+			assert.Equal(t, ledger.NewRequestIdentifier("luzon", "k1"), accounts.demands[0].Request)
+			assert.Equal(t, []ledger.Tokens{7}, accounts.bills)
+			assert.Equal(t, "k1", w.Header().Get(HeaderRequestID))
 		})
 	}
 }
@@ -157,11 +159,11 @@
 	s, _, calls := setUp(t)
 	send(s, "POST", "/v1/chat/completions", `{"model":"brush","messages":[],"stream":true,"max_tokens":4,"max_tokens":6,"seed":1}`,
 		HeaderAuthorization, "Bearer "+keyLuzon, HeaderBudget, "luzon-main")
-	assertEqual(t, `{"max_tokens":6,"messages":[],"model":"brush","seed":1,"stream":true,"stream_options":{"include_usage":true}}`, string(calls.call.Body))
-	assertEqual(t, "", calls.call.Header.Get(HeaderAuthorization))
-	assertEqual(t, "", calls.call.Header.Get(HeaderBudget))
-	assertEqual(t, int64(6), calls.call.Model.MaxTokens)
-	assertEqual(t, false, calls.call.Model.ReportUsage)
+	assert.Equal(t, `{"max_tokens":6,"messages":[],"model":"brush","seed":1,"stream":true,"stream_options":{"include_usage":true}}`, string(calls.call.Body))
+	assert.Equal(t, "", calls.call.Header.Get(HeaderAuthorization))
+	assert.Equal(t, "", calls.call.Header.Get(HeaderBudget))
+	assert.Equal(t, int64(6), calls.call.Model.MaxTokens)
+	assert.Equal(t, false, calls.call.Model.ReportUsage)
 }
 
 // settled is what became of a reservation and what the caller was told.
@@ -192,15 +194,15 @@
 			s, accounts, calls := setUp(t)
 			calls.result, calls.err, accounts.releaseErr = c.result, c.err, c.releaseErr
 			w := send(s, "POST", c.path, "", HeaderAuthorization, "Bearer "+keyLuzon, HeaderIdempotencyKey, "k")
-			assertEqual(t, c.want, settled{accounts.bills, accounts.releases, refusedBy(t, w).Verdict})
+			assert.Equal(t, c.want, settled{accounts.bills, accounts.releases, refusedBy(t, w).Verdict})
 		})
 	}
 	t.Run("a whole answer that breaks is cut", func(t *testing.T) {
 		s, accounts, calls := setUp(t)
 		calls.result, calls.err = endpoint.Result{Started: true, Abort: true, Usage: 2}, broken(verdict.MayHaveRun)
 		defer func() {
-			assertEqual(t, true, recover() != nil)
-			assertEqual(t, []ledger.Tokens{2}, accounts.bills)
+			assert.Equal(t, true, recover() != nil)
+			assert.Equal(t, []ledger.Tokens{2}, accounts.bills)
 		}()
 		send(s, "POST", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
 	})
@@ -210,7 +212,7 @@
 	s, accounts, calls := setUp(t)
 	accounts.refusal = verdict.Refuse(verdict.BudgetExhausted, "")
 	w := send(s, "POST", "/atelier", "", HeaderAuthorization, "Bearer "+keyLuzon)
-	assertEqual(t, refused{429, string(verdict.BudgetExhausted), "NotRun", true}, refusedBy(t, w))
+	assert.Equal(t, refused{429, string(verdict.BudgetExhausted), "NotRun", true}, refusedBy(t, w))
 	if calls.call != nil {
 		t.Error("a request without a reservation was sent")
 	}
--- a/router/controller/configuration_test.go
+++ b/router/controller/configuration_test.go
@@ -7,9 +7,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
-	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
@@ -87,8 +88,8 @@
 			r := startRouter(stream, &fakePeers{})
 			defer r.stop()
 			time.Sleep(time.Second)
-			assertEqual(t, 1, r.number())
-			assertEqual(t, 4, counted(r.board, "configuration.ticket.malformed"))
+			assert.Equal(t, 1, r.number())
+			assert.Equal(t, 4, counted(r.board, "configuration.ticket.malformed"))
 		})
 	})
 	t.Run("a new ticket is in force within 5 s and an older one changes nothing", func(t *testing.T) {
@@ -98,11 +99,11 @@
 			defer r.stop()
 			submit(t, stream, ticket(2))
 			time.Sleep(5 * time.Second)
-			assertEqual(t, 2, r.number())
+			assert.Equal(t, 2, r.number())
 			submit(t, stream, ticket(1))
 			time.Sleep(5 * time.Second)
-			assertEqual(t, 2, r.number())
-			assertEqual(t, 1, counted(r.board, "configuration.ticket.refused"))
+			assert.Equal(t, 2, r.number())
+			assert.Equal(t, 1, counted(r.board, "configuration.ticket.refused"))
 		})
 	})
 	t.Run("a new router continues from a snapshot when the log dropped the tickets", func(t *testing.T) {
@@ -117,7 +118,7 @@
 			second := startRouter(stream, &fakePeers{})
 			defer second.stop()
 			time.Sleep(time.Second)
-			assertEqual(t, 3, second.number())
+			assert.Equal(t, 3, second.number())
 		})
 	})
 	t.Run("without a snapshot a new router stays without configuration", func(t *testing.T) {
@@ -129,7 +130,7 @@
 			r := startRouter(stream, &fakePeers{})
 			defer r.stop()
 			time.Sleep(time.Second)
-			assertEqual(t, true, r.board.Configuration.Load() == nil)
+			assert.Equal(t, true, r.board.Configuration.Load() == nil)
 		})
 	})
 }
@@ -150,8 +151,8 @@
 		defer fresh.stop()
 		submit(t, reachable, ticket(2))
 		time.Sleep(5 * time.Second)
-		assertEqual(t, 2, second.number())
-		assertEqual(t, 0, fresh.number())
+		assert.Equal(t, 2, second.number())
+		assert.Equal(t, 0, fresh.number())
 	})
 }
 
@@ -164,8 +165,8 @@
 			list.version = version
 			i.step(context.Background())
 		}
-		assertEqual(t, 4, board.Listing.Load().Version)
-		assertEqual(t, 1, counted(board, "instances.listing.older"))
+		assert.Equal(t, 4, board.Listing.Load().Version)
+		assert.Equal(t, 1, counted(board, "instances.listing.older"))
 	})
 }
 
@@ -180,10 +181,3 @@
 func counted(board *blackboard.Board, name string) int64 {
 	return metrics.GetOrRegisterCounter(name, board.Metrics).Count()
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/alecthomas/kong"
 	"github.com/google/go-cmp/cmp"
 
@@ -39,13 +41,13 @@
 			return fmt.Sprintf("<!-- table: %s -->\n\n%s\n<!-- end -->", name, table)
 		})
 		if os.Getenv("UPDATE") != "" {
-			assertEqual(t, nil, os.WriteFile(page, []byte(got), 0o600))
+			assert.Equal(t, nil, os.WriteFile(page, []byte(got), 0o600))
 		}
 		if diff := cmp.Diff(text, got); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", page, diff)
 		}
 	}
-	assertEqual(t, map[string]string{}, tables)
+	assert.Equal(t, map[string]string{}, tables)
 }
 
 func flagTable(t *testing.T) string {
@@ -55,10 +57,10 @@
 		allowed[c.flag] = c.allowed
 	}
 	parser, err := kong.New(&Settings{})
-	assertEqual(t, nil, err)
+	assert.Equal(t, nil, err)
 	table := "| Flag | Variable | Default | Allowed | Meaning |\n|---|---|---|---|---|\n"
 	for _, f := range parser.Model.Flags {
-		assertEqual(t, true, allowed[f.Name] != "")
+		assert.Equal(t, true, allowed[f.Name] != "")
 		initial := map[bool]string{true: "none, needed", false: code(f.Default)}[f.Required]
 		table += fmt.Sprintf("| `--%s` | %s | %s | %s | %s |\n", f.Name, code(strings.Join(f.Envs, " ")), initial, allowed[f.Name], f.Help)
 	}
@@ -102,7 +104,7 @@
 func TestCountersAreNamed(t *testing.T) {
 	literal := regexp.MustCompile(`(?i)(count|gauge|RegisterCounter|RegisterGauge)\("[^"]*"`)
 	text := readAll(t, "*.go", "*/*.go", "../fleet/*/*.go", "../fleet/*/*/*.go")
-	assertEqual(t, nil, literal.FindAllString(text, -1))
+	assert.Equal(t, nil, literal.FindAllString(text, -1))
 }
 
 // TestPagesNameTests checks that each test and counter that the page on failures names exists.
@@ -128,13 +130,13 @@
 	var all strings.Builder
 	for _, pattern := range patterns {
 		paths, err := filepath.Glob(pattern)
-		assertEqual(t, nil, err)
+		assert.Equal(t, nil, err)
 		for _, path := range paths {
 			if strings.HasSuffix(path, "_test.go") && !strings.HasSuffix(pattern, "_test.go") {
 				continue
 			}
 			text, err := os.ReadFile(path)
-			assertEqual(t, nil, err)
+			assert.Equal(t, nil, err)
 			all.Write(text)
 		}
 	}
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -152,15 +154,15 @@
 	// A request without a key is answered 401 until new work is refused.
 	eventually(t, func() bool { return s.status(s.callers+"/seats") != http.StatusUnauthorized })
 	close(s.answer)
-	assertEqual(t, "200 booked", <-answer)
-	assertEqual(t, nil, <-s.ended)
+	assert.Equal(t, "200 booked", <-answer)
+	assert.Equal(t, nil, <-s.ended)
 
 	state := s.ledger(t)
 	budget, _ := state.Budget("main")
-	assertEqual(t, 5, budget.Spent)
-	assertEqual(t, 0, budget.Shared)
-	assertEqual(t, 0, budget.OpenRequests)
-	assertEqual(t, 0, len(state.Incarnations()))
+	assert.Equal(t, 5, budget.Spent)
+	assert.Equal(t, 0, budget.Shared)
+	assert.Equal(t, 0, budget.OpenRequests)
+	assert.Equal(t, 0, len(state.Incarnations()))
 }
 
 func TestSecondSignal(t *testing.T) {
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -13,7 +13,8 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -55,8 +56,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.peers {
-		assertEqual(t, 0, p.inFlight)
-		assertEqual(t, 0, p.suspects)
+		assert.Equal(t, 0, p.inFlight)
+		assert.Equal(t, 0, p.suspects)
 	}
 	f.board.Metrics.Each(func(name string, _ any) {
 		described := slices.ContainsFunc(Counters(), func(d Description) bool { return d.Name == name })
@@ -168,20 +169,13 @@
 	switch {
 	case errors.As(err, &refusal):
 		got.Reason = refusal.Reason
-		assertEqual(t, result.Verdict, refusal.Verdict)
+		assert.Equal(t, result.Verdict, refusal.Verdict)
 	case err != nil:
 		t.Errorf("error %v is no refusal", err)
 	}
 	return got
 }
 
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
-
 func TestStream(t *testing.T) {
 	errorText := string(errorEvent(verdict.EndpointFailed))
 	full := []string{delta("a"), delta("b"), usageEvent, doneEvent}
@@ -217,7 +211,7 @@
 			if c.change != nil {
 				c.change(call)
 			}
-			assertEqual(t, c.want, perform(t, newFixture(t, c.handler), t.Context(), call))
+			assert.Equal(t, c.want, perform(t, newFixture(t, c.handler), t.Context(), call))
 		})
 	}
 }
@@ -236,7 +230,7 @@
 		f := newFixture(t, breaks(), sends(delta("a"), doneEvent))
 		for range 10 {
 			got := perform(t, f, t.Context(), streamCall())
-			assertEqual(t, delta("a")+doneEvent, got.Body)
+			assert.Equal(t, delta("a")+doneEvent, got.Body)
 		}
 	})
 	t.Run("never after MayHaveRun for non-idempotent calls", func(t *testing.T) {
@@ -246,13 +240,13 @@
 			panic(http.ErrAbortHandler)
 		}
 		f := newFixture(t, handler, handler, handler)
-		assertEqual(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, perform(t, f, t.Context(), plainCall()))
-		assertEqual(t, 1, runs.Load())
+		assert.Equal(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, perform(t, f, t.Context(), plainCall()))
+		assert.Equal(t, 1, runs.Load())
 	})
 	t.Run("after NotRun for all", func(t *testing.T) {
 		f := newFixture(t, refuses, refuses, refuses)
-		assertEqual(t, outcomeOf{"NotRun", verdict.EndpointRefused, 0, false, 3, ""}, perform(t, f, t.Context(), plainCall()))
-		assertEqual(t, 2, f.counter("retry.endpoint_refused"))
+		assert.Equal(t, outcomeOf{"NotRun", verdict.EndpointRefused, 0, false, 3, ""}, perform(t, f, t.Context(), plainCall()))
+		assert.Equal(t, 2, f.counter("retry.endpoint_refused"))
 	})
 	t.Run("a refusal doesn't take back that an attempt may have run", func(t *testing.T) {
 		var runs atomic.Int64
@@ -264,15 +258,15 @@
 		})
 		call := streamCall()
 		call.Route.Limits.Attempts = 2
-		assertEqual(t, outcomeOf{"MayHaveRun", verdict.EndpointRefused, 0, false, 2, ""}, perform(t, f, t.Context(), call))
+		assert.Equal(t, outcomeOf{"MayHaveRun", verdict.EndpointRefused, 0, false, 2, ""}, perform(t, f, t.Context(), call))
 	})
 	t.Run("lease lapsed", func(t *testing.T) {
 		var runs atomic.Int64
 		f := newFixture(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
 		call := plainCall()
 		call.CheckDispatch = func() error { return verdict.Refuse(verdict.LeaseLapsed, "") }
-		assertEqual(t, outcomeOf{"NotRun", verdict.LeaseLapsed, 0, false, 1, ""}, perform(t, f, t.Context(), call))
-		assertEqual(t, 0, runs.Load())
+		assert.Equal(t, outcomeOf{"NotRun", verdict.LeaseLapsed, 0, false, 1, ""}, perform(t, f, t.Context(), call))
+		assert.Equal(t, 0, runs.Load())
 	})
 }
 
@@ -284,7 +278,7 @@
 	}
 	assertSilent := func(t *testing.T, handler http.HandlerFunc, want outcomeOf) {
 		t.Helper()
-		assertEqual(t, want, perform(t, newFixture(t, handler), t.Context(), brief(streamCall())))
+		assert.Equal(t, want, perform(t, newFixture(t, handler), t.Context(), brief(streamCall())))
 	}
 	t.Run("no headers", func(t *testing.T) {
 		assertSilent(t, silent(), outcomeOf{"MayHaveRun", verdict.EndpointSilent, 0, false, 1, ""})
@@ -300,7 +294,7 @@
 		call := streamCall()
 		call.Route.Limits.RequestTimeout = 50 * time.Millisecond
 		got := perform(t, newFixture(t, silent()), t.Context(), call)
-		assertEqual(t, outcomeOf{"MayHaveRun", verdict.OutcomeUnknown, 0, false, 1, ""}, got)
+		assert.Equal(t, outcomeOf{"MayHaveRun", verdict.OutcomeUnknown, 0, false, 1, ""}, got)
 	})
 }
 
@@ -315,8 +309,8 @@
 	})
 	got := perform(t, f, ctx, streamCall())
 	<-cancelled
-	assertEqual(t, verdict.CallerWentAway, got.Reason)
-	assertEqual(t, "MayHaveRun", got.Verdict)
+	assert.Equal(t, verdict.CallerWentAway, got.Reason)
+	assert.Equal(t, "MayHaveRun", got.Verdict)
 }
 
 func TestReusedConnectionClosed(t *testing.T) {
@@ -335,10 +329,10 @@
 		runs.Store(0)
 		call := plainCall()
 		call.Body = []byte(body)
-		assertEqual(t, "Ran", perform(t, f, t.Context(), call).Verdict)
+		assert.Equal(t, "Ran", perform(t, f, t.Context(), call).Verdict)
 		got := perform(t, f, t.Context(), call)
-		assertEqual(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, got)
-		assertEqual(t, 2, runs.Load())
+		assert.Equal(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, got)
+		assert.Equal(t, 2, runs.Load())
 	}
 }
 
@@ -354,27 +348,27 @@
 		call.Header.Set("Authorization", "Bearer key")
 		call.Header.Set("Connection", "X-Hop")
 		call.Header.Set("X-Hop", "1")
-		assertEqual(t, outcomeOf{"Ran", "", 1, true, 1, ""}, perform(t, f, t.Context(), call))
+		assert.Equal(t, outcomeOf{"Ran", "", 1, true, 1, ""}, perform(t, f, t.Context(), call))
 		got.Del(timeoutHeader)
-		assertEqual(t, http.Header{"Idempotency-Key": {"booking-1"}, "Content-Length": {"2"}}, got)
+		assert.Equal(t, http.Header{"Idempotency-Key": {"booking-1"}, "Content-Length": {"2"}}, got)
 	})
 	t.Run("usage", func(t *testing.T) {
 		body := `{"usage":{"prompt_tokens":3,"completion_tokens":4}}`
 		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
 		call := streamCall()
 		call.Model.Stream = false
-		assertEqual(t, outcomeOf{"Ran", "", 7, true, 1, body}, perform(t, f, t.Context(), call))
+		assert.Equal(t, outcomeOf{"Ran", "", 7, true, 1, body}, perform(t, f, t.Context(), call))
 	})
 	t.Run("long answer", func(t *testing.T) {
 		body := strings.Repeat("x", 3*DefaultBufferBytes)
 		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
-		assertEqual(t, outcomeOf{"Ran", "", 1, true, 1, body}, perform(t, f, t.Context(), plainCall()))
+		assert.Equal(t, outcomeOf{"Ran", "", 1, true, 1, body}, perform(t, f, t.Context(), plainCall()))
 	})
 	t.Run("broken answer", func(t *testing.T) {
 		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "10")
 			_, _ = io.WriteString(w, "half")
 		})
-		assertEqual(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, perform(t, f, t.Context(), plainCall()))
+		assert.Equal(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, perform(t, f, t.Context(), plainCall()))
 	})
 }
--- a/router/endpoint/event_test.go
+++ b/router/endpoint/event_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
 
 func readEvents(r io.Reader, s Settings) (raw, data []string, err error) {
@@ -37,8 +39,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, data, err := readEvents(iotest.OneByteReader(strings.NewReader(c.stream)), small)
-			assertEqual(t, c.data, data)
-			assertEqual(t, true, errors.Is(err, c.err))
+			assert.Equal(t, c.data, data)
+			assert.Equal(t, true, errors.Is(err, c.err))
 		})
 	}
 }
@@ -64,15 +66,15 @@
 		}
 		split, _, splitErr := readEvents(iotest.HalfReader(bytes.NewReader(stream)), s)
 		again, _, againErr := readEvents(bytes.NewReader(stream), s)
-		assertEqual(t, again, split)
-		assertEqual(t, againErr.Error(), splitErr.Error())
+		assert.Equal(t, again, split)
+		assert.Equal(t, againErr.Error(), splitErr.Error())
 	})
 }
 
 func TestCounters(t *testing.T) {
 	seen := make(map[string]bool)
 	for _, d := range Counters() {
-		assertEqual(t, false, seen[d.Name] || d.Meaning == "")
+		assert.Equal(t, false, seen[d.Name] || d.Meaning == "")
 		seen[d.Name] = true
 	}
 }
--- a/router/endpoint/faults_test.go
+++ b/router/endpoint/faults_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
@@ -90,11 +92,11 @@
 	first := delta(string(call.Body))
 	switch {
 	case err == nil:
-		assertEqual(t, first+first+doneEvent, body)
+		assert.Equal(t, first+first+doneEvent, body)
 	case result.Started:
-		assertEqual(t, first+string(errorEvent(verdict.EndpointFailed)), body)
+		assert.Equal(t, first+string(errorEvent(verdict.EndpointFailed)), body)
 	default:
-		assertEqual(t, "", body)
+		assert.Equal(t, "", body)
 	}
 }
 
@@ -119,6 +121,6 @@
 	group.Wait()
 	for i, body := range bodies {
 		nonce := delta(fmt.Sprintf("nonce-%d", i))
-		assertEqual(t, nonce+nonce+doneEvent, body)
+		assert.Equal(t, nonce+nonce+doneEvent, body)
 	}
 }
--- a/router/endpoint/peer_test.go
+++ b/router/endpoint/peer_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -33,7 +35,7 @@
 // assertReason performs a call and compares the reason of its refusal.
 func assertReason(t *testing.T, f *fixture, call *Call, want verdict.Reason) {
 	t.Helper()
-	assertEqual(t, want, perform(t, f, t.Context(), call).Reason)
+	assert.Equal(t, want, perform(t, f, t.Context(), call).Reason)
 }
 
 // forwarder is something between the router and an endpoint that can forget its connections.
@@ -115,9 +117,9 @@
 	call := streamCall()
 	call.Route.Limits.HeaderTimeout, call.Route.Limits.Attempts = 50*time.Millisecond, 2
 	assertReason(t, f, call, "")
-	assertEqual(t, 1, f.counter("retry.endpoint_silent"))
-	assertEqual(t, 1, f.counter("endpoint.cleared"))
-	assertEqual(t, 0, f.counter("endpoint.ejected.silent"))
+	assert.Equal(t, 1, f.counter("retry.endpoint_silent"))
+	assert.Equal(t, 1, f.counter("endpoint.cleared"))
+	assert.Equal(t, 0, f.counter("endpoint.ejected.silent"))
 }
 
 func TestEjection(t *testing.T) {
@@ -130,7 +132,7 @@
 	f := newFixture(t)
 	f.add(address)
 	assertReason(t, f, plainCall(), verdict.NoEndpoint)
-	assertEqual(t, 1, f.counter("endpoint.ejected.unreachable"))
+	assert.Equal(t, 1, f.counter("endpoint.ejected.unreachable"))
 
 	// The dispatcher's own loop probes the endpoint back in.
 	go func() { _ = f.Run(t.Context()) }()
@@ -163,17 +165,17 @@
 		for range 30 {
 			assertReason(t, f, plainCall(), "")
 		}
-		assertEqual(t, 30, leaving.Load()+staying.Load())
+		assert.Equal(t, 30, leaving.Load()+staying.Load())
 	}
 	list(1, platform.Live, platform.Live)
-	assertEqual(t, true, leaving.Load() > 0 && staying.Load() > 0)
+	assert.Equal(t, true, leaving.Load() > 0 && staying.Load() > 0)
 	list(2, platform.Leaving, platform.Live)
-	assertEqual(t, 0, leaving.Load())
+	assert.Equal(t, 0, leaving.Load())
 	list(1, platform.Live, platform.Live)
-	assertEqual(t, 0, leaving.Load())
+	assert.Equal(t, 0, leaving.Load())
 	list(3)
-	assertEqual(t, 0, leaving.Load())
-	assertEqual(t, 2, f.counter("listing.ignored"))
+	assert.Equal(t, 0, leaving.Load())
+	assert.Equal(t, 2, f.counter("listing.ignored"))
 }
 
 func TestQuarantine(t *testing.T) {
@@ -202,8 +204,8 @@
 		assertReason(t, f, innocent, "")
 	}
 	assertReason(t, f, poison, verdict.Quarantined)
-	assertEqual(t, 2, crashes.Load())
-	assertEqual(t, 1, f.counter("quarantine.caught"))
+	assert.Equal(t, 2, crashes.Load())
+	assert.Equal(t, 1, f.counter("quarantine.caught"))
 }
 
 func TestQueue(t *testing.T) {
@@ -225,8 +227,8 @@
 	end <- struct{}{}
 	<-begun
 	end <- struct{}{}
-	assertEqual(t, "", <-reasons)
-	assertEqual(t, "", <-reasons)
+	assert.Equal(t, "", <-reasons)
+	assert.Equal(t, "", <-reasons)
 }
 
 func TestFallback(t *testing.T) {
@@ -244,7 +246,7 @@
 	assertReason(t, f, call, verdict.NoEndpoint)
 	call.Route.Fallbacks = []string{"unknown", "small"}
 	assertReason(t, f, call, "")
-	assertEqual(t, `{"model":"small"}`, got)
+	assert.Equal(t, `{"model":"small"}`, got)
 }
 
 func TestSlowReader(t *testing.T) {
@@ -271,6 +273,6 @@
 	}
 	defer func() { _ = connection.Close() }()
 	_, _ = fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: router\r\nContent-Length: 0\r\n\r\n")
-	assertEqual(t, verdict.MayHaveRun, verdict.Of(<-ended))
+	assert.Equal(t, verdict.MayHaveRun, verdict.Of(<-ended))
 	<-cancelled
 }
--- a/router/settings_test.go
+++ b/router/settings_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
 
 // required are the arguments without which the router does not start.
@@ -40,7 +40,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			stdout, stderr := &bytes.Buffer{}, &bytes.Buffer{}
 			code := Main(append(required(), c.arguments...), stdout, stderr)
-			assertEqual(t, exitUsage, code)
+			assert.Equal(t, exitUsage, code)
 			if !strings.Contains(stderr.String(), c.want) {
 				t.Errorf("got message %q, want one with %q", stderr, c.want)
 			}
@@ -48,8 +48,8 @@
 	}
 	t.Run("missing flags", func(t *testing.T) {
 		stderr := &bytes.Buffer{}
-		assertEqual(t, exitUsage, Main(nil, &bytes.Buffer{}, stderr))
-		assertEqual(t, true, strings.Contains(stderr.String(), "missing flags: --availability-zone=STRING, --instance=STRING, --platform=STRING, --region=STRING"))
+		assert.Equal(t, exitUsage, Main(nil, &bytes.Buffer{}, stderr))
+		assert.Equal(t, true, strings.Contains(stderr.String(), "missing flags: --availability-zone=STRING, --instance=STRING, --platform=STRING, --region=STRING"))
 	})
 }
 
@@ -57,15 +57,8 @@
 	for _, flag := range []string{"--help", "--version"} {
 		t.Run(flag, func(t *testing.T) {
 			stdout := &bytes.Buffer{}
-			assertEqual(t, exitDone, Main([]string{flag}, stdout, &bytes.Buffer{}))
-			assertEqual(t, true, stdout.Len() > 0)
+			assert.Equal(t, exitDone, Main([]string{flag}, stdout, &bytes.Buffer{}))
+			assert.Equal(t, true, stdout.Len() > 0)
 		})
 	}
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
--- a/standin/check/promise_test.go
+++ b/standin/check/promise_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -60,7 +60,7 @@
 					broken = append(broken, promise.Name)
 				}
 			}
-			assertEqual(t, c.broken, broken)
+			assert.Equal(t, c.broken, broken)
 			assertTable(t, evidence, c.broken)
 		})
 	}
@@ -71,7 +71,7 @@
 	ledgers := fold(t, nil)
 	ledgers[0].overspent = []string{"portraits at offset 1 of partition 0"}
 	promises := (&Evidence{Ledgers: ledgers}).Promises()
-	assertEqual(t, Promise{Name: "spent or shared out more than prepaid", Broken: ledgers[0].overspent}, promises[0])
+	assert.Equal(t, Promise{Name: "spent or shared out more than prepaid", Broken: ledgers[0].overspent}, promises[0])
 }
 
 func TestBilledTwiceIsSeen(t *testing.T) {
@@ -80,16 +80,16 @@
 		ledgers[0].charge(&ledger.Billed{Request: ledger.NewRequestIdentifier(team, key), Charged: 1})
 	}
 	evidence := &Evidence{Ledgers: ledgers, Requests: []load.Request{{Key: key, Team: team}}}
-	assertEqual(t, Promise{Name: "billed twice", Broken: []string{key + ": 2 bills"}}, evidence.Promises()[1])
+	assert.Equal(t, Promise{Name: "billed twice", Broken: []string{key + ": 2 bills"}}, evidence.Promises()[1])
 }
 
 func TestUnsettled(t *testing.T) {
 	open := &ledger.Open{Request: ledger.NewRequestIdentifier(team, key), Attempt: 1, Budget: budget, Amount: 50}
 	evidence := &Evidence{Ledgers: fold(t, []ledger.Record{open})}
-	assertEqual(t, 1, evidence.Unsettled())
-	assertEqual(t, 1, evidence.Ledgers.Live())
+	assert.Equal(t, 1, evidence.Unsettled())
+	assert.Equal(t, 1, evidence.Ledgers.Live())
 	evidence.Requests = []load.Request{{Key: key, Team: team, Outcome: load.Completed}}
-	assertEqual(t, 2, evidence.Unsettled())
+	assert.Equal(t, 2, evidence.Unsettled())
 }
 
 func TestFalseRefusals(t *testing.T) {
@@ -102,7 +102,7 @@
 		refused("", "overloaded", 1), refused("", "budget_exhausted", 1),
 		{Outcome: load.Completed, Budget: budget},
 	}}
-	assertEqual(t, map[string]int{"budget_exhausted": 1, "overloaded": 2}, evidence.FalseRefusals())
+	assert.Equal(t, map[string]int{"budget_exhausted": 1, "overloaded": 2}, evidence.FalseRefusals())
 }
 
 func with(r load.Request, usage int) load.Request {
@@ -152,10 +152,3 @@
 		}
 	}
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
 	"github.com/dragonflyworks/dragonflyworks/standin/runs"
 )
@@ -21,7 +21,7 @@
 		e := newEngine()
 		body := call(t, e, "/v1/chat/completions", `{"model":"brush","max_tokens":3,"messages":[{"content":"a nonce-1 b"}]}`).Body.String()
 		assertContains(t, body, `"content":"nonce-1 word-1 word-2"`, `"finish_reason":"length"`, `"prompt_tokens":3,"completion_tokens":3`)
-		assertEqual(t, []runs.Run{{Key: "k", Started: 1, Finished: 1, Tokens: 6}}, e.Runs.Runs())
+		assert.Equal(t, []runs.Run{{Key: "k", Started: 1, Finished: 1, Tokens: 6}}, e.Runs.Runs())
 	})
 	t.Run("parts of content", func(t *testing.T) {
 		body := call(t, newEngine(), "/v1/chat/completions",
@@ -38,22 +38,22 @@
 				pieces = append(pieces, piece)
 			}
 		}
-		assertEqual(t, []string{"nonce-1", " word-1", " word-2", " word-3", ""}, pieces)
+		assert.Equal(t, []string{"nonce-1", " word-1", " word-2", " word-3", ""}, pieces)
 		assertContains(t, body, `"finish_reason":"stop"`, `"choices":[],"usage":{"prompt_tokens":2,"completion_tokens":4`, "data: [DONE]\n\n")
 	})
 	t.Run("refusals", func(t *testing.T) {
-		assertEqual(t, http.StatusNotFound, call(t, newEngine(), "/v1/completions", `{"model":"other"}`).Code)
-		assertEqual(t, http.StatusBadRequest, call(t, newEngine(), "/v1/completions", `{"model":"brush","max_tokens":0}`).Code)
-		assertEqual(t, http.StatusBadRequest, call(t, newEngine(), "/v1/completions", `{"model":`).Code)
+		assert.Equal(t, http.StatusNotFound, call(t, newEngine(), "/v1/completions", `{"model":"other"}`).Code)
+		assert.Equal(t, http.StatusBadRequest, call(t, newEngine(), "/v1/completions", `{"model":"brush","max_tokens":0}`).Code)
+		assert.Equal(t, http.StatusBadRequest, call(t, newEngine(), "/v1/completions", `{"model":`).Code)
 	})
 	t.Run("crash marker", func(t *testing.T) {
 		e := newEngine()
 		crashes := 0
 		e.CrashMarker, e.Crash = "marker", func() { crashes++ }
 		call(t, e, "/v1/completions", `{"model":"brush","prompt":"nonce-1 marker-free"}`)
-		assertEqual(t, 0, crashes)
+		assert.Equal(t, 0, crashes)
 		call(t, e, "/v1/completions", `{"model":"brush","prompt":"nonce-1 marker"}`)
-		assertEqual(t, 1, crashes)
+		assert.Equal(t, 1, crashes)
 	})
 	t.Run("cached prefix", func(t *testing.T) {
 		e := newEngine()
@@ -74,7 +74,7 @@
 				e.SetSlow(factor)
 				began := time.Now()
 				call(t, e, "/v1/completions", `{"model":"brush","prompt":"nonce-1"}`)
-				assertEqual(t, want, time.Since(began))
+				assert.Equal(t, want, time.Since(began))
 			})
 		})
 	}
@@ -85,7 +85,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 			defer cancel()
 			assertAborts(t, func() { send(ctx, e, "/v1/completions", `{"model":"brush","prompt":"a"}`) })
-			assertEqual(t, []runs.Run{{Key: "k", Started: 1, Finished: 0, Tokens: 3}}, e.Runs.Runs())
+			assert.Equal(t, []runs.Run{{Key: "k", Started: 1, Finished: 0, Tokens: 3}}, e.Runs.Runs())
 		})
 	})
 	t.Run("load lags", func(t *testing.T) {
@@ -112,10 +112,10 @@
 			order := func(number int, model string) int {
 				return call(t, e, "/control/orders", fmt.Sprintf(`{"FencingNumber":%d,"Kind":"LoadModel","Model":%q}`, number, model)).Code
 			}
-			assertEqual(t, http.StatusNoContent, order(7, "a"))
-			assertEqual(t, http.StatusNoContent, order(7, "a"))
-			assertEqual(t, want, order(6, "b"))
-			assertEqual(t, !checks, e.serves("b"))
+			assert.Equal(t, http.StatusNoContent, order(7, "a"))
+			assert.Equal(t, http.StatusNoContent, order(7, "a"))
+			assert.Equal(t, want, order(6, "b"))
+			assert.Equal(t, !checks, e.serves("b"))
 		})
 	}
 }
@@ -151,7 +151,7 @@
 // assertAborts asserts that a handler breaks its connection off, so that a cut answer doesn't look whole.
 func assertAborts(t *testing.T, run func()) {
 	t.Helper()
-	defer func() { assertEqual[any](t, http.ErrAbortHandler.Error(), fmt.Sprint(recover())) }()
+	defer func() { assert.Equal[any](t, http.ErrAbortHandler.Error(), fmt.Sprint(recover())) }()
 	run()
 }
 
@@ -163,10 +163,3 @@
 		}
 	}
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
--- a/standin/load/compare_test.go
+++ b/standin/load/compare_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
 
 func TestComparison(t *testing.T) {
@@ -28,7 +30,7 @@
 	for line := range strings.Lines(table.String()) {
 		rows = append(rows, strings.Join(strings.Fields(line), " "))
 	}
-	assertEqual(t, []string{
+	assert.Equal(t, []string{
 		"endpoint router difference",
 		"requests 4 4",
 		"requests per second 2.0 4.0",
--- a/standin/load/runner_test.go
+++ b/standin/load/runner_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
 	"github.com/dragonflyworks/dragonflyworks/standin/engine"
 	"github.com/dragonflyworks/dragonflyworks/standin/runs"
@@ -25,8 +25,8 @@
 	} {
 		t.Run(string(kind), func(t *testing.T) {
 			report := send(t, kind, handler)
-			assertEqual(t, map[Outcome]int{Completed: requests}, report.Outcomes)
-			assertEqual(t, int64(requests), report.Latency.Count)
+			assert.Equal(t, map[Outcome]int{Completed: requests}, report.Outcomes)
+			assert.Equal(t, int64(requests), report.Latency.Count)
 		})
 	}
 }
@@ -60,7 +60,7 @@
 				handler = (&service.Service{}).Handler()
 			}
 			report := send(t, fault.kind, replace(handler, fault.from, fault.to))
-			assertEqual(t, map[Outcome]int{fault.want: requests}, report.Outcomes)
+			assert.Equal(t, map[Outcome]int{fault.want: requests}, report.Outcomes)
 		})
 	}
 }
@@ -76,8 +76,8 @@
 			}
 			sound.ServeHTTP(w, r)
 		}))
-		assertEqual(t, map[Outcome]int{Completed: requests}, report.Outcomes)
-		assertEqual(t, map[string]int{"connection": requests}, report.Retries)
+		assert.Equal(t, map[Outcome]int{Completed: requests}, report.Outcomes)
+		assert.Equal(t, map[string]int{"connection": requests}, report.Retries)
 	})
 	t.Run("target that takes no connections", func(t *testing.T) {
 		gone := httptest.NewServer(newEngine())
@@ -91,19 +91,19 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		assertEqual(t, map[Outcome]int{Completed: requests}, report.Outcomes)
-		assertEqual(t, map[string]int{"connection": 1}, report.Retries)
+		assert.Equal(t, map[Outcome]int{Completed: requests}, report.Outcomes)
+		assert.Equal(t, map[string]int{"connection": 1}, report.Retries)
 	})
 	t.Run("busy with Retry-After", func(t *testing.T) {
 		report := send(t, Whole, refusing(http.StatusServiceUnavailable, "0"))
-		assertEqual(t, map[string]int{"overloaded": requests}, report.Refusals)
-		assertEqual(t, map[string]int{"overloaded": 2 * requests}, report.Retries)
-		assertEqual(t, true, report.Requests[0].IsNotRun())
+		assert.Equal(t, map[string]int{"overloaded": requests}, report.Refusals)
+		assert.Equal(t, map[string]int{"overloaded": 2 * requests}, report.Retries)
+		assert.Equal(t, true, report.Requests[0].IsNotRun())
 	})
 	t.Run("other refusals are final", func(t *testing.T) {
 		report := send(t, Whole, refusing(http.StatusBadGateway, "0"))
-		assertEqual(t, map[Outcome]int{Refused: requests}, report.Outcomes)
-		assertEqual(t, map[string]int{}, report.Retries)
+		assert.Equal(t, map[Outcome]int{Refused: requests}, report.Outcomes)
+		assert.Equal(t, map[string]int{}, report.Retries)
 	})
 }
 
@@ -112,7 +112,7 @@
 	settings.Mix = map[Kind]int{Stream: 1, Whole: 1, Plain: 1, NonIdempotent: 1}
 	for index := range requests {
 		first, second := newJob(&settings, index), newJob(&settings, index)
-		assertEqual(t, []string{first.key, first.nonce, first.method, first.path, first.body},
+		assert.Equal(t, []string{first.key, first.nonce, first.method, first.path, first.body},
 			[]string{second.key, second.nonce, second.method, second.path, second.body})
 	}
 }
@@ -149,7 +149,7 @@
 	if err != nil {
 		t.Fatalf("load: %v", err)
 	}
-	assertEqual(t, requests, len(report.Requests))
+	assert.Equal(t, requests, len(report.Requests))
 	return report
 }
 
@@ -171,10 +171,3 @@
 		_, _ = io.WriteString(w, `{"error":{"code":"overloaded"}}`)
 	})
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
--- a/standin/platform/handler_test.go
+++ b/standin/platform/handler_test.go
@@ -6,7 +6,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -14,9 +14,9 @@
 func TestService(t *testing.T) {
 	t.Run("append and read", func(t *testing.T) {
 		f := newFixture(t)
-		assertEqual(t, platform.Offset(0), f.append("a"))
-		assertEqual(t, platform.Offset(1), f.append("b"))
-		assertEqual(t, []platform.Entry{{Offset: 1, Payload: []byte("b")}}, f.read(1))
+		assert.Equal(t, platform.Offset(0), f.append("a"))
+		assert.Equal(t, platform.Offset(1), f.append("b"))
+		assert.Equal(t, []platform.Entry{{Offset: 1, Payload: []byte("b")}}, f.read(1))
 	})
 	t.Run("retention", func(t *testing.T) {
 		f := newFixture(t)
@@ -28,7 +28,7 @@
 		if !errors.As(err, &truncated) {
 			t.Fatalf("read below the first offset: %v", err)
 		}
-		assertEqual(t, platform.Offset(1), truncated.First)
+		assert.Equal(t, platform.Offset(1), truncated.First)
 	})
 	t.Run("outage", func(t *testing.T) {
 		f := newFixture(t)
@@ -36,20 +36,20 @@
 		_, err := f.log.Append(t.Context(), "ledger-0", nil)
 		assertUnavailable(t, err)
 		f.post("/control/log/outage?On=false", http.StatusNoContent)
-		assertEqual(t, platform.Offset(0), f.append("a"))
+		assert.Equal(t, platform.Offset(0), f.append("a"))
 	})
 	t.Run("lost answers", func(t *testing.T) {
 		f := newFixture(t)
 		f.post("/control/log/lost-answers?Fraction=1&Seed=7", http.StatusNoContent)
 		_, err := f.log.Append(t.Context(), "ledger-0", []byte("a"))
 		assertUnavailable(t, err)
-		assertEqual(t, []platform.Entry{{Offset: 0, Payload: []byte("a")}}, f.read(0))
+		assert.Equal(t, []platform.Entry{{Offset: 0, Payload: []byte("a")}}, f.read(0))
 	})
 	t.Run("malformed control request", func(t *testing.T) {
 		f := newFixture(t)
 		f.post("/control/log/lost-answers?Fraction=2", http.StatusBadRequest)
 		f.post("/control/log/outage?For=soon", http.StatusBadRequest)
-		assertEqual(t, platform.Offset(0), f.append("a"))
+		assert.Equal(t, platform.Offset(0), f.append("a"))
 	})
 	t.Run("instances", func(t *testing.T) {
 		f := newFixture(t)
@@ -59,7 +59,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		assertEqual(t, platform.Listing{
+		assert.Equal(t, platform.Listing{
 			Version:   2,
 			Instances: []platform.Instance{{Name: "router-1", State: platform.Leaving}},
 		}, listing)
@@ -116,7 +116,7 @@
 		f.t.Fatal(err)
 	}
 	_ = response.Body.Close()
-	assertEqual(f.t, status, response.StatusCode)
+	assert.Equal(f.t, status, response.StatusCode)
 }
 
 func assertUnavailable(t *testing.T, err error) {
@@ -125,10 +125,3 @@
 		t.Errorf("error %v in place of %v", err, platform.ErrUnavailable)
 	}
 }
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
-}
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
 	"github.com/dragonflyworks/dragonflyworks/standin/runs"
 )
@@ -21,9 +21,9 @@
 func TestService(t *testing.T) {
 	t.Run("answer carries nonce and body", func(t *testing.T) {
 		f := newFixture(t)
-		assertEqual(t, `{"Service":"","Method":"POST","Path":"/deposits/7?a=b","Key":"k","Nonce":"n","Body":"text","Run":1}`+"\n",
+		assert.Equal(t, `{"Service":"","Method":"POST","Path":"/deposits/7?a=b","Key":"k","Nonce":"n","Body":"text","Run":1}`+"\n",
 			f.call(t.Context(), "/deposits/7?a=b"))
-		assertEqual(t, []runs.Run{{Key: "k", Started: 1, Finished: 1, Tokens: 1}}, f.service.Runs.Runs())
+		assert.Equal(t, []runs.Run{{Key: "k", Started: 1, Finished: 1, Tokens: 1}}, f.service.Runs.Runs())
 	})
 	t.Run("open connections go silent, new ones work", func(t *testing.T) {
 		f := newFixture(t)
@@ -129,12 +129,5 @@
 	for _, run := range f.service.Runs.Runs() {
 		started += run.Started
 	}
-	assertEqual(f.t, want, started)
-}
-
-func assertEqual[T any](t *testing.T, want, got T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("unexpected value (-want +got):\n%s", diff)
-	}
+	assert.Equal(f.t, want, started)
 }
