--- a/router/capacity/sums.go
+++ b/router/capacity/sums.go
@@ -282,6 +282,12 @@
 	}
 }
 
+// role is what a role takes at a size; zero stands for nothing of the kind.
+type role struct {
+	Name, Message        string
+	Messages, Core, Heap func(s site) float64
+}
+
 func (m model) roles() []role {
 	none := func(site) float64 { return 0 }
 	perNode := func(s site) float64 { return m.stream(s, true) / float64(s.Nodes) }
--- a/router/capacity/sums_test.go
+++ b/router/capacity/sums_test.go
@@ -23,12 +23,6 @@
 	return table(rows)
 }
 
-// role is what a role takes at a size; zero stands for nothing of the kind.
-type role struct {
-	Name, Message        string
-	Messages, Core, Heap func(s site) float64
-}
-
 // roleTable returns what each role takes.
 func (r *results) roleTable() string {
 	rows := [][]string{{"Role", "Messages", "Letter", "Today", "% of a core, letter", "Today", "MB, letter", "Today"}}
