--- a/router/caller/serve.go
+++ b/router/caller/serve.go
@@ -42,12 +42,10 @@
 
 // settle bills or releases a reservation, and answers the caller if nothing was written to it yet.
 func (s *Server) settle(ctx context.Context, w http.ResponseWriter, d settlement) {
-	if d.err == nil {
-		d.reservation.Bill(d.result.Usage)
-		s.board.Count(requestCompleted)
-		return
-	}
 	switch {
+	case d.err == nil:
+		s.board.Count(requestCompleted)
+		s.settleAnswered(ctx, w, d)
 	case d.result.Verdict == verdict.NotRun:
 		s.refuse(w, s.release(ctx, d))
 	case d.deliveredNothing():
@@ -60,6 +58,17 @@
 	}
 }
 
+// settleAnswered bills an answer. An endpoint's error that costs nothing frees the identifier instead, for the
+// reason that deliveredNothing gives; the caller has its answer before the release is waited for.
+func (s *Server) settleAnswered(ctx context.Context, w http.ResponseWriter, d settlement) {
+	if !d.order.demand.Idempotent || d.result.Usage > 0 {
+		d.reservation.Bill(d.result.Usage)
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	_ = s.release(ctx, d)
+}
+
 // deliveredNothing says that an idempotent request left nothing to bill. Its identifier is freed, because a
 // bill of zero would make the caller's retry free of charge.
 func (d *settlement) deliveredNothing() bool {
--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -197,6 +197,12 @@
 			assert.Equal(t, c.want, settled{accounts.bills, accounts.releases, refusedBy(t, w).Verdict})
 		})
 	}
+	t.Run("an answer that costs nothing frees its identifier", func(t *testing.T) {
+		s, accounts, calls := setUp(t)
+		calls.result = endpoint.Result{Verdict: verdict.Ran}
+		send(s, "POST", "/v1/chat/completions", chatBody, HeaderAuthorization, "Bearer "+keyLuzon, HeaderIdempotencyKey, "k")
+		assert.Equal(t, settled{nil, 1, ""}, settled{accounts.bills, accounts.releases, ""})
+	})
 	t.Run("a whole answer that breaks is cut", func(t *testing.T) {
 		s, accounts, calls := setUp(t)
 		calls.result, calls.err = endpoint.Result{Started: true, Abort: true, Usage: 2}, broken(verdict.MayHaveRun)
--- a/router/endpoint/header.go
+++ b/router/endpoint/header.go
@@ -31,12 +31,16 @@
 	return header
 }
 
+// ownHeaders is how the names of the headers begin that only routers set on answers.
+const ownHeaders = "Dragonfly-"
+
 // copyResponseHeader sets the headers of an endpoint's answer on the caller's.
 func copyResponseHeader(to, from http.Header) {
 	removeHopHeaders(from)
-	from.Del(verdictHeader)
 	for name, values := range from {
-		to[name] = values
+		if !strings.HasPrefix(name, ownHeaders) {
+			to[name] = values
+		}
 	}
 }
 
