--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,14 @@
 
 capacity: ## measures the slopes of docs/CAPACITY.md in some minutes and rewrites the page's tables
 	CAPACITY_PAGE=$(CURDIR)/docs/CAPACITY.md go test -count 1 -timeout 10m -v -run '^TestMeasure$$' ./router/capacity
+
+FUZZ_TIME := 30s
+FUZZ_TARGETS := \
+	fleet/ledger:FuzzDecode fleet/ledger:FuzzAssembler fleet/ledger:FuzzLoad fleet/order:FuzzDecode \
+	fleet/operator:FuzzDecodeTicket fleet/operator:FuzzDecodeSnapshot fleet/peer:FuzzRequest \
+	router/endpoint:FuzzEventReader router/caller:FuzzModelBody
+
+fuzz: ## runs every fuzz target for FUZZ_TIME
+	@for t in $(FUZZ_TARGETS); do \
+		go test -run '^$$' -fuzz "^$${t#*:}$$" -fuzztime $(FUZZ_TIME) "./$${t%:*}" || exit 1; \
+	done
--- a/router/caller/model.go
+++ b/router/caller/model.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"reflect"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -135,6 +137,9 @@
 	if err := json.Unmarshal(raw, &fields); err != nil {
 		return nil, verdict.Refuse(verdict.InvalidBody, err.Error())
 	}
+	if err := checkSpelling(fields); err != nil {
+		return nil, err
+	}
 	limit := json.RawMessage(fmt.Appendf(nil, "%d", maxTokens))
 	delete(fields, "max_tokens")
 	delete(fields, "max_completion_tokens")
@@ -153,6 +158,20 @@
 	return rewritten, nil
 }
 
+// checkSpelling refuses fields that encoding/json takes for one that the router reads while engines, which tell
+// upper from lower case, do not: with "n":5 and "N":1 the router would pay for one answer and the engine give five.
+func checkSpelling(fields map[string]json.RawMessage) error {
+	known := reflect.TypeFor[modelBody]()
+	for name := range fields {
+		for i := range known.NumField() {
+			if tag := known.Field(i).Tag.Get("json"); name != tag && strings.EqualFold(name, tag) {
+				return verdict.Refuse(verdict.InvalidBody, fmt.Sprintf("the field %q is spelled %q", name, tag))
+			}
+		}
+	}
+	return nil
+}
+
 // listModels answers GET /v1/models in the shape of the OpenAI API.
 func (s *Server) listModels(w http.ResponseWriter, r *http.Request) {
 	c, err := s.admit(r)
--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -57,6 +57,7 @@
 		{"no model", "POST", "/v1/chat/completions", `{"messages":[]}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"no prompt", "POST", "/v1/completions", `{"model":"brush"}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"two answers", "POST", "/v1/completions", `{"model":"brush","prompt":"a","n":2}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"other spelling of n", "POST", "/v1/completions", `{"model":"brush","prompt":"a","n":5,"N":1}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"max_tokens above the route's", "POST", "/v1/completions", `{"model":"brush","prompt":"a","max_tokens":101}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"max_tokens of zero", "POST", "/v1/completions", `{"model":"brush","prompt":"a","max_tokens":0}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"unknown model", "POST", "/v1/completions", `{"model":"pen","prompt":"a"}`, []string{HeaderAuthorization, luzon}, verdict.ModelUnknown},
