--- a/router/caller/model.go
+++ b/router/caller/model.go
@@ -104,9 +104,25 @@
 			return nil, verdict.Refuse(verdict.InvalidBody, "n and best_of must be 1: one answer is reserved for a request")
 		}
 	}
+	if countPrompts(body.Prompt) > 1 {
+		return nil, verdict.Refuse(verdict.InvalidBody, "send one prompt: one answer is reserved for a request")
+	}
 	return body, nil
 }
 
+// countPrompts returns the number of prompts, each of which engines give an answer: a list of strings or of token
+// lists holds as many as it has elements, a list of token numbers is one.
+func countPrompts(prompt json.RawMessage) int {
+	var list []json.RawMessage
+	if json.Unmarshal(prompt, &list) != nil || len(list) == 0 {
+		return 1
+	}
+	if list[0][0] == '"' || list[0][0] == '[' {
+		return len(list)
+	}
+	return 1
+}
+
 // answerLimit returns the length that is reserved for the answer, in tokens.
 func (b *modelBody) answerLimit(limits operator.RouteLimits) (int64, error) {
 	asked := b.MaxTokens
--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -58,6 +58,8 @@
 		{"no prompt", "POST", "/v1/completions", `{"model":"brush"}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"two answers", "POST", "/v1/completions", `{"model":"brush","prompt":"a","n":2}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"other spelling of n", "POST", "/v1/completions", `{"model":"brush","prompt":"a","n":5,"N":1}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"two prompts", "POST", "/v1/completions", `{"model":"brush","prompt":["a","b"]}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
+		{"two prompts as tokens", "POST", "/v1/completions", `{"model":"brush","prompt":[[1,2],[3]]}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"max_tokens above the route's", "POST", "/v1/completions", `{"model":"brush","prompt":"a","max_tokens":101}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"max_tokens of zero", "POST", "/v1/completions", `{"model":"brush","prompt":"a","max_tokens":0}`, []string{HeaderAuthorization, luzon}, verdict.InvalidBody},
 		{"unknown model", "POST", "/v1/completions", `{"model":"pen","prompt":"a"}`, []string{HeaderAuthorization, luzon}, verdict.ModelUnknown},
@@ -141,6 +143,7 @@
 		{"prompt bound and answer limit", "/v1/chat/completions", chatBody, ledger.Tokens(len(chatBody)) + 10},
 		{"default answer limit", "/v1/completions", `{"model":"brush","prompt":"a"}`, 30 + 20},
 		{"max_completion_tokens goes first", "/v1/chat/completions", `{"model":"brush","messages":[],"max_tokens":9,"max_completion_tokens":5}`, 72 + 5},
+		{"one prompt as tokens", "/v1/completions", `{"model":"brush","prompt":[1,2,3]}`, 34 + 20},
 		{"price of a plain call", "/deposits", "x", 3},
 	}
 	for _, c := range cases {
