--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -62,22 +62,45 @@
 	}
 }
 
+// startAttempts bounds the starts of a router whose ports were taken by others before it listened.
+const startAttempts = 5
+
 // start runs a router on the site's log until it is ready.
 func (s *site) start(tb testing.TB, settings *Settings) {
 	tb.Helper()
-	container, err := build(settings, io.Discard)
-	if err != nil {
-		tb.Fatal(err)
+	for range startAttempts {
+		container, err := build(settings, io.Discard)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		err = container.Decorate(func(platform.Log) platform.Log { return s.stream })
+		if err != nil {
+			tb.Fatal(err)
+		}
+		go func() {
+			s.ended <- container.Invoke(func(p program) error { return p.run(context.Background(), s.signals) })
+		}()
+		s.callers = "http://" + settings.Listen
+		err = s.waitUntilReady(settings)
+		if err == nil {
+			return
+		}
+		tb.Logf("the router ended at its start: %v", err)
+		settings.Listen, settings.AdminListen = freeAddress(tb), freeAddress(tb)
 	}
-	err = container.Decorate(func(platform.Log) platform.Log { return s.stream })
-	if err != nil {
-		tb.Fatal(err)
+	tb.Fatal("the router never became ready")
+}
+
+// waitUntilReady returns nil once the router is ready, and its error if it ends before.
+func (s *site) waitUntilReady(settings *Settings) error {
+	for s.status("http://"+settings.AdminListen+"/readyz") != http.StatusOK {
+		select {
+		case err := <-s.ended:
+			return fmt.Errorf("starting the router: %w", err)
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
-	go func() {
-		s.ended <- container.Invoke(func(p program) error { return p.run(context.Background(), s.signals) })
-	}()
-	s.callers = "http://" + settings.Listen
-	eventually(tb, func() bool { return s.status("http://"+settings.AdminListen+"/readyz") == http.StatusOK })
+	return nil
 }
 
 // stop ends the router gracefully and returns what it ended with.
