--- a/dragonflyctl/streams/read.go
+++ b/dragonflyctl/streams/read.go
@@ -40,25 +40,8 @@
 
 // readAll calls visit with each entry that a stream still keeps.
 func readAll(ctx context.Context, log platform.Log, stream string, visit func(platform.Entry)) error {
-	var from platform.Offset
-	for {
-		entries, atEnd, err := read(ctx, log, stream, from)
-		var truncated *platform.TruncatedError
-		if errors.As(err, &truncated) && truncated.First > from {
-			from = truncated.First
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		for _, e := range entries {
-			visit(e)
-			from = e.Offset + 1
-		}
-		if atEnd {
-			return nil
-		}
-	}
+	reader := platform.KeptReader{Log: log, Stream: stream, Limit: readLimit, CallTimeout: callTimeout}
+	return reader.Read(ctx, visit)
 }
 
 // Append appends a payload within the time of one call.
--- a/fleet/ledgerstream/relay.go
+++ b/fleet/ledgerstream/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -148,14 +149,7 @@
 	return nil
 }
 
-func (g *outboxGroup) isHeldBy(instance string) bool {
-	for _, holder := range g.copies {
-		if holder == instance {
-			return true
-		}
-	}
-	return false
-}
+func (g *outboxGroup) isHeldBy(instance string) bool { return slices.Contains(g.copies, instance) }
 
 // copiesUrgent says whether a reservation waits for a copy to be held elsewhere.
 func (o *outbox) copiesUrgent() bool {
--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -88,35 +87,27 @@
 	return true
 }
 
-// newestSnapshot reads the snapshot stream to its end; nil if it holds no complete snapshot.
+// newestSnapshot reads the snapshot stream as far as it can be read; nil if that holds no complete snapshot.
 func (c *Client) newestSnapshot(ctx context.Context) *ledger.State {
-	stream := platform.LedgerSnapshotStream(c.settings.Partition)
 	var newest *ledger.State
 	assembler := &ledger.Assembler{}
-	from := platform.Offset(0)
-	for {
-		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
-		entries, err := c.log.Read(call, stream, from, c.settings.ReadLimit)
-		cancel()
-		truncated := &platform.TruncatedError{}
-		if errors.As(err, &truncated) && truncated.First > from {
-			from = truncated.First
-			continue
-		}
-		if err != nil || len(entries) == 0 {
-			return newest
+	reader := platform.KeptReader{
+		Log:         c.log,
+		Stream:      platform.LedgerSnapshotStream(c.settings.Partition),
+		Limit:       c.settings.ReadLimit,
+		CallTimeout: c.settings.CallTimeout,
+	}
+	// What was complete before a failed read is as good as without it.
+	_ = reader.Read(ctx, func(e platform.Entry) {
+		state, err := assembler.Add(e.Payload)
+		if err != nil {
+			c.count(snapshotMalformed, 1)
 		}
-		for _, e := range entries {
-			from = e.Offset + 1
-			state, err := assembler.Add(e.Payload)
-			if err != nil {
-				c.count(snapshotMalformed, 1)
-			}
-			if state != nil {
-				newest = state
-			}
+		if state != nil {
+			newest = state
 		}
-	}
+	})
+	return newest
 }
 
 // resumeAfterJump closes what the skipped records decided: their events were never seen, so that an open
--- a/router/controller/configuration.go
+++ b/router/controller/configuration.go
@@ -182,27 +182,17 @@
 // newestSnapshot returns the usable snapshot that covers the most; nil if there is none.
 func (c *Configuration) newestSnapshot(ctx context.Context) *operator.Configuration {
 	var newest *operator.Configuration
-	var from platform.Offset
 	assembler := &operator.SnapshotAssembler{}
-	for {
-		entries, err := c.stream.Read(ctx, platform.ConfigurationSnapshotStream, from, configurationBatch)
-		var truncated *platform.TruncatedError
-		if errors.As(err, &truncated) && truncated.First > from {
-			from = truncated.First
-			continue
+	reader := platform.KeptReader{Log: c.stream, Stream: platform.ConfigurationSnapshotStream, Limit: configurationBatch}
+	// What was complete before a failed read is as good as without it.
+	_ = reader.Read(ctx, func(e platform.Entry) {
+		snapshot, err := assembler.Add(e.Payload)
+		if err != nil {
+			c.board.Count(configurationSnapshotMalformed)
 		}
-		if err != nil || len(entries) == 0 {
-			return newest
+		if snapshot != nil {
+			newest = snapshot
 		}
-		for _, e := range entries {
-			from = e.Offset + 1
-			snapshot, err := assembler.Add(e.Payload)
-			if err != nil {
-				c.board.Count(configurationSnapshotMalformed)
-			}
-			if snapshot != nil {
-				newest = snapshot
-			}
-		}
-	}
+	})
+	return newest
 }
