--- a/router/endpoint/dispatcher.go
+++ b/router/endpoint/dispatcher.go
@@ -121,7 +121,7 @@
 	}
 	declared[key] = true
 	p, ok := d.peers[key]
-	if !ok || p.endpoint.Address != e.Address {
+	if !ok || p.address != e.Address {
 		p = newPeer(e, d.settings)
 		d.peers[key] = p
 	}
@@ -159,7 +159,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observeLocked(p, observation)
-	d.wakeLocked(d.serviceLocked(p.endpoint.Service))
+	d.wakeLocked(d.serviceLocked(p.service))
 }
 
 func (d *Dispatcher) observeLocked(p *peer, observation endpoint.Observation) {
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -115,11 +115,11 @@
 	request := &http.Request{
 		Method: x.call.Method,
 		URL: &url.URL{
-			Scheme: "http", Host: x.peer.endpoint.Address,
+			Scheme: "http", Host: x.peer.address,
 			Path: target.Path, RawPath: target.RawPath, RawQuery: target.RawQuery,
 		},
 		Header: requestHeader(x.call.Header),
-		Host:   x.peer.endpoint.Address,
+		Host:   x.peer.address,
 	}
 	if x.call.Model != nil {
 		// The router reads these answers.
--- a/router/endpoint/job.go
+++ b/router/endpoint/job.go
@@ -120,7 +120,7 @@
 	j.dispatcher.release(p, j, out)
 	j.tried = append(j.tried, p)
 	j.result.Attempts++
-	j.result.Endpoint = p.endpoint.Name
+	j.result.Endpoint = p.name
 	j.result.Started = x.started
 	j.result.Abort = out.abort
 	return out
--- a/router/endpoint/peer.go
+++ b/router/endpoint/peer.go
@@ -12,13 +12,17 @@
 
 // peer is one endpoint as this router sees it.
 type peer struct {
-	endpoint operator.Endpoint
+	// name, service and address never change: an endpoint with another address is another peer.
+	name     string
+	service  string
+	address  string
 	settings Settings
 	nameHash uint64
-	tier     endpoint.Tier
 	pool     atomic.Pointer[http.Transport]
 
 	// The fields below are guarded by the dispatcher.
+	kind     operator.EndpointKind
+	tier     endpoint.Tier
 	inFlight int
 	// suspects counts the requests in progress that were in progress at a crash.
 	suspects int
@@ -46,6 +50,9 @@
 
 func newPeer(e operator.Endpoint, s Settings) *peer {
 	p := &peer{
+		name:     e.Name,
+		service:  e.Service,
+		address:  e.Address,
 		settings: s,
 		nameHash: endpoint.HashName(e.Name),
 	}
@@ -54,9 +61,10 @@
 	return p
 }
 
-// declare takes a new declaration of the same endpoint in.
+// declare takes a new declaration of the same endpoint in. Attempts in progress read the peer without the
+// dispatcher's lock, so nothing that they read may be written here.
 func (p *peer) declare(e operator.Endpoint) {
-	p.endpoint = e
+	p.kind = e.Kind
 	p.tier = endpoint.TierOf(p.settings.Region, p.settings.AvailabilityZone, e.Region, e.AvailabilityZone)
 	p.limit.Most = orDefault(e.Concurrency, operator.DefaultEndpointConcurrency)
 }
--- a/router/endpoint/place.go
+++ b/router/endpoint/place.go
@@ -194,7 +194,7 @@
 	defer d.mu.Unlock()
 	d.learnLocked(p, j, out)
 	d.leaveLocked(p, j)
-	d.wakeLocked(d.serviceLocked(p.endpoint.Service))
+	d.wakeLocked(d.serviceLocked(p.service))
 }
 
 // learnLocked takes the outcome of an attempt in.
--- a/router/endpoint/probe.go
+++ b/router/endpoint/probe.go
@@ -70,14 +70,14 @@
 		if report.Queued == 0 {
 			l.peer.limit.Grow(l.peer.inFlight)
 		}
-		d.wakeLocked(d.serviceLocked(l.peer.endpoint.Service))
+		d.wakeLocked(d.serviceLocked(l.peer.service))
 	}
 	load.ownBefore = l.peer.inFlight
 }
 
 // ask gets a path of an endpoint.
 func ask(ctx context.Context, transport *http.Transport, p *peer, path string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.endpoint.Address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -93,7 +93,7 @@
 		d.probeIfDueLocked(now, p)
 		load := &p.load
 		due := load.used && !load.asking && now.Sub(load.askedAt) >= d.settings.LoadInterval
-		if due && p.endpoint.Kind == operator.EngineEndpoint && p.health.Available() {
+		if due && p.kind == operator.EngineEndpoint && p.health.Available() {
 			load.used, load.asking, load.askedAt = p.inFlight > 0, true, now
 			l := &loadReader{dispatcher: d, peer: p}
 			go l.run()
