--- a/fleet/ledgerstream/appender.go
+++ b/fleet/ledgerstream/appender.go
@@ -35,8 +35,8 @@
 func (c *Client) loopAppend(ctx context.Context) {
 	limiter := rate.NewLimiter(rate.Limit(c.settings.FleetAppendsPerSecond), appendBurst)
 	for ctx.Err() == nil {
-		if !c.hasUnsent() {
-			waitFor(ctx, c.wakeAppender, c.settings.HeartbeatInterval)
+		if wait := c.appendDueIn(time.Now()); wait > 0 {
+			waitFor(ctx, c.wakeAppender, wait)
 			continue
 		}
 		limiter.SetLimit(rate.Limit(c.appendRate()))
@@ -58,16 +58,23 @@
 	return decision.AppendRate(c.settings.FleetAppendsPerSecond, c.routers)
 }
 
-// hasUnsent says whether anything waits for its append.
-func (c *Client) hasUnsent() bool {
+// appendDueIn returns the time until something has to be appended.
+func (c *Client) appendDueIn(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	due := c.settings.HeartbeatInterval
 	for _, o := range c.outboxes() {
-		if o.unsent() != nil || len(o.queue) > 0 {
-			return true
+		if o.unsent() != nil {
+			return 0
 		}
+		if wait, queued := o.dueIn(now, c.settings.BillDelay); queued {
+			due = min(due, wait)
+		}
+	}
+	if len(c.dueCopies(now)) > 0 {
+		return 0
 	}
-	return len(c.dueCopies(time.Now())) > 0
+	return due
 }
 
 // nextBundle returns what to append next: the oldest groups that aren't known to be in the log, a new group
--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -28,6 +28,23 @@
 	})
 }
 
+func TestBillsShareTheAppendOfTheNextOpen(t *testing.T) {
+	inBubble(t, 1, 100_000, func(c *cluster) {
+		t := c.tb
+		mustReserve(t, c.members[0], demand(0, 100, true)).Bill(30)
+		time.Sleep(time.Second)
+		withoutDraws := func() int64 { return c.counter(appendGroups) - c.counter(drawSent) }
+		before := withoutDraws()
+		for i := range uint64(10) {
+			mustReserve(t, c.members[0], demand(1+i, 100, true)).Bill(30)
+			time.Sleep(DefaultBillDelay / 2)
+		}
+		time.Sleep(DefaultBillDelay + 100*time.Millisecond)
+		assertEqual(t, "groups of ten opens and the last bill", 11, withoutDraws()-before)
+		assertSpent(t, c, 11*30)
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	inBubble(t, 2, 1000, func(c *cluster) {
 		t := c.tb
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -69,8 +69,12 @@
 	// attempts are the reservations that are not closed yet.
 	attempts map[uint64]*attempt
 	// pending is what opens and returns in the outbox take from the free part of each share.
-	pending  map[shareKey]ledger.Tokens
-	queuedAt time.Time
+	pending map[shareKey]ledger.Tokens
+	// queuedAt is when the newest record was queued, queuedSince when the oldest that is still in the queue was.
+	queuedAt    time.Time
+	queuedSince time.Time
+	// urgent says that somebody waits for a queued record.
+	urgent bool
 }
 
 // newOutbox returns the empty outbox of an incarnation.
@@ -122,11 +126,33 @@
 	if _, ok := entry.record.(*ledger.Leave); ok {
 		o.leaving = true
 	}
+	if len(o.queue) == 0 {
+		o.queuedSince, o.urgent = now, false
+	}
 	o.queue = append(o.queue, entry)
 	o.queuedAt = now
+	o.urgent = o.urgent || !isBill(entry.record)
 	o.addPending(entry, 1)
 }
 
+// dueIn returns the time until the queued records are to be cut. Nobody waits for a bill, so bills alone are held
+// back: one that took the only append in flight would delay the open that comes right after it.
+func (o *outbox) dueIn(now time.Time, billDelay time.Duration) (wait time.Duration, queued bool) {
+	switch {
+	case len(o.queue) == 0:
+		return 0, false
+	case o.urgent:
+		return 0, true
+	default:
+		return max(0, o.queuedSince.Add(billDelay).Sub(now)), true
+	}
+}
+
+func isBill(record ledger.Record) bool {
+	_, ok := record.(*ledger.Bill)
+	return ok
+}
+
 // addPending adds the amount that a record takes from a share, or takes it off again. The fold applies
 // an incarnation's records in sequence, so that what a bill or a release frees counts for every open behind it.
 func (o *outbox) addPending(entry outboxEntry, sign ledger.Tokens) {
@@ -208,6 +234,8 @@
 	}
 	g.payload = payload
 	o.queue = slices.Delete(o.queue, 0, n)
+	// What did not fit goes into the next group.
+	o.urgent = len(o.queue) > 0
 	o.sequence += uint64(n)
 	o.groups = append(o.groups, g)
 	for _, e := range g.entries {
--- a/fleet/ledgerstream/settings.go
+++ b/fleet/ledgerstream/settings.go
@@ -19,6 +19,7 @@
 	DefaultDrawInterval         = 250 * time.Millisecond
 	DefaultOpenWait             = 5 * time.Second
 	DefaultReadBackWait         = 100 * time.Millisecond
+	DefaultBillDelay            = 20 * time.Millisecond
 	DefaultHeartbeatInterval    = 2 * time.Second
 	DefaultPollInterval         = 20 * time.Millisecond
 	DefaultTickInterval         = 250 * time.Millisecond
@@ -71,6 +72,8 @@
 	// ReadBackWait is how long an idempotent request waits for its reservation to be read back once
 	// the append was acknowledged.
 	ReadBackWait time.Duration
+	// BillDelay is how long bills wait for a record that somebody waits for, to share its append.
+	BillDelay time.Duration
 	// HeartbeatInterval is the time after which an idle router shows a sign of life; its default shrinks with
 	// the lease.
 	HeartbeatInterval time.Duration
@@ -125,6 +128,7 @@
 	s.DrawInterval = cmp.Or(s.DrawInterval, DefaultDrawInterval)
 	s.OpenWait = cmp.Or(s.OpenWait, DefaultOpenWait)
 	s.ReadBackWait = cmp.Or(s.ReadBackWait, DefaultReadBackWait)
+	s.BillDelay = cmp.Or(s.BillDelay, DefaultBillDelay)
 	s.HeartbeatInterval = cmp.Or(s.HeartbeatInterval, min(DefaultHeartbeatInterval, (s.Lease-s.LeaseMargin)/heartbeatsPerLease))
 	s.PollInterval = cmp.Or(s.PollInterval, DefaultPollInterval)
 	s.TickInterval = cmp.Or(s.TickInterval, DefaultTickInterval)
