--- a/fleet/ledger/budget.go
+++ b/fleet/ledger/budget.go
@@ -4,16 +4,19 @@
 	"iter"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // budgetChunk is the number of budgets that are allocated together.
 const budgetChunk = 256
 
-// budgetTable holds the budgets of a partition. They are allocated in chunks, which keeps them close
-// together and their addresses stable.
+// budgetTable holds the budgets of a partition in the order in which they were added. They are allocated in
+// chunks, which keeps them close together and their addresses stable.
 type budgetTable struct {
-	byName map[string]*budget
 	chunks [][]budget
+	size   int
+	index  index[string]
 }
 
 // budget is the state of a prepaid budget: spent + shared ≤ prepaid.
@@ -29,6 +32,8 @@
 	shares []share
 	// opens counts the reservations that are neither billed nor released.
 	opens uint32
+	// place is the budget's place in the table.
+	place uint32
 	// position is the budget's place in the snapshot that is being written.
 	position uint32
 	frozen   bool
@@ -42,20 +47,37 @@
 	reserved [2]Tokens
 }
 
-// add adds an empty budget.
-func (t *budgetTable) add(name string) *budget {
-	if t.byName == nil {
-		t.byName = make(map[string]*budget)
+// digestOfName returns the digest by which a budget is found.
+func digestOfName(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// at returns the budget at a place of the table.
+func (t *budgetTable) at(place uint32) *budget {
+	return &t.chunks[place/budgetChunk][place%budgetChunk]
+}
+
+// isAt reports whether a budget has its place in the table.
+func (t *budgetTable) isAt(place uint32, name string) bool { return t.at(place).name == name }
+
+// find returns a budget; nil if there is none.
+func (t *budgetTable) find(name string) *budget {
+	place, ok := t.index.find(name, digestOfName(name), t.isAt)
+	if !ok {
+		return nil
 	}
-	last := len(t.chunks) - 1
-	if last < 0 || len(t.chunks[last]) == budgetChunk {
+	return t.at(place)
+}
+
+// add adds an empty budget that the table doesn't have.
+func (t *budgetTable) add(name string) *budget {
+	place := uint32(t.size)
+	if place%budgetChunk == 0 {
 		t.chunks = append(t.chunks, make([]budget, 0, budgetChunk))
-		last++
 	}
-	t.chunks[last] = append(t.chunks[last], budget{name: name})
-	b := &t.chunks[last][len(t.chunks[last])-1]
-	t.byName[name] = b
-	return b
+	last := &t.chunks[len(t.chunks)-1]
+	*last = append(*last, budget{name: name, place: place})
+	t.size++
+	t.index.add(name, digestOfName(name), place)
+	return t.at(place)
 }
 
 // all returns the budgets in the order in which they were added.
@@ -73,7 +95,7 @@
 
 // sorted returns the budgets by name.
 func (t *budgetTable) sorted() []*budget {
-	budgets := slices.AppendSeq(make([]*budget, 0, len(t.byName)), t.all())
+	budgets := slices.AppendSeq(make([]*budget, 0, t.size), t.all())
 	slices.SortFunc(budgets, compareNames)
 	return budgets
 }
@@ -89,15 +111,15 @@
 
 // prepay puts a ticket's total in force.
 func (s *State) prepay(r *Prepaid) {
-	b, ok := s.budgets.byName[r.Budget]
-	if ok && r.Ticket <= b.ticket {
+	b := s.budgets.find(r.Budget)
+	if b != nil && r.Ticket <= b.ticket {
 		return
 	}
-	if ok && r.Total < b.spent+b.shared {
+	if b != nil && r.Total < b.spent+b.shared {
 		s.emit(&PrepaidRefused{Budget: r.Budget, Ticket: r.Ticket, Needed: b.spent + b.shared})
 		return
 	}
-	if !ok {
+	if b == nil {
 		b = s.budgets.add(r.Budget)
 	}
 	b.ticket = r.Ticket
@@ -110,8 +132,8 @@
 
 // draw grants a share or records the unmet demand.
 func (s *State) draw(m *member, r *Draw) {
-	b, ok := s.budgets.byName[r.Budget]
-	if !ok {
+	b := s.budgets.find(r.Budget)
+	if b == nil {
 		s.refuseDraw(m, r, UnknownBudget)
 		return
 	}
@@ -132,7 +154,7 @@
 // refuseDraw records an unmet demand.
 func (s *State) refuseDraw(m *member, r *Draw, reason RefusalReason) {
 	refused := &DrawRefused{Incarnation: m.incarnation, Draw: r, Reason: reason}
-	if b, ok := s.budgets.byName[r.Budget]; ok {
+	if b := s.budgets.find(r.Budget); b != nil {
 		refused.Available = b.available()
 	}
 	s.emit(refused)
@@ -140,8 +162,8 @@
 
 // giveBack returns a part of a share to its budget.
 func (s *State) giveBack(m *member, r *Return) {
-	b, ok := s.budgets.byName[r.Budget]
-	if !ok {
+	b := s.budgets.find(r.Budget)
+	if b == nil {
 		return
 	}
 	if h := b.shareOf(m); h != nil {
@@ -180,11 +202,21 @@
 	position, _ := slices.BinarySearchFunc(b.shares, m.incarnation, func(h share, i Incarnation) int {
 		return h.member.incarnation.compare(i)
 	})
+	if len(b.shares) == cap(b.shares) {
+		b.growShares()
+	}
 	b.shares = slices.Insert(b.shares, position, share{member: m})
 	m.shares++
 	return &b.shares[position]
 }
 
+// growShares makes room for a share, and for a quarter more: most budgets have few holders, which stay.
+func (b *budget) growShares() {
+	shares := make([]share, len(b.shares), len(b.shares)+1+len(b.shares)/4)
+	copy(shares, b.shares)
+	b.shares = shares
+}
+
 // dropIfEmpty removes a share that holds nothing.
 func (b *budget) dropIfEmpty(h *share) {
 	if !h.isEmpty() {
--- a/fleet/ledger/property_test.go
+++ b/fleet/ledger/property_test.go
@@ -25,7 +25,7 @@
 		view.Holders, view.OpenRequests = nil, 0
 		o.equal(*expected, view)
 	}
-	o.equal(len(o.requests), len(s.requests.known))
+	o.equal(len(o.requests), s.requests.size())
 	opens := 0
 	for _, view := range s.Budgets() {
 		opens += view.OpenRequests
--- a/fleet/ledger/read.go
+++ b/fleet/ledger/read.go
@@ -7,8 +7,8 @@
 
 // Budget returns the state of a budget.
 func (s *State) Budget(name string) (BudgetView, bool) {
-	b, ok := s.budgets.byName[name]
-	if !ok {
+	b := s.budgets.find(name)
+	if b == nil {
 		return BudgetView{}, false
 	}
 	return b.view(), true
@@ -16,7 +16,7 @@
 
 // Budgets returns the state of all budgets by name.
 func (s *State) Budgets() []BudgetView {
-	views := make([]BudgetView, 0, len(s.budgets.byName))
+	views := make([]BudgetView, 0, s.budgets.size)
 	for _, b := range s.budgets.sorted() {
 		views = append(views, b.view())
 	}
@@ -51,9 +51,9 @@
 
 // Holder returns what an incarnation holds of a budget.
 func (s *State) Holder(name string, i Incarnation) HolderView {
-	b, knownBudget := s.budgets.byName[name]
-	m, knownMember := s.members[i]
-	if knownBudget && knownMember {
+	b := s.budgets.find(name)
+	m, ok := s.members[i]
+	if b != nil && ok {
 		if h := b.shareOf(m); h != nil {
 			return h.view()
 		}
@@ -107,7 +107,7 @@
 
 // Request returns what is remembered of a request identifier; zero for one that is unknown or forgotten.
 func (s *State) Request(id RequestIdentifier) RequestView {
-	q := s.requests.known[id]
+	q, _ := s.requests.find(id)
 	return RequestView{Open: q.opens > 0, Billed: q.billed}
 }
 
--- a/fleet/ledger/request.go
+++ b/fleet/ledger/request.go
@@ -3,23 +3,22 @@
 import (
 	"maps"
 	"slices"
-
-	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
 // reservation is an accepted open that is neither billed nor released.
 type reservation struct {
 	request RequestIdentifier
-	budget  *budget
 	// amount is zero if the request had been billed before.
 	amount Tokens
+	// budget is the budget's place in the table.
+	budget uint32
 	kind   ShareKind
 }
 
 // open reserves the cost of an attempt.
 func (s *State) open(m *member, r *Open) {
-	known, isKnown := s.requests.known[r.Request]
-	b := s.budgets.byName[r.Budget]
+	known, isKnown := s.requests.find(r.Request)
+	b := s.budgets.find(r.Budget)
 	if reason := m.checkOpen(r, b, known, isKnown); reason != "" {
 		s.emit(&OpenRefused{Attempt: m.attempt(r.Attempt), Open: r, Reason: reason})
 		return
@@ -36,10 +35,10 @@
 	if m.opens == nil {
 		m.opens = make(map[uint64]reservation)
 	}
-	m.opens[r.Attempt] = reservation{request: r.Request, budget: b, amount: amount, kind: r.Kind}
+	m.opens[r.Attempt] = reservation{request: r.Request, budget: b.place, amount: amount, kind: r.Kind}
 	m.attempts.add(r.Attempt)
 	b.opens++
-	s.requests.open(r, known)
+	s.requests.reopen(r, known)
 	s.emit(&Opened{Attempt: m.attempt(r.Attempt), Open: r, AlreadyBilled: known.billed})
 }
 
@@ -108,15 +107,16 @@
 
 // charge closes an open and charges an amount, unless its request was billed before.
 func (s *State) charge(m *member, attempt uint64, o reservation, amount Tokens, settled bool) {
-	q := s.requests.known[o.request]
+	q := s.requests.open[o.request]
 	if q.billed {
 		amount = 0
 	}
 	q.billed = true
-	s.closeOpen(m, attempt, o, amount)
+	b := s.budgets.at(o.budget)
+	b.closeOpen(m, attempt, o, amount)
 	s.requests.closeOne(o.request, q, s.next)
 	s.emit(&Billed{
-		Attempt: m.attempt(attempt), Request: o.request, Budget: o.budget.name, Charged: amount, Settled: settled,
+		Attempt: m.attempt(attempt), Request: o.request, Budget: b.name, Charged: amount, Settled: settled,
 	})
 }
 
@@ -127,24 +127,24 @@
 		s.counters.Unmatched++
 		return
 	}
-	s.closeOpen(m, r.Attempt, o, 0)
+	s.budgets.at(o.budget).closeOpen(m, r.Attempt, o, 0)
 	s.requests.release(o.request, s.next)
 	s.emit(&Released{Attempt: m.attempt(r.Attempt), Request: r.Request})
 }
 
 // closeOpen takes the reservation off its share, charges a part of it and makes the rest free again.
-func (s *State) closeOpen(m *member, attempt uint64, o reservation, charged Tokens) {
+func (b *budget) closeOpen(m *member, attempt uint64, o reservation, charged Tokens) {
 	delete(m.opens, attempt)
-	o.budget.opens--
+	b.opens--
 	if o.amount == 0 {
 		return
 	}
-	o.budget.shared -= charged
-	o.budget.spent += charged
-	h := o.budget.shareOf(m)
+	b.shared -= charged
+	b.spent += charged
+	h := b.shareOf(m)
 	h.reserved[o.kind] -= o.amount
 	h.free[o.kind] += o.amount - charged
-	o.budget.dropIfEmpty(h)
+	b.dropIfEmpty(h)
 }
 
 // settleOpens closes an incarnation's opens of one kind: each whose request is not yet billed is charged
@@ -156,53 +156,3 @@
 		}
 	}
 }
-
-// request is what is remembered of a request identifier: it has an open, or it was billed.
-type request struct {
-	fingerprint Fingerprint
-	// closed is the state's next offset after its last open was closed; 0 if it never was.
-	closed     platform.Offset
-	opens      uint32
-	idempotent bool
-	billed     bool
-}
-
-// requestTable remembers request identifiers.
-type requestTable struct {
-	known map[RequestIdentifier]request
-	// closed lists closed identifiers in the order of their offsets; non-idempotent ones and idempotent
-	// ones apart.
-	closed [2]closedQueue
-}
-
-// open counts an accepted open of a request.
-func (t *requestTable) open(r *Open, q request) {
-	if t.known == nil {
-		t.known = make(map[RequestIdentifier]request)
-	}
-	q.fingerprint = r.Fingerprint
-	q.idempotent = r.Idempotent
-	q.opens++
-	t.known[r.Request] = q
-}
-
-// release closes one of a request's opens and forgets a request that has no other and no bill.
-func (t *requestTable) release(id RequestIdentifier, next platform.Offset) {
-	q := t.known[id]
-	if q.opens == 1 && !q.billed {
-		delete(t.known, id)
-		return
-	}
-	t.closeOne(id, q, next)
-}
-
-// closeOne closes one of a request's opens; the window starts with the last one. A request that is closed
-// twice by one entry is listed once.
-func (t *requestTable) closeOne(id RequestIdentifier, q request, next platform.Offset) {
-	q.opens--
-	if q.opens == 0 && q.closed != next {
-		q.closed = next
-		t.closed[queueOf(q)].push(closedRequest{closed: next, id: id})
-	}
-	t.known[id] = q
-}
--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -57,7 +57,7 @@
 		Version: snapshotVersion, Next: uint64(s.next),
 		Idempotent: window.Idempotent, NonIdempotent: window.NonIdempotent,
 	}
-	size := len(s.budgets.byName)*usualBudgetBytes + len(s.requests.known)*usualRequestBytes
+	size := s.budgets.size*usualBudgetBytes + s.requests.size()*usualRequestBytes
 	b, err := header.MarshalMsg(make([]byte, 0, size))
 	if err != nil {
 		return b, err
@@ -73,12 +73,12 @@
 		return b, err
 	}
 	for _, m := range members {
-		if b, err = m.appendOpens(b); err != nil {
+		if b, err = s.appendOpens(b, m); err != nil {
 			return b, err
 		}
 	}
 	for queue := range s.requests.closed {
-		if b, err = s.requests.appendClosed(b, &s.requests.closed[queue]); err != nil {
+		if b, err = s.requests.appendClosed(b, uint32(queue)); err != nil {
 			return b, err
 		}
 	}
@@ -123,21 +123,12 @@
 
 // appendOpen appends the section of the requests with opens.
 func (t *requestTable) appendOpen(b []byte) ([]byte, error) {
-	ids := make([]RequestIdentifier, 0)
-	for id, q := range t.known {
-		if q.opens > 0 {
-			ids = append(ids, id)
-		}
-	}
-	slices.SortFunc(ids, func(x, y RequestIdentifier) int { return slices.Compare(x[:], y[:]) })
+	ids := slices.SortedFunc(maps.Keys(t.open), func(x, y RequestIdentifier) int { return slices.Compare(x[:], y[:]) })
 	b = msgp.AppendArrayHeader(b, uint32(len(ids)))
 	var err error
 	for _, id := range ids {
-		q := t.known[id]
-		row := requestRow{
-			Request: id, Fingerprint: uint64(q.fingerprint), Closed: uint64(q.closed),
-			Idempotent: q.idempotent, Billed: q.billed,
-		}
+		q := t.open[id]
+		row := requestRow{Request: id, Fingerprint: uint64(q.fingerprint), Idempotent: q.idempotent, Billed: q.billed}
 		if b, err = row.MarshalMsg(b); err != nil {
 			return b, err
 		}
@@ -146,21 +137,15 @@
 }
 
 // appendClosed appends a section of requests without opens in the order in which they were closed.
-func (t *requestTable) appendClosed(b []byte, queue *closedQueue) ([]byte, error) {
-	lines := queue.entries[queue.head:]
+func (t *requestTable) appendClosed(b []byte, queue uint32) ([]byte, error) {
 	count := uint32(0)
-	for _, c := range lines {
-		if t.isCurrent(c) {
-			count++
-		}
+	for range t.current(queue) {
+		count++
 	}
 	b = msgp.AppendArrayHeader(b, count)
 	var err error
-	for _, c := range lines {
-		if !t.isCurrent(c) {
-			continue
-		}
-		row := closedRow{Request: c.id, Fingerprint: uint64(t.known[c.id].fingerprint), Closed: uint64(c.closed)}
+	for c := range t.current(queue) {
+		row := closedRow{Request: c.id, Fingerprint: uint64(c.fingerprint), Closed: uint64(c.closed)}
 		if b, err = row.MarshalMsg(b); err != nil {
 			return b, err
 		}
@@ -210,13 +195,13 @@
 }
 
 // appendOpens appends the opens of an incarnation.
-func (m *member) appendOpens(b []byte) ([]byte, error) {
+func (s *State) appendOpens(b []byte, m *member) ([]byte, error) {
 	b = msgp.AppendArrayHeader(b, uint32(len(m.opens)))
 	var err error
 	for _, attempt := range slices.Sorted(maps.Keys(m.opens)) {
 		o := m.opens[attempt]
 		row := reservationRow{
-			Attempt: attempt, Request: o.request, Budget: o.budget.position,
+			Attempt: attempt, Request: o.request, Budget: s.budgets.at(o.budget).position,
 			Amount: int64(o.amount), Kind: uint8(o.kind),
 		}
 		if b, err = row.MarshalMsg(b); err != nil {
--- a/fleet/ledger/snapshot_load.go
+++ b/fleet/ledger/snapshot_load.go
@@ -94,10 +94,14 @@
 func (s *State) loadBudgets(r *snapshotReader, members []*member) []*budget {
 	n := r.count()
 	budgets := make([]*budget, 0, n)
-	s.budgets.byName = make(map[string]*budget, n)
+	s.budgets.index = newIndex[string](n)
 	var row budgetRow
 	for ; n > 0 && r.err == nil; n-- {
 		r.row(&row)
+		r.check(s.budgets.find(row.Name) == nil)
+		if r.err != nil {
+			break
+		}
 		b := s.budgets.add(row.Name)
 		b.ticket = row.Ticket
 		b.prepaid, b.spent = Tokens(row.Prepaid), Tokens(row.Spent)
@@ -107,20 +111,18 @@
 		b.loadShares(r, members)
 		budgets = append(budgets, b)
 	}
-	r.check(len(s.budgets.byName) == len(budgets))
 	return budgets
 }
 
 // loadOpenRequests reads the section of the requests with opens, which are counted with the incarnations.
 func (s *State) loadOpenRequests(r *snapshotReader) {
 	n := r.count()
-	s.requests.known = make(map[RequestIdentifier]request, n)
+	s.requests.open = make(map[RequestIdentifier]request, n)
 	var row requestRow
 	for ; n > 0 && r.err == nil; n-- {
 		r.row(&row)
-		s.requests.known[row.Request] = request{
-			fingerprint: Fingerprint(row.Fingerprint), closed: platform.Offset(row.Closed),
-			idempotent: row.Idempotent, billed: row.Billed,
+		s.requests.open[row.Request] = request{
+			fingerprint: Fingerprint(row.Fingerprint), idempotent: row.Idempotent, billed: row.Billed,
 		}
 	}
 }
@@ -207,16 +209,16 @@
 	var row reservationRow
 	for ; n > 0 && r.err == nil; n-- {
 		r.row(&row)
-		q, ok := s.requests.known[row.Request]
+		q, ok := s.requests.open[row.Request]
 		r.check(ok && int(row.Budget) < len(budgets) && row.Kind <= uint8(Reserve))
 		if r.err != nil {
 			return
 		}
 		q.opens++
-		s.requests.known[row.Request] = q
+		s.requests.open[row.Request] = q
 		b := budgets[row.Budget]
 		b.opens++
-		o := reservation{request: row.Request, budget: b, amount: Tokens(row.Amount), kind: ShareKind(row.Kind)}
+		o := reservation{request: row.Request, budget: b.place, amount: Tokens(row.Amount), kind: ShareKind(row.Kind)}
 		m.opens[row.Attempt] = o
 		if o.amount != 0 {
 			b.hold(r, o.amount)
@@ -225,19 +227,19 @@
 	}
 }
 
-// loadClosed reads a section of requests without opens.
-func (s *State) loadClosed(r *snapshotReader, queue int) {
-	n := r.count()
-	s.requests.closed[queue].entries = make([]closedRequest, 0, n)
+// loadClosed reads a section of requests without opens, of which each is listed once.
+func (s *State) loadClosed(r *snapshotReader, queue uint32) {
 	var row closedRow
-	for ; n > 0 && r.err == nil; n-- {
+	for n := r.count(); n > 0 && r.err == nil; n-- {
 		r.row(&row)
-		c := closedRequest{closed: platform.Offset(row.Closed), id: row.Request}
-		s.requests.closed[queue].push(c)
-		s.requests.known[c.id] = request{
-			fingerprint: Fingerprint(row.Fingerprint), closed: c.closed,
-			idempotent: queue == idempotentQueue, billed: true,
+		_, twice := s.requests.find(row.Request)
+		r.check(!twice)
+		if r.err != nil {
+			return
 		}
+		s.requests.addClosed(queue, closedRequest{
+			id: row.Request, fingerprint: Fingerprint(row.Fingerprint), closed: platform.Offset(row.Closed),
+		})
 	}
 }
 
@@ -252,9 +254,9 @@
 	}
 }
 
-// checkOpens checks that every request has an open or was billed.
+// checkOpens checks that every request of the section of open ones has an open.
 func (s *State) checkOpens(r *snapshotReader) {
-	for _, q := range s.requests.known {
-		r.check(q.opens > 0 || q.billed)
+	for _, q := range s.requests.open {
+		r.check(q.opens > 0)
 	}
 }
--- a/fleet/ledger/snapshot_row.go
+++ b/fleet/ledger/snapshot_row.go
@@ -69,9 +69,10 @@
 type requestRow struct {
 	Request     [16]byte
 	Fingerprint uint64
-	Closed      uint64
-	Idempotent  bool
-	Billed      bool
+	// Closed is of no use any more and zero.
+	Closed     uint64
+	Idempotent bool
+	Billed     bool
 }
 
 // reservationRow is an open of an incarnation.
--- a/fleet/ledger/window_test.go
+++ b/fleet/ledger/window_test.go
@@ -29,8 +29,8 @@
 
 func TestOverspentSnapshotIsRefused(t *testing.T) {
 	s := newPartition(1, 1)
-	s.budgets.byName[budgetName(0)].prepaid--
-	s.budgets.byName[budgetName(0)].shares[0].free[Working] = 1 << 40
+	s.budgets.at(0).prepaid--
+	s.budgets.at(0).shares[0].free[Working] = 1 << 40
 	data, err := s.encode()
 	assert.ErrorIs(t, err, nil)
 	_, err = loadState(data)
