--- a/fleet/ledger/bench_test.go
+++ b/fleet/ledger/bench_test.go
@@ -122,8 +122,9 @@
 
 func BenchmarkMemory(b *testing.B) {
 	const requests = 200_000
+	apply := func(s *State, r Record) { s.apply(s.members[router(0)], r, s.budget(r)) }
 	open := func(s *State, n int) {
-		s.apply(s.members[router(0)], &Open{Request: requestNumber(n), Attempt: uint64(n), Budget: budgetName(n % 1000), Amount: 1})
+		apply(s, &Open{Request: requestNumber(n), Attempt: uint64(n), Budget: budgetName(n % 1000), Amount: 1})
 	}
 	for _, c := range []struct {
 		name    string
@@ -136,7 +137,7 @@
 		{name: "open", count: requests, apply: open},
 		{name: "remembered", count: requests, apply: func(s *State, n int) {
 			open(s, n)
-			s.apply(s.members[router(0)], &Bill{Request: requestNumber(n), Attempt: uint64(n), Usage: 1})
+			apply(s, &Bill{Request: requestNumber(n), Attempt: uint64(n), Usage: 1})
 		}},
 	} {
 		b.Run(c.name, func(b *testing.B) {
--- a/fleet/ledger/budget.go
+++ b/fleet/ledger/budget.go
@@ -67,6 +67,15 @@
 	return t.at(place)
 }
 
+// candidate returns the only budget that can have a name unless digests collide; nil if there is none.
+func (t *budgetTable) candidate(name string) *budget {
+	place, ok := t.index.first[digestOfName(name)]
+	if !ok {
+		return nil
+	}
+	return t.at(place)
+}
+
 // add adds an empty budget that the table doesn't have.
 func (t *budgetTable) add(name string) *budget {
 	place := uint32(t.size)
@@ -110,8 +119,7 @@
 func (h *share) isEmpty() bool { return h.free == [2]Tokens{} && h.reserved == [2]Tokens{} }
 
 // prepay puts a ticket's total in force.
-func (s *State) prepay(r *Prepaid) {
-	b := s.budgets.find(r.Budget)
+func (s *State) prepay(r *Prepaid, b *budget) {
 	if b != nil && r.Ticket <= b.ticket {
 		return
 	}
@@ -131,19 +139,18 @@
 }
 
 // draw grants a share or records the unmet demand.
-func (s *State) draw(m *member, r *Draw) {
-	b := s.budgets.find(r.Budget)
+func (s *State) draw(m *member, r *Draw, b *budget) {
 	if b == nil {
-		s.refuseDraw(m, r, UnknownBudget)
+		s.refuseDraw(m, r, b, UnknownBudget)
 		return
 	}
 	if b.frozen {
-		s.refuseDraw(m, r, FrozenBudget)
+		s.refuseDraw(m, r, b, FrozenBudget)
 		return
 	}
 	amount := min(r.Wanted, b.available())
 	if r.Minimum <= 0 || amount < r.Minimum {
-		s.refuseDraw(m, r, Insufficient)
+		s.refuseDraw(m, r, b, Insufficient)
 		return
 	}
 	b.shared += amount
@@ -152,17 +159,16 @@
 }
 
 // refuseDraw records an unmet demand.
-func (s *State) refuseDraw(m *member, r *Draw, reason RefusalReason) {
+func (s *State) refuseDraw(m *member, r *Draw, b *budget, reason RefusalReason) {
 	refused := &DrawRefused{Incarnation: m.incarnation, Draw: r, Reason: reason}
-	if b := s.budgets.find(r.Budget); b != nil {
+	if b != nil {
 		refused.Available = b.available()
 	}
 	s.emit(refused)
 }
 
 // giveBack returns a part of a share to its budget.
-func (s *State) giveBack(m *member, r *Return) {
-	b := s.budgets.find(r.Budget)
+func (s *State) giveBack(m *member, r *Return, b *budget) {
 	if b == nil {
 		return
 	}
--- /dev/null
+++ b/fleet/ledger/index_test.go
@@ -0,0 +1,45 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+func TestBudgetsWithOneDigest(t *testing.T) {
+	names := make(map[uint32]string)
+	first, second := "", ""
+	for n := 0; second == ""; n++ {
+		name := budgetName(n)
+		if first = names[digestOfName(name)]; first != "" {
+			second = name
+		}
+		names[digestOfName(name)] = name
+	}
+	s := newStream(t)
+	s.write(t, router(1),
+		&Prepaid{Budget: first, Ticket: 1, Total: 10}, &Prepaid{Budget: second, Ticket: 1, Total: 20},
+		&Prepaid{Budget: second, Ticket: 2, Total: 30}, &Prepaid{Budget: first, Ticket: 2, Total: 40})
+	s.write(t, router(1), &Draw{Budget: second, Wanted: 5, Minimum: 1}, &Draw{Budget: first, Wanted: 7, Minimum: 1})
+	for name, expected := range map[string][2]Tokens{first: {40, 7}, second: {30, 5}} {
+		view, _ := s.state.Budget(name)
+		assert.Equal(t, expected, [2]Tokens{view.Prepaid, view.Shared})
+	}
+}
+
+func TestLineNumbersWrap(t *testing.T) {
+	const first, lines = lineMask + 1 - closedChunk, 3 * closedChunk
+	var table requestTable
+	table.closed[nonIdempotentQueue] = closedQueue{first: first, next: first}
+	for n := range lines {
+		table.addClosed(nonIdempotentQueue, closedRequest{id: requestNumber(n), closed: platform.Offset(n)})
+	}
+	assert.Equal(t, uint64(lines/2), table.forget(lines, Window{NonIdempotent: lines / 2}))
+	for n := range lines {
+		q, ok := table.find(requestNumber(n))
+		assert.Equal(t, n >= lines/2, ok)
+		assert.Equal(t, ok, q.billed)
+	}
+	assert.Equal(t, 2, len(table.closed[nonIdempotentQueue].chunks))
+}
--- a/fleet/ledger/member.go
+++ b/fleet/ledger/member.go
@@ -115,9 +115,18 @@
 	}
 	s.counters.Groups++
 	m.applied = max(m.applied, g.last())
-	for _, r := range g.Records {
-		s.apply(m, r)
+	// A fence applies the buffered groups of its target, so that the buffer isn't free while this group is applied.
+	found := s.lookUp(m, g, s.found[:0])
+	s.found = nil
+	for i, r := range g.Records {
+		b := found[i]
+		if b == nil {
+			// Its digest collides, or a record of the same group added it.
+			b = s.budget(r)
+		}
+		s.apply(m, r, b)
 	}
+	s.found = found
 }
 
 // applyFirstBuffered takes the first group out of the buffer and applies it unless it overlaps what
--- a/fleet/ledger/request.go
+++ b/fleet/ledger/request.go
@@ -16,9 +16,8 @@
 }
 
 // open reserves the cost of an attempt.
-func (s *State) open(m *member, r *Open) {
+func (s *State) open(m *member, r *Open, b *budget) {
 	known, isKnown := s.requests.find(r.Request)
-	b := s.budgets.find(r.Budget)
 	if reason := m.checkOpen(r, b, known, isKnown); reason != "" {
 		s.emit(&OpenRefused{Attempt: m.attempt(r.Attempt), Open: r, Reason: reason})
 		return
--- a/fleet/ledger/simulation_test.go
+++ b/fleet/ledger/simulation_test.go
@@ -146,10 +146,11 @@
 }
 
 // open makes an open of a new attempt, and now and then of one that was used. It mostly fits into the share.
+// Some requests have the same digest.
 func (s *simulation) open(w *writer, state *State, budget string, kind ShareKind) *Open {
 	request := s.number(1, simulatedRequests, "request")
 	o := Open{
-		Request: RequestIdentifier{byte(request)}, Attempt: uint64(len(w.opens) + 1), Budget: budget, Kind: kind,
+		Request: RequestIdentifier{byte(request / 3), 15: byte(request)}, Attempt: uint64(len(w.opens) + 1), Budget: budget, Kind: kind,
 		Amount: Tokens(s.number(0, 30, "amount")), Idempotent: request%2 == 0,
 	}
 	h := state.Holder(budget, w.incarnation)
--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -23,6 +23,8 @@
 	requests requestTable
 	// events gathers the outcomes of the entry that is being folded.
 	events []Event
+	// found is a buffer for the budgets of a group's records.
+	found []*budget
 }
 
 // Counters counts what a state has met since it was made or loaded; they are no part of the fold's result.
@@ -125,11 +127,11 @@
 // emit adds an outcome to the events of the entry.
 func (s *State) emit(e Event) { s.events = append(s.events, e) }
 
-// apply folds a record of an incarnation.
-func (s *State) apply(m *member, record Record) {
+// apply folds a record of an incarnation that names a budget; nil if it names none or one that isn't known.
+func (s *State) apply(m *member, record Record, b *budget) {
 	s.counters.Records++
 	if !m.mayWrite(record) {
-		s.refuseNotLive(m, record)
+		s.refuseNotLive(m, record, b)
 		return
 	}
 	switch r := record.(type) {
@@ -140,13 +142,13 @@
 	case *Leave:
 		s.leave(m)
 	case *Prepaid:
-		s.prepay(r)
+		s.prepay(r, b)
 	case *Draw:
-		s.draw(m, r)
+		s.draw(m, r, b)
 	case *Return:
-		s.giveBack(m, r)
+		s.giveBack(m, r, b)
 	case *Open:
-		s.open(m, r)
+		s.open(m, r, b)
 	case *Bill:
 		s.bill(m, r)
 	case *Release:
@@ -159,12 +161,12 @@
 }
 
 // refuseNotLive answers a record that the incarnation may not write any more.
-func (s *State) refuseNotLive(m *member, record Record) {
+func (s *State) refuseNotLive(m *member, record Record, b *budget) {
 	s.counters.NotLive++
 	if m.status != suspended {
 		return
 	}
 	if r, ok := record.(*Draw); ok {
-		s.refuseDraw(m, r, NotLive)
+		s.refuseDraw(m, r, b, NotLive)
 	}
 }
