--- a/dragonflyctl/config/show.go
+++ b/dragonflyctl/config/show.go
@@ -79,11 +79,11 @@
 }
 
 func routes(c *operator.Configuration) output.Table {
-	t := output.Table{Columns: []string{"ROUTE", ticketColumn, "SERVICE", "MODEL", "PATH PREFIX", "IDEMPOTENT", "FALLBACKS", "REMOVED"}}
+	t := output.Table{Columns: []string{"ROUTE", ticketColumn, "SERVICE", "MODEL", "PATH PREFIX", "IDEMPOTENT", "DATED KEYS", "FALLBACKS", "REMOVED"}}
 	for _, name := range slices.Sorted(maps.Keys(c.Routes)) {
 		r := c.Routes[name]
 		t.Rows = append(t.Rows, output.Cells(name, c.RouteTickets[name], r.Service, r.Model, r.PathPrefix,
-			!r.NonIdempotent, strings.Join(r.Fallbacks, ","), r.Removed))
+			!r.NonIdempotent, r.DatedKeys, strings.Join(r.Fallbacks, ","), r.Removed))
 	}
 	return t
 }
--- a/fleet/operator/ticket.go
+++ b/fleet/operator/ticket.go
@@ -63,8 +63,10 @@
 	// PathPrefix is the path under which a plain service is called; set for plain routes only.
 	PathPrefix string `yaml:"PathPrefix,omitempty"`
 	// NonIdempotent marks requests that run at most once.
-	NonIdempotent bool        `yaml:"NonIdempotent,omitempty"`
-	Limits        RouteLimits `yaml:"Limits,omitempty"`
+	NonIdempotent bool `yaml:"NonIdempotent,omitempty"`
+	// DatedKeys demands that the keys of non-idempotent requests tell their age.
+	DatedKeys bool        `yaml:"DatedKeys,omitempty"`
+	Limits    RouteLimits `yaml:"Limits,omitempty"`
 	// Fallbacks are names of routes that are tried in turn when no endpoint of the service is available.
 	Fallbacks []string `yaml:"Fallbacks,omitempty"`
 	Removed   bool     `yaml:"Removed,omitempty"`
--- a/fleet/verdict/reason.go
+++ b/fleet/verdict/reason.go
@@ -27,6 +27,8 @@
 	IdempotencyKeyMissing Reason = "idempotency_key_missing"
 	IdempotencyKeyInvalid Reason = "idempotency_key_invalid"
 	IdempotencyKeyReused  Reason = "idempotency_key_reused"
+	IdempotencyKeyUndated Reason = "idempotency_key_undated"
+	IdempotencyKeyTooOld  Reason = "idempotency_key_too_old"
 	RequestInProgress     Reason = "request_in_progress"
 	RequestAlreadyRan     Reason = "request_already_ran"
 	RateLimited           Reason = "rate_limited"
@@ -86,6 +88,8 @@
 		{IdempotencyKeyMissing, http.StatusBadRequest, retryInvalid, "A non-idempotent request needs an Idempotency-Key."},
 		{IdempotencyKeyInvalid, http.StatusBadRequest, retryInvalid, "The Idempotency-Key is empty, too long or holds control characters."},
 		{IdempotencyKeyReused, http.StatusUnprocessableEntity, retryInvalid, "The Idempotency-Key was used with other contents."},
+		{IdempotencyKeyUndated, http.StatusBadRequest, retryInvalid, "The route asks for a UUID of version 7, made now, as Idempotency-Key of a non-idempotent request."},
+		{IdempotencyKeyTooOld, http.StatusConflict, retryInvalid, "The Idempotency-Key is so old that a request with it may have run and been forgotten."},
 		{RequestInProgress, http.StatusConflict, retrySoon, "A non-idempotent request with this key is running or may be running elsewhere."},
 		{RequestAlreadyRan, http.StatusConflict, retryInvalid, "A non-idempotent request with this key has run."},
 		{RateLimited, http.StatusTooManyRequests, retrySoon, "The team's requests or tokens a second are used up."},
--- a/router/build.go
+++ b/router/build.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/router/admin"
@@ -125,6 +126,7 @@
 	return caller.NewServer(board, accounts, calls, caller.Settings{
 		HeaderBytes: settings.HeaderBytes,
 		BodyTimeout: settings.BodyTimeout,
+		KeyAge:      ledger.Window{}.KeyAge(settings.FleetAppendsPerSecond),
 	})
 }
 
--- a/router/caller/fake_test.go
+++ b/router/caller/fake_test.go
@@ -110,6 +110,7 @@
     PathPrefix: /deposits
     NonIdempotent: true
     Limits: {BodyBytes: 64, CallCost: 3}
+  - {Name: seats, Service: atelier-app, PathPrefix: /seats, NonIdempotent: true, DatedKeys: true}
   - {Name: atelier, Service: atelier-app, PathPrefix: /atelier}
 InstanceSets:
   - Name: engines
--- a/router/caller/model.go
+++ b/router/caller/model.go
@@ -53,7 +53,7 @@
 	if limit := route.Limits.WithDefaults().BodyBytes; int64(len(raw)) > limit {
 		return nil, verdict.Refuse(verdict.BodyTooLarge, fmt.Sprintf("the limit is %d bytes", limit))
 	}
-	o, err := newOrder(r, c, route, raw)
+	o, err := s.newOrder(r, c, route, raw)
 	if err != nil {
 		return nil, err
 	}
--- a/router/caller/order.go
+++ b/router/caller/order.go
@@ -9,6 +9,8 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
@@ -19,6 +21,13 @@
 // maxKeyLength bounds an Idempotency-Key, in bytes.
 const maxKeyLength = 255
 
+const (
+	// datedVersion is the version of UUIDs that hold their time in milliseconds (RFC 9562).
+	datedVersion = 7
+	// keySkew is how far a key's time may lie ahead of the router's clock.
+	keySkew = 1 * time.Minute
+)
+
 // order is a request that has been read and checked and may be paid for.
 type order struct {
 	team operator.Team
@@ -31,7 +40,7 @@
 
 // newOrder checks the headers that all kinds of requests share. The body stands in it as the
 // caller sent it, so that the fingerprint doesn't depend on what the router rewrites.
-func newOrder(r *http.Request, c *client, route operator.Route, body []byte) (*order, error) {
+func (s *Server) newOrder(r *http.Request, c *client, route operator.Route, body []byte) (*order, error) {
 	route.Limits = route.Limits.WithDefaults()
 	budget, err := c.budget(r)
 	if err != nil {
@@ -45,6 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if route.DatedKeys && !idempotent {
+		if err := checkAge(key, time.Now(), s.settings.KeyAge); err != nil {
+			return nil, err
+		}
+	}
 	timeout, err := readTimeout(r, route.Limits.RequestTimeout)
 	if err != nil {
 		return nil, err
@@ -96,6 +110,23 @@
 	return values[0], false, nil
 }
 
+// checkAge refuses a key whose age can't be told or exceeds the limit. Whether an earlier request with it ran
+// isn't known: it may have left the ledger's window, or have come before the route asked for dated keys.
+func checkAge(key string, now time.Time, limit time.Duration) error {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != datedVersion {
+		return &verdict.Refusal{Reason: verdict.IdempotencyKeyUndated}
+	}
+	age := now.Sub(time.Unix(id.Time().UnixTime()))
+	if age < -keySkew {
+		return &verdict.Refusal{Reason: verdict.IdempotencyKeyUndated, Detail: fmt.Sprintf("its time lies %s ahead", -age)}
+	}
+	if age > limit {
+		return &verdict.Refusal{Reason: verdict.IdempotencyKeyTooOld, Detail: fmt.Sprintf("the limit is %s", limit)}
+	}
+	return nil
+}
+
 func validKey(key string) bool {
 	if key == "" || len(key) > maxKeyLength {
 		return false
--- /dev/null
+++ b/router/caller/order_test.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"encoding/binary"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
+	"github.com/google/uuid"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+)
+
+// datedKey returns a UUID of a version that was made some time ago.
+func datedKey(version byte, age time.Duration) string {
+	id := uuid.UUID{6: version << 4, 8: 0x80}
+	var now [8]byte
+	binary.BigEndian.PutUint64(now[:], uint64(time.Now().Add(-age).UnixMilli()))
+	copy(id[:6], now[2:])
+	return id.String()
+}
+
+func TestDatedKeys(t *testing.T) {
+	const limit = 34_952_533 * time.Millisecond // 2²⁴ offsets at 240 a second, halved.
+	undated, tooOld := string(verdict.IdempotencyKeyUndated), string(verdict.IdempotencyKeyTooOld)
+	for _, c := range []struct {
+		name, path, idempotent string
+		version                byte
+		age                    time.Duration
+		want                   refused
+	}{
+		{"new", "/seats", "", 7, 0, refused{}},
+		{"at the limit", "/seats", "", 7, limit, refused{}},
+		{"beyond the limit", "/seats", "", 7, limit + time.Millisecond, refused{409, tooOld, "MayHaveRun", false}},
+		{"slightly ahead", "/seats", "", 7, -time.Minute, refused{}},
+		{"too far ahead", "/seats", "", 7, -time.Minute - time.Millisecond, refused{400, undated, "MayHaveRun", false}},
+		{"random", "/seats", "", 4, 0, refused{400, undated, "MayHaveRun", false}},
+		{"no UUID", "/seats", "", 0, 0, refused{400, undated, "MayHaveRun", false}},
+		{"declared idempotent", "/seats", "true", 0, 0, refused{400, undated, "MayHaveRun", false}},
+		{"other route", "/deposits", "", 7, 2 * limit, refused{}},
+		{"no UUID on another route", "/deposits", "", 0, 0, refused{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				key := "booking-1"
+				if c.version > 0 {
+					key = datedKey(c.version, c.age)
+				}
+				s, accounts, calls := setUp(t)
+				calls.result = endpoint.Result{Verdict: verdict.Ran, Started: true}
+				w := send(s, "POST", c.path, "", HeaderAuthorization, "Bearer "+keyLuzon, HeaderIdempotencyKey, key, HeaderIdempotent, c.idempotent)
+				if c.want.Code == "" {
+					assert.Equal(t, 1, len(accounts.demands))
+					return
+				}
+				assert.Equal(t, c.want, refusedBy(t, w))
+				assert.Equal(t, 0, len(accounts.demands))
+			})
+		})
+	}
+}
--- a/router/caller/plain.go
+++ b/router/caller/plain.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o, err := newOrder(r, c, route, body)
+	o, err := s.newOrder(r, c, route, body)
 	if err != nil {
 		return nil, err
 	}
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
@@ -40,6 +41,8 @@
 	BodyTimeout time.Duration
 	// ReleaseTimeout bounds the wait until a release has been read back.
 	ReleaseTimeout time.Duration
+	// KeyAge is the age up to which a route with DatedKeys accepts a key.
+	KeyAge time.Duration
 }
 
 // Server answers callers.
@@ -62,6 +65,9 @@
 	if settings.ReleaseTimeout == 0 {
 		settings.ReleaseTimeout = DefaultReleaseTimeout
 	}
+	if settings.KeyAge == 0 {
+		settings.KeyAge = ledger.Window{}.KeyAge(ledgerstream.DefaultFleetAppendsPerSec)
+	}
 	return &Server{board: board, accounts: accounts, caller: caller, settings: settings}
 }
 
