--- a/fleet/ledgerstream/account.go
+++ b/fleet/ledgerstream/account.go
@@ -5,6 +5,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
 // reserveDrawInterval is the least time between two draws of one reserve share.
@@ -72,6 +73,7 @@
 	if c.current == nil || !c.current.joined {
 		return
 	}
+	c.refuseUnpayable(b)
 	free, _ := c.free(b.budget)
 	unserved := b.waiting[:0]
 	for _, a := range b.waiting {
@@ -90,6 +92,20 @@
 	c.draw(b, free)
 }
 
+// refuseUnpayable refuses the waiting requests that nothing but a top-up can pay for any more.
+func (c *Client) refuseUnpayable(b *account) {
+	view, known := c.state.Budget(b.budget)
+	if !known {
+		return
+	}
+	c.refuseWaitingIf(b, func(a *attempt) *verdict.Refusal {
+		if a.demand.Amount > view.Prepaid-view.Spent {
+			return refusalOf(ledger.Insufficient)
+		}
+		return nil
+	})
+}
+
 // draw asks for a share unless a draw is under way. A demand that was refused lately is announced
 // again only after an interval, or once the budget could grant it.
 func (c *Client) draw(b *account, free ledger.Tokens) {
@@ -141,11 +157,7 @@
 	if !known {
 		reason = ledger.UnknownBudget
 	}
-	for _, a := range b.waiting {
-		a.refuse(refusalOf(reason))
-	}
-	b.waiting = nil
-	delete(c.hungry, b.budget)
+	c.refuseWaitingIf(b, func(*attempt) *verdict.Refusal { return refusalOf(reason) })
 }
 
 func (c *Client) onGranted(e *ledger.Granted) {
--- a/fleet/ledgerstream/attempt.go
+++ b/fleet/ledgerstream/attempt.go
@@ -31,6 +31,8 @@
 	finished bool
 	// drawsRefused counts the refused draws that this attempt waited through.
 	drawsRefused int
+	// expired says that the attempt has waited long enough for a share: the next read decides.
+	expired bool
 
 	queuedSignal       chan struct{}
 	acknowledgedSignal chan struct{}
--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -378,3 +378,32 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 }
+
+// TestRefusalsSeeTheNewestBill lets a bill free a part of the budget around the time at which the request of
+// another router has waited long enough: it must not be refused for what this router has not read yet.
+func TestRefusalsSeeTheNewestBill(t *testing.T) {
+	for early := 50 * time.Millisecond; early >= 0; early -= 2 * time.Millisecond {
+		t.Run(fmt.Sprint("bill ", early, " before the end of the wait"), func(t *testing.T) {
+			inBubble(t, 2, 1000, func(c *cluster) {
+				running := mustReserve(t, c.members[0], demand(1, 1000, true))
+				time.Sleep(time.Second)
+				time.AfterFunc(DefaultDrawWait-early, func() { running.Bill(300) })
+				_, err := c.members[1].Reserve(context.Background(), demand(2, 600, true))
+				_, unreserved := clients{cluster: c}.unspent(testBudget)
+				assertEqual(t, "refused although the budget could pay", false, err != nil && unreserved >= 600)
+			})
+		})
+	}
+}
+
+func TestRequestsBeyondTheBudgetAreRefusedAtOnce(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		running := mustReserve(c.tb, c.members[0], demand(1, 1000, true))
+		time.Sleep(time.Second)
+		time.AfterFunc(DefaultDrawWait/4, func() { running.Bill(500) })
+		begun := time.Now()
+		_, err := c.members[1].Reserve(context.Background(), demand(2, 600, true))
+		assertOutcome(c.tb, outcome{"NotRun", verdict.BudgetExhausted}, err)
+		assertEqual(c.tb, "refused late", false, time.Since(begun) > DefaultDrawWait/2)
+	})
+}
--- a/fleet/ledgerstream/experiment_test.go
+++ b/fleet/ledgerstream/experiment_test.go
@@ -338,6 +338,9 @@
 			m := measure(t, p, s)
 			m.print(text, s.Name, p.Name)
 			assertEqual(t, "overspend of "+p.Name, 0, m.Overspend)
+			if s.Name == "calm" && p.Reserve >= 0 {
+				assertEqual(t, "false refusals of "+p.Name, 0, m.RefusedFree)
+			}
 		}
 	}
 	t.Log("\n" + text.String())
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -97,6 +97,9 @@
 		c.repeatMissing()
 	}
 	c.feed()
+	if complete {
+		c.refuseExpired()
+	}
 	c.gauge(outboxLength, int64(c.outboxLength()))
 	return complete
 }
--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -121,7 +121,8 @@
 			}
 		case <-timer.C:
 			left := c.settings.OpenWait - time.Since(begun)
-			if left > 0 && c.mayStillBePaid(a) {
+			if left > 0 {
+				a.decideAtNextRead()
 				timer.Reset(min(left, c.settings.DrawInterval))
 				continue
 			}
@@ -132,6 +133,48 @@
 	}
 }
 
+// decideAtNextRead lets the next read of the stream's end decide whether the attempt waits on. Between two reads a
+// bill may have freed what this router does not see yet.
+func (a *attempt) decideAtNextRead() {
+	a.client.mu.Lock()
+	defer a.client.mu.Unlock()
+	a.expired = true
+}
+
+// refuseExpired refuses the requests that have waited long enough and that the budget, as of the newest read, can't
+// pay for. The others wait on.
+func (c *Client) refuseExpired() {
+	for _, b := range c.hungry {
+		c.refuseWaitingIf(b, func(a *attempt) *verdict.Refusal {
+			if !a.expired {
+				return nil
+			}
+			a.expired = false
+			if c.mayStillBePaid(a) {
+				return nil
+			}
+			return a.exhausted()
+		})
+	}
+}
+
+// refuseWaitingIf refuses the waiting requests of an account for which refusal returns one.
+func (c *Client) refuseWaitingIf(b *account, refusal func(*attempt) *verdict.Refusal) {
+	kept := b.waiting[:0]
+	for _, a := range b.waiting {
+		if r := refusal(a); r != nil {
+			a.refuse(r)
+			continue
+		}
+		kept = append(kept, a)
+	}
+	clear(b.waiting[len(kept):])
+	b.waiting = kept
+	if len(b.waiting) == 0 {
+		delete(c.hungry, b.budget)
+	}
+}
+
 // drawDeadline returns how long requests wait for other holders' shares.
 func (c *Client) drawDeadline() time.Duration {
 	c.mu.Lock()
@@ -143,8 +186,6 @@
 // it yet, or the budget and the free shares of the live routers together could pay. What a router that
 // lost its lease holds in reserve comes back too late.
 func (c *Client) mayStillBePaid(a *attempt) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if a.drawsRefused == 0 {
 		return true
 	}
