--- a/fleet/ledgerstream/account.go
+++ b/fleet/ledgerstream/account.go
@@ -185,8 +185,7 @@
 		return
 	}
 	c.count(recallSeen, 1)
-	wait := decision.DrawDeadline(c.settings.DrawWait, c.roundTrip, c.settings.OpenWait)
-	b.recalledUntil = time.Now().Add(wait)
+	b.recalledUntil = time.Now().Add(c.drawDeadline())
 	c.sendHome(b, true)
 }
 
@@ -199,6 +198,9 @@
 	b.drawing = false
 	b.refusedAt = time.Now()
 	for _, a := range b.waiting {
+		if a.drawsRefused == 0 {
+			a.recalledAt, a.recalledNext = b.refusedAt, c.state.Next()
+		}
 		a.drawsRefused++
 	}
 }
--- a/fleet/ledgerstream/attempt.go
+++ b/fleet/ledgerstream/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
@@ -29,8 +30,14 @@
 	released bool
 	// finished says that the bill or the release was queued.
 	finished bool
+	// begunAt is when it began to wait for a share.
+	begunAt time.Time
 	// drawsRefused counts the refused draws that this attempt waited through.
 	drawsRefused int
+	// recalledAt is when the first of them was read, recalledNext the offset behind it: what holders append from there
+	// on may answer it.
+	recalledAt   time.Time
+	recalledNext platform.Offset
 	// expired says that the attempt has waited long enough for a share: the next read decides.
 	expired bool
 
@@ -47,6 +54,7 @@
 	return &attempt{
 		client:             c,
 		demand:             demand,
+		begunAt:            time.Now(),
 		queuedSignal:       make(chan struct{}),
 		acknowledgedSignal: make(chan struct{}),
 		decidedSignal:      make(chan struct{}),
--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -407,3 +407,28 @@
 		assertEqual(c.tb, "refused late", false, time.Since(begun) > DefaultDrawWait/2)
 	})
 }
+
+// TestSilentHolder lets a router die with a part of the budget. What its fence returns in time is waited for; others are
+// refused soon, with the time after which a retry is worthwhile.
+func TestSilentHolder(t *testing.T) {
+	for dead, granted := range map[time.Duration]bool{0: false, time.Second: false, 5 * time.Second: false, 11 * time.Second: true} {
+		t.Run(fmt.Sprint("dead for ", dead), func(t *testing.T) {
+			inBubble(t, 3, 1000, func(c *cluster) {
+				mustReserve(t, c.members[0], demand(1, 400, true)).Bill(0)
+				time.Sleep(100 * time.Millisecond)
+				c.members[0].stop()
+				time.Sleep(dead)
+				begun := time.Now()
+				_, err := c.members[1].Reserve(context.Background(), demand(2, 900, true))
+				assertEqual(t, "granted", granted, err == nil)
+				if granted {
+					return
+				}
+				assertOutcome(t, outcome{"NotRun", verdict.BudgetExhausted}, err)
+				assertEqual(t, "refused late", false, time.Since(begun) > 2*DefaultDrawWait)
+				time.Sleep(retryAfterOf(err))
+				mustReserve(t, c.members[1], demand(2, 900, true)).Bill(900)
+			})
+		})
+	}
+}
--- a/fleet/ledgerstream/cluster_test.go
+++ b/fleet/ledgerstream/cluster_test.go
@@ -179,6 +179,15 @@
 	return outcome{Verdict: refusal.Verdict.String(), Reason: refusal.Reason}
 }
 
+// retryAfterOf returns the wait that a refusal names.
+func retryAfterOf(err error) time.Duration {
+	refusal, ok := err.(*verdict.Refusal) //nolint:errorlint // the interface promises this type
+	if !ok {
+		return 0
+	}
+	return refusal.RetryAfter
+}
+
 func assertEqual[T any](tb testing.TB, what string, want, got T) {
 	tb.Helper()
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/fleet/ledgerstream/decision/silence.go
+++ b/fleet/ledgerstream/decision/silence.go
@@ -77,3 +77,13 @@
 	}
 	return ledger.Working, silent >= t.Working+t.Jitter
 }
+
+// FenceIn returns how long the log has to be read without a gap until a working share of a silent incarnation can be
+// fenced.
+func FenceIn(o *Observation, s *Silence, t FenceTerms) time.Duration {
+	term := t.Working + t.Jitter
+	if !s.known {
+		return term
+	}
+	return max(term-(o.total-s.seenAt), term-o.stretch, 0)
+}
