--- a/fleet/ledgerstream/fake_test.go
+++ b/fleet/ledgerstream/fake_test.go
@@ -30,8 +30,9 @@
 	delay  time.Duration
 	down   bool
 	silent bool
-	// blind links fail reads only.
+	// blind links fail reads only, mute ones let appends time out.
 	blind bool
+	mute  bool
 	// lostAnswers and copies are the parts of appends whose answer is lost after they took effect and
 	// that take effect twice; half of the copies are late.
 	lostAnswers float64
@@ -84,6 +85,13 @@
 }
 
 func (k *fakeLink) Append(ctx context.Context, stream string, payload []byte) (platform.Offset, error) {
+	k.log.mu.Lock()
+	mute := k.mute
+	k.log.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	if err := k.enter(ctx); err != nil {
 		return 0, err
 	}
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -264,3 +264,32 @@
 		mustReserve(c.tb, c.members[1], demand(2, 100_000-reserveShare, true)).Bill(1)
 	})
 }
+
+// TestQueuedBillsSurviveAFence lets a router, whose records reach nobody, read its own fence while bills are queued:
+// the reservations in its reserve share outlive the fence, and so do their bills.
+func TestQueuedBillsSurviveAFence(t *testing.T) {
+	inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+		m := c.members[0]
+		c.log.set(func() { m.link.mute = true })
+		running := []Reservation{}
+		for i := range uint64(60) {
+			running = append(running, mustReserve(c.tb, m, demand(i, 10, true)))
+		}
+		time.Sleep(DefaultLease)
+		r.setCut("router-0", true)
+		time.Sleep(DefaultLease)
+		queued := 0
+		for _, reservation := range running {
+			time.Sleep(100 * time.Millisecond)
+			if c.counter(leaseFenced) == 0 {
+				queued++
+			}
+			reservation.Bill(3)
+		}
+		assertEqual(c.tb, "some bills before the fence and some after it", true, queued > 0 && queued < len(running))
+		c.log.set(func() { m.link.mute = false })
+		time.Sleep(time.Minute)
+		assertSpent(c.tb, c, 60*3)
+		assertEqual(c.tb, "open requests", 0, c.budget().OpenRequests)
+	})
+}
