--- a/fleet/ledgerstream/copies.go
+++ b/fleet/ledgerstream/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -15,7 +16,9 @@
 	first   uint64
 	last    uint64
 	payload []byte
-	heldAt  time.Time
+	// leaves says that its writer left with it.
+	leaves bool
+	heldAt time.Time
 	// jitter spreads the appends of the routers that hold the same group.
 	jitter time.Duration
 }
@@ -40,11 +43,17 @@
 		first:   g.First,
 		last:    g.First + uint64(len(g.Records)) - 1,
 		payload: p.Payload,
+		leaves:  slices.ContainsFunc(g.Records, isLeave),
 		heldAt:  time.Now(),
 		jitter:  decision.Jitter(c.settings.CopyDelay, c.random),
 	})
 }
 
+func isLeave(record ledger.Record) bool {
+	_, leaves := record.(*ledger.Leave)
+	return leaves
+}
+
 func (c *Client) holdCopy(h *heldCopy) error {
 	for _, known := range c.copies {
 		if known.writer == h.writer && known.first == h.first {
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -119,7 +119,7 @@
 	if o.leaving && !closesAttempt(entry.record) {
 		return
 	}
-	if _, ok := entry.record.(*ledger.Leave); ok {
+	if isLeave(entry.record) {
 		o.leaving = true
 	}
 	o.queue = append(o.queue, entry)
--- a/fleet/ledgerstream/relay.go
+++ b/fleet/ledgerstream/relay.go
@@ -78,8 +78,17 @@
 
 // choose keeps the courier's target or takes the next one. It reports false if there is none.
 func (r *courier) choose(now time.Time) bool {
-	c := r.client
-	targets := decision.ChooseCopyTargets(decision.CopyTargetInput{
+	targets := r.client.copyTargets(now)
+	if r.rank >= len(targets) {
+		return false
+	}
+	r.target = targets[r.rank]
+	return true
+}
+
+// copyTargets returns the routers that are to hold copies of this router's groups.
+func (c *Client) copyTargets(now time.Time) []peer.Address {
+	return decision.ChooseCopyTargets(decision.CopyTargetInput{
 		Instance:         c.settings.Instance,
 		AvailabilityZone: c.settings.AvailabilityZone,
 		Region:           c.settings.Region,
@@ -87,11 +96,6 @@
 		Avoided:          func(instance string) bool { return now.Before(c.avoidedUntil[instance]) },
 		Count:            couriers,
 	})
-	if r.rank >= len(targets) {
-		return false
-	}
-	r.target = targets[r.rank]
-	return true
 }
 
 // avoid leaves the target out for a while, for all couriers, so that they agree on the order of the others.
@@ -149,6 +153,18 @@
 	return nil
 }
 
+// leastCopies returns the lowest number of copies among the groups that aren't known to be in the log; the
+// number of couriers if there are none.
+func (o *outbox) leastCopies() int {
+	least := couriers
+	for _, g := range o.groups {
+		if !g.acknowledged {
+			least = min(least, len(g.copies))
+		}
+	}
+	return least
+}
+
 func (g *outboxGroup) isHeldBy(instance string) bool { return slices.Contains(g.copies, instance) }
 
 // copiesUrgent says whether a reservation waits for a copy to be held elsewhere.
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -293,3 +293,46 @@
 		assertEqual(c.tb, "open requests", 0, c.budget().OpenRequests)
 	})
 }
+
+// drainWithin drains a router and ends it.
+func drainWithin(m *node, limit time.Duration) (Drained, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	defer m.stop()
+	return m.Drain(ctx)
+}
+
+func TestDrainWithoutLog(t *testing.T) {
+	t.Run("other routers append the last records", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+			opened := mustReserve(t, c.members[0], demand(1, 300, false))
+			c.outage(true)
+			time.Sleep(time.Minute)
+			reserved := mustReserve(t, c.members[0], demand(2, 300, true))
+			time.AfterFunc(2*time.Second, func() { opened.Bill(70); reserved.Bill(20) })
+			begun := time.Now()
+			result, err := drainWithin(c.members[0], time.Hour)
+			assertEqual(t, "error", nil, err)
+			assertEqual(t, "records handed over", true, result.HandedOver > 0)
+			assertEqual(t, "waited for the log", false, time.Since(begun) > 5*time.Second)
+			r.setCut("router-0", true)
+			_, err = drainWithin(c.members[1], time.Minute)
+			assertEqual(t, "a holder of the last records stays", true, errors.Is(err, ErrDrainIncomplete))
+			c.outage(false)
+			time.Sleep(10 * time.Second)
+			assertSpent(t, c, 90)
+			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			for _, v := range c.fold().Incarnations() {
+				assertEqual(t, "the drained router has left", false, v.Incarnation.Instance == "router-0")
+			}
+		})
+	})
+	t.Run("with no other router in reach the log is waited for", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+			r.setCut("router-0", true)
+			c.outage(true)
+			_, err := drainWithin(c.members[0], time.Minute)
+			assertEqual(t, "incomplete", true, errors.Is(err, ErrDrainIncomplete))
+		})
+	})
+}
--- a/router/drain.go
+++ b/router/drain.go
@@ -49,9 +49,14 @@
 	if err := d.callers.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("waiting for running requests: %w", err)
 	}
-	if err := d.program.Ledger.Drain(ctx); err != nil {
+	result, err := d.program.Ledger.Drain(ctx)
+	switch {
+	case err != nil:
 		return fmt.Errorf("writing the last records: %w", err)
+	case result.HandedOver > 0:
+		d.program.Logger.WithField("Records", result.HandedOver).Warn("the log can't be reached; other routers append the last records")
+	default:
+		d.program.Logger.Info("all records are in the log, shares returned")
 	}
-	d.program.Logger.Info("all records are in the log, shares returned")
 	return nil
 }
