--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -61,8 +61,10 @@
 	readFailures   int
 	appendFailures int
 	// failedAt is when a call of the log failed last.
-	failedAt       time.Time
-	reachable      bool
+	failedAt  time.Time
+	reachable bool
+	// lost is closed while the log counts as unreachable.
+	lost           chan struct{}
 	reachableSince time.Time
 	routers        int
 	roundTrip      time.Duration
@@ -118,6 +120,7 @@
 		silences:       map[ledger.Incarnation]*watch{},
 		observation:    decision.Observation{GapLimit: s.gapLimit()},
 		reachable:      true,
+		lost:           make(chan struct{}),
 		routers:        1,
 	}
 	for rank := range couriers {
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -192,11 +192,13 @@
 	}
 	c.reachable = reachable
 	if reachable {
+		c.lost = make(chan struct{})
 		c.reachableSince = time.Now()
 		c.gauge(logReachable, 1)
 		c.logger().Info("the log answers again")
 		return
 	}
+	close(c.lost)
 	c.gauge(logReachable, 0)
 	c.logger().Warn("the log can't be reached")
 	c.refuseUnsent()
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -336,3 +336,39 @@
 		})
 	})
 }
+
+// TestOpenInFlightAtAnOutage lets the log go away under requests whose opens were sent: their fate is unknown.
+func TestOpenInFlightAtAnOutage(t *testing.T) {
+	for _, row := range []struct {
+		Name   string
+		Demand Demand
+		Want   outcome
+		Limit  time.Duration
+	}{
+		{"goes over to the reserve share", demand(2, 300, true), outcome{}, DefaultReserveAfter},
+		{"is more than the reserve share", demand(2, 2*reserveShare, true), outcome{"MayHaveRun", verdict.LedgerUnreachable}, 3 * time.Second},
+		{"must not run twice", demand(2, 300, false), outcome{"MayHaveRun", verdict.LedgerUnreachable}, 3 * time.Second},
+	} {
+		t.Run(row.Name, func(t *testing.T) {
+			inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+				mustReserve(t, c.members[0], demand(1, 3000, true)).Bill(1)
+				time.Sleep(100 * time.Millisecond)
+				c.outage(true)
+				begun := time.Now()
+				r, err := c.members[0].Reserve(context.Background(), row.Demand)
+				assertOutcome(t, row.Want, err)
+				assertEqual(t, "answered late", false, time.Since(begun) > row.Limit)
+				want := ledger.Tokens(1)
+				if err == nil {
+					r.Bill(40)
+					want += 40
+				}
+				time.Sleep(time.Minute)
+				c.outage(false)
+				time.Sleep(time.Minute)
+				assertSpent(t, c, want)
+				assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			})
+		})
+	}
+}
--- a/fleet/ledgerstream/wait.go
+++ b/fleet/ledgerstream/wait.go
@@ -81,6 +81,7 @@
 	if !a.demand.Idempotent {
 		acknowledged = nil
 	}
+	lost := a.client.lostSignal()
 	readBack := (<-chan time.Time)(nil)
 	for {
 		select {
@@ -92,18 +93,32 @@
 			}
 			// Another router may have seen the identifier with other contents: the ledger would refuse this
 			// open, and what it ran would not be billed.
-			acknowledged = nil
+			acknowledged, lost = nil, nil
 			readBack = time.After(s.ReadBackWait)
 		case <-readBack:
 			return nil
 		case <-ctx.Done():
 			return a.abandon(ctx, interrupted(ctx))
+		case <-lost:
+			if a.hasReserve() {
+				return a.abandon(ctx, unreachable())
+			}
+			// The open may be in the log, but its fate won't be known soon.
+			lost = nil
+			timer.Reset(s.ReserveAfter)
 		case <-timer.C:
 			return a.abandon(ctx, unreachable())
 		}
 	}
 }
 
+// lostSignal returns a channel that is closed while the log counts as unreachable.
+func (c *Client) lostSignal() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost
+}
+
 // logWait returns how long the log may take: what can be paid from a reserve share does not wait as long.
 func (a *attempt) logWait() time.Duration {
 	if a.hasReserve() {
