--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -255,7 +255,10 @@
 		leaving := c.members[0]
 		r := mustReserve(t, leaving, demand(1, 100, true))
 		done := make(chan error)
-		go func() { done <- leaving.Drain(context.Background()) }()
+		go func() {
+			_, err := leaving.Drain(context.Background())
+			done <- err
+		}()
 		time.Sleep(time.Second)
 		_, err := leaving.Reserve(context.Background(), demand(2, 100, true))
 		assertOutcome(t, outcome{"NotRun", verdict.ShuttingDown}, err)
@@ -397,3 +400,57 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 }
+
+// TestRefusalsSeeTheNewestBill lets a bill free a part of the budget around the time at which the request of
+// another router has waited long enough: it must not be refused for what this router has not read yet.
+func TestRefusalsSeeTheNewestBill(t *testing.T) {
+	for early := 50 * time.Millisecond; early >= 0; early -= 2 * time.Millisecond {
+		t.Run(fmt.Sprint("bill ", early, " before the end of the wait"), func(t *testing.T) {
+			inBubble(t, 2, 1000, func(c *cluster) {
+				running := mustReserve(t, c.members[0], demand(1, 1000, true))
+				time.Sleep(time.Second)
+				time.AfterFunc(DefaultDrawWait-early, func() { running.Bill(300) })
+				_, err := c.members[1].Reserve(context.Background(), demand(2, 600, true))
+				_, unreserved := clients{cluster: c}.unspent(testBudget)
+				assertEqual(t, "refused although the budget could pay", false, err != nil && unreserved >= 600)
+			})
+		})
+	}
+}
+
+func TestRequestsBeyondTheBudgetAreRefusedAtOnce(t *testing.T) {
+	inBubble(t, 2, 1000, func(c *cluster) {
+		running := mustReserve(c.tb, c.members[0], demand(1, 1000, true))
+		time.Sleep(time.Second)
+		time.AfterFunc(DefaultDrawWait/4, func() { running.Bill(500) })
+		begun := time.Now()
+		_, err := c.members[1].Reserve(context.Background(), demand(2, 600, true))
+		assertOutcome(c.tb, outcome{"NotRun", verdict.BudgetExhausted}, err)
+		assertEqual(c.tb, "refused late", false, time.Since(begun) > DefaultDrawWait/2)
+	})
+}
+
+// TestSilentHolder lets a router die with a part of the budget. What its fence returns in time is waited for; others are
+// refused soon, with the time after which a retry is worthwhile.
+func TestSilentHolder(t *testing.T) {
+	for dead, granted := range map[time.Duration]bool{0: false, time.Second: false, 5 * time.Second: false, 11 * time.Second: true} {
+		t.Run(fmt.Sprint("dead for ", dead), func(t *testing.T) {
+			inBubble(t, 3, 1000, func(c *cluster) {
+				mustReserve(t, c.members[0], demand(1, 400, true)).Bill(0)
+				time.Sleep(100 * time.Millisecond)
+				c.members[0].stop()
+				time.Sleep(dead)
+				begun := time.Now()
+				_, err := c.members[1].Reserve(context.Background(), demand(2, 900, true))
+				assertEqual(t, "granted", granted, err == nil)
+				if granted {
+					return
+				}
+				assertOutcome(t, outcome{"NotRun", verdict.BudgetExhausted}, err)
+				assertEqual(t, "refused late", false, time.Since(begun) > 2*DefaultDrawWait)
+				time.Sleep(retryAfterOf(err))
+				mustReserve(t, c.members[1], demand(2, 900, true)).Bill(900)
+			})
+		})
+	}
+}
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -97,6 +97,9 @@
 		c.repeatMissing()
 	}
 	c.feed()
+	if complete {
+		c.refuseExpired()
+	}
 	c.gauge(outboxLength, int64(c.outboxLength()))
 	return complete
 }
@@ -189,11 +192,13 @@
 	}
 	c.reachable = reachable
 	if reachable {
+		c.lost = make(chan struct{})
 		c.reachableSince = time.Now()
 		c.gauge(logReachable, 1)
 		c.logger().Info("the log answers again")
 		return
 	}
+	close(c.lost)
 	c.gauge(logReachable, 0)
 	c.logger().Warn("the log can't be reached")
 	c.refuseUnsent()
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -264,3 +264,111 @@
 		mustReserve(c.tb, c.members[1], demand(2, 100_000-reserveShare, true)).Bill(1)
 	})
 }
+
+// TestQueuedBillsSurviveAFence lets a router, whose records reach nobody, read its own fence while bills are queued:
+// the reservations in its reserve share outlive the fence, and so do their bills.
+func TestQueuedBillsSurviveAFence(t *testing.T) {
+	inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+		m := c.members[0]
+		c.log.set(func() { m.link.mute = true })
+		running := []Reservation{}
+		for i := range uint64(60) {
+			running = append(running, mustReserve(c.tb, m, demand(i, 10, true)))
+		}
+		time.Sleep(DefaultLease)
+		r.setCut("router-0", true)
+		time.Sleep(DefaultLease)
+		queued := 0
+		for _, reservation := range running {
+			time.Sleep(100 * time.Millisecond)
+			if c.counter(leaseFenced) == 0 {
+				queued++
+			}
+			reservation.Bill(3)
+		}
+		assertEqual(c.tb, "some bills before the fence and some after it", true, queued > 0 && queued < len(running))
+		c.log.set(func() { m.link.mute = false })
+		time.Sleep(time.Minute)
+		assertSpent(c.tb, c, 60*3)
+		assertEqual(c.tb, "open requests", 0, c.budget().OpenRequests)
+	})
+}
+
+// drainWithin drains a router and ends it.
+func drainWithin(m *node, limit time.Duration) (Drained, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	defer m.stop()
+	return m.Drain(ctx)
+}
+
+func TestDrainWithoutLog(t *testing.T) {
+	t.Run("other routers append the last records", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+			opened := mustReserve(t, c.members[0], demand(1, 300, false))
+			c.outage(true)
+			time.Sleep(time.Minute)
+			reserved := mustReserve(t, c.members[0], demand(2, 300, true))
+			time.AfterFunc(2*time.Second, func() { opened.Bill(70); reserved.Bill(20) })
+			begun := time.Now()
+			result, err := drainWithin(c.members[0], time.Hour)
+			assertEqual(t, "error", nil, err)
+			assertEqual(t, "records handed over", true, result.HandedOver > 0)
+			assertEqual(t, "waited for the log", false, time.Since(begun) > 5*time.Second)
+			r.setCut("router-0", true)
+			_, err = drainWithin(c.members[1], time.Minute)
+			assertEqual(t, "a holder of the last records stays", true, errors.Is(err, ErrDrainIncomplete))
+			c.outage(false)
+			time.Sleep(10 * time.Second)
+			assertSpent(t, c, 90)
+			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			for _, v := range c.fold().Incarnations() {
+				assertEqual(t, "the drained router has left", false, v.Incarnation.Instance == "router-0")
+			}
+		})
+	})
+	t.Run("with no other router in reach the log is waited for", func(t *testing.T) {
+		inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+			r.setCut("router-0", true)
+			c.outage(true)
+			_, err := drainWithin(c.members[0], time.Minute)
+			assertEqual(t, "incomplete", true, errors.Is(err, ErrDrainIncomplete))
+		})
+	})
+}
+
+// TestOpenInFlightAtAnOutage lets the log go away under requests whose opens were sent: their fate is unknown.
+func TestOpenInFlightAtAnOutage(t *testing.T) {
+	for _, row := range []struct {
+		Name   string
+		Demand Demand
+		Want   outcome
+		Limit  time.Duration
+	}{
+		{"goes over to the reserve share", demand(2, 300, true), outcome{}, DefaultReserveAfter},
+		{"is more than the reserve share", demand(2, 2*reserveShare, true), outcome{"MayHaveRun", verdict.LedgerUnreachable}, 3 * time.Second},
+		{"must not run twice", demand(2, 300, false), outcome{"MayHaveRun", verdict.LedgerUnreachable}, 3 * time.Second},
+	} {
+		t.Run(row.Name, func(t *testing.T) {
+			inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
+				mustReserve(t, c.members[0], demand(1, 3000, true)).Bill(1)
+				time.Sleep(100 * time.Millisecond)
+				c.outage(true)
+				begun := time.Now()
+				r, err := c.members[0].Reserve(context.Background(), row.Demand)
+				assertOutcome(t, row.Want, err)
+				assertEqual(t, "answered late", false, time.Since(begun) > row.Limit)
+				want := ledger.Tokens(1)
+				if err == nil {
+					r.Bill(40)
+					want += 40
+				}
+				time.Sleep(time.Minute)
+				c.outage(false)
+				time.Sleep(time.Minute)
+				assertSpent(t, c, want)
+				assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			})
+		})
+	}
+}
