--- a/fleet/endpoint/endpoint_test.go
+++ b/fleet/endpoint/endpoint_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -305,15 +306,39 @@
 }
 
 func TestQuarantine(t *testing.T) {
-	const poison, innocent = ledger.Fingerprint(1), ledger.Fingerprint(2)
-	q, now := &Quarantine{}, start()
-	assert.Equal(t, 0, len(q.Crash(now, []ledger.Fingerprint{poison, innocent, poison})))
-	assert.Equal(t, true, q.Suspect(now, innocent))
-	q.Complete(innocent)
-	assert.Equal(t, []ledger.Fingerprint{poison}, q.Crash(now, []ledger.Fingerprint{innocent, poison}))
-	assert.Equal(t, quarantineTime, q.Held(now, poison))
-	assert.Equal(t, 0, q.Held(now, innocent))
-	assert.Equal(t, 0, q.Held(now.Add(quarantineTime), poison))
+	const poison, innocent, other = ledger.Fingerprint(1), ledger.Fingerprint(2), ledger.Fingerprint(3)
+	own, second := ledger.Incarnation{}, ledger.Incarnation{Instance: "router-2", Number: 1}
+	crash := func(endpoint string, router ledger.Incarnation, inProgress ...ledger.Fingerprint) Crash {
+		return Crash{Endpoint: endpoint, Router: router, InProgress: inProgress}
+	}
+	for _, c := range []struct {
+		name     string
+		crashes  []Crash
+		complete ledger.Fingerprint
+		caught   []ledger.Fingerprint
+	}{
+		{"one crash", []Crash{crash("a", own, poison, innocent, poison)}, 0, nil},
+		{"two crashes", []Crash{crash("a", own, poison, innocent), crash("b", own, poison, other)}, 0, []ledger.Fingerprint{poison}},
+		{"seen by two routers", []Crash{crash("a", own, poison), crash("b", second, poison)}, 0, []ledger.Fingerprint{poison}},
+		{"one crash seen by two routers", []Crash{crash("a", own, poison), crash("a", second, poison)}, 0, nil},
+		{"the same endpoint again", []Crash{crash("a", second, poison), crash("a", second, poison)}, 0, []ledger.Fingerprint{poison}},
+		{"completed in between", []Crash{crash("a", own, innocent), crash("b", second, innocent)}, innocent, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := &Quarantine{}
+			var caught []ledger.Fingerprint
+			for _, seen := range c.crashes {
+				caught = append(caught, q.Crash(start(), seen)...)
+				q.Complete(c.complete)
+			}
+			assert.Equal(t, c.caught, caught)
+			for _, f := range []ledger.Fingerprint{poison, innocent, other} {
+				held := slices.Contains(c.caught, f)
+				assert.Equal(t, held, q.Held(start().Add(quarantineTime-1), f) > 0)
+				assert.Equal(t, 0, q.Held(start().Add(quarantineTime), f))
+			}
+		})
+	}
 }
 
 func TestMembership(t *testing.T) {
--- a/fleet/ledger/assembler_test.go
+++ b/fleet/ledger/assembler_test.go
@@ -106,4 +106,6 @@
 	}
 	_, err = Encode(Group{Writer: router(1), First: 1, Records: []Record{&Draw{Kind: 2}}})
 	assert.ErrorIs(t, err, ErrShareKind)
+	_, err = Encode(Group{Writer: router(1), First: 1, Records: []Record{&Crash{InProgress: make([]Fingerprint, MaxCrashRequests+1)}}})
+	assert.ErrorIs(t, err, ErrTooLong)
 }
--- a/fleet/ledger/codec.go
+++ b/fleet/ledger/codec.go
@@ -22,6 +22,7 @@
 	billType      = 8
 	releaseType   = 9
 	fenceType     = 10
+	crashType     = 11
 )
 
 // minRecordBytes is the length of the shortest encoded record: its type number and a body.
@@ -106,6 +107,8 @@
 		return releaseType, r
 	case *Fence:
 		return fenceType, r
+	case *Crash:
+		return crashType, r
 	default:
 		panic(fmt.Sprintf("ledger: record of type %T has no type number", record))
 	}
@@ -218,6 +221,8 @@
 		return new(Release)
 	case fenceType:
 		return new(Fence)
+	case crashType:
+		return new(Crash)
 	default:
 		return nil
 	}
--- a/fleet/ledger/event.go
+++ b/fleet/ledger/event.go
@@ -108,6 +108,12 @@
 	Request RequestIdentifier
 }
 
+// Crashed reports an endpoint's crash that a live incarnation saw.
+type Crashed struct {
+	Incarnation Incarnation
+	Crash       *Crash
+}
+
 // RefusalReason says why the fold refused a record.
 type RefusalReason string
 
@@ -137,3 +143,4 @@
 func (*OpenRefused) isEvent()     {}
 func (*Billed) isEvent()          {}
 func (*Released) isEvent()        {}
+func (*Crashed) isEvent()         {}
--- a/fleet/ledger/fuzz_test.go
+++ b/fleet/ledger/fuzz_test.go
@@ -17,7 +17,7 @@
 		{&Join{AvailabilityZone: "luzon-a", Region: "luzon", Version: "1"}, &Heartbeat{ConfigurationNumber: 1}, &Leave{}},
 		{&Prepaid{Budget: "atelier", Ticket: 1, Total: 1000}, &Draw{Budget: "atelier", Wanted: 100, Minimum: 1}},
 		{&Open{Budget: "atelier", Amount: 50, Attempt: 1}, &Bill{Attempt: 1, Usage: 20}, &Release{Attempt: 1}},
-		{&Return{Budget: "atelier", Amount: 10}, &Fence{Target: router(2)}, &Unknown{Type: 99, Body: []byte{0xc0}}},
+		{&Return{Budget: "atelier", Amount: 10}, &Fence{Target: router(2)}, &Crash{Endpoint: "engine-1", InProgress: []Fingerprint{1}}, &Unknown{Type: 99, Body: []byte{0xc0}}},
 	} {
 		payload, err := Encode(Group{Writer: router(1), First: 1, Records: records})
 		if err != nil {
--- a/fleet/ledger/oracle_test.go
+++ b/fleet/ledger/oracle_test.go
@@ -35,7 +35,7 @@
 	closedAt platform.Offset
 }
 
-// oracleMember is an incarnation; decisions counts the draws and opens that were answered.
+// oracleMember is an incarnation; decisions counts the draws, opens and crashes that were answered.
 type oracleMember struct {
 	suspended bool
 	lastSeen  platform.Offset
@@ -102,6 +102,8 @@
 		o.require(matches || !alone || kind != "*ledger.Released", "a release without its open changes nothing", g, kind)
 	case *Open:
 		o.require(kind == "*ledger.Opened" || kind == "*ledger.OpenRefused", "an open is answered", g, kind)
+	case *Crash:
+		o.require(m.suspended || kind == "*ledger.Crashed", "a crash is passed on", g, kind)
 	case *Draw:
 		o.require(kind == "*ledger.Granted" || kind == "*ledger.DrawRefused", "a draw is answered", g, kind)
 	}
@@ -159,6 +161,8 @@
 		o.require(o.budgets[e.Budget].Reserve.ForfeitResidue, "a residue returns unless the policy forfeits it", e)
 		o.budgets[e.Budget].Spent += e.Amount
 		o.move(e.Incarnation, e.Budget, Reserve, -e.Amount, 0)
+	case *Crashed:
+		o.crashed(e)
 	case *Opened:
 		o.opened(e)
 	case *OpenRefused:
@@ -223,6 +227,13 @@
 	o.require(m.suspended || b.Frozen || unmet, "a draw that can be met is granted", e)
 }
 
+func (o *oracle) crashed(e *Crashed) {
+	m := o.members[e.Incarnation]
+	o.require(m != nil && !m.suspended, "only a live incarnation reports crashes", e)
+	o.equal(crashOf(e.Incarnation), e.Crash)
+	m.decisions++
+}
+
 func (o *oracle) opened(e *Opened) {
 	m := o.members[e.Attempt.Incarnation]
 	o.require(m != nil && (!m.suspended || e.Open.Kind == Reserve), "a suspended incarnation spends only reserve", e)
--- a/fleet/ledger/property_test.go
+++ b/fleet/ledger/property_test.go
@@ -59,7 +59,7 @@
 	return false
 }
 
-// prefix returns the last sequence number before the first gap, and the draws and opens up to it.
+// prefix returns the last sequence number before the first gap, and the draws, opens and crashes up to it.
 func (m *oracleMember) prefix() (uint64, int) {
 	applied, decisions := uint64(0), 0
 	for {
@@ -70,7 +70,7 @@
 		applied = g.last()
 		for _, r := range g.Records {
 			switch r.(type) {
-			case *Draw, *Open:
+			case *Draw, *Open, *Crash:
 				decisions++
 			}
 		}
@@ -137,7 +137,7 @@
 	for _, kind := range []string{
 		"*ledger.Joined", "*ledger.JoinRefused", "*ledger.Ended", "*ledger.FenceRefused", "*ledger.PrepaidAccepted",
 		"*ledger.PrepaidRefused", "*ledger.Granted", "*ledger.DrawRefused", "*ledger.Returned", "*ledger.Forfeited",
-		"*ledger.Opened", "*ledger.OpenRefused", "*ledger.Billed", "*ledger.Released", string(AlreadyOpen),
+		"*ledger.Opened", "*ledger.OpenRefused", "*ledger.Billed", "*ledger.Released", "*ledger.Crashed", string(AlreadyOpen),
 		string(AlreadyRan), string(FrozenBudget), string(Insufficient), string(NotLive), string(FingerprintMismatch),
 		string(DuplicateAttempt), string(UnknownBudget),
 	} {
--- a/fleet/ledger/record.go
+++ b/fleet/ledger/record.go
@@ -11,7 +11,7 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file record.go -o record_gen.go
 //msgp:replace platform.Offset with:uint64
-//msgp:tuple Incarnation Join Heartbeat Leave Prepaid ReservePolicy Draw Return Open Bill Release Fence
+//msgp:tuple Incarnation Join Heartbeat Leave Prepaid ReservePolicy Draw Return Open Bill Release Fence Crash
 //msgp:ignore Group AttemptIdentifier Unknown
 
 // Tokens is an amount of a prepaid budget.
@@ -163,6 +163,14 @@
 	Kind ShareKind
 }
 
+// Crash reports the requests that were in progress at an endpoint when it crashed, as the writer saw it. The
+// state keeps nothing of it: every reader gets it as an event. A writer names a request once for each crash.
+type Crash struct {
+	// Endpoint is the endpoint's name.
+	Endpoint   string
+	InProgress []Fingerprint `msg:",limit=64"`
+}
+
 // Unknown stands for a record of a type that this version doesn't know. It takes its sequence number
 // and changes nothing.
 type Unknown struct {
@@ -181,4 +189,5 @@
 func (*Bill) isRecord()      {}
 func (*Release) isRecord()   {}
 func (*Fence) isRecord()     {}
+func (*Crash) isRecord()     {}
 func (*Unknown) isRecord()   {}
--- a/fleet/ledger/record_gen.go
+++ b/fleet/ledger/record_gen.go
@@ -59,6 +59,72 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Crash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.InProgress)))
+	for za0001 := range z.InProgress {
+		o = msgp.AppendUint64(o, uint64(z.InProgress[za0001]))
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Crash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "InProgress")
+		return
+	}
+	if zb0002 > 64 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.InProgress) >= int(zb0002) {
+		z.InProgress = (z.InProgress)[:zb0002]
+	} else {
+		z.InProgress = make([]Fingerprint, zb0002)
+	}
+	for za0001 := range z.InProgress {
+		{
+			var zb0003 uint64
+			zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InProgress", za0001)
+				return
+			}
+			z.InProgress[za0001] = Fingerprint(zb0003)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Crash) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.ArrayHeaderSize + (len(z.InProgress) * (msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Draw) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/fleet/ledger/simulation_test.go
+++ b/fleet/ledger/simulation_test.go
@@ -133,6 +133,9 @@
 		if s.oneIn(4, "leave") {
 			return &Leave{}
 		}
+		if s.oneIn(2, "crash") {
+			return crashOf(w.incarnation)
+		}
 		return &Unknown{Type: 99, Body: []byte{0x90}}
 	}
 	return s.draw(budget, kind)
@@ -205,6 +208,11 @@
 // usageOf returns the usage of an attempt.
 func usageOf(attempt uint64) Tokens { return Tokens(attempt * 7 % 40) }
 
+// crashOf returns the crash that an incarnation reports.
+func crashOf(i Incarnation) *Crash {
+	return &Crash{Endpoint: i.Instance, InProgress: []Fingerprint{Fingerprint(i.Number), 7}}
+}
+
 // prepaidOf returns the contents of a ticket: totals rise and fall, some tickets freeze.
 func prepaidOf(budget string, ticket uint64) *Prepaid {
 	return &Prepaid{
--- a/fleet/ledger/state.go
+++ b/fleet/ledger/state.go
@@ -153,6 +153,8 @@
 		s.release(m, r)
 	case *Fence:
 		s.fence(r)
+	case *Crash:
+		s.emit(&Crashed{Incarnation: m.incarnation, Crash: r})
 	case *Unknown:
 		s.counters.UnknownTypes++
 	}
--- a/fleet/ledger/validate.go
+++ b/fleet/ledger/validate.go
@@ -11,9 +11,11 @@
 	MaxGroupBytes = 1 << 20
 	// MaxGroupRecords is the largest number of records of a group.
 	MaxGroupRecords = 4096
-	// MaxNameBytes is the longest name of an instance, a budget, an availability zone or a region, and
-	// the longest version.
+	// MaxNameBytes is the longest name of an instance, an endpoint, a budget, an availability zone or a region,
+	// and the longest version.
 	MaxNameBytes = 255
+	// MaxCrashRequests is the largest number of requests of a Crash.
+	MaxCrashRequests = 64
 )
 
 // The faults of a malformed group.
@@ -62,6 +64,8 @@
 		return validateAmounts(r.Usage)
 	case *Fence:
 		return validateShare(r.Target.Instance, r.Kind)
+	case *Crash:
+		return validateCrash(r)
 	case nil:
 		return ErrNoRecord
 	default:
@@ -69,6 +73,13 @@
 	}
 }
 
+func validateCrash(r *Crash) error {
+	if len(r.InProgress) > MaxCrashRequests {
+		return ErrTooLong
+	}
+	return validateNames(r.Endpoint)
+}
+
 // validateShare checks the fields of a record that touches a share.
 func validateShare(name string, kind ShareKind, amounts ...Tokens) error {
 	if len(name) > MaxNameBytes {
--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -8,6 +8,7 @@
 
 	apex "github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
@@ -69,6 +70,10 @@
 
 	configurationNext   platform.Offset
 	configurationNumber uint64
+
+	// watchCrash gets the crashes that others report, crashes bounds this router's reports.
+	watchCrash func(ledger.Incarnation, *ledger.Crash)
+	crashes    *rate.Limiter
 }
 
 // Status is a summary for operators.
@@ -119,6 +124,7 @@
 		observation:    decision.Observation{GapLimit: s.gapLimit()},
 		reachable:      true,
 		routers:        1,
+		crashes:        rate.NewLimiter(fleetCrashesPerSecond, 1),
 	}
 	for rank := range couriers {
 		c.couriers = append(c.couriers, &courier{client: c, rank: rank})
--- a/fleet/ledgerstream/counters.go
+++ b/fleet/ledgerstream/counters.go
@@ -42,6 +42,8 @@
 	copyHeld          = "ledger.copy.held"
 	copyRefused       = "ledger.copy.refused"
 	copyAppended      = "ledger.copy.appended"
+	crashSent         = "ledger.crash.sent"
+	crashSeen         = "ledger.crash.seen"
 	reservePaid       = "ledger.reserve_share.paid"
 	outboxLength      = "ledger.outbox.length"
 	logReachable      = "ledger.log.reachable"
@@ -92,6 +94,8 @@
 		{copyHeld, "groups of other routers that this router held on their way to the log"},
 		{copyRefused, "groups of other routers refused because too many are held"},
 		{copyAppended, "groups of other routers that this router appended"},
+		{crashSent, "crashes of endpoints that this router reported to the others"},
+		{crashSeen, "crashes of endpoints that other routers reported"},
 		{reservePaid, "requests paid from a reserve share because the log did not answer"},
 		{outboxLength, "gauge: records that were not yet read back"},
 		{logReachable, "gauge: 1 if the log answers, 0 if not"},
--- /dev/null
+++ b/fleet/ledgerstream/crash_test.go
@@ -0,0 +1,41 @@
+package ledgerstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+)
+
+func TestCrashesReachTheOtherRouters(t *testing.T) {
+	inBubble(t, 3, 100, func(c *cluster) {
+		t := c.tb
+		seen := make([]map[ledger.Incarnation][]string, len(c.members))
+		for i, m := range c.members {
+			seen[i] = map[ledger.Incarnation][]string{}
+			m.WatchCrashes(func(reporter ledger.Incarnation, crash *ledger.Crash) {
+				seen[i][reporter] = append(seen[i][reporter], crash.Endpoint)
+			})
+		}
+		first := c.members[0]
+		c.log.set(func() { first.link.lostAnswers, first.link.copies = 0.5, 0.5 })
+		report := func(endpoint string) bool {
+			return first.ReportCrash(ledger.Crash{Endpoint: endpoint, InProgress: []ledger.Fingerprint{1}})
+		}
+		assertEqual(t, "a report", true, report("engine-1"))
+		time.Sleep(5 * time.Second)
+		want := map[ledger.Incarnation][]string{first.Incarnation(): {"engine-1"}}
+		assertEqual(t, "own reports", 0, len(seen[0]))
+		assertEqual(t, "reports seen by the second", want, seen[1])
+		assertEqual(t, "reports seen by the third", want, seen[2])
+		taken := 0
+		for range 100 {
+			if report("engine-2") {
+				taken++
+			}
+		}
+		assertEqual(t, "reports at once", fleetCrashesPerSecond/len(c.members), taken)
+		time.Sleep(5 * time.Second)
+		assertEqual(t, "report after a while", true, report("engine-3"))
+	})
+}
--- a/fleet/ledgerstream/dispatch.go
+++ b/fleet/ledgerstream/dispatch.go
@@ -35,6 +35,8 @@
 		c.onBilled(e)
 	case *ledger.Released:
 		c.onReleased(e)
+	case *ledger.Crashed:
+		c.onCrashed(e)
 	}
 }
 
--- a/fleet/ledgerstream/outbox.go
+++ b/fleet/ledgerstream/outbox.go
@@ -229,6 +229,8 @@
 		return recordBytes + len(r.Budget)
 	case *ledger.Open:
 		return recordBytes + len(r.Budget)
+	case *ledger.Crash:
+		return recordBytes + len(r.Endpoint) + fingerprintBytes*len(r.InProgress)
 	default:
 		return recordBytes
 	}
--- a/router/build.go
+++ b/router/build.go
@@ -114,10 +114,11 @@
 	return client
 }
 
-func newDispatcher(settings *Settings, board *blackboard.Board) *endpoint.Dispatcher {
+func newDispatcher(settings *Settings, board *blackboard.Board, crashes *ledgerstream.Client) *endpoint.Dispatcher {
 	return endpoint.NewDispatcher(board, endpoint.Settings{
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
+		Crashes:          crashes,
 	})
 }
 
--- a/router/endpoint/counters.go
+++ b/router/endpoint/counters.go
@@ -14,6 +14,7 @@
 	endpointAdmitted = "endpoint.admitted"
 	endpointCleared  = "endpoint.cleared"
 	quarantineCaught = "quarantine.caught"
+	quarantineLost   = "quarantine.report_dropped"
 	queueWaited      = "queue.waited"
 	listingIgnored   = "listing.ignored"
 	answerCut        = "answer.cut"
@@ -38,7 +39,8 @@
 		{ejectedPrefix + string(endpoint.Silent), "Endpoints ejected because they were silent and the probe failed, or five calls in a row got nothing."},
 		{endpointAdmitted, "Ejected endpoints that answered a probe and get work again."},
 		{endpointCleared, "Endpoints that answered a probe after a failure: the connection was at fault, not the endpoint."},
-		{quarantineCaught, "Requests quarantined because they were in progress at two crashes."},
+		{quarantineCaught, "Requests quarantined because they were in progress at two crashes, seen by this router or by others."},
+		{quarantineLost, "Requests in progress at crashes of which other routers were not told, because too many endpoints crashed at once."},
 		{queueWaited, "Calls that waited for a place at an endpoint."},
 		{listingIgnored, "Instance lists not taken in because they were empty or older than the one before."},
 		{answerCut, "Answers cut at their reserved length."},
--- /dev/null
+++ b/router/endpoint/crash_test.go
@@ -0,0 +1,129 @@
+package endpoint
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// crashers are endpoints that crash with each poison request. Slow requests wait for the crash of theirs.
+type crashers struct {
+	servers []*httptest.Server
+	crashes atomic.Int64
+	slow    sync.WaitGroup
+}
+
+func startCrashers(t *testing.T, count int) *crashers {
+	t.Helper()
+	c := &crashers{servers: make([]*httptest.Server, count)}
+	for i := range c.servers {
+		c.servers[i] = httptest.NewServer(alive(func(w http.ResponseWriter, r *http.Request) { c.serve(i, w, r) }))
+		t.Cleanup(c.servers[i].Close)
+	}
+	return c
+}
+
+func (c *crashers) serve(i int, w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	switch string(body) {
+	case "slow":
+		c.slow.Done()
+		<-r.Context().Done()
+	case "poison":
+		c.slow.Wait()
+		c.crashes.Add(1)
+		_ = c.servers[i].Listener.Close()
+		c.servers[i].CloseClientConnections()
+		panic(http.ErrAbortHandler)
+	default:
+		sends(delta("a"), doneEvent)(w, r)
+	}
+}
+
+// declare adds the endpoints to a router.
+func (c *crashers) declare(f *fixture) {
+	for _, s := range c.servers {
+		f.add(s.Listener.Addr().String())
+	}
+}
+
+// call returns a call that is told apart by its body, and is not tried again.
+func (c *crashers) call(body string) *Call {
+	call := streamCall()
+	call.Body, call.Fingerprint = []byte(body), ledger.NewFingerprint([]byte(body))
+	once(call)
+	return call
+}
+
+func TestQuarantine(t *testing.T) {
+	c, f := startCrashers(t, 3), newFixture(t)
+	c.declare(f)
+	poison := c.call("poison")
+	poison.Route.Limits.Attempts = 0
+	for range 4 {
+		_ = perform(t, f, t.Context(), poison)
+		assertReason(t, f, c.call("innocent"), "")
+	}
+	assertReason(t, f, poison, verdict.Quarantined)
+	assert.Equal(t, 2, c.crashes.Load())
+	assert.Equal(t, 1, f.counter("quarantine.caught"))
+}
+
+// startRouter runs a dispatcher that shares a ledger with others.
+func startRouter(t *testing.T, instance string, stream *memory.Log) *fixture {
+	t.Helper()
+	logger := &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil })}
+	client := ledgerstream.NewClient(stream, ledgerstream.Settings{Instance: instance, Logger: logger}, metrics.NewRegistry())
+	f := newFixture(t)
+	f.Dispatcher = NewDispatcher(f.board, Settings{Region: testZone, AvailabilityZone: testZone, Crashes: client})
+	go func() { _ = client.Run(t.Context()) }()
+	go func() { _ = f.Run(t.Context()) }()
+	eventually(t, "joining", client.Ready)
+	return f
+}
+
+func TestQuarantineOfAllRouters(t *testing.T) {
+	c, stream := startCrashers(t, 4), &memory.Log{}
+	routers := []*fixture{startRouter(t, "router-1", stream), startRouter(t, "router-2", stream), startRouter(t, "router-3", stream)}
+	for _, f := range routers {
+		c.declare(f)
+	}
+	// A request of each of two routers is in progress at the same crash.
+	var callers sync.WaitGroup
+	c.slow.Add(2)
+	set := routers[0].set.Endpoints
+	for _, f := range routers[:2] {
+		f.set.Endpoints = set[:1]
+		f.declareAgain()
+		callers.Go(func() { assertReason(t, f, c.call("slow"), verdict.EndpointFailed) })
+	}
+	assertReason(t, routers[0], c.call("poison"), verdict.EndpointFailed)
+	callers.Wait()
+	for _, f := range routers[:2] {
+		eventually(t, "ejection", func() bool { return f.counter("endpoint.ejected.broken")+f.counter("endpoint.ejected.unreachable") > 0 })
+		f.set.Endpoints = set[1:]
+		f.declareAgain()
+	}
+	assertReason(t, routers[1], c.call("poison"), verdict.EndpointFailed)
+	for _, f := range routers {
+		eventually(t, "quarantine", func() bool { return f.counter("quarantine.caught") == 1 })
+		assertReason(t, f, c.call("poison"), verdict.Quarantined)
+		held := f.quarantine.Held(time.Now(), c.call("slow").Fingerprint)
+		assert.Equal(t, 0, held)
+	}
+	assert.Equal(t, 2, c.crashes.Load())
+}
--- a/router/endpoint/dispatcher.go
+++ b/router/endpoint/dispatcher.go
@@ -26,8 +26,10 @@
 	listing       *platform.Listing
 	membership    endpoint.Membership
 	quarantine    endpoint.Quarantine
-	peers         map[peerKey]*peer
-	services      map[string]*service
+	// unreported are the requests in progress at crashes that the other routers are not told of yet.
+	unreported crashReports
+	peers      map[peerKey]*peer
+	services   map[string]*service
 }
 
 // peerKey tells endpoints apart: one address may serve several services.
@@ -46,14 +48,18 @@
 
 // NewDispatcher returns a dispatcher that reads its endpoints from the board.
 func NewDispatcher(board *blackboard.Board, settings Settings) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		board: board, settings: settings.withDefaults(),
 		peers: make(map[peerKey]*peer), services: make(map[string]*service),
 	}
+	if settings.Crashes != nil {
+		settings.Crashes.WatchCrashes(d.takeCrash)
+	}
+	return d
 }
 
-// Run probes ejected endpoints, reads load reports and takes new configurations and lists in until the
-// context ends. Then it closes idle connections.
+// Run probes ejected endpoints, reads load reports, reports crashes and takes new configurations and lists in
+// until the context ends. Then it closes idle connections.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	ticker := time.NewTicker(d.settings.TickInterval)
 	defer ticker.Stop()
@@ -64,6 +70,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 			d.tick(time.Now())
+			d.reportCrashes()
 		}
 	}
 }
@@ -180,10 +187,3 @@
 		}
 	}
 }
-
-// countCrashLocked holds the requests that were in progress at a crash under suspicion.
-func (d *Dispatcher) countCrashLocked(now time.Time, p *peer) {
-	for range d.quarantine.Crash(now, p.crash()) {
-		d.board.Count(quarantineCaught)
-	}
-}
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -82,6 +82,11 @@
 		Name: fmt.Sprintf("engine-%d", len(f.set.Endpoints)), Service: testService, Address: address,
 		Region: testZone, AvailabilityZone: testZone,
 	})
+	f.declareAgain()
+}
+
+// declareAgain puts the fixture's endpoints on the board.
+func (f *fixture) declareAgain() {
 	set := operator.InstanceSet{Name: "engines", Endpoints: append([]operator.Endpoint(nil), f.set.Endpoints...)}
 	f.board.Configuration.Store(&operator.Configuration{InstanceSets: map[string]operator.InstanceSet{set.Name: set}})
 }
@@ -372,31 +377,3 @@
 		assert.Equal(t, outcomeOf{"MayHaveRun", verdict.EndpointFailed, 1, false, 1, ""}, perform(t, f, t.Context(), plainCall()))
 	})
 }
-
-// TestDeclaredAgainDuringAttempts is for the race detector: attempts read their peer without the dispatcher's lock.
-func TestDeclaredAgainDuringAttempts(t *testing.T) {
-	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "booked") })
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for range 100 {
-			assert.Equal(t, outcomeOf{"Ran", "", 1, true, 1, "booked"}, perform(t, f, t.Context(), plainCall()))
-		}
-	}()
-	for i := 0; ; i++ {
-		select {
-		case <-done:
-			return
-		default:
-			f.move(0, fmt.Sprintf("luzon-%d", i))
-		}
-	}
-}
-
-// move declares an endpoint in another availability zone.
-func (f *fixture) move(i int, zone string) {
-	set := operator.InstanceSet{Name: "engines", Endpoints: slices.Clone(f.set.Endpoints)}
-	set.Endpoints[i].AvailabilityZone = zone
-	f.board.Configuration.Store(&operator.Configuration{InstanceSets: map[string]operator.InstanceSet{set.Name: set}})
-	f.tick(time.Now())
-}
--- a/router/endpoint/peer_test.go
+++ b/router/endpoint/peer_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -178,36 +177,6 @@
 	assert.Equal(t, 2, f.counter("listing.ignored"))
 }
 
-func TestQuarantine(t *testing.T) {
-	var crashes atomic.Int64
-	servers := make([]*httptest.Server, 3)
-	f := newFixture(t)
-	for i := range servers {
-		servers[i] = httptest.NewServer(alive(func(w http.ResponseWriter, r *http.Request) {
-			body, _ := io.ReadAll(r.Body)
-			if string(body) == "poison" {
-				crashes.Add(1)
-				_ = servers[i].Listener.Close()
-				servers[i].CloseClientConnections()
-				panic(http.ErrAbortHandler)
-			}
-			sends(delta("a"), doneEvent)(w, r)
-		}))
-		defer servers[i].Close()
-		f.add(servers[i].Listener.Addr().String())
-	}
-	poison, innocent := streamCall(), streamCall()
-	poison.Body, poison.Fingerprint = []byte("poison"), ledger.Fingerprint(1)
-	innocent.Fingerprint = ledger.Fingerprint(2)
-	for range 4 {
-		_ = perform(t, f, t.Context(), poison)
-		assertReason(t, f, innocent, "")
-	}
-	assertReason(t, f, poison, verdict.Quarantined)
-	assert.Equal(t, 2, crashes.Load())
-	assert.Equal(t, 1, f.counter("quarantine.caught"))
-}
-
 func TestQueue(t *testing.T) {
 	begun, end := make(chan struct{}, 1), make(chan struct{})
 	f := newFixture(t, func(http.ResponseWriter, *http.Request) {
--- a/router/endpoint/settings.go
+++ b/router/endpoint/settings.go
@@ -48,6 +48,8 @@
 	LoadPath     string
 	// Policy weighs nearness, load and affinity.
 	Policy endpoint.Policy
+	// Crashes tells the other routers of crashes and hears of theirs; nil does without.
+	Crashes CrashLog
 	// TickInterval is the time between two looks at ejections and waiting calls.
 	TickInterval time.Duration
 	// QueueLength bounds the calls that wait for one service, QueueTimeout how long each waits.
