--- a/fleet/endpoint/endpoint_test.go
+++ b/fleet/endpoint/endpoint_test.go
@@ -176,6 +176,21 @@
 		assert.Equal(t, coldWarmth, h.Warmth(now))
 		assert.Equal(t, 1.0, h.Warmth(now.Add(slowStart)))
 	})
+	t.Run("errors of different requests", func(t *testing.T) {
+		h := &Health{}
+		for round := range 2 {
+			for range failureLimit {
+				observe(t, h, &Errored{Request: 1}, nil)
+			}
+			for request := range failureLimit - 2 {
+				observe(t, h, &Errored{Request: ledger.Fingerprint(2 + request)}, nil)
+			}
+			if round == 0 {
+				observe(t, h, &Answered{}, nil)
+			}
+		}
+		observe(t, h, &Errored{Request: 9}, &Eject{Kind: Erring})
+	})
 	t.Run("answers probes and nothing else", func(t *testing.T) {
 		h := &Health{}
 		for range failureLimit - 1 {
--- a/fleet/endpoint/health.go
+++ b/fleet/endpoint/health.go
@@ -1,6 +1,11 @@
 package endpoint
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+)
 
 // Times and counts of the ejection of endpoints.
 const (
@@ -26,6 +31,8 @@
 	Broken FailureKind = "broken"
 	// Silent means that nothing came in time.
 	Silent FailureKind = "silent"
+	// Erring means that all answers were errors of the endpoint itself.
+	Erring FailureKind = "erring"
 )
 
 // Observation is what a router sees of an endpoint; the types below are all there are.
@@ -42,11 +49,19 @@
 	Begun time.Time
 }
 
+// Errored reports a complete answer that is an error of the endpoint itself. The connection works, so no probe
+// would tell more.
+type Errored struct {
+	// Request counts once in a row: what one request meets everywhere is not the endpoint's fault.
+	Request ledger.Fingerprint
+}
+
 // Probed reports the end of a probe on a new connection.
 type Probed struct{ Alive bool }
 
 func (*Answered) isObservation() {}
 func (*Failed) isObservation()   {}
+func (*Errored) isObservation()  {}
 func (*Probed) isObservation()   {}
 
 // Action is what follows from an observation; the types below are all there are.
@@ -85,6 +100,8 @@
 	state    state
 	kind     FailureKind
 	failures int
+	// errored are the requests that got errors since the last other answer.
+	errored []ledger.Fingerprint
 	// ejections counts the ejections since the last answer.
 	ejections int
 	probeAt   time.Time
@@ -107,6 +124,8 @@
 		h.answered()
 	case *Failed:
 		return h.failed(now, o)
+	case *Errored:
+		return h.erred(now, o.Request)
 	case *Probed:
 		return h.probed(now, o.Alive)
 	}
@@ -117,7 +136,7 @@
 // since before.
 func (h *Health) answered() {
 	if h.state == healthy {
-		h.failures, h.ejections = 0, 0
+		h.failures, h.ejections, h.errored = 0, 0, h.errored[:0]
 	}
 }
 
@@ -134,6 +153,19 @@
 	return &Probe{}
 }
 
+// erred ejects the endpoint once failureLimit requests in a row got errors.
+func (h *Health) erred(now time.Time, request ledger.Fingerprint) Action {
+	if h.state != healthy || slices.Contains(h.errored, request) {
+		return nil
+	}
+	h.errored = append(h.errored, request)
+	if len(h.errored) < failureLimit {
+		return nil
+	}
+	h.kind = Erring
+	return h.eject(now)
+}
+
 func (h *Health) probed(now time.Time, alive bool) Action {
 	h.probing = false
 	switch {
@@ -159,7 +191,7 @@
 		wait = min(2*wait, longEjection)
 	}
 	h.ejections = min(h.ejections+1, failureLimit*2)
-	h.state, h.probeAt, h.probing = ejected, now.Add(wait), false
+	h.state, h.probeAt, h.probing, h.errored = ejected, now.Add(wait), false, h.errored[:0]
 	if again {
 		return nil
 	}
--- a/router/endpoint/call.go
+++ b/router/endpoint/call.go
@@ -71,6 +71,8 @@
 // Caller performs calls.
 type Caller interface {
 	// Do sends the call and writes the answer to w. A non-nil error is a *verdict.Refusal whose verdict
-	// equals that of the result; nothing was written to w unless the result says Started.
+	// equals that of the result; nothing was written to w unless the result says Started. Without an error the
+	// caller has an endpoint's whole answer; the verdict is MayHaveRun if that is an error after which
+	// the call was tried in vain.
 	Do(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error)
 }
--- a/router/endpoint/counters.go
+++ b/router/endpoint/counters.go
@@ -9,6 +9,7 @@
 const (
 	retryPrefix      = "retry."
 	retryBudgetSpent = "retry.budget_spent"
+	retryError       = "retry.endpoint_error"
 	retryFallback    = "retry.fallback"
 	ejectedPrefix    = "endpoint.ejected."
 	endpointAdmitted = "endpoint.admitted"
@@ -32,11 +33,13 @@
 		{retryPrefix + string(verdict.EndpointRefused), "Attempts sent again because the endpoint refused the request before running it."},
 		{retryPrefix + string(verdict.EndpointFailed), "Attempts sent again because no connection was had or the exchange was broken off."},
 		{retryPrefix + string(verdict.EndpointSilent), "Attempts sent again because the endpoint sent nothing in time."},
+		{retryError, "Attempts sent again because the endpoint answered 500, 502, 503 or 504 without saying that it ran nothing."},
 		{retryBudgetSpent, "Attempts not made because the service's retry budget was spent."},
 		{retryFallback, "Calls that went over to a fallback route because no endpoint of theirs was available."},
 		{ejectedPrefix + string(endpoint.Unreachable), "Endpoints ejected because no connection was had, also by a probe."},
 		{ejectedPrefix + string(endpoint.Broken), "Endpoints ejected because exchanges were broken off and the probe failed, or five broke in a row."},
 		{ejectedPrefix + string(endpoint.Silent), "Endpoints ejected because they were silent and the probe failed, or five calls in a row got nothing."},
+		{ejectedPrefix + string(endpoint.Erring), "Endpoints ejected because they answered five different requests in a row with 500, 502, 503 or 504."},
 		{endpointAdmitted, "Ejected endpoints that answered a probe and get work again."},
 		{endpointCleared, "Endpoints that answered a probe after a failure: the connection was at fault, not the endpoint."},
 		{quarantineCaught, "Requests quarantined because they were in progress at two crashes, seen by this router or by others."},
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -164,7 +164,11 @@
 
 func perform(t *testing.T, f *fixture, ctx context.Context, call *Call) outcomeOf { //nolint:revive // t first in tests
 	t.Helper()
-	w := httptest.NewRecorder()
+	return performOn(t, f, ctx, call, httptest.NewRecorder())
+}
+
+func performOn(t *testing.T, f *fixture, ctx context.Context, call *Call, w *httptest.ResponseRecorder) outcomeOf { //nolint:revive // t first in tests
+	t.Helper()
 	result, err := f.Do(ctx, call, w)
 	got := outcomeOf{
 		Verdict: result.Verdict.String(), Usage: result.Usage, Started: result.Started,
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -41,6 +41,9 @@
 	begun time.Time
 	// crash says that the connection broke after the request was sent.
 	crash bool
+	// errored says that the endpoint answered with an error of its own, held is that answer if it was not passed on.
+	errored bool
+	held    *heldAnswer
 	// abort says that the caller must not take the answer for complete.
 	abort bool
 }
--- /dev/null
+++ b/router/endpoint/held_test.go
@@ -0,0 +1,75 @@
+package endpoint
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+)
+
+// errs answers with an error of the endpoint.
+func errs(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Seed", "1")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, http.StatusText(status))
+	}
+}
+
+func TestEndpointErrors(t *testing.T) {
+	answers := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "booked") }
+	long := func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusBadGateway)
+		_, _ = io.WriteString(w, strings.Repeat("x", DefaultBufferBytes+1))
+	}
+	repeatable := func() *Call { call := plainCall(); call.Idempotent = true; return call }
+	// Each attempt gets the next answer; further ones get the last.
+	for _, c := range []struct {
+		name     string
+		call     *Call
+		attempts []http.HandlerFunc
+		want     outcomeOf
+		status   int
+		verdict  string
+	}{
+		{"stream", streamCall(), []http.HandlerFunc{errs(500), sends(delta("a"), doneEvent)}, outcomeOf{"Ran", "", 11, true, 2, delta("a") + doneEvent}, 200, ""},
+		{"stream in vain", streamCall(), []http.HandlerFunc{errs(502)}, outcomeOf{"MayHaveRun", "", 0, true, 3, "Bad Gateway"}, 502, "MayHaveRun"},
+		{"plain", repeatable(), []http.HandlerFunc{errs(503), answers}, outcomeOf{"Ran", "", 1, true, 2, "booked"}, 200, ""},
+		{"plain in vain", repeatable(), []http.HandlerFunc{errs(500), errs(504)}, outcomeOf{"MayHaveRun", "", 1, true, 3, "Gateway Timeout"}, 504, "MayHaveRun"},
+		{"then broken", repeatable(), []http.HandlerFunc{errs(500), breaks()}, outcomeOf{"MayHaveRun", "", 1, true, 3, "Internal Server Error"}, 500, "MayHaveRun"},
+		{"then refused", repeatable(), []http.HandlerFunc{errs(500), refuses}, outcomeOf{"MayHaveRun", "", 1, true, 3, "Internal Server Error"}, 500, "MayHaveRun"},
+		{"longer than the buffer", repeatable(), []http.HandlerFunc{long}, outcomeOf{"Ran", "", 1, true, 1, strings.Repeat("x", DefaultBufferBytes+1)}, 502, ""},
+		{"other status", repeatable(), []http.HandlerFunc{errs(501)}, outcomeOf{"Ran", "", 1, true, 1, "Not Implemented"}, 501, ""},
+		{"non-idempotent", plainCall(), []http.HandlerFunc{errs(503)}, outcomeOf{"Ran", "", 1, true, 1, "Service Unavailable"}, 503, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var sent atomic.Int64
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				c.attempts[min(int(sent.Add(1)), len(c.attempts))-1](w, r)
+			}
+			f, w := newFixture(t, handler, handler, handler), httptest.NewRecorder()
+			assert.Equal(t, c.want, performOn(t, f, t.Context(), c.call, w))
+			assert.Equal(t, c.status, w.Code)
+			assert.Equal(t, c.verdict, w.Header().Get(verdictHeader))
+			assert.Equal(t, c.want.Attempts, int(sent.Load()))
+		})
+	}
+}
+
+func TestErringEndpointIsEjected(t *testing.T) {
+	f := newFixture(t, errs(500))
+	for i, want := range []int64{0, 0, 0, 0, 0, 0, 1} {
+		call := streamCall()
+		// The first three requests are one that is sent again.
+		call.Fingerprint = ledger.Fingerprint(max(i, 2))
+		once(call)
+		_ = perform(t, f, t.Context(), call)
+		assert.Equal(t, want, f.counter("endpoint.ejected.erring"))
+	}
+}
--- a/router/endpoint/job.go
+++ b/router/endpoint/job.go
@@ -28,6 +28,8 @@
 	// suspect says that the attempt under way counts among its endpoint's suspects.
 	suspect bool
 	result  Result
+	// held is the newest error of an endpoint that was not passed on.
+	held *heldAnswer
 	// mayHaveRun says that an attempt may have run; from then on no failure is NotRun.
 	mayHaveRun bool
 }
@@ -46,7 +48,7 @@
 		}
 		switch decision := j.decide(ctx, out).(type) {
 		case *endpoint.Retry:
-			j.dispatcher.board.Count(retryPrefix + string(out.reason))
+			j.dispatcher.board.Count(out.retryCounter())
 			if !sleep(ctx, decision.After) {
 				return j.refuse(j.interrupted(ctx))
 			}
@@ -60,6 +62,14 @@
 	}
 }
 
+// retryCounter names the counter of a retry after this attempt.
+func (o *outcome) retryCounter() string {
+	if o.held != nil {
+		return retryError
+	}
+	return retryPrefix + string(o.reason)
+}
+
 // acquire reserves a place at an endpoint of the route, or of its first fallback with one.
 func (j *job) acquire(ctx context.Context) (*peer, *verdict.Refusal) {
 	for {
@@ -123,6 +133,9 @@
 	j.result.Endpoint = p.name
 	j.result.Started = x.started
 	j.result.Abort = out.abort
+	if out.held != nil {
+		j.held = out.held
+	}
 	return out
 }
 
@@ -161,8 +174,12 @@
 	return endpoint.Decide(failure, &d.serviceLocked(j.route.Service).retries, rand.Float64()) //nolint:gosec // spreads retries
 }
 
-// refuse ends the call. The refusal's verdict is that of all attempts together.
+// refuse ends the call, with an endpoint's error if one was held back. The refusal's verdict is that of all
+// attempts together.
 func (j *job) refuse(refusal *verdict.Refusal) (Result, error) {
+	if j.held != nil && !j.result.Started && refusal.Reason != verdict.CallerWentAway {
+		return j.passHeld()
+	}
 	if j.result.Attempts == 0 {
 		j.result.Verdict = verdict.NotRun
 	}
--- a/router/endpoint/place.go
+++ b/router/endpoint/place.go
@@ -200,6 +200,10 @@
 // learnLocked takes the outcome of an attempt in.
 func (d *Dispatcher) learnLocked(p *peer, j *job, out outcome) {
 	now := time.Now()
+	if out.errored {
+		d.observeLocked(p, &endpoint.Errored{Request: j.call.Fingerprint})
+		return
+	}
 	if out.cause == nil {
 		d.quarantine.Complete(j.call.Fingerprint)
 		if !j.call.streams() {
--- a/router/endpoint/whole.go
+++ b/router/endpoint/whole.go
@@ -61,23 +61,31 @@
 	if read > x.dispatcher.settings.BufferBytes {
 		return x.passLong(ctx, response, buffer.Bytes(), body)
 	}
-	out := outcome{verdict: verdict.Ran, usage: x.wholeUsage(buffer.Bytes(), response.StatusCode)}
+	out := outcome{verdict: verdict.Ran, usage: x.wholeUsage(buffer.Bytes(), response.StatusCode), errored: isServerError(response)}
+	if out.errored && x.call.Idempotent {
+		return x.hold(out, response, buffer.Bytes())
+	}
+	if err := x.answer(response, buffer.Bytes()); err != nil {
+		gone := callerGone(err, verdict.Ran)
+		gone.usage = out.usage
+		return gone
+	}
+	return out
+}
+
+// answer writes a complete answer to the caller.
+func (x *exchange) answer(response *http.Response, body []byte) error {
 	copyResponseHeader(x.w.Header(), response.Header)
 	if x.call.Method != http.MethodHead && response.StatusCode != http.StatusNoContent &&
 		response.StatusCode != http.StatusNotModified {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(read, 10))
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.started = true
 	x.w.WriteHeader(response.StatusCode)
-	if read == 0 {
-		return out
+	if len(body) == 0 {
+		return nil
 	}
-	if err := x.write(buffer.Bytes()); err != nil {
-		gone := callerGone(err, verdict.Ran)
-		gone.usage = out.usage
-		return gone
-	}
-	return out
+	return x.write(body)
 }
 
 // passLong passes an answer on that does not fit the buffer.
