--- a/fleet/endpoint/simrouter_test.go
+++ b/fleet/endpoint/simrouter_test.go
@@ -1,20 +1,23 @@
 package endpoint
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
 // simRouter makes the decisions of this package as the dispatcher does.
 type simRouter struct {
-	sim    *simulation
-	region int
-	peers  []*simPeer
-	budget RetryBudget
-	queue  Queue[*simRequest]
-	turn   int
+	sim        *simulation
+	region     int
+	peers      []*simPeer
+	budget     RetryBudget
+	quarantine Quarantine
+	queue      Queue[*simRequest]
+	turn       int
 }
 
 // simPeer is an engine as a router sees it.
@@ -24,6 +27,7 @@
 	health                   Health
 	limit                    Limit
 	attempts                 []*simAttempt
+	broken                   []ledger.Fingerprint
 	ownReported, ownMeasured int
 }
 
@@ -56,9 +60,16 @@
 
 // place sends a request or lets it wait.
 func (r *simRouter) place(q *simRequest) {
+	if r.quarantine.Held(r.sim.time(), q.fingerprint) > 0 {
+		if !q.poison {
+			r.sim.report.held++
+		}
+		r.sim.lose(q)
+		return
+	}
 	hopeful := slices.ContainsFunc(r.peers, func(p *simPeer) bool { return !p.health.Ejected() })
 	if !hopeful {
-		r.sim.report.failed++
+		r.sim.lose(q)
 		return
 	}
 	if r.queue.Len() == 0 {
@@ -69,13 +80,16 @@
 	}
 	now := r.sim.time()
 	entry, dropped, reason := r.queue.Push(now, Waiter{Team: q.team, Deadline: now.Add(simQueueWait)}, q)
-	if reason != "" || dropped != nil {
-		r.sim.report.failed++
+	if dropped != nil {
+		r.sim.lose(dropped.Value)
+	}
+	if reason != "" {
+		r.sim.lose(q)
 	}
 	if entry != nil {
 		r.sim.after(simQueueWait, func() {
 			if r.queue.Remove(entry) {
-				r.sim.report.failed++
+				r.sim.lose(q)
 			}
 		})
 	}
@@ -85,7 +99,7 @@
 	var peers []*simPeer
 	var candidates []Candidate
 	for _, tried := range [][]*simPeer{q.tried, nil} {
-		peers, candidates = r.candidates(tried)
+		peers, candidates = r.candidates(q, tried)
 		if len(peers) > 0 {
 			break
 		}
@@ -97,9 +111,10 @@
 	return peers[i]
 }
 
-func (r *simRouter) candidates(without []*simPeer) (peers []*simPeer, candidates []Candidate) {
+func (r *simRouter) candidates(q *simRequest, without []*simPeer) (peers []*simPeer, candidates []Candidate) {
+	suspect := r.quarantine.Suspect(r.sim.time(), q.fingerprint)
 	for _, p := range r.peers {
-		if !p.health.Available() || slices.Contains(without, p) {
+		if !p.health.Available() || slices.Contains(without, p) || suspect && r.hasSuspect(p) {
 			continue
 		}
 		c := Candidate{
@@ -186,6 +201,7 @@
 func (r *simRouter) complete(a *simAttempt) {
 	r.leave(a)
 	a.peer.health.Observe(r.sim.time(), &Answered{})
+	r.quarantine.Complete(a.request.fingerprint)
 	// The first token's time decides; a broken answer is none.
 	r.sim.report.calls++
 	if a.request.firstWait(r, a) <= simGood {
@@ -212,6 +228,9 @@
 	r.leave(a)
 	switch {
 	case kind != "":
+		if kind == Broken {
+			a.peer.broken = append(a.peer.broken, q.fingerprint)
+		}
 		r.observe(a.peer, &Failed{Kind: kind, Begun: start().Add(a.begun)})
 	case !s.variant.fixedLimit:
 		a.peer.limit.Refused(s.time(), s.now-a.begun)
@@ -225,15 +244,20 @@
 		s.report.retries++
 		s.after(d.After, func() { r.place(q) })
 	default:
-		s.report.failed++
+		s.lose(q)
 	}
 	r.wake()
 }
 
 // observe takes an observation in and probes the engine if that is what follows.
 func (r *simRouter) observe(p *simPeer, o Observation) {
-	if _, ok := p.health.Observe(r.sim.time(), o).(*Probe); ok {
+	switch p.health.Observe(r.sim.time(), o).(type) {
+	case *Probe:
 		r.probe(p)
+	case *Eject:
+		r.countCrash(p)
+	case *Admit:
+		p.broken = nil
 	}
 	if p.health.Ejected() && r.sim.now < simDuration {
 		r.sim.after(p.health.NextProbe(r.sim.time()), func() {
@@ -245,6 +269,28 @@
 	r.wake()
 }
 
+// countCrash counts the crash of an engine here and, a little later, at the other routers.
+func (r *simRouter) countCrash(p *simPeer) {
+	s, crash := r.sim, Crash{Endpoint: fmt.Sprint(p.hash), InProgress: p.broken}
+	if s.variant.quarantine == ofNone {
+		return
+	}
+	r.quarantine.Crash(s.time(), crash)
+	crash.Router.Instance = fmt.Sprint(slices.Index(s.routers, r))
+	for _, other := range s.routers {
+		if other != r && s.variant.quarantine == ofAllRouters {
+			s.after(simShare, func() { other.quarantine.Crash(s.time(), crash) })
+		}
+	}
+}
+
+// hasSuspect reports whether a request that was in progress at a crash is in progress at an engine.
+func (r *simRouter) hasSuspect(p *simPeer) bool {
+	return slices.ContainsFunc(p.attempts, func(a *simAttempt) bool {
+		return r.quarantine.Suspect(r.sim.time(), a.request.fingerprint)
+	})
+}
+
 func (r *simRouter) probe(p *simPeer) {
 	wait := 2 * r.way(p)
 	if p.engine.silent {
@@ -256,7 +302,7 @@
 // wake sends waiting requests while there is room.
 func (r *simRouter) wake() {
 	for r.queue.Len() > 0 {
-		_, candidates := r.candidates(nil)
+		_, candidates := r.candidates(&simRequest{}, nil)
 		if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.HasRoom() }) {
 			return
 		}
--- a/fleet/endpoint/simulation_test.go
+++ b/fleet/endpoint/simulation_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
@@ -31,6 +32,14 @@
 	simQueueWait   = 500 * time.Millisecond
 	simDuration    = 20 * time.Second
 	simFaultsAt    = 5 * time.Second
+	// Poison crashes an engine after simPoison, which then restarts; its caller sends it again after simResend.
+	simPoisonEvery = 10 * time.Second
+	simPoison      = 100 * time.Millisecond
+	simRestart     = 3 * time.Second
+	simResend      = time.Second
+	simPoisonSeeds = 5
+	// simShare is the time until the other routers have read of a crash.
+	simShare = 200 * time.Millisecond
 	// simGood is the time to the first token within which an answer counts as good.
 	simGood = 2 * time.Second
 )
@@ -46,6 +55,15 @@
 	byOwnLoad
 )
 
+// quarantineKind says of which crashes a router knows.
+type quarantineKind uint8
+
+const (
+	ofAllRouters quarantineKind = iota
+	ofOneRouter
+	ofNone
+)
+
 // variant is a row of the table.
 type variant struct {
 	name       string
@@ -54,6 +72,9 @@
 	noBudget   bool
 	noAffinity bool
 	fixedLimit bool
+	// poison sends a request that crashes engines, again and again; quarantine says which crashes routers count.
+	poison     bool
+	quarantine quarantineKind
 }
 
 // simulation runs one variant on a clock of its own.
@@ -72,7 +93,9 @@
 	requests, good, failed   int
 	attempts, retries        int
 	hits, starts, far, calls int
-	firstTokens              []time.Duration
+	// crashes are those by poison, held the innocent requests that were refused for them.
+	crashes, held int
+	firstTokens   []time.Duration
 }
 
 type simEvent struct {
@@ -160,6 +183,10 @@
 	e.served++
 	a.running = true
 	e.sim.report.starts++
+	if a.request.poison {
+		e.sim.after(simPoison, func() { e.sim.crash(e, a) })
+		return
+	}
 	prefill := simPrefill
 	if i := slices.Index(e.cache, a.request.prefix); i >= 0 {
 		e.sim.report.hits++
@@ -209,14 +236,42 @@
 	}
 }
 
+// crash ends an engine by a poison request and starts it again.
+func (s *simulation) crash(e *simEngine, a *simAttempt) {
+	if a.done {
+		return
+	}
+	s.report.crashes++
+	s.die(e)
+	s.after(simRestart, func() { e.dead, e.running, e.cache = false, 0, nil })
+}
+
+// lose counts a request that failed.
+func (s *simulation) lose(q *simRequest) {
+	if !q.poison {
+		s.report.failed++
+	}
+}
+
+// poison sends a request that crashes engines through one router after the other until none takes it.
+func (s *simulation) poison(q simRequest, sends int) {
+	if sends < 2*simRouters && s.now < simDuration {
+		q.failure, q.tried = Failure{Verdict: verdict.NotRun, Idempotent: true, Limit: 3}, nil
+		s.routers[sends%simRouters].place(&q)
+		s.after(simResend, func() { s.poison(q, sends+1) })
+	}
+}
+
 // simRequest is a caller's request.
 type simRequest struct {
-	team    string
-	prefix  uint64
-	tokens  int
-	arrived time.Duration
-	failure Failure
-	tried   []*simPeer
+	fingerprint ledger.Fingerprint
+	poison      bool
+	team        string
+	prefix      uint64
+	tokens      int
+	arrived     time.Duration
+	failure     Failure
+	tried       []*simPeer
 }
 
 func (s *simulation) arrive(gap time.Duration) {
@@ -229,7 +284,8 @@
 	r := s.routers[s.random.IntN(len(s.routers))]
 	r.budget.Deposit()
 	r.place(&simRequest{
-		team: string(rune('a' + skewed(simTeams))), prefix: mix(uint64(skewed(simPrefixes)) + 1),
+		fingerprint: ledger.Fingerprint(s.report.requests),
+		team:        string(rune('a' + skewed(simTeams))), prefix: mix(uint64(skewed(simPrefixes)) + 1),
 		tokens: 1 + int(s.random.ExpFloat64()*simTokens), arrived: s.now,
 		failure: Failure{Verdict: verdict.NotRun, Idempotent: true, Limit: 3},
 	})
@@ -246,6 +302,9 @@
 	perRequest := float64(simPrefill+simTokens*simToken) / simSlots / float64(runners)
 	s.after(0, func() { s.arrive(time.Duration(perRequest / load)) })
 	s.after(simReport, s.measure)
+	for at := simPoisonEvery / 5; s.variant.poison && at < simDuration; at += simPoisonEvery {
+		s.after(at, func() { s.poison(simRequest{poison: true, fingerprint: ^ledger.Fingerprint(at)}, 0) })
+	}
 	if faults {
 		s.after(simFaultsAt, func() {
 			for _, e := range s.engines[:runners/3] {
--- a/fleet/endpoint/table_test.go
+++ b/fleet/endpoint/table_test.go
@@ -27,9 +27,9 @@
 	}
 }
 
-// simulate runs a variant with a fixed seed.
-func simulate(v variant, runners int, load float64, faults bool) (simReportCard, []*simEngine) {
-	s := &simulation{variant: v, random: rand.New(rand.NewPCG(1, 2))}
+// simulate runs a variant with one of the fixed seeds.
+func simulate(v variant, seed uint64, runners int, load float64, faults bool) (simReportCard, []*simEngine) {
+	s := &simulation{variant: v, random: rand.New(rand.NewPCG(seed, 2))}
 	report := s.run(runners, load, faults)
 	return report, s.engines
 }
@@ -58,23 +58,23 @@
 
 // goodput returns the good answers in parts of what the fleet can give.
 func goodput(v variant, runners int, load float64, faults bool) float64 {
-	report, _ := simulate(v, runners, load, faults)
+	report, _ := simulate(v, 1, runners, load, faults)
 	return float64(report.good) / float64(report.requests) * load
 }
 
 // table prints the rows of one scenario.
 func table(runners int, faults bool) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-22s%9s%9s%7s%7s%9s%8s%7s%7s%7s\n",
-		"", "p95 TTFT", "busiest", "cache", "cross", "retries", "failed", "good", "good", "good")
-	fmt.Fprintf(&b, "%-22s%9s%9s%7s%7s%9s%8s%7s%7s%7s\n",
-		"", "ms", "/mean", "hits", "region", "/request", "", "at 1x", "at 2x", "at 3x")
+	fmt.Fprintf(&b, "%-22s%9s%9s%7s%7s%9s%8s%8s%7s%7s%7s\n",
+		"", "p95 TTFT", "busiest", "cache", "cross", "retries", "failed", "good", "good", "good", "good")
+	fmt.Fprintf(&b, "%-22s%9s%9s%7s%7s%9s%8s%8s%7s%7s%7s\n",
+		"", "ms", "/mean", "hits", "region", "/request", "", "at 0.7x", "at 1x", "at 2x", "at 3x")
 	for _, v := range variants() {
-		r, engines := simulate(v, runners, 0.7, faults)
+		r, engines := simulate(v, 1, runners, 0.7, faults)
 		requests := float64(r.requests)
-		fmt.Fprintf(&b, "%-22s%9d%9.2f%7.2f%7.2f%9.3f%8.3f", v.name, r.p95().Milliseconds(), busiest(engines),
+		fmt.Fprintf(&b, "%-22s%9d%9.2f%7.2f%7.2f%9.3f%8.3f%8.2f", v.name, r.p95().Milliseconds(), busiest(engines),
 			float64(r.hits)/float64(r.starts), float64(r.far)/float64(r.attempts), float64(r.retries)/requests,
-			float64(r.failed)/requests)
+			float64(r.failed)/requests, float64(r.good)/requests*0.7)
 		for _, load := range []float64{1, 2, 3} {
 			fmt.Fprintf(&b, "%7.2f", goodput(v, runners, load, faults))
 		}
@@ -83,22 +83,50 @@
 	return b.String()
 }
 
+// poisonTable prints what a request does that crashes engines, over several seeds.
+func poisonTable(runners int) string {
+	rows := fmt.Sprintf("%-22s%9s%9s%9s%8s%9s\n", "", "p95 TTFT", "crashes", "innocent", "failed", "good")
+	rows += fmt.Sprintf("%-22s%9s%9s%9s%8s%9s\n", "", "ms", "/poison", "held", "", "/request")
+	for _, v := range []variant{
+		{name: "no poison"},
+		{name: "no quarantine", poison: true, quarantine: ofNone},
+		{name: "one for each router", poison: true, quarantine: ofOneRouter},
+		{name: "shared", poison: true},
+	} {
+		var sum simReportCard
+		for seed := range uint64(simPoisonSeeds) {
+			r, _ := simulate(v, seed+1, runners, 0.7, false)
+			sum.requests, sum.good, sum.failed = sum.requests+r.requests, sum.good+r.good, sum.failed+r.failed
+			sum.crashes, sum.held = sum.crashes+r.crashes, sum.held+r.held
+			sum.firstTokens = append(sum.firstTokens, r.firstTokens...)
+		}
+		requests, poison := float64(sum.requests), simPoisonSeeds*float64(simDuration/simPoisonEvery)
+		rows += fmt.Sprintf("%-22s%9d%9.1f%9d%8.3f%9.2f\n", v.name, sum.p95().Milliseconds(), float64(sum.crashes)/poison, sum.held,
+			float64(sum.failed)/requests, float64(sum.good)/requests)
+	}
+	return rows
+}
+
 // TestPolicyTable prints the tables and compares them with those of docs/routing.md.
 func TestPolicyTable(t *testing.T) {
 	page, err := os.ReadFile("../../docs/routing.md")
 	if err != nil {
 		t.Fatal(err)
 	}
+	assertShown := func(name string, rows func() string) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := rows()
+			t.Log("\n" + text)
+			if !strings.Contains(string(page), text) {
+				t.Error("docs/routing.md shows another table")
+			}
+		})
+	}
 	for _, runners := range []int{9, 18} {
 		for _, faults := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%d runners, faults %v", runners, faults), func(t *testing.T) {
-				t.Parallel()
-				rows := table(runners, faults)
-				t.Log("\n" + rows)
-				if !strings.Contains(string(page), rows) {
-					t.Error("docs/routing.md shows another table")
-				}
-			})
+			assertShown(fmt.Sprintf("%d runners, faults %v", runners, faults), func() string { return table(runners, faults) })
 		}
+		assertShown(fmt.Sprintf("%d runners, poison", runners), func() string { return poisonTable(runners) })
 	}
 }
