--- a/fleet/operator/decode_test.go
+++ b/fleet/operator/decode_test.go
@@ -51,8 +51,9 @@
 		},
 		InstanceSets: []InstanceSet{{Name: "engines", Endpoints: []Endpoint{{
 			Name: "runner-1", Service: "brush-llm", Kind: EngineEndpoint, Address: "[fd00::1]:8000",
-			AvailabilityZone: "luzon-a1", Region: "luzon-a", ChecksFencing: true, Concurrency: 32,
-		}}}},
+			AvailabilityZone: "luzon-a1", Region: "luzon-a", ChecksFencing: true, Concurrency: 32, Role: "Decode",
+			Wanted: []Artifact{{Model: "studio/brush-7b", Version: "2"}, {Model: "studio/brush-7b", Adapter: "cats", Version: "1"}},
+		}}, Wanted: []Artifact{{Model: "studio/palette-7b"}}, Role: "Prefill", Retired: []string{"sketch"}, LoadLimit: 4}},
 	}, got)
 }
 
--- a/fleet/operator/fold_rapid_test.go
+++ b/fleet/operator/fold_rapid_test.go
@@ -71,7 +71,10 @@
 }
 
 func drawInstanceSet(t *rapid.T) InstanceSet {
-	set := InstanceSet{Name: someName("set", 2).Draw(t, "set")}
+	set := InstanceSet{Name: someName("set", 2).Draw(t, "set"), Retired: []string{"sketch"}, LoadLimit: 3}
+	if rapid.Bool().Draw(t, "wants") {
+		set.Wanted, set.Role = []Artifact{{Model: someName("model", 2).Draw(t, "wanted"), Version: "1"}}, "Decode"
+	}
 	for _, name := range rapid.SliceOfNDistinct(someName("endpoint", 4), 0, 2, rapid.ID).Draw(t, "endpoints") {
 		set.Endpoints = append(set.Endpoints, Endpoint{
 			Name: name, Service: someName("service", 2).Draw(t, "service"), Address: "10.0.0.1:8000",
--- a/fleet/operator/limits.go
+++ b/fleet/operator/limits.go
@@ -14,6 +14,7 @@
 	DefaultTokenTimeout        = 10 * time.Second
 	DefaultAttempts            = 3
 	DefaultEndpointConcurrency = 64
+	DefaultLoadLimit           = 2
 )
 
 // WithDefaults returns the limits with every zero replaced by its default.
--- a/fleet/operator/ticket.go
+++ b/fleet/operator/ticket.go
@@ -90,6 +90,22 @@
 type InstanceSet struct {
 	Name      string     `yaml:"Name"`
 	Endpoints []Endpoint `yaml:"Endpoints"`
+	// Wanted and Role are the state of its engines that name none of their own.
+	Wanted []Artifact `yaml:"Wanted,omitempty"`
+	Role   string     `yaml:"Role,omitempty"`
+	// Retired are models that the set's engines may drop even where no other engine serves them.
+	Retired []string `yaml:"Retired,omitempty"`
+	// LoadLimit is the number of engines of the fleet that may load while one of the set starts to; zero counts
+	// as DefaultLoadLimit.
+	LoadLimit uint64 `yaml:"LoadLimit,omitempty"`
+}
+
+// Artifact is what an engine loads from the weight store: a version of a model or of an adapter to it.
+type Artifact struct {
+	Model string `yaml:"Model"`
+	// Adapter is empty for the model itself.
+	Adapter string `yaml:"Adapter,omitempty"`
+	Version string `yaml:"Version,omitempty"`
 }
 
 // EndpointKind says how an endpoint is spoken to.
@@ -114,4 +130,8 @@
 	ChecksFencing bool `yaml:"ChecksFencing,omitempty"`
 	// Concurrency bounds the requests in progress at the endpoint; zero counts as DefaultEndpointConcurrency.
 	Concurrency int `yaml:"Concurrency,omitempty"`
+	// Wanted and Role are the state that the engine is ordered to have, in place of the set's. Without any, the
+	// engine gets no orders.
+	Wanted []Artifact `yaml:"Wanted,omitempty"`
+	Role   string     `yaml:"Role,omitempty"`
 }
--- a/fleet/operator/validate.go
+++ b/fleet/operator/validate.go
@@ -27,6 +27,9 @@
 	MaxTeamRate          = 1_000_000_000
 	MaxWeight            = 1000
 	MaxEndpointInFlights = 100_000
+	MaxArtifacts         = 64
+	MaxRetired           = 256
+	MaxLoadLimit         = 100_000
 )
 
 // reservedPrefix is the path under which routers serve models.
@@ -153,6 +156,8 @@
 	for i, endpoint := range s.Endpoints {
 		v.validateEndpoint(fmt.Sprintf("%s.Endpoints[%d]", path, i), endpoint)
 	}
+	v.validateWanted(path, s.Wanted, s.Role)
+	v.validateRetired(path, s)
 	v.distinct(path+".Endpoints", ".Name", namesOf(s.Endpoints, func(e Endpoint) string { return e.Name }))
 }
 
@@ -168,6 +173,8 @@
 		!address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
 	v.require(usable, path+".Address", quoted(e.Address), "the IP address of one machine with a port, such as 10.1.2.3:8000 or [fd00::1]:8000")
 	between(v, path+".Concurrency", e.Concurrency, 0, MaxEndpointInFlights)
+	v.require(len(e.Wanted) == 0 || e.Kind != PlainEndpoint, path+".Wanted", "stands at an endpoint of kind Plain", "endpoints of kind Engine")
+	v.validateWanted(path, e.Wanted, e.Role)
 }
 
 func (v *validator) name(field, name string) {
