--- a/standin/engine.go
+++ b/standin/engine.go
@@ -22,7 +22,7 @@
 	Model           []string      `default:"brush" env:"STANDIN_MODEL" help:"Models served from the start on."`
 	FirstTokenDelay time.Duration `default:"20ms" env:"STANDIN_FIRST_TOKEN_DELAY" help:"Time before the first token of a prompt that is not cached."`
 	TokenDelay      time.Duration `default:"5ms" env:"STANDIN_TOKEN_DELAY" help:"Time before each later token."`
-	LoadModelDelay  time.Duration `default:"1s" env:"STANDIN_LOAD_MODEL_DELAY" help:"Time that an order to load a model takes."`
+	LoadModelDelay  time.Duration `default:"1s" env:"STANDIN_LOAD_MODEL_DELAY" help:"Time that an order that loads takes."`
 	Concurrency     int           `default:"64" env:"STANDIN_CONCURRENCY" help:"Requests that run at the same time; the others wait."`
 	AnswerTokens    int           `default:"32" env:"STANDIN_ANSWER_TOKENS" help:"Tokens of an answer that no limit cuts."`
 	CacheBlocks     int           `default:"4096" env:"STANDIN_CACHE_BLOCKS" help:"Blocks of the prefix cache."`
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -24,11 +24,9 @@
 		OwnedBy string `json:"owned_by"`
 	}
 	served := []model{}
-	e.count(func() {
-		for _, name := range e.Models {
-			served = append(served, model{name, "model", 0, "standin"})
-		}
-	})
+	for _, name := range e.names() {
+		served = append(served, model{name, "model", 0, "standin"})
+	}
 	serve.WriteJSON(w, http.StatusOK, struct {
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -28,23 +25,6 @@
 	Role         string
 }
 
-// OrderKind says what an order asks for.
-type OrderKind string
-
-// The kinds of orders.
-const (
-	LoadModel  OrderKind = "LoadModel"
-	ChangeRole OrderKind = "ChangeRole"
-)
-
-// Order changes what an engine serves.
-type Order struct {
-	FencingNumber uint64
-	Kind          OrderKind
-	Model         string
-	Role          string
-}
-
 func (e *Engine) control(router chi.Router) {
 	router.Get("/runs", e.Runs.ServeHTTP)
 	router.Get("/load", func(w http.ResponseWriter, _ *http.Request) {
@@ -53,11 +33,14 @@
 		serve.WriteJSON(w, http.StatusOK, load)
 	})
 	router.Get("/orders", func(w http.ResponseWriter, _ *http.Request) {
-		var orders []Order
-		e.count(func() { orders = slices.Clone(e.orders) })
-		serve.WriteJSON(w, http.StatusOK, struct{ Orders []Order }{orders})
+		serve.WriteJSON(w, http.StatusOK, struct{ Orders []Order }{e.Orders()})
 	})
-	router.Post("/orders", e.order)
+	router.Post("/orders", e.takeOrder)
+	router.Get("/state", func(w http.ResponseWriter, _ *http.Request) { serve.WriteJSON(w, http.StatusOK, e.State()) })
+	router.Post("/lose-order-answers", serve.Control(func(q *serve.Query) func() {
+		count := q.Int("Count")
+		return func() { e.LoseAnswers(count) }
+	}))
 	router.Post("/silence", e.Faults.Silence)
 	router.Post("/close-reused", e.Faults.Close)
 	router.Post("/slow", serve.Control(func(q *serve.Query) func() {
@@ -98,6 +81,7 @@
 
 func (e *Engine) load() Load {
 	blocks, hits, lookups := e.cache.counts()
+	models := e.names()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return Load{
@@ -109,73 +93,7 @@
 		CacheBlocks:  blocks,
 		CacheHits:    hits,
 		CacheLookups: lookups,
-		Models:       slices.Clone(e.Models),
+		Models:       models,
 		Role:         e.role,
 	}
 }
-
-// order carries out an order unless its fencing number is old and the engine checks it. The number is
-// compared before the model is loaded and again before it is served.
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	order := Order{}
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&order); err != nil {
-		serve.WriteError(w, http.StatusBadRequest, fmt.Errorf("decode order: %w", err))
-		return
-	}
-	if order.Kind != LoadModel && order.Kind != ChangeRole {
-		serve.WriteError(w, http.StatusBadRequest, fmt.Errorf("order %q is unknown", order.Kind))
-		return
-	}
-	if err := e.admit(order); err != nil {
-		serve.WriteError(w, http.StatusConflict, err)
-		return
-	}
-	if order.Kind == LoadModel && e.wait(r.Context(), e.LoadModelDelay) != nil {
-		return
-	}
-	if err := e.carryOut(order); err != nil {
-		serve.WriteError(w, http.StatusConflict, err)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// admit records the order if its fencing number is not old.
-func (e *Engine) admit(order Order) error {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if err := e.checkFencing(order); err != nil {
-		return err
-	}
-	e.orders = append(e.orders, order)
-	return nil
-}
-
-func (e *Engine) carryOut(order Order) error {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if err := e.checkFencing(order); err != nil {
-		return err
-	}
-	switch order.Kind {
-	case LoadModel:
-		if !slices.Contains(e.Models, order.Model) {
-			e.Models = append(e.Models, order.Model)
-		}
-	case ChangeRole:
-		e.role = order.Role
-	}
-	return nil
-}
-
-func (e *Engine) checkFencing(order Order) error {
-	if !e.ChecksFencing {
-		return nil
-	}
-	for _, former := range e.orders {
-		if former.FencingNumber > order.FencingNumber {
-			return fmt.Errorf("fencing number %d is below %d", order.FencingNumber, former.FencingNumber)
-		}
-	}
-	return nil
-}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -33,7 +33,7 @@
 	FirstTokenDelay time.Duration
 	// TokenDelay passes before each later token.
 	TokenDelay time.Duration
-	// LoadModelDelay is how long an order to load a model takes.
+	// LoadModelDelay is how long an order that loads takes.
 	LoadModelDelay time.Duration
 	// Concurrency bounds the requests that run; the others wait.
 	Concurrency int
@@ -68,8 +68,14 @@
 	running  int
 	canceled int
 	reported Load
-	orders   []Order
 	role     string
+	// loaded is what is served; accepted is the fencing number of the newest order.
+	loaded     []Artifact
+	accepted   uint64
+	orders     []Order
+	executions []execution
+	// loseAnswers counts the answers to orders that are still to be broken off.
+	loseAnswers int
 }
 
 // Handler returns the engine's paths.
@@ -92,6 +98,9 @@
 	e.cache.limit = orDefault(e.CacheBlocks, DefaultCacheBlocks)
 	e.slots = make(chan struct{}, e.Concurrency)
 	e.slow = 1
+	for _, name := range e.Models {
+		e.loaded = append(e.loaded, Artifact{Model: name})
+	}
 }
 
 func orDefault[T comparable](value, fallback T) T {
@@ -103,9 +112,7 @@
 }
 
 func (e *Engine) serves(model string) bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return slices.Contains(e.Models, model)
+	return slices.Contains(e.names(), model)
 }
 
 // enter waits for a free slot.
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -104,20 +104,40 @@
 	})
 }
 
+// TestOrders lets an older order arrive while a newer one loads.
 func TestOrders(t *testing.T) {
-	for checks, want := range map[bool]int{true: http.StatusConflict, false: http.StatusNoContent} {
+	order := func(t *testing.T, e *Engine, number int, model string) int {
+		t.Helper()
+		return call(t, e, "/control/orders", fmt.Sprintf(`{"FencingNumber":%d,"Wanted":[{"Model":%q,"Version":"1"}],"Role":"Decode"}`, number, model)).Code
+	}
+	for checks, want := range map[bool]struct {
+		status int
+		state  State
+	}{
+		true:  {http.StatusConflict, State{Accepted: 7, Loaded: []Artifact{{Model: "a", Version: "1"}}, Role: "Decode"}},
+		false: {http.StatusAccepted, State{Accepted: 6, Loaded: []Artifact{{Model: "b", Version: "1"}}, Role: "Decode"}},
+	} {
 		t.Run(fmt.Sprintf("checks fencing %t", checks), func(t *testing.T) {
-			e := newEngine()
-			e.ChecksFencing = checks
-			order := func(number int, model string) int {
-				return call(t, e, "/control/orders", fmt.Sprintf(`{"FencingNumber":%d,"Kind":"LoadModel","Model":%q}`, number, model)).Code
-			}
-			assert.Equal(t, http.StatusNoContent, order(7, "a"))
-			assert.Equal(t, http.StatusNoContent, order(7, "a"))
-			assert.Equal(t, want, order(6, "b"))
-			assert.Equal(t, !checks, e.serves("b"))
+			synctest.Test(t, func(t *testing.T) {
+				e := newEngine()
+				e.ChecksFencing, e.LoadModelDelay = checks, time.Minute
+				assert.Equal(t, http.StatusAccepted, order(t, e, 7, "a"))
+				assertContains(t, control(t, e, "/control/state"), `"Accepted":7,"Busy":true,"Loaded":[],"Role":""`)
+				time.Sleep(time.Second)
+				assert.Equal(t, want.status, order(t, e, 6, "b"))
+				time.Sleep(2 * time.Minute)
+				assert.Equal(t, want.state, e.State())
+				assert.Equal(t, checks, e.serves("a"))
+			})
 		})
 	}
+	t.Run("answer lost after the order was taken", func(t *testing.T) {
+		e := newEngine()
+		call(t, e, "/control/lose-order-answers?Count=1", "")
+		assertAborts(t, func() { order(t, e, 7, "a") })
+		assert.Equal(t, true, e.serves("a"))
+		assert.Equal(t, http.StatusAccepted, order(t, e, 7, "a"))
+	})
 }
 
 func newEngine() *Engine {
