--- a/fleet/order/state.go
+++ b/fleet/order/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"slices"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -225,6 +226,12 @@
 	return views
 }
 
+// Holds reports whether an incarnation holds a claim.
+func (s *State) Holds(i ledger.Incarnation) bool { return s.orderers[i] != nil }
+
+// Names returns the sorted names of the endpoints that were ever claimed.
+func (s *State) Names() []string { return slices.Sorted(maps.Keys(s.endpoints)) }
+
 // View is what the log says of an endpoint. The zero value is that of an endpoint that was never claimed.
 type View struct {
 	Held   bool
--- a/router/admin/server.go
+++ b/router/admin/server.go
@@ -70,11 +70,13 @@
 		Listing       *platform.Listing
 		Ledger        ledgerstream.Status
 		Budgets       []ledger.BudgetView
+		Orders        *[]blackboard.Orders
 	}{
 		Ready:         s.board.Ready(),
 		Configuration: viewConfiguration(s.board.Configuration.Load()),
 		Listing:       s.board.Listing.Load(),
 		Ledger:        s.ledger.Status(),
+		Orders:        s.board.Orders.Load(),
 	}
 	s.ledger.View(func(state *ledger.State) { view.Budgets = state.Budgets() })
 	writeJSON(w, http.StatusOK, view)
--- a/router/blackboard/board.go
+++ b/router/blackboard/board.go
@@ -20,6 +20,8 @@
 	Entries RecentEntries
 	// Listing is the newest instance list; nil until one was read.
 	Listing atomic.Pointer[platform.Listing]
+	// Orders are the endpoints that this router gives orders to, or is to; nil while no ticket wants anything.
+	Orders atomic.Pointer[[]Orders]
 	// LedgerReady says that the ledger has been read to its end and the incarnation has joined.
 	LedgerReady atomic.Bool
 	// Leaving says that the router has told the balancer to send no new work.
--- a/router/build.go
+++ b/router/build.go
@@ -44,6 +44,7 @@
 		controller.NewConfiguration,
 		newSnapshots,
 		controller.NewInstances,
+		newOrderer,
 	}
 	for _, c := range constructors {
 		if err := container.Provide(c); err != nil {
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
 	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/order"
 )
 
 // generated matches a table of a page with the name that stands before it.
@@ -30,6 +31,7 @@
 	tables := map[string]string{
 		"flags": flagTable(t), "exits": exitTable(), "refusals": refusalTable(), "caller": counterTable(caller.Counters()),
 		"controller": counterTable(controller.Counters()), "endpoint": counterTable(endpoint.Counters()),
+		"order":        counterTable(order.Counters()),
 		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
 	}
 	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
--- /dev/null
+++ b/router/order/counters.go
@@ -0,0 +1,68 @@
+package order
+
+import "github.com/dragonflyworks/dragonflyworks/fleet/order"
+
+// Names of the counters.
+const (
+	readFailed          = "orders.read.failed"
+	streamTruncated     = "orders.read.truncated"
+	appendFailed        = "orders.append.failed"
+	recordTooLarge      = "orders.record.too_large"
+	recordResent        = "orders.record.resent"
+	recordAccepted      = "orders.record.accepted"
+	recordRefusedPrefix = "orders.record.refused."
+	fenceWritten        = "orders.fence.written"
+	stateFailed         = "orders.state.failed"
+	orderSent           = "orders.order.sent"
+	orderSentAgain      = "orders.order.sent_again"
+	orderRefused        = "orders.order.refused"
+	orderLost           = "orders.order.lost"
+	orderApplied        = "orders.order.applied"
+	orderFailed         = "orders.order.failed"
+	orderUnreachable    = "orders.order.unreachable"
+)
+
+// Description tells what a counter counts.
+type Description struct {
+	Name    string
+	Meaning string
+}
+
+// Counters lists every counter of this package in the order of the documentation.
+func Counters() []Description {
+	return []Description{
+		{readFailed, "Reads of the orders stream that failed; nothing is ordered meanwhile."},
+		{streamTruncated, "Reads below the entries of the orders stream that the log still keeps; this router orders nothing any more."},
+		{appendFailed, "Appends to the orders stream that failed or had no answer."},
+		{recordTooLarge, "Records that were too large for the stream."},
+		{recordResent, "Records appended again because they were not read back."},
+		{recordAccepted, "Records of this router that were read back and accepted."},
+		{recordRefusedPrefix + string(order.Held), "Claims of an endpoint that another router holds."},
+		{recordRefusedPrefix + string(order.NotHolder), "Records under a claim that had ended, and fences of orderers without claims."},
+		{recordRefusedPrefix + string(order.Heard), "Fences of orderers that had written meanwhile."},
+		{recordRefusedPrefix + string(order.Unfinished), "Records that an unfinished order stands against."},
+		{recordRefusedPrefix + string(order.NoOrder), "Ends of orders that were not unfinished."},
+		{recordRefusedPrefix + string(order.LastLoaded), "Orders that would leave a model without an endpoint that serves it."},
+		{recordRefusedPrefix + string(order.LoadLimit), "Orders that would load while enough endpoints do."},
+		{fenceWritten, "Fences of silent orderers that this router wrote."},
+		{stateFailed, "Questions for an engine's state without a usable answer."},
+		{orderSent, "Orders sent to engines, each sending of one counted."},
+		{orderSentAgain, "Orders sent again because the engine's state showed that they were not taken."},
+		{orderRefused, "Orders that the engine refused."},
+		{orderLost, "Orders without an answer; the engine's state is read next."},
+		{orderApplied, "Orders after which the engine reported the wanted state."},
+		{orderFailed, "Orders after which the engine reported another state; the next one waits longer each time."},
+		{orderUnreachable, "Orders given up because the engine did not report its state."},
+	}
+}
+
+func outcomeCounter(outcome order.Outcome) string {
+	switch outcome {
+	case order.Applied:
+		return orderApplied
+	case order.Failed:
+		return orderFailed
+	default:
+		return orderUnreachable
+	}
+}
--- /dev/null
+++ b/router/order/http.go
@@ -0,0 +1,98 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/order"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+const (
+	statePath  = "/control/state"
+	ordersPath = "/control/orders"
+	// answerBytes bounds an engine's answer.
+	answerBytes = 256 << 10
+)
+
+// errStatus reports an answer with a status that is not expected.
+var errStatus = errors.New("unexpected status")
+
+// HTTPEngines speaks to engines over HTTP, with a new connection for each call.
+type HTTPEngines struct {
+	transport *http.Transport
+}
+
+// NewHTTPEngines returns a client that takes no proxy from the environment. Its transport neither follows
+// redirects nor repeats a request.
+func NewHTTPEngines() *HTTPEngines {
+	return &HTTPEngines{transport: &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: engineTimeout}).DialContext,
+		DisableKeepAlives: true,
+	}}
+}
+
+// State implements Engines.
+func (h *HTTPEngines) State(ctx context.Context, address string) (order.Reading, error) {
+	response, err := h.do(ctx, http.MethodGet, address+statePath, nil)
+	if err != nil {
+		return order.Reading{}, fmt.Errorf("asking for the state: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return order.Reading{}, fmt.Errorf("asking for the state: %w %d", errStatus, response.StatusCode)
+	}
+	var state struct {
+		Accepted *platform.Offset
+		Busy     bool
+		Loaded   []order.Artifact
+		Role     string
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, answerBytes)).Decode(&state); err != nil {
+		return order.Reading{}, fmt.Errorf("asking for the state: %w", err)
+	}
+	if state.Accepted == nil {
+		return order.Reading{}, fmt.Errorf("asking for the state: %w: no fencing number", errStatus)
+	}
+	return order.Reading{Accepted: *state.Accepted, Busy: state.Busy, Loaded: state.Loaded, Role: state.Role}, nil
+}
+
+// Send implements Engines. An engine that fails, rather than refuse, may have taken the order.
+func (h *HTTPEngines) Send(ctx context.Context, address string, a *order.Send) error {
+	body, err := json.Marshal(struct {
+		FencingNumber platform.Offset
+		Wanted        []order.Artifact
+		Role          string
+	}{a.FencingNumber, a.Order.Wanted, a.Order.Role})
+	if err != nil {
+		return fmt.Errorf("sending an order: %w", err)
+	}
+	response, err := h.do(ctx, http.MethodPost, address+ordersPath, body)
+	if err != nil {
+		return fmt.Errorf("sending an order: %w", err)
+	}
+	_ = response.Body.Close()
+	switch response.StatusCode / 100 {
+	case 2:
+		return nil
+	case 4:
+		return fmt.Errorf("%w: status %d", ErrRefused, response.StatusCode)
+	default:
+		return fmt.Errorf("sending an order: %w %d", errStatus, response.StatusCode)
+	}
+}
+
+func (h *HTTPEngines) do(ctx context.Context, method, target string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	return h.transport.RoundTrip(request)
+}
--- /dev/null
+++ b/router/order/settings.go
@@ -0,0 +1,43 @@
+package order
+
+import "time"
+
+// Settings of the orderer.
+type Settings struct {
+	// Lease and LeaseMargin are those of the router; claims end by the silence of their holder on the orders stream.
+	Lease       time.Duration
+	LeaseMargin time.Duration
+}
+
+const (
+	// pollInterval is the time between two looks at the wanted state and the stream.
+	pollInterval = 250 * time.Millisecond
+	// idleInterval is the time between two reads of the stream while no ticket wants anything.
+	idleInterval = 10 * time.Second
+	// fleetAppendInterval is the time between two appends of the whole fleet to the stream, longestAppendInterval
+	// that between two of one router at the most.
+	fleetAppendInterval   = 20 * time.Millisecond
+	longestAppendInterval = time.Second
+	// resendAfter is the time after which a record that was not read back is appended again.
+	resendAfter = time.Second
+	// logTimeout bounds one call of the log, engineTimeout one of an engine.
+	logTimeout    = 2 * time.Second
+	engineTimeout = 2 * time.Second
+	// readBatch bounds the entries of one read.
+	readBatch = 256
+	// askInterval is the time between two questions for an endpoint's state.
+	askInterval = time.Second
+	// readingAge is the age from which on a reading is asked for anew.
+	readingAge = 5 * time.Second
+	// giveUp is the time without a reading after which an unfinished order counts as lost.
+	giveUp = time.Minute
+	// retryFirst and retryLimit bound the wait after an order that did not lead to the wanted state.
+	retryFirst = 2 * time.Second
+	retryLimit = time.Minute
+)
+
+// lapse is the time after which an orderer whose claim has ended sends nothing more.
+func (s Settings) lapse() time.Duration { return s.Lease + s.LeaseMargin }
+
+// gapLimit is the longest time between two reads that counts as reading without a gap.
+func (s Settings) gapLimit() time.Duration { return s.Lease / 2 }
--- /dev/null
+++ b/router/order/target.go
@@ -0,0 +1,44 @@
+package order
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/order"
+)
+
+// target is what the tickets say of an endpoint.
+type target struct {
+	order.Target
+	address   string
+	region    string
+	loadLimit uint64
+}
+
+// targets returns the engines of a configuration by their names.
+func targets(c *operator.Configuration) map[string]target {
+	all := make(map[string]target)
+	for _, name := range slices.Sorted(maps.Keys(c.InstanceSets)) {
+		set := c.InstanceSets[name]
+		for _, e := range set.Endpoints {
+			if e.Kind == operator.EngineEndpoint {
+				all[e.Name] = targetOf(set, e)
+			}
+		}
+	}
+	return all
+}
+
+func targetOf(set operator.InstanceSet, e operator.Endpoint) target {
+	wanted, role, declared := set.WantedOf(e)
+	t := target{address: e.Address, region: e.Region, loadLimit: cmp.Or(set.LoadLimit, operator.DefaultLoadLimit)}
+	t.Target = order.Target{
+		Endpoint: e.Name, Declared: declared, ChecksFencing: e.ChecksFencing, Role: role, Retired: set.Retired,
+	}
+	for _, a := range wanted {
+		t.Wanted = append(t.Wanted, order.Artifact(a))
+	}
+	return t
+}
--- /dev/null
+++ b/router/orders.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"cmp"
+
+	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	fleetorder "github.com/dragonflyworks/dragonflyworks/fleet/order"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/order"
+)
+
+func newOrderer(settings *Settings, board *blackboard.Board, stream platform.Log, client *ledgerstream.Client, dispatcher *endpoint.Dispatcher, logger log.Interface) *order.Orderer {
+	return order.NewOrderer(board, stream, members{client}, dispatcher, order.NewHTTPEngines(), logger, order.Settings{
+		Lease:       cmp.Or(settings.Lease, ledgerstream.DefaultLease),
+		LeaseMargin: cmp.Or(settings.LeaseMargin, ledgerstream.DefaultLeaseMargin),
+	})
+}
+
+// members are the routers that the ledger shows to this one.
+type members struct{ client *ledgerstream.Client }
+
+// Self implements order.Members.
+func (m members) Self() (ledger.Incarnation, bool) {
+	status := m.client.Status()
+	return status.Incarnation, status.Ready
+}
+
+// Routers implements order.Members.
+func (m members) Routers() []fleetorder.Router {
+	incarnations := []ledger.IncarnationView{}
+	m.client.View(func(s *ledger.State) { incarnations = s.Incarnations() })
+	routers := []fleetorder.Router{}
+	for _, v := range incarnations {
+		if !v.Suspended {
+			routers = append(routers, fleetorder.Router{Instance: v.Incarnation.Instance, Region: v.Join.Region})
+		}
+	}
+	return routers
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
 	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/order"
 )
 
 // errForced reports that a second signal came while requests were still running.
@@ -50,6 +51,7 @@
 	Configuration *controller.Configuration
 	Snapshots     *controller.ConfigurationSnapshots
 	Instances     *controller.Instances
+	Orders        *order.Orderer
 	Peers         *peers
 }
 
@@ -80,7 +82,7 @@
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
 		p.Ledger.Run, p.Dispatcher.Run, p.Configuration.Run, p.Snapshots.Run, p.Instances.Run, p.loopReady,
-		p.Peers.Run, callers.run, operators.run,
+		p.Orders.Run, p.Peers.Run, callers.run, operators.run,
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
