--- a/router/order/fake_test.go
+++ b/router/order/fake_test.go
@@ -200,18 +200,31 @@
 	return r
 }
 
-// records returns the records of the stream that were accepted.
-func (s *site) records(t *testing.T) []order.Result {
+// fold returns the state that the stream leads to, and the records that were accepted.
+func (s *site) fold(t *testing.T) (*order.State, []order.Result) {
 	t.Helper()
 	entries, err := s.stream.Log.Read(t.Context(), platform.OrdersStream, 0, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
-	state, accepted := order.State{}, []order.Result{}
+	state, accepted := &order.State{}, []order.Result{}
 	for _, e := range entries {
 		if result, _ := state.Apply(e); result.Refused == "" {
 			accepted = append(accepted, result)
 		}
 	}
-	return accepted
+	return state, accepted
+}
+
+// claims counts the claims that were granted, by instance.
+func (s *site) claims(t *testing.T) map[string]int {
+	t.Helper()
+	claims := map[string]int{}
+	_, records := s.fold(t)
+	for _, r := range records {
+		if _, isClaim := r.Entry.Record.(*order.Claim); isClaim {
+			claims[r.Entry.Writer.Instance]++
+		}
+	}
+	return claims
 }
--- /dev/null
+++ b/router/order/journal_test.go
@@ -0,0 +1,42 @@
+package order
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+	"github.com/dragonflyworks/dragonflyworks/fleet/order"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+)
+
+func TestJournal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream, ctx := &memory.Log{}, t.Context()
+		j := journal{stream: stream, count: func(string) {}, lease: decision.Lease{Term: 10 * time.Second, Margin: 2 * time.Second}}
+		first, second := ledger.Incarnation{Instance: "a", Number: 1}, ledger.Incarnation{Instance: "a", Number: 2}
+		j.become(first)
+		stream.SetOutage(true)
+		assert.Equal(t, true, j.append(ctx, &order.Claim{Endpoint: "e"}))
+		assert.Equal(t, false, j.append(ctx, &order.Renew{}))
+		stream.SetOutage(false)
+		time.Sleep(resendAfter)
+		j.resend(ctx)
+		time.Sleep(2 * time.Second)
+		assert.NoError(t, j.read(ctx))
+		assert.Equal(t, first, j.state.Endpoint("e").Holder)
+		// The lease counts from before the first send, 3 s ago.
+		assert.Equal(t, 5*time.Second, j.lease.Left(time.Now()))
+		assert.Equal(t, true, j.append(ctx, &order.Renew{}))
+		j.become(second)
+		assert.Equal(t, true, j.lease.Left(time.Now()) <= 0)
+		assert.NoError(t, j.read(ctx))
+		assert.Equal(t, true, j.lease.Left(time.Now()) <= 0)
+		assert.Equal(t, true, j.append(ctx, &order.Fence{Target: first, LastSeen: 1}))
+		assert.NoError(t, j.read(ctx))
+		assert.Equal(t, false, j.state.Endpoint("e").Held)
+		assert.Equal(t, true, j.lease.Valid(time.Now()))
+	})
+}
--- a/router/order/orderer_test.go
+++ b/router/order/orderer_test.go
@@ -42,21 +42,21 @@
 				s.stream.LoseAnswers(lost, 7)
 				s.want(operator.InstanceSet{Role: "Decode"}, models("brush")...)
 				s.start(t, "a")
+				time.Sleep(3 * time.Minute)
+				assert.Equal(t, map[string]int{"a": 6}, s.claims(t))
 				s.start(t, "b")
 				time.Sleep(3 * time.Minute)
-				assertLoaded(t, s, models("brush")...)
+				s.want(operator.InstanceSet{Role: "Decode"}, models("brush", "palette")...)
+				time.Sleep(3 * time.Minute)
+				assertLoaded(t, s, models("brush", "palette")...)
 				for _, e := range s.engines {
-					assert.Equal(t, 1, len(e.sentAt))
+					assert.Equal(t, 2, len(e.sentAt))
 					assert.Equal(t, "Decode", e.newest.Role)
 				}
-				claims := map[string]int{}
-				for _, r := range s.records(t) {
-					if _, isClaim := r.Entry.Record.(*order.Claim); isClaim {
-						claims[r.Entry.Writer.Instance]++
-					}
-				}
-				assert.Equal(t, 6, claims["a"]+claims["b"])
-				assert.Equal(t, true, claims["a"] > 0 && claims["b"] > 0)
+				// A router that is no longer preferred gives its claims up, and the other one takes them to order.
+				moved := s.claims(t)["b"]
+				assert.Equal(t, true, moved > 0 && moved < 6)
+				assert.Equal(t, map[string]int{"a": 6, "b": moved}, s.claims(t))
 			})
 		})
 	}
@@ -80,7 +80,8 @@
 			s.start(t, "a")
 			time.Sleep(10*time.Minute - time.Second)
 			assert.Equal(t, 60, s.stream.reads.Load())
-			assert.Equal(t, 0, len(s.records(t)))
+			state, _ := s.fold(t)
+			assert.Equal(t, 0, state.Next())
 		})
 	})
 	t.Run("claims end when the tickets want nothing any more", func(t *testing.T) {
@@ -91,9 +92,11 @@
 			time.Sleep(time.Minute)
 			s.want(operator.InstanceSet{})
 			time.Sleep(time.Minute)
-			length := len(s.records(t))
+			state, _ := s.fold(t)
+			assert.Equal(t, []order.OrdererView{}, state.Orderers())
 			time.Sleep(time.Minute)
-			assert.Equal(t, length, len(s.records(t)))
+			later, _ := s.fold(t)
+			assert.Equal(t, state.Next(), later.Next())
 			assertLoaded(t, s, models("brush")...)
 		})
 	})
@@ -163,7 +166,7 @@
 	newer := order.Artifact{Model: "brush", Version: "2"}
 	t.Run("a model stays loaded while its engines change one after the other", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			s := newSite(3, false, "brush")
+			s := newSite(5, false, "brush")
 			s.want(operator.InstanceSet{}, newer)
 			s.start(t, "a")
 			s.start(t, "b")
@@ -208,6 +211,7 @@
 				s.engines["e1"].down = true
 				return false
 			})
+			time.Sleep(readingAge)
 			s.want(operator.InstanceSet{}, newer)
 			time.Sleep(time.Minute)
 			assert.Equal(t, models("brush"), s.engines["e2"].loaded)
