--- a/standin/check.go
+++ b/standin/check.go
@@ -24,6 +24,7 @@
 	Service    []string      `env:"STANDIN_SERVICE" help:"Base URLs of plain services that count runs."`
 	Partitions int           `default:"1" env:"STANDIN_PARTITIONS" help:"Partitions of the ledger."`
 	Live       int           `default:"0" env:"STANDIN_LIVE" help:"Routers that have to hold a lease in the end; 0 for any number."`
+	Record     bool          `env:"STANDIN_RECORD" help:"Writes overspend, false refusals and broken promises into the report; there has to be one."`
 	Wait       time.Duration `default:"30s" env:"STANDIN_WAIT" help:"Longest wait for bills and settlements."`
 }
 
@@ -49,19 +50,37 @@
 		if err := evidence.WriteTable(stdout); err != nil {
 			return err
 		}
-		for _, promise := range evidence.Promises() {
-			if len(promise.Broken) > 0 {
-				return errBrokenPromise
-			}
+		findings := evidence.Findings()
+		if err := c.record(findings); err != nil {
+			return err
+		}
+		if len(findings.BrokenPromises) > 0 {
+			return errBrokenPromise
 		}
 		return nil
 	})
 }
 
+// record writes the findings into the report.
+func (c *checkCommand) record(findings *load.Findings) error {
+	if !c.Record {
+		return nil
+	}
+	report, err := load.ReadReport(c.Report[0])
+	if err != nil {
+		return err
+	}
+	report.Findings = findings
+	return writeFile(c.Report[0], report.Write)
+}
+
 // evidence reads the reports, follows the ledger until everything is settled, and reads the runs last.
 func (c *checkCommand) evidence(ctx context.Context, ledger platform.Log, client *http.Client, logger *log.Logger) (*check.Evidence, error) {
-	if c.Partitions < 1 {
+	switch {
+	case c.Partitions < 1:
 		return nil, errors.New("partitions must be positive")
+	case c.Record && len(c.Report) != 1:
+		return nil, errors.New("findings are recorded in one report, no more")
 	}
 	evidence := &check.Evidence{Ledgers: check.NewLedgers(c.Partitions)}
 	for _, path := range c.Report {
--- a/standin/check/ledger.go
+++ b/standin/check/ledger.go
@@ -32,6 +32,8 @@
 	charges map[ledger.RequestIdentifier]Charge
 	// overspent lists the offsets at which a budget had spent and shared out more than was prepaid.
 	overspent []string
+	// overspend is the most tokens by which one had.
+	overspend ledger.Tokens
 	// settled counts the bills that came from settlements.
 	settled int
 }
@@ -97,6 +99,7 @@
 		return
 	}
 	if budget.Spent > budget.Prepaid || budget.Spent+budget.Shared > budget.Prepaid {
+		l.overspend = max(l.overspend, budget.Spent+budget.Shared-budget.Prepaid)
 		l.overspent = append(l.overspent, fmt.Sprintf("%s at offset %d of partition %d", name, offset, l.Partition))
 	}
 }
--- a/standin/check/promise.go
+++ b/standin/check/promise.go
@@ -45,6 +45,20 @@
 	return promise
 }
 
+// Findings summarises the evidence for a load's report.
+func (e *Evidence) Findings() *load.Findings {
+	findings := &load.Findings{FalseRefusals: e.FalseRefusals(), BrokenPromises: make(map[string]int)}
+	for _, partition := range e.Ledgers {
+		findings.Overspend = max(findings.Overspend, int(partition.overspend))
+	}
+	for _, promise := range e.Promises() {
+		if len(promise.Broken) > 0 {
+			findings.BrokenPromises[promise.Name] = len(promise.Broken)
+		}
+	}
+	return findings
+}
+
 // rule is a promise that each request is checked against by itself.
 type rule struct {
 	name string
--- a/standin/check_test.go
+++ b/standin/check_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/standin/load"
 	"github.com/dragonflyworks/dragonflyworks/standin/platform"
 )
@@ -26,10 +27,18 @@
 			path := filepath.Join(t.TempDir(), "load.json")
 			writeReport(t, path, &load.Report{Requests: []load.Request{{Key: "k", Team: "a", Outcome: outcome}}})
 			var stdout, stderr strings.Builder
-			got := Main([]string{"check", "--platform", server.URL, "--report", path, "--wait", "1ms"}, &stdout, &stderr)
+			got := Main([]string{"check", "--platform", server.URL, "--report", path, "--wait", "1ms", "--record"}, &stdout, &stderr)
 			if diff := cmp.Diff(want, got); diff != "" {
 				t.Errorf("exit code (-want +got):\n%s%s%s", diff, stdout.String(), stderr.String())
 			}
+			recorded, err := load.ReadReport(path)
+			assert.NoError(t, err)
+			assert.Equal(t, want == exitFailure, len(recorded.Findings.BrokenPromises) > 0)
+			plot := path + ".svg"
+			assert.Equal(t, exitOK, Main([]string{"report", path, "--plot", plot}, &stdout, &stderr))
+			svg, err := os.ReadFile(plot)
+			assert.NoError(t, err)
+			assert.Equal(t, true, strings.Contains(string(svg), "</svg>"))
 		})
 	}
 }
--- a/standin/load.go
+++ b/standin/load.go
@@ -19,6 +19,8 @@
 // loadCommand holds the flags of the verb load.
 type loadCommand struct {
 	Target            []string          `required:"" env:"STANDIN_TARGET" help:"Base URLs of routers; each attempt picks one at random."`
+	DirectEngine      []string          `env:"STANDIN_DIRECT_ENGINE" help:"Base URLs of engines; the same requests are sent straight to them first, and the report shows what the routers add."`
+	DirectService     []string          `env:"STANDIN_DIRECT_SERVICE" help:"Base URLs of plain services for the same measurement."`
 	Key               map[string]string `required:"" env:"STANDIN_KEY" help:"Bearer keys by team, such as team-a=key-a;team-b=key-b."`
 	Budget            map[string]string `env:"STANDIN_BUDGET" help:"Budgets that a team's requests name, such as team-a=main,main,trial; one that stands twice is named twice as often."`
 	Requests          int               `default:"200" env:"STANDIN_REQUESTS" help:"Most requests that are sent."`
@@ -38,18 +40,26 @@
 	Timeout           time.Duration     `default:"30s" env:"STANDIN_TIMEOUT" help:"Time that an attempt may take."`
 	MaxRetryWait      time.Duration     `default:"3s" env:"STANDIN_MAX_RETRY_WAIT" help:"Longest wait before a further attempt."`
 	Report            string            `env:"STANDIN_REPORT" help:"File that takes the report as JSON."`
+	Plot              string            `env:"STANDIN_PLOT" help:"File that takes a plot of the report as SVG."`
 }
 
 // Run sends the load, writes its report and fails if an answer was wrong or cut.
 func (c *loadCommand) Run(container *dig.Container) error {
 	return container.Invoke(func(ctx context.Context, stdout output) error {
 		runner := &load.Runner{Settings: c.settings()}
+		direct, err := c.direct(ctx)
+		if err != nil {
+			return fmt.Errorf("direct load: %w", err)
+		}
 		report, err := runner.Do(ctx)
 		if err != nil {
 			return err
 		}
+		if direct != nil {
+			report.AddDirect(direct)
+		}
 		report.Name = c.Report
-		if err := errors.Join(report.WriteTable(stdout), writeFile(c.Report, report.Write)); err != nil {
+		if err := errors.Join(report.WriteTable(stdout), writeFile(c.Report, report.Write), writeFile(c.Plot, report.WritePlot)); err != nil {
 			return err
 		}
 		if faults := report.Faults(); faults > 0 {
@@ -59,6 +69,18 @@
 	})
 }
 
+// direct measures the endpoints themselves; it returns nil if none is named.
+func (c *loadCommand) direct(ctx context.Context) (*load.Report, error) {
+	if len(c.DirectEngine)+len(c.DirectService) == 0 {
+		return nil, nil
+	}
+	settings, err := c.settings().Direct(c.DirectEngine, c.DirectService)
+	if err != nil {
+		return nil, err
+	}
+	return (&load.Runner{Settings: settings}).Do(ctx)
+}
+
 func (c *loadCommand) settings() load.Settings {
 	prefix := c.KeyPrefix
 	if prefix == "" {
--- a/standin/load/compare.go
+++ b/standin/load/compare.go
@@ -26,6 +26,7 @@
 	comparePercentiles(table, "latency", c.Base.Latency, c.Other.Latency)
 	comparePercentiles(table, "first token", c.Base.FirstToken, c.Other.FirstToken)
 	comparePercentiles(table, "token gap", c.Base.TokenGap, c.Other.TokenGap)
+	compareFindings(table, c.Base.Findings, c.Other.Findings)
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write table: %w", err)
 	}
@@ -61,3 +62,13 @@
 	row("p99", base.P99, other.P99)
 	row("max", base.Max, other.Max)
 }
+
+// compareFindings writes what checks found, if both reports were checked.
+func compareFindings(w io.Writer, base, other *Findings) {
+	if base == nil || other == nil {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "overspend, tokens\t%d\t%d\t%+d\n", base.Overspend, other.Overspend, other.Overspend-base.Overspend)
+	compareCounts(w, "false refusal", base.FalseRefusals, other.FalseRefusals)
+	compareCounts(w, "broken promise", base.BrokenPromises, other.BrokenPromises)
+}
--- a/standin/load/compare_test.go
+++ b/standin/load/compare_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,6 +15,7 @@
 		Requests: make([]Request, 4),
 		Outcomes: map[Outcome]int{Completed: 4},
 		Latency:  Percentiles{Count: 4, P50: 2},
+		Findings: &Findings{},
 	}
 	other := &Report{
 		Name:     "router",
@@ -21,15 +23,14 @@
 		Requests: make([]Request, 4),
 		Outcomes: map[Outcome]int{Completed: 3, Refused: 1},
 		Latency:  Percentiles{Count: 3, P50: 3.5},
+		Findings: &Findings{Overspend: 7, FalseRefusals: map[string]int{"late": 2}},
+		Direct:   base,
 	}
 	var table strings.Builder
 	if err := (Comparison{Base: base, Other: other}).WriteTable(&table); err != nil {
 		t.Fatal(err)
 	}
-	var rows []string
-	for line := range strings.Lines(table.String()) {
-		rows = append(rows, strings.Join(strings.Fields(line), " "))
-	}
+	rows := rowsOf(&table)
 	assert.Equal(t, []string{
 		"endpoint router difference",
 		"requests 4 4",
@@ -39,4 +40,20 @@
 		"latency mean, ms 0.00 0.00 +0.00",
 		"latency p50, ms 2.00 3.50 +1.50",
 	}, rows[:7])
+	assert.Equal(t, []string{"overspend, tokens 0 7 +7", "false refusal late 0 2 +2"}, rows[len(rows)-2:])
+	assert.NoError(t, other.WriteTable(&table))
+	for _, row := range []string{
+		"direct latency 4 0.00 2.00 0.00 0.00 0.00", "added latency 3 0.00 1.50 0.00 0.00 0.00", "overspend, tokens 7", "false refusal late 2",
+	} {
+		assert.Equal(t, true, slices.Contains(rowsOf(&table), row))
+	}
+}
+
+// rowsOf returns the rows of a table with one blank between cells.
+func rowsOf(table *strings.Builder) []string {
+	var rows []string
+	for line := range strings.Lines(table.String()) {
+		rows = append(rows, strings.Join(strings.Fields(line), " "))
+	}
+	return rows
 }
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -20,11 +20,13 @@
 	kind   Kind
 	team   Team
 	budget string
-	key    string
-	nonce  string
-	method string
-	path   string
-	body   string
+	// targets are where the request may be sent.
+	targets []string
+	key     string
+	nonce   string
+	method  string
+	path    string
+	body    string
 	// maxTokens is set for model calls.
 	maxTokens int
 	costBound int
@@ -45,6 +47,7 @@
 		maxTokens: 1 + random.IntN(s.MaxTokens),
 		random:    random,
 	}
+	j.targets = s.targetsOf(j.kind)
 	if budgets := j.team.Budgets; len(budgets) > 0 {
 		j.budget = budgets[random.IntN(len(budgets))]
 	}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -86,6 +86,10 @@
 	return Milliseconds(float64(d) / float64(time.Millisecond))
 }
 
+func (m Milliseconds) duration() time.Duration {
+	return time.Duration(float64(m) * float64(time.Millisecond))
+}
+
 // Percentiles summarise a distribution of durations.
 type Percentiles struct {
 	Count int64
@@ -111,11 +115,27 @@
 	Refusals map[string]int
 	// Retries counts the attempts that were tried again, by code or error.
 	Retries map[string]int
+	// RefusalsOverTime counts the refused attempts of each interval.
+	RefusalsOverTime []Interval
 	// Completed requests alone enter the distributions.
 	Latency    Percentiles
 	FirstToken Percentiles
 	TokenGap   Percentiles
-	Requests   []Request
+	// Direct is what the same requests met at the endpoints themselves; nil if that was not measured.
+	Direct *Report `json:",omitempty"`
+	// Findings are what a check wrote into the report; nil before.
+	Findings *Findings `json:",omitempty"`
+	Requests []Request
+}
+
+// Findings are what a check found out about a load from the ledger and the endpoints.
+type Findings struct {
+	// Overspend is the most tokens by which what a budget had spent and shared out exceeded its prepaid total.
+	Overspend int
+	// FalseRefusals counts by code the requests that were refused although their budget could have paid.
+	FalseRefusals map[string]int
+	// BrokenPromises counts the cases of each promise that was broken.
+	BrokenPromises map[string]int
 }
 
 // Faults counts the requests whose answer broke a promise.
--- a/standin/load/runner.go
+++ b/standin/load/runner.go
@@ -125,8 +125,8 @@
 // connect tries targets until one takes the connection, as a balancer does.
 func (r *Runner) connect(ctx context.Context, j *job, request *Request) result {
 	last := result{}
-	for range r.Targets {
-		target := r.balance(last.attempt.Target, j.random)
+	for range j.targets {
+		target := r.balance(j.targets, last.attempt.Target, j.random)
 		began := time.Now()
 		last = r.try(ctx, j, target)
 		last.attempt.Start = milliseconds(began.Sub(r.report.Started))
@@ -156,18 +156,18 @@
 
 // balance picks a target at random as a balancer with health checks does: one that takes connections, and if
 // there is a choice not the last one.
-func (r *Runner) balance(last string, random *rand.Rand) string {
+func (r *Runner) balance(targets []string, last string, random *rand.Rand) string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Now()
-	healthy := slices.DeleteFunc(slices.Clone(r.Targets), func(t string) bool { return now.Before(r.avoided[t]) })
+	healthy := slices.DeleteFunc(slices.Clone(targets), func(t string) bool { return now.Before(r.avoided[t]) })
 	others := slices.DeleteFunc(slices.Clone(healthy), func(t string) bool { return t == last })
 	for _, candidates := range [][]string{others, healthy} {
 		if len(candidates) > 0 {
 			return candidates[random.IntN(len(candidates))]
 		}
 	}
-	return r.Targets[random.IntN(len(r.Targets))]
+	return targets[random.IntN(len(targets))]
 }
 
 // avoid leaves out a target for a time.
@@ -212,6 +212,7 @@
 func (r *Runner) finish() {
 	slices.SortFunc(r.report.Requests, func(a, b Request) int { return cmp.Compare(a.index, b.index) })
 	r.report.Seconds = time.Since(r.report.Started).Seconds()
+	r.report.RefusalsOverTime = refusalsOverTime(r.report.Requests, r.report.Seconds)
 	r.report.Latency = r.latency.percentiles()
 	r.report.FirstToken = r.firstToken.percentiles()
 	r.report.TokenGap = r.tokenGap.percentiles()
--- a/standin/load/runner_test.go
+++ b/standin/load/runner_test.go
@@ -31,6 +31,27 @@
 	}
 }
 
+// Each kind is sent straight to the endpoint that serves it.
+func TestDirect(t *testing.T) {
+	engine, service := httptest.NewServer(newEngine()), httptest.NewServer((&service.Service{}).Handler())
+	t.Cleanup(engine.Close)
+	t.Cleanup(service.Close)
+	settings := newSettings(Stream, "http://127.0.0.1:1")
+	settings.Mix[NonIdempotent] = 1
+	direct, err := settings.Direct([]string{engine.URL}, []string{service.URL})
+	assert.NoError(t, err)
+	report, err := (&Runner{Settings: direct}).Do(t.Context())
+	assert.NoError(t, err)
+	assert.Equal(t, map[Outcome]int{Completed: requests}, report.Outcomes)
+	routed := &Report{Requests: []Request{{index: 0, Outcome: Completed}, {index: 1, Outcome: Refused}, {index: 2, Outcome: Completed}}}
+	routed.AddDirect(report)
+	assert.Equal(t, 2, routed.Direct.Latency.Count)
+	_, err = settings.Direct([]string{engine.URL}, nil)
+	assert.Fails(t, err)
+	_, err = settings.Direct(nil, []string{service.URL})
+	assert.Fails(t, err)
+}
+
 // Each fault is one that a load has to notice; without the checks of answer.go these tests fail.
 func TestFaultyAnswers(t *testing.T) {
 	for name, fault := range map[string]struct {
--- a/standin/load/settings.go
+++ b/standin/load/settings.go
@@ -40,7 +40,10 @@
 type Settings struct {
 	// Targets are base URLs; each attempt picks one at random.
 	Targets []string
-	Teams   []Team
+	// EngineTargets and ServiceTargets take the model calls and the plain calls in place of Targets.
+	EngineTargets  []string
+	ServiceTargets []string
+	Teams          []Team
 	// Requests and Duration bound the load; whichever is reached first ends it.
 	Requests int
 	Duration time.Duration
--- a/standin/load/table.go
+++ b/standin/load/table.go
@@ -31,6 +31,9 @@
 	percentiles(row, "latency", r.Latency)
 	percentiles(row, "first token", r.FirstToken)
 	percentiles(row, "token gap", r.TokenGap)
+	r.directRows(row)
+	r.refusalRows(row)
+	r.findingRows(row)
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write table: %w", err)
 	}
@@ -52,3 +55,34 @@
 }
 
 func number(m Milliseconds) string { return fmt.Sprintf("%.2f", float64(m)) }
+
+// directRows writes what the endpoints themselves took, and what the routers added to it.
+func (r *Report) directRows(row func(...any)) {
+	if r.Direct == nil {
+		return
+	}
+	percentiles(row, "direct latency", r.Direct.Latency)
+	percentiles(row, "direct first token", r.Direct.FirstToken)
+	percentiles(row, "direct token gap", r.Direct.TokenGap)
+	percentiles(row, "added latency", r.Latency.minus(r.Direct.Latency))
+	percentiles(row, "added first token", r.FirstToken.minus(r.Direct.FirstToken))
+	percentiles(row, "added token gap", r.TokenGap.minus(r.Direct.TokenGap))
+}
+
+// refusalRows writes the intervals in which anything was refused.
+func (r *Report) refusalRows(row func(...any)) {
+	for _, interval := range r.RefusalsOverTime {
+		for _, code := range slices.Sorted(maps.Keys(interval.Refusals)) {
+			row(fmt.Sprintf("refused from %.0f s", interval.Start), code, interval.Refusals[code])
+		}
+	}
+}
+
+func (r *Report) findingRows(row func(...any)) {
+	if r.Findings == nil {
+		return
+	}
+	row("overspend, tokens", r.Findings.Overspend)
+	counts(row, "false refusal", r.Findings.FalseRefusals)
+	counts(row, "broken promise", r.Findings.BrokenPromises)
+}
--- /dev/null
+++ b/standin/report.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"errors"
+
+	"go.uber.org/dig"
+
+	"github.com/dragonflyworks/dragonflyworks/standin/load"
+)
+
+// reportCommand holds the arguments of the verb report.
+type reportCommand struct {
+	Report string `arg:"" help:"Report of a load."`
+	Plot   string `env:"STANDIN_PLOT" help:"File that takes a plot of the report as SVG."`
+}
+
+// Run prints a report and plots it.
+func (c *reportCommand) Run(container *dig.Container) error {
+	return container.Invoke(func(stdout output) error {
+		report, err := load.ReadReport(c.Report)
+		if err != nil {
+			return err
+		}
+		return errors.Join(report.WriteTable(stdout), writeFile(c.Plot, report.WritePlot))
+	})
+}
--- a/standin/run.go
+++ b/standin/run.go
@@ -38,6 +38,7 @@
 		{"service", "Serves a plain service that counts the runs of each Idempotency-Key.", &serviceCommand{}},
 		{"load", "Sends a bounded load and checks that each caller gets its own whole answer.", &loadCommand{}},
 		{"check", "Checks the fleet's promises against the ledger, a load's report and the endpoints' runs.", &checkCommand{}},
+		{"report", "Prints the report of a load again, and plots it.", &reportCommand{}},
 		{"compare", "Prints two reports of loads side by side.", &compareCommand{}},
 		{"control", "Sends one request to a control path.", &controlCommand{}},
 		{"wait", "Waits until URLs answer with status 200.", &waitCommand{}},
