--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,13 @@
 
 .PHONY: build test lint format tools bench demo capacity fuzz
 
-build: ## compiles the three programs into bin/
-	@mkdir -p bin
-	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
+BIN := bin
+# VERSION is what the programs call themselves; empty for what Go records of the module.
+VERSION :=
+
+build: ## compiles the three programs into BIN, with VERSION as their version
+	@mkdir -p $(BIN)
+	@for p in $(PROGRAMS); do go build -ldflags '-X main.release=$(VERSION)' -o $(BIN)/$$p ./$$p || exit 1; done
 
 test: ## runs every test with the race detector
 	.ci/test
@@ -25,7 +29,7 @@
 bench: ## prints the benchmarks of every module
 	go test -run '^$$' -bench . -benchmem ./fleet/... ./router/...
 
-demo: ## runs a whole site on 127.0.0.1 for about a minute and checks the fleet's promises
+demo: ## runs a whole site on 127.0.0.1 for little more than a minute and checks the fleet's promises
 	scripts/demo.sh
 
 capacity: ## measures the slopes of docs/CAPACITY.md in some minutes and rewrites the page's tables
--- a/router/run.go
+++ b/router/run.go
@@ -78,8 +78,14 @@
 	return text
 }
 
-// version returns the version that the build recorded.
+// release is the version that a build sets by -ldflags "-X main.release=1.2.0".
+var release string //nolint:gochecknoglobals // the linker can set nothing but a variable
+
+// version returns the version that the build set or recorded.
 func version() string {
+	if release != "" {
+		return release
+	}
 	info, found := debug.ReadBuildInfo()
 	if !found || info.Main.Version == "" {
 		return "devel"
--- a/standin/load/compare_test.go
+++ b/standin/load/compare_test.go
@@ -25,6 +25,8 @@
 		Latency:  Percentiles{Count: 3, P50: 3.5},
 		Findings: &Findings{Overspend: 7, FalseRefusals: map[string]int{"late": 2}},
 		Direct:   base,
+
+		RefusalsOverTime: []Interval{{0, map[string]int{}}, {2, map[string]int{"late": 3}}},
 	}
 	var table strings.Builder
 	if err := (Comparison{Base: base, Other: other}).WriteTable(&table); err != nil {
@@ -44,6 +46,7 @@
 	assert.NoError(t, other.WriteTable(&table))
 	for _, row := range []string{
 		"direct latency 4 0.00 2.00 0.00 0.00 0.00", "added latency 3 0.00 1.50 0.00 0.00 0.00", "overspend, tokens 7", "false refusal late 2",
+		"refused from second late", "2 3",
 	} {
 		assert.Equal(t, true, slices.Contains(rowsOf(&table), row))
 	}
--- a/standin/load/table.go
+++ b/standin/load/table.go
@@ -32,8 +32,8 @@
 	percentiles(row, "first token", r.FirstToken)
 	percentiles(row, "token gap", r.TokenGap)
 	r.directRows(row)
-	r.refusalRows(row)
 	r.findingRows(row)
+	r.refusalRows(row)
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write table: %w", err)
 	}
@@ -69,12 +69,27 @@
 	percentiles(row, "added token gap", r.TokenGap.minus(r.Direct.TokenGap))
 }
 
-// refusalRows writes the intervals in which anything was refused.
+// refusalRows writes the intervals in which anything was refused, with a column for each code.
 func (r *Report) refusalRows(row func(...any)) {
+	codes := refusalCodes(r.RefusalsOverTime)
+	if len(codes) == 0 {
+		return
+	}
+	header := []any{"refused from second"}
+	for _, code := range codes {
+		header = append(header, code)
+	}
+	row()
+	row(header...)
 	for _, interval := range r.RefusalsOverTime {
-		for _, code := range slices.Sorted(maps.Keys(interval.Refusals)) {
-			row(fmt.Sprintf("refused from %.0f s", interval.Start), code, interval.Refusals[code])
+		if len(interval.Refusals) == 0 {
+			continue
+		}
+		cells := []any{interval.Start}
+		for _, code := range codes {
+			cells = append(cells, interval.Refusals[code])
 		}
+		row(cells...)
 	}
 }
 
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -30,6 +30,7 @@
 		lag := q.Duration("Duration")
 		return func() { s.Instances.SetLag(lag) }
 	}))
+	router.Route("/callers/{caller}", s.callers.control)
 	router.Post("/instances", s.register)
 	router.Post("/instances/{name}/leave", s.leave)
 	router.Delete("/instances/{name}", s.remove)
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -22,19 +22,29 @@
 type Service struct {
 	Log       memory.Log
 	Instances memory.InstanceList
+	callers   callers
 }
 
 // Handler returns the service's paths.
 func (s *Service) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Post("/streams/{stream}", s.append)
-	router.Get("/streams/{stream}", s.read)
-	router.Get("/instances", s.list)
+	s.serve(router)
+	router.Route("/callers/{caller}", func(named chi.Router) {
+		named.Use(s.callers.handler)
+		s.serve(named)
+	})
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Route("/control", s.control)
 	return router
 }
 
+// serve registers what the platform gives to its callers.
+func (s *Service) serve(router chi.Router) {
+	router.Post("/streams/{stream}", s.append)
+	router.Get("/streams/{stream}", s.read)
+	router.Get("/instances", s.list)
+}
+
 func (s *Service) append(w http.ResponseWriter, r *http.Request) {
 	body := struct{ Payload []byte }{}
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body); err != nil {
--- a/standin/platform/handler_test.go
+++ b/standin/platform/handler_test.go
@@ -51,6 +51,19 @@
 		f.post("/control/log/outage?For=soon", http.StatusBadRequest)
 		assert.Equal(t, platform.Offset(0), f.append("a"))
 	})
+	t.Run("caller cut off", func(t *testing.T) {
+		f := newFixture(t)
+		named, err := platform.NewHTTPLog(f.url+"/callers/luzon-a", nil)
+		assert.NoError(t, err)
+		f.post("/control/callers/luzon-a/delay?Duration=1ms", http.StatusNoContent)
+		for parameters, cut := range map[string]bool{"For=1h": true, "On=true": true, "On=false": false} {
+			f.post("/control/callers/luzon-a/outage?"+parameters, http.StatusNoContent)
+			_, err = named.Append(t.Context(), "ledger-0", nil)
+			assert.Equal(t, cut, errors.Is(err, platform.ErrUnavailable))
+			f.append("a")
+		}
+		assert.Equal(t, 4, len(f.read(0)))
+	})
 	t.Run("instances", func(t *testing.T) {
 		f := newFixture(t)
 		f.service.Instances.Register(platform.Instance{Name: "router-1", State: platform.Live})
