--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROGRAMS := router dragonflyctl standin
 export PATH := $(PATH):$(shell go env GOPATH)/bin
 
-.PHONY: build test lint format tools bench demo capacity fuzz
+.PHONY: build test lint format tools bench demo docs capacity fuzz
 
 BIN := bin
 # VERSION is what the programs call themselves; empty for what Go records of the module.
@@ -32,6 +32,12 @@
 demo: ## runs a whole site on 127.0.0.1 for little more than a minute and checks the fleet's promises
 	scripts/demo.sh
 
+DOCS_TESTS := ^(TestDocumentation|TestExamples)$$
+
+docs: ## rewrites the generated tables and outputs of the pages, then checks them
+	-UPDATE=1 go test -count 1 -run "$(DOCS_TESTS)" ./router ./dragonflyctl ./standin >/dev/null
+	go test -count 1 -run "$(DOCS_TESTS)" ./router ./dragonflyctl ./standin
+
 capacity: ## measures the slopes of docs/CAPACITY.md in some minutes and rewrites the page's tables
 	CAPACITY_PAGE=$(CURDIR)/docs/CAPACITY.md go test -count 1 -timeout 10m -v -run '^TestMeasure$$' ./router/capacity
 
--- /dev/null
+++ b/standin/example/names.go
@@ -0,0 +1,72 @@
+package example
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+var (
+	link     = regexp.MustCompile(`\]\(([^)\s]+)\)`)
+	heading  = regexp.MustCompile(`(?m)^#+ (.*)$`)
+	code     = regexp.MustCompile("(?ms)^ *```.*?^ *```|^    .*?$|`[^`\n]+`")
+	notInURL = regexp.MustCompile(`[^\p{L}\p{N}\s_-]`)
+)
+
+// BrokenLinks returns the relative links of a page whose file or heading doesn't exist.
+func BrokenLinks(path string) ([]string, error) {
+	text, err := os.ReadFile(path) //nolint:gosec // tests name the pages
+	if err != nil {
+		return nil, fmt.Errorf("read page: %w", err)
+	}
+	var broken []string
+	for _, match := range link.FindAllStringSubmatch(code.ReplaceAllString(string(text), ""), -1) {
+		if strings.Contains(match[1], "://") {
+			continue
+		}
+		file, anchor, _ := strings.Cut(match[1], "#")
+		target := path
+		if file != "" {
+			target = filepath.Join(filepath.Dir(path), file)
+		}
+		if !hasAnchor(target, anchor) {
+			broken = append(broken, fmt.Sprintf("%s: %s", path, match[1]))
+		}
+	}
+	return broken, nil
+}
+
+// hasAnchor reports whether a file or folder exists and has a heading with an anchor; each has the empty one.
+func hasAnchor(path, anchor string) bool {
+	if anchor == "" {
+		_, err := os.Stat(path) //nolint:gosec // a link of a page
+		return err == nil
+	}
+	text, err := os.ReadFile(path) //nolint:gosec // a link of a page
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(heading.FindAllStringSubmatch(string(text), -1), func(match []string) bool {
+		slug := notInURL.ReplaceAllString(strings.ToLower(match[1]), "")
+		return strings.ReplaceAll(slug, " ", "-") == anchor
+	})
+}
+
+// Names finds what a page's code names by the first group of a pattern, such as flags.
+func Names(path, pattern string) ([]string, error) {
+	text, err := os.ReadFile(path) //nolint:gosec // tests name the pages
+	if err != nil {
+		return nil, fmt.Errorf("read page: %w", err)
+	}
+	var names []string
+	for _, block := range code.FindAllString(string(text), -1) {
+		for _, match := range regexp.MustCompile(pattern).FindAllStringSubmatch(block, -1) {
+			names = append(names, match[1])
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names), nil
+}
--- /dev/null
+++ b/standin/example/run.go
@@ -0,0 +1,65 @@
+package example
+
+import "time"
+
+// Plan says how the commands of a page are run.
+type Plan struct {
+	// Before holds shell commands that run before the command of a place, such as "Top up 1".
+	Before map[string]string
+	// NotRun gives the reason for each place whose command isn't run.
+	NotRun map[string]string
+	Fields []Field
+}
+
+const (
+	// maxTries bounds the tries of a command that only reads.
+	maxTries = 120
+	// tryInterval is the time between two tries.
+	tryInterval = 250 * time.Millisecond
+)
+
+// Run runs the commands of a page in their order and returns the outputs. Where nothing but fields that may differ
+// differs, it returns the page's own output. The reads of the page are tried until the site has got that far; everything
+// else is run once.
+func (p *Page) Run(s *Session, ports *Ports, plan Plan, reads func(command string) bool) ([]string, error) {
+	outputs := make([]string, 0, len(p.Commands))
+	for _, c := range p.Commands {
+		if plan.NotRun[c.Place] != "" {
+			outputs = append(outputs, c.Output)
+			continue
+		}
+		if before := plan.Before[c.Place]; before != "" {
+			if _, err := s.Run(ports.Free(before)); err != nil {
+				return nil, err
+			}
+		}
+		tries := 1
+		if reads(c.Text) {
+			tries = maxTries
+		}
+		output, err := c.run(s, ports, plan.Fields, tries)
+		if err != nil {
+			return nil, err
+		}
+		outputs = append(outputs, output)
+	}
+	return outputs, nil
+}
+
+// run returns the output that the page shows if it is one of the tries', and the last try's otherwise.
+func (c *Command) run(s *Session, ports *Ports, fields []Field, tries int) (string, error) {
+	for try := 1; ; try++ {
+		printed, err := s.Run(ports.Free(c.Text))
+		if err != nil {
+			return "", err
+		}
+		printed = ports.Shown(printed)
+		if Same(c.Output, printed, fields) {
+			return c.Output, nil
+		}
+		if try == tries {
+			return printed, nil
+		}
+		time.Sleep(tryInterval)
+	}
+}
--- /dev/null
+++ b/standin/example/site.go
@@ -0,0 +1,56 @@
+package example
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// Programs names the programs of the project.
+func Programs() []string { return []string{"router", "dragonflyctl", "standin"} }
+
+// Build compiles every program of the tree at a root into a folder, with a version.
+func Build(ctx context.Context, root, folder, version string) error {
+	for _, program := range Programs() {
+		build := exec.CommandContext(ctx, "go", "build", "-ldflags", "-X main.release="+version, //nolint:gosec // tests name all of it
+			"-o", filepath.Join(folder, program), "./"+program)
+		build.Dir = root
+		if output, err := build.CombinedOutput(); err != nil {
+			return fmt.Errorf("build %s: %w: %s", program, err, output)
+		}
+	}
+	return nil
+}
+
+// CopyExamples copies the example tickets of the tree at a root into a folder. It gives a free port to each address that
+// they or further texts name.
+func CopyExamples(root, folder string, texts ...string) (*Ports, error) {
+	paths, err := filepath.Glob(filepath.Join(root, "examples", "*", "*.yaml"))
+	if err != nil {
+		return nil, fmt.Errorf("list examples: %w", err)
+	}
+	tickets := make([]string, len(paths))
+	for i, path := range paths {
+		ticket, err := os.ReadFile(path) //nolint:gosec // a file of the examples
+		if err != nil {
+			return nil, fmt.Errorf("read example: %w", err)
+		}
+		tickets[i] = string(ticket)
+	}
+	ports, err := NewPorts(append(texts, tickets...)...)
+	if err != nil {
+		return nil, fmt.Errorf("find free ports: %w", err)
+	}
+	for i, path := range paths {
+		copied := filepath.Join(folder, "examples", filepath.Base(filepath.Dir(path)), filepath.Base(path))
+		if err := os.MkdirAll(filepath.Dir(copied), 0o700); err != nil {
+			return nil, fmt.Errorf("copy example: %w", err)
+		}
+		if err := os.WriteFile(copied, []byte(ports.Free(tickets[i])), 0o600); err != nil {
+			return nil, fmt.Errorf("copy example: %w", err)
+		}
+	}
+	return ports, nil
+}
