--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -153,7 +153,9 @@
   sleep 2
   echo "demo: topping up studio-cebu-trial"
   bin/dragonflyctl ticket submit --platform "$platform" examples/later/5-top-up.yaml || fail "the top-up was not accepted"
-  sleep "$((cut_seconds - 2))"
+  sleep 4
+  bin/dragonflyctl fleet status --platform "$platform"
+  sleep "$((cut_seconds - 6))"
 }
 
 # upgrade replaces one router after the other by one of the new version.
