--- a/router/build.go
+++ b/router/build.go
@@ -128,6 +128,6 @@
 	})
 }
 
-func newSnapshots(settings *Settings, board *blackboard.Board, stream platform.Log) *controller.ConfigurationSnapshots {
-	return controller.NewConfigurationSnapshots(board, stream, settings.SnapshotInterval)
+func newSnapshots(settings *Settings, board *blackboard.Board, stream platform.Log, client *ledgerstream.Client) *controller.ConfigurationSnapshots {
+	return controller.NewConfigurationSnapshots(board, stream, client, settings.SnapshotInterval)
 }
--- a/router/capacity/sums.go
+++ b/router/capacity/sums.go
@@ -214,11 +214,11 @@
 		{"Configuration: first copy of all totals into the ledger by one router", "s", "", 0, func(s site) float64 {
 			return float64(s.Budgets) / ledgerstream.DefaultPrepaidCopiesPerTick * ledgerstream.DefaultTickInterval.Seconds()
 		}},
-		{"Configuration: snapshots of all routers", bytesASecond, "", 0, func(s site) float64 {
-			return float64(s.Nodes*s.Budgets) * m.slope("configuration snapshot: bytes") / controller.SnapshotInterval.Seconds()
+		{"Configuration: snapshots of the whole fleet", bytesASecond, "", 0, func(s site) float64 {
+			return float64(s.Budgets) * m.slope("configuration snapshot: bytes") / controller.SnapshotInterval.Seconds()
 		}},
 		{"Configuration: their appends, beside the allowance", "1/s", "240 of the fleet", allowance, func(s site) float64 {
-			return float64(s.Nodes) * math.Ceil(float64(s.Budgets)*m.slope("configuration snapshot: bytes")/operator.DefaultChunkBytes) / controller.SnapshotInterval.Seconds()
+			return math.Ceil(float64(s.Budgets)*m.slope("configuration snapshot: bytes")/operator.DefaultChunkBytes) / controller.SnapshotInterval.Seconds()
 		}},
 	}
 }
@@ -308,7 +308,7 @@
 				return float64(s.Budgets) * m.slope("ledger snapshot: encode") / 1e4 / interval()
 			},
 			func(s site) float64 { return m.snapshot(s) / megabyte }},
-		{"Snapshot writer of the configuration, every router", "B/s appended",
+		{"Snapshot writer of the configuration, one at a time", "B/s appended",
 			func(s site) float64 {
 				return float64(s.Budgets) * m.slope("configuration snapshot: bytes") / interval()
 			},
--- a/router/controller/configuration_test.go
+++ b/router/controller/configuration_test.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{}, 2)
 	for _, run := range []func(context.Context) error{
-		r.controller.Run, NewConfigurationSnapshots(board, stream, 10*time.Second).Run,
+		r.controller.Run, NewConfigurationSnapshots(board, stream, client, 10*time.Second).Run,
 	} {
 		go func() {
 			_ = run(ctx)
@@ -181,3 +181,14 @@
 func counted(board *blackboard.Board, name string) int64 {
 	return metrics.GetOrRegisterCounter(name, board.Metrics).Count()
 }
+
+func TestSnapshotWait(t *testing.T) {
+	for _, routers := range []int{1, 6, 370} {
+		mean := time.Duration(routers) * time.Minute
+		for range 1000 {
+			if wait := snapshotWait(time.Minute, routers); wait < mean/2 || wait >= mean*3/2 {
+				t.Fatalf("%d routers: waits %v, want 0.5 to 1.5 times %v", routers, wait, mean)
+			}
+		}
+	}
+}
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -5,12 +5,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 )
 
-// SnapshotInterval is the default mean time between two snapshots of one router.
+// SnapshotInterval is the default mean time between two snapshots of the whole fleet.
 const SnapshotInterval = 10 * time.Minute
 
 // ConfigurationSnapshots writes snapshots of the configuration, so that the log may drop old tickets.
@@ -18,31 +19,37 @@
 type ConfigurationSnapshots struct {
 	board    *blackboard.Board
 	stream   platform.Log
+	client   *ledgerstream.Client
 	interval time.Duration
 }
 
-// NewConfigurationSnapshots returns a writer with the given mean interval; zero takes SnapshotInterval.
-func NewConfigurationSnapshots(board *blackboard.Board, stream platform.Log, interval time.Duration) *ConfigurationSnapshots {
+// NewConfigurationSnapshots returns a writer with the given mean interval of the fleet; zero takes SnapshotInterval.
+func NewConfigurationSnapshots(board *blackboard.Board, stream platform.Log, client *ledgerstream.Client, interval time.Duration) *ConfigurationSnapshots {
 	if interval == 0 {
 		interval = SnapshotInterval
 	}
-	return &ConfigurationSnapshots{board: board, stream: stream, interval: interval}
+	return &ConfigurationSnapshots{board: board, stream: stream, client: client, interval: interval}
 }
 
 // Run writes snapshots until ctx ends. The intervals are jittered, so that the routers of a fleet that
 // started together don't write together.
 func (s *ConfigurationSnapshots) Run(ctx context.Context) error {
 	for {
-		half := s.interval / 2
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(half + rand.N(s.interval)): //nolint:gosec // jitter needs no secrecy
+		case <-time.After(snapshotWait(s.interval, s.client.Status().Routers)):
 		}
 		s.write(ctx)
 	}
 }
 
+// snapshotWait returns the time until a router's next snapshot: on average one interval for each router.
+func snapshotWait(interval time.Duration, routers int) time.Duration {
+	mean := interval * time.Duration(max(1, routers))
+	return mean/2 + rand.N(mean) //nolint:gosec // jitter needs no secrecy
+}
+
 // write appends a snapshot even if nothing has changed: the log may be about to drop the newest one.
 func (s *ConfigurationSnapshots) write(ctx context.Context) {
 	configuration := s.board.Configuration.Load()
