--- a/fleet/peer/credentials.go
+++ b/fleet/peer/credentials.go
@@ -67,42 +67,39 @@
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			pair, err := c.certificate()
+			config, pool, err := c.current()
 			if err != nil {
 				return nil, err
 			}
-			pool, err := c.authority()
-			if err != nil {
-				return nil, err
-			}
-			return &tls.Config{
-				MinVersion:   tls.VersionTLS13,
-				NextProtos:   []string{protocol},
-				Certificates: []tls.Certificate{*pair},
-				ClientAuth:   tls.RequireAndVerifyClientCert,
-				ClientCAs:    pool,
-				// A resumed session would keep a certificate beyond its rotation.
-				SessionTicketsDisabled: true,
-			}, nil
+			config.ClientAuth, config.ClientCAs = tls.RequireAndVerifyClientCert, pool
+			// A resumed session would keep a certificate beyond its rotation.
+			config.SessionTicketsDisabled = true
+			return config, nil
 		},
 	}
 }
 
 // clientConfig checks that the other end shows a certificate that was issued to the given instance.
 func (c Credentials) clientConfig(instance string) (*tls.Config, error) {
-	pair, err := c.certificate()
+	config, pool, err := c.current()
 	if err != nil {
 		return nil, err
 	}
+	config.ServerName, config.RootCAs = instance, pool
+	return config, nil
+}
+
+// current returns what both ends have in common, and the site's authority, as the files hold them now: a rotated
+// certificate counts from the next connection on.
+func (c Credentials) current() (*tls.Config, *x509.CertPool, error) {
+	pair, err := c.certificate()
+	if err != nil {
+		return nil, nil, err
+	}
 	pool, err := c.authority()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		NextProtos:   []string{protocol},
-		ServerName:   instance,
-		RootCAs:      pool,
-		Certificates: []tls.Certificate{*pair},
-	}, nil
+	config := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}, Certificates: []tls.Certificate{*pair}}
+	return config, pool, nil
 }
