--- a/fleet/order/fold_test.go
+++ b/fleet/order/fold_test.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 
@@ -173,3 +174,20 @@
 	h.expect(LastLoaded, "a", 6, &Order{Endpoint: "y", Claim: other, Loaded: both, Wanted: both[:1]})
 	h.expect("", "a", 7, &Order{Endpoint: "y", Claim: other, Loaded: both, Wanted: both[1:]})
 }
+
+func TestDecodeSnapshot(t *testing.T) {
+	h := &history{t: t}
+	h.expect("", "a", 1, &Claim{Endpoint: "e"})
+	payload, err := h.state.EncodeSnapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, damaged := range map[string][]byte{
+		"cut": payload[:len(payload)/2], "version": bytes.Replace(payload, []byte(`"Version":1`), []byte(`"Version":2`), 1),
+		"digest": bytes.Replace(payload, []byte(`"Digest":"`), []byte(`"Digest":"AAAA`), 1),
+	} {
+		if _, err := DecodeSnapshot(damaged); !errors.Is(err, ErrCorruptSnapshot) {
+			t.Errorf("%s: got error %v", name, err)
+		}
+	}
+}
--- a/fleet/platform/platform.go
+++ b/fleet/platform/platform.go
@@ -16,6 +16,8 @@
 	ConfigurationSnapshotStream = "configuration-snapshots"
 	// OrdersStream carries the claims of endpoints and the orders to them.
 	OrdersStream = "orders"
+	// OrdersSnapshotStream carries snapshots of the folded orders stream.
+	OrdersSnapshotStream = "orders-snapshots"
 )
 
 // LedgerStream returns the name of the stream of a ledger partition.
--- a/router/order/counters.go
+++ b/router/order/counters.go
@@ -6,6 +6,10 @@
 const (
 	readFailed          = "orders.read.failed"
 	streamTruncated     = "orders.read.truncated"
+	snapshotWritten     = "orders.snapshot.written"
+	snapshotFailed      = "orders.snapshot.failed"
+	snapshotMissing     = "orders.snapshot.missing"
+	snapshotMalformed   = "orders.snapshot.malformed"
 	appendFailed        = "orders.append.failed"
 	recordTooLarge      = "orders.record.too_large"
 	recordResent        = "orders.record.resent"
@@ -32,11 +36,16 @@
 func Counters() []Description {
 	return []Description{
 		{readFailed, "Reads of the orders stream that failed; nothing is ordered meanwhile."},
-		{streamTruncated, "Reads below the entries of the orders stream that the log still keeps; this router orders nothing any more."},
+		{streamTruncated, "Reads below the entries of the orders stream that the log still keeps."},
+		{snapshotWritten, "Snapshots of the orders stream that this router wrote."},
+		{snapshotFailed, "Snapshots of the orders stream that were too large or could not be appended."},
+		{snapshotMissing, "Times that no snapshot covered what the log had dropped; this router orders nothing."},
+		{snapshotMalformed, "Snapshots of the orders stream that are malformed or have a wrong digest."},
 		{appendFailed, "Appends to the orders stream that failed or had no answer."},
 		{recordTooLarge, "Records that were too large for the stream."},
 		{recordResent, "Records appended again because they were not read back."},
 		{recordAccepted, "Records of this router that were read back and accepted."},
+		{recordRefusedPrefix + string(order.Copied), "Records whose first copy was skipped by a snapshot."},
 		{recordRefusedPrefix + string(order.Held), "Claims of an endpoint that another router holds."},
 		{recordRefusedPrefix + string(order.NotHolder), "Records under a claim that had ended, and fences of orderers without claims."},
 		{recordRefusedPrefix + string(order.Heard), "Fences of orderers that had written meanwhile."},
--- a/router/order/orderer.go
+++ b/router/order/orderer.go
@@ -58,10 +58,14 @@
 	endpoints map[string]*endpoint
 	healthy   []string
 	// turn rotates the endpoint that is looked at first, as one record is on its way at a time.
-	turn    int
-	readAt  time.Time
-	ended   chan *call
-	running sync.WaitGroup
+	turn   int
+	readAt time.Time
+	// snapshotAt is when the next snapshot is due; zero before the first read.
+	snapshotAt time.Time
+	// recoveredAt is when snapshots were last looked for.
+	recoveredAt time.Time
+	ended       chan *call
+	running     sync.WaitGroup
 }
 
 // NewOrderer returns an orderer that has read nothing.
@@ -121,7 +125,11 @@
 		return pollInterval
 	}
 	o.readAt = time.Now()
-	if !o.read(ctx) || !active {
+	if !o.read(ctx) {
+		return pollInterval
+	}
+	o.snapshot(ctx)
+	if !active {
 		return pollInterval
 	}
 	o.prefer()
@@ -171,7 +179,7 @@
 	var truncated *platform.TruncatedError
 	switch {
 	case errors.As(err, &truncated):
-		o.board.Count(streamTruncated)
+		o.recover(ctx)
 		return false
 	case err != nil:
 		o.board.Count(readFailed)
--- a/router/order/settings.go
+++ b/router/order/settings.go
@@ -7,6 +7,8 @@
 	// Lease and LeaseMargin are those of the router; claims end by the silence of their holder on the orders stream.
 	Lease       time.Duration
 	LeaseMargin time.Duration
+	// SnapshotInterval is the mean time between two snapshots of the stream that the router writes.
+	SnapshotInterval time.Duration
 }
 
 const (
@@ -25,6 +27,8 @@
 	engineTimeout = 2 * time.Second
 	// readBatch bounds the entries of one read.
 	readBatch = 256
+	// snapshotBatch bounds the snapshots of one read.
+	snapshotBatch = 16
 	// askInterval is the time between two questions for an endpoint's state.
 	askInterval = time.Second
 	// readingAge is the age from which on a reading is asked for anew.
--- /dev/null
+++ b/router/order/snapshot.go
@@ -0,0 +1,69 @@
+package order
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/order"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// snapshot writes a snapshot when its time has come, so that the log may drop the beginning of the stream. Its bytes
+// are written anew if nothing has changed: the log may be about to drop the newest ones.
+func (o *Orderer) snapshot(ctx context.Context) {
+	now := time.Now()
+	if o.snapshotAt.IsZero() {
+		o.snapshotAt = now.Add(o.settings.snapshotDelay())
+	}
+	if now.Before(o.snapshotAt) || o.journal.state.Next() == 0 {
+		return
+	}
+	o.snapshotAt = now.Add(o.settings.snapshotDelay())
+	payload, err := o.journal.state.EncodeSnapshot()
+	if err == nil {
+		bounded, cancel := context.WithTimeout(ctx, logTimeout)
+		defer cancel()
+		_, err = o.journal.stream.Append(bounded, platform.OrdersSnapshotStream, payload)
+	}
+	if err != nil {
+		o.board.Count(snapshotFailed)
+		return
+	}
+	o.board.Count(snapshotWritten)
+}
+
+// snapshotDelay is jittered, so that the routers of a fleet that started together don't write together.
+func (s Settings) snapshotDelay() time.Duration {
+	return s.SnapshotInterval/2 + rand.N(s.SnapshotInterval+1) //nolint:gosec // jitter needs no secrecy
+}
+
+// recover continues from the newest usable snapshot when the log has dropped entries that were not read yet. Without
+// one, nothing is ordered: claims and orders that can't be seen may be in force.
+func (o *Orderer) recover(ctx context.Context) {
+	o.board.Count(streamTruncated)
+	if time.Since(o.recoveredAt) < idleInterval {
+		return
+	}
+	o.recoveredAt = time.Now()
+	newest := &o.journal.state
+	reader := platform.KeptReader{
+		Log: o.journal.stream, Stream: platform.OrdersSnapshotStream, Limit: snapshotBatch, CallTimeout: logTimeout,
+	}
+	err := reader.Read(ctx, func(e platform.Entry) {
+		state, err := order.DecodeSnapshot(e.Payload)
+		if err != nil {
+			o.board.Count(snapshotMalformed)
+			return
+		}
+		if state.Next() > newest.Next() {
+			newest = state
+		}
+	})
+	if err != nil || newest == &o.journal.state {
+		o.board.Count(snapshotMissing)
+		return
+	}
+	o.journal.state = *newest
+	o.logger.WithField("Next", newest.Next()).Info("orders continued from a snapshot")
+}
--- a/router/orders.go
+++ b/router/orders.go
@@ -10,6 +10,7 @@
 	fleetorder "github.com/dragonflyworks/dragonflyworks/fleet/order"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/router/order"
 )
@@ -18,6 +19,8 @@
 	return order.NewOrderer(board, stream, members{client}, dispatcher, order.NewHTTPEngines(), logger, order.Settings{
 		Lease:       cmp.Or(settings.Lease, ledgerstream.DefaultLease),
 		LeaseMargin: cmp.Or(settings.LeaseMargin, ledgerstream.DefaultLeaseMargin),
+
+		SnapshotInterval: cmp.Or(settings.SnapshotInterval, controller.SnapshotInterval),
 	})
 }
 
--- a/router/settings.go
+++ b/router/settings.go
@@ -29,7 +29,7 @@
 	Lease                 time.Duration `help:"Time without a record in the log after which a router may spend nothing more from its working shares." env:"DRAGONFLY_LEASE" default:"10s"`
 	LeaseMargin           time.Duration `help:"Time that others add to the lease before they fence a silent router." env:"DRAGONFLY_LEASE_MARGIN" default:"2s"`
 	FleetAppendsPerSecond float64       `help:"Appends a second that the whole fleet may make; each router takes an equal part." env:"DRAGONFLY_FLEET_APPENDS_PER_SECOND" default:"240"`
-	SnapshotInterval      time.Duration `help:"Mean time between two snapshots: of the ledger by the whole fleet, of the configuration by each router." env:"DRAGONFLY_SNAPSHOT_INTERVAL" default:"10m"`
+	SnapshotInterval      time.Duration `help:"Mean time between two snapshots: of the ledger by the whole fleet, of the configuration and the orders by each router." env:"DRAGONFLY_SNAPSHOT_INTERVAL" default:"10m"`
 
 	HeaderBytes int           `help:"Longest headers of a request, in bytes." env:"DRAGONFLY_HEADER_BYTES" default:"16384"`
 	BodyTimeout time.Duration `help:"Time in which a request's body has to arrive." env:"DRAGONFLY_BODY_TIMEOUT" default:"10s"`
