--- a/fleet/ledgerstream/decision/decision_test.go
+++ b/fleet/ledgerstream/decision/decision_test.go
@@ -105,3 +105,15 @@
 	assertEqual(t, "slow log", 3*time.Second, DrawDeadline(time.Second, 500*time.Millisecond, 5*time.Second))
 	assertEqual(t, "slower log", 5*time.Second, DrawDeadline(time.Second, 2*time.Second, 5*time.Second))
 }
+
+func TestSnapshotWait(t *testing.T) {
+	for _, row := range []struct {
+		Routers  int
+		Fraction float64
+		Want     time.Duration
+	}{
+		{0, 0, 30 * time.Second}, {1, 0.5, time.Minute}, {6, 0, 3 * time.Minute}, {6, 0.75, 7*time.Minute + 30*time.Second},
+	} {
+		assertEqual(t, "wait", row.Want, SnapshotWait(time.Minute, row.Routers, row.Fraction))
+	}
+}
--- a/fleet/ledgerstream/decision/pace.go
+++ b/fleet/ledgerstream/decision/pace.go
@@ -38,6 +38,14 @@
 	return time.Duration(random.Int64N(int64(limit) + 1))
 }
 
+// SnapshotWait returns the time until a router's next snapshot of a stream: on average one interval for each router, so
+// that the fleet writes one an interval. It lies between 0.5 and 1.5 times that, as a random fraction in [0, 1) says,
+// so that routers that started together don't write together.
+func SnapshotWait(interval time.Duration, routers int, fraction float64) time.Duration {
+	mean := interval * time.Duration(max(1, routers))
+	return mean/2 + time.Duration(fraction*float64(mean))
+}
+
 // drawDeadlineRounds is the number of round trips through the log that a recall may take: the refused
 // draw, the return by its holder, and the draw that follows, each at most twice.
 const drawDeadlineRounds = 6
--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -19,12 +20,11 @@
 	}
 }
 
-// snapshotWait returns the time until this router's next snapshot: on average one interval for each router.
+// snapshotWait returns the time until this router's next snapshot.
 func (c *Client) snapshotWait() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	mean := c.settings.SnapshotInterval * time.Duration(c.routers)
-	return mean/2 + time.Duration(c.random.Int64N(int64(mean)))
+	return decision.SnapshotWait(c.settings.SnapshotInterval, c.routers, c.random.Float64())
 }
 
 // writeSnapshot appends the chunks of a snapshot. A snapshot that stays incomplete does no harm: readers ignore it.
--- a/router/controller/configuration_test.go
+++ b/router/controller/configuration_test.go
@@ -181,14 +181,3 @@
 func counted(board *blackboard.Board, name string) int64 {
 	return metrics.GetOrRegisterCounter(name, board.Metrics).Count()
 }
-
-func TestSnapshotWait(t *testing.T) {
-	for _, routers := range []int{1, 6, 370} {
-		mean := time.Duration(routers) * time.Minute
-		for range 1000 {
-			if wait := snapshotWait(time.Minute, routers); wait < mean/2 || wait >= mean*3/2 {
-				t.Fatalf("%d routers: waits %v, want 0.5 to 1.5 times %v", routers, wait, mean)
-			}
-		}
-	}
-}
--- a/router/controller/snapshot.go
+++ b/router/controller/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
@@ -38,16 +39,15 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(snapshotWait(s.interval, s.client.Status().Routers)):
+		case <-time.After(s.wait()):
 		}
 		s.write(ctx)
 	}
 }
 
-// snapshotWait returns the time until a router's next snapshot: on average one interval for each router.
-func snapshotWait(interval time.Duration, routers int) time.Duration {
-	mean := interval * time.Duration(max(1, routers))
-	return mean/2 + rand.N(mean) //nolint:gosec // jitter needs no secrecy
+func (s *ConfigurationSnapshots) wait() time.Duration {
+	fraction := rand.Float64() //nolint:gosec // jitter needs no secrecy
+	return decision.SnapshotWait(s.interval, s.client.Status().Routers, fraction)
 }
 
 // write appends a snapshot even if nothing has changed: the log may be about to drop the newest one.
