--- a/fleet/ledgerstream/account.go
+++ b/fleet/ledgerstream/account.go
@@ -8,9 +8,6 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
-// reserveDrawInterval is the least time between two draws of one reserve share.
-const reserveDrawInterval = 5 * time.Second
-
 // account is this router's business with one budget.
 type account struct {
 	budget     string
@@ -19,9 +16,8 @@
 	// waiting are the requests without a share, in their order of arrival.
 	waiting []*attempt
 	// drawing says that a draw of a working share has not been read back yet.
-	drawing        bool
-	drawnAt        time.Time
-	reserveDrawnAt time.Time
+	drawing bool
+	drawnAt time.Time
 	// refusedAt is when a draw of this router was refused, recalledUntil the time up to which the
 	// refused draw of another router calls free shares home.
 	refusedAt     time.Time
@@ -38,6 +34,21 @@
 	return b
 }
 
+// holding returns the account of a budget of which this incarnation holds a share; nil if it holds none.
+func (c *Client) holding(budget string) *account {
+	if b := c.accounts[budget]; b != nil {
+		return b
+	}
+	if c.current == nil {
+		return nil
+	}
+	h := c.state.Holder(budget, c.current.incarnation)
+	if h.WorkingFree+h.WorkingReserved+h.ReserveFree+h.ReserveReserved == 0 {
+		return nil
+	}
+	return c.account(budget)
+}
+
 // recalled says that another router's demand was unmet lately.
 func (b *account) recalled(now time.Time) bool { return now.Before(b.recalledUntil) }
 
@@ -94,6 +105,9 @@
 
 // refuseUnpayable refuses the waiting requests that nothing but a top-up can pay for any more.
 func (c *Client) refuseUnpayable(b *account) {
+	if len(b.waiting) == 0 {
+		return
+	}
 	view, known := c.state.Budget(b.budget)
 	if !known {
 		return
@@ -180,7 +194,7 @@
 	if e.Reason != ledger.Insufficient || !c.caughtUp || e.Draw.Kind != ledger.Working {
 		return
 	}
-	b := c.accounts[e.Draw.Budget]
+	b := c.holding(e.Draw.Budget)
 	if b == nil {
 		return
 	}
@@ -231,54 +245,21 @@
 	}
 	c.count(returnSent, 1)
 	c.add(&ledger.Return{Budget: budget, Kind: kind, Amount: amount})
+	if kind == ledger.Reserve {
+		c.lookAtReserve(budget)
+	}
 }
 
-// tickAccounts returns idle and excess shares, serves waiting requests and forgets idle accounts.
+// tickAccounts returns idle and excess shares, serves waiting requests and forgets idle accounts. A reserve share
+// alone needs none.
 func (c *Client) tickAccounts(now time.Time) {
 	for name, b := range c.accounts {
 		c.serve(b)
 		c.sendHome(b, b.recalled(now) && len(b.waiting) == 0)
-		working, reserve := c.free(name)
-		idle := now.After(b.demandedAt.Add(c.settings.IdleTerm))
-		if idle && !b.drawing && len(b.waiting) == 0 && working == 0 && reserve == 0 {
+		working, _ := c.free(name)
+		idle := now.After(b.demandedAt.Add(c.settings.IdleTerm)) && !b.recalled(now)
+		if idle && !b.drawing && len(b.waiting) == 0 && working == 0 {
 			delete(c.accounts, name)
 		}
 	}
 }
-
-// tickReserves draws the reserve shares that the budgets' policies name.
-func (c *Client) tickReserves(now time.Time) {
-	if c.draining {
-		return
-	}
-	left := DefaultReserveDrawsPerTick
-	for name := range c.reserves {
-		view, known := c.state.Budget(name)
-		if !known || view.Frozen || view.Reserve.Share == 0 || left == 0 {
-			continue
-		}
-		b := c.account(name)
-		if now.Before(b.reserveDrawnAt.Add(reserveDrawInterval)) {
-			continue
-		}
-		amount := c.reserveDraw(now, b, view)
-		if amount == 0 {
-			continue
-		}
-		left--
-		b.reserveDrawnAt = now
-		c.add(&ledger.Draw{Budget: name, Kind: ledger.Reserve, Wanted: amount, Minimum: amount})
-	}
-}
-
-// reserveDraw returns what to draw as a reserve share.
-func (c *Client) reserveDraw(now time.Time, b *account, view ledger.BudgetView) ledger.Tokens {
-	holder := c.state.Holder(b.budget, c.current.incarnation)
-	return decision.SizeReserve(decision.ReserveInput{
-		Policy:    view.Reserve.Share,
-		Held:      holder.ReserveFree + holder.ReserveReserved,
-		Available: view.Available(),
-		Routers:   c.routers,
-		Contended: b.recalled(now) || now.Before(b.refusedAt.Add(reserveDrawInterval)),
-	})
-}
--- a/fleet/ledgerstream/client.go
+++ b/fleet/ledgerstream/client.go
@@ -38,9 +38,10 @@
 	prepaid  map[string]prepaidCopy
 	// refusedTickets are the highest tickets whose totals the ledger refused.
 	refusedTickets map[string]uint64
-	// reserves are the budgets whose policy names a reserve share.
-	reserves map[string]struct{}
-	silences map[ledger.Incarnation]*watch
+	// reserves are the budgets whose policy names a reserve share, reserveQueue those of them whose share may not be held.
+	reserves     map[string]*reserveWatch
+	reserveQueue []*reserveWatch
+	silences     map[ledger.Incarnation]*watch
 
 	// couriers hand this router's groups to others; copies are held for others, copyBytes is their size.
 	couriers []*courier
@@ -116,7 +117,7 @@
 		avoidedUntil:   map[string]time.Time{},
 		prepaid:        map[string]prepaidCopy{},
 		refusedTickets: map[string]uint64{},
-		reserves:       map[string]struct{}{},
+		reserves:       map[string]*reserveWatch{},
 		silences:       map[ledger.Incarnation]*watch{},
 		observation:    decision.Observation{GapLimit: s.gapLimit()},
 		reachable:      true,
--- /dev/null
+++ b/fleet/ledgerstream/client_bench_test.go
@@ -0,0 +1,92 @@
+package ledgerstream
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+)
+
+// benchmarkBudgets is the number of budgets of which the client holds a reserve share.
+const benchmarkBudgets = 100_000
+
+// settledClient returns a client whose loops don't run, with budgets whose reserve shares it holds.
+func settledClient(b *testing.B) *Client {
+	b.Helper()
+	log := &memory.Log{}
+	c := NewClient(log, Settings{Instance: "router", Lease: time.Hour}, metrics.NewRegistry())
+	c.apply(nil, time.Now(), 1)
+	flush(b, c, log)
+	for n := range benchmarkBudgets {
+		name := fmt.Sprintf("budget-%d", n)
+		c.add(&ledger.Prepaid{Budget: name, Ticket: uint64(n + 1), Total: 1000, Reserve: ledger.ReservePolicy{Share: 10}})
+		c.add(&ledger.Draw{Budget: name, Kind: ledger.Reserve, Wanted: 10, Minimum: 10})
+	}
+	flush(b, c, log)
+	for range benchmarkBudgets / DefaultReserveLooksPerTick {
+		c.tick(time.Now())
+	}
+	return c
+}
+
+// flush appends what the client has queued and reads it back.
+func flush(b *testing.B, c *Client, log *memory.Log) {
+	b.Helper()
+	for {
+		g := c.cutGroup(time.Now(), c.current)
+		if g == nil {
+			return
+		}
+		g.firstSentAt = time.Now()
+		offset, err := log.Append(context.Background(), c.stream, g.payload)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.apply([]platform.Entry{{Offset: offset, Payload: g.payload}}, time.Now(), 1)
+	}
+}
+
+// BenchmarkTick measures a look at what is due by time.
+func BenchmarkTick(b *testing.B) {
+	c := settledClient(b)
+	for b.Loop() {
+		c.tick(time.Now())
+	}
+}
+
+// lockWatch measures how long others hold a client's lock.
+type lockWatch struct {
+	client  *Client
+	ended   chan struct{}
+	longest time.Duration
+}
+
+func (w *lockWatch) loop() {
+	for !isClosed(w.ended) {
+		begun := time.Now()
+		w.client.Ready()
+		w.longest = max(w.longest, time.Since(begun))
+	}
+}
+
+// BenchmarkSnapshot measures how long requests wait for the client's lock while it writes a snapshot.
+func BenchmarkSnapshot(b *testing.B) {
+	c := settledClient(b)
+	w := &lockWatch{client: c, ended: make(chan struct{})}
+	c.settings.FleetAppendsPerSecond = 1e6
+	watching := sync.WaitGroup{}
+	watching.Go(w.loop)
+	for b.Loop() {
+		c.writeSnapshot(context.Background())
+	}
+	close(w.ended)
+	watching.Wait()
+	b.ReportMetric(float64(w.longest.Microseconds()), "µs-longest-hold")
+}
--- a/fleet/ledgerstream/dispatch.go
+++ b/fleet/ledgerstream/dispatch.go
@@ -69,6 +69,7 @@
 		return
 	}
 	o.joined = true
+	c.lookAtReserves()
 	c.logger().Info("joined the ledger")
 }
 
@@ -196,12 +197,13 @@
 
 // afterFreed gives what became free in a share to waiting requests, or back if it is recalled.
 func (c *Client) afterFreed(budget string) {
-	a := c.accounts[budget]
-	if a == nil {
+	c.lookAtReserve(budget)
+	b := c.holding(budget)
+	if b == nil {
 		return
 	}
-	c.serve(a)
-	if a.recalled(time.Now()) {
-		c.sendHome(a, true)
+	c.serve(b)
+	if b.recalled(time.Now()) {
+		c.sendHome(b, true)
 	}
 }
--- a/fleet/ledgerstream/growth_test.go
+++ b/fleet/ledgerstream/growth_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 )
@@ -27,3 +28,35 @@
 		}
 	})
 }
+
+// idleBudgets starts a client with budgets whose reserve shares it holds and that nobody asks anything of.
+func idleBudgets(tb testing.TB, count int) *cluster {
+	tb.Helper()
+	budgets := []ledger.Prepaid{}
+	for n := range count {
+		budgets = append(budgets, ledger.Prepaid{
+			Budget: fmt.Sprintf("budget-%d", n), Ticket: uint64(n + 1), Total: 1000, Reserve: ledger.ReservePolicy{Share: 10},
+		})
+	}
+	c := newCluster(tb, 1, Settings{}, budgets...)
+	time.Sleep(time.Duration(count/DefaultReserveDrawsPerTick+1)*DefaultTickInterval + DefaultIdleTerm)
+	return c
+}
+
+func TestIdleBudgetsCostNoTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 200
+		c := idleBudgets(t, count)
+		defer c.stop()
+		m := c.members[0]
+		held := 0
+		m.View(func(s *ledger.State) {
+			for _, b := range s.Budgets() {
+				held += countIf(b.Shared == 10)
+			}
+			assertEqual(t, "accounts", 0, len(m.accounts))
+			assertEqual(t, "budgets to look at", 0, len(m.reserveQueue))
+		})
+		assertEqual(t, "reserve shares held", count, held)
+	})
+}
--- a/fleet/ledgerstream/prepaid.go
+++ b/fleet/ledgerstream/prepaid.go
@@ -62,18 +62,12 @@
 	}
 	view, _ := c.state.Budget(e.Budget)
 	c.noteReserve(view)
-	if b := c.accounts[e.Budget]; b != nil && view.Frozen {
-		c.sendHome(b, true)
-	}
-}
-
-// noteReserve notes whether a budget's policy names a reserve share.
-func (c *Client) noteReserve(view ledger.BudgetView) {
-	if view.Reserve.Share > 0 {
-		c.reserves[view.Budget] = struct{}{}
+	if !view.Frozen {
 		return
 	}
-	delete(c.reserves, view.Budget)
+	if b := c.holding(e.Budget); b != nil {
+		c.sendHome(b, true)
+	}
 }
 
 func (c *Client) onPrepaidRefused(e *ledger.PrepaidRefused) {
--- a/fleet/ledgerstream/recall.go
+++ b/fleet/ledgerstream/recall.go
@@ -20,13 +20,17 @@
 // refuseExpired refuses the requests that have waited long enough and that the budget, as of the newest read, can't
 // pay for. The others wait on.
 func (c *Client) refuseExpired() {
+	var seen map[ledger.Incarnation]platform.Offset
 	for _, b := range c.hungry {
 		c.refuseWaitingIf(b, func(a *attempt) *verdict.Refusal {
 			if !a.expired {
 				return nil
 			}
 			a.expired = false
-			o := c.outlook(a)
+			if seen == nil {
+				seen = c.lastSeen()
+			}
+			o := c.outlook(a, seen)
 			fencedInTime := time.Since(a.begunAt)+o.fenceIn+fenceTime <= c.settings.OpenWait
 			if o.reachable >= a.demand.Amount || fencedInTime && o.awaitsFence(a.demand.Amount) {
 				return nil
@@ -50,8 +54,8 @@
 
 // outlook returns what could still pay for an attempt. A live router answers a recall at once: one that shows nothing
 // after it in the time of a recall is cut off or dead, and its share comes back with its fence only. What a router that
-// lost its lease holds in reserve comes back too late.
-func (c *Client) outlook(a *attempt) outlook {
+// lost its lease holds in reserve comes back too late. The last-seen offsets are those of the state.
+func (c *Client) outlook(a *attempt, seen map[ledger.Incarnation]platform.Offset) outlook {
 	if a.drawsRefused == 0 {
 		// No draw has spoken for the request yet.
 		return outlook{reachable: a.demand.Amount}
@@ -62,7 +66,7 @@
 	for _, h := range view.Holders {
 		switch {
 		case !c.state.IsLive(h.Incarnation):
-		case answerDue && c.own(h.Incarnation) == nil && c.lastSeen(h.Incarnation) < a.recalledNext:
+		case answerDue && c.own(h.Incarnation) == nil && seen[h.Incarnation] < a.recalledNext:
 			o.silent += h.WorkingFree
 			o.fenceIn = max(o.fenceIn, c.fenceIn(h.Incarnation))
 		default:
@@ -72,14 +76,13 @@
 	return o
 }
 
-// lastSeen returns the offset of an incarnation's newest group.
-func (c *Client) lastSeen(incarnation ledger.Incarnation) platform.Offset {
+// lastSeen returns the offsets of all incarnations' newest groups.
+func (c *Client) lastSeen() map[ledger.Incarnation]platform.Offset {
+	seen := map[ledger.Incarnation]platform.Offset{}
 	for _, v := range c.state.Incarnations() {
-		if v.Incarnation == incarnation {
-			return v.LastSeen
-		}
+		seen[v.Incarnation] = v.LastSeen
 	}
-	return 0
+	return seen
 }
 
 // fenceIn returns the time until this router may fence an incarnation, if that stays silent.
@@ -115,7 +118,7 @@
 	if a.drawsRefused == 0 {
 		return unreachable()
 	}
-	return c.outlook(a).refusal(a.demand.Amount)
+	return c.outlook(a, c.lastSeen()).refusal(a.demand.Amount)
 }
 
 // refuseWaitingIf refuses the waiting requests of an account for which refusal returns one.
--- /dev/null
+++ b/fleet/ledgerstream/reserve_draw.go
@@ -0,0 +1,104 @@
+package ledgerstream
+
+import (
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream/decision"
+)
+
+// reserveDrawInterval is the least time between two draws of one reserve share.
+const reserveDrawInterval = 5 * time.Second
+
+// reserveWatch is a budget whose policy names a reserve share.
+type reserveWatch struct {
+	budget string
+	// queued says that the budget is in the client's queue for a look at its share.
+	queued bool
+	// drawnAt is when its reserve share was last drawn.
+	drawnAt time.Time
+}
+
+// noteReserve notes whether a budget's policy names a reserve share.
+func (c *Client) noteReserve(view ledger.BudgetView) {
+	if view.Reserve.Share <= 0 {
+		delete(c.reserves, view.Budget)
+		return
+	}
+	if c.reserves[view.Budget] == nil {
+		c.reserves[view.Budget] = &reserveWatch{budget: view.Budget}
+	}
+	c.lookAtReserve(view.Budget)
+}
+
+// lookAtReserve queues a budget whose reserve share may have to be drawn.
+func (c *Client) lookAtReserve(budget string) {
+	w := c.reserves[budget]
+	if w == nil || w.queued {
+		return
+	}
+	w.queued = true
+	c.reserveQueue = append(c.reserveQueue, w)
+}
+
+// lookAtReserves queues all budgets whose policies name a reserve share: a new incarnation holds none.
+func (c *Client) lookAtReserves() {
+	for budget := range c.reserves {
+		c.lookAtReserve(budget)
+	}
+}
+
+// tickReserves draws the reserve shares that the budgets' policies name. It looks only at budgets in the queue, which
+// a budget leaves once its share is held.
+func (c *Client) tickReserves(now time.Time) {
+	if c.draining {
+		return
+	}
+	draws := DefaultReserveDrawsPerTick
+	for range min(len(c.reserveQueue), DefaultReserveLooksPerTick) {
+		if draws == 0 {
+			return
+		}
+		w := c.reserveQueue[0]
+		c.reserveQueue[0] = nil
+		c.reserveQueue = c.reserveQueue[1:]
+		w.queued = false
+		drawn, missing := c.drawReserve(now, w)
+		if drawn {
+			draws--
+		}
+		if missing {
+			c.lookAtReserve(w.budget)
+		}
+	}
+}
+
+// drawReserve draws what is missing of a budget's reserve share, if the budget can spare it.
+func (c *Client) drawReserve(now time.Time, w *reserveWatch) (drawn, missing bool) {
+	view, known := c.state.Budget(w.budget)
+	if !known || view.Frozen || c.reserves[w.budget] != w {
+		return false, false
+	}
+	holder := c.state.Holder(w.budget, c.current.incarnation)
+	held := holder.ReserveFree + holder.ReserveReserved
+	if held >= view.Reserve.Share {
+		return false, false
+	}
+	if now.Before(w.drawnAt.Add(reserveDrawInterval)) {
+		return false, true
+	}
+	b := c.accounts[w.budget]
+	amount := decision.SizeReserve(decision.ReserveInput{
+		Policy:    view.Reserve.Share,
+		Held:      held,
+		Available: view.Available(),
+		Routers:   c.routers,
+		Contended: b != nil && (b.recalled(now) || now.Before(b.refusedAt.Add(reserveDrawInterval))),
+	})
+	if amount == 0 {
+		return false, true
+	}
+	w.drawnAt = now
+	c.add(&ledger.Draw{Budget: w.budget, Kind: ledger.Reserve, Wanted: amount, Minimum: amount})
+	return true, true
+}
--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -29,10 +31,10 @@
 
 // writeSnapshot appends the chunks of a snapshot. A snapshot that stays incomplete does no harm: readers ignore it.
 func (c *Client) writeSnapshot(ctx context.Context) {
-	chunks, err := c.encodeSnapshot()
+	chunks, err := c.encodeSnapshot(ctx)
 	if err != nil {
 		c.count(snapshotFailed, 1)
-		c.logger().WithError(err).Error("can't encode a snapshot")
+		c.logger().WithError(err).Error("can't make a snapshot")
 		return
 	}
 	for _, chunk := range chunks {
@@ -50,14 +52,58 @@
 	}
 }
 
-// encodeSnapshot returns the chunks of a snapshot; none while the state is not up to date.
-func (c *Client) encodeSnapshot() ([][]byte, error) {
+// encodeSnapshot returns the chunks of a snapshot; none while the state is not up to date. Requests would have to wait
+// for the encoding of the client's own state, so that a second one is folded for it, as a new router does.
+func (c *Client) encodeSnapshot(ctx context.Context) ([][]byte, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.ready() {
+	ready := c.ready()
+	writer := ledger.Incarnation{}
+	if ready {
+		writer = c.current.incarnation
+	}
+	c.mu.Unlock()
+	if !ready {
 		return nil, nil
 	}
-	return c.state.EncodeSnapshot(c.current.incarnation, ledger.DefaultChunkBytes)
+	state, err := c.foldAgain(ctx)
+	var truncated *platform.TruncatedError
+	if errors.As(err, &truncated) {
+		// The log keeps no snapshot and no longer the beginning: only this router's state is left.
+		return c.encodeOwnState(writer)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return state.EncodeSnapshot(writer, ledger.DefaultChunkBytes)
+}
+
+// encodeOwnState encodes the client's state while requests wait.
+func (c *Client) encodeOwnState(writer ledger.Incarnation) ([][]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.EncodeSnapshot(writer, ledger.DefaultChunkBytes)
+}
+
+// foldAgain folds the newest snapshot of the log and the tail behind it into a state of its own.
+func (c *Client) foldAgain(ctx context.Context) (*ledger.State, error) {
+	state := c.newestSnapshot(ctx)
+	if state == nil {
+		state = &ledger.State{}
+	}
+	for {
+		call, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+		entries, err := c.log.Read(call, c.stream, state.Next(), c.settings.ReadLimit)
+		cancel()
+		if err != nil {
+			return nil, fmt.Errorf("folding the tail behind a snapshot: %w", err)
+		}
+		for _, entry := range entries {
+			state.Apply(entry)
+		}
+		if len(entries) < c.settings.ReadLimit {
+			return state, nil
+		}
+	}
 }
 
 // loadSnapshot continues from the newest complete snapshot that covers more than the state. It reports
--- a/router/capacity/sums.go
+++ b/router/capacity/sums.go
@@ -176,9 +176,6 @@
 		{"Processor: own requests and appends of a node", partOfCore, processorLimit, coreLimit, func(s site) float64 {
 			return (perNode(s)*m.slope("client: Reserve and Bill, 64 callers") + allowance/float64(s.Nodes)*m.slope("client: one append more for 3,072 requests")) / 1e4
 		}},
-		{"Processor: ticks, if every budget has a reserve share", partOfCore, processorLimit, coreLimit, func(s site) float64 {
-			return float64(s.Budgets) * m.slope("idle client, by budgets with a reserve share") / 1e4
-		}},
 	}
 }
 
@@ -230,7 +227,7 @@
 		{"Snapshot of the ledger: time to append it, an entry a turn", "s", "600 s between two", interval(), func(s site) float64 {
 			return m.snapshot(s) / ledger.DefaultChunkBytes * groupWait(s.Nodes)
 		}},
-		{"Snapshot of the ledger: requests wait for the encoding of the budgets", "s", answerLimit, firstToken, func(s site) float64 {
+		{"Snapshot of the ledger: encoding of the budgets, beside the requests", "s", "", 0, func(s site) float64 {
 			return float64(s.Budgets) * m.slope("ledger snapshot: encode") / 1e6
 		}},
 	}
