--- a/router/order/act.go
+++ b/router/order/act.go
@@ -45,10 +45,12 @@
 
 // input gathers what the decision for an endpoint depends on.
 func (o *Orderer) input(name string, p *endpoint, now time.Time) *order.Input {
-	t := o.targets[name]
+	t, leaving := o.targets[name], o.board.Leaving.Load()
 	t.Endpoint = name
+	// A router that is leaving wants nothing any more: it closes its open orders and yields its claims.
+	t.Declared = t.Declared && !leaving
 	in := &order.Input{
-		Self: o.journal.self, State: &o.journal.state, Target: t.Target, Preferred: o.isPreferred(name),
+		Self: o.journal.self, State: &o.journal.state, Target: t.Target, Preferred: !leaving && o.isPreferred(name),
 		LeaseLeft:  o.journal.lease.Left(now),
 		EndSeenFor: p.ends.SeenFor(now, o.journal.state.Endpoint(name).FormerEnd),
 		Alive:      o.healthy,
--- a/router/order/orderer_test.go
+++ b/router/order/orderer_test.go
@@ -220,6 +220,21 @@
 	})
 }
 
+// TestLeaving lets a router leave while its engine loads.
+func TestLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(1, true)
+		s.want(operator.InstanceSet{}, models("brush")...)
+		first := s.start(t, "a")
+		s.watch(time.Minute, func() bool { return len(s.engines["e1"].sentAt) == 0 })
+		first.board.Leaving.Store(true)
+		time.Sleep(loadTime + 3*time.Second)
+		state, _ := s.fold(t)
+		assert.Equal(t, false, state.Endpoint("e1").Held)
+		assert.Equal(t, models("brush"), state.Endpoint("e1").Loaded)
+	})
+}
+
 // TestSnapshots lets the log drop the beginning of the stream before a new router starts.
 func TestSnapshots(t *testing.T) {
 	for name, written := range map[string]bool{"with a snapshot": true, "without one": false} {
