--- a/router/endpoint/dispatcher_bench_test.go
+++ b/router/endpoint/dispatcher_bench_test.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,9 +14,6 @@
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 )
 
-// benchPace is the time between tokens in the comparison of latencies.
-const benchPace = 50 * time.Millisecond
-
 // discard is a caller that takes everything.
 type discard struct{ header http.Header }
 
@@ -29,8 +24,8 @@
 
 func (w *discard) SetWriteDeadline(time.Time) error { return nil }
 
-// engines starts endpoints that answer with a stream of ten tokens at a pace.
-func engines(b *testing.B, count int, pace time.Duration) *blackboard.Board {
+// engines starts endpoints that answer with a stream of ten tokens.
+func engines(b *testing.B, count int) *blackboard.Board {
 	b.Helper()
 	set := operator.InstanceSet{}
 	for i := range count {
@@ -38,10 +33,6 @@
 			w.Header().Set("Content-Type", eventStreamType)
 			for range 10 {
 				_, _ = io.WriteString(w, delta("token"))
-				if pace > 0 {
-					_ = http.NewResponseController(w).Flush()
-					time.Sleep(pace)
-				}
 			}
 			_, _ = io.WriteString(w, doneEvent)
 		}))
@@ -64,7 +55,7 @@
 // BenchmarkDo measures the allocations of a request of eleven events; those of the endpoint, which
 // runs in the same process, count too.
 func BenchmarkDo(b *testing.B) {
-	d := NewDispatcher(engines(b, 9, 0), Settings{})
+	d := NewDispatcher(engines(b, 9), Settings{})
 	call := benchCall()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -78,7 +69,7 @@
 func BenchmarkPlace(b *testing.B) {
 	for _, count := range []int{9, 18, 100} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			d := NewDispatcher(engines(b, count, 0), Settings{})
+			d := NewDispatcher(engines(b, count), Settings{})
 			j := &job{dispatcher: d, call: benchCall(), route: operator.Route{Service: testService}}
 			b.ReportAllocs()
 			for b.Loop() {
@@ -88,51 +79,3 @@
 		})
 	}
 }
-
-// BenchmarkAddedLatency compares calls through a router with calls of the endpoint itself.
-func BenchmarkAddedLatency(b *testing.B) {
-	board := engines(b, 9, benchPace)
-	d := NewDispatcher(board, Settings{})
-	call := benchCall()
-	router := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = d.Do(r.Context(), call, w)
-	}))
-	b.Cleanup(router.Close)
-	direct := "http://" + board.Configuration.Load().InstanceSets["engines"].Endpoints[0].Address
-	for _, streams := range []int{1, 64, 512} {
-		b.Run(fmt.Sprint(streams), func(b *testing.B) {
-			mean := func(address string) time.Duration { return meanLatency(b, address, streams, b.N) }
-			near := mean(direct)
-			far := mean(router.URL)
-			b.ReportMetric(float64(near.Microseconds()), "direct-µs")
-			b.ReportMetric(float64((far - near).Microseconds()), "added-µs")
-		})
-	}
-}
-
-// meanLatency performs calls from so many callers at once.
-func meanLatency(b *testing.B, address string, streams, calls int) time.Duration {
-	b.Helper()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
-	defer client.CloseIdleConnections()
-	var total, left atomic.Int64
-	left.Store(int64(max(calls, streams)))
-	var group sync.WaitGroup
-	for range streams {
-		group.Go(func() {
-			for left.Add(-1) >= 0 {
-				begun := time.Now()
-				response, err := client.Post(address+"/v1/chat/completions", "application/json", nil)
-				if err != nil {
-					b.Error(err)
-					return
-				}
-				_, _ = io.Copy(io.Discard, response.Body)
-				_ = response.Body.Close()
-				total.Add(int64(time.Since(begun)))
-			}
-		})
-	}
-	group.Wait()
-	return time.Duration(total.Load() / int64(max(calls, streams)))
-}
--- a/router/endpoint/faults_test.go
+++ b/router/endpoint/faults_test.go
@@ -99,28 +99,3 @@
 		assert.Equal(t, "", body)
 	}
 }
-
-func TestOwnAnswers(t *testing.T) {
-	const streams = 200
-	echo := func(w http.ResponseWriter, r *http.Request) {
-		nonce, _ := io.ReadAll(r.Body)
-		sends(delta(string(nonce)), delta(string(nonce)), doneEvent)(w, r)
-	}
-	f := newFixture(t, echo, echo, echo)
-	bodies := make([]string, streams)
-	var group sync.WaitGroup
-	for i := range streams {
-		group.Go(func() {
-			call := streamCall()
-			call.Body = fmt.Appendf(nil, "nonce-%d", i)
-			w := httptest.NewRecorder()
-			_, _ = f.Do(t.Context(), call, w)
-			bodies[i] = w.Body.String()
-		})
-	}
-	group.Wait()
-	for i, body := range bodies {
-		nonce := delta(fmt.Sprintf("nonce-%d", i))
-		assert.Equal(t, nonce+nonce+doneEvent, body)
-	}
-}
--- a/router/latency_test.go
+++ b/router/latency_test.go
@@ -28,7 +28,7 @@
 func BenchmarkAddedByRouter(b *testing.B) {
 	engine := httptest.NewServer(http.HandlerFunc(serveTokens))
 	b.Cleanup(engine.Close)
-	router := startBenchmarkRouter(b, engine.Listener.Addr().String())
+	router := startRouterOfEngines(b, 2000, engine.Listener.Addr().String())
 	for _, streams := range []int{1, 64, 512} {
 		b.Run(fmt.Sprint(streams), func(b *testing.B) {
 			direct := &callerCrowd{address: engine.URL, streams: streams, calls: max(b.N, streams)}
@@ -59,33 +59,37 @@
 	_, _ = io.WriteString(w, `data: {"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":16}}`+"\n\ndata: [DONE]\n\n")
 }
 
-// startBenchmarkRouter returns the callers' address of a router over a log in memory.
-func startBenchmarkRouter(b *testing.B, engine string) string {
-	b.Helper()
+// startRouterOfEngines returns the callers' address of a router over a log in memory.
+func startRouterOfEngines(tb testing.TB, concurrency int, engines ...string) string {
+	tb.Helper()
+	endpoints := ""
+	for i, address := range engines {
+		endpoints += fmt.Sprintf("{Name: e-%d, Service: llm, Kind: Engine, Address: \"%s\", AvailabilityZone: a-1, Region: a, Concurrency: %d}, ", i, address, concurrency)
+	}
 	stream := &memory.Log{}
 	ticket := fmt.Sprintf(`
 Number: 1
 Teams: [{Name: studio, KeyDigests: [%s]}]
 Budgets: [{Name: main, Team: studio, Prepaid: 1000000000000}]
-Routes: [{Name: brush, Service: llm, Model: brush}]
-InstanceSets: [{Name: all, Endpoints: [{Name: e, Service: llm, Kind: Engine, Address: "%s", AvailabilityZone: a-1, Region: a, Concurrency: 2000}]}]
-`, operator.KeyDigest(testKey), engine)
+Routes: [{Name: brush, Service: llm, Model: brush, Limits: {HeaderTimeout: 1m}}]
+InstanceSets: [{Name: all, Endpoints: [%s]}]
+`, operator.KeyDigest(testKey), endpoints)
 	if _, err := stream.Append(context.Background(), platform.ConfigurationStream, []byte(ticket)); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	stream.SetDelay(benchmarkLogDelay)
 	s := &site{stream: stream, signals: make(chan os.Signal, signalBacklog), ended: make(chan error, 1)}
-	settings := siteSettings(b)
-	s.start(b, settings)
-	b.Cleanup(func() {
+	settings := siteSettings(tb)
+	s.start(tb, settings)
+	tb.Cleanup(func() {
 		if err := s.stop(); err != nil {
-			b.Error(err)
+			tb.Error(err)
 		}
 	})
 	address := "http://" + settings.Listen
 	// The budget's total has to be in the ledger before the first request is paid for.
 	first := &callerCrowd{address: address}
-	eventually(b, func() bool { return first.complete(http.DefaultClient) })
+	eventually(tb, func() bool { return first.complete(http.DefaultClient) })
 	return address
 }
 
--- /dev/null
+++ b/router/streams_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+)
+
+// Sizes of the streams at once. The race detector ends a process with more than 8,128 goroutines, of which each
+// stream needs about nine in callers, router and engines together.
+const (
+	testedStreams    = 600
+	measuredStreams  = 2000
+	streamTokens     = 20
+	streamHeapBytes  = 96 << 10
+	streamsOfEngines = 3
+)
+
+var nonceOfBody = regexp.MustCompile(`nonce-\d+`)
+
+// echoCrowd is a number of callers, each with a request of its own, and of engines that answer with the request's
+// nonce, but not before all requests have arrived.
+type echoCrowd struct {
+	// arrived gets a message for each request, also for one that failed on its way.
+	arrived chan struct{}
+	all     chan struct{}
+	address string
+	client  *http.Client
+}
+
+func (c *echoCrowd) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if r.Method == http.MethodGet {
+		return
+	}
+	nonce := nonceOfBody.FindString(string(body))
+	if nonce != "" {
+		c.arrived <- struct{}{}
+		<-c.all
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for range streamTokens {
+		_, _ = io.WriteString(w, nonceEvent(nonce))
+		_ = http.NewResponseController(w).Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func nonceEvent(nonce string) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", nonce)
+}
+
+// assertOwnAnswer sends a request and checks that the answer is its own and whole.
+func (c *echoCrowd) assertOwnAnswer(tb testing.TB, i int) {
+	tb.Helper()
+	nonce := fmt.Sprint("nonce-", i)
+	body := fmt.Sprintf(`{"model":"brush","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, streamTokens, nonce)
+	r, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, c.address+"/v1/chat/completions", strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := c.client.Do(r)
+	if err != nil {
+		c.arrived <- struct{}{}
+		tb.Error(err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	assert.NoError(tb, err)
+	if response.StatusCode != http.StatusOK {
+		c.arrived <- struct{}{}
+	}
+	assert.Equal(tb, strings.Repeat(nonceEvent(nonce), streamTokens)+"data: [DONE]\n\n", string(answer))
+}
+
+// assertOwnAnswers holds so many streams open at once through one router, and returns the heap that each takes in
+// callers, router and engines together.
+func assertOwnAnswers(tb testing.TB, streams int) uint64 {
+	tb.Helper()
+	c := &echoCrowd{arrived: make(chan struct{}, 2*streams), all: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
+	defer c.client.CloseIdleConnections()
+	var engines []string
+	for range streamsOfEngines {
+		engine := httptest.NewServer(c)
+		tb.Cleanup(engine.Close)
+		engines = append(engines, engine.Listener.Addr().String())
+	}
+	// A router's limit of an engine begins at an eighth.
+	c.address = startRouterOfEngines(tb, 8*streams, engines...)
+	before := heapInUse()
+	var callers sync.WaitGroup
+	for i := range streams {
+		callers.Go(func() { c.assertOwnAnswer(tb, i) })
+	}
+	for range streams {
+		<-c.arrived
+	}
+	held := heapInUse() - before
+	close(c.all)
+	callers.Wait()
+	return held / uint64(streams)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func TestOwnAnswersOfStreamsAtOnce(t *testing.T) {
+	if held := assertOwnAnswers(t, testedStreams); held > streamHeapBytes {
+		t.Errorf("a stream holds %d bytes", held)
+	}
+}
+
+// BenchmarkStreamsAtOnce does the same for the streams of a busy router.
+func BenchmarkStreamsAtOnce(b *testing.B) {
+	for b.Loop() {
+		b.ReportMetric(float64(assertOwnAnswers(b, measuredStreams)), "heap-B/stream")
+	}
+}
