--- a/router/endpoint/dispatcher_bench_test.go
+++ b/router/endpoint/dispatcher_bench_test.go
@@ -2,16 +2,13 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
-	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 )
 
 // discard is a caller that takes everything.
@@ -24,26 +21,10 @@
 
 func (w *discard) SetWriteDeadline(time.Time) error { return nil }
 
-// engines starts endpoints that answer with a stream of ten tokens.
-func engines(b *testing.B, count int) *blackboard.Board {
+// engines returns a router before so many endpoints that answer with a stream of ten tokens.
+func engines(b *testing.B, count int) *fixture {
 	b.Helper()
-	set := operator.InstanceSet{}
-	for i := range count {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Content-Type", eventStreamType)
-			for range 10 {
-				_, _ = io.WriteString(w, delta("token"))
-			}
-			_, _ = io.WriteString(w, doneEvent)
-		}))
-		b.Cleanup(server.Close)
-		set.Endpoints = append(set.Endpoints, operator.Endpoint{
-			Name: fmt.Sprint(i), Service: testService, Address: server.Listener.Addr().String(), Concurrency: 1000,
-		})
-	}
-	board := &blackboard.Board{Metrics: metrics.NewRegistry()}
-	board.Configuration.Store(&operator.Configuration{InstanceSets: map[string]operator.InstanceSet{"engines": set}})
-	return board
+	return newFixture(b, slices.Repeat([]http.HandlerFunc{sends(strings.Repeat(delta("token"), 10) + doneEvent)}, count)...)
 }
 
 func benchCall() *Call {
@@ -55,7 +36,7 @@
 // BenchmarkDo measures the allocations of a request of eleven events; those of the endpoint, which
 // runs in the same process, count too.
 func BenchmarkDo(b *testing.B) {
-	d := NewDispatcher(engines(b, 9), Settings{})
+	d := engines(b, 9)
 	call := benchCall()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -69,8 +50,8 @@
 func BenchmarkPlace(b *testing.B) {
 	for _, count := range []int{9, 18, 100} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			d := NewDispatcher(engines(b, count), Settings{})
-			j := &job{dispatcher: d, call: benchCall(), route: operator.Route{Service: testService}}
+			d := engines(b, count)
+			j := &job{dispatcher: d.Dispatcher, call: benchCall(), route: operator.Route{Service: testService}}
 			b.ReportAllocs()
 			for b.Loop() {
 				p, _ := d.acquire(b.Context(), j)
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -37,32 +37,32 @@
 	set   operator.InstanceSet
 }
 
-func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
-	t.Helper()
+func newFixture(tb testing.TB, handlers ...http.HandlerFunc) *fixture {
+	tb.Helper()
 	f := &fixture{board: &blackboard.Board{Metrics: metrics.NewRegistry()}}
 	for _, handler := range handlers {
 		server := httptest.NewServer(alive(handler))
-		t.Cleanup(server.Close)
+		tb.Cleanup(server.Close)
 		f.add(server.Listener.Addr().String())
 	}
 	f.Dispatcher = NewDispatcher(f.board, Settings{Region: testZone, AvailabilityZone: testZone})
-	t.Cleanup(func() { assertSettled(t, f) })
+	tb.Cleanup(func() { assertSettled(tb, f) })
 	return f
 }
 
 // assertSettled checks that every place was given back and every counter is described.
-func assertSettled(t *testing.T, f *fixture) {
-	t.Helper()
+func assertSettled(tb testing.TB, f *fixture) {
+	tb.Helper()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.peers {
-		assert.Equal(t, 0, p.inFlight)
-		assert.Equal(t, 0, p.suspects)
+		assert.Equal(tb, 0, p.inFlight)
+		assert.Equal(tb, 0, p.suspects)
 	}
 	f.board.Metrics.Each(func(name string, _ any) {
 		described := slices.ContainsFunc(Counters(), func(d Description) bool { return d.Name == name })
 		if !described {
-			t.Errorf("counter %s is not described", name)
+			tb.Errorf("counter %s is not described", name)
 		}
 	})
 }
