--- a/router/latency_test.go
+++ b/router/latency_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -137,15 +137,24 @@
 
 // complete sends one request and reports whether its answer was whole.
 func (c *callerCrowd) complete(client *http.Client) bool {
-	r, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, c.address+"/v1/chat/completions", bytes.NewBufferString(benchmarkBody))
+	answer, err := post(client, c.address, benchmarkBody)
+	return err == nil && strings.HasSuffix(answer, "data: [DONE]\n\n")
+}
+
+// post sends a request and returns its answer.
+func post(client *http.Client, address, body string) (string, error) {
+	r, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, address+"/v1/chat/completions", strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer "+testKey)
 	response, err := client.Do(r)
 	if err != nil {
-		return false
+		return "", err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return err == nil && bytes.HasSuffix(body, []byte("data: [DONE]\n\n"))
+	answer, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", response.StatusCode, answer)
+	}
+	return string(answer), err
 }
 
 func (c *callerCrowd) percentile(percent int) time.Duration {
--- a/router/streams_test.go
+++ b/router/streams_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -64,21 +63,13 @@
 	tb.Helper()
 	nonce := fmt.Sprint("nonce-", i)
 	body := fmt.Sprintf(`{"model":"brush","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, streamTokens, nonce)
-	r, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, c.address+"/v1/chat/completions", strings.NewReader(body))
-	r.Header.Set("Authorization", "Bearer "+testKey)
-	response, err := c.client.Do(r)
+	answer, err := post(c.client, c.address, body)
 	if err != nil {
 		c.arrived <- struct{}{}
 		tb.Error(err)
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	assert.NoError(tb, err)
-	if response.StatusCode != http.StatusOK {
-		c.arrived <- struct{}{}
-	}
-	assert.Equal(tb, strings.Repeat(nonceEvent(nonce), streamTokens)+"data: [DONE]\n\n", string(answer))
+	assert.Equal(tb, strings.Repeat(nonceEvent(nonce), streamTokens)+"data: [DONE]\n\n", answer)
 }
 
 // assertOwnAnswers holds so many streams open at once through one router, and returns the heap that each takes in
