--- a/fleet/ledger/assembler_test.go
+++ b/fleet/ledger/assembler_test.go
@@ -107,3 +107,13 @@
 	_, err = Encode(Group{Writer: router(1), First: 1, Records: []Record{&Draw{Kind: 2}}})
 	assert.ErrorIs(t, err, ErrShareKind)
 }
+
+func TestOverspentSnapshotIsRefused(t *testing.T) {
+	s := newPartition(1, 1)
+	s.budgets.at(0).prepaid--
+	s.budgets.at(0).shares[0].free[Working] = 1 << 40
+	data, err := s.encode()
+	assert.ErrorIs(t, err, nil)
+	_, err = loadState(data)
+	assert.ErrorIs(t, err, ErrInconsistent)
+}
--- a/fleet/ledger/window_test.go
+++ b/fleet/ledger/attempt_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"pgregory.net/rapid"
 )
 
@@ -26,13 +24,3 @@
 		}
 	})
 }
-
-func TestOverspentSnapshotIsRefused(t *testing.T) {
-	s := newPartition(1, 1)
-	s.budgets.at(0).prepaid--
-	s.budgets.at(0).shares[0].free[Working] = 1 << 40
-	data, err := s.encode()
-	assert.ErrorIs(t, err, nil)
-	_, err = loadState(data)
-	assert.ErrorIs(t, err, ErrInconsistent)
-}
--- a/fleet/ledger/bench_test.go
+++ b/fleet/ledger/bench_test.go
@@ -13,6 +13,7 @@
 const (
 	benchmarkRouters      = 6
 	benchmarkBudgets      = 530_000
+	benchmarkEnded        = 160 * 365 * 2
 	benchmarkGroups       = 2000
 	benchmarkGroupRecords = 64
 )
@@ -134,6 +135,10 @@
 	}{
 		{name: "budget", count: benchmarkBudgets},
 		{name: "budget+holders", count: benchmarkBudgets, holders: benchmarkRouters},
+		{name: "ended", count: benchmarkEnded, apply: func(s *State, n int) {
+			writer := Incarnation{Instance: fmt.Sprintf("router-luzon-a-%06d", n), Number: uint64(1_796_300_000_000_000_000 + n)}
+			s.ApplyGroup(s.Next(), Group{Writer: writer, First: 1, Records: []Record{&Join{}, &Leave{}}})
+		}},
 		{name: "open", count: requests, apply: open},
 		{name: "remembered", count: requests, apply: func(s *State, n int) {
 			open(s, n)
--- a/fleet/ledger/identifier.go
+++ b/fleet/ledger/identifier.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 
@@ -39,18 +40,5 @@
 
 // compare orders incarnations by instance and number.
 func (i Incarnation) compare(other Incarnation) int {
-	if i.Instance != other.Instance {
-		if i.Instance < other.Instance {
-			return -1
-		}
-		return 1
-	}
-	switch {
-	case i.Number < other.Number:
-		return -1
-	case i.Number > other.Number:
-		return 1
-	default:
-		return 0
-	}
+	return cmp.Or(cmp.Compare(i.Instance, other.Instance), cmp.Compare(i.Number, other.Number))
 }
--- a/fleet/ledger/member.go
+++ b/fleet/ledger/member.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -144,14 +145,7 @@
 // buffer keeps a group until the groups before it were applied.
 func (s *State) buffer(m *member, g *Group) {
 	position, found := slices.BinarySearchFunc(m.buffered, g.First, func(b Group, first uint64) int {
-		switch {
-		case b.First < first:
-			return -1
-		case b.First > first:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(b.First, first)
 	})
 	if found {
 		s.counters.Copies++
--- a/fleet/ledger/snapshot.go
+++ b/fleet/ledger/snapshot.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"maps"
@@ -18,7 +17,8 @@
 const DefaultChunkBytes = 256 << 10
 
 // EncodeSnapshot returns the payloads of the entries that carry the state, each with up to chunkBytes of
-// data; DefaultChunkBytes if that is not positive. Like Apply, it needs the state for itself. States that have read the same entries have the same data.
+// data; DefaultChunkBytes if that is not positive. Like Apply, it needs the state for itself. States that have
+// read the same entries have the same data.
 func (s *State) EncodeSnapshot(writer Incarnation, chunkBytes int) ([][]byte, error) {
 	if chunkBytes <= 0 {
 		chunkBytes = DefaultChunkBytes
@@ -214,7 +214,7 @@
 // appendEnded appends the section of the incarnations that ended.
 func (s *State) appendEnded(b []byte) ([]byte, error) {
 	b = msgp.AppendArrayHeader(b, uint32(len(s.ended)))
-	instances := slices.SortedFunc(maps.Keys(s.ended), cmp.Compare[string])
+	instances := slices.Sorted(maps.Keys(s.ended))
 	var err error
 	for _, instance := range instances {
 		row := endedRow{Instance: instance, Number: s.ended[instance]}
