--- a/fleet/ledgerstream/snapshot_test.go
+++ b/fleet/ledgerstream/snapshot_test.go
@@ -17,8 +17,9 @@
 // retainedEntries is how many entries of each stream the log of these tests keeps.
 const retainedEntries = 40
 
-// startOn starts a client on a log and returns it with the function that ends it.
-func startOn(log platform.Log, instance string, s Settings) (*Client, func()) {
+// startOn starts a client on a log; it ends with the test.
+func startOn(t *testing.T, log platform.Log, instance string, s Settings) *Client {
+	t.Helper()
 	s.Instance = instance
 	c := NewClient(log, s, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -27,10 +28,18 @@
 		_ = c.Run(ctx)
 		close(ended)
 	}()
-	return c, func() {
+	t.Cleanup(func() {
 		cancel()
 		<-ended
-	}
+	})
+	return c
+}
+
+// retainedLog returns a log that keeps the newest entries of each stream.
+func retainedLog() *memory.Log {
+	log := &memory.Log{}
+	log.Retain(memory.Retention{Entries: retainedEntries})
+	return log
 }
 
 // spend reserves and bills an amount.
@@ -54,10 +63,8 @@
 func TestSnapshots(t *testing.T) {
 	t.Run("a new router continues after the log dropped the beginning", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			log := &memory.Log{}
-			log.Retain(memory.Retention{Entries: retainedEntries})
-			first, stop := startOn(log, "first", Settings{SnapshotInterval: 20 * time.Second})
-			defer stop()
+			log := retainedLog()
+			first := startOn(t, log, "first", Settings{SnapshotInterval: 20 * time.Second})
 			time.Sleep(time.Second)
 			first.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: 1, Total: 1000}})
 			time.Sleep(time.Second)
@@ -66,8 +73,7 @@
 			_, err := log.Read(context.Background(), platform.LedgerStream(0), 0, 1)
 			assertEqual(t, "the log dropped the beginning", true, err != nil)
 
-			second, stopSecond := startOn(log, "second", Settings{})
-			defer stopSecond()
+			second := startOn(t, log, "second", Settings{})
 			time.Sleep(time.Second)
 			assertEqual(t, "second is ready", true, second.Ready())
 			assertEqual(t, "spent as second sees it", ledger.Tokens(300), spent(second))
@@ -78,15 +84,12 @@
 	})
 	t.Run("a router that starts from a snapshot draws its reserve shares", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			log := &memory.Log{}
-			log.Retain(memory.Retention{Entries: retainedEntries})
-			first, stop := startOn(log, "first", Settings{SnapshotInterval: 20 * time.Second})
-			defer stop()
+			log := retainedLog()
+			first := startOn(t, log, "first", Settings{SnapshotInterval: 20 * time.Second})
 			reserve := ledger.ReservePolicy{Share: 10}
 			first.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: 1, Total: 1000, Reserve: reserve}})
 			time.Sleep(10 * time.Minute)
-			second, stopSecond := startOn(log, "second", Settings{})
-			defer stopSecond()
+			second := startOn(t, log, "second", Settings{})
 			time.Sleep(10 * time.Second)
 			second.View(func(s *ledger.State) {
 				assertEqual(t, "reserve share", 10, s.Holder(testBudget, second.current.incarnation).ReserveFree)
@@ -95,13 +98,10 @@
 	})
 	t.Run("without a snapshot a new router refuses to start", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			log := &memory.Log{}
-			log.Retain(memory.Retention{Entries: retainedEntries})
-			_, stop := startOn(log, "first", Settings{SnapshotInterval: 24 * time.Hour})
-			defer stop()
+			log := retainedLog()
+			startOn(t, log, "first", Settings{SnapshotInterval: 24 * time.Hour})
 			time.Sleep(10 * time.Minute)
-			second, stopSecond := startOn(log, "second", Settings{})
-			defer stopSecond()
+			second := startOn(t, log, "second", Settings{})
 			time.Sleep(time.Minute)
 			assertEqual(t, "second is ready", false, second.Ready())
 			assertEqual(t, "second is truncated", true, second.Status().Truncated)
@@ -110,13 +110,10 @@
 	t.Run("a reader that fell behind the retention jumps and rejoins", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			log := newFakeLog(testSeed)
-			shared := &memory.Log{}
-			shared.Retain(memory.Retention{Entries: retainedEntries})
-			first, stop := startOn(shared, "first", Settings{SnapshotInterval: 20 * time.Second})
-			defer stop()
+			shared := retainedLog()
+			first := startOn(t, shared, "first", Settings{SnapshotInterval: 20 * time.Second})
 			link := &cuttableLog{Log: shared, gate: log}
-			second, stopSecond := startOn(link, "second", Settings{SnapshotInterval: 24 * time.Hour})
-			defer stopSecond()
+			second := startOn(t, link, "second", Settings{SnapshotInterval: 24 * time.Hour})
 			time.Sleep(time.Second)
 			first.DeclarePrepaid([]ledger.Prepaid{{Budget: testBudget, Ticket: 1, Total: 1000}})
 			time.Sleep(time.Second)
@@ -142,8 +139,7 @@
 					t.Fatal(err)
 				}
 			}
-			c, stop := startOn(log, "first", Settings{})
-			defer stop()
+			c := startOn(t, log, "first", Settings{})
 			time.Sleep(time.Second)
 			assertEqual(t, "the client is ready", true, c.Ready())
 			assertEqual(t, "malformed chunks", int64(2), metrics.GetOrRegisterCounter(snapshotMalformed, c.counters).Count())
