--- a/fleet/ledger/lookup.go
+++ b/fleet/ledger/lookup.go
@@ -8,13 +8,10 @@
 func (s *State) lookUp(m *member, g *Group, found []*budget) []*budget {
 	found = slices.Grow(found, len(g.Records))
 	for _, r := range g.Records {
-		found = append(found, nil)
-		if name, ok := budgetOf(r); ok {
-			found[len(found)-1] = s.budgets.candidate(name)
-		}
+		found = append(found, s.candidate(m, r))
 	}
 	for i, r := range g.Records {
-		if name, _ := budgetOf(r); found[i] != nil && found[i].name != name {
+		if name, ok := budgetOf(r); ok && found[i] != nil && found[i].name != name {
 			found[i] = nil
 		}
 	}
@@ -26,6 +23,30 @@
 	return found
 }
 
+// candidate returns the budget that a record names, unless the digest of another one collides with it, or the one
+// of the open that it closes; nil if it has none yet.
+func (s *State) candidate(m *member, record Record) *budget {
+	switch r := record.(type) {
+	case *Bill:
+		return s.budgetOfAttempt(m, r.Attempt)
+	case *Release:
+		return s.budgetOfAttempt(m, r.Attempt)
+	}
+	if name, ok := budgetOf(record); ok {
+		return s.budgets.candidate(name)
+	}
+	return nil
+}
+
+// budgetOfAttempt returns the budget of an open of an incarnation; nil if there is none.
+func (s *State) budgetOfAttempt(m *member, attempt uint64) *budget {
+	o, ok := m.opens[attempt]
+	if !ok {
+		return nil
+	}
+	return s.budgets.at(o.budget)
+}
+
 // budget returns the budget that a record names; nil if it names none or one that isn't known.
 func (s *State) budget(record Record) *budget {
 	name, ok := budgetOf(record)
