--- a/fleet/ledgerstream/cluster_test.go
+++ b/fleet/ledgerstream/cluster_test.go
@@ -67,9 +67,10 @@
 	}
 }
 
-// inBubble runs a test with n ready clients and a prepaid budget on the paused clock.
+// inBubble runs a test, beside others, with n ready clients and a prepaid budget on the paused clock.
 func inBubble(t *testing.T, n int, prepaid ledger.Tokens, test func(c *cluster)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, n, Settings{SnapshotInterval: testSnapshotInterval}, ledger.Prepaid{Budget: testBudget, Ticket: 1, Total: prepaid})
 		defer c.stop()
--- a/fleet/ledgerstream/experiment_test.go
+++ b/fleet/ledgerstream/experiment_test.go
@@ -325,6 +325,7 @@
 
 // TestExperiment prints the measures of each policy in each scenario; without -v it runs the calm one only.
 func TestExperiment(t *testing.T) {
+	t.Parallel()
 	selected := scenarios()
 	if !testing.Verbose() {
 		selected = selected[:1]
@@ -333,15 +334,23 @@
 	_, _ = fmt.Fprintln(text, "| Scenario | Policy | Requests | Dispatched | Overspend | Refused, unspent pays | Refused, unreserved pays "+
 		"| Idle % | Stranded % | Readmission s | Records/request | Bytes/request | Recall median ms | Recall max ms |")
 	_, _ = fmt.Fprintln(text, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
-	for _, s := range selected {
-		for _, p := range contenders() {
-			m := measure(t, p, s)
-			m.print(text, s.Name, p.Name)
-			assertEqual(t, "overspend of "+p.Name, 0, m.Overspend)
-			if s.Name == "calm" && p.Reserve >= 0 {
-				assertEqual(t, "false refusals of "+p.Name, 0, m.RefusedFree)
-			}
+	policies := contenders()
+	results := make([]measures, len(selected)*len(policies))
+	t.Run("run", func(t *testing.T) {
+		for i := range results {
+			s, p := selected[i/len(policies)], policies[i%len(policies)]
+			t.Run(s.Name+", "+p.Name, func(t *testing.T) {
+				t.Parallel()
+				results[i] = measure(t, p, s)
+				assertEqual(t, "overspend", 0, results[i].Overspend)
+				if s.Name == "calm" && p.Reserve >= 0 {
+					assertEqual(t, "false refusals", 0, results[i].RefusedFree)
+				}
+			})
 		}
+	})
+	for i, m := range results {
+		m.print(text, selected[i/len(policies)].Name, policies[i%len(policies)].Name)
 	}
 	t.Log("\n" + text.String())
 }
--- a/fleet/ledgerstream/relay_schedule_test.go
+++ b/fleet/ledgerstream/relay_schedule_test.go
@@ -109,6 +109,7 @@
 
 // TestSchedulesWithRelay runs schedules in which routers spend reserve shares while the log is away.
 func TestSchedulesWithRelay(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		routers := rapid.IntRange(3, 6).Draw(rt, "routers")
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 10, 60).Draw(rt, "steps")
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -68,9 +68,10 @@
 	r.clients[name] = m.Client
 }
 
-// inRelayedBubble runs a test with four ready clients in two regions of two availability zones each.
+// inRelayedBubble runs a test, beside others, with four ready clients in two regions of two availability zones each.
 func inRelayedBubble(t *testing.T, prepaid ledger.Tokens, test func(c *cluster, r *fakeRelay)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		r := &fakeRelay{clients: map[string]*Client{}, cut: map[string]bool{}}
 		c := &cluster{tb: t, log: newFakeLog(testSeed + 1)}
--- a/fleet/ledgerstream/schedule_test.go
+++ b/fleet/ledgerstream/schedule_test.go
@@ -282,6 +282,7 @@
 }
 
 func TestSchedules(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		routers := rapid.IntRange(3, 6).Draw(rt, "routers")
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 10, 60).Draw(rt, "steps")
