--- a/dragonflyctl/certificate_test.go
+++ b/dragonflyctl/certificate_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/exit"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 )
 
@@ -36,9 +37,7 @@
 		KeyFile:         filepath.Join(directory, "router-1-key.pem"),
 		AuthorityFile:   filepath.Join(directory, "authority.pem"),
 	}.Check()
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	if diff := cmp.Diff("router-1", name); diff != "" {
 		t.Errorf("name in the certificate (-want +got):\n%s", diff)
 	}
--- a/dragonflyctl/docs_test.go
+++ b/dragonflyctl/docs_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/exit"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 )
 
@@ -25,18 +26,14 @@
 		t.Run(page, func(t *testing.T) {
 			s := documentedSite(t)
 			text, err := os.ReadFile(page)
-			if err != nil {
-				t.Fatal(err)
-			}
+			assert.Must(t, err)
 			got := example.ReplaceAllStringFunc(string(text), func(block string) string {
 				command := example.FindStringSubmatch(block)[1]
 				s.copyTotal(command)
 				return "```\n" + command + s.show(strings.Fields(command)[2:]) + "```\n"
 			})
 			if os.Getenv("UPDATE") != "" {
-				if err := os.WriteFile(page, []byte(got), 0o600); err != nil {
-					t.Fatal(err)
-				}
+				assert.Must(t, os.WriteFile(page, []byte(got), 0o600))
 			}
 			if diff := cmp.Diff(string(text), got); diff != "" {
 				t.Errorf("page (-want +got):\n%s", diff)
@@ -47,9 +44,7 @@
 
 func TestExitCodesDocumented(t *testing.T) {
 	page, err := os.ReadFile("../docs/dragonflyctl.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	for _, d := range exit.Codes() {
 		if line := fmt.Sprintf("| %d | %s | %s |", d.Code, d.Name, d.Meaning); !strings.Contains(string(page), line) {
 			t.Errorf("the page lacks %q", line)
--- a/dragonflyctl/run_test.go
+++ b/dragonflyctl/run_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/exit"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -202,9 +203,7 @@
 	s := newSite(t)
 	c, _ := (*operator.Configuration)(nil).Apply(platform.Entry{Payload: []byte(teamTicket)})
 	snapshot, err := c.EncodeSnapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	s.log.Retain(memory.Retention{Entries: 1})
 	s.append(platform.ConfigurationSnapshotStream, []byte("garbage"))
 	assertResult(t, exit.Failed, "no usable snapshot covers it", s.run("config", "show"))
--- a/fleet/assert/assert.go
+++ b/fleet/assert/assert.go
@@ -39,3 +39,11 @@
 		tb.Error("got no error")
 	}
 }
+
+// Must ends the test at once if there is an error: what follows needs what failed.
+func Must(tb testing.TB, err error) {
+	tb.Helper()
+	if err != nil {
+		tb.Fatalf("unexpected error: %v", err)
+	}
+}
--- a/fleet/endpoint/endpoint_test.go
+++ b/fleet/endpoint/endpoint_test.go
@@ -9,10 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"pgregory.net/rapid"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
--- a/fleet/endpoint/table_test.go
+++ b/fleet/endpoint/table_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
 
 // variants are the rows of the table: the policy, the baselines, and what was tried.
@@ -110,9 +112,7 @@
 // TestPolicyTable prints the tables and compares them with those of docs/routing.md.
 func TestPolicyTable(t *testing.T) {
 	page, err := os.ReadFile("../../docs/routing.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	assertShown := func(name string, rows func() string) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/fleet/ledger/assembler_test.go
+++ b/fleet/ledger/assembler_test.go
@@ -15,9 +15,7 @@
 func chunksOf(t *testing.T, s *stream, writer Incarnation) [][]byte {
 	t.Helper()
 	chunks, err := s.state.EncodeSnapshot(writer, 16)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	return chunks
 }
 
@@ -92,9 +90,7 @@
 
 func TestDecodeIsBounded(t *testing.T) {
 	header, err := Encode(Group{Writer: router(1), First: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	huge := msgp.AppendArrayHeader(header[:len(header)-1], 1<<31)
 	_, err = Decode(huge)
 	assert.ErrorIs(t, err, ErrTooLong)
--- a/fleet/ledger/bench_test.go
+++ b/fleet/ledger/bench_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -74,9 +75,7 @@
 	for _, budgets := range []int{1000, benchmarkBudgets} {
 		state := newPartition(budgets, benchmarkRouters)
 		data, err := state.encode()
-		if err != nil {
-			b.Fatal(err)
-		}
+		assert.Must(b, err)
 		groups := trafficGroups(state, budgets)
 		payloads := make([][]byte, len(groups))
 		for n, g := range groups {
@@ -99,9 +98,7 @@
 	for range b.N {
 		b.StopTimer()
 		s, err := loadState(data)
-		if err != nil {
-			b.Fatal(err)
-		}
+		assert.Must(b, err)
 		runtime.GC()
 		b.StartTimer()
 		for n := range benchmarkGroups {
@@ -167,9 +164,7 @@
 	for _, holders := range []int{0, benchmarkRouters} {
 		s := newPartition(benchmarkBudgets, holders)
 		chunks, err := s.EncodeSnapshot(router(0), 0)
-		if err != nil {
-			b.Fatal(err)
-		}
+		assert.Must(b, err)
 		size := 0
 		for _, c := range chunks {
 			size += len(c)
--- a/fleet/ledger/fold_test.go
+++ b/fleet/ledger/fold_test.go
@@ -6,7 +6,6 @@
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -30,9 +29,7 @@
 	g := Group{Writer: writer, First: s.next[writer] + 1, Records: records}
 	s.next[writer] += uint64(len(records))
 	payload, err := Encode(g)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	return s.state.Apply(platform.Entry{Offset: s.state.Next(), Payload: payload})
 }
 
--- a/fleet/ledger/fuzz_test.go
+++ b/fleet/ledger/fuzz_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -20,9 +19,7 @@
 		{&Return{Budget: "atelier", Amount: 10}, &Fence{Target: router(2)}, &Crash{Endpoint: "engine-1", InProgress: []Fingerprint{1}}, &Unknown{Type: 99, Body: []byte{0xc0}}},
 	} {
 		payload, err := Encode(Group{Writer: router(1), First: 1, Records: records})
-		if err != nil {
-			f.Fatal(err)
-		}
+		assert.Must(f, err)
 		f.Add(payload)
 		f.Add(payload[:len(payload)/2])
 	}
@@ -32,13 +29,9 @@
 			return
 		}
 		again, err := Encode(g)
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		copied, err := Decode(again)
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		assert.Equal(t, g, copied)
 		s := newStream(t)
 		s.state.Apply(platform.Entry{Offset: s.state.Next(), Payload: payload})
@@ -55,14 +48,10 @@
 func FuzzAssembler(f *testing.F) {
 	s := &stream{}
 	payload, err := Encode(Group{Writer: router(1), First: 1, Records: []Record{&Join{}, &Prepaid{Budget: "atelier", Total: 9}}})
-	if err != nil {
-		f.Fatal(err)
-	}
+	assert.Must(f, err)
 	s.state.Apply(platform.Entry{Payload: payload})
 	chunks, err := s.state.EncodeSnapshot(router(1), 32)
-	if err != nil {
-		f.Fatal(err)
-	}
+	assert.Must(f, err)
 	f.Add([]byte{})
 	f.Add(chunks[0])
 	f.Add(chunks[len(chunks)-1][:20])
@@ -83,9 +72,7 @@
 // FuzzLoad checks that the data of a snapshot with a correct digest is refused or loads to a whole state.
 func FuzzLoad(f *testing.F) {
 	data, err := newPartition(3, 2).encode()
-	if err != nil {
-		f.Fatal(err)
-	}
+	assert.Must(f, err)
 	f.Add(data)
 	f.Add(data[:len(data)/2])
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/fleet/ledgerstream/client_bench_test.go
+++ b/fleet/ledgerstream/client_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
@@ -46,9 +47,7 @@
 		}
 		g.firstSentAt = time.Now()
 		offset, err := log.Append(context.Background(), c.stream, g.payload)
-		if err != nil {
-			b.Fatal(err)
-		}
+		assert.Must(b, err)
 		c.apply([]platform.Entry{{Offset: offset, Payload: g.payload}}, time.Now(), 1)
 	}
 }
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -221,9 +222,7 @@
 	t.Run("a group of another writer is refused", func(t *testing.T) {
 		inRelayedBubble(t, 1000, func(c *cluster, _ *fakeRelay) {
 			payload, err := ledger.Encode(ledger.Group{Writer: c.members[1].Incarnation(), First: 99, Records: []ledger.Record{&ledger.Leave{}}})
-			if err != nil {
-				t.Fatal(err)
-			}
+			assert.Must(t, err)
 			err = c.members[0].AcceptCopy("router-2", peer.Copy{Payload: payload})
 			assertEqual(t, "foreign writer", true, errors.Is(err, peer.ErrForeignWriter))
 			err = c.members[0].AcceptCopy("router-1", peer.Copy{Payload: payload[1:]})
@@ -240,9 +239,7 @@
 			payload, err := ledger.Encode(ledger.Group{
 				Writer: ledger.Incarnation{Instance: "x", Number: i + 1}, First: 1, Records: []ledger.Record{&ledger.Leave{}},
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
+			assert.Must(t, err)
 			if err := c.AcceptCopy("x", peer.Copy{Payload: payload}); err == nil {
 				held += len(payload)
 				continue
--- a/fleet/operator/benchmark_test.go
+++ b/fleet/operator/benchmark_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -72,9 +73,7 @@
 	size := 0
 	for b.Loop() {
 		data, err := c.EncodeSnapshot()
-		if err != nil {
-			b.Fatal(err)
-		}
+		assert.Must(b, err)
 		size = len(data)
 	}
 	b.ReportMetric(float64(size)/benchmarkBudgets, "B/budget")
--- a/fleet/operator/decode_test.go
+++ b/fleet/operator/decode_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -35,9 +37,7 @@
 
 func TestDecodeTicket(t *testing.T) {
 	got, err := DecodeTicket("ticket.yaml", []byte(read(t, "testdata/full.yaml")))
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	assertEqual(t, &Ticket{
 		Number: 1_200,
 		Teams: []Team{{
@@ -109,15 +109,11 @@
 func read(tb testing.TB, path string) string {
 	tb.Helper()
 	data, err := os.ReadFile(path)
-	if err != nil {
-		tb.Fatal(err)
-	}
+	assert.Must(tb, err)
 	return string(data)
 }
 
 func write(t *testing.T, path, text string) {
 	t.Helper()
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, os.WriteFile(path, []byte(text), 0o600))
 }
--- a/fleet/order/fold_test.go
+++ b/fleet/order/fold_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -80,9 +81,7 @@
 	claim := h.expect("", "a", 1, &Claim{Endpoint: "x"})
 	b := msgp.AppendUint8(nil, envelopeVersion)
 	b, err := (&ledger.Incarnation{Instance: "a"}).MarshalMsg(b)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	b = msgp.AppendUint64(b, 2)
 	b = msgp.AppendUint64(b, 99)
 	unknown := h.payload(msgp.AppendBool(b, true))
@@ -105,9 +104,7 @@
 	} {
 		want := Entry{Writer: ledger.Incarnation{Instance: "a", Number: 4}, Sequence: 9, Record: record}
 		b, err := Encode(want)
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		got, err := Decode(b)
 		if diff := cmp.Diff(want, got); err != nil || diff != "" {
 			t.Fatal(err, diff)
@@ -123,9 +120,7 @@
 
 func FuzzDecode(f *testing.F) {
 	b, err := Encode(Entry{Writer: incarnation("a"), Sequence: 1, Record: &Claim{Endpoint: "x"}})
-	if err != nil {
-		f.Fatal(err)
-	}
+	assert.Must(f, err)
 	f.Add(b)
 	f.Fuzz(func(t *testing.T, payload []byte) {
 		entry, err := Decode(payload)
@@ -133,9 +128,7 @@
 			return
 		}
 		encoded, err := Encode(entry)
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		again, err := Decode(encoded)
 		if diff := cmp.Diff(entry, again); err != nil || diff != "" {
 			t.Fatal(err, diff)
@@ -179,9 +172,7 @@
 	h := &history{t: t}
 	h.expect("", "a", 1, &Claim{Endpoint: "e"})
 	payload, err := h.state.EncodeSnapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	for name, damaged := range map[string][]byte{
 		"cut": payload[:len(payload)/2], "version": bytes.Replace(payload, []byte(`"Version":1`), []byte(`"Version":2`), 1),
 		"digest": bytes.Replace(payload, []byte(`"Digest":"`), []byte(`"Digest":"AAAA`), 1),
--- a/fleet/peer/node_test.go
+++ b/fleet/peer/node_test.go
@@ -11,10 +11,9 @@
 	"testing"
 	"time"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -197,9 +196,7 @@
 func FuzzRequest(f *testing.F) {
 	for _, r := range []request{{}, {Kind: copyMessage, Payload: []byte("group")}, {Kind: configurationMessage, Next: 3}} {
 		data, err := r.MarshalMsg(nil)
-		if err != nil {
-			f.Fatal(err)
-		}
+		assert.Must(f, err)
 		f.Add(data)
 	}
 	f.Add([]byte{0xff})
--- a/fleet/platform/memory/memory_test.go
+++ b/fleet/platform/memory/memory_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
--- a/router/caller/openai_test.go
+++ b/router/caller/openai_test.go
@@ -10,12 +10,11 @@
 	"strings"
 	"testing"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
@@ -77,9 +76,7 @@
 		accounts := &fakeAccounts{}
 		client, server := setUpFleet(t, accounts, keyLuzon)
 		completion, err := client.Chat.Completions.New(context.Background(), chatParameters(10))
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		assert.Equal(t, "a small grey cat asleep", completion.Choices[0].Message.Content)
 		server.Close()
 		assert.Equal(t, []ledger.Tokens{8}, accounts.bills)
@@ -105,9 +102,7 @@
 	t.Run("models", func(t *testing.T) {
 		client, _ := setUpFleet(t, &fakeAccounts{}, keyLuzon)
 		page, err := client.Models.List(context.Background())
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		assert.Equal(t, "brush", page.Data[0].ID)
 	})
 	t.Run("refusals have the client's error type", func(t *testing.T) {
@@ -128,9 +123,7 @@
 			reason += c.FinishReason
 		}
 	}
-	if err := stream.Err(); err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, stream.Err())
 	return content, reason
 }
 
--- a/router/caller/order_test.go
+++ b/router/caller/order_test.go
@@ -6,10 +6,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/google/uuid"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 )
--- a/router/capacity/sums_test.go
+++ b/router/capacity/sums_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -39,9 +41,7 @@
 // TestPageLists checks that the page's sums are those of the model, in its order.
 func TestPageLists(t *testing.T) {
 	page, err := os.ReadFile("../../docs/CAPACITY.md")
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	_, section, _ := strings.Cut(string(page), "<!-- sums:begin -->\n")
 	section, _, _ = strings.Cut(section, "<!-- sums:end -->")
 	var want, got []string
--- a/router/controller/configuration_test.go
+++ b/router/controller/configuration_test.go
@@ -7,12 +7,11 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -8,11 +8,10 @@
 	"strings"
 	"testing"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/alecthomas/kong"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -70,13 +69,9 @@
 	tb.Helper()
 	for range startAttempts {
 		container, err := build(settings, io.Discard)
-		if err != nil {
-			tb.Fatal(err)
-		}
+		assert.Must(tb, err)
 		err = container.Decorate(func(platform.Log) platform.Log { return s.stream })
-		if err != nil {
-			tb.Fatal(err)
-		}
+		assert.Must(tb, err)
 		go func() {
 			s.ended <- container.Invoke(func(p program) error { return p.run(context.Background(), s.signals) })
 		}()
@@ -157,9 +152,7 @@
 func (s *site) ledger(t *testing.T) *ledger.State {
 	t.Helper()
 	entries, err := s.stream.Read(context.Background(), platform.LedgerStream(0), 0, 1_000_000)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	state := &ledger.State{}
 	for _, e := range entries {
 		state.Apply(e)
--- a/router/endpoint/crash_test.go
+++ b/router/endpoint/crash_test.go
@@ -13,7 +13,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
--- a/router/endpoint/declare_test.go
+++ b/router/endpoint/declare_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 )
 
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -13,10 +13,9 @@
 	"testing"
 	"time"
 
-	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
--- a/router/endpoint/held_test.go
+++ b/router/endpoint/held_test.go
@@ -9,7 +9,6 @@
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 )
 
--- a/router/endpoint/peer_test.go
+++ b/router/endpoint/peer_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -48,9 +47,7 @@
 func newForwarder(t *testing.T, target string) *forwarder {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	f := &forwarder{listener: listener, target: target}
 	go f.run()
@@ -123,9 +120,7 @@
 
 func TestEjection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	address := listener.Addr().String()
 	_ = listener.Close()
 	f := newFixture(t)
@@ -136,9 +131,7 @@
 	// The dispatcher's own loop probes the endpoint back in.
 	go func() { _ = f.Run(t.Context()) }()
 	listener, err = net.Listen("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	server := httptest.NewUnstartedServer(alive(func(http.ResponseWriter, *http.Request) {}))
 	_ = server.Listener.Close()
 	server.Listener = listener
@@ -237,9 +230,7 @@
 	}))
 	defer router.Close()
 	connection, err := net.Dial("tcp", router.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	defer func() { _ = connection.Close() }()
 	_, _ = fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: router\r\nContent-Length: 0\r\n\r\n")
 	assert.Equal(t, verdict.MayHaveRun, verdict.Of(<-ended))
--- a/standin/check/promise_test.go
+++ b/standin/check/promise_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
@@ -127,25 +126,19 @@
 			&ledger.Draw{Budget: budget, Wanted: 80, Minimum: 1},
 		}, records...),
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	if _, err := log.Append(t.Context(), platform.LedgerStream(0), payload); err != nil {
 		t.Fatal(err)
 	}
 	ledgers := NewLedgers(1)
-	if err := ledgers.Follow(t.Context(), log); err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, ledgers.Follow(t.Context(), log))
 	return ledgers
 }
 
 func assertTable(t *testing.T, evidence *Evidence, broken []string) {
 	t.Helper()
 	var table strings.Builder
-	if err := evidence.WriteTable(&table); err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, evidence.WriteTable(&table))
 	for _, name := range broken {
 		if !strings.Contains(table.String(), name+": "+key) {
 			t.Errorf("%q has no example in\n%s", name, table.String())
--- a/standin/check_test.go
+++ b/standin/check_test.go
@@ -46,12 +46,8 @@
 func writeReport(t *testing.T, path string, report *load.Report) {
 	t.Helper()
 	file, err := os.Create(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := report.Write(file); err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
+	assert.Must(t, report.Write(file))
 	if err := file.Close(); err != nil {
 		t.Fatal(err)
 	}
--- a/standin/docs_test.go
+++ b/standin/docs_test.go
@@ -11,7 +11,6 @@
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/standin/example"
 )
 
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/standin/runs"
 )
 
@@ -162,9 +161,7 @@
 	recorder := httptest.NewRecorder()
 	e.Handler().ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, nil))
 	body, err := io.ReadAll(recorder.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	return string(body)
 }
 
--- a/standin/load/compare_test.go
+++ b/standin/load/compare_test.go
@@ -29,9 +29,7 @@
 		RefusalsOverTime: []Interval{{0, map[string]int{}}, {2, map[string]int{"late": 3}}},
 	}
 	var table strings.Builder
-	if err := (Comparison{Base: base, Other: other}).WriteTable(&table); err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, (Comparison{Base: base, Other: other}).WriteTable(&table))
 	rows := rowsOf(&table)
 	assert.Equal(t, []string{
 		"endpoint router difference",
--- a/standin/load/runner_test.go
+++ b/standin/load/runner_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/standin/engine"
 	"github.com/dragonflyworks/dragonflyworks/standin/runs"
 	"github.com/dragonflyworks/dragonflyworks/standin/service"
@@ -109,9 +108,7 @@
 		settings.Targets = append(settings.Targets, server.URL)
 		settings.Concurrency = 1
 		report, err := (&Runner{Settings: settings}).Do(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		assert.Equal(t, map[Outcome]int{Completed: requests}, report.Outcomes)
 		assert.Equal(t, map[string]int{"connection": 1}, report.Retries)
 	})
--- a/standin/platform/handler_test.go
+++ b/standin/platform/handler_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -69,9 +68,7 @@
 		f.service.Instances.Register(platform.Instance{Name: "router-1", State: platform.Live})
 		f.post("/control/instances/router-1/leave", http.StatusNoContent)
 		listing, err := f.instances.Instances(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
+		assert.Must(t, err)
 		assert.Equal(t, platform.Listing{
 			Version:   2,
 			Instances: []platform.Instance{{Name: "router-1", State: platform.Leaving}},
@@ -94,13 +91,9 @@
 	server := httptest.NewServer(service.Handler())
 	t.Cleanup(server.Close)
 	log, err := platform.NewHTTPLog(server.URL, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	instances, err := platform.NewHTTPInstanceList(server.URL, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	assert.Must(t, err)
 	return &fixture{t: t, url: server.URL, service: service, log: log, instances: instances}
 }
 
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-
 	"github.com/dragonflyworks/dragonflyworks/standin/runs"
 )
 
