--- a/fleet/ledgerstream/client_bench_test.go
+++ b/fleet/ledgerstream/client_bench_test.go
@@ -21,7 +21,7 @@
 func settledClient(b *testing.B) *Client {
 	b.Helper()
 	log := &memory.Log{}
-	c := NewClient(log, Settings{Instance: "router", Lease: time.Hour}, metrics.NewRegistry())
+	c := NewClient(log, Settings{Instance: "router", Lease: time.Hour, FleetAppendsPerSecond: 1e6}, metrics.NewRegistry())
 	c.apply(nil, time.Now(), 1)
 	flush(b, c, log)
 	for n := range benchmarkBudgets {
@@ -61,32 +61,22 @@
 	}
 }
 
-// lockWatch measures how long others hold a client's lock.
-type lockWatch struct {
-	client  *Client
-	ended   chan struct{}
-	longest time.Duration
-}
-
-func (w *lockWatch) loop() {
-	for !isClosed(w.ended) {
-		begun := time.Now()
-		w.client.Ready()
-		w.longest = max(w.longest, time.Since(begun))
-	}
-}
-
-// BenchmarkSnapshot measures how long requests wait for the client's lock while it writes a snapshot.
-func BenchmarkSnapshot(b *testing.B) {
+// BenchmarkLockDuringSnapshots measures how long requests wait for the client's lock while it writes snapshots.
+func BenchmarkLockDuringSnapshots(b *testing.B) {
 	c := settledClient(b)
-	w := &lockWatch{client: c, ended: make(chan struct{})}
-	c.settings.FleetAppendsPerSecond = 1e6
-	watching := sync.WaitGroup{}
-	watching.Go(w.loop)
+	ctx, cancel := context.WithCancel(context.Background())
+	writing, longest := sync.WaitGroup{}, time.Duration(0)
+	writing.Go(func() {
+		for ctx.Err() == nil {
+			c.writeSnapshot(ctx)
+		}
+	})
 	for b.Loop() {
-		c.writeSnapshot(context.Background())
+		begun := time.Now()
+		c.Ready()
+		longest = max(longest, time.Since(begun))
 	}
-	close(w.ended)
-	watching.Wait()
-	b.ReportMetric(float64(w.longest.Microseconds()), "µs-longest-hold")
+	cancel()
+	writing.Wait()
+	b.ReportMetric(float64(longest.Microseconds()), "µs-longest")
 }
--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -21,8 +21,7 @@
 			r.Bill(30)
 		}
 		time.Sleep(time.Second)
-		assertSpent(t, c, 90)
-		assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		assertSettled(t, c, 90)
 		assertEqual(t, "outbox", 0, c.members[0].Status().Outbox)
 	})
 }
@@ -107,8 +106,7 @@
 		}
 		callers.Wait()
 		time.Sleep(5 * time.Second)
-		assertSpent(t, c, 300*7)
-		assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		assertSettled(t, c, 300*7)
 		if c.counter(appendFailed) == 0 {
 			t.Error("no answer was lost")
 		}
@@ -155,8 +153,7 @@
 		assertEqual(t, "reason", verdict.LedgerUnreachable, outcomeOf(err).Reason)
 		c.log.set(func() { c.members[0].link.silent, c.members[0].link.lostAnswers = false, 0 })
 		time.Sleep(time.Minute)
-		assertSpent(t, c, 1)
-		assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+		assertSettled(t, c, 1)
 	})
 }
 
--- a/fleet/ledgerstream/cluster_test.go
+++ b/fleet/ledgerstream/cluster_test.go
@@ -94,7 +94,9 @@
 // start adds a client.
 func (c *cluster) start(s Settings) *node {
 	number := len(c.members)
-	s.Instance = cmpOr(s.Instance, fmt.Sprintf("router-%d", number))
+	if s.Instance == "" {
+		s.Instance = fmt.Sprintf("router-%d", number)
+	}
 	s.Seed = uint64(number + 1)
 	m := &node{link: &fakeLink{log: c.log, delay: 2 * time.Millisecond}}
 	m.Client = NewClient(m.link, s, metrics.NewRegistry())
@@ -105,13 +107,6 @@
 	return m
 }
 
-func cmpOr(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
-
 func (c *cluster) stop() {
 	for _, m := range c.members {
 		m.stop()
@@ -180,15 +175,6 @@
 	return outcome{Verdict: refusal.Verdict.String(), Reason: refusal.Reason}
 }
 
-// retryAfterOf returns the wait that a refusal names.
-func retryAfterOf(err error) time.Duration {
-	refusal, ok := err.(*verdict.Refusal) //nolint:errorlint // the interface promises this type
-	if !ok {
-		return 0
-	}
-	return refusal.RetryAfter
-}
-
 func assertEqual[T any](tb testing.TB, what string, want, got T) {
 	tb.Helper()
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -205,3 +191,10 @@
 	tb.Helper()
 	assertEqual(tb, "spent", want, c.budget().Spent)
 }
+
+// assertSettled checks what was spent and that no request is open any more.
+func assertSettled(tb testing.TB, c *cluster, want ledger.Tokens) {
+	tb.Helper()
+	assertSpent(tb, c, want)
+	assertEqual(tb, "open requests", 0, c.budget().OpenRequests)
+}
--- a/fleet/ledgerstream/growth_test.go
+++ b/fleet/ledgerstream/growth_test.go
@@ -29,27 +29,17 @@
 	})
 }
 
-// idleBudgets starts a client with budgets whose reserve shares it holds and that nobody asks anything of.
-func idleBudgets(tb testing.TB, count int) *cluster {
-	tb.Helper()
-	budgets := []ledger.Prepaid{}
-	for n := range count {
-		budgets = append(budgets, ledger.Prepaid{
-			Budget: fmt.Sprintf("budget-%d", n), Ticket: uint64(n + 1), Total: 1000, Reserve: ledger.ReservePolicy{Share: 10},
-		})
-	}
-	c := newCluster(tb, 1, Settings{}, budgets...)
-	time.Sleep(time.Duration(count/DefaultReserveDrawsPerTick+1)*DefaultTickInterval + DefaultIdleTerm)
-	return c
-}
-
+// TestIdleBudgetsCostNoTicks lets a client hold the reserve shares of budgets that nobody asks anything of.
 func TestIdleBudgetsCostNoTicks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const count = 200
-		c := idleBudgets(t, count)
+		budgets := make([]ledger.Prepaid, 200)
+		for n := range budgets {
+			budgets[n] = ledger.Prepaid{Budget: fmt.Sprintf("budget-%d", n), Ticket: 1, Total: 1000, Reserve: ledger.ReservePolicy{Share: 10}}
+		}
+		c := newCluster(t, 1, Settings{}, budgets...)
 		defer c.stop()
-		m := c.members[0]
-		held := 0
+		time.Sleep(time.Duration(len(budgets)/DefaultReserveDrawsPerTick+1)*DefaultTickInterval + DefaultIdleTerm)
+		m, held := c.members[0], 0
 		m.View(func(s *ledger.State) {
 			for _, b := range s.Budgets() {
 				held += countIf(b.Shared == 10)
@@ -57,6 +47,6 @@
 			assertEqual(t, "accounts", 0, len(m.accounts))
 			assertEqual(t, "budgets to look at", 0, len(m.reserveQueue))
 		})
-		assertEqual(t, "reserve shares held", count, held)
+		assertEqual(t, "reserve shares held", len(budgets), held)
 	})
 }
--- a/fleet/ledgerstream/recall_test.go
+++ b/fleet/ledgerstream/recall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -139,7 +140,9 @@
 				}
 				assertOutcome(t, outcome{"NotRun", verdict.BudgetExhausted}, err)
 				assertEqual(t, "refused late", false, time.Since(begun) > 2*DefaultDrawWait)
-				time.Sleep(retryAfterOf(err))
+				refusal := &verdict.Refusal{}
+				assertEqual(t, "a refusal", true, errors.As(err, &refusal))
+				time.Sleep(refusal.RetryAfter)
 				mustReserve(t, c.members[1], demand(2, 900, true)).Bill(900)
 			})
 		})
--- a/fleet/ledgerstream/relay_test.go
+++ b/fleet/ledgerstream/relay_test.go
@@ -89,6 +89,25 @@
 	})
 }
 
+// inOutage runs a test with four clients a minute after the log went away.
+func inOutage(t *testing.T, test func(c *cluster, r *fakeRelay)) {
+	t.Helper()
+	inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
+		c.outage(true)
+		time.Sleep(time.Minute)
+		test(c, r)
+	})
+}
+
+// silence lets every client's calls of the log time out, or no more.
+func (c *cluster) silence(silent bool) {
+	c.log.set(func() {
+		for _, m := range c.members {
+			m.link.silent = silent
+		}
+	})
+}
+
 // outage takes the log away from every client.
 func (c *cluster) outage(down bool) { c.log.set(func() { c.log.down = down }) }
 
@@ -97,33 +116,26 @@
 
 func TestSpendingWithoutLog(t *testing.T) {
 	t.Run("an outage is paid from the reserve shares, exactly", func(t *testing.T) {
-		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
-			c.outage(true)
-			time.Sleep(time.Minute)
+		inOutage(t, func(c *cluster, _ *fakeRelay) {
 			for i := range uint64(6) {
 				mustReserve(t, c.members[0], demand(i, 500, true)).Bill(90)
 			}
 			time.Sleep(9 * time.Minute)
 			c.outage(false)
 			time.Sleep(time.Minute)
-			assertSpent(t, c, 540)
-			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			assertSettled(t, c, 540)
 			assertEqual(t, "opens refused by the ledger", int64(0), c.counter(openRefused))
 		})
 	})
 	t.Run("what exceeds the reserve share is not run", func(t *testing.T) {
-		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
-			c.outage(true)
-			time.Sleep(time.Minute)
+		inOutage(t, func(c *cluster, _ *fakeRelay) {
 			mustReserve(t, c.members[0], demand(1, 600, true))
 			_, err := c.members[0].Reserve(context.Background(), demand(2, 600, true))
 			assertOutcome(t, outcome{"NotRun", verdict.LedgerUnreachable}, err)
 		})
 	})
 	t.Run("non-idempotent requests are not run", func(t *testing.T) {
-		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
-			c.outage(true)
-			time.Sleep(time.Minute)
+		inOutage(t, func(c *cluster, _ *fakeRelay) {
 			_, err := c.members[0].Reserve(context.Background(), demand(1, 10, false))
 			assertOutcome(t, outcome{"NotRun", verdict.LedgerUnreachable}, err)
 		})
@@ -137,14 +149,11 @@
 			assertEqual(t, "reason", verdict.LedgerUnreachable, outcomeOf(err).Reason)
 			c.outage(false)
 			time.Sleep(time.Minute)
-			assertSpent(t, c, 0)
-			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			assertSettled(t, c, 0)
 		})
 	})
 	t.Run("the bills of a router that dies in an outage survive it", func(t *testing.T) {
-		inRelayedBubble(t, 100_000, func(c *cluster, r *fakeRelay) {
-			c.outage(true)
-			time.Sleep(time.Minute)
+		inOutage(t, func(c *cluster, r *fakeRelay) {
 			mustReserve(t, c.members[0], demand(1, 300, true)).Bill(90)
 			time.Sleep(time.Second)
 			mustReserve(t, c.members[0], demand(2, 300, true))
@@ -154,8 +163,7 @@
 			c.outage(false)
 			time.Sleep(20 * time.Minute)
 			// The second request's end was seen by nobody: it is billed at its reservation.
-			assertSpent(t, c, 90+300)
-			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			assertSettled(t, c, 90+300)
 		})
 	})
 	t.Run("a router that is cut off and fenced bills what it served and rejoins", func(t *testing.T) {
@@ -181,21 +189,12 @@
 	})
 	t.Run("a log that goes silent does not stop idempotent requests", func(t *testing.T) {
 		inRelayedBubble(t, 100_000, func(c *cluster, _ *fakeRelay) {
-			c.log.set(func() {
-				for _, m := range c.members {
-					m.link.silent = true
-				}
-			})
+			c.silence(true)
 			mustReserve(t, c.members[0], demand(1, 300, true)).Bill(40)
 			time.Sleep(time.Minute)
-			c.log.set(func() {
-				for _, m := range c.members {
-					m.link.silent = false
-				}
-			})
+			c.silence(false)
 			time.Sleep(time.Minute)
-			assertSpent(t, c, 40)
-			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			assertSettled(t, c, 40)
 		})
 	})
 }
@@ -290,8 +289,7 @@
 		assertEqual(c.tb, "some bills before the fence and some after it", true, queued > 0 && queued < len(running))
 		c.log.set(func() { m.link.mute = false })
 		time.Sleep(time.Minute)
-		assertSpent(c.tb, c, 60*3)
-		assertEqual(c.tb, "open requests", 0, c.budget().OpenRequests)
+		assertSettled(c.tb, c, 60*3)
 	})
 }
 
@@ -321,8 +319,7 @@
 			assertEqual(t, "a holder of the last records stays", true, errors.Is(err, ErrDrainIncomplete))
 			c.outage(false)
 			time.Sleep(10 * time.Second)
-			assertSpent(t, c, 90)
-			assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+			assertSettled(t, c, 90)
 			for _, v := range c.fold().Incarnations() {
 				assertEqual(t, "the drained router has left", false, v.Incarnation.Instance == "router-0")
 			}
@@ -367,8 +364,7 @@
 				time.Sleep(time.Minute)
 				c.outage(false)
 				time.Sleep(time.Minute)
-				assertSpent(t, c, want)
-				assertEqual(t, "open requests", 0, c.budget().OpenRequests)
+				assertSettled(t, c, want)
 			})
 		})
 	}
