--- a/fleet/order/fold_test.go
+++ b/fleet/order/fold_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -191,3 +192,20 @@
 		}
 	}
 }
+
+func TestOffers(t *testing.T) {
+	brush, cats, ink := Artifact{Model: "brush"}, Artifact{Model: "brush", Adapter: "cats"}, Artifact{Model: "ink"}
+	all, newer := []Artifact{brush, cats, ink}, Artifact{Model: "brush", Version: "2"}
+	for _, c := range []struct {
+		loaded, wanted []Artifact
+		want           []string
+	}{
+		{all, all, []string{"brush", "cats", "ink"}},
+		{all, []Artifact{brush, ink}, []string{"brush", "ink"}},
+		{all, []Artifact{newer, cats, ink}, []string{"ink"}},
+		{[]Artifact{brush}, all, []string{"brush"}},
+	} {
+		v := View{Loaded: all, Current: &Unclosed{Order: Order{Loaded: c.loaded, Wanted: c.wanted}}}
+		assert.Equal(t, c.want, v.Offers())
+	}
+}
--- a/router/blackboard/board.go
+++ b/router/blackboard/board.go
@@ -20,7 +20,8 @@
 	Entries RecentEntries
 	// Listing is the newest instance list; nil until one was read.
 	Listing atomic.Pointer[platform.Listing]
-	// Orders are the endpoints that this router gives orders to, or is to; nil while no ticket wants anything.
+	// Orders are the endpoints of which tickets want something; nil while none does, and until the orders stream
+	// was read to its end once. A new state is a new value: it is never changed in place.
 	Orders atomic.Pointer[[]Orders]
 	// LedgerReady says that the ledger has been read to its end and the incarnation has joined.
 	LedgerReady atomic.Bool
--- a/router/endpoint/counters.go
+++ b/router/endpoint/counters.go
@@ -16,6 +16,7 @@
 	endpointCleared  = "endpoint.cleared"
 	quarantineCaught = "quarantine.caught"
 	quarantineLost   = "quarantine.report_dropped"
+	noneLoaded       = "endpoint.none_loaded"
 	queueWaited      = "queue.waited"
 	listingIgnored   = "listing.ignored"
 	answerCut        = "answer.cut"
@@ -44,6 +45,7 @@
 		{endpointCleared, "Endpoints that answered a probe after a failure: the connection was at fault, not the endpoint."},
 		{quarantineCaught, "Requests quarantined because they were in progress at two crashes, seen by this router or by others."},
 		{quarantineLost, "Requests in progress at crashes of which other routers were not told, because too many endpoints crashed at once."},
+		{noneLoaded, "Calls for which any endpoint was taken, because by the orders stream none serves the model."},
 		{queueWaited, "Calls that waited for a place at an endpoint."},
 		{listingIgnored, "Instance lists not taken in because they were empty or older than the one before."},
 		{answerCut, "Answers cut at their reserved length."},
--- a/router/endpoint/dispatcher.go
+++ b/router/endpoint/dispatcher.go
@@ -21,9 +21,10 @@
 	buffers  bufferPool
 
 	mu sync.Mutex
-	// configuration and listing are what the fields below were made from.
+	// configuration, listing and orders are what the fields below were made from.
 	configuration *operator.Configuration
 	listing       *platform.Listing
+	orders        *[]blackboard.Orders
 	membership    endpoint.Membership
 	quarantine    endpoint.Quarantine
 	// unreported are the requests in progress at crashes that the other routers are not told of yet.
@@ -38,9 +39,15 @@
 // service is what the endpoints of one service share.
 type service struct {
 	// peers may get new work; those that are leaving are not among them.
-	peers   []*peer
+	peers []*peer
+	// fit holds, for each model that an endpoint is known to serve, these endpoints and the unknown ones; nil if all are
+	// unknown.
+	fit     map[string][]*peer
+	unknown []*peer
 	retries endpoint.RetryBudget
-	queue   endpoint.Queue[*waiter]
+	// queues are by model if fit is set; else all calls are in one.
+	queues      map[string]*endpoint.Queue[*waiter]
+	queueLength int
 	// candidates and places are the space in which a choice is made.
 	candidates []endpoint.Candidate
 	places     []*peer
@@ -92,12 +99,25 @@
 	return j.do(ctx)
 }
 
-// refreshLocked takes a new configuration or instance list in.
+// refreshLocked takes a new configuration or instance list in, and what the endpoints have loaded.
 func (d *Dispatcher) refreshLocked() {
-	configuration, listing := d.board.Configuration.Load(), d.board.Listing.Load()
-	if configuration == d.configuration && listing == d.listing {
+	configuration, listing, orders := d.board.Configuration.Load(), d.board.Listing.Load(), d.board.Orders.Load()
+	declared := configuration == d.configuration && listing == d.listing
+	if declared && orders == d.orders {
 		return
 	}
+	if !declared {
+		d.declareAllLocked(configuration, listing)
+	}
+	d.orders = orders
+	d.takeLoadedLocked()
+	for _, s := range d.services {
+		d.wakeLocked(s)
+	}
+}
+
+// declareAllLocked makes the candidates of every service anew.
+func (d *Dispatcher) declareAllLocked(configuration *operator.Configuration, listing *platform.Listing) {
 	if listing != nil && listing != d.listing && !d.membership.Merge(*listing) {
 		d.board.Count(listingIgnored)
 	}
@@ -109,19 +129,17 @@
 	if configuration != nil {
 		// In the order of names, so that all routers take the same one of two declarations.
 		for _, name := range slices.Sorted(maps.Keys(configuration.InstanceSets)) {
-			for _, e := range configuration.InstanceSets[name].Endpoints {
-				d.declareLocked(e, declared)
+			set := configuration.InstanceSets[name]
+			for _, e := range set.Endpoints {
+				d.declareLocked(set, e, declared)
 			}
 		}
 	}
 	d.forgetLocked(declared)
-	for _, s := range d.services {
-		d.wakeLocked(s)
-	}
 }
 
 // declareLocked makes an endpoint a candidate of its service unless it is leaving.
-func (d *Dispatcher) declareLocked(e operator.Endpoint, declared map[peerKey]bool) {
+func (d *Dispatcher) declareLocked(set operator.InstanceSet, e operator.Endpoint, declared map[peerKey]bool) {
 	key := peerKey{e.Service, e.Name}
 	if declared[key] {
 		return
@@ -133,6 +151,7 @@
 		d.peers[key] = p
 	}
 	p.declare(e)
+	_, _, p.ordered = set.WantedOf(e)
 	if d.membership.Leaving(e) {
 		p.transport().CloseIdleConnections()
 		return
@@ -154,8 +173,7 @@
 func (d *Dispatcher) serviceLocked(name string) *service {
 	s, ok := d.services[name]
 	if !ok {
-		s = &service{}
-		s.queue.Length = d.settings.QueueLength
+		s = &service{queues: make(map[string]*endpoint.Queue[*waiter]), queueLength: d.settings.QueueLength}
 		d.services[name] = s
 	}
 	return s
--- a/router/endpoint/job.go
+++ b/router/endpoint/job.go
@@ -25,6 +25,11 @@
 	// fallbacks counts the fallbacks tried.
 	fallbacks int
 	tried     []*peer
+	// lacking is the first route tried whose endpoints are all known not to serve its model, with its body. mayBeServed
+	// says that another one had an endpoint that may serve it, anyEndpoint that lacking is tried all the same.
+	lacking                  *operator.Route
+	lackingBody              []byte
+	mayBeServed, anyEndpoint bool
 	// suspect says that the attempt under way counts among its endpoint's suspects.
 	suspect bool
 	result  Result
@@ -74,7 +79,7 @@
 func (j *job) acquire(ctx context.Context) (*peer, *verdict.Refusal) {
 	for {
 		p, refusal := j.dispatcher.acquire(ctx, j)
-		if refusal == nil || refusal.Reason != verdict.NoEndpoint || !j.fallBack() {
+		if refusal == nil || refusal.Reason != verdict.NoEndpoint || !j.fallBack() && !j.lastResort() {
 			return p, refusal
 		}
 	}
--- a/router/endpoint/peer.go
+++ b/router/endpoint/peer.go
@@ -21,7 +21,9 @@
 	pool     atomic.Pointer[http.Transport]
 
 	// The fields below are guarded by the dispatcher.
-	kind     operator.EndpointKind
+	kind operator.EndpointKind
+	// ordered says that tickets want models of it.
+	ordered  bool
 	tier     endpoint.Tier
 	inFlight int
 	// suspects counts the requests in progress that were in progress at a crash.
--- a/router/endpoint/place.go
+++ b/router/endpoint/place.go
@@ -22,6 +22,8 @@
 // waiter is a call that waits for a place at an endpoint.
 type waiter struct {
 	job *job
+	// queue is where it waits.
+	queue *endpoint.Queue[*waiter]
 	// ready gets the endpoint, or the reason why there will be none. It has room for one.
 	ready chan placed
 }
@@ -73,19 +75,23 @@
 		return nil, nil, verdict.Quarantined
 	}
 	s := d.serviceLocked(j.route.Service)
+	if j.lacks(s) {
+		return nil, nil, verdict.NoEndpoint
+	}
 	if j.result.Attempts == 0 {
 		s.retries.Deposit()
 	}
-	if !d.hopefulLocked(now, s) {
+	if !d.hopefulLocked(now, s, j.route.Model) {
 		return nil, nil, verdict.NoEndpoint
 	}
-	if s.queue.Len() == 0 {
+	w.queue = s.queueFor(j.route.Model)
+	if w.queue.Len() == 0 {
 		if p := d.pickLocked(now, s, j); p != nil {
 			return nil, p, ""
 		}
 	}
 	waiting := d.waiting(ctx, now, j)
-	entry, dropped, reason := s.queue.Push(now, waiting, w)
+	entry, dropped, reason := w.queue.Push(now, waiting, w)
 	if dropped != nil {
 		dropped.Value.ready <- placed{reason: verdict.Overloaded}
 	}
@@ -114,7 +120,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.serviceLocked(j.route.Service)
-	if s.queue.Remove(entry) {
+	if entry.Value.queue.Remove(entry) {
 		return refusal
 	}
 	select {
@@ -129,11 +135,11 @@
 	return refusal
 }
 
-// hopefulLocked reports whether an endpoint of the service has work or may get some soon. It probes
+// hopefulLocked reports whether an endpoint that is fit for the model has work or may get some soon. It probes
 // ejected endpoints whose time has come.
-func (d *Dispatcher) hopefulLocked(now time.Time, s *service) bool {
+func (d *Dispatcher) hopefulLocked(now time.Time, s *service, model string) bool {
 	hopeful := false
-	for _, p := range s.peers {
+	for _, p := range s.peersFor(model) {
 		d.probeIfDueLocked(now, p)
 		hopeful = hopeful || !p.health.Ejected()
 	}
@@ -161,7 +167,7 @@
 func (d *Dispatcher) pickAmongLocked(now time.Time, s *service, j *job, without []*peer) *peer {
 	suspect := d.quarantine.Suspect(now, j.call.Fingerprint)
 	s.candidates, s.places = s.candidates[:0], s.places[:0]
-	for _, p := range s.peers {
+	for _, p := range s.peersFor(j.route.Model) {
 		if !p.health.Available() || suspect && p.suspects > 0 || slices.Contains(without, p) {
 			continue
 		}
@@ -244,31 +250,37 @@
 // wakeLocked gives free places to waiting calls, or sends them away if there will be none.
 func (d *Dispatcher) wakeLocked(s *service) {
 	now := time.Now()
-	for s.queue.Len() > 0 {
-		if !d.hopefulLocked(now, s) {
-			d.sendAwayLocked(now, s)
+	for model, q := range s.queues {
+		d.wakeQueueLocked(now, s, model, q)
+	}
+}
+
+func (d *Dispatcher) wakeQueueLocked(now time.Time, s *service, model string, q *endpoint.Queue[*waiter]) {
+	for q.Len() > 0 {
+		if !d.hopefulLocked(now, s, model) {
+			sendAway(now, q)
 			return
 		}
-		if !hasRoom(now, s) {
+		if !hasRoom(now, s.peersFor(model)) {
 			return
 		}
-		entry, ok := s.queue.Pop(now)
+		entry, ok := q.Pop(now)
 		if !ok {
 			return
 		}
 		p := d.pickLocked(now, s, entry.Value.job)
 		if p == nil {
 			// None of the free places is fit for this call.
-			s.queue.Return(entry)
+			q.Return(entry)
 			return
 		}
 		entry.Value.ready <- placed{peer: p}
 	}
 }
 
-func (d *Dispatcher) sendAwayLocked(now time.Time, s *service) {
+func sendAway(now time.Time, q *endpoint.Queue[*waiter]) {
 	for {
-		entry, ok := s.queue.Pop(now)
+		entry, ok := q.Pop(now)
 		if !ok {
 			return
 		}
@@ -276,8 +288,8 @@
 	}
 }
 
-func hasRoom(now time.Time, s *service) bool {
-	for _, p := range s.peers {
+func hasRoom(now time.Time, peers []*peer) bool {
+	for _, p := range peers {
 		c := p.candidate(now)
 		if p.health.Available() && c.HasRoom() {
 			return true
--- a/router/endpoint/settings.go
+++ b/router/endpoint/settings.go
@@ -52,7 +52,8 @@
 	Crashes CrashLog
 	// TickInterval is the time between two looks at ejections and waiting calls.
 	TickInterval time.Duration
-	// QueueLength bounds the calls that wait for one service, QueueTimeout how long each waits.
+	// QueueLength bounds the calls that wait for one service, or for one model where its endpoints are known to serve
+	// different ones; QueueTimeout is how long each waits.
 	QueueLength  int
 	QueueTimeout time.Duration
 }
--- a/router/order/act.go
+++ b/router/order/act.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -94,16 +95,17 @@
 	o.running.Go(func() { c.run(ctx) })
 }
 
-// publish puts the endpoints that this router orders, or is to order, on the blackboard.
+// publish puts the endpoints of the tickets, and those that are still claimed, on the blackboard if anything changed.
 func (o *Orderer) publish() {
 	all := []blackboard.Orders{}
 	for _, name := range o.names() {
 		v := o.journal.state.Endpoint(name)
-		if !o.isPreferred(name) && (!v.Held || v.Holder != o.journal.self) {
+		if !o.targets[name].Declared && !v.Held {
 			continue
 		}
 		entry := blackboard.Orders{
 			Endpoint: name, Holder: v.Holder, Serves: v.Serves, Loaded: v.Loaded, Role: v.Role,
+			Reported: v.Reported, Offers: v.Offers(),
 			Waits: o.endpoint(name).waits,
 		}
 		if v.Current != nil {
@@ -111,7 +113,9 @@
 		}
 		all = append(all, entry)
 	}
-	o.board.Orders.Store(&all)
+	if former := o.board.Orders.Load(); former == nil || !slices.EqualFunc(*former, all, blackboard.Orders.Equal) {
+		o.board.Orders.Store(&all)
+	}
 }
 
 // takeBack takes the end of a call in.
--- a/router/order/orderer.go
+++ b/router/order/orderer.go
@@ -121,6 +121,9 @@
 		o.journal.become(self)
 	}
 	active := joined && o.active()
+	if joined && !active {
+		o.board.Orders.Store(nil)
+	}
 	if !active && time.Since(o.readAt) < idleInterval {
 		return pollInterval
 	}
