--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -226,3 +226,14 @@
 		t.Error("a request without a reservation was sent")
 	}
 }
+
+func TestUnreadFieldsArePassedOn(t *testing.T) {
+	raw := []byte(`{"model":"brush","prompt":"a","max_tokens":3,"priority":-7,"guided":{"choice":["a", 1e2]}}`)
+	body, err := parseModelBody(raw)
+	assert.NoError(t, err)
+	rewritten, err := rewriteModelBody(raw, body, 3)
+	assert.NoError(t, err)
+	var got struct{ Priority, Guided json.RawMessage }
+	assert.NoError(t, json.Unmarshal(rewritten, &got))
+	assert.Equal(t, `-7 {"choice":["a",1e2]}`, string(got.Priority)+" "+string(got.Guided))
+}
