--- a/dragonflyctl/streams/read.go
+++ b/dragonflyctl/streams/read.go
@@ -22,8 +22,7 @@
 // ErrTruncated reports a stream whose beginning the log has dropped while there is no usable snapshot.
 var ErrTruncated = errors.New("the beginning of the stream is no longer kept and no usable snapshot covers it")
 
-// read reads entries and reports whether they may have reached the stream's end. An answer that is short
-// because of its bytes is longer than half of what an answer may carry.
+// read reads entries and reports whether they may have reached the stream's end.
 func read(ctx context.Context, log platform.Log, stream string, from platform.Offset) ([]platform.Entry, bool, error) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -31,11 +30,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	size := 0
-	for _, e := range entries {
-		size += len(e.Payload)
-	}
-	return entries, len(entries) < readLimit && size < platform.MaxReadBytes/2, nil
+	return entries, platform.AtEnd(entries, readLimit), nil
 }
 
 // readAll calls visit with each entry that a stream still keeps.
--- a/fleet/ledgerstream/reader.go
+++ b/fleet/ledgerstream/reader.go
@@ -88,7 +88,7 @@
 	for _, entry := range entries {
 		c.applyEntry(entry)
 	}
-	complete := len(entries) < c.settings.ReadLimit
+	complete := platform.AtEnd(entries, c.settings.ReadLimit)
 	if complete {
 		c.lastComplete = number
 		c.observation.Read(begun)
--- a/fleet/ledgerstream/snapshot.go
+++ b/fleet/ledgerstream/snapshot.go
@@ -100,7 +100,7 @@
 		for _, entry := range entries {
 			state.Apply(entry)
 		}
-		if len(entries) < c.settings.ReadLimit {
+		if platform.AtEnd(entries, c.settings.ReadLimit) {
 			return state, nil
 		}
 	}
--- a/fleet/ledgerstream/snapshot_test.go
+++ b/fleet/ledgerstream/snapshot_test.go
@@ -215,3 +215,19 @@
 		assertOutcome(c.tb, outcome{"MayHaveRun", verdict.OutcomeUnknown}, r.Release(ctx))
 	})
 }
+
+// TestAnswersCutByTheirBytes has a stream of which one answer carries a part only, though of fewer entries than asked for.
+func TestAnswersCutByTheirBytes(t *testing.T) {
+	log := &memory.Log{}
+	for range 100 {
+		_, err := log.Append(t.Context(), platform.LedgerStream(0), make([]byte, platform.MaxPayloadBytes))
+		assertEqual(t, "append", nil, err)
+	}
+	c := NewClient(log, Settings{}, metrics.NewRegistry())
+	for complete := false; !complete; {
+		entries, err := log.Read(t.Context(), platform.LedgerStream(0), c.state.Next(), c.settings.ReadLimit)
+		assertEqual(t, "read", nil, err)
+		complete = c.apply(entries, time.Now(), 1)
+	}
+	assertEqual(t, "next offset at the end", platform.Offset(100), c.state.Next())
+}
--- a/fleet/platform/transport.go
+++ b/fleet/platform/transport.go
@@ -134,3 +134,13 @@
 	}
 	return truncated
 }
+
+// AtEnd reports whether the answer to a read of up to limit entries may have reached the stream's end. An answer that is
+// short because of its bytes is longer than half of what an answer may carry.
+func AtEnd(entries []Entry, limit int) bool {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Payload)
+	}
+	return len(entries) < limit && size < MaxReadBytes/2
+}
