--- a/fleet/platform/memory/faults.go
+++ b/fleet/platform/memory/faults.go
@@ -53,8 +53,8 @@
 	f.random = rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // a fault has to be repeatable from its seed
 }
 
-// enter waits for the delay and fails during an outage.
-func (f *Faults) enter(ctx context.Context) error {
+// Enter waits for the delay and fails during an outage.
+func (f *Faults) Enter(ctx context.Context) error {
 	f.mutex.Lock()
 	delay := f.delay
 	f.mutex.Unlock()
--- a/fleet/platform/memory/instances.go
+++ b/fleet/platform/memory/instances.go
@@ -65,7 +65,7 @@
 
 // Instances implements platform.InstanceList.
 func (l *InstanceList) Instances(ctx context.Context) (platform.Listing, error) {
-	if err := l.enter(ctx); err != nil {
+	if err := l.Enter(ctx); err != nil {
 		return platform.Listing{}, fmt.Errorf("read instance list: %w", err)
 	}
 	l.mutex.Lock()
--- a/fleet/platform/memory/log.go
+++ b/fleet/platform/memory/log.go
@@ -56,7 +56,7 @@
 
 // Append implements platform.Log.
 func (l *Log) Append(ctx context.Context, name string, payload []byte) (platform.Offset, error) {
-	if err := l.enter(ctx); err != nil {
+	if err := l.Enter(ctx); err != nil {
 		return 0, fmt.Errorf("append to stream %s: %w", name, err)
 	}
 	if err := sleep(ctx, l.reserveAppend()); err != nil {
@@ -103,7 +103,7 @@
 // Read implements platform.Log. An answer holds at most platform.MaxReadBytes of payload, but
 // always one entry if there is one.
 func (l *Log) Read(ctx context.Context, name string, from platform.Offset, limit int) ([]platform.Entry, error) {
-	if err := l.enter(ctx); err != nil {
+	if err := l.Enter(ctx); err != nil {
 		return nil, fmt.Errorf("read stream %s: %w", name, err)
 	}
 	l.mutex.Lock()
