--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 build: ## compiles the three programs into BIN, with VERSION as their version
 	@mkdir -p $(BIN)
-	@for p in $(PROGRAMS); do go build -ldflags '-X main.release=$(VERSION)' -o $(BIN)/$$p ./$$p || exit 1; done
+	@for p in $(PROGRAMS); do go build -ldflags '-X github.com/dragonflyworks/dragonflyworks/fleet/version.release=$(VERSION)' -o $(BIN)/$$p ./$$p || exit 1; done
 
 test: ## runs every test with the race detector
 	.ci/test
--- a/router/build.go
+++ b/router/build.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/version"
 	"github.com/dragonflyworks/dragonflyworks/router/admin"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
@@ -100,7 +101,7 @@
 		Instance:              settings.Instance,
 		AvailabilityZone:      settings.AvailabilityZone,
 		Region:                settings.Region,
-		Version:               version(),
+		Version:               version.Of(),
 		Lease:                 settings.Lease,
 		LeaseMargin:           settings.LeaseMargin,
 		FleetAppendsPerSecond: settings.FleetAppendsPerSecond,
--- a/router/run.go
+++ b/router/run.go
@@ -7,10 +7,11 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/version"
 )
 
 // Main runs the program with its arguments and returns its exit code.
@@ -20,7 +21,7 @@
 		return code
 	}
 	if settings.Version {
-		_, _ = fmt.Fprintln(stdout, version())
+		_, _ = fmt.Fprintln(stdout, version.Of())
 		return exitDone
 	}
 	if err := settings.Check(); err != nil {
@@ -77,18 +78,3 @@
 	}
 	return text
 }
-
-// release is the version that a build sets by -ldflags "-X main.release=1.2.0".
-var release string //nolint:gochecknoglobals // the linker can set nothing but a variable
-
-// version returns the version that the build set or recorded.
-func version() string {
-	if release != "" {
-		return release
-	}
-	info, found := debug.ReadBuildInfo()
-	if !found || info.Main.Version == "" {
-		return "devel"
-	}
-	return info.Main.Version
-}
