Serve the prepared platform: routes by host, prepaid shares by conditional append, adapter

Cause: the operators' platform speaks its own names, and the ledger's open before each dispatch can't pay for anything while the whole fleet is cut off from the store for 7 to 9 s. Change: fleet/allowance keeps each team's shares in one keyed record, changed only by conditional appends; fleet/site holds routes, teams, endpoints; router/gateway passes requests on; platform/ decodes.

--- a/fleet/verdict/reason.go
+++ b/fleet/verdict/reason.go
@@ -16,6 +16,8 @@
 	BudgetAmbiguous       Reason = "budget_ambiguous"
 	BudgetExhausted       Reason = "budget_exhausted"
 	BudgetFrozen          Reason = "budget_frozen"
+	PrepaidSpent          Reason = "prepaid_spent"
+	PrepaidElsewhere      Reason = "prepaid_elsewhere"
 	BudgetNotYetInLedger  Reason = "budget_not_yet_in_ledger"
 	RouteUnknown          Reason = "route_unknown"
 	ModelUnknown          Reason = "model_unknown"
@@ -76,6 +78,8 @@
 		{BudgetUnknown, http.StatusNotFound, retryInvalid, "No budget has this name."},
 		{BudgetAmbiguous, http.StatusBadRequest, retryInvalid, "The team has several budgets and the request names none."},
 		{BudgetExhausted, http.StatusTooManyRequests, retryLater, "The budget can't pay for the request's highest possible cost."},
+		{PrepaidSpent, http.StatusPaymentRequired, retryInvalid, "The team's remaining prepaid tokens don't cover the request at its most."},
+		{PrepaidElsewhere, http.StatusServiceUnavailable, retrySoon, "The team's remaining prepaid tokens are held by other routers, or the platform can't be reached."},
 		{BudgetFrozen, http.StatusForbidden, retryInvalid, "The budget is frozen by its operators."},
 		{BudgetNotYetInLedger, http.StatusServiceUnavailable, retrySoon, "The budget's ticket is accepted, its prepaid total isn't in the ledger yet."},
 		{RouteUnknown, http.StatusNotFound, retryInvalid, "No route serves this path."},
--- /dev/null
+++ b/router/gateway/exchange.go
@@ -0,0 +1,285 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+const (
+	// shortestAttempt is the least time left with which a request is sent to an endpoint.
+	shortestAttempt = 5 * time.Millisecond
+	// heldBytes bounds an endpoint's error that is held back while the request is tried elsewhere.
+	heldBytes = 64 << 10
+)
+
+var (
+	// errForeign is the cause of answers that belong to another request.
+	errForeign = errors.New("answer to another request")
+	// errUnsealed is the cause of successes that no endpoint vouches for.
+	errUnsealed = errors.New("success without a seal")
+)
+
+// attempt is how one exchange with an endpoint ended. Without a cause its answer was passed on.
+type attempt struct {
+	verdict verdict.Verdict
+	reason  verdict.Reason
+	cause   error
+	// broken says that the endpoint is to blame; misdirected that it is not the one that was meant.
+	broken, misdirected bool
+	// abort says that the caller must not take its answer for complete.
+	abort bool
+	// held is an endpoint's error that was not passed on.
+	held       *heldAnswer
+	retryAfter time.Duration
+}
+
+// heldAnswer is an endpoint's own error.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempts sends the request until an endpoint answers it or it is given up. It reports whether the connection to the
+// caller must end.
+func (j *job) attempts(ctx context.Context) bool {
+	var held *heldAnswer
+	j.server.retries.first(j.service)
+	for {
+		e, err := j.server.peers.acquire(j.server.board.Directory.Load(), j)
+		if err != nil {
+			return j.end(ctx, held, err)
+		}
+		j.tried = append(j.tried, e)
+		out := j.exchange(ctx, e)
+		j.server.peers.release(e, out)
+		if out.verdict != verdict.NotRun {
+			j.mayHaveRun = true
+		}
+		if out.cause == nil || out.abort {
+			return out.abort
+		}
+		if out.held != nil {
+			held = out.held
+		}
+		if !j.mayRetry(ctx, out) {
+			return j.end(ctx, held, j.giveUp(out))
+		}
+		j.server.board.Count("retry." + string(out.reason))
+	}
+}
+
+// mayRetry holds the rule that a request runs at most once unless it is repeatable, and that repeats stay in their
+// budget.
+func (j *job) mayRetry(ctx context.Context, out attempt) bool {
+	if ctx.Err() != nil || j.started || len(j.tried) >= max(1, j.route.Attempts) {
+		return false
+	}
+	if out.verdict != verdict.NotRun && !j.route.Repeatable() {
+		return false
+	}
+	if !j.server.retries.repeat(j.service) {
+		j.server.board.Count("retry.budget_spent")
+		return false
+	}
+	return true
+}
+
+// giveUp turns the last attempt into what the caller hears.
+func (j *job) giveUp(out attempt) error {
+	refusal := &verdict.Refusal{Verdict: verdict.NotRun, Reason: out.reason, RetryAfter: out.retryAfter, Cause: out.cause}
+	if j.mayHaveRun {
+		refusal.Verdict = verdict.MayHaveRun
+	} else if out.reason == verdict.EndpointFailed || out.reason == verdict.EndpointRefused {
+		refusal.Reason = verdict.Overloaded
+	}
+	return refusal
+}
+
+// end answers with the endpoint's error that was held back, or with one of the router's own.
+func (j *job) end(ctx context.Context, held *heldAnswer, err error) bool {
+	if held == nil || ctx.Err() != nil {
+		j.refuse(err)
+		return false
+	}
+	copyHeader(j.w.Header(), held.header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
+	j.status, j.outcome = held.status, "endpoint_error"
+	j.w.WriteHeader(held.status)
+	_, _ = j.w.Write(held.body)
+	return false
+}
+
+// exchange sends the request to one endpoint and passes the answer on.
+func (j *job) exchange(ctx context.Context, e *peer) attempt {
+	left := time.Until(j.deadline)
+	if left < shortestAttempt {
+		return attempt{verdict: verdict.NotRun, reason: verdict.DeadlineTooShort, cause: context.DeadlineExceeded}
+	}
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { written.Store(true) },
+	})
+	response, err := e.transport.RoundTrip(j.request(ctx, e, left))
+	if err != nil {
+		return j.failed(ctx, err, written.Load())
+	}
+	defer func() { _ = response.Body.Close() }()
+	return j.answered(ctx, response)
+}
+
+// request builds the request to the endpoint. Its body can't be read twice, so that the transport has nothing to send
+// again by itself.
+func (j *job) request(ctx context.Context, e *peer, left time.Duration) *http.Request {
+	out := &http.Request{
+		Method:        j.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: e.Address, Opaque: j.r.RequestURI},
+		Host:          j.r.Host,
+		Header:        j.header(e, left),
+		Body:          io.NopCloser(bytes.NewReader(j.body)),
+		ContentLength: int64(len(j.body)),
+	}
+	return out.WithContext(ctx)
+}
+
+// header returns the headers that the endpoint gets.
+func (j *job) header(e *peer, left time.Duration) http.Header {
+	wire := &j.server.wire
+	header := j.r.Header.Clone()
+	dropConnectionHeaders(header)
+	header.Del("Authorization")
+	for _, name := range wire.Reserved {
+		header.Del(name)
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		// Without an entry the transport adds one of its own.
+		header["User-Agent"] = nil
+	}
+	header.Del(wire.Team)
+	if j.team != nil {
+		header.Set(wire.Team, j.team.Name)
+	}
+	header.Set(wire.ExpectedEndpoint, e.Name)
+	header.Set(wire.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	return header
+}
+
+// connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
+func connectionHeaders() []string {
+	return []string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Expect",
+	}
+}
+
+func dropConnectionHeaders(header http.Header) {
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders() {
+		header.Del(name)
+	}
+}
+
+// failed classifies an exchange without an answer by where it broke.
+func (j *job) failed(ctx context.Context, err error, written bool) attempt {
+	out := attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err}
+	if !written || isDial(err) {
+		out.verdict = verdict.NotRun
+	}
+	switch {
+	case j.r.Context().Err() != nil:
+		out.reason = verdict.CallerWentAway
+	case ctx.Err() != nil:
+		out.reason = verdict.OutcomeUnknown
+		if out.verdict == verdict.NotRun {
+			out.reason = verdict.DeadlineTooShort
+		}
+	default:
+		out.broken = true
+	}
+	return out
+}
+
+// isDial reports whether no connection was had.
+func isDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// answered checks whose answer it is and passes it on.
+func (j *job) answered(ctx context.Context, response *http.Response) attempt {
+	wire := &j.server.wire
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return attempt{
+			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status), misdirected: true,
+		}
+	}
+	if response.Header.Get(wire.RequestID) != j.r.Header.Get(wire.RequestID) {
+		return attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errForeign}
+	}
+	if response.Header.Get(wire.NotRun) != "" {
+		_, _ = io.CopyN(io.Discard, response.Body, heldBytes)
+		return attempt{
+			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
+			retryAfter: retryAfter(response.Header),
+		}
+	}
+	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	if success && response.Header.Get(wire.Seal) == "" {
+		return attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errUnsealed, broken: true}
+	}
+	if response.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
+		return j.hold(response)
+	}
+	return j.pass(ctx, response)
+}
+
+// hold keeps an endpoint's error while the request may be tried elsewhere.
+func (j *job) hold(response *http.Response) attempt {
+	body, err := io.ReadAll(io.LimitReader(response.Body, heldBytes))
+	if err != nil {
+		return attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err, broken: true}
+	}
+	return attempt{
+		verdict: verdict.Ran, reason: verdict.EndpointFailed,
+		cause: fmt.Errorf("endpoint answered %s", response.Status),
+		held:  &heldAnswer{status: response.StatusCode, header: response.Header, body: body},
+	}
+}
+
+// retryAfter reads a Retry-After header in seconds; zero if there is none.
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 || seconds > longestWait.Seconds() {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// copyHeader copies the headers of an answer but those of its connection.
+func copyHeader(to, from http.Header) {
+	dropConnectionHeaders(from)
+	for name, values := range from {
+		to[name] = values
+	}
+	if _, ok := to["Content-Type"]; !ok {
+		// Without an entry the server guesses one.
+		to["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/router/gateway/node.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+)
+
+const (
+	// headerTimeout bounds the time in which a request's headers arrive, idleTimeout how long a caller's connection may
+	// be without a request: both above what operators allow callers.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 30 * time.Second
+	// headerBytesHard is where net/http itself gives up on headers; above what operators allow.
+	headerBytesHard = 1 << 20
+	// leaveDelay is how long a router that was told to stop goes on as before: two looks of the balancer and a caller's
+	// connection on its way.
+	leaveDelay = 3 * time.Second
+	// endMargin is the part of the grace that is left for returning shares.
+	endMargin = 700 * time.Millisecond
+)
+
+// Settings describe a node.
+type Settings struct {
+	// Listen, Ready and Metrics are the addresses for callers, for the balancer and for metrics; an empty one is not served.
+	Listen, Ready, Metrics string
+	// Grace is how long the router may take to end after it was told to.
+	Grace time.Duration
+	// Reload reads the settings again; it may be nil.
+	Reload func() error
+}
+
+// Node is a router with all its parts.
+type Node struct {
+	Settings       Settings
+	Board          *Board
+	Server         *Server
+	Payer          *allowance.Holder
+	Configurations *Configurations
+	Directories    *Directories
+	Logger         log.Interface
+}
+
+// Run serves until a signal ends the router.
+func (n *Node) Run(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	callers := &http.Server{
+		Handler: n.closing(n.Server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesHard,
+	}
+	operators := &http.Server{Handler: n.operators(), ReadHeaderTimeout: headerTimeout}
+	loops, ctx := errgroup.WithContext(ctx)
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+	}{{n.Settings.Listen, callers}, {n.Settings.Ready, operators}, {n.Settings.Metrics, operators}} {
+		if l.address == "" {
+			continue
+		}
+		socket, err := listen(ctx, l.address)
+		if err != nil {
+			return fmt.Errorf("listening on %s: %w", l.address, err)
+		}
+		loops.Go(func() error { return serve(l.server, socket) })
+	}
+	payerContext, stopPayer := context.WithCancel(ctx)
+	defer stopPayer()
+	paying := &errgroup.Group{}
+	paying.Go(func() error { return n.Payer.Run(payerContext) })
+	loops.Go(func() error { return n.Configurations.Run(ctx) })
+	loops.Go(func() error { return n.Directories.Run(ctx) })
+	n.Logger.WithField("Listen", n.Settings.Listen).Info("router started")
+	n.wait(ctx, signals)
+	n.end(ctx, callers, stopPayer, paying)
+	stop()
+	_ = operators.Close()
+	err := loops.Wait()
+	n.Logger.Info("router ended")
+	return err
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	return (&net.ListenConfig{Control: BoundSocket, KeepAliveConfig: KeepAlive()}).Listen(ctx, "tcp", address)
+}
+
+func serve(server *http.Server, socket net.Listener) error {
+	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// wait returns once a signal tells the router to end.
+func (n *Node) wait(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				n.Logger.WithField("Signal", s.String()).Info("router is leaving")
+				return
+			}
+			n.reload()
+		}
+	}
+}
+
+func (n *Node) reload() {
+	if n.Settings.Reload == nil {
+		return
+	}
+	if err := n.Settings.Reload(); err != nil {
+		n.Logger.WithError(err).Error("settings not reloaded")
+		return
+	}
+	n.Logger.Info("settings reloaded")
+}
+
+// end tells the balancer at once, serves on until it has heard, finishes the requests in progress and returns the shares.
+func (n *Node) end(ctx context.Context, callers *http.Server, stopPayer context.CancelFunc, paying *errgroup.Group) {
+	n.Board.Leaving.Store(true)
+	until := time.Now().Add(n.Settings.Grace - endMargin)
+	sleep(ctx, leaveDelay)
+	grace, cancel := context.WithDeadline(context.WithoutCancel(ctx), until)
+	defer cancel()
+	if err := callers.Shutdown(grace); err != nil {
+		n.Logger.WithError(err).Warn("requests are cut off at the end of the grace")
+		_ = callers.Close()
+	}
+	stopPayer()
+	_ = paying.Wait()
+	last, cancelLast := context.WithTimeout(context.WithoutCancel(ctx), endMargin/2)
+	defer cancelLast()
+	if err := n.Payer.Return(last); err != nil {
+		n.Logger.WithError(err).Warn("shares not returned")
+	}
+}
+
+// closing asks callers of a leaving router to open their next connection elsewhere.
+func (n *Node) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Board.Leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// operators returns the routes of the balancer's and the metrics' listeners.
+func (n *Node) operators() http.Handler {
+	routes := chi.NewRouter()
+	routes.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(n.Board.Metrics, w) })
+	routes.NotFound(n.ready)
+	return routes
+}
+
+// ready tells the balancer whether to send new work.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	ready := n.Board.Configuration.Load() != nil && n.Board.Directory.Load() != nil && n.Payer.Known() && !n.Board.Leaving.Load()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/router/gateway/peer.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to an endpoint: regions are some ms apart, and one that answers
+	// nothing is silent or gone.
+	dialTimeout = 700 * time.Millisecond
+	// userTimeout ends a connection whose data the other end has not acknowledged: several round trips between regions
+	// with a lost packet.
+	userTimeout = 2500 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find connections that went silent within about userTimeout.
+	keepAliveIdle     = 1 * time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
+	// idleConnections bounds the idle connections to one endpoint, idleTime their age: endpoints close idle ones.
+	idleConnections = 32
+	idleTime        = 2500 * time.Millisecond
+)
+
+// KeepAlive finds connections that went silent.
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
+// BoundSocket sets the time after which unacknowledged data ends a connection.
+func BoundSocket(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// NewTransport returns a transport with bounded connections that takes no proxy from the environment.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: BoundSocket}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTime,
+		DisableCompression:  true,
+	}
+}
+
+// peer is an endpoint with the connections to it and what this router knows of it.
+type peer struct {
+	site.Endpoint
+	transport *http.Transport
+	hash      uint64
+	// inFlight counts this router's requests there.
+	inFlight int
+	// failures counts failures in a row; blocked is until when the endpoint gets no requests.
+	failures int
+	blocked  time.Time
+	// gone says that the address belongs to another endpoint by now.
+	gone bool
+}
+
+// peers are the endpoints that requests were sent to.
+type peers struct {
+	mu        sync.Mutex
+	directory *site.Directory
+	byName    map[string]*peer
+	services  map[string][]*peer
+}
--- /dev/null
+++ b/router/gateway/refuse.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// refuse answers with an error of the router's own. Its status promises that the request has not run only if that is
+// so.
+func (j *job) refuse(err error) {
+	var refusal *verdict.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &verdict.Refusal{Reason: verdict.Internal, Cause: err}
+	}
+	description := verdict.Describe(refusal.Reason)
+	status := description.Status
+	if refusal.Verdict != verdict.NotRun && promisesNotRun(status) {
+		status = http.StatusBadGateway
+	}
+	j.outcome, j.status = string(refusal.Reason), status
+	j.server.board.Count("refusal." + string(refusal.Reason))
+	header := j.w.Header()
+	header.Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		after := refusal.RetryAfter
+		if after <= 0 {
+			after = description.RetryAfter
+		}
+		header.Set("Retry-After", formatSeconds(after))
+	}
+	body := struct {
+		Error struct {
+			Message string `json:"message"`
+			Code    string `json:"code"`
+		} `json:"error"`
+	}{}
+	body.Error.Message, body.Error.Code = description.Meaning, string(refusal.Reason)
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		encoded = []byte("{}")
+	}
+	header.Set("Content-Length", strconv.Itoa(len(encoded)))
+	j.w.WriteHeader(status)
+	_, _ = j.w.Write(encoded)
+}
+
+// promisesNotRun reports whether callers take a status for the promise that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// formatSeconds writes a duration as seconds with up to three decimals.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(float64(d.Milliseconds())/1000, 'f', -1, 64)
+}
--- /dev/null
+++ b/router/gateway/server.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+const (
+	// bodyTimeout bounds the time in which a body arrives.
+	bodyTimeout = 5 * time.Second
+	// longestWait bounds requests whose caller and route set no time.
+	longestWait = 60 * time.Second
+)
+
+// Server answers callers.
+type Server struct {
+	board   *Board
+	wire    Wire
+	payer   *allowance.Holder
+	logger  log.Interface
+	peers   peers
+	retries retryBudgets
+}
+
+// NewServer returns a server that pays from a holder's shares.
+func NewServer(board *Board, wire Wire, payer *allowance.Holder, logger log.Interface) *Server {
+	return &Server{board: board, wire: wire, payer: payer, logger: logger}
+}
+
+// job is one request on its way.
+type job struct {
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	// received is when its headers were read, deadline when its caller or its route gives up.
+	received time.Time
+	deadline time.Time
+
+	route   *site.Route
+	service string
+	engine  *site.Engine
+	team    *site.Team
+	demand  site.Demand
+	body    []byte
+	random  uint64
+
+	tried       []*peer
+	reservation *allowance.Reservation
+	// started says that a part of an answer has been written to the caller.
+	started bool
+	// mayHaveRun says that an attempt may have run.
+	mayHaveRun bool
+	// events counts the events of a stream that were read from endpoints.
+	events int64
+	// status and outcome are what the caller got.
+	status  int
+	outcome string
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := &job{server: s, w: w, r: r, received: time.Now(), random: rand.Uint64()} //nolint:gosec // spreads load
+	abort := j.serve()
+	j.note()
+	if abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve answers the request. It reports whether the connection must end because the answer is not whole.
+func (j *job) serve() bool {
+	if err := j.admit(); err != nil {
+		j.refuse(err)
+		return false
+	}
+	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
+	defer cancel()
+	if err := j.pay(ctx); err != nil {
+		j.refuse(err)
+		return false
+	}
+	abort := j.attempts(ctx)
+	j.reservation.Settle(j.used())
+	return abort
+}
+
+// admit finds the request's route and team and reads its body.
+func (j *job) admit() error {
+	configuration := j.server.board.Configuration.Load()
+	if configuration == nil || j.server.board.Directory.Load() == nil {
+		return verdict.Refuse(verdict.NotReady, "")
+	}
+	route, ok := configuration.Route(j.r.Host, path(j.r))
+	if !ok {
+		return verdict.Refuse(verdict.RouteUnknown, "")
+	}
+	j.route = route
+	if err := j.authenticate(configuration); err != nil {
+		return err
+	}
+	demand, err := j.server.wire.Demand(j.r.Header)
+	if err != nil {
+		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.InvalidHeader, Cause: err}
+	}
+	j.demand = demand
+	j.service = route.Pick(float64(j.random>>11) / (1 << 53))
+	if service, ok := configuration.Service(j.service); ok {
+		j.engine = service.Engine
+	}
+	j.setDeadline()
+	return j.readBody(configuration.Limits)
+}
+
+// path returns the request's path as the caller sent it, without its query.
+func path(r *http.Request) string {
+	before, _, _ := strings.Cut(r.RequestURI, "?")
+	return before
+}
+
+func (j *job) authenticate(configuration *site.Configuration) error {
+	if !configuration.HasTeams() {
+		return nil
+	}
+	key, ok := strings.CutPrefix(j.r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		j.team, ok = configuration.TeamOfKey(key)
+	}
+	if !ok && !j.route.Public {
+		return verdict.Refuse(verdict.InvalidKey, "")
+	}
+	return nil
+}
+
+// setDeadline takes the earlier of what the caller and the route allow.
+func (j *job) setDeadline() {
+	wait := longestWait
+	if left, err := strconv.ParseInt(j.r.Header.Get(j.server.wire.Deadline), 10, 64); err == nil && left > 0 {
+		wait = min(wait, time.Duration(left)*time.Millisecond)
+	}
+	if j.route.Timeout > 0 {
+		wait = min(wait, j.route.Timeout)
+	}
+	j.deadline = j.received.Add(wait)
+}
+
+func (j *job) readBody(limits site.Limits) error {
+	if limits.HeaderBytes > 0 && headerBytes(j.r.Header) > limits.HeaderBytes {
+		return verdict.Refuse(verdict.HeadersTooLarge, "")
+	}
+	source := j.r.Body
+	if limits.BodyBytes > 0 {
+		source = http.MaxBytesReader(j.w, source, limits.BodyBytes)
+	}
+	control := http.NewResponseController(j.w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(source)
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		j.body = body
+		return nil
+	case errors.As(err, &tooLarge):
+		return verdict.Refuse(verdict.BodyTooLarge, "")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(verdict.SenderTooSlow, "")
+	default:
+		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.CallerWentAway, Cause: err}
+	}
+}
+
+func headerBytes(header http.Header) int {
+	total := 0
+	for name, values := range header {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+	return total
+}
+
+// pay reserves the most that the request can use.
+func (j *job) pay(ctx context.Context) error {
+	reservation, err := j.server.payer.Reserve(ctx, j.team, j.demand.Most())
+	switch {
+	case err == nil:
+		j.reservation = reservation
+		return nil
+	case errors.Is(err, allowance.ErrSpent):
+		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.PrepaidSpent, Cause: err}
+	default:
+		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.PrepaidElsewhere, Cause: err}
+	}
+}
+
+// used returns the tokens that the request is billed: its prompt once if it may have run, and the events that an
+// endpoint gave, each at its most.
+func (j *job) used() int64 {
+	if !j.mayHaveRun {
+		return 0
+	}
+	if j.engine == nil {
+		return 0
+	}
+	return j.demand.Prompt + min(j.demand.Output, j.events*j.engine.EventTokens)
+}
+
+// note logs how the request ended.
+func (j *job) note() {
+	fields := log.Fields{
+		"Request": j.r.Header.Get(j.server.wire.RequestID), "Status": j.status, "Outcome": j.outcome,
+		"Milliseconds": time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
+	}
+	if j.route != nil {
+		fields["Route"] = j.route.Name
+	}
+	if n := len(j.tried); n > 0 {
+		fields["Endpoint"] = j.tried[n-1].Name
+	}
+	j.server.logger.WithFields(fields).Info("request ended")
+}
