Spread accounts over partitions: fewer write conflicts

Cause: with one partition, routers' conditional appends collided; requests timed out after 250 ms with most of the total undrawn. Change: a team's account lies in a partition by its name's hash, each with a loop that reads when a request waits, a share drifts or 1.5 s have passed.

--- /dev/null
+++ b/fleet/allowance/book.go
@@ -0,0 +1,293 @@
+package allowance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+const (
+	// conflictPause is the most that a router waits after another one's write came in between: about the time of a read
+	// and a write.
+	conflictPause = 20 * time.Millisecond
+	// watchInterval is the time between two looks at what the holder has itself: a share that runs low is drawn that late
+	// at most.
+	watchInterval = 200 * time.Millisecond
+)
+
+// book keeps the accounts of one partition.
+type book struct {
+	holder    *Holder
+	partition int
+	kick      chan struct{}
+	// looked is when the partition was last read.
+	looked time.Time
+}
+
+// bookOf returns the book with a team's account.
+func (h *Holder) bookOf(team string) *book {
+	return h.books[xxhash.Sum64String(team)%uint64(len(h.books))]
+}
+
+// Configure takes a new configuration in.
+func (h *Holder) Configure(configuration *site.Configuration) {
+	h.mu.Lock()
+	h.configuration = configuration
+	h.mu.Unlock()
+	for _, b := range h.books {
+		b.wake()
+	}
+}
+
+// Known reports whether every account of the configuration has been read since the start.
+func (h *Holder) Known() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.configuration == nil {
+		return false
+	}
+	for _, team := range h.configuration.Teams {
+		if team.HasPrepaid && !h.holdingLocked(team.Name).read {
+			return false
+		}
+	}
+	return true
+}
+
+// Run draws, reports and returns tokens until the context ends.
+func (h *Holder) Run(ctx context.Context) error {
+	loops := &errgroup.Group{}
+	for _, b := range h.books {
+		loops.Go(func() error { return b.run(ctx) })
+	}
+	return loops.Wait()
+}
+
+// Return gives all shares back. No request may be in progress or come.
+func (h *Holder) Return(ctx context.Context) error {
+	returns := &errgroup.Group{}
+	for _, b := range h.books {
+		returns.Go(func() error { return b.end(ctx) })
+	}
+	return returns.Wait()
+}
+
+func (b *book) wake() {
+	select {
+	case b.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run updates the partition when a request waits, when a share should change and from time to time.
+func (b *book) run(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if !b.due() {
+				continue
+			}
+		case <-b.kick:
+		}
+		if err := b.update(ctx, false); err != nil {
+			b.pause(ctx)
+		}
+	}
+}
+
+// pause waits after a failed update and asks for another one if a request still waits.
+func (b *book) pause(ctx context.Context) {
+	sleep(ctx, conflictPause/4+rand.N(conflictPause)) //nolint:gosec // spreads writes
+	b.holder.mu.Lock()
+	defer b.holder.mu.Unlock()
+	for _, team := range b.teamsLocked() {
+		if len(b.holder.holdingLocked(team.Name).waiters) > 0 {
+			b.wake()
+		}
+	}
+}
+
+// due reports whether the partition should be read: because that was long ago, or because the policy would change an
+// account as it was last seen.
+func (b *book) due() bool {
+	h := b.holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	teams := b.teamsLocked()
+	if len(teams) == 0 {
+		return false
+	}
+	if time.Since(b.looked) > h.settings.Interval {
+		return true
+	}
+	now := time.Now()
+	for _, team := range teams {
+		held := h.holdingLocked(team.Name)
+		held.meter(now, 0)
+		if _, write := h.settings.Policy.Plan(held.account, h.positionLocked(held, team, false)); write {
+			return true
+		}
+	}
+	return false
+}
+
+// teamsLocked returns the teams with prepaid tokens whose accounts are in the partition.
+func (b *book) teamsLocked() []*site.Team {
+	if b.holder.configuration == nil {
+		return nil
+	}
+	var teams []*site.Team
+	for i := range b.holder.configuration.Teams {
+		team := &b.holder.configuration.Teams[i]
+		if team.HasPrepaid && b.holder.bookOf(team.Name) == b {
+			teams = append(teams, team)
+		}
+	}
+	return teams
+}
+
+// end returns the partition's shares.
+func (b *book) end(ctx context.Context) error {
+	for {
+		err := b.update(ctx, true)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		sleep(ctx, rand.N(conflictPause)) //nolint:gosec // spreads writes
+	}
+}
+
+// update reads the partition's accounts and writes those that the policy wants changed.
+func (b *book) update(ctx context.Context, ending bool) error {
+	h := b.holder
+	ctx, cancel := context.WithTimeout(ctx, h.settings.CallTimeout)
+	defer cancel()
+	state, err := h.log.Newest(ctx, Topic, b.partition)
+	if err != nil {
+		h.count("allowance.read.failed")
+		return fmt.Errorf("read accounts: %w", err)
+	}
+	planned, records := b.plan(state, ending)
+	if len(records) == 0 {
+		return nil
+	}
+	_, err = h.log.AppendAt(ctx, Topic, b.partition, state.End, records)
+	switch {
+	case err == nil:
+		h.count("allowance.write.done")
+		h.adopt(planned)
+		return nil
+	case errors.Is(err, platform.ErrMoved):
+		h.count("allowance.write.moved")
+	default:
+		h.count("allowance.write.failed")
+	}
+	return fmt.Errorf("write accounts: %w", err)
+}
+
+// plan decides on the partition's accounts. Tokens that are returned are not used from now on, whatever becomes of the
+// write.
+func (b *book) plan(state platform.KeyedState, ending bool) (map[string]Account, []platform.KeyedRecord) {
+	h := b.holder
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reached, b.looked = now, now
+	teams := b.teamsLocked()
+	accounts := h.decode(state, teams)
+	planned := make(map[string]Account)
+	var records []platform.KeyedRecord
+	for _, team := range teams {
+		held := h.holdingLocked(team.Name)
+		account, readable := accounts[team.Name]
+		if !readable {
+			continue
+		}
+		held.account, held.read = account, true
+		held.meter(now, 0)
+		wanted, write := h.settings.Policy.Plan(account, h.positionLocked(held, team, ending))
+		if !write {
+			continue
+		}
+		value, err := wanted.Encode()
+		if err != nil {
+			h.settings.Logger.WithField("Team", team.Name).WithError(err).Error("account not written")
+			continue
+		}
+		held.usable = min(held.usable, wanted.Shares[h.settings.Holder].Granted)
+		planned[team.Name] = wanted
+		records = append(records, platform.KeyedRecord{Key: team.Name, Value: value})
+	}
+	return planned, records
+}
+
+func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
+	own := Position{
+		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.spent,
+		Reserved: held.reserved, Rate: held.rate, Version: h.configuration.Version, Prepaid: team.Prepaid, Ending: ending,
+	}
+	for _, w := range held.waiters {
+		own.Lacking = max(own.Lacking, held.spent+held.reserved+w.most-held.usable)
+	}
+	return own
+}
+
+// decode reads the accounts of teams; a team without a record has an empty one. A record that can't be read is left out:
+// nothing is drawn from such an account.
+func (h *Holder) decode(state platform.KeyedState, teams []*site.Team) map[string]Account {
+	accounts := make(map[string]Account, len(teams))
+	for _, team := range teams {
+		accounts[team.Name] = Account{}
+	}
+	for _, r := range state.Records {
+		a, err := DecodeAccount(r.Value)
+		if err != nil {
+			h.settings.Logger.WithField("Team", r.Key).WithError(err).Error("account can't be read")
+			delete(accounts, r.Key)
+			continue
+		}
+		accounts[r.Key] = a
+	}
+	return accounts
+}
+
+// adopt takes accounts that were written as in force.
+func (h *Holder) adopt(planned map[string]Account) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for team, a := range planned {
+		held := h.holdingLocked(team)
+		held.account = a
+		held.usable = a.Shares[h.settings.Holder].Granted
+		h.serveWaitersLocked(held)
+	}
+}
+
+func (h *Holder) count(name string) {
+	metrics.GetOrRegisterCounter(name, h.settings.Metrics).Inc(1)
+}
+
+// sleep waits and reports whether the context lasted.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math"
 	"sync"
 	"time"
@@ -18,24 +17,20 @@
 // Topic is the keyed topic that holds the accounts, by the teams' names.
 const Topic = "keyed.allowances"
 
-const partition = 0
-
 // Defaults of Settings.
 const (
-	// DefaultInterval is the time between two looks at the accounts: unmet demand elsewhere is seen that late at most.
-	DefaultInterval = 500 * time.Millisecond
+	// DefaultInterval is the time between two looks at an account: unmet demand elsewhere is seen that late at most.
+	DefaultInterval = 1500 * time.Millisecond
+	// DefaultPartitions is the number of partitions over which the accounts are spread.
+	DefaultPartitions = 1
 	// DefaultCallTimeout bounds a call to the platform, whose answers take some ms when it is well.
 	DefaultCallTimeout = 1 * time.Second
 	// DefaultDrawTimeout bounds how long a request waits for tokens: two draws and a return between regions.
 	DefaultDrawTimeout = 250 * time.Millisecond
 )
 
-const (
-	// drawGap is the least time between two draws, so that requests that come together share one.
-	drawGap = 20 * time.Millisecond
-	// rateMemory is the time over which the use of a team is averaged.
-	rateMemory = 4 * time.Second
-)
+// rateMemory is the time over which the use of a team is averaged.
+const rateMemory = 4 * time.Second
 
 // Errors of Reserve. Each says that nothing was reserved.
 var (
@@ -52,6 +47,8 @@
 	Instance string
 	Policy   Policy
 	Interval time.Duration
+	// Partitions is the number of partitions over which the accounts are spread; all routers must have the same.
+	Partitions int
 	// CallTimeout bounds a call to the platform.
 	CallTimeout time.Duration
 	// DrawTimeout bounds how long a request waits for tokens.
@@ -64,20 +61,20 @@
 type Holder struct {
 	log      platform.KeyedLog
 	settings Settings
-	kick     chan struct{}
+	books    []*book
 
 	mu            sync.Mutex
 	configuration *site.Configuration
 	teams         map[string]*holding
-	// known says that the accounts have been read once.
-	known bool
 	// reached is when a call to the platform last succeeded.
 	reached time.Time
 }
 
 // holding is the holder's side of one team's account.
 type holding struct {
-	account  Account
+	account Account
+	// read says that the account has been read.
+	read     bool
 	usable   int64
 	spent    int64
 	reserved int64
@@ -104,7 +101,12 @@
 	if settings.Metrics == nil {
 		settings.Metrics = metrics.NewRegistry()
 	}
-	return &Holder{log: keyed, settings: settings, kick: make(chan struct{}, 1), teams: make(map[string]*holding)}
+	settings.Partitions = orDefault(settings.Partitions, DefaultPartitions)
+	h := &Holder{log: keyed, settings: settings, teams: make(map[string]*holding)}
+	for i := range settings.Partitions {
+		h.books = append(h.books, &book{holder: h, partition: i, kick: make(chan struct{}, 1)})
+	}
+	return h
 }
 
 // Reservation is the most that a request in progress may use. The zero value and nil stand for a request that pays
@@ -130,7 +132,7 @@
 	if w == nil {
 		return reservation, nil
 	}
-	h.wake()
+	h.bookOf(team.Name).wake()
 	timer := time.NewTimer(h.settings.DrawTimeout)
 	defer timer.Stop()
 	select {
@@ -140,7 +142,9 @@
 	case <-timer.C:
 	}
 	if h.giveUp(team.Name, w) {
-		return nil, h.refusal(team.Name, most)
+		err := h.refusal(team.Name, most)
+		h.logRefusal(team.Name, most, err)
+		return nil, err
 	}
 	return h.waited(reservation, <-w.done)
 }
@@ -161,7 +165,7 @@
 		held.reserved += most
 		return nil, nil
 	}
-	if h.known && h.surelySpentLocked(team, most) {
+	if h.surelySpentLocked(held, team, most) {
 		return nil, ErrSpent
 	}
 	w := &waiter{most: most, done: make(chan error, 1)}
@@ -169,28 +173,45 @@
 	return w, nil
 }
 
-// surelySpentLocked reports whether the tokens that are known to be used leave too few, wherever the others are held.
-func (h *Holder) surelySpentLocked(team string, most int64) bool {
-	held := h.holdingLocked(team)
-	prepaid, version := held.account.Prepaid, held.account.Version
-	if h.configuration != nil && h.configuration.Version > version {
+// surelySpentLocked reports whether what is known to be used, with this router's requests in progress at their most,
+// leaves too few tokens, wherever the others are held.
+func (h *Holder) surelySpentLocked(held *holding, team string, most int64) bool {
+	if !held.read {
+		return false
+	}
+	prepaid := held.account.Prepaid
+	if h.configuration != nil && h.configuration.Version > held.account.Version {
 		if t, ok := h.configuration.Team(team); ok {
 			prepaid = t.Prepaid
 		}
 	}
 	unreported := held.spent - held.account.Shares[h.settings.Holder].Spent
-	return prepaid-held.account.Reported()-unreported < most
+	return prepaid-held.account.Reported()-unreported-held.reserved < most
 }
 
 func (h *Holder) refusal(team string, most int64) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.known && h.surelySpentLocked(team, most) {
+	if h.surelySpentLocked(h.holdingLocked(team), team, most) {
 		return ErrSpent
 	}
 	return ErrElsewhere
 }
 
+// logRefusal tells what a refusal was decided by.
+func (h *Holder) logRefusal(team string, most int64, err error) {
+	h.mu.Lock()
+	held := h.holdingLocked(team)
+	fields := log.Fields{
+		"Team": team, "Most": most, "Usable": held.usable, "Spent": held.spent, "Reserved": held.reserved,
+		"Rate": int64(held.rate), "Prepaid": held.account.Prepaid, "Available": held.account.Available(),
+		"Reported": held.account.Reported(), "Settled": held.account.Settled, "Holders": len(held.account.Shares),
+		"AgeMilliseconds": time.Since(h.reached).Milliseconds(),
+	}
+	h.mu.Unlock()
+	h.settings.Logger.WithFields(fields).WithError(err).Info("tokens not reserved")
+}
+
 // giveUp takes a waiter out and reports whether it was still waiting.
 func (h *Holder) giveUp(team string, w *waiter) bool {
 	h.mu.Lock()
@@ -254,202 +275,3 @@
 	}
 	held.waiters = waiting
 }
-
-// Configure takes a new configuration in.
-func (h *Holder) Configure(configuration *site.Configuration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.configuration = configuration
-}
-
-// Known reports whether the accounts have been read since the start.
-func (h *Holder) Known() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.known
-}
-
-func (h *Holder) wake() {
-	select {
-	case h.kick <- struct{}{}:
-	default:
-	}
-}
-
-// Run draws, reports and returns tokens until the context ends.
-func (h *Holder) Run(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-		case <-h.kick:
-		}
-		h.update(ctx, false)
-		if !sleep(ctx, drawGap) {
-			return nil
-		}
-		timer.Reset(h.settings.Interval)
-	}
-}
-
-// Return gives all shares back. No request may be in progress or come.
-func (h *Holder) Return(ctx context.Context) error {
-	for {
-		err := h.update(ctx, true)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		if !errors.Is(err, platform.ErrMoved) && !sleep(ctx, drawGap) {
-			return ctx.Err()
-		}
-	}
-}
-
-// update reads the accounts and writes those that the policy wants changed.
-func (h *Holder) update(ctx context.Context, ending bool) error {
-	ctx, cancel := context.WithTimeout(ctx, h.settings.CallTimeout)
-	defer cancel()
-	state, err := h.log.Newest(ctx, Topic, partition)
-	if err != nil {
-		h.count("allowance.read.failed")
-		return h.note(fmt.Errorf("read accounts: %w", err))
-	}
-	planned, records := h.plan(state, ending)
-	if len(records) == 0 {
-		return h.note(nil)
-	}
-	_, err = h.log.AppendAt(ctx, Topic, partition, state.End, records)
-	if err != nil {
-		h.count("allowance.write.failed")
-		if errors.Is(err, platform.ErrMoved) {
-			h.count("allowance.write.moved")
-			h.wakeIfWaiting()
-		}
-		return h.note(fmt.Errorf("write accounts: %w", err))
-	}
-	h.adopt(planned)
-	return h.note(nil)
-}
-
-// wakeIfWaiting asks for another update at once if a request waits.
-func (h *Holder) wakeIfWaiting() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, held := range h.teams {
-		if len(held.waiters) > 0 {
-			h.wake()
-			return
-		}
-	}
-}
-
-// plan decides on every team's account. Tokens that are returned are not used from now on, whatever becomes of the write.
-func (h *Holder) plan(state platform.KeyedState, ending bool) (map[string]Account, []platform.KeyedRecord) {
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.configuration == nil {
-		return nil, nil
-	}
-	accounts := h.decode(state, h.configuration.Teams)
-	planned := make(map[string]Account)
-	var records []platform.KeyedRecord
-	for i := range h.configuration.Teams {
-		team := &h.configuration.Teams[i]
-		if !team.HasPrepaid {
-			continue
-		}
-		held := h.holdingLocked(team.Name)
-		account, readable := accounts[team.Name]
-		if !readable {
-			continue
-		}
-		held.account = account
-		held.meter(now, 0)
-		wanted, write := h.settings.Policy.Plan(held.account, h.positionLocked(held, team, ending))
-		if !write {
-			continue
-		}
-		value, err := wanted.Encode()
-		if err != nil {
-			h.settings.Logger.WithField("Team", team.Name).WithError(err).Error("account not written")
-			continue
-		}
-		held.usable = min(held.usable, wanted.Shares[h.settings.Holder].Granted)
-		planned[team.Name] = wanted
-		records = append(records, platform.KeyedRecord{Key: team.Name, Value: value})
-	}
-	h.known = true
-	return planned, records
-}
-
-func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
-	own := Position{
-		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.spent,
-		Reserved: held.reserved, Rate: held.rate, Version: h.configuration.Version, Prepaid: team.Prepaid, Ending: ending,
-	}
-	for _, w := range held.waiters {
-		own.Lacking = max(own.Lacking, held.spent+held.reserved+w.most-held.usable)
-	}
-	return own
-}
-
-// decode reads the accounts of all teams; a team without a record has an empty one. A record that can't be read is left
-// out: nothing is drawn from such an account.
-func (h *Holder) decode(state platform.KeyedState, teams []site.Team) map[string]Account {
-	accounts := make(map[string]Account, len(teams))
-	for _, team := range teams {
-		accounts[team.Name] = Account{}
-	}
-	for _, r := range state.Records {
-		a, err := DecodeAccount(r.Value)
-		if err != nil {
-			h.settings.Logger.WithField("Team", r.Key).WithError(err).Error("account can't be read")
-			delete(accounts, r.Key)
-			continue
-		}
-		accounts[r.Key] = a
-	}
-	return accounts
-}
-
-// adopt takes accounts that were written as in force.
-func (h *Holder) adopt(planned map[string]Account) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for team, a := range planned {
-		held := h.holdingLocked(team)
-		held.account = a
-		held.usable = a.Shares[h.settings.Holder].Granted
-		h.serveWaitersLocked(held)
-	}
-}
-
-// note logs when the platform is lost and when it is back.
-func (h *Holder) note(err error) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err == nil {
-		h.reached = time.Now()
-	}
-	return err
-}
-
-func (h *Holder) count(name string) {
-	metrics.GetOrRegisterCounter(name, h.settings.Metrics).Inc(1)
-}
-
-// sleep waits and reports whether the context lasted.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -8,7 +8,7 @@
 // Defaults of a Policy.
 const (
 	// DefaultHorizon is the use for which a share should last: the longest outage of the platform that is expected.
-	DefaultHorizon = 10 * time.Second
+	DefaultHorizon = 15 * time.Second
 	// DefaultReach is the part of what remains that all shares together should hold. The rest outlives the loss of every
 	// router at once.
 	DefaultReach = 0.6
@@ -22,7 +22,7 @@
 	drawBelow   = 0.75
 	returnAbove = 1.5
 	// reportPart is the part of the remaining total that may be used before it is reported.
-	reportPart = 0.01
+	reportPart = 0.03
 )
 
 // Policy says how much a holder keeps ahead of its use. Its zero value has the defaults.
@@ -148,14 +148,13 @@
 	}
 	reach := orDefault(p.Reach, DefaultReach) * float64(max(0, a.Remaining()))
 	idle := orDefault(p.IdlePart, DefaultIdlePart)
-	part := idle / float64(holders)
-	if rates > 0 {
-		part += (1 - idle) * own.Rate / rates
+	if rates == 0 {
+		return own.Reserved + int64(reach/float64(holders))
 	}
-	horizon := orDefault(p.Horizon, DefaultHorizon).Seconds()
 	floor := reach * idle / float64(holders)
-	target := min(reach*part, max(floor, own.Rate*horizon))
-	return own.Reserved + int64(target)
+	part := floor + reach*(1-idle)*own.Rate/rates
+	horizon := orDefault(p.Horizon, DefaultHorizon).Seconds()
+	return own.Reserved + int64(min(part, max(floor, own.Rate*horizon)))
 }
 
 // worthWriting reports whether the share changed by more than what may wait.
