Hand prepaid tokens between routers while the store is away

Ruled out: larger shares (a death strands them). Certificates are made at the start and pinned by entries in the store, which only routers write.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -66,6 +65,7 @@
 // Run draws, reports and returns tokens until the context ends.
 func (h *Holder) Run(ctx context.Context) error {
 	loops := &errgroup.Group{}
+	loops.Go(func() error { return h.runBorrower(ctx) })
 	for _, b := range h.books {
 		loops.Go(func() error { return b.run(ctx) })
 	}
@@ -177,7 +177,7 @@
 	defer cancel()
 	state, err := h.log.Newest(ctx, Topic, b.partition)
 	if err != nil {
-		h.count("allowance.read.failed")
+		h.count(readFailed)
 		return fmt.Errorf("read accounts: %w", err)
 	}
 	planned, records := b.plan(state, ending)
@@ -187,13 +187,13 @@
 	_, err = h.log.AppendAt(ctx, Topic, b.partition, state.End, records)
 	switch {
 	case err == nil:
-		h.count("allowance.write.done")
+		h.count(writeDone)
 		h.adopt(planned)
 		return nil
 	case errors.Is(err, platform.ErrMoved):
-		h.count("allowance.write.moved")
+		h.count(writeMoved)
 	default:
-		h.count("allowance.write.failed")
+		h.count(writeFailed)
 	}
 	return fmt.Errorf("write accounts: %w", err)
 }
@@ -237,10 +237,10 @@
 func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
 	own := Position{
 		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.spent,
-		Reserved: held.reserved, Rate: held.rate, Version: h.configuration.Version, Prepaid: team.Prepaid, Ending: ending,
+		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate, Version: h.configuration.Version, Prepaid: team.Prepaid, Ending: ending,
 	}
 	for _, w := range held.waiters {
-		own.Lacking = max(own.Lacking, held.spent+held.reserved+w.most-held.usable)
+		own.Lacking = max(own.Lacking, w.most-held.free())
 	}
 	return own
 }
@@ -276,10 +276,6 @@
 	}
 }
 
-func (h *Holder) count(name string) {
-	metrics.GetOrRegisterCounter(name, h.settings.Metrics).Inc(1)
-}
-
 // sleep waits and reports whether the context lasted.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
--- /dev/null
+++ b/fleet/allowance/counters.go
@@ -0,0 +1,33 @@
+package allowance
+
+import "github.com/rcrowley/go-metrics"
+
+// Names of the counters.
+const (
+	readFailed   = "allowance.read.failed"
+	writeDone    = "allowance.write.done"
+	writeMoved   = "allowance.write.moved"
+	writeFailed  = "allowance.write.failed"
+	borrowFailed = "allowance.borrow.failed"
+)
+
+// Description says what a counter counts.
+type Description struct {
+	Name    string
+	Meaning string
+}
+
+// Counters lists the counters of the package.
+func Counters() []Description {
+	return []Description{
+		{readFailed, "Reads of accounts that the platform did not answer."},
+		{writeDone, "Writes of accounts."},
+		{writeMoved, "Writes of accounts between which another router wrote; they are tried again."},
+		{writeFailed, "Writes of accounts that the platform refused or did not answer."},
+		{borrowFailed, "Requests for tokens that another router did not answer."},
+	}
+}
+
+func (h *Holder) count(name string) {
+	metrics.GetOrRegisterCounter(name, h.settings.Metrics).Inc(1)
+}
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -53,8 +53,10 @@
 	CallTimeout time.Duration
 	// DrawTimeout bounds how long a request waits for tokens.
 	DrawTimeout time.Duration
-	Logger      log.Interface
-	Metrics     metrics.Registry
+	// Lenders asks other routers for tokens; nil if there are none.
+	Lenders Lenders
+	Logger  log.Interface
+	Metrics metrics.Registry
 }
 
 // Holder pays requests from the shares that it holds. Its methods may be called from many goroutines.
@@ -62,6 +64,8 @@
 	log      platform.KeyedLog
 	settings Settings
 	books    []*book
+	// lacking asks the borrower to look for requests that wait.
+	lacking chan struct{}
 
 	mu            sync.Mutex
 	configuration *site.Configuration
@@ -78,11 +82,18 @@
 	usable   int64
 	spent    int64
 	reserved int64
+	given    int64
+	received int64
 	rate     float64
 	rated    time.Time
 	waiters  []*waiter
 }
 
+// free returns what new requests may use.
+func (held *holding) free() int64 {
+	return held.usable + held.received - held.given - held.spent - held.reserved
+}
+
 // waiter is a request that waits for tokens.
 type waiter struct {
 	most int64
@@ -102,7 +113,7 @@
 		settings.Metrics = metrics.NewRegistry()
 	}
 	settings.Partitions = orDefault(settings.Partitions, DefaultPartitions)
-	h := &Holder{log: keyed, settings: settings, teams: make(map[string]*holding)}
+	h := &Holder{log: keyed, settings: settings, lacking: make(chan struct{}, 1), teams: make(map[string]*holding)}
 	for i := range settings.Partitions {
 		h.books = append(h.books, &book{holder: h, partition: i, kick: make(chan struct{}, 1)})
 	}
@@ -133,6 +144,7 @@
 		return reservation, nil
 	}
 	h.bookOf(team.Name).wake()
+	h.wakeBorrower()
 	timer := time.NewTimer(h.settings.DrawTimeout)
 	defer timer.Stop()
 	select {
@@ -161,7 +173,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.holdingLocked(team)
-	if held.usable-held.spent-held.reserved >= most {
+	if held.free() >= most {
 		held.reserved += most
 		return nil, nil
 	}
@@ -204,7 +216,7 @@
 	held := h.holdingLocked(team)
 	fields := log.Fields{
 		"Team": team, "Most": most, "Usable": held.usable, "Spent": held.spent, "Reserved": held.reserved,
-		"Rate": int64(held.rate), "Prepaid": held.account.Prepaid, "Available": held.account.Available(),
+		"Given": held.given, "Received": held.received, "Rate": int64(held.rate), "Prepaid": held.account.Prepaid, "Available": held.account.Available(),
 		"Reported": held.account.Reported(), "Settled": held.account.Settled, "Holders": len(held.account.Shares),
 		"AgeMilliseconds": time.Since(h.reached).Milliseconds(),
 	}
@@ -266,7 +278,7 @@
 func (h *Holder) serveWaitersLocked(held *holding) {
 	waiting := held.waiters[:0]
 	for _, w := range held.waiters {
-		if held.usable-held.spent-held.reserved >= w.most {
+		if held.free() >= w.most {
 			held.reserved += w.most
 			w.done <- nil
 			continue
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -41,6 +41,9 @@
 	// Spent is what was used, Reserved the most that requests in progress will use beyond it.
 	Spent    int64
 	Reserved int64
+	// Given and Received are what the holder handed to others and got from them past the account.
+	Given    int64
+	Received int64
 	// Rate is the use in tokens a second.
 	Rate float64
 	// Lacking is the most that a waiting request needs and the share doesn't have.
@@ -52,6 +55,9 @@
 	Ending bool
 }
 
+// Net returns what the holder used of what it was granted, which is negative if it received more than it used.
+func (p *Position) Net() int64 { return p.Spent + p.Given - p.Received }
+
 // Plan returns the account as the holder wants it, and whether that is worth a write.
 func (p Policy) Plan(current Account, own Position) (Account, bool) {
 	a := current.clone()
@@ -61,20 +67,20 @@
 		if _, ok := a.Shares[own.Holder]; !ok {
 			return a, changed
 		}
-		a.retire(own.Holder, own.Spent, own.Spent)
+		a.retire(own.Holder, own.Net(), own.Spent)
 		return a, true
 	}
 	share := a.Shares[own.Holder]
 	stored := share
 	share.Instance = own.Instance
 	// A holder whose share was retired by mistake starts a new one that covers what it has used.
-	share.Granted = max(share.Granted, own.Spent+own.Reserved)
+	share.Granted = max(share.Granted, own.Net()+own.Reserved)
 	share.Granted = p.granted(&a, share, own)
-	share.Spent = min(own.Spent, share.Granted)
+	share.Spent = own.Spent
 	share.Rate = math.Round(own.Rate)
-	share.Lacking = max(0, own.Spent+own.Reserved+own.Lacking-share.Granted)
-	if own.Lacking == 0 {
-		share.Lacking = 0
+	share.Lacking = 0
+	if own.Lacking > 0 {
+		share.Lacking = max(0, own.Net()+own.Reserved+own.Lacking-share.Granted)
 	}
 	a.Shares[own.Holder] = share
 	return a, changed || p.worthWriting(&a, stored, share, own)
@@ -105,8 +111,8 @@
 
 // granted returns what the holder should have been granted in all.
 func (p Policy) granted(a *Account, share Share, own Position) int64 {
-	kept := own.Spent + own.Reserved
-	held := share.Granted - own.Spent
+	kept := own.Net() + own.Reserved
+	held := share.Granted - own.Net()
 	others := a.clone()
 	delete(others.Shares, own.Holder)
 	available := max(0, others.Available()-share.Granted)
@@ -123,7 +129,7 @@
 	} else if lacking := others.lacking() - available; lacking > 0 {
 		wanted = min(wanted, max(own.Reserved, held-lacking))
 	}
-	return max(kept, own.Spent+wanted)
+	return max(kept, own.Net()+wanted)
 }
 
 // lacking returns what requests at the holders wait for.
--- a/fleet/peer/credentials.go
+++ b/fleet/peer/credentials.go
@@ -14,6 +14,14 @@
 // ErrNoName reports a certificate without the name of an instance.
 var ErrNoName = errors.New("certificate names no instance")
 
+// Identity is how a router shows who it is and knows the others: by Credentials or by a Pinned certificate.
+type Identity interface {
+	// check reports a mistake at the start. It returns the instance's name.
+	check() (string, error)
+	serverConfig() *tls.Config
+	clientConfig(instance string) (*tls.Config, error)
+}
+
 // Credentials are the files with this instance's certificate, its key and the site's authority, all in
 // PEM. They are read anew for each handshake, so that a rotation needs no restart.
 type Credentials struct {
@@ -22,6 +30,8 @@
 	AuthorityFile   string
 }
 
+func (c Credentials) check() (string, error) { return c.Check() }
+
 // Check reads the files once, so that a mistake shows at the start. It returns the instance's name.
 func (c Credentials) Check() (string, error) {
 	pair, err := c.certificate()
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -13,7 +13,7 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
-//msgp:tuple request answer entry
+//msgp:tuple request answer entry tokenRequest tokenAnswer
 //msgp:ignore Copy
 //msgp:limit arrays:4096 maps:0
 
@@ -39,6 +39,7 @@
 const (
 	copyMessage messageKind = iota + 1
 	configurationMessage
+	tokensMessage
 )
 
 // request is what a router asks of another; the fields in use depend on the kind.
@@ -50,12 +51,24 @@
 	Next uint64
 }
 
+// tokenRequest is the payload of a request for prepaid tokens of a team.
+type tokenRequest struct {
+	Team   string
+	Tokens int64
+}
+
 // answer is what a router answers; an empty Refusal means that the request was accepted.
 type answer struct {
 	Refusal string
 	Entries []entry
 }
 
+// tokenAnswer is the payload of the only entry of an answer to a tokenRequest: the tokens that the sender may use from
+// now on, and the receiver no longer.
+type tokenAnswer struct {
+	Tokens int64
+}
+
 // entry is an entry of the configuration stream.
 type entry struct {
 	Offset  uint64
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -270,3 +270,81 @@
 	s = 1 + msgp.Uint8Size + msgp.IntSize + msgp.BytesPrefixSize + len(z.Payload) + msgp.Uint64Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z tokenAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendInt64(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *tokenAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z tokenAnswer) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z tokenRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Team)
+	o = msgp.AppendInt64(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *tokenRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Team, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Team")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z tokenRequest) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size
+	return
+}
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -40,10 +40,16 @@
 	Configuration(next platform.Offset) []platform.Entry
 }
 
+// Giver hands over prepaid tokens. A handler that implements it is asked for them.
+type Giver interface {
+	// GiveTokens returns how many of a team's tokens the named instance may use from now on; this router no longer does.
+	GiveTokens(from, team string, wanted int64) int64
+}
+
 // Node is this router's end of the connections to other routers.
 type Node struct {
 	address     string
-	credentials Credentials
+	credentials Identity
 	handler     Handler
 	counters    metrics.Registry
 
@@ -62,13 +68,13 @@
 }
 
 // NewNode returns a node that will listen at an IP address with a UDP port.
-func NewNode(address string, credentials Credentials, handler Handler, counters metrics.Registry) *Node {
+func NewNode(address string, credentials Identity, handler Handler, counters metrics.Registry) *Node {
 	return &Node{address: address, credentials: credentials, handler: handler, counters: counters}
 }
 
 // Listen opens the socket. It returns the address in use.
 func (n *Node) Listen(ctx context.Context) (string, error) {
-	if _, err := n.credentials.Check(); err != nil {
+	if _, err := n.credentials.check(); err != nil {
 		return "", err
 	}
 	socket, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp", n.address)
@@ -223,11 +229,28 @@
 		return answer{}
 	case configurationMessage:
 		return answer{Entries: newEntries(n.handler.Configuration(platform.Offset(r.Next)))}
+	case tokensMessage:
+		return n.giveTokens(from, r.Payload)
 	default:
 		return answer{Refusal: ErrMalformed.Error()}
 	}
 }
 
+func (n *Node) giveTokens(from string, payload []byte) answer {
+	malformed := answer{Refusal: ErrMalformed.Error()}
+	giver, ok := n.handler.(Giver)
+	asked := tokenRequest{}
+	if rest, err := asked.UnmarshalMsg(payload); !ok || err != nil || len(rest) > 0 || asked.Tokens <= 0 {
+		return malformed
+	}
+	given := tokenAnswer{Tokens: giver.GiveTokens(from, asked.Team, asked.Tokens)}
+	encoded, err := given.MarshalMsg(nil)
+	if err != nil {
+		return malformed
+	}
+	return answer{Entries: []entry{{Payload: encoded}}}
+}
+
 // readBounded reads to the end of a stream; a longer message than limit is malformed.
 func readBounded(r io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -32,6 +32,29 @@
 	return platformEntries(a.Entries), nil
 }
 
+// AskTokens asks another router for prepaid tokens of a team and returns how many it handed over. After an error it may
+// have handed over tokens that nobody uses.
+func (n *Node) AskTokens(ctx context.Context, to Address, team string, wanted int64) (int64, error) {
+	asked := tokenRequest{Team: team, Tokens: wanted}
+	payload, err := asked.MarshalMsg(nil)
+	if err != nil {
+		return 0, err
+	}
+	a, err := n.ask(ctx, to, request{Kind: tokensMessage, Payload: payload})
+	if err != nil {
+		n.count(tokensFailed)
+		return 0, fmt.Errorf("asking %s for tokens: %w", to.Instance, err)
+	}
+	given := tokenAnswer{}
+	if len(a.Entries) != 1 {
+		return 0, ErrMalformed
+	}
+	if rest, err := given.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || given.Tokens < 0 || given.Tokens > wanted {
+		return 0, ErrMalformed
+	}
+	return given.Tokens, nil
+}
+
 // ask sends a request and returns its answer. A connection on which that fails is dropped, so that the
 // next request dials anew.
 func (n *Node) ask(ctx context.Context, to Address, r request) (answer, error) {
--- a/fleet/platform/keyed.go
+++ b/fleet/platform/keyed.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// AnyOffset makes an append unconditional.
+const AnyOffset int64 = -1
+
 // KeyedRecord is a record of a keyed topic. A record without a value ends its key.
 type KeyedRecord struct {
 	Key   string
@@ -33,7 +36,8 @@
 	// ReadKeyed returns the records from an offset on as soon as there is one; none after the wait. It fails with
 	// ErrTrimmed if the log no longer keeps the records.
 	ReadKeyed(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (KeyedTail, error)
-	// AppendAt appends all records, or none unless the partition ends at the offset, and returns the new end. ErrMoved
+	// AppendAt appends all records, or none unless the partition ends at the offset, and returns the new end. AnyOffset
+	// stands for wherever the partition ends. ErrMoved
 	// and ErrRefused say that nothing was appended; another error leaves it open, also whether it will be later.
 	AppendAt(ctx context.Context, topic string, partition int, at int64, records []KeyedRecord) (int64, error)
 }
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -59,13 +59,13 @@
 	var held *heldAnswer
 	j.server.retries.first(j.service)
 	for {
-		e, err := j.server.peers.acquire(j.server.board.Directory.Load(), j)
+		e, err := j.server.targets.acquire(j.server.board.Directory.Load(), j)
 		if err != nil {
 			return j.end(ctx, held, err)
 		}
 		j.tried = append(j.tried, e)
 		out := j.exchange(ctx, e)
-		j.server.peers.release(e, out)
+		j.server.targets.release(e, out)
 		if out.verdict != verdict.NotRun {
 			j.mayHaveRun = true
 		}
@@ -124,7 +124,7 @@
 }
 
 // exchange sends the request to one endpoint and passes the answer on.
-func (j *job) exchange(ctx context.Context, e *peer) attempt {
+func (j *job) exchange(ctx context.Context, e *target) attempt {
 	left := time.Until(j.deadline)
 	if left < shortestAttempt {
 		return attempt{verdict: verdict.NotRun, reason: verdict.DeadlineTooShort, cause: context.DeadlineExceeded}
@@ -143,7 +143,7 @@
 
 // request builds the request to the endpoint. Its body can't be read twice, so that the transport has nothing to send
 // again by itself.
-func (j *job) request(ctx context.Context, e *peer, left time.Duration) *http.Request {
+func (j *job) request(ctx context.Context, e *target, left time.Duration) *http.Request {
 	out := &http.Request{
 		Method:        j.r.Method,
 		URL:           &url.URL{Scheme: "http", Host: e.Address, Opaque: j.r.RequestURI},
@@ -156,7 +156,7 @@
 }
 
 // header returns the headers that the endpoint gets.
-func (j *job) header(e *peer, left time.Duration) http.Header {
+func (j *job) header(e *target, left time.Duration) http.Header {
 	wire := &j.server.wire
 	header := j.r.Header.Clone()
 	dropConnectionHeaders(header)
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -50,6 +50,7 @@
 	Payer          *allowance.Holder
 	Configurations *Configurations
 	Directories    *Directories
+	Routers        *Routers
 	Logger         log.Interface
 }
 
@@ -75,6 +76,11 @@
 		}
 		loops.Go(func() error { return serve(l.server, socket) })
 	}
+	if _, err := n.Routers.Node.Listen(ctx); err != nil {
+		return err
+	}
+	loops.Go(func() error { return n.Routers.Node.Run(ctx) })
+	loops.Go(func() error { return n.Routers.Run(ctx) })
 	payerContext, stopPayer := context.WithCancel(ctx)
 	defer stopPayer()
 	paying := &errgroup.Group{}
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -21,29 +21,29 @@
 )
 
 // refreshLocked takes a new directory in. Endpoints that are still listed keep what is known of them.
-func (p *peers) refreshLocked(directory *site.Directory, services []site.Share) {
-	if directory != p.directory {
-		p.directory = directory
-		p.services = make(map[string][]*peer)
+func (t *targets) refreshLocked(directory *site.Directory, services []site.Share) {
+	if directory != t.directory {
+		t.directory = directory
+		t.services = make(map[string][]*target)
 	}
 	for _, share := range services {
-		if _, ok := p.services[share.Service]; ok {
+		if _, ok := t.services[share.Service]; ok {
 			continue
 		}
-		var listed []*peer
+		var listed []*target
 		for _, e := range directory.Endpoints(share.Service) {
-			listed = append(listed, p.peerLocked(e))
+			listed = append(listed, t.targetLocked(e))
 		}
-		p.services[share.Service] = listed
+		t.services[share.Service] = listed
 	}
-	p.forgetLocked()
+	t.forgetLocked()
 }
 
-func (p *peers) peerLocked(e site.Endpoint) *peer {
-	if p.byName == nil {
-		p.byName = make(map[string]*peer)
+func (t *targets) targetLocked(e site.Endpoint) *target {
+	if t.byName == nil {
+		t.byName = make(map[string]*target)
 	}
-	known, ok := p.byName[e.Name]
+	known, ok := t.byName[e.Name]
 	if ok && known.Address == e.Address && known.Born == e.Born {
 		known.Endpoint = e
 		return known
@@ -51,34 +51,34 @@
 	if ok {
 		known.transport.CloseIdleConnections()
 	}
-	fresh := &peer{Endpoint: e, transport: NewTransport(), hash: xxhash.Sum64String(e.Name)}
-	p.byName[e.Name] = fresh
+	fresh := &target{Endpoint: e, transport: NewTransport(), hash: xxhash.Sum64String(e.Name)}
+	t.byName[e.Name] = fresh
 	return fresh
 }
 
 // forgetLocked drops endpoints that no service lists any more.
-func (p *peers) forgetLocked() {
-	for name, known := range p.byName {
+func (t *targets) forgetLocked() {
+	for name, known := range t.byName {
 		listed := false
-		for _, e := range p.directory.Endpoints(known.Service) {
+		for _, e := range t.directory.Endpoints(known.Service) {
 			listed = listed || e.Name == name
 		}
 		if !listed && known.inFlight == 0 {
 			known.transport.CloseIdleConnections()
-			delete(p.byName, name)
+			delete(t.byName, name)
 		}
 	}
 }
 
 // acquire reserves a place at an endpoint that this request has not tried.
-func (p *peers) acquire(directory *site.Directory, j *job) (*peer, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.refreshLocked(directory, j.route.Services)
+func (t *targets) acquire(directory *site.Directory, j *job) (*target, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refreshLocked(directory, j.route.Services)
 	now := time.Now()
-	chosen := p.chooseLocked(now, j, false)
+	chosen := t.chooseLocked(now, j, false)
 	if chosen == nil {
-		chosen = p.chooseLocked(now, j, true)
+		chosen = t.chooseLocked(now, j, true)
 	}
 	if chosen == nil {
 		return nil, verdict.Refuse(verdict.NoEndpoint, "")
@@ -89,9 +89,9 @@
 
 // chooseLocked takes the endpoint that has most likely cached the prompt's beginning unless it is too loaded, and else
 // the least loaded. Blocked endpoints are taken only if no other is left.
-func (p *peers) chooseLocked(now time.Time, j *job, blocked bool) *peer {
+func (t *targets) chooseLocked(now time.Time, j *job, blocked bool) *target {
 	low := math.MaxInt
-	for _, e := range p.services[j.service] {
+	for _, e := range t.services[j.service] {
 		if j.mayUse(now, e, blocked) {
 			low = min(low, e.inFlight)
 		}
@@ -104,9 +104,9 @@
 	if j.demand.Subject() != "" {
 		margin = affinityMargin
 	}
-	var chosen *peer
+	var chosen *target
 	var highest uint64
-	for _, e := range p.services[j.service] {
+	for _, e := range t.services[j.service] {
 		if !j.mayUse(now, e, blocked) || e.inFlight > low+margin {
 			continue
 		}
@@ -118,7 +118,7 @@
 }
 
 // mayUse reports whether the request may be sent to an endpoint.
-func (j *job) mayUse(now time.Time, e *peer, blocked bool) bool {
+func (j *job) mayUse(now time.Time, e *target, blocked bool) bool {
 	if e.gone || !blocked && now.Before(e.blocked) {
 		return false
 	}
@@ -131,9 +131,9 @@
 }
 
 // release gives a place back and learns from how the attempt ended.
-func (p *peers) release(e *peer, out attempt) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (t *targets) release(e *target, out attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	e.inFlight--
 	switch {
 	case out.misdirected:
--- /dev/null
+++ b/router/gateway/routers.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+// RouterTopic is the keyed topic that holds the routers' entries, by the names of their instances.
+const RouterTopic = "keyed.routers"
+
+const (
+	// rosterPause lies between two reads of the routers' entries: a router that starts is known that late.
+	rosterPause = 1500 * time.Millisecond
+	// announceTimeout bounds the write of the router's own entry.
+	announceTimeout = 1 * time.Second
+)
+
+// Routers keeps the roster of the site's routers and speaks to them.
+type Routers struct {
+	Self   peer.Router
+	Roster *peer.Roster
+	Node   *peer.Node
+	Log    platform.KeyedLog
+	Logger log.Interface
+	// Payer hands over tokens; it is set before Run.
+	Payer *allowance.Holder
+}
+
+// NewRouters returns the roster and this router's end of the connections to the others.
+func NewRouters(instance, address string, keyed platform.KeyedLog, logger log.Interface, counters metrics.Registry) (*Routers, error) {
+	roster := &peer.Roster{}
+	identity, err := peer.NewPinned(instance, roster)
+	if err != nil {
+		return nil, fmt.Errorf("making the router's identity: %w", err)
+	}
+	r := &Routers{
+		Self:   peer.Router{Instance: instance, Address: address, Fingerprint: identity.Fingerprint},
+		Roster: roster, Log: keyed, Logger: logger,
+	}
+	r.Node = peer.NewNode(address, identity, r, counters)
+	return r, nil
+}
+
+// AcceptCopy implements peer.Handler: this router relays nothing.
+func (r *Routers) AcceptCopy(string, peer.Copy) error { return peer.ErrRefused }
+
+// Configuration implements peer.Handler: this router knows no stream of tickets.
+func (r *Routers) Configuration(platform.Offset) []platform.Entry { return nil }
+
+// GiveTokens implements peer.Giver.
+func (r *Routers) GiveTokens(from, team string, wanted int64) int64 {
+	return r.Payer.Give(from, team, wanted)
+}
+
+// Ask implements allowance.Lenders.
+func (r *Routers) Ask(ctx context.Context, instance, team string, wanted int64) (int64, error) {
+	listed, ok := r.Roster.Router(instance)
+	if !ok {
+		return 0, fmt.Errorf("asking %s for tokens: %w", instance, peer.ErrUntrusted)
+	}
+	return r.Node.AskTokens(ctx, peer.Address{Instance: instance, Address: listed.Address}, team, wanted)
+}
+
+// Run announces the router and follows the others' entries until the context ends.
+func (r *Routers) Run(ctx context.Context) error {
+	f := &follower{log: r.Log, topic: RouterTopic}
+	var reach reachability
+	announced := false
+	for ctx.Err() == nil {
+		if !announced {
+			announced = r.announce(ctx)
+		}
+		read, err := f.read(ctx)
+		reach.note(r.Logger, "roster", err)
+		if err == nil {
+			r.take(read)
+		}
+		pause := rosterPause
+		if err != nil || !announced {
+			pause = failurePause
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// announce writes the router's own entry and reports whether it surely stands.
+func (r *Routers) announce(ctx context.Context) bool {
+	value, err := json.Marshal(r.Self)
+	if err != nil {
+		r.Logger.WithError(err).Error("router's entry can't be written")
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	record := platform.KeyedRecord{Key: r.Self.Instance, Value: value}
+	_, err = r.Log.AppendAt(ctx, RouterTopic, 0, platform.AnyOffset, []platform.KeyedRecord{record})
+	return err == nil
+}
+
+// take folds a batch into the roster. An entry that can't be read is left out.
+func (r *Routers) take(read batch) {
+	for _, record := range read.records {
+		var listed peer.Router
+		if err := json.Unmarshal(record.Value, &listed); err != nil || listed.Instance != record.Key {
+			r.Logger.WithField("Instance", record.Key).Warn("router's entry can't be read")
+			continue
+		}
+		r.Roster.Put(listed)
+	}
+}
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -31,7 +31,7 @@
 	wire    Wire
 	payer   *allowance.Holder
 	logger  log.Interface
-	peers   peers
+	targets targets
 	retries retryBudgets
 }
 
@@ -57,7 +57,7 @@
 	body    []byte
 	random  uint64
 
-	tried       []*peer
+	tried       []*target
 	reservation *allowance.Reservation
 	// started says that a part of an answer has been written to the caller.
 	started bool
--- a/router/gateway/peer.go
+++ b/router/gateway/target.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// peer is an endpoint with the connections to it and what this router knows of it.
-type peer struct {
+// target is an endpoint with the connections to it and what this router knows of it.
+type target struct {
 	site.Endpoint
 	transport *http.Transport
 	hash      uint64
@@ -70,10 +70,10 @@
 	gone bool
 }
 
-// peers are the endpoints that requests were sent to.
-type peers struct {
+// targets are the endpoints that requests were sent to.
+type targets struct {
 	mu        sync.Mutex
 	directory *site.Directory
-	byName    map[string]*peer
-	services  map[string][]*peer
+	byName    map[string]*target
+	services  map[string][]*target
 }
