Bound what a router may have used by pledges; share what remains by demand as it comes

Change: each write pledges how much a router uses before the next one, on a clock that counts suspensions; a process that starts again on the machine settles the former share by it. Shares are a part of what remains, split by demand metered as requests come; idle routers hold nothing; routers that leave return early, hand the rest to peers, and draw for routers that are cut off.

--- a/fleet/allowance/account.go
+++ b/fleet/allowance/account.go
@@ -25,6 +25,8 @@
 	Rate float64
 	// Lacking is what a request waits for that the holder could not draw, in tokens.
 	Lacking int64
+	// Pledge bounds what it uses until it writes again.
+	Pledge Pledge
 }
 
 // Account is the state of a team's prepaid tokens. Its zero value is that of a team without any.
--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -21,6 +21,8 @@
 	// watchInterval is the time between two looks at what the holder has itself: a share that runs low is drawn that late
 	// at most.
 	watchInterval = 200 * time.Millisecond
+	// leavingHorizon is the use for which a router that is leaving keeps tokens: until the next write.
+	leavingHorizon = 1 * time.Second
 )
 
 // book keeps the accounts of one partition.
@@ -72,13 +74,28 @@
 	return loops.Wait()
 }
 
-// Return gives all shares back. No request may be in progress or come.
+// Leave makes the holder return what it needs no more for the short time that its router goes on.
+func (h *Holder) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = true
+	h.settings.Policy.Horizon = leavingHorizon
+	h.settings.Policy.Leaving = true
+}
+
+// Return gives all shares back, to the accounts or else to other routers. No request may be in progress or come.
 func (h *Holder) Return(ctx context.Context) error {
 	returns := &errgroup.Group{}
+	returning, cancel := context.WithTimeout(ctx, h.settings.CallTimeout/2)
+	defer cancel()
 	for _, b := range h.books {
-		returns.Go(func() error { return b.end(ctx) })
+		returns.Go(func() error { return b.end(returning) })
+	}
+	err := returns.Wait()
+	if err != nil && h.settings.Lenders != nil {
+		h.bequeath(ctx)
 	}
-	return returns.Wait()
+	return err
 }
 
 func (b *book) wake() {
@@ -192,6 +209,10 @@
 		return nil
 	case errors.Is(err, platform.ErrMoved):
 		h.count(writeMoved)
+		h.withdraw(planned)
+	case errors.Is(err, platform.ErrRefused):
+		h.count(writeFailed)
+		h.withdraw(planned)
 	default:
 		h.count(writeFailed)
 	}
@@ -227,7 +248,9 @@
 			h.settings.Logger.WithField("Team", team.Name).WithError(err).Error("account not written")
 			continue
 		}
-		held.usable = min(held.usable, wanted.Shares[h.settings.Holder].Granted)
+		share := wanted.Shares[h.settings.Holder]
+		held.usable = min(held.usable, share.Granted)
+		held.pledges = append(held.pledges, share.Pledge)
 		planned[team.Name] = wanted
 		records = append(records, platform.KeyedRecord{Key: team.Name, Value: value})
 	}
@@ -237,10 +260,14 @@
 func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
 	own := Position{
 		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.spent,
-		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate, Version: h.configuration.Version, Prepaid: team.Prepaid, Ending: ending,
+		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: held.largest, Now: h.settings.Now(),
+		Ending: ending,
 	}
+	own.Lacking = held.asked
+	unused, free := held.usable-own.Net()-held.reserved, held.free(own.Now.Uptime)
 	for _, w := range held.waiters {
-		own.Lacking = max(own.Lacking, w.most-held.free())
+		own.Lacking = max(own.Lacking, w.most-unused)
+		own.Pressed = own.Pressed || w.most > free && w.most <= unused
 	}
 	return own
 }
@@ -264,14 +291,26 @@
 	return accounts
 }
 
+// withdraw takes the pledges of a write back that surely has not been and will not be done.
+func (h *Holder) withdraw(planned map[string]Account) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for team := range planned {
+		held := h.holdingLocked(team)
+		held.pledges = held.pledges[:len(held.pledges)-1]
+	}
+}
+
 // adopt takes accounts that were written as in force.
 func (h *Holder) adopt(planned map[string]Account) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for team, a := range planned {
 		held := h.holdingLocked(team)
-		held.account = a
-		held.usable = a.Shares[h.settings.Holder].Granted
+		held.account, held.asked = a, 0
+		share := a.Shares[h.settings.Holder]
+		held.usable = share.Granted
+		held.pledges = append(held.pledges[:0], share.Pledge)
 		h.serveWaitersLocked(held)
 	}
 }
--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -25,8 +25,10 @@
 	keepAhead   = 1 * time.Second
 )
 
-// Lenders asks other routers for tokens.
+// Lenders asks other routers for tokens and hands tokens to them.
 type Lenders interface {
+	// Hand hands tokens to the router on the instance. After an error it may or may not have them.
+	Hand(ctx context.Context, instance, team string, tokens int64) error
 	// Ask returns how many of a team's tokens the router on the instance handed over. After an error it may have handed
 	// over tokens that nobody uses.
 	Ask(ctx context.Context, instance, team string, wanted int64) (int64, error)
@@ -42,17 +44,79 @@
 		return 0
 	}
 	held.meter(time.Now(), 0)
-	given := min(wanted, held.free()-int64(held.rate*keepAhead.Seconds()))
-	if given <= 0 {
+	given := max(0, min(wanted, held.free(h.uptime())-int64(held.rate()*keepAhead.Seconds())))
+	if given < wanted && !h.leaving {
+		// The other router may not reach the platform: this one draws for it and is asked again.
+		held.asked = max(held.asked, wanted-given)
+		h.bookOf(team).wake()
+	}
+	if given == 0 {
 		return 0
 	}
 	held.given += given
 	h.settings.Logger.WithFields(log.Fields{
-		"To": from, "Team": team, "Tokens": given, "Wanted": wanted, "Free": held.free(),
+		"To": from, "Team": team, "Tokens": given, "Wanted": wanted, "Free": held.free(h.uptime()),
 	}).Info("tokens handed over")
 	return given
 }
 
+// Take adds tokens that another router handed over unasked. A router that is leaving takes none.
+func (h *Holder) Take(from, team string, tokens int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leaving {
+		return false
+	}
+	held := h.holdingLocked(team)
+	held.received += tokens
+	h.serveWaitersLocked(held)
+	h.settings.Logger.WithFields(log.Fields{"From": from, "Team": team, "Tokens": tokens}).Info("tokens taken over")
+	return true
+}
+
+// bequest is what a router that ends hands to another one.
+type bequest struct {
+	team      string
+	tokens    int64
+	instances []string
+}
+
+// bequeath hands what could not be returned to other routers. The tokens are subtracted first: after an error nobody
+// uses them.
+func (h *Holder) bequeath(ctx context.Context) {
+	for _, b := range h.bequests() {
+		fields := log.Fields{"Team": b.team, "Tokens": b.tokens}
+		if len(b.instances) == 0 {
+			h.settings.Logger.WithFields(fields).Warn("tokens left behind")
+			continue
+		}
+		one, cancel := context.WithTimeout(ctx, askTimeout)
+		err := h.settings.Lenders.Hand(one, b.instances[0], b.team, b.tokens)
+		cancel()
+		fields["To"] = b.instances[0]
+		if err != nil {
+			h.settings.Logger.WithFields(fields).WithError(err).Warn("tokens left behind")
+			continue
+		}
+		h.settings.Logger.WithFields(fields).Info("tokens handed over")
+	}
+}
+
+func (h *Holder) bequests() []bequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var bequests []bequest
+	for team, held := range h.teams {
+		free := held.free(h.uptime())
+		if free <= 0 {
+			continue
+		}
+		held.given += free
+		bequests = append(bequests, bequest{team: team, tokens: free, instances: h.lendersLocked(held)})
+	}
+	return bequests
+}
+
 func (h *Holder) wakeBorrower() {
 	select {
 	case h.lacking <- struct{}{}:
@@ -103,7 +167,7 @@
 		if len(held.waiters) == 0 {
 			continue
 		}
-		w := want{team: team, tokens: int64(held.rate*borrowAhead.Seconds()) - held.free()}
+		w := want{team: team, tokens: int64(held.rate()*borrowAhead.Seconds()) - held.free(h.uptime())}
 		for _, waiting := range held.waiters {
 			w.tokens += waiting.most
 		}
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -29,8 +29,14 @@
 	DefaultDrawTimeout = 250 * time.Millisecond
 )
 
-// rateMemory is the time over which the use of a team is averaged.
-const rateMemory = 4 * time.Second
+const (
+	// rateMemory is the time over which the use of a team is averaged.
+	rateMemory = 5 * time.Second
+	// rateWarmUp is the least time that an average counts for: a shorter one tells too little.
+	rateWarmUp = 2 * time.Second
+	// largestMemory is how long the largest request counts.
+	largestMemory = 10 * time.Second
+)
 
 // Errors of Reserve. Each says that nothing was reserved.
 var (
@@ -53,6 +59,8 @@
 	CallTimeout time.Duration
 	// DrawTimeout bounds how long a request waits for tokens.
 	DrawTimeout time.Duration
+	// Now returns the present moment on this machine; nil stands for the function of that name.
+	Now func() Moment
 	// Lenders asks other routers for tokens; nil if there are none.
 	Lenders Lenders
 	Logger  log.Interface
@@ -70,6 +78,8 @@
 	mu            sync.Mutex
 	configuration *site.Configuration
 	teams         map[string]*holding
+	// leaving says that the router ends soon: it keeps little and takes nothing over.
+	leaving bool
 	// reached is when a call to the platform last succeeded.
 	reached time.Time
 }
@@ -84,14 +94,37 @@
 	reserved int64
 	given    int64
 	received int64
-	rate     float64
-	rated    time.Time
-	waiters  []*waiter
+	// pledges are those that may stand in the account: the last one that surely did and those of writes since then.
+	pledges []Pledge
+	// largest is the most that a recent request could use, as of noted.
+	largest int64
+	noted   time.Time
+	// average is the use over rateMemory as if nothing had been used before metered; updated is as of when it is.
+	average float64
+	metered time.Time
+	updated time.Time
+	// asked is what another router lacks and this one could not hand over.
+	asked   int64
+	waiters []*waiter
 }
 
-// free returns what new requests may use.
-func (held *holding) free() int64 {
-	return held.usable + held.received - held.given - held.spent - held.reserved
+// free returns what new requests may use: what is granted and not in use, as far as the pledges allow.
+func (held *holding) free(uptime time.Duration) int64 {
+	used := held.spent + held.given - held.received + held.reserved
+	free := held.usable - used
+	for i := range held.pledges {
+		if bound, ok := held.pledges[i].Bound(uptime); ok {
+			free = min(free, bound-used)
+		}
+	}
+	return free
+}
+
+// noteDemand remembers the largest request of the last largestMemory.
+func (held *holding) noteDemand(now time.Time, most int64) {
+	if most >= held.largest || now.Sub(held.noted) > largestMemory {
+		held.largest, held.noted = most, now
+	}
 }
 
 // waiter is a request that waits for tokens.
@@ -112,6 +145,9 @@
 	if settings.Metrics == nil {
 		settings.Metrics = metrics.NewRegistry()
 	}
+	if settings.Now == nil {
+		settings.Now = Now
+	}
 	settings.Partitions = orDefault(settings.Partitions, DefaultPartitions)
 	h := &Holder{log: keyed, settings: settings, lacking: make(chan struct{}, 1), teams: make(map[string]*holding)}
 	for i := range settings.Partitions {
@@ -173,7 +209,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.holdingLocked(team)
-	if held.free() >= most {
+	now := time.Now()
+	held.noteDemand(now, most)
+	held.meter(now, most)
+	if held.free(h.uptime()) >= most {
 		held.reserved += most
 		return nil, nil
 	}
@@ -216,7 +255,7 @@
 	held := h.holdingLocked(team)
 	fields := log.Fields{
 		"Team": team, "Most": most, "Usable": held.usable, "Spent": held.spent, "Reserved": held.reserved,
-		"Given": held.given, "Received": held.received, "Rate": int64(held.rate), "Prepaid": held.account.Prepaid, "Available": held.account.Available(),
+		"Free": held.free(h.uptime()), "Given": held.given, "Received": held.received, "Rate": int64(held.rate()), "Prepaid": held.account.Prepaid, "Available": held.account.Available(),
 		"Reported": held.account.Reported(), "Settled": held.account.Settled, "Holders": len(held.account.Shares),
 		"AgeMilliseconds": time.Since(h.reached).Milliseconds(),
 	}
@@ -252,19 +291,28 @@
 	held := h.holdingLocked(team)
 	held.reserved -= most
 	held.spent += used
-	held.meter(time.Now(), used)
+	held.meter(time.Now(), used-most)
 	h.serveWaitersLocked(held)
 }
 
-// meter averages the use over rateMemory.
+// meter averages the use over rateMemory. A request counts at its most when it comes and is corrected when it ends.
 func (held *holding) meter(now time.Time, used int64) {
-	if !held.rated.IsZero() {
-		held.rate *= math.Exp(-now.Sub(held.rated).Seconds() / rateMemory.Seconds())
+	if held.metered.IsZero() {
+		held.metered, held.updated = now, now
 	}
-	held.rated = now
-	held.rate += float64(used) / rateMemory.Seconds()
+	held.average *= math.Exp(-now.Sub(held.updated).Seconds() / rateMemory.Seconds())
+	held.updated = now
+	held.average = max(0, held.average+float64(used)/rateMemory.Seconds())
+}
+
+// rate returns the use in tokens a second, corrected for the time in which nothing was metered yet.
+func (held *holding) rate() float64 {
+	span := max(rateWarmUp, held.updated.Sub(held.metered))
+	return held.average / (1 - math.Exp(-span.Seconds()/rateMemory.Seconds()))
 }
 
+func (h *Holder) uptime() time.Duration { return h.settings.Now().Uptime }
+
 func (h *Holder) holdingLocked(team string) *holding {
 	held, ok := h.teams[team]
 	if !ok {
@@ -276,9 +324,13 @@
 
 // serveWaitersLocked reserves for those that wait, in their order; a large one does not keep small ones waiting.
 func (h *Holder) serveWaitersLocked(held *holding) {
+	if len(held.waiters) == 0 {
+		return
+	}
+	uptime := h.uptime()
 	waiting := held.waiters[:0]
 	for _, w := range held.waiters {
-		if held.free() >= w.most {
+		if held.free(uptime) >= w.most {
 			held.reserved += w.most
 			w.done <- nil
 			continue
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -7,22 +7,21 @@
 
 // Defaults of a Policy.
 const (
-	// DefaultHorizon is the use for which a share should last: the longest outage of the platform that is expected.
-	DefaultHorizon = 15 * time.Second
+	// DefaultHorizon is the use for which a share should last: some times the longest outage of the platform that is
+	// expected, since a team's use in one of them may be a multiple of that before.
+	DefaultHorizon = 30 * time.Second
 	// DefaultReach is the part of what remains that all shares together should hold. The rest outlives the loss of every
 	// router at once.
-	DefaultReach = 0.6
-	// DefaultIdlePart is the part of the reach that is split evenly, for routers and teams that were idle.
-	DefaultIdlePart = 0.25
+	DefaultReach = 0.45
+	// DefaultIdlePart is the part of the reach that routers split evenly while a team is idle everywhere.
+	DefaultIdlePart = 0.5
 )
 
 const (
-	// drawBelow and returnAbove are the parts of the target between which a share stays as it is, so that not every
-	// request moves it.
-	drawBelow   = 0.75
-	returnAbove = 1.5
-	// reportPart is the part of the remaining total that may be used before it is reported.
-	reportPart = 0.03
+	// movePart is the part of the remaining total by which a share has to change to be worth a write.
+	movePart = 0.02
+	// renewPart is the part of a pledge, in percent, that may be used before it is renewed.
+	renewPart = 60
 )
 
 // Policy says how much a holder keeps ahead of its use. Its zero value has the defaults.
@@ -30,6 +29,8 @@
 	Horizon  time.Duration
 	Reach    float64
 	IdlePart float64
+	// Leaving says that the holder keeps nothing for use that it doesn't have.
+	Leaving bool
 }
 
 // Position is a holder's own side of an account.
@@ -51,6 +52,12 @@
 	// Version and Prepaid are what the newest configuration that the holder knows says.
 	Version int64
 	Prepaid int64
+	// Pressed says that a request waits for which the share would do and the pledge doesn't.
+	Pressed bool
+	// Largest is the most that a recent request could use.
+	Largest int64
+	// Now is the present moment on the holder's machine.
+	Now Moment
 	// Ending says that the holder uses nothing any more.
 	Ending bool
 }
@@ -82,10 +89,21 @@
 	if own.Lacking > 0 {
 		share.Lacking = max(0, own.Net()+own.Reserved+own.Lacking-share.Granted)
 	}
+	share.Pledge = own.pledge()
 	a.Shares[own.Holder] = share
 	return a, changed || p.worthWriting(&a, stored, share, own)
 }
 
+// pledge returns what the holder promises with its next write.
+func (p *Position) pledge() Pledge {
+	return Pledge{
+		Base:   p.Net() + p.Reserved,
+		Burst:  p.Largest + int64(p.Rate*pledgeBurst.Seconds()),
+		Pace:   p.Rate * pledgePace,
+		Uptime: p.Now.Uptime, WallMilliseconds: p.Now.Wall.UnixMilli(),
+	}
+}
+
 // takeTotal takes the newest total in.
 func (a *Account) takeTotal(own Position) bool {
 	if own.Version <= a.Version {
@@ -102,7 +120,7 @@
 	for _, holder := range a.holders() {
 		share := a.Shares[holder]
 		if share.Instance == own.Instance && holder != own.Holder {
-			a.retire(holder, share.Granted, share.Spent)
+			a.retire(holder, share.settlement(own.Now), share.Spent)
 			changed = true
 		}
 	}
@@ -117,13 +135,7 @@
 	delete(others.Shares, own.Holder)
 	available := max(0, others.Available()-share.Granted)
 	target := p.target(a, own)
-	wanted := held
-	switch {
-	case float64(held) < drawBelow*float64(target):
-		wanted = min(target, held+available)
-	case float64(held) > returnAbove*float64(target):
-		wanted = target
-	}
+	wanted := min(target, held+available)
 	if own.Lacking > 0 {
 		wanted = max(wanted, min(own.Reserved+own.Lacking, held+available))
 	} else if lacking := others.lacking() - available; lacking > 0 {
@@ -152,23 +164,43 @@
 			holders++
 		}
 	}
+	if p.Leaving {
+		return own.Reserved + int64(own.Rate*p.Horizon.Seconds())
+	}
 	reach := orDefault(p.Reach, DefaultReach) * float64(max(0, a.Remaining()))
-	idle := orDefault(p.IdlePart, DefaultIdlePart)
 	if rates == 0 {
-		return own.Reserved + int64(reach/float64(holders))
+		return own.Reserved + int64(orDefault(p.IdlePart, DefaultIdlePart)*reach/float64(holders))
 	}
-	floor := reach * idle / float64(holders)
-	part := floor + reach*(1-idle)*own.Rate/rates
 	horizon := orDefault(p.Horizon, DefaultHorizon).Seconds()
-	return own.Reserved + int64(min(part, max(floor, own.Rate*horizon)))
+	return own.Reserved + int64(min(reach*own.Rate/rates, own.Rate*horizon))
 }
 
 // worthWriting reports whether the share changed by more than what may wait.
 func (p Policy) worthWriting(a *Account, stored, share Share, own Position) bool {
-	if share.Granted != stored.Granted || own.Usable != stored.Granted || share.Lacking != stored.Lacking {
+	if own.Usable != stored.Granted || share.Lacking != stored.Lacking {
+		return true
+	}
+	moved := absolute(share.Granted - stored.Granted)
+	if moved > int64(movePart*float64(a.Remaining())) || own.Lacking > 0 && moved > 0 {
 		return true
 	}
-	return float64(share.Spent-stored.Spent) > reportPart*float64(a.Remaining())
+	bound, binding := stored.Pledge.Bound(own.Now.Uptime)
+	if own.Pressed {
+		return binding && share.Pledge.Base+share.Pledge.Burst > bound
+	}
+	if share.Granted-own.Net()-own.Reserved <= int64(movePart*float64(a.Remaining())) {
+		// So little is free that a pledge would bound next to nothing.
+		return false
+	}
+	used := share.Pledge.Base - stored.Pledge.Base
+	return own.Now.Uptime-stored.Pledge.Uptime > pledgeAge || 100*used > renewPart*(bound-stored.Pledge.Base)
+}
+
+func absolute(n int64) int64 {
+	if n < 0 {
+		return -n
+	}
+	return n
 }
 
 func orDefault[T comparable](value, fallback T) T {
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -40,6 +40,7 @@
 	copyMessage messageKind = iota + 1
 	configurationMessage
 	tokensMessage
+	giftMessage
 )
 
 // request is what a router asks of another; the fields in use depend on the kind.
@@ -51,7 +52,7 @@
 	Next uint64
 }
 
-// tokenRequest is the payload of a request for prepaid tokens of a team.
+// tokenRequest is the payload of a request for prepaid tokens of a team, and of one that hands some over.
 type tokenRequest struct {
 	Team   string
 	Tokens int64
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -40,8 +40,10 @@
 	Configuration(next platform.Offset) []platform.Entry
 }
 
-// Giver hands over prepaid tokens. A handler that implements it is asked for them.
+// Giver hands over prepaid tokens and takes them. A handler that implements it is asked for them.
 type Giver interface {
+	// TakeTokens lets this router use tokens of a team that the named instance no longer does. It reports whether it will.
+	TakeTokens(from, team string, tokens int64) bool
 	// GiveTokens returns how many of a team's tokens the named instance may use from now on; this router no longer does.
 	GiveTokens(from, team string, wanted int64) int64
 }
@@ -231,26 +233,42 @@
 		return answer{Entries: newEntries(n.handler.Configuration(platform.Offset(r.Next)))}
 	case tokensMessage:
 		return n.giveTokens(from, r.Payload)
+	case giftMessage:
+		return n.takeTokens(from, r.Payload)
 	default:
 		return answer{Refusal: ErrMalformed.Error()}
 	}
 }
 
-func (n *Node) giveTokens(from string, payload []byte) answer {
-	malformed := answer{Refusal: ErrMalformed.Error()}
+// readTokens returns the handler and the request of a message about tokens.
+func (n *Node) readTokens(payload []byte) (Giver, tokenRequest, bool) {
 	giver, ok := n.handler.(Giver)
-	asked := tokenRequest{}
-	if rest, err := asked.UnmarshalMsg(payload); !ok || err != nil || len(rest) > 0 || asked.Tokens <= 0 {
-		return malformed
+	r := tokenRequest{}
+	rest, err := r.UnmarshalMsg(payload)
+	return giver, r, ok && err == nil && len(rest) == 0 && r.Tokens > 0
+}
+
+func (n *Node) giveTokens(from string, payload []byte) answer {
+	giver, asked, ok := n.readTokens(payload)
+	if !ok {
+		return answer{Refusal: ErrMalformed.Error()}
 	}
 	given := tokenAnswer{Tokens: giver.GiveTokens(from, asked.Team, asked.Tokens)}
 	encoded, err := given.MarshalMsg(nil)
 	if err != nil {
-		return malformed
+		return answer{Refusal: ErrMalformed.Error()}
 	}
 	return answer{Entries: []entry{{Payload: encoded}}}
 }
 
+func (n *Node) takeTokens(from string, payload []byte) answer {
+	taker, gift, ok := n.readTokens(payload)
+	if !ok || !taker.TakeTokens(from, gift.Team, gift.Tokens) {
+		return answer{Refusal: ErrMalformed.Error()}
+	}
+	return answer{}
+}
+
 // readBounded reads to the end of a stream; a longer message than limit is malformed.
 func readBounded(r io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -55,6 +55,20 @@
 	return given.Tokens, nil
 }
 
+// GiveTokens hands prepaid tokens of a team to another router. After an error it may or may not have them.
+func (n *Node) GiveTokens(ctx context.Context, to Address, team string, tokens int64) error {
+	gift := tokenRequest{Team: team, Tokens: tokens}
+	payload, err := gift.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := n.ask(ctx, to, request{Kind: giftMessage, Payload: payload}); err != nil {
+		n.count(tokensFailed)
+		return fmt.Errorf("handing tokens to %s: %w", to.Instance, err)
+	}
+	return nil
+}
+
 // ask sends a request and returns its answer. A connection on which that fails is dropped, so that the
 // next request dials anew.
 func (n *Node) ask(ctx context.Context, to Address, r request) (answer, error) {
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -29,7 +29,9 @@
 	// connection on its way.
 	leaveDelay = 3 * time.Second
 	// endMargin is the part of the grace that is left for returning shares.
-	endMargin = 700 * time.Millisecond
+	endMargin = 1100 * time.Millisecond
+	// killMargin is the part of the grace that is left unused.
+	killMargin = 200 * time.Millisecond
 )
 
 // Settings describe a node.
@@ -138,6 +140,7 @@
 // end tells the balancer at once, serves on until it has heard, finishes the requests in progress and returns the shares.
 func (n *Node) end(ctx context.Context, callers *http.Server, stopPayer context.CancelFunc, paying *errgroup.Group) {
 	n.Board.Leaving.Store(true)
+	n.Payer.Leave()
 	until := time.Now().Add(n.Settings.Grace - endMargin)
 	sleep(ctx, leaveDelay)
 	grace, cancel := context.WithDeadline(context.WithoutCancel(ctx), until)
@@ -148,7 +151,7 @@
 	}
 	stopPayer()
 	_ = paying.Wait()
-	last, cancelLast := context.WithTimeout(context.WithoutCancel(ctx), endMargin/2)
+	last, cancelLast := context.WithDeadline(context.WithoutCancel(ctx), until.Add(endMargin-killMargin))
 	defer cancelLast()
 	if err := n.Payer.Return(last); err != nil {
 		n.Logger.WithError(err).Warn("shares not returned")
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -61,6 +61,20 @@
 	return r.Payer.Give(from, team, wanted)
 }
 
+// TakeTokens implements peer.Giver.
+func (r *Routers) TakeTokens(from, team string, tokens int64) bool {
+	return r.Payer.Take(from, team, tokens)
+}
+
+// Hand implements allowance.Lenders.
+func (r *Routers) Hand(ctx context.Context, instance, team string, tokens int64) error {
+	listed, ok := r.Roster.Router(instance)
+	if !ok {
+		return fmt.Errorf("handing tokens to %s: %w", instance, peer.ErrUntrusted)
+	}
+	return r.Node.GiveTokens(ctx, peer.Address{Instance: instance, Address: listed.Address}, team, tokens)
+}
+
 // Ask implements allowance.Lenders.
 func (r *Routers) Ask(ctx context.Context, instance, team string, wanted int64) (int64, error) {
 	listed, ok := r.Roster.Router(instance)
