Draw for other routers only if they are cut off

Cause: each of up to four routers that were asked for tokens drew them, also for a router that could draw itself: at the loss of power all of a busy team's remaining tokens were granted.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
@@ -307,9 +308,16 @@
 	defer h.mu.Unlock()
 	for team, a := range planned {
 		held := h.holdingLocked(team)
-		held.account, held.asked = a, 0
 		share := a.Shares[h.settings.Holder]
+		if share.Granted != held.account.Shares[h.settings.Holder].Granted {
+			h.settings.Logger.WithFields(log.Fields{
+				"Team": team, "Granted": share.Granted, "Net": share.Pledge.Base - held.reserved, "Reserved": held.reserved,
+				"Rate": int64(share.Rate), "Lacking": share.Lacking, "Available": a.Available(), "Remaining": a.Remaining(),
+				"Prepaid": a.Prepaid, "Version": a.Version,
+			}).Info("share changed")
+		}
 		held.usable = share.Granted
+		held.account, held.asked = a, 0
 		held.pledges = append(held.pledges[:0], share.Pledge)
 		h.serveWaitersLocked(held)
 	}
--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -30,13 +30,13 @@
 	// Hand hands tokens to the router on the instance. After an error it may or may not have them.
 	Hand(ctx context.Context, instance, team string, tokens int64) error
 	// Ask returns how many of a team's tokens the router on the instance handed over. After an error it may have handed
-	// over tokens that nobody uses.
-	Ask(ctx context.Context, instance, team string, wanted int64) (int64, error)
+	// over tokens that nobody uses. A router that is cut off from the platform lets the other one draw for it.
+	Ask(ctx context.Context, instance, team string, wanted int64, cutOff bool) (int64, error)
 }
 
 // Give hands tokens to another router that lacks them and returns how many. They are subtracted before they are sent: an
 // answer that is lost leaves them unused until the account is settled.
-func (h *Holder) Give(from, team string, wanted int64) int64 {
+func (h *Holder) Give(from, team string, wanted int64, cutOff bool) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held, ok := h.teams[team]
@@ -45,8 +45,8 @@
 	}
 	held.meter(time.Now(), 0)
 	given := max(0, min(wanted, held.free(h.uptime())-int64(held.rate()*keepAhead.Seconds())))
-	if given < wanted && !h.leaving {
-		// The other router may not reach the platform: this one draws for it and is asked again.
+	if given == 0 && cutOff && !h.leaving {
+		// The other router asks again, when this one has drawn for it.
 		held.asked = max(held.asked, wanted-given)
 		h.bookOf(team).wake()
 	}
@@ -55,7 +55,7 @@
 	}
 	held.given += given
 	h.settings.Logger.WithFields(log.Fields{
-		"To": from, "Team": team, "Tokens": given, "Wanted": wanted, "Free": held.free(h.uptime()),
+		"To": from, "CutOff": cutOff, "Team": team, "Tokens": given, "Wanted": wanted, "Free": held.free(h.uptime()),
 	}).Info("tokens handed over")
 	return given
 }
@@ -129,6 +129,8 @@
 	team      string
 	tokens    int64
 	instances []string
+	// cutOff says that the account could not be read for a while.
+	cutOff bool
 }
 
 // runBorrower asks other routers for what waiting requests lack and the platform doesn't give in time.
@@ -143,7 +145,7 @@
 			return nil
 		case <-h.lacking:
 		}
-		if time.Since(h.lastReached()) < h.settings.Interval+h.settings.CallTimeout {
+		if !h.cutOff() {
 			sleep(ctx, borrowAfter)
 		}
 		for _, w := range h.wants() {
@@ -152,10 +154,15 @@
 	}
 }
 
-func (h *Holder) lastReached() time.Time {
+// cutOff reports whether no account could be read for longer than the pause between two reads and a call.
+func (h *Holder) cutOff() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.reached
+	return h.cutOffLocked()
+}
+
+func (h *Holder) cutOffLocked() bool {
+	return time.Since(h.reached) > h.settings.Interval+h.settings.CallTimeout/2
 }
 
 // wants lists what requests wait for.
@@ -167,10 +174,16 @@
 		if len(held.waiters) == 0 {
 			continue
 		}
-		w := want{team: team, tokens: int64(held.rate()*borrowAhead.Seconds()) - held.free(h.uptime())}
+		w := want{team: team, tokens: -held.free(h.uptime()), cutOff: h.cutOffLocked()}
 		for _, waiting := range held.waiters {
 			w.tokens += waiting.most
 		}
+		if w.cutOff {
+			w.tokens += int64(held.rate() * borrowAhead.Seconds())
+		} else if held.account.Available() >= w.tokens {
+			// The next write draws them.
+			continue
+		}
 		w.instances = h.lendersLocked(held)
 		wants = append(wants, w)
 	}
@@ -210,6 +223,8 @@
 		got, err := h.ask(ctx, instance, w)
 		if err != nil || got == 0 {
 			refused[key] = time.Now()
+			// One router that draws is enough.
+			w.cutOff = w.cutOff && err != nil
 		}
 		w.tokens -= got
 	}
@@ -218,7 +233,7 @@
 func (h *Holder) ask(ctx context.Context, instance string, w want) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	got, err := h.settings.Lenders.Ask(ctx, instance, w.team, w.tokens)
+	got, err := h.settings.Lenders.Ask(ctx, instance, w.team, w.tokens, w.cutOff)
 	fields := log.Fields{"From": instance, "Team": w.team, "Wanted": w.tokens, "Tokens": got}
 	if err != nil {
 		h.count(borrowFailed)
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -56,6 +56,8 @@
 type tokenRequest struct {
 	Team   string
 	Tokens int64
+	// CutOff says that the sender can't reach the platform itself.
+	CutOff bool
 }
 
 // answer is what a router answers; an empty Refusal means that the request was accepted.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -310,10 +310,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z tokenRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Team)
 	o = msgp.AppendInt64(o, z.Tokens)
+	o = msgp.AppendBool(o, z.CutOff)
 	return
 }
 
@@ -325,8 +326,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Team, bts, err = msgp.ReadStringBytes(bts)
@@ -339,12 +340,17 @@
 		err = msgp.WrapError(err, "Tokens")
 		return
 	}
+	z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CutOff")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z tokenRequest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize
 	return
 }
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -45,7 +45,8 @@
 	// TakeTokens lets this router use tokens of a team that the named instance no longer does. It reports whether it will.
 	TakeTokens(from, team string, tokens int64) bool
 	// GiveTokens returns how many of a team's tokens the named instance may use from now on; this router no longer does.
-	GiveTokens(from, team string, wanted int64) int64
+	// An instance that is cut off from the platform can't draw any itself.
+	GiveTokens(from, team string, wanted int64, cutOff bool) int64
 }
 
 // Node is this router's end of the connections to other routers.
@@ -253,7 +254,7 @@
 	if !ok {
 		return answer{Refusal: ErrMalformed.Error()}
 	}
-	given := tokenAnswer{Tokens: giver.GiveTokens(from, asked.Team, asked.Tokens)}
+	given := tokenAnswer{Tokens: giver.GiveTokens(from, asked.Team, asked.Tokens, asked.CutOff)}
 	encoded, err := given.MarshalMsg(nil)
 	if err != nil {
 		return answer{Refusal: ErrMalformed.Error()}
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -33,9 +33,9 @@
 }
 
 // AskTokens asks another router for prepaid tokens of a team and returns how many it handed over. After an error it may
-// have handed over tokens that nobody uses.
-func (n *Node) AskTokens(ctx context.Context, to Address, team string, wanted int64) (int64, error) {
-	asked := tokenRequest{Team: team, Tokens: wanted}
+// have handed over tokens that nobody uses. A router that is cut off from the platform asks the other one to draw.
+func (n *Node) AskTokens(ctx context.Context, to Address, team string, wanted int64, cutOff bool) (int64, error) {
+	asked := tokenRequest{Team: team, Tokens: wanted, CutOff: cutOff}
 	payload, err := asked.MarshalMsg(nil)
 	if err != nil {
 		return 0, err
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -57,8 +57,8 @@
 func (r *Routers) Configuration(platform.Offset) []platform.Entry { return nil }
 
 // GiveTokens implements peer.Giver.
-func (r *Routers) GiveTokens(from, team string, wanted int64) int64 {
-	return r.Payer.Give(from, team, wanted)
+func (r *Routers) GiveTokens(from, team string, wanted int64, cutOff bool) int64 {
+	return r.Payer.Give(from, team, wanted, cutOff)
 }
 
 // TakeTokens implements peer.Giver.
@@ -76,12 +76,12 @@
 }
 
 // Ask implements allowance.Lenders.
-func (r *Routers) Ask(ctx context.Context, instance, team string, wanted int64) (int64, error) {
+func (r *Routers) Ask(ctx context.Context, instance, team string, wanted int64, cutOff bool) (int64, error) {
 	listed, ok := r.Roster.Router(instance)
 	if !ok {
 		return 0, fmt.Errorf("asking %s for tokens: %w", instance, peer.ErrUntrusted)
 	}
-	return r.Node.AskTokens(ctx, peer.Address{Instance: instance, Address: listed.Address}, team, wanted)
+	return r.Node.AskTokens(ctx, peer.Address{Instance: instance, Address: listed.Address}, team, wanted, cutOff)
 }
 
 // Run announces the router and follows the others' entries until the context ends.
