Answer 402 once nothing is left, ask peers as soon as a call is stuck, leave room in pledges

Ruled out: 402 from reported use alone. Change: tokens that routers which ended may have used count as used for the refusal; a call that takes over 120 ms makes a router ask others; pledges allow a quarter of the share at once.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -22,6 +22,9 @@
 	// watchInterval is the time between two looks at what the holder has itself: a share that runs low is drawn that late
 	// at most.
 	watchInterval = 200 * time.Millisecond
+	// stuckAfter is how long a call to the platform may take before other routers are asked for tokens: some round trips
+	// between regions.
+	stuckAfter = 120 * time.Millisecond
 	// leavingHorizon is the use for which a router that is leaving keeps tokens: until the next write.
 	leavingHorizon = 1 * time.Second
 )
@@ -33,6 +36,28 @@
 	kick      chan struct{}
 	// looked is when the partition was last read.
 	looked time.Time
+	// calling is when the call in progress began; zero if there is none. failed says that the last call got no answer.
+	calling time.Time
+	failed  bool
+}
+
+// stuckLocked reports whether the platform seems to be out of reach.
+func (b *book) stuckLocked(now time.Time) bool {
+	return b.failed || !b.calling.IsZero() && now.Sub(b.calling) > stuckAfter
+}
+
+// begin and done frame a call to the platform.
+func (b *book) begin() {
+	b.holder.mu.Lock()
+	defer b.holder.mu.Unlock()
+	b.calling = time.Now()
+}
+
+func (b *book) done(err error) {
+	b.holder.mu.Lock()
+	defer b.holder.mu.Unlock()
+	b.calling = time.Time{}
+	b.failed = err != nil && !errors.Is(err, platform.ErrMoved)
 }
 
 // bookOf returns the book with a team's account.
@@ -193,7 +218,9 @@
 	h := b.holder
 	ctx, cancel := context.WithTimeout(ctx, h.settings.CallTimeout)
 	defer cancel()
+	b.begin()
 	state, err := h.log.Newest(ctx, Topic, b.partition)
+	b.done(err)
 	if err != nil {
 		h.count(readFailed)
 		return fmt.Errorf("read accounts: %w", err)
@@ -202,7 +229,9 @@
 	if len(records) == 0 {
 		return nil
 	}
+	b.begin()
 	_, err = h.log.AppendAt(ctx, Topic, b.partition, state.End, records)
+	b.done(err)
 	switch {
 	case err == nil:
 		h.count(writeDone)
@@ -261,7 +290,7 @@
 func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
 	own := Position{
 		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.spent,
-		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: held.largest, Now: h.settings.Now(),
+		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: max(held.largest, int64(firstBurst*h.mean)), Now: h.settings.Now(),
 		Ending: ending,
 	}
 	own.Lacking = held.asked
--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// borrowAfter is how long a request waits for a draw from the account before other routers are asked: a read and a
-	// write between regions.
-	borrowAfter = 60 * time.Millisecond
+	// borrowPause lies between two looks at requests that wait: a draw from the account takes a read and a write between
+	// regions.
+	borrowPause = 60 * time.Millisecond
 	// askTimeout bounds a question to another router: a handshake between regions and its work.
 	askTimeout = 150 * time.Millisecond
 	// askedRouters bounds the routers that are asked in one round, those first that seem to hold most.
@@ -129,7 +129,7 @@
 	team      string
 	tokens    int64
 	instances []string
-	// cutOff says that the account could not be read for a while.
+	// cutOff says that the account can't be read.
 	cutOff bool
 }
 
@@ -145,36 +145,31 @@
 			return nil
 		case <-h.lacking:
 		}
-		if !h.cutOff() {
-			sleep(ctx, borrowAfter)
+		if !sleep(ctx, borrowPause) {
+			return nil
 		}
-		for _, w := range h.wants() {
+		wants, waiting := h.wants()
+		for _, w := range wants {
 			h.borrow(ctx, w, refused)
 		}
+		if waiting {
+			h.wakeBorrower()
+		}
 	}
 }
 
-// cutOff reports whether no account could be read for longer than the pause between two reads and a call.
-func (h *Holder) cutOff() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.cutOffLocked()
-}
-
-func (h *Holder) cutOffLocked() bool {
-	return time.Since(h.reached) > h.settings.Interval+h.settings.CallTimeout/2
-}
-
-// wants lists what requests wait for.
-func (h *Holder) wants() []want {
+// wants lists what other routers may be asked for, and reports whether requests wait.
+func (h *Holder) wants() ([]want, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var wants []want
+	waits := false
 	for team, held := range h.teams {
 		if len(held.waiters) == 0 {
 			continue
 		}
-		w := want{team: team, tokens: -held.free(h.uptime()), cutOff: h.cutOffLocked()}
+		waits = true
+		w := want{team: team, tokens: -held.free(h.uptime()), cutOff: h.bookOf(team).stuckLocked(time.Now())}
 		for _, waiting := range held.waiters {
 			w.tokens += waiting.most
 		}
@@ -187,7 +182,7 @@
 		w.instances = h.lendersLocked(held)
 		wants = append(wants, w)
 	}
-	return wants
+	return wants, waits
 }
 
 // lendersLocked returns the instances that held most of a team's tokens as far as is known.
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -25,8 +25,9 @@
 	DefaultPartitions = 1
 	// DefaultCallTimeout bounds a call to the platform, whose answers take some ms when it is well.
 	DefaultCallTimeout = 1 * time.Second
-	// DefaultDrawTimeout bounds how long a request waits for tokens: two draws and a return between regions.
-	DefaultDrawTimeout = 250 * time.Millisecond
+	// DefaultDrawTimeout bounds how long a request waits for tokens: the time after which a call to the platform counts as
+	// stuck and questions to two other routers.
+	DefaultDrawTimeout = 500 * time.Millisecond
 )
 
 const (
@@ -36,6 +37,10 @@
 	rateWarmUp = 2 * time.Second
 	// largestMemory is how long the largest request counts.
 	largestMemory = 10 * time.Second
+	// meanRequests is the number of requests over which their size is averaged.
+	meanRequests = 50
+	// firstBurst is the number of mean requests of a team that is idle at this router for which a pledge leaves room.
+	firstBurst = 3
 )
 
 // Errors of Reserve. Each says that nothing was reserved.
@@ -78,6 +83,8 @@
 	mu            sync.Mutex
 	configuration *site.Configuration
 	teams         map[string]*holding
+	// mean is the average of the most that recent requests of all teams could use.
+	mean float64
 	// leaving says that the router ends soon: it keeps little and takes nothing over.
 	leaving bool
 	// reached is when a call to the platform last succeeded.
@@ -190,7 +197,7 @@
 	case <-timer.C:
 	}
 	if h.giveUp(team.Name, w) {
-		err := h.refusal(team.Name, most)
+		err := h.refuse(team.Name, most)
 		h.logRefusal(team.Name, most, err)
 		return nil, err
 	}
@@ -209,23 +216,46 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.holdingLocked(team)
+	if held.free(h.uptime()) < most && h.surelySpentLocked(held, team, most) {
+		return nil, ErrSpent
+	}
 	now := time.Now()
 	held.noteDemand(now, most)
 	held.meter(now, most)
+	h.noteMean(most)
 	if held.free(h.uptime()) >= most {
 		held.reserved += most
 		return nil, nil
 	}
-	if h.surelySpentLocked(held, team, most) {
-		return nil, ErrSpent
-	}
 	w := &waiter{most: most, done: make(chan error, 1)}
 	held.waiters = append(held.waiters, w)
 	return w, nil
 }
 
-// surelySpentLocked reports whether what is known to be used, with this router's requests in progress at their most,
-// leaves too few tokens, wherever the others are held.
+const (
+	// recallTime is when tokens that other routers hold may be had: they look at the account that often.
+	recallTime = DefaultInterval
+	// outageTime is when a platform that can't be reached may be back: about half of a usual outage.
+	outageTime = 4 * time.Second
+)
+
+// ReturnAfter returns after which time a request that was refused for ErrElsewhere may be paid for.
+func (h *Holder) ReturnAfter() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if time.Since(h.reached) > h.settings.Interval+h.settings.CallTimeout {
+		return outageTime
+	}
+	return recallTime
+}
+
+// noteMean averages the most that requests of all teams could use.
+func (h *Holder) noteMean(most int64) {
+	h.mean += (float64(most) - h.mean) / meanRequests
+}
+
+// surelySpentLocked reports whether what is used or may have been used by routers that ended, with
+// this router's requests in progress at their most, leaves too few tokens, wherever the others are held.
 func (h *Holder) surelySpentLocked(held *holding, team string, most int64) bool {
 	if !held.read {
 		return false
@@ -237,13 +267,17 @@
 		}
 	}
 	unreported := held.spent - held.account.Shares[h.settings.Holder].Spent
-	return prepaid-held.account.Reported()-unreported-held.reserved < most
+	remaining := prepaid - held.account.Prepaid + held.account.Remaining()
+	return remaining-unreported-held.reserved < most
 }
 
-func (h *Holder) refusal(team string, most int64) error {
+// refuse takes a request that was not paid for out of the team's use and says why it was not.
+func (h *Holder) refuse(team string, most int64) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.surelySpentLocked(h.holdingLocked(team), team, most) {
+	held := h.holdingLocked(team)
+	held.meter(time.Now(), -most)
+	if h.surelySpentLocked(held, team, most) {
 		return ErrSpent
 	}
 	return ErrElsewhere
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -89,17 +89,19 @@
 	if own.Lacking > 0 {
 		share.Lacking = max(0, own.Net()+own.Reserved+own.Lacking-share.Granted)
 	}
-	share.Pledge = own.pledge()
+	share.Pledge = own.pledge(share.Granted)
 	a.Shares[own.Holder] = share
 	return a, changed || p.worthWriting(&a, stored, share, own)
 }
 
-// pledge returns what the holder promises with its next write.
-func (p *Position) pledge() Pledge {
+// pledge returns what the holder promises with its next write, by its use so far and what the share leaves it.
+func (p *Position) pledge(granted int64) Pledge {
+	base := p.Net() + p.Reserved
+	free := float64(max(0, granted-base))
 	return Pledge{
-		Base:   p.Net() + p.Reserved,
-		Burst:  p.Largest + int64(p.Rate*pledgeBurst.Seconds()),
-		Pace:   p.Rate * pledgePace,
+		Base:   base,
+		Burst:  max(p.Largest, int64(p.Rate*pledgeBurst.Seconds()), int64(free*pledgeFreeBurst)),
+		Pace:   max(p.Rate*pledgePace, free*pledgeFreePace),
 		Uptime: p.Now.Uptime, WallMilliseconds: p.Now.Wall.UnixMilli(),
 	}
 }
--- a/fleet/allowance/pledge.go
+++ b/fleet/allowance/pledge.go
@@ -14,6 +14,10 @@
 	// it allows more. Together they cover pledgeSilence.
 	pledgeBurst = 2 * time.Second
 	pledgePace  = 1.5
+	// pledgeFreeBurst is the part of a share that a pledge allows at once, pledgeFreePace the part a second, for teams whose
+	// use is a multiple of their rate before.
+	pledgeFreeBurst = 0.25
+	pledgeFreePace  = 0.1
 	// pledgeAge is the age at which a pledge is renewed, so that it still binds when its process is started again.
 	pledgeAge = 2 * time.Second
 	// clockTolerance is how far the time of day and the uptime may drift apart between two starts on one machine.
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -202,7 +202,9 @@
 	case errors.Is(err, allowance.ErrSpent):
 		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.PrepaidSpent, Cause: err}
 	default:
-		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.PrepaidElsewhere, Cause: err}
+		return &verdict.Refusal{
+			Verdict: verdict.NotRun, Reason: verdict.PrepaidElsewhere, RetryAfter: j.server.payer.ReturnAfter(), Cause: err,
+		}
 	}
 }
 
