Draw all that waits, leave to others what they lack, and prove the promise

Cause, found by the holder's tests: a draw counted what the share already held as drawn, so a request for most of a total never got it; tokens that one router gave back for another's request were drawn again by a third.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -180,6 +180,9 @@
 	for _, team := range teams {
 		held := h.holdingLocked(team.Name)
 		held.meter(now, 0)
+		if (len(held.waiters) > 0 || now.Before(held.askedUntil)) && held.free(h.uptime()) < held.asked {
+			return true
+		}
 		if _, write := h.settings.Policy.Plan(held.account, h.positionLocked(held, team, false)); write {
 			return true
 		}
@@ -275,7 +278,7 @@
 		}
 		value, err := wanted.Encode()
 		if err != nil {
-			h.settings.Logger.WithField("Team", team.Name).WithError(err).Error("account not written")
+			h.settings.Logger.WithField(fieldTeam, team.Name).WithError(err).Error("account not written")
 			continue
 		}
 		share := wanted.Shares[h.settings.Holder]
@@ -293,12 +296,17 @@
 		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: max(held.largest, int64(firstBurst*h.mean)), Now: h.settings.Now(),
 		Ending: ending,
 	}
-	own.Lacking = held.asked
-	unused, free := held.usable-own.Net()-held.reserved, held.free(own.Now.Uptime)
+	own.Pressed = held.pressed
+	if time.Now().Before(held.askedUntil) {
+		own.Wanted = held.asked
+	}
+	waiting := int64(0)
+	unused, free := held.usable-held.net()-held.reserved, held.free(own.Now.Uptime)
 	for _, w := range held.waiters {
-		own.Lacking = max(own.Lacking, w.most-unused)
+		waiting += w.most
 		own.Pressed = own.Pressed || w.most > free && w.most <= unused
 	}
+	own.Wanted = max(own.Wanted, waiting)
 	return own
 }
 
@@ -312,7 +320,7 @@
 	for _, r := range state.Records {
 		a, err := DecodeAccount(r.Value)
 		if err != nil {
-			h.settings.Logger.WithField("Team", r.Key).WithError(err).Error("account can't be read")
+			h.settings.Logger.WithField(fieldTeam, r.Key).WithError(err).Error("account can't be read")
 			delete(accounts, r.Key)
 			continue
 		}
@@ -340,13 +348,13 @@
 		share := a.Shares[h.settings.Holder]
 		if share.Granted != held.account.Shares[h.settings.Holder].Granted {
 			h.settings.Logger.WithFields(log.Fields{
-				"Team": team, "Granted": share.Granted, "Net": share.Pledge.Base - held.reserved, "Reserved": held.reserved,
+				fieldTeam: team, "Granted": share.Granted, "Net": share.Pledge.Base - held.reserved, "Reserved": held.reserved,
 				"Rate": int64(share.Rate), "Lacking": share.Lacking, "Available": a.Available(), "Remaining": a.Remaining(),
 				"Prepaid": a.Prepaid, "Version": a.Version,
 			}).Info("share changed")
 		}
 		held.usable = share.Granted
-		held.account, held.asked = a, 0
+		held.account, held.pressed = a, false
 		held.pledges = append(held.pledges[:0], share.Pledge)
 		h.serveWaitersLocked(held)
 	}
--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -19,6 +19,8 @@
 	askedRouters = 4
 	// refusedPause is how long a router that gave nothing is not asked again.
 	refusedPause = 300 * time.Millisecond
+	// askedTime is how long a router draws for another one that is cut off and asks again.
+	askedTime = 1 * time.Second
 	// borrowAhead is the use for which more is asked than the waiting requests need, keepAhead the use for which a router
 	// keeps what it holds.
 	borrowAhead = 2 * time.Second
@@ -45,9 +47,13 @@
 	}
 	held.meter(time.Now(), 0)
 	given := max(0, min(wanted, held.free(h.uptime())-int64(held.rate()*keepAhead.Seconds())))
+	if given < wanted && held.usable-held.net()-held.reserved > held.free(h.uptime()) {
+		held.pressed = true
+		h.bookOf(team).wake()
+	}
 	if given == 0 && cutOff && !h.leaving {
 		// The other router asks again, when this one has drawn for it.
-		held.asked = max(held.asked, wanted-given)
+		held.keepFor(wanted, askedTime)
 		h.bookOf(team).wake()
 	}
 	if given == 0 {
@@ -55,7 +61,7 @@
 	}
 	held.given += given
 	h.settings.Logger.WithFields(log.Fields{
-		"To": from, "CutOff": cutOff, "Team": team, "Tokens": given, "Wanted": wanted, "Free": held.free(h.uptime()),
+		"To": from, "CutOff": cutOff, fieldTeam: team, fieldTokens: given, "Wanted": wanted, "Free": held.free(h.uptime()),
 	}).Info("tokens handed over")
 	return given
 }
@@ -70,7 +76,7 @@
 	held := h.holdingLocked(team)
 	held.received += tokens
 	h.serveWaitersLocked(held)
-	h.settings.Logger.WithFields(log.Fields{"From": from, "Team": team, "Tokens": tokens}).Info("tokens taken over")
+	h.settings.Logger.WithFields(log.Fields{"From": from, fieldTeam: team, fieldTokens: tokens}).Info("tokens taken over")
 	return true
 }
 
@@ -85,7 +91,7 @@
 // uses them.
 func (h *Holder) bequeath(ctx context.Context) {
 	for _, b := range h.bequests() {
-		fields := log.Fields{"Team": b.team, "Tokens": b.tokens}
+		fields := log.Fields{fieldTeam: b.team, fieldTokens: b.tokens}
 		if len(b.instances) == 0 {
 			h.settings.Logger.WithFields(fields).Warn("tokens left behind")
 			continue
@@ -229,7 +235,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	got, err := h.settings.Lenders.Ask(ctx, instance, w.team, w.tokens, w.cutOff)
-	fields := log.Fields{"From": instance, "Team": w.team, "Wanted": w.tokens, "Tokens": got}
+	fields := log.Fields{"From": instance, fieldTeam: w.team, "Wanted": w.tokens, fieldTokens: got}
 	if err != nil {
 		h.count(borrowFailed)
 		h.settings.Logger.WithFields(fields).WithError(err).Warn("tokens not handed over")
--- a/fleet/allowance/counters.go
+++ b/fleet/allowance/counters.go
@@ -2,6 +2,12 @@
 
 import "github.com/rcrowley/go-metrics"
 
+// Names of the fields that several log lines have.
+const (
+	fieldTeam   = "Team"
+	fieldTokens = "Tokens"
+)
+
 // Names of the counters.
 const (
 	readFailed   = "allowance.read.failed"
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -110,14 +110,17 @@
 	average float64
 	metered time.Time
 	updated time.Time
-	// asked is what another router lacks and this one could not hand over.
-	asked   int64
+	// asked is what another router or a caller that was sent away will ask for again, until askedUntil.
+	asked      int64
+	askedUntil time.Time
+	// pressed says that another router asked for more than the pledge allows.
+	pressed bool
 	waiters []*waiter
 }
 
 // free returns what new requests may use: what is granted and not in use, as far as the pledges allow.
 func (held *holding) free(uptime time.Duration) int64 {
-	used := held.spent + held.given - held.received + held.reserved
+	used := held.net() + held.reserved
 	free := held.usable - used
 	for i := range held.pledges {
 		if bound, ok := held.pledges[i].Bound(uptime); ok {
@@ -127,6 +130,19 @@
 	return free
 }
 
+// net returns what was used or handed over of what was granted.
+func (held *holding) net() int64 { return held.spent + held.given - held.received }
+
+// keepFor draws for a request that comes again within some time.
+func (held *holding) keepFor(most int64, wait time.Duration) {
+	now := time.Now()
+	if now.After(held.askedUntil) {
+		held.asked = 0
+	}
+	held.asked = max(held.asked, most)
+	held.askedUntil = now.Add(wait)
+}
+
 // noteDemand remembers the largest request of the last largestMemory.
 func (held *holding) noteDemand(now time.Time, most int64) {
 	if most >= held.largest || now.Sub(held.noted) > largestMemory {
@@ -280,6 +296,7 @@
 	if h.surelySpentLocked(held, team, most) {
 		return ErrSpent
 	}
+	held.keepFor(most, 2*recallTime)
 	return ErrElsewhere
 }
 
@@ -288,7 +305,7 @@
 	h.mu.Lock()
 	held := h.holdingLocked(team)
 	fields := log.Fields{
-		"Team": team, "Most": most, "Usable": held.usable, "Spent": held.spent, "Reserved": held.reserved,
+		fieldTeam: team, "Most": most, "Usable": held.usable, "Spent": held.spent, "Reserved": held.reserved,
 		"Free": held.free(h.uptime()), "Given": held.given, "Received": held.received, "Rate": int64(held.rate()), "Prepaid": held.account.Prepaid, "Available": held.account.Available(),
 		"Reported": held.account.Reported(), "Settled": held.account.Settled, "Holders": len(held.account.Shares),
 		"AgeMilliseconds": time.Since(h.reached).Milliseconds(),
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -47,8 +47,8 @@
 	Received int64
 	// Rate is the use in tokens a second.
 	Rate float64
-	// Lacking is the most that a waiting request needs and the share doesn't have.
-	Lacking int64
+	// Wanted is what waiting requests, and other routers that can't draw, need beyond Reserved.
+	Wanted int64
 	// Version and Prepaid are what the newest configuration that the holder knows says.
 	Version int64
 	Prepaid int64
@@ -86,8 +86,8 @@
 	share.Spent = own.Spent
 	share.Rate = math.Round(own.Rate)
 	share.Lacking = 0
-	if own.Lacking > 0 {
-		share.Lacking = max(0, own.Net()+own.Reserved+own.Lacking-share.Granted)
+	if own.Wanted > 0 {
+		share.Lacking = max(0, own.Net()+own.Reserved+own.Wanted-share.Granted)
 	}
 	share.Pledge = own.pledge(share.Granted)
 	a.Shares[own.Holder] = share
@@ -137,11 +137,15 @@
 	delete(others.Shares, own.Holder)
 	available := max(0, others.Available()-share.Granted)
 	target := p.target(a, own)
-	wanted := min(target, held+available)
-	if own.Lacking > 0 {
-		wanted = max(wanted, min(own.Reserved+own.Lacking, held+available))
-	} else if lacking := others.lacking() - available; lacking > 0 {
-		wanted = min(wanted, max(own.Reserved, held-lacking))
+	if own.Wanted > 0 {
+		wanted := max(target, own.Reserved+own.Wanted)
+		return max(kept, own.Net()+min(wanted, held+available))
+	}
+	// What others lack is left to them, and what they still lack then goes back.
+	lacking := others.lacking()
+	wanted := min(target, held+max(0, available-lacking))
+	if lacking > available {
+		wanted = min(wanted, max(own.Reserved, held+available-lacking))
 	}
 	return max(kept, own.Net()+wanted)
 }
@@ -169,7 +173,8 @@
 	if p.Leaving {
 		return own.Reserved + int64(own.Rate*p.Horizon.Seconds())
 	}
-	reach := orDefault(p.Reach, DefaultReach) * float64(max(0, a.Remaining()))
+	remaining := a.Remaining() + a.Shares[own.Holder].Spent - own.Spent - own.Reserved
+	reach := orDefault(p.Reach, DefaultReach) * float64(max(0, remaining))
 	if rates == 0 {
 		return own.Reserved + int64(orDefault(p.IdlePart, DefaultIdlePart)*reach/float64(holders))
 	}
@@ -183,7 +188,7 @@
 		return true
 	}
 	moved := absolute(share.Granted - stored.Granted)
-	if moved > int64(movePart*float64(a.Remaining())) || own.Lacking > 0 && moved > 0 {
+	if moved > int64(movePart*float64(a.Remaining())) || own.Wanted > 0 && moved > 0 {
 		return true
 	}
 	bound, binding := stored.Pledge.Bound(own.Now.Uptime)
--- /dev/null
+++ b/fleet/allowance/plan_test.go
@@ -0,0 +1,107 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+func now(uptime time.Duration) Moment {
+	return Moment{Uptime: uptime, Wall: time.Unix(1_800_000_000, 0).Add(uptime)}
+}
+
+func TestPlan(t *testing.T) {
+	own := Position{Holder: "a/1", Instance: "a", Version: 3, Prepaid: 1_000, Now: now(time.Hour)}
+	t.Run("first share", func(t *testing.T) {
+		a, write := Policy{}.Plan(Account{}, own)
+		assert.Equal(t, true, write)
+		assert.Equal(t, int64(3), a.Version)
+		assert.Equal(t, int64(225), a.Shares["a/1"].Granted)
+	})
+	t.Run("older total changes nothing", func(t *testing.T) {
+		a, _ := Policy{}.Plan(Account{Version: 4, Prepaid: 500}, own)
+		assert.Equal(t, int64(500), a.Prepaid)
+	})
+	t.Run("lowered total leaves what is reserved", func(t *testing.T) {
+		current := Account{Version: 2, Prepaid: 5_000, Shares: map[string]Share{"a/1": {Instance: "a", Granted: 3_000}}}
+		busy := own
+		busy.Usable, busy.Reserved, busy.Spent = 3_000, 700, 800
+		a, write := Policy{}.Plan(current, busy)
+		assert.Equal(t, true, write)
+		assert.Equal(t, int64(1_500), a.Shares["a/1"].Granted)
+		assert.Equal(t, int64(-500), a.Available())
+	})
+	t.Run("surplus goes back when another holder lacks", func(t *testing.T) {
+		current := Account{Version: 3, Prepaid: 1_000, Shares: map[string]Share{
+			"a/1": {Instance: "a", Granted: 600}, "b/1": {Instance: "b", Granted: 400, Spent: 400, Lacking: 500, Rate: 10},
+		}}
+		idle := own
+		idle.Usable = 600
+		a, write := Policy{}.Plan(current, idle)
+		assert.Equal(t, true, write)
+		assert.Equal(t, true, a.Shares["a/1"].Granted <= 100)
+	})
+	t.Run("tokens that were received can be returned", func(t *testing.T) {
+		lucky := own
+		lucky.Received, lucky.Ending = 300, true
+		a, _ := Policy{}.Plan(Account{Version: 3, Prepaid: 1_000, Shares: map[string]Share{"a/1": {Instance: "a"}}}, lucky)
+		assert.Equal(t, int64(-300), a.Settled)
+	})
+}
+
+func TestSettlement(t *testing.T) {
+	share := Share{Instance: "a", Granted: 10_000, Pledge: Pledge{
+		Base: 1_000, Burst: 200, Pace: 100, Uptime: time.Hour, WallMilliseconds: now(time.Hour).Wall.UnixMilli(),
+	}}
+	for _, c := range []struct {
+		name string
+		now  Moment
+		want int64
+	}{
+		{"process started again", now(time.Hour + 2*time.Second), 1_400},
+		{"pledge has lapsed", now(time.Hour + pledgeSilence), 10_000},
+		{"machine started again", Moment{Uptime: 30 * time.Second, Wall: now(time.Hour + 2*time.Second).Wall}, 10_000},
+		{"uptime goes on by chance", Moment{Uptime: time.Hour + time.Second, Wall: now(2 * time.Hour).Wall}, 10_000},
+		{"time of day was changed", Moment{Uptime: time.Hour + time.Second, Wall: now(time.Hour).Wall.Add(-2 * time.Second)}, 10_000},
+		{"no uptime", Moment{Wall: now(time.Hour).Wall}, 10_000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, c.want, share.settlement(c.now))
+		})
+	}
+}
+
+func TestDecodeAccount(t *testing.T) {
+	a := Account{Version: 1, Prepaid: 10, Shares: map[string]Share{"a/1": {Granted: -5, Spent: 2}}}
+	encoded, err := a.Encode()
+	assert.Must(t, err)
+	decoded, err := DecodeAccount(encoded)
+	assert.NoError(t, err)
+	assert.Equal(t, a, decoded)
+	for name, text := range map[string]string{
+		"bytes": "\x00\x01", "negative use": `{"Used":-1}`, "negative share": `{"Shares":{"a":{"Spent":-1}}}`, "other type": `{"Prepaid":"x"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := DecodeAccount([]byte(text))
+			assert.Fails(t, err)
+		})
+	}
+}
+
+// TestUnreadableAccount checks that nothing is drawn from an account that can't be read.
+func TestUnreadableAccount(t *testing.T) {
+	play(t, 1_000, 1, func(r *routers) {
+		h := r.holders["router-0"]
+		partition := h.bookOf("studio").partition
+		_, err := r.log.AppendAt(r.t.Context(), Topic, partition, platform.AnyOffset, keyed("studio", "not an account"))
+		assert.Must(r.t, err)
+		time.Sleep(3 * time.Second)
+		r.assertRefuses("router-0", 900, ErrElsewhere)
+	})
+}
+
+func keyed(key, value string) []platform.KeyedRecord {
+	return []platform.KeyedRecord{{Key: key, Value: []byte(value)}}
+}
--- a/fleet/peer/counters.go
+++ b/fleet/peer/counters.go
@@ -11,7 +11,7 @@
 	connectionsRefused  = "peer.connection.refused"
 	dialsFailed         = "peer.dial.failed"
 	configurationFailed = "peer.configuration.failed"
-	tokensFailed        = "peer.tokens.failed"
+	handoverFailed      = "peer.tokens.failed"
 )
 
 // Description says what a counter counts.
@@ -30,7 +30,7 @@
 		{connectionsRefused, "Connections of other routers beyond the bound or without an instance's name."},
 		{dialsFailed, "Connections to other routers that could not be opened."},
 		{configurationFailed, "Requests for configuration that no router answered."},
-		{tokensFailed, "Requests for prepaid tokens that the other router did not answer."},
+		{handoverFailed, "Requests for prepaid tokens that the other router did not answer."},
 	}
 }
 
--- a/fleet/peer/pinned.go
+++ b/fleet/peer/pinned.go
@@ -111,19 +111,22 @@
 	config := p.config()
 	config.ClientAuth = tls.RequireAnyClientCert
 	config.SessionTicketsDisabled = true
-	config.VerifyPeerCertificate = func(certificates [][]byte, _ [][]*x509.Certificate) error {
-		_, err := p.verify(certificates)
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		_, err := p.verify(state.PeerCertificates)
 		return err
 	}
 	return config
 }
 
 func (p *Pinned) clientConfig(instance string) (*tls.Config, error) {
+	if _, ok := p.roster.Router(instance); !ok {
+		return nil, ErrUntrusted
+	}
 	config := p.config()
-	// The roster takes the place of an authority: VerifyPeerCertificate checks the certificate itself.
+	// The roster takes the place of an authority: VerifyConnection checks the certificate itself.
 	config.InsecureSkipVerify = true
-	config.VerifyPeerCertificate = func(certificates [][]byte, _ [][]*x509.Certificate) error {
-		name, err := p.verify(certificates)
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		name, err := p.verify(state.PeerCertificates)
 		if err == nil && name != instance {
 			err = ErrUntrusted
 		}
@@ -139,20 +142,16 @@
 }
 
 // verify returns the instance that a certificate stands for if the roster lists it.
-func (p *Pinned) verify(certificates [][]byte) (string, error) {
+func (p *Pinned) verify(certificates []*x509.Certificate) (string, error) {
 	if len(certificates) == 0 {
 		return "", ErrUntrusted
 	}
-	certificate, err := x509.ParseCertificate(certificates[0])
-	if err != nil {
-		return "", fmt.Errorf("reading a router's certificate: %w", err)
-	}
-	name, err := nameOf(certificate)
+	name, err := nameOf(certificates[0])
 	if err != nil {
 		return "", err
 	}
 	listed, ok := p.roster.Router(name)
-	if !ok || listed.Fingerprint != fingerprint(certificates[0]) {
+	if !ok || listed.Fingerprint != fingerprint(certificates[0].Raw) {
 		return "", ErrUntrusted
 	}
 	return name, nil
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -42,7 +42,7 @@
 	}
 	a, err := n.ask(ctx, to, request{Kind: tokensMessage, Payload: payload})
 	if err != nil {
-		n.count(tokensFailed)
+		n.count(handoverFailed)
 		return 0, fmt.Errorf("asking %s for tokens: %w", to.Instance, err)
 	}
 	given := tokenAnswer{}
@@ -63,7 +63,7 @@
 		return err
 	}
 	if _, err := n.ask(ctx, to, request{Kind: giftMessage, Payload: payload}); err != nil {
-		n.count(tokensFailed)
+		n.count(handoverFailed)
 		return fmt.Errorf("handing tokens to %s: %w", to.Instance, err)
 	}
 	return nil
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
@@ -19,6 +20,7 @@
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
 	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/gateway"
 	"github.com/dragonflyworks/dragonflyworks/router/order"
 )
 
@@ -32,6 +34,7 @@
 		"controller": counterTable(controller.Counters()), "endpoint": counterTable(endpoint.Counters()),
 		"order":        counterTable(order.Counters()),
 		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
+		"allowance": counterTable(allowance.Counters()), "gateway": counterTable(gateway.Counters()),
 	}
 	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
 		text := readAll(t, page)
--- /dev/null
+++ b/router/gateway/counters.go
@@ -0,0 +1,25 @@
+package gateway
+
+// Names of the counters; after retryPrefix stands the reason of the attempt before.
+const (
+	retryPrefix             = "retry."
+	repeatsSpent            = "repeat.budget_spent"
+	configurationUnreadable = "configuration.unreadable"
+	entryUnreadable         = "directory.unreadable"
+)
+
+// Description says what a counter counts.
+type Description struct {
+	Name    string
+	Meaning string
+}
+
+// Counters lists the counters of the package.
+func Counters() []Description {
+	return []Description{
+		{retryPrefix + "REASON", "Attempts at a further endpoint, by why the one before failed."},
+		{repeatsSpent, "Requests that were not repeated because the budget of repeats was spent."},
+		{configurationUnreadable, "Configurations that can't be read; the one before stays in force."},
+		{entryUnreadable, "Endpoints' entries that can't be read; they name no endpoint to use."},
+	}
+}
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -78,7 +78,7 @@
 		if !j.mayRetry(ctx, out) {
 			return j.end(ctx, held, j.giveUp(out))
 		}
-		j.server.board.Count("retry." + string(out.reason))
+		j.server.board.Count(retryPrefix + string(out.reason))
 	}
 }
 
@@ -92,7 +92,7 @@
 		return false
 	}
 	if !j.server.retries.repeat(j.service) {
-		j.server.board.Count("retry.budget_spent")
+		j.server.board.Count(repeatsSpent)
 		return false
 	}
 	return true
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -110,7 +110,7 @@
 		}
 		configuration, err := c.Source.Configuration(record.Value)
 		if err != nil {
-			c.Board.Count("configuration.unreadable")
+			c.Board.Count(configurationUnreadable)
 			c.Logger.WithError(err).Error("configuration can't be read")
 			continue
 		}
@@ -173,7 +173,7 @@
 		}
 		e, err := d.Source.Endpoint(record.Key, record.Value)
 		if err != nil {
-			d.Board.Count("directory.unreadable")
+			d.Board.Count(entryUnreadable)
 			changed = d.remove(now, record.Key) || changed
 			continue
 		}
@@ -218,13 +218,12 @@
 	}
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-timer.C:
-		return true
 	}
 }
--- a/router/gateway/refuse.go
+++ b/router/gateway/refuse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 )
 
 // refuse answers with an error of the router's own. Its status promises that the request has not run only if that is
@@ -23,7 +24,7 @@
 		status = http.StatusBadGateway
 	}
 	j.outcome, j.status = string(refusal.Reason), status
-	j.server.board.Count("refusal." + string(refusal.Reason))
+	j.server.board.Count(blackboard.RefusalPrefix + string(refusal.Reason))
 	header := j.w.Header()
 	header.Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
