--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 LINTER_VERSION := v2.15.0
-MODULES := fleet router dragonflyctl standin
-PROGRAMS := router dragonflyctl standin
+MODULES := fleet router platform dragonflyctl standin
+PROGRAMS := router platform dragonflyctl standin
 export PATH := $(PATH):$(shell go env GOPATH)/bin
 
 .PHONY: build test lint format tools bench demo docs capacity fuzz
@@ -9,7 +9,7 @@
 # VERSION is what the programs call themselves; empty for what Go records of the module.
 VERSION :=
 
-build: ## compiles the three programs into BIN, with VERSION as their version
+build: ## compiles the programs into BIN, with VERSION as their version
 	@mkdir -p $(BIN)
 	@for p in $(PROGRAMS); do go build -ldflags '-X github.com/dragonflyworks/dragonflyworks/fleet/version.release=$(VERSION)' -o $(BIN)/$$p ./$$p || exit 1; done
 
--- /dev/null
+++ b/fleet/peer/pinned_test.go
@@ -0,0 +1,129 @@
+package peer
+
+import (
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+)
+
+// purse hands out tokens.
+type purse struct {
+	holder
+	mu     sync.Mutex
+	tokens int64
+	cutOff bool
+}
+
+// contents returns the tokens, and whether the last one that asked was cut off.
+func (p *purse) contents() (int64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tokens, p.cutOff
+}
+
+func (p *purse) GiveTokens(_, _ string, wanted int64, cutOff bool) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	given := min(p.tokens, wanted)
+	p.tokens -= given
+	p.cutOff = cutOff
+	return given
+}
+
+func (p *purse) TakeTokens(_, team string, tokens int64) bool {
+	if team == "" {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tokens += tokens
+	return true
+}
+
+// pinnedEnd starts a router that trusts a roster and lists it there.
+func pinnedEnd(t *testing.T, name string, roster *Roster, handler Handler) (*Node, Address) {
+	t.Helper()
+	identity, err := NewPinned(name, roster)
+	assert.Must(t, err)
+	node := NewNode("127.0.0.1:0", identity, handler, metrics.NewRegistry())
+	address, err := node.Listen(t.Context())
+	assert.Must(t, err)
+	go func() { _ = node.Run(t.Context()) }()
+	roster.Put(Router{Instance: name, Address: address, Fingerprint: identity.Fingerprint})
+	return node, Address{Instance: name, Address: address}
+}
+
+func TestTokens(t *testing.T) {
+	roster := &Roster{}
+	rich := &purse{tokens: 100}
+	asker, _ := pinnedEnd(t, "asker", roster, &purse{})
+	_, giver := pinnedEnd(t, "giver", roster, rich)
+	t.Run("asked for", func(t *testing.T) {
+		got, err := asker.AskTokens(t.Context(), giver, "studio", 70, true)
+		assert.NoError(t, err)
+		assert.Equal(t, int64(70), got)
+		_, cutOff := rich.contents()
+		assert.Equal(t, true, cutOff)
+		got, err = asker.AskTokens(t.Context(), giver, "studio", 70, false)
+		assert.NoError(t, err)
+		assert.Equal(t, int64(30), got)
+	})
+	t.Run("handed over", func(t *testing.T) {
+		assert.NoError(t, asker.GiveTokens(t.Context(), giver, "studio", 5))
+		tokens, _ := rich.contents()
+		assert.Equal(t, int64(5), tokens)
+		assert.Fails(t, asker.GiveTokens(t.Context(), giver, "", 5))
+	})
+	t.Run("malformed", func(t *testing.T) {
+		for _, wanted := range []int64{0, -1} {
+			_, err := asker.AskTokens(t.Context(), giver, "studio", wanted, false)
+			assert.Fails(t, err)
+		}
+	})
+	t.Run("not by a handler without tokens", func(t *testing.T) {
+		_, plain := pinnedEnd(t, "plain", roster, &holder{})
+		_, err := asker.AskTokens(t.Context(), plain, "studio", 1, false)
+		assert.ErrorIs(t, err, ErrMalformed)
+	})
+}
+
+func TestPinned(t *testing.T) {
+	roster := &Roster{}
+	_, known := pinnedEnd(t, "known", roster, &purse{tokens: 10})
+	t.Run("a router that is not listed is not served", func(t *testing.T) {
+		own := &Roster{}
+		listed, _ := roster.Router("known")
+		own.Put(listed)
+		stranger, _ := pinnedEnd(t, "stranger", own, &purse{})
+		_, err := stranger.AskTokens(t.Context(), known, "studio", 1, false)
+		assert.Fails(t, err)
+	})
+	t.Run("a router that took another one's name is not served", func(t *testing.T) {
+		own := &Roster{}
+		listed, _ := roster.Router("known")
+		own.Put(listed)
+		_, _ = pinnedEnd(t, "real", roster, &purse{})
+		fake, _ := pinnedEnd(t, "real", own, &purse{})
+		_, err := fake.AskTokens(t.Context(), known, "studio", 1, false)
+		assert.Fails(t, err)
+	})
+	t.Run("an address that another router has by now is not trusted", func(t *testing.T) {
+		asker, _ := pinnedEnd(t, "asker", roster, &purse{})
+		_, other := pinnedEnd(t, "other", roster, &purse{tokens: 10})
+		_, err := asker.AskTokens(t.Context(), Address{Instance: "known", Address: other.Address}, "studio", 1, false)
+		assert.Fails(t, err)
+	})
+	t.Run("an instance that is not listed is not called", func(t *testing.T) {
+		asker, _ := pinnedEnd(t, "asker-2", roster, &purse{})
+		_, err := asker.AskTokens(t.Context(), Address{Instance: "nobody", Address: known.Address}, "studio", 1, false)
+		assert.Equal(t, true, errors.Is(err, ErrUntrusted))
+	})
+	t.Run("a name is needed", func(t *testing.T) {
+		_, err := (&Pinned{}).check()
+		assert.ErrorIs(t, err, ErrNoName)
+	})
+}
--- /dev/null
+++ b/router/gateway/fake_test.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+// testWire are the names that these tests use.
+func testWire() Wire {
+	return Wire{
+		RequestID: "Id", Deadline: "Left", Team: "Team", ExpectedEndpoint: "Meant", Seal: "Seal", NotRun: "Unrun",
+		ResumeAfter: "After", Reserved: []string{"Own"},
+		Demand: func(h http.Header) (site.Demand, error) {
+			if h.Get("Demand") == "bad" {
+				return site.Demand{}, errors.New("bad demand")
+			}
+			if h.Get("Demand") == "" {
+				return site.Demand{}, nil
+			}
+			return site.Demand{Prompt: 100, Output: 50, Parts: []site.Part{{Identifier: h.Get("Demand")}, {Identifier: "own"}}}, nil
+		},
+	}
+}
+
+// fakeEndpoint answers by a script and remembers what it got.
+type fakeEndpoint struct {
+	server *httptest.Server
+	answer http.HandlerFunc
+
+	mu  sync.Mutex
+	got []*http.Request
+	// bodies are those of got.
+	bodies []string
+}
+
+func newFakeEndpoint(t *testing.T, answer http.HandlerFunc) *fakeEndpoint {
+	t.Helper()
+	f := &fakeEndpoint{answer: answer}
+	f.server = httptest.NewServer(f)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	f.mu.Lock()
+	f.got = append(f.got, r)
+	f.bodies = append(f.bodies, string(body))
+	f.mu.Unlock()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	f.answer(w, r)
+}
+
+func (f *fakeEndpoint) runs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.got)
+}
+
+func (f *fakeEndpoint) request(i int) (*http.Request, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.got[i], f.bodies[i]
+}
+
+// sealed answers with a success that an endpoint vouches for.
+func sealed(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "seal-1")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func failing(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Seal", "seal-2")
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "endpoint's error")
+}
+
+func full(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Unrun", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// broken reads the request and closes the connection without an answer.
+func broken(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// gatewayTest is a server before some endpoints.
+type gatewayTest struct {
+	t         *testing.T
+	server    *Server
+	board     *Board
+	listener  *httptest.Server
+	endpoints []*fakeEndpoint
+	lines     *memory.Handler
+}
+
+// testRoutes are the routes of these tests, by the beginnings of their paths.
+func testRoutes() []site.Route {
+	one := []site.Share{{Service: "plain", Weight: 1}}
+	engine := []site.Share{{Service: "engine", Weight: 1}}
+	return []site.Route{
+		{Name: "order", Host: "h", Prefix: "/order/", Attempts: 3, Services: one},
+		{Name: "read", Host: "h", Prefix: "/read/", Kind: site.Idempotent, Attempts: 3, Services: one},
+		{Name: "single", Host: "h", Prefix: "/single/", Kind: site.Idempotent, Attempts: 1, Services: one},
+		{Name: "quick", Host: "h", Prefix: "/quick/", Attempts: 1, Timeout: 50 * time.Millisecond, Services: one},
+		{Name: "open", Host: "h", Prefix: "/open/", Public: true, Attempts: 1, Services: one},
+		{Name: "chat", Host: "h", Prefix: "/chat/", Kind: site.Streaming, Attempts: 2, Affinity: true, Services: engine},
+		{Name: "empty", Host: "h", Prefix: "/empty/", Attempts: 1, Services: []site.Share{{Service: "nobody", Weight: 1}}},
+	}
+}
+
+func newGatewayTest(t *testing.T, answers ...http.HandlerFunc) *gatewayTest {
+	t.Helper()
+	g := &gatewayTest{t: t, board: &Board{Metrics: metrics.NewRegistry()}, lines: memory.New()}
+	var listed []site.Endpoint
+	for i, answer := range answers {
+		f := newFakeEndpoint(t, answer)
+		g.endpoints = append(g.endpoints, f)
+		for _, service := range []string{"plain", "engine"} {
+			listed = append(listed, site.Endpoint{
+				Name: service + string(rune('a'+i)), Service: service, Address: strings.TrimPrefix(f.server.URL, "http://"),
+			})
+		}
+	}
+	configuration := &site.Configuration{
+		Version: 1, Routes: testRoutes(),
+		Services: []site.Service{{Name: "engine", Engine: &site.Engine{EventTokens: 5}}},
+		Teams:    []site.Team{{Name: "studio", Keys: []string{"key"}}, {Name: "poor", Keys: []string{"none"}, HasPrepaid: true}},
+		Limits:   site.Limits{HeaderBytes: 2000, BodyBytes: 1000},
+	}
+	configuration.Index()
+	logger := &log.Logger{Handler: g.lines, Level: log.InfoLevel}
+	payer := allowance.NewHolder(&keyed.KeyedLog{}, allowance.Settings{
+		Holder: "router/1", Instance: "router", Logger: logger, DrawTimeout: time.Millisecond,
+	})
+	payer.Configure(configuration)
+	g.board.Configuration.Store(configuration)
+	g.board.Directory.Store(site.NewDirectory(listed))
+	g.server = NewServer(g.board, testWire(), payer, logger)
+	g.listener = httptest.NewServer(g.server)
+	t.Cleanup(g.listener.Close)
+	return g
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// cut says that the answer was not whole.
+	cut bool
+}
+
+// call sends a request. change may be nil.
+func (g *gatewayTest) call(method, path, body string, change func(*http.Request)) answer {
+	g.t.Helper()
+	request, err := http.NewRequestWithContext(g.t.Context(), method, g.listener.URL+path, strings.NewReader(body))
+	assert.Must(g.t, err)
+	request.Host = "h"
+	request.Header.Set("Id", "id-1")
+	request.Header.Set("Authorization", "Bearer key")
+	if change != nil {
+		change(request)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{cut: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(read), cut: err != nil}
+}
+
+func (g *gatewayTest) assertRuns(want ...int) {
+	g.t.Helper()
+	var got []int
+	for _, f := range g.endpoints {
+		got = append(got, f.runs())
+	}
+	assert.Equal(g.t, want, got)
+}
+
+// unreachable is an address at which nothing listens.
+func unreachable(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.Must(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/router/gateway/follow_test.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+// followed is a board that followers keep from a log in memory.
+type followed struct {
+	t     *testing.T
+	log   *keyed.KeyedLog
+	board *Board
+	// versions are those that were put in force.
+	versions []int64
+}
+
+// follow runs body with both followers on paused time.
+func follow(t *testing.T, body func(f *followed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &followed{t: t, log: &keyed.KeyedLog{}, board: &Board{Metrics: metrics.NewRegistry()}}
+		ctx, cancel := context.WithCancel(t.Context())
+		source := Source{
+			Log: f.log, ConfigurationTopic: "op", ConfigurationKey: "config", DirectoryTopic: "servers",
+			Configuration: decodeVersion, Endpoint: decodeState,
+		}
+		logger := &log.Logger{Handler: discard.New()}
+		configurations := &Configurations{
+			Board: f.board, Source: source, Logger: logger,
+			Changed: func(c *site.Configuration) { f.versions = append(f.versions, c.Version) },
+		}
+		directories := &Directories{Board: f.board, Source: source, Logger: logger}
+		go func() { _ = configurations.Run(ctx) }()
+		go func() { _ = directories.Run(ctx) }()
+		body(f)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+var errUnreadable = errors.New("unreadable")
+
+func decodeVersion(value []byte) (*site.Configuration, error) {
+	c := &site.Configuration{}
+	return c, json.Unmarshal(value, c)
+}
+
+// decodeState reads an entry that consists of its state.
+func decodeState(key string, value []byte) (site.Endpoint, error) {
+	e := site.Endpoint{Name: key, Service: "engine"}
+	switch string(value) {
+	case "ready":
+	case "draining":
+		e.State = site.EndpointDraining
+	default:
+		return e, errUnreadable
+	}
+	return e, nil
+}
+
+func (f *followed) put(topic, key, value string) {
+	f.t.Helper()
+	_, err := f.log.AppendAt(f.t.Context(), topic, 0, platform.AnyOffset, []platform.KeyedRecord{{Key: key, Value: []byte(value)}})
+	assert.Must(f.t, err)
+}
+
+func (f *followed) assertVersion(want int64) {
+	f.t.Helper()
+	c := f.board.Configuration.Load()
+	if c == nil {
+		f.t.Fatal("no configuration is in force")
+	}
+	assert.Equal(f.t, want, c.Version)
+}
+
+func (f *followed) assertEndpoints(want ...string) {
+	f.t.Helper()
+	var names []string
+	for _, e := range f.board.Directory.Load().Endpoints("engine") {
+		names = append(names, e.Name)
+	}
+	assert.Equal(f.t, want, names)
+}
+
+func TestConfigurations(t *testing.T) {
+	t.Run("each newer one is in force soon", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			for _, version := range []string{"3", "8"} {
+				f.put("op", "config", `{"Version":`+version+`}`)
+				time.Sleep(500 * time.Millisecond)
+			}
+			f.assertVersion(8)
+		})
+	})
+	t.Run("only the newest of a storm is decoded", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("op", "config", `{"Version":1}`)
+			time.Sleep(time.Second)
+			for i := range 20 {
+				f.put("op", "config", `{"Version":`+string(rune('a'+i))+`}`)
+			}
+			f.put("op", "config", `{"Version":9}`)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			assert.Equal(t, []int64{1, 9}, f.versions)
+		})
+	})
+	t.Run("an older or unreadable one changes nothing", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("op", "config", `{"Version":5}`)
+			time.Sleep(time.Second)
+			f.put("op", "config", `{"Version":4}`)
+			f.put("op", "config", "\x00")
+			f.put("op", "other", `{"Version":6}`)
+			time.Sleep(time.Second)
+			f.assertVersion(5)
+		})
+	})
+	t.Run("after an outage in which the history expired", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("op", "config", `{"Version":1}`)
+			time.Sleep(time.Second)
+			f.log.SetOutage(true)
+			time.Sleep(8 * time.Second)
+			f.assertVersion(1)
+			f.log.SetOutage(false)
+			f.put("op", "config", `{"Version":2}`)
+			f.log.Expire()
+			time.Sleep(time.Second)
+			f.assertVersion(2)
+		})
+	})
+}
+
+func TestDirectories(t *testing.T) {
+	t.Run("endpoints come, drain and go", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("servers", "one", "ready")
+			f.put("servers", "two", "ready")
+			time.Sleep(time.Second)
+			f.assertEndpoints("one", "two")
+			f.put("servers", "one", "draining")
+			time.Sleep(time.Second)
+			f.assertEndpoints("two")
+			f.put("servers", "two", "")
+			time.Sleep(time.Second)
+			f.assertEndpoints()
+		})
+	})
+	t.Run("an entry of another writer names no endpoint", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("servers", "one", "ready")
+			f.put("servers", "two", "\xff")
+			time.Sleep(time.Second)
+			f.assertEndpoints("one")
+			f.put("servers", "one", "\xff")
+			time.Sleep(time.Second)
+			f.assertEndpoints()
+		})
+	})
+	t.Run("entries that lapse in an outage are kept until endpoints write again", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("servers", "one", "ready")
+			f.put("servers", "two", "ready")
+			time.Sleep(time.Second)
+			f.log.SetOutage(true)
+			time.Sleep(8 * time.Second)
+			f.log.SetOutage(false)
+			f.put("servers", "one", "")
+			f.put("servers", "two", "")
+			time.Sleep(time.Second)
+			f.assertEndpoints("one", "two")
+			f.put("servers", "one", "ready")
+			time.Sleep(3 * time.Second)
+			f.assertEndpoints("one")
+		})
+	})
+	t.Run("history that expired", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("servers", "one", "ready")
+			time.Sleep(time.Second)
+			f.put("servers", "two", "ready")
+			f.put("servers", "one", "")
+			f.log.Expire()
+			time.Sleep(time.Second)
+			f.assertEndpoints("two")
+		})
+	})
+}
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,6 +55,9 @@
 	Directories    *Directories
 	Routers        *Routers
 	Logger         log.Interface
+
+	// answeredReady is what the balancer was last told.
+	answeredReady atomic.Bool
 }
 
 // Run serves until a signal ends the router.
@@ -179,6 +183,9 @@
 // ready tells the balancer whether to send new work.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
 	ready := n.Board.Configuration.Load() != nil && n.Board.Directory.Load() != nil && n.Payer.Known() && !n.Board.Leaving.Load()
+	if n.answeredReady.Swap(ready) != ready {
+		n.Logger.WithField("Ready", ready).Info("readiness changed")
+	}
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
--- /dev/null
+++ b/router/gateway/server_test.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+func TestPass(t *testing.T) {
+	t.Run("the request arrives as it was sent", func(t *testing.T) {
+		g := newGatewayTest(t, sealed("whole answer"))
+		got := g.call(http.MethodPost, "/order/a%2Fb?x=%20y", "body", func(r *http.Request) {
+			r.Header.Set("Own", "forged")
+			r.Header.Set("Team", "forged")
+			r.Header.Set("Custom", "kept")
+			r.Header.Set("Connection", "Hop")
+			r.Header.Set("Hop", "dropped")
+		})
+		assert.Equal(t, http.StatusOK, got.status)
+		assert.Equal(t, "whole answer", got.body)
+		assert.Equal(t, "seal-1", got.header.Get("Seal"))
+		request, body := g.endpoints[0].request(0)
+		assert.Equal(t, "body", body)
+		assert.Equal(t, "/order/a%2Fb?x=%20y", request.RequestURI)
+		assert.Equal(t, "h", request.Host)
+		for name, want := range map[string]string{
+			"Own": "", "Team": "studio", "Custom": "kept", "Hop": "", "Authorization": "", "Id": "id-1", "Meant": "plaina",
+			"User-Agent": "Go-http-client/1.1",
+		} {
+			assert.Equal(t, want, request.Header.Get(name))
+		}
+	})
+	t.Run("an endpoint's status and seal are kept", func(t *testing.T) {
+		g := newGatewayTest(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Seal", "s")
+			w.WriteHeader(http.StatusTeapot)
+		})
+		got := g.call(http.MethodPost, "/order/", "", nil)
+		assert.Equal(t, http.StatusTeapot, got.status)
+		assert.Equal(t, "s", got.header.Get("Seal"))
+	})
+	t.Run("a stream passes event by event and counts them", func(t *testing.T) {
+		g := newGatewayTest(t, sealed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		got := g.call(http.MethodPost, "/chat/", "", func(r *http.Request) { r.Header.Set("Demand", "subject") })
+		assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got.body)
+		assert.Equal(t, false, got.cut)
+	})
+	t.Run("an answer that breaks off is not whole", func(t *testing.T) {
+		g := newGatewayTest(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Seal", "s")
+			_, _ = io.WriteString(w, "id: 1\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		got := g.call(http.MethodPost, "/chat/", "", nil)
+		assert.Equal(t, true, got.cut)
+		assert.Equal(t, "id: 1\n", got.body)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name, path, body string
+		change           func(*http.Request)
+		status           int
+		code             string
+	}{
+		{"no route", "/nowhere/", "", nil, http.StatusNotFound, "route_unknown"},
+		{"other host", "/order/", "", func(r *http.Request) { r.Host = "g" }, http.StatusNotFound, "route_unknown"},
+		{"unknown key", "/order/", "", func(r *http.Request) { r.Header.Set("Authorization", "Bearer x") }, http.StatusUnauthorized, "invalid_key"},
+		{"no key", "/order/", "", func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized, "invalid_key"},
+		{"long headers", "/order/", "", func(r *http.Request) { r.Header.Set("Long", strings.Repeat("x", 3000)) }, http.StatusRequestHeaderFieldsTooLarge, "headers_too_large"},
+		{"long body", "/order/", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge, "body_too_large"},
+		{"bad demand", "/chat/", "", func(r *http.Request) { r.Header.Set("Demand", "bad") }, http.StatusBadRequest, "invalid_header"},
+		{"no endpoint", "/empty/", "", nil, http.StatusServiceUnavailable, "no_endpoint"},
+		{"no tokens", "/chat/", "", func(r *http.Request) {
+			r.Header.Set("Authorization", "Bearer none")
+			r.Header.Set("Demand", "s")
+		}, http.StatusServiceUnavailable, "prepaid_elsewhere"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGatewayTest(t, sealed("never"))
+			got := g.call(http.MethodPost, c.path, c.body, c.change)
+			assert.Equal(t, c.status, got.status)
+			assert.Equal(t, true, strings.Contains(got.body, c.code))
+			assert.Equal(t, c.status == http.StatusServiceUnavailable, got.header.Get("Retry-After") != "")
+			assert.Equal(t, "", got.header.Get("Seal"))
+			g.assertRuns(0)
+		})
+	}
+	t.Run("public routes need no key", func(t *testing.T) {
+		g := newGatewayTest(t, sealed("open"))
+		got := g.call(http.MethodPost, "/open/", "", func(r *http.Request) { r.Header.Del("Authorization") })
+		assert.Equal(t, http.StatusOK, got.status)
+		request, _ := g.endpoints[0].request(0)
+		assert.Equal(t, "", request.Header.Get("Team"))
+	})
+	t.Run("a router that knows no configuration", func(t *testing.T) {
+		g := newGatewayTest(t, sealed("never"))
+		g.board.Configuration.Store(nil)
+		assert.Equal(t, http.StatusServiceUnavailable, g.call(http.MethodGet, "/order/", "", nil).status)
+	})
+}
+
+func TestAttempts(t *testing.T) {
+	foreign := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", "another")
+		sealed("another's answer")(w, r)
+	}
+	unsealed := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "who said that") }
+	misdirected := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	for _, c := range []struct {
+		name   string
+		path   string
+		answer http.HandlerFunc
+		status int
+		runs   int
+	}{
+		{"not run is tried elsewhere", "/order/", full, http.StatusServiceUnavailable, 3},
+		{"another endpoint at the address is not run", "/order/", misdirected, http.StatusServiceUnavailable, 3},
+		{"may have run is not repeated", "/order/", broken, http.StatusBadGateway, 1},
+		{"may have run is repeated if idempotent", "/read/", broken, http.StatusBadGateway, 3},
+		{"no more attempts than the route allows", "/single/", broken, http.StatusBadGateway, 1},
+		{"an error that ran is passed on", "/order/", failing, http.StatusInternalServerError, 1},
+		{"an error that ran is repeated if idempotent", "/read/", failing, http.StatusInternalServerError, 3},
+		{"an answer to another request is dropped", "/order/", foreign, http.StatusBadGateway, 1},
+		{"a success without a seal is dropped", "/order/", unsealed, http.StatusBadGateway, 1},
+		{"a stream is not repeated", "/chat/", broken, http.StatusBadGateway, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGatewayTest(t, c.answer, c.answer, c.answer, c.answer)
+			got := g.call(http.MethodPost, c.path, "", nil)
+			assert.Equal(t, c.status, got.status)
+			runs := 0
+			for _, f := range g.endpoints {
+				assert.Equal(t, true, f.runs() <= 1)
+				runs += f.runs()
+			}
+			assert.Equal(t, c.runs, runs)
+			if c.status == http.StatusInternalServerError {
+				assert.Equal(t, "endpoint's error", got.body)
+				assert.Equal(t, "seal-2", got.header.Get("Seal"))
+			}
+		})
+	}
+	t.Run("a good endpoint is found", func(t *testing.T) {
+		g := newGatewayTest(t, broken, broken, sealed("found"))
+		assert.Equal(t, "found", g.call(http.MethodGet, "/read/", "", nil).body)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		g := newGatewayTest(t)
+		g.board.Directory.Store(site.NewDirectory([]site.Endpoint{{Name: "gone", Service: "plain", Address: unreachable(t)}}))
+		got := g.call(http.MethodPost, "/order/", "", nil)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	})
+	t.Run("the route's time is over", func(t *testing.T) {
+		g := newGatewayTest(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		got := g.call(http.MethodPost, "/quick/", "", nil)
+		assert.Equal(t, http.StatusBadGateway, got.status)
+	})
+	t.Run("repeats stay in their budget", func(t *testing.T) {
+		g := newGatewayTest(t, broken, broken, broken)
+		for range 10 {
+			g.call(http.MethodGet, "/read/", "", nil)
+		}
+		runs := 0
+		for _, f := range g.endpoints {
+			runs += f.runs()
+		}
+		assert.Equal(t, true, runs <= 10+retryBurst+2)
+	})
+}
+
+func TestDeadline(t *testing.T) {
+	g := newGatewayTest(t, sealed("ok"))
+	g.call(http.MethodPost, "/order/", "", func(r *http.Request) { r.Header.Set("Left", "900") })
+	request, _ := g.endpoints[0].request(0)
+	left := request.Header.Get("Left")
+	assert.Equal(t, true, len(left) == 3 && left <= "900")
+}
+
+func TestLogLines(t *testing.T) {
+	g := newGatewayTest(t, sealed("ok"))
+	g.call(http.MethodPost, "/order/", "", nil)
+	g.listener.Close()
+	line := g.lines.Entries[len(g.lines.Entries)-1]
+	assert.Equal(t, "request ended", line.Message)
+	for name, want := range map[string]any{
+		"Request": "id-1", "Route": "order", "Endpoint": "plaina", "Status": 200, "Outcome": "answered", "Attempts": 1,
+	} {
+		assert.Equal(t, want, line.Fields.Get(name))
+	}
+}
+
+func TestEventCounter(t *testing.T) {
+	for _, c := range []struct {
+		pieces []string
+		want   int64
+	}{
+		{nil, 0},
+		{[]string{"id: 1\ndata: a\n\n"}, 1},
+		{[]string{"id: 1\nda", "ta: a\n", "\nid: 2"}, 2},
+		{[]string{"id: 1\r\n\r\n", "\n\n", "id: 2\n\n"}, 2},
+	} {
+		counter := eventCounter{}
+		for _, piece := range c.pieces {
+			counter.count([]byte(piece))
+		}
+		assert.Equal(t, c.want, counter.events())
+	}
+}
