Tell engines how urgent requests are, by their objective

Change: requests with a tight objective are admitted first; their prompts are short, so that long ones wait little.

--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -173,6 +173,9 @@
 		header.Set(wire.Team, j.team.Name)
 	}
 	header.Set(wire.ExpectedEndpoint, e.Name)
+	if j.engine != nil && wire.Urgency != "" {
+		header.Set(wire.Urgency, strconv.Itoa(urgency(j.route.Target)))
+	}
 	header.Set(wire.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	return header
 }
--- a/router/gateway/wire.go
+++ b/router/gateway/wire.go
@@ -22,6 +22,8 @@
 	NotRun string
 	// ResumeAfter names the header with the last event that a caller has.
 	ResumeAfter string
+	// Urgency names the header with a request's urgency at an engine, from 0, the most urgent, to 9.
+	Urgency string
 	// Reserved are the headers that only routers may set; callers' are dropped.
 	Reserved []string
 	// Demand reads what a request asks of an engine.
