Place prompts by predicted first event; tell other routers of long prompts

Change: fleet/placement predicts an engine's backlog and what it has cached; a router tells up to 16 others of each prompt that takes over 25 ms to read, by datagrams that may be lost.

--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -13,7 +13,7 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
-//msgp:tuple request answer entry tokenRequest tokenAnswer
+//msgp:tuple request answer entry tokenRequest tokenAnswer Note NotePart
 //msgp:ignore Copy
 //msgp:limit arrays:4096 maps:0
 
@@ -78,6 +78,23 @@
 	Payload []byte
 }
 
+// Note tells other routers of a prompt that was sent to an engine. Notes may be lost: nothing may depend on them but where
+// requests are placed.
+type Note struct {
+	// Endpoint is the name of the engine.
+	Endpoint string
+	// Tokens is how many tokens the engine has to read.
+	Tokens int64
+	// Parts are the pieces of the prompt that other prompts may share.
+	Parts []NotePart
+}
+
+// NotePart is a piece of a prompt.
+type NotePart struct {
+	Identifier string
+	Tokens     int64
+}
+
 // The reasons for which a peer refuses a request.
 var (
 	// ErrQueueFull reports that the peer holds as many copies as it can.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -12,6 +12,137 @@
 	zdc5d9100limitMaps   = 0
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Note) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Endpoint)
+	o = msgp.AppendInt64(o, z.Tokens)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Parts[za0001].Identifier)
+		o = msgp.AppendInt64(o, z.Parts[za0001].Tokens)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Note) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Endpoint, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Endpoint")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Parts) >= int(zb0002) {
+		z.Parts = (z.Parts)[:zb0002]
+	} else {
+		z.Parts = make([]NotePart, zb0002)
+	}
+	for za0001 := range z.Parts {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Parts[za0001].Identifier, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "Identifier")
+			return
+		}
+		z.Parts[za0001].Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Note) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Endpoint) + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += 1 + msgp.StringPrefixSize + len(z.Parts[za0001].Identifier) + msgp.Int64Size
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z NotePart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Identifier)
+	o = msgp.AppendInt64(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *NotePart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Identifier, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Identifier")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z NotePart) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Identifier) + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -49,6 +49,11 @@
 	GiveTokens(from, team string, wanted int64, cutOff bool) int64
 }
 
+// Listener takes notes in. A handler that implements it is told of them.
+type Listener interface {
+	TakeNote(from string, note Note)
+}
+
 // Node is this router's end of the connections to other routers.
 type Node struct {
 	address     string
@@ -102,6 +107,7 @@
 		KeepAlivePeriod:       keepAlive,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: -1,
+		EnableDatagrams:       true,
 		Allow0RTT:             false,
 	}
 }
@@ -174,6 +180,10 @@
 	}
 	var answered sync.WaitGroup
 	defer answered.Wait()
+	if listener, ok := s.node.handler.(Listener); ok {
+		notes := &notes{connection: s.connection, from: name, listener: listener}
+		answered.Go(func() { notes.run(ctx) })
+	}
 	for {
 		stream, err := s.connection.AcceptStream(ctx)
 		if err != nil {
@@ -184,6 +194,26 @@
 	}
 }
 
+// notes takes the notes of one router in.
+type notes struct {
+	connection *quic.Conn
+	from       string
+	listener   Listener
+}
+
+func (n *notes) run(ctx context.Context) {
+	for {
+		data, err := n.connection.ReceiveDatagram(ctx)
+		if err != nil {
+			return
+		}
+		note := Note{}
+		if rest, err := note.UnmarshalMsg(data); err == nil && len(rest) == 0 && note.Tokens > 0 {
+			n.listener.TakeNote(n.from, note)
+		}
+	}
+}
+
 func peerName(state tls.ConnectionState) (string, error) {
 	if len(state.PeerCertificates) == 0 {
 		return "", ErrNoName
--- a/fleet/peer/pinned.go
+++ b/fleet/peer/pinned.go
@@ -10,7 +10,9 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
 	"math/big"
+	"slices"
 	"sync"
 	"time"
 )
@@ -55,11 +57,11 @@
 	return router, ok
 }
 
-// Len returns the number of instances that are listed.
-func (r *Roster) Len() int {
+// All returns the entries of all instances.
+func (r *Roster) All() []Router {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.routers)
+	return slices.Collect(maps.Values(r.routers))
 }
 
 // Pinned identifies a router by a certificate that it made itself and listed in the roster.
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -69,6 +69,19 @@
 	return nil
 }
 
+// SendNote tells another router of a prompt. It may be lost.
+func (n *Node) SendNote(ctx context.Context, to Address, note Note) error {
+	data, err := note.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	connection, err := n.connection(ctx, to)
+	if err != nil {
+		return err
+	}
+	return connection.SendDatagram(data)
+}
+
 // ask sends a request and returns its answer. A connection on which that fails is dropped, so that the
 // next request dials anew.
 func (n *Node) ask(ctx context.Context, to Address, r request) (answer, error) {
--- a/fleet/site/configuration.go
+++ b/fleet/site/configuration.go
@@ -20,6 +20,18 @@
 	Streaming
 )
 
+// String names the kind as logs show it.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "Idempotent"
+	case Streaming:
+		return "Streaming"
+	default:
+		return "NonIdempotent"
+	}
+}
+
 // Share is a service of a route with its part of the requests.
 type Share struct {
 	Service string
--- a/fleet/site/demand.go
+++ b/fleet/site/demand.go
@@ -22,6 +22,15 @@
 // Most is the highest number of tokens that the request can use.
 func (d *Demand) Most() int64 { return d.Prompt + d.Output }
 
+// Shared is the number of prompt tokens that other requests may share: all parts but the last.
+func (d *Demand) Shared() int64 {
+	var shared int64
+	for i := range len(d.Parts) - 1 {
+		shared += d.Parts[i].Tokens
+	}
+	return shared
+}
+
 // Subject names what the request shares with others: the last part but one of its prompt.
 func (d *Demand) Subject() string {
 	if len(d.Parts) < 2 {
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -65,6 +65,7 @@
 		}
 		j.tried = append(j.tried, e)
 		out := j.exchange(ctx, e)
+		j.server.targets.began(e, j, false)
 		j.server.targets.release(e, out)
 		if out.verdict != verdict.NotRun {
 			j.mayHaveRun = true
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -153,7 +153,7 @@
 	payer.Configure(configuration)
 	g.board.Configuration.Store(configuration)
 	g.board.Directory.Store(site.NewDirectory(listed))
-	g.server = NewServer(g.board, testWire(), payer, logger)
+	g.server = NewServer(g.board, testWire(), Place{}, payer, logger)
 	g.listener = httptest.NewServer(g.server)
 	t.Cleanup(g.listener.Close)
 	return g
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -87,6 +87,8 @@
 	}
 	loops.Go(func() error { return n.Routers.Node.Run(ctx) })
 	loops.Go(func() error { return n.Routers.Run(ctx) })
+	n.Server.TellRouters(n.Routers)
+	loops.Go(func() error { return n.Server.notes.run(ctx) })
 	payerContext, stopPayer := context.WithCancel(ctx)
 	defer stopPayer()
 	paying := &errgroup.Group{}
--- /dev/null
+++ b/router/gateway/notes.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+const (
+	// leastNoted is the least work of a prompt of which other routers are told: shorter ones delay others by less than an
+	// objective's tenth.
+	leastNoted = 25 * time.Millisecond
+	// notedRouters bounds the routers that are told: beyond them, messages would grow with the square of the fleet.
+	notedRouters = 16
+	// noteBacklog bounds the notes that wait to be sent; further ones are dropped.
+	noteBacklog = 64
+	// noteTimeout bounds the opening of a connection for a note.
+	noteTimeout = 300 * time.Millisecond
+)
+
+// noter tells other routers of prompts that were sent to engines.
+type noter struct {
+	routers *Routers
+	notes   chan peer.Note
+}
+
+func newNoter(routers *Routers) *noter {
+	return &noter{routers: routers, notes: make(chan peer.Note, noteBacklog)}
+}
+
+// add passes a note on unless too many wait.
+func (n *noter) add(note peer.Note) {
+	select {
+	case n.notes <- note:
+	default:
+	}
+}
+
+// run sends notes until the context ends.
+func (n *noter) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case note := <-n.notes:
+			n.send(ctx, note)
+		}
+	}
+}
+
+func (n *noter) send(ctx context.Context, note peer.Note) {
+	for _, listed := range n.routers.others(notedRouters) {
+		one, cancel := context.WithTimeout(ctx, noteTimeout)
+		err := n.routers.Node.SendNote(one, peer.Address{Instance: listed.Instance, Address: listed.Address}, note)
+		cancel()
+		if err != nil {
+			n.routers.silent(listed.Instance)
+		}
+	}
+}
+
+// others returns up to limit other routers, those first that this router's name ranks first, so that each is told by about
+// as many. Routers that did not answer lately are left out.
+func (r *Routers) others(limit int) []peer.Router {
+	now := time.Now()
+	var others []peer.Router
+	for _, listed := range r.Roster.All() {
+		if listed.Instance != r.Self.Instance && now.Sub(r.unanswered[listed.Instance]) > silentPause {
+			others = append(others, listed)
+		}
+	}
+	slices.SortFunc(others, func(a, b peer.Router) int { return cmp.Compare(r.rank(a), r.rank(b)) })
+	return others[:min(limit, len(others))]
+}
+
+func (r *Routers) rank(other peer.Router) uint64 {
+	return mix(xxhash.Sum64String(r.Self.Instance) ^ xxhash.Sum64String(other.Instance))
+}
+
+// silentPause is how long a router that could not be told is left out.
+const silentPause = 3 * time.Second
+
+func (r *Routers) silent(instance string) { r.unanswered[instance] = time.Now() }
+
+// TakeNote implements peer.Listener.
+func (r *Routers) TakeNote(_ string, note peer.Note) {
+	if r.Noted != nil {
+		r.Noted(note)
+	}
+}
+
+// Note takes another router's note in.
+func (s *Server) Note(note peer.Note) { s.targets.note(note) }
+
+// note adds another router's prompt to an engine's backlog and cache.
+func (t *targets) note(note peer.Note) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byName[note.Endpoint]
+	if !ok {
+		return
+	}
+	now := time.Now()
+	e.backlog.Add(now, t.rateLocked(e.Service).Work(note.Tokens))
+	parts := make([]site.Part, 0, len(note.Parts))
+	for _, p := range note.Parts {
+		parts = append(parts, site.Part{Identifier: p.Identifier, Tokens: p.Tokens})
+	}
+	e.cache.Use(now, parts)
+}
+
+// tell notes a prompt for other routers if it is long.
+func (s *Server) tell(e *target, j *job, work time.Duration) {
+	if s.notes == nil || work < leastNoted {
+		return
+	}
+	note := peer.Note{Endpoint: e.Name, Tokens: j.miss}
+	for i := range len(j.demand.Parts) - 1 {
+		p := j.demand.Parts[i]
+		note.Parts = append(note.Parts, peer.NotePart{Identifier: p.Identifier, Tokens: p.Tokens})
+	}
+	s.notes.add(note)
+}
--- a/router/gateway/pass.go
+++ b/router/gateway/pass.go
@@ -36,6 +36,10 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			if j.first.IsZero() {
+				j.first = time.Now()
+				j.server.targets.began(j.tried[len(j.tried)-1], j, true)
+			}
 			if streams {
 				counter.count(buffer[:n])
 				j.events = counter.events()
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -1,19 +1,19 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
 const (
-	// affinityMargin is how many more requests than the least loaded endpoint one may have and still be chosen for what
-	// it has cached.
-	affinityMargin = 3
+	// remoteLoad is how many requests more a near endpoint of a plain service may have than one in another region: the way
+	// there costs about half of the work.
+	remoteLoad = 2
 	// firstBlock is how long an endpoint that failed gets no requests, longestBlock the most after several failures: a
 	// crashed endpoint is back after some seconds.
 	firstBlock   = 300 * time.Millisecond
@@ -76,47 +76,102 @@
 	defer t.mu.Unlock()
 	t.refreshLocked(directory, j.route.Services)
 	now := time.Now()
-	chosen := t.chooseLocked(now, j, false)
-	if chosen == nil {
-		chosen = t.chooseLocked(now, j, true)
+	usable := t.usableLocked(now, j, false)
+	if len(usable) == 0 {
+		usable = t.usableLocked(now, j, true)
 	}
-	if chosen == nil {
+	if len(usable) == 0 {
 		return nil, verdict.Refuse(verdict.NoEndpoint, "")
 	}
+	chosen := t.leastLoaded(usable, j.random)
+	if j.engine != nil {
+		chosen = t.chooseEngineLocked(now, usable, j)
+	}
+	j.beside = chosen.inFlight
 	chosen.inFlight++
 	return chosen, nil
 }
 
-// chooseLocked takes the endpoint that has most likely cached the prompt's beginning unless it is too loaded, and else
-// the least loaded. Blocked endpoints are taken only if no other is left.
-func (t *targets) chooseLocked(now time.Time, j *job, blocked bool) *target {
-	low := math.MaxInt
+// usableLocked lists the endpoints to which the request may be sent. Blocked ones are taken only if no other is left.
+func (t *targets) usableLocked(now time.Time, j *job, blocked bool) []*target {
+	var usable []*target
 	for _, e := range t.services[j.service] {
 		if j.mayUse(now, e, blocked) {
-			low = min(low, e.inFlight)
+			usable = append(usable, e)
 		}
 	}
-	subject := xxhash.Sum64String(j.demand.Subject())
-	if j.demand.Subject() == "" {
-		subject = j.random
-	}
-	margin := 0
-	if j.demand.Subject() != "" {
-		margin = affinityMargin
-	}
+	return usable
+}
+
+// leastLoaded takes an endpoint with the fewest requests, a near one before one in another region that has few less.
+func (t *targets) leastLoaded(usable []*target, random uint64) *target {
 	var chosen *target
+	var least int
 	var highest uint64
-	for _, e := range t.services[j.service] {
-		if !j.mayUse(now, e, blocked) || e.inFlight > low+margin {
-			continue
+	for _, e := range usable {
+		load := e.inFlight
+		if t.place.remote(e) {
+			load += remoteLoad
 		}
-		if rank := mix(e.hash ^ subject); chosen == nil || rank > highest {
-			chosen, highest = e, rank
+		rank := mix(e.hash ^ random)
+		if chosen == nil || load < least || load == least && rank > highest {
+			chosen, least, highest = e, load, rank
 		}
 	}
 	return chosen
 }
 
+// chooseEngineLocked takes the engine at which the prompt begins soonest and is cached, and notes it there.
+func (t *targets) chooseEngineLocked(now time.Time, usable []*target, j *job) *target {
+	subject := j.random
+	if j.demand.Subject() != "" {
+		subject = xxhash.Sum64String(j.demand.Subject())
+	}
+	candidates := make([]placement.Candidate, 0, len(usable))
+	for _, e := range usable {
+		candidates = append(candidates, placement.Candidate{
+			Hash: mix(e.hash ^ subject), Wait: e.backlog.Wait(now), Hit: e.cache.Hit(now, j.demand.Parts), Beside: e.inFlight,
+			Remote: t.place.remote(e),
+		})
+	}
+	rate := t.rateLocked(j.service)
+	i, miss, _ := placement.Choose(candidates, placement.Prompt{
+		Tokens: j.demand.Prompt, Shared: j.demand.Shared(), Target: j.route.Target,
+	}, rate)
+	chosen := usable[i]
+	j.miss, j.wait = miss, candidates[i].Wait
+	work := rate.Work(miss)
+	j.dispatch = chosen.backlog.Send(now, work)
+	j.server.tell(chosen, j, work)
+	chosen.cache.Use(now, j.demand.Parts)
+	return chosen
+}
+
+func (t *targets) rateLocked(service string) *placement.Rate {
+	if t.rates == nil {
+		t.rates = make(map[string]*placement.Rate)
+	}
+	if t.rates[service] == nil {
+		t.rates[service] = &placement.Rate{}
+	}
+	return t.rates[service]
+}
+
+// began takes the first event of a prompt in, or the end of its attempt.
+func (t *targets) began(e *target, j *job, answered bool) {
+	if j.dispatch == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if answered {
+		t.rateLocked(j.service).Observe(j.miss, now.Sub(j.dispatch.Sent()))
+	}
+	e.backlog.Began(now, j.dispatch, answered)
+	j.dispatch = nil
+}
+
 // mayUse reports whether the request may be sent to an endpoint.
 func (j *job) mayUse(now time.Time, e *target, blocked bool) bool {
 	if e.gone || !blocked && now.Before(e.blocked) {
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -31,8 +31,12 @@
 	Node   *peer.Node
 	Log    platform.KeyedLog
 	Logger log.Interface
-	// Payer hands over tokens; it is set before Run.
+	// Payer hands over tokens, Noted takes notes of other routers in; both are set before Run.
 	Payer *allowance.Holder
+	Noted func(peer.Note)
+
+	// unanswered is when a router last could not be told of a prompt. Only the goroutine that sends notes uses it.
+	unanswered map[string]time.Time
 }
 
 // NewRouters returns the roster and this router's end of the connections to the others.
@@ -44,7 +48,7 @@
 	}
 	r := &Routers{
 		Self:   peer.Router{Instance: instance, Address: address, Fingerprint: identity.Fingerprint},
-		Roster: roster, Log: keyed, Logger: logger,
+		Roster: roster, Log: keyed, Logger: logger, unanswered: make(map[string]time.Time),
 	}
 	r.Node = peer.NewNode(address, identity, r, counters)
 	return r, nil
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
@@ -33,11 +34,19 @@
 	logger  log.Interface
 	targets targets
 	retries retryBudgets
+	// notes tells other routers of prompts; nil if there are none to tell.
+	notes *noter
 }
 
 // NewServer returns a server that pays from a holder's shares.
-func NewServer(board *Board, wire Wire, payer *allowance.Holder, logger log.Interface) *Server {
-	return &Server{board: board, wire: wire, payer: payer, logger: logger}
+func NewServer(board *Board, wire Wire, place Place, payer *allowance.Holder, logger log.Interface) *Server {
+	return &Server{board: board, wire: wire, payer: payer, logger: logger, targets: targets{place: place}}
+}
+
+// TellRouters lets the server exchange notes with other routers. It must be called before the first request.
+func (s *Server) TellRouters(routers *Routers) {
+	s.notes = newNoter(routers)
+	routers.Noted = s.Note
 }
 
 // job is one request on its way.
@@ -65,6 +74,16 @@
 	mayHaveRun bool
 	// events counts the events of a stream that were read from endpoints.
 	events int64
+	// paid is how long it waited for its tokens, first when the first part of its answer came; zero if none did.
+	paid  time.Duration
+	first time.Time
+	// beside is how many requests this router had at the endpoint when it was chosen.
+	beside int
+	// dispatch is the prompt at its engine until its first event, miss the tokens that the engine has to read, wait what it
+	// was predicted to be busy with.
+	dispatch *placement.Dispatch
+	miss     int64
+	wait     time.Duration
 	// status and outcome are what the caller got.
 	status  int
 	outcome string
@@ -194,7 +213,9 @@
 
 // pay reserves the most that the request can use.
 func (j *job) pay(ctx context.Context) error {
+	begun := time.Now()
 	reservation, err := j.server.payer.Reserve(ctx, j.team, j.demand.Most())
+	j.paid = time.Since(begun)
 	switch {
 	case err == nil:
 		j.reservation = reservation
@@ -227,10 +248,21 @@
 		"Milliseconds": time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
 	}
 	if j.route != nil {
-		fields["Route"] = j.route.Name
+		fields["Route"], fields["Kind"] = j.route.Name, j.route.Kind.String()
+	}
+	if j.team != nil {
+		fields["Team"] = j.team.Name
+	}
+	if j.demand.Most() > 0 {
+		fields["Prompt"], fields["Output"], fields["Events"] = j.demand.Prompt, j.demand.Output, j.events
+		fields["PaidMilliseconds"] = j.paid.Milliseconds()
+		fields["Unread"], fields["WaitMilliseconds"] = j.miss, j.wait.Milliseconds()
 	}
 	if n := len(j.tried); n > 0 {
-		fields["Endpoint"] = j.tried[n-1].Name
+		fields["Endpoint"], fields["Beside"] = j.tried[n-1].Name, j.beside
+	}
+	if !j.first.IsZero() {
+		fields["FirstMilliseconds"] = j.first.Sub(j.received).Milliseconds()
 	}
 	j.server.logger.WithFields(fields).Info("request ended")
 }
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
 
@@ -66,6 +67,9 @@
 	// failures counts failures in a row; blocked is until when the endpoint gets no requests.
 	failures int
 	blocked  time.Time
+	// backlog and cache are what an engine is busy with and has read.
+	backlog placement.Backlog
+	cache   placement.Cache
 	// gone says that the address belongs to another endpoint by now.
 	gone bool
 }
@@ -76,4 +80,18 @@
 	directory *site.Directory
 	byName    map[string]*target
 	services  map[string][]*target
+	// rates are how fast the engines of a service read prompts.
+	rates map[string]*placement.Rate
+	// place is where this router is.
+	place Place
 }
+
+// Place is where a router is, and the region of each availability zone.
+type Place struct {
+	AvailabilityZone string
+	Region           string
+	Regions          map[string]string
+}
+
+// remote reports whether an endpoint is in another region.
+func (p *Place) remote(e *target) bool { return p.Regions[e.AvailabilityZone] != p.Region }
