--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -17,9 +17,10 @@
 	configurationWait = 1 * time.Second
 	// configurationPause lies between two reads, so that changes in quick succession are decoded once.
 	configurationPause = 100 * time.Millisecond
-	// directoryPause lies between two reads of the endpoints' entries: a part of the time in which an endpoint that
-	// leaves must get no new requests.
-	directoryPause = 400 * time.Millisecond
+	// directoryWait is how long a read of the endpoints' entries waits for a change, directoryPause lies between two reads:
+	// parts of the time in which an endpoint that leaves must get no new requests.
+	directoryWait  = 1 * time.Second
+	directoryPause = 100 * time.Millisecond
 	// callMargin is what a call to the platform may take beyond its wait.
 	callMargin = 800 * time.Millisecond
 	// failurePause lies between a failed call and the next.
@@ -139,7 +140,7 @@
 
 // Run follows the endpoints' entries until the context ends.
 func (d *Directories) Run(ctx context.Context) error {
-	f := &follower{log: d.Source.Log, topic: d.Source.DirectoryTopic}
+	f := &follower{log: d.Source.Log, topic: d.Source.DirectoryTopic, wait: directoryWait}
 	var reach reachability
 	for ctx.Err() == nil {
 		read, err := f.read(ctx)
--- a/router/gateway/notes.go
+++ b/router/gateway/notes.go
@@ -116,8 +116,8 @@
 }
 
 // tell notes a prompt for other routers if it is long.
-func (s *Server) tell(e *target, j *job, work time.Duration) {
-	if s.notes == nil || work < leastNoted {
+func (s *Server) tell(e *target, j *job) {
+	if s.notes == nil || j.work < leastNoted {
 		return
 	}
 	note := peer.Note{Endpoint: e.Name, Tokens: j.miss}
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -140,9 +140,9 @@
 	}, rate)
 	chosen := usable[i]
 	j.miss, j.wait = miss, candidates[i].Wait
-	work := rate.Work(miss)
-	j.dispatch = chosen.backlog.Send(now, work)
-	j.server.tell(chosen, j, work)
+	j.work = rate.Work(miss)
+	j.dispatch = chosen.backlog.Send(now, j.work)
+	j.server.tell(chosen, j)
 	chosen.cache.Use(now, j.demand.Parts)
 	return chosen
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -79,10 +79,11 @@
 	first time.Time
 	// beside is how many requests this router had at the endpoint when it was chosen.
 	beside int
-	// dispatch is the prompt at its engine until its first event, miss the tokens that the engine has to read, wait what it
-	// was predicted to be busy with.
+	// dispatch is the prompt at its engine until its first event, miss the tokens that the engine has to read, work how long
+	// that takes, wait what it was predicted to be busy with.
 	dispatch *placement.Dispatch
 	miss     int64
+	work     time.Duration
 	wait     time.Duration
 	// status and outcome are what the caller got.
 	status  int
--- a/router/gateway/urgency.go
+++ b/router/gateway/urgency.go
@@ -6,15 +6,16 @@
 	// mostUrgent leaves room above for requests that have begun elsewhere, leastUrgent is below the engines' default.
 	mostUrgent  = 2
 	leastUrgent = 6
-	// urgencyStep is the objective that one step of urgency stands for.
-	urgencyStep = 200 * time.Millisecond
+	// urgencyStep is the slack that one step of urgency stands for.
+	urgencyStep = 150 * time.Millisecond
 )
 
-// urgency ranks requests at an engine by their objective: one that must begin soon passes one that may wait, which it
-// delays by little, since tight objectives go with short prompts. Zero stands for no objective.
-func urgency(target time.Duration) int {
-	if target <= 0 {
+// urgency ranks requests at an engine by the time that is left until they must begin, less what the engine needs to read
+// them. One that can't begin in time any more lets the others pass. Zero stands for no objective.
+func urgency(target, work time.Duration) int {
+	slack := target - work
+	if target <= 0 || slack < 0 {
 		return leastUrgent
 	}
-	return min(leastUrgent, mostUrgent+int((target-1)/urgencyStep))
+	return min(leastUrgent-1, mostUrgent+int(slack/urgencyStep))
 }
