Predict an engine's work by prompt size, by engine, and by what has not begun

Change: work by size class and engine's slowness, both learned; own prompts without a first event count; reading a shared part again weighs twice as much.

--- a/fleet/placement/backlog.go
+++ b/fleet/placement/backlog.go
@@ -3,56 +3,15 @@
 // so that a short one sent behind a long one begins late.
 package placement
 
-import (
-	"time"
-)
-
-const (
-	// firstRate is the rate at which an engine reads prompts until one was observed, in tokens a millisecond.
-	firstRate = 50.0
-	// leastSample is the shortest prompt from which the rate is learned: short ones tell more of the engine's overhead.
-	leastSample = 4000
-	// rateUp and rateDown weigh a sample above and below the rate: what a prompt waited for lowers samples, nothing raises
-	// them.
-	rateUp   = 0.3
-	rateDown = 0.03
-)
-
-// Rate is how fast the engines of a service read prompts, learned from the prompts that they answered. Its zero value
-// knows none.
-type Rate struct{ perMillisecond float64 }
-
-// Work returns how long an engine reads a number of tokens.
-func (r *Rate) Work(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / r.value() * float64(time.Millisecond))
-}
-
-func (r *Rate) value() float64 {
-	if r.perMillisecond == 0 {
-		return firstRate
-	}
-	return r.perMillisecond
-}
-
-// Observe learns from the time between a prompt's dispatch and its first event.
-func (r *Rate) Observe(tokens int64, first time.Duration) {
-	if tokens < leastSample || first <= 0 {
-		return
-	}
-	sample := float64(tokens) / float64(first) * float64(time.Millisecond)
-	weight := rateDown
-	if sample > r.value() {
-		weight = rateUp
-	}
-	r.perMillisecond = r.value() + weight*(sample-r.value())
-}
+import "time"
 
 // Backlog predicts how long an engine still reads prompts that were sent to it, by this router and, as far as it was told,
 // by others. Its zero value is that of an idle engine.
 type Backlog struct {
 	until time.Time
-	// own are the dispatches of this router whose first event has not come, in their order.
-	own []*Dispatch
+	// own are the dispatches of this router whose first event has not come, in their order; unread is their work.
+	own    []*Dispatch
+	unread time.Duration
 }
 
 // Dispatch is a prompt on its way to its first event.
@@ -61,8 +20,15 @@
 	work time.Duration
 }
 
-// Wait returns how long the engine is busy with what was sent before.
-func (b *Backlog) Wait(now time.Time) time.Duration { return max(0, b.until.Sub(now)) }
+// unreadPart is the part of the work of this router's own prompts without a first event that is surely left: one of them
+// may be read by now but for its last piece.
+const unreadPart = 0.6
+
+// Wait returns how long the engine is busy with what was sent before. Own prompts that should have begun by now show that
+// it is behind the prediction.
+func (b *Backlog) Wait(now time.Time) time.Duration {
+	return max(0, b.until.Sub(now), time.Duration(unreadPart*float64(b.unread)))
+}
 
 // Add notes work that another router sent.
 func (b *Backlog) Add(now time.Time, work time.Duration) {
@@ -77,6 +43,7 @@
 	b.Add(now, work)
 	d := &Dispatch{sent: now, work: work}
 	b.own = append(b.own, d)
+	b.unread += work
 	return d
 }
 
@@ -89,11 +56,12 @@
 			continue
 		}
 		b.own = append(b.own[:i], b.own[i+1:]...)
+		b.unread -= d.work
 		for _, o := range b.own[i:] {
 			later += o.work
 		}
 		if answered {
-			b.limit(now, max(later, b.Wait(now)-d.work))
+			b.limit(now, max(later, b.until.Sub(now)-d.work))
 		}
 		return
 	}
--- a/fleet/placement/choose.go
+++ b/fleet/placement/choose.go
@@ -5,7 +5,7 @@
 const (
 	// missCost is what it costs, in time, to read a token again that an engine may have cached: it takes memory and time
 	// from the prompts after it.
-	missCost = 100 * time.Microsecond
+	missCost = 200 * time.Microsecond
 	// homeHit is the part of a shared prompt that is taken to be cached at the engine to which all routers send it first.
 	homeHit = 0.7
 	// urgentPart is the part of the objective beyond which a predicted first event is likely to be late, lateCost how much
@@ -26,6 +26,8 @@
 	Wait time.Duration
 	// Hit is how many of the prompt's tokens this router knows to be cached there.
 	Hit int64
+	// Slow is the engine's slowness.
+	Slow Slowness
 	// Beside is how many requests the router has there.
 	Beside int
 	// Remote says that it is in another region.
@@ -44,21 +46,22 @@
 // Choose returns the index of the engine with the least cost and the tokens that it has to read, or false if there are no
 // candidates.
 func Choose(candidates []Candidate, p Prompt, rate *Rate) (chosen int, miss int64, ok bool) {
-	home := 0
-	for i := range candidates {
-		if candidates[i].Hash > candidates[home].Hash {
-			home = i
+	home, highest := 0, uint64(0)
+	for i, c := range candidates {
+		if c.Hash > highest {
+			home, highest = i, c.Hash
 		}
 	}
 	var least time.Duration
-	for i := range candidates {
-		hit := min(candidates[i].Hit, p.Tokens)
+	var hash uint64
+	for i, c := range candidates {
+		hit := min(c.Hit, p.Tokens)
 		if i == home {
 			hit = max(hit, int64(homeHit*float64(p.Shared)))
 		}
-		cost := candidates[i].cost(p, hit, rate)
-		if !ok || cost < least || cost == least && candidates[i].Hash > candidates[chosen].Hash {
-			chosen, miss, least, ok = i, p.Tokens-hit, cost, true
+		cost := c.cost(p, hit, rate)
+		if !ok || cost < least || cost == least && c.Hash > hash {
+			chosen, miss, least, hash, ok = i, p.Tokens-hit, cost, c.Hash, true
 		}
 	}
 	return chosen, miss, ok
@@ -66,7 +69,7 @@
 
 // cost weighs the predicted first event, what is read again, and the way.
 func (c *Candidate) cost(p Prompt, hit int64, rate *Rate) time.Duration {
-	first := c.Wait + rate.Work(p.Tokens-hit)
+	first := c.Wait + c.Slow.Work(rate.Work(p.Tokens-hit)+overhead)
 	cost := first + time.Duration(c.Beside)*besideCost + time.Duration(max(0, p.Shared-hit))*missCost
 	if bound := time.Duration(urgentPart * float64(p.Target)); p.Target > 0 && first > bound {
 		cost += time.Duration(lateCost * float64(first-bound))
--- /dev/null
+++ b/fleet/placement/main_test.go
@@ -0,0 +1,20 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// TestMain pins the property tests; flags on the command line override it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- a/router/gateway/notes.go
+++ b/router/gateway/notes.go
@@ -107,7 +107,7 @@
 		return
 	}
 	now := time.Now()
-	e.backlog.Add(now, t.rateLocked(e.Service).Work(note.Tokens))
+	e.backlog.Add(now, e.slow.Work(t.rateLocked(e.Service).Work(note.Tokens)))
 	parts := make([]site.Part, 0, len(note.Parts))
 	for _, p := range note.Parts {
 		parts = append(parts, site.Part{Identifier: p.Identifier, Tokens: p.Tokens})
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -131,7 +131,7 @@
 	for _, e := range usable {
 		candidates = append(candidates, placement.Candidate{
 			Hash: mix(e.hash ^ subject), Wait: e.backlog.Wait(now), Hit: e.cache.Hit(now, j.demand.Parts), Beside: e.inFlight,
-			Remote: t.place.remote(e),
+			Slow: e.slow, Remote: t.place.remote(e),
 		})
 	}
 	rate := t.rateLocked(j.service)
@@ -140,7 +140,7 @@
 	}, rate)
 	chosen := usable[i]
 	j.miss, j.wait = miss, candidates[i].Wait
-	j.work = rate.Work(miss)
+	j.work = chosen.slow.Work(rate.Work(miss))
 	j.dispatch = chosen.backlog.Send(now, j.work)
 	j.server.tell(chosen, j)
 	chosen.cache.Use(now, j.demand.Parts)
@@ -166,7 +166,8 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	if answered {
-		t.rateLocked(j.service).Observe(j.miss, now.Sub(j.dispatch.Sent()))
+		observed := placement.Observation{Tokens: j.miss, First: now.Sub(j.dispatch.Sent()), Wait: j.wait}
+		t.rateLocked(j.service).Observe(observed, &e.slow)
 	}
 	e.backlog.Began(now, j.dispatch, answered)
 	j.dispatch = nil
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -70,6 +70,7 @@
 	// backlog and cache are what an engine is busy with and has read.
 	backlog placement.Backlog
 	cache   placement.Cache
+	slow    placement.Slowness
 	// gone says that the address belongs to another endpoint by now.
 	gone bool
 }
