Resume streams within one answer; endpoints out of reach count as no attempt

Change: only whole events of such streams are passed on, and another endpoint goes on after the last.

--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -21,6 +21,8 @@
 const (
 	// shortestAttempt is the least time left with which a request is sent to an endpoint.
 	shortestAttempt = 5 * time.Millisecond
+	// mostTried bounds the endpoints that a request tries to reach.
+	mostTried = 5
 	// heldBytes bounds an endpoint's error that is held back while the request is tried elsewhere.
 	heldBytes = 64 << 10
 )
@@ -39,8 +41,10 @@
 	cause   error
 	// broken says that the endpoint is to blame; misdirected that it is not the one that was meant.
 	broken, misdirected bool
-	// abort says that the caller must not take its answer for complete.
-	abort bool
+	// abort says that the caller must not take its answer for complete. resume says that another endpoint may go on with it.
+	abort, resume bool
+	// unsent says that nothing was sent to the endpoint.
+	unsent bool
 	// held is an endpoint's error that was not passed on.
 	held       *heldAnswer
 	retryAfter time.Duration
@@ -61,6 +65,9 @@
 	for {
 		e, err := j.server.targets.acquire(j.server.board.Directory.Load(), j)
 		if err != nil {
+			if j.started {
+				return true
+			}
 			return j.end(ctx, held, err)
 		}
 		j.tried = append(j.tried, e)
@@ -70,15 +77,22 @@
 		if out.verdict != verdict.NotRun {
 			j.mayHaveRun = true
 		}
-		if out.cause == nil || out.abort {
+		if !out.unsent {
+			j.sent++
+		}
+		if out.cause == nil || out.abort && !out.resume {
 			return out.abort
 		}
 		if out.held != nil {
 			held = out.held
 		}
 		if !j.mayRetry(ctx, out) {
+			if j.started {
+				return true
+			}
 			return j.end(ctx, held, j.giveUp(out))
 		}
+		j.events.drop()
 		j.server.board.Count(retryPrefix + string(out.reason))
 	}
 }
@@ -86,9 +100,13 @@
 // mayRetry holds the rule that a request runs at most once unless it is repeatable, and that repeats stay in their
 // budget.
 func (j *job) mayRetry(ctx context.Context, out attempt) bool {
-	if ctx.Err() != nil || j.started || len(j.tried) >= max(1, j.route.Attempts) {
+	if ctx.Err() != nil || j.started && !j.events.whole || j.sent >= max(1, j.route.Attempts) || len(j.tried) >= mostTried {
 		return false
 	}
+	if out.unsent {
+		// Nothing arrived anywhere, so that nothing is repeated.
+		return true
+	}
 	if out.verdict != verdict.NotRun && !j.route.Repeatable() {
 		return false
 	}
@@ -174,6 +192,9 @@
 		header.Set(wire.Team, j.team.Name)
 	}
 	header.Set(wire.ExpectedEndpoint, e.Name)
+	if j.events.last != "" {
+		header.Set(wire.ResumeAfter, j.events.last)
+	}
 	if j.engine != nil && wire.Urgency != "" {
 		header.Set(wire.Urgency, strconv.Itoa(urgency(j.route.Target-time.Since(j.received), j.work)))
 	}
@@ -204,7 +225,7 @@
 func (j *job) failed(ctx context.Context, err error, written bool) attempt {
 	out := attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err}
 	if !written || isDial(err) {
-		out.verdict = verdict.NotRun
+		out.verdict, out.unsent = verdict.NotRun, true
 	}
 	switch {
 	case j.r.Context().Err() != nil:
@@ -248,6 +269,9 @@
 	if success && response.Header.Get(wire.Seal) == "" {
 		return attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errUnsealed, broken: true}
 	}
+	if j.started && response.StatusCode != http.StatusOK {
+		return attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errors.New(response.Status)}
+	}
 	if response.StatusCode >= http.StatusInternalServerError && j.route.Repeatable() {
 		return j.hold(response)
 	}
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -122,6 +122,7 @@
 		{Name: "quick", Host: "h", Prefix: "/quick/", Attempts: 1, Timeout: 50 * time.Millisecond, Services: one},
 		{Name: "open", Host: "h", Prefix: "/open/", Public: true, Attempts: 1, Services: one},
 		{Name: "chat", Host: "h", Prefix: "/chat/", Kind: site.Streaming, Attempts: 2, Affinity: true, Services: engine},
+		{Name: "talk", Host: "h", Prefix: "/talk/", Kind: site.Streaming, Resumable: true, Attempts: 2, Services: engine},
 		{Name: "empty", Host: "h", Prefix: "/empty/", Attempts: 1, Services: []site.Share{{Service: "nobody", Weight: 1}}},
 	}
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -72,8 +72,10 @@
 	started bool
 	// mayHaveRun says that an attempt may have run.
 	mayHaveRun bool
-	// events counts the events of a stream that were read from endpoints.
-	events int64
+	// sent counts the endpoints to which the request was sent.
+	sent int
+	// events follows the events of a stream that were read from endpoints.
+	events events
 	// paid is how long it waited for its tokens, first when the first part of its answer came; zero if none did.
 	paid  time.Duration
 	first time.Time
@@ -239,7 +241,7 @@
 	if j.engine == nil {
 		return 0
 	}
-	return j.demand.Prompt + min(j.demand.Output, j.events*j.engine.EventTokens)
+	return j.demand.Prompt + min(j.demand.Output, j.events.count()*j.engine.EventTokens)
 }
 
 // note logs how the request ended.
@@ -255,7 +257,7 @@
 		fields["Team"] = j.team.Name
 	}
 	if j.demand.Most() > 0 {
-		fields["Prompt"], fields["Output"], fields["Events"] = j.demand.Prompt, j.demand.Output, j.events
+		fields["Prompt"], fields["Output"], fields["Events"] = j.demand.Prompt, j.demand.Output, j.events.count()
 		fields["PaidMilliseconds"] = j.paid.Milliseconds()
 		fields["Unread"], fields["WaitMilliseconds"] = j.miss, j.wait.Milliseconds()
 	}
--- a/router/gateway/server_test.go
+++ b/router/gateway/server_test.go
@@ -196,20 +196,90 @@
 	}
 }
 
-func TestEventCounter(t *testing.T) {
+func TestEvents(t *testing.T) {
 	for _, c := range []struct {
+		name   string
+		whole  bool
 		pieces []string
-		want   int64
+		passed string
+		count  int64
+		last   string
 	}{
-		{nil, 0},
-		{[]string{"id: 1\ndata: a\n\n"}, 1},
-		{[]string{"id: 1\nda", "ta: a\n", "\nid: 2"}, 2},
-		{[]string{"id: 1\r\n\r\n", "\n\n", "id: 2\n\n"}, 2},
+		{"nothing", true, nil, "", 0, ""},
+		{"one", true, []string{"id: 1\ndata: a\n\n"}, "id: 1\ndata: a\n\n", 1, "1"},
+		{"in pieces", true, []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, "id: 1\ndata: a\n\n", 2, "1"},
+		{"in pieces as they come", false, []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, "id: 1\ndata: a\n\nid: 2", 2, "1"},
+		{"other line ends", true, []string{"id: 1\r\n\r\n", "\n\n", "id: 2\n\nid"}, "id: 1\r\n\r\n\n\nid: 2\n\n", 3, "2"},
+		{"without end", true, []string{strings.Repeat("x", pendingBytes+1), "y"}, strings.Repeat("x", pendingBytes+1) + "y", 1, ""},
 	} {
-		counter := eventCounter{}
-		for _, piece := range c.pieces {
-			counter.count([]byte(piece))
+		t.Run(c.name, func(t *testing.T) {
+			e := events{whole: c.whole}
+			passed := ""
+			for _, piece := range c.pieces {
+				passed += string(e.take([]byte(piece)))
+			}
+			assert.Equal(t, c.passed, passed)
+			assert.Equal(t, c.count, e.count())
+			assert.Equal(t, c.last, e.last)
+		})
+	}
+}
+
+// TestResume checks that a stream goes on at another endpoint after the last whole event, within one answer.
+func TestResume(t *testing.T) {
+	breaking := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("After") != "" {
+			goOn(w, r)
+			return
+		}
+		w.Header().Set("Seal", "first")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\nda")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	t.Run("within one answer", func(t *testing.T) {
+		g := newGatewayTest(t, breaking, breaking)
+		got := g.call(http.MethodPost, "/talk/", "prompt", nil)
+		assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got.body)
+		assert.Equal(t, "first", got.header.Get("Seal"))
+		assert.Equal(t, false, got.cut)
+		g.assertRuns(1, 1)
+	})
+	t.Run("not if the other endpoint can't", func(t *testing.T) {
+		other := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("After") != "" {
+				failing(w, r)
+				return
+			}
+			breaking(w, r)
 		}
-		assert.Equal(t, c.want, counter.events())
+		g := newGatewayTest(t, other, other)
+		got := g.call(http.MethodPost, "/talk/", "prompt", nil)
+		assert.Equal(t, "id: 1\ndata: a\n\n", got.body)
+		assert.Equal(t, true, got.cut)
+	})
+	t.Run("not if the route does not allow it", func(t *testing.T) {
+		g := newGatewayTest(t, breaking, breaking)
+		assert.Equal(t, true, g.call(http.MethodPost, "/chat/", "prompt", nil).cut)
+	})
+}
+
+// goOn answers with what follows the event after which the request asks.
+func goOn(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("After") == "1" {
+		sealed("id: 2\ndata: b\n\n")(w, r)
+	}
+}
+
+// TestUnreachable checks that endpoints that can't be reached don't count as attempts.
+func TestUnreachable(t *testing.T) {
+	g := newGatewayTest(t, sealed("found"))
+	listed := []site.Endpoint{{Name: "a", Service: "plain", Address: strings.TrimPrefix(g.endpoints[0].server.URL, "http://")}}
+	for _, name := range []string{"b", "c"} {
+		listed = append(listed, site.Endpoint{Name: name, Service: "plain", Address: unreachable(t)})
+	}
+	g.board.Directory.Store(site.NewDirectory(listed))
+	for range 4 {
+		assert.Equal(t, "found", g.call(http.MethodPost, "/single/", "", nil).body)
 	}
 }
