--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -17,8 +17,10 @@
 	askTimeout = 150 * time.Millisecond
 	// askedRouters bounds the routers that are asked in one round, those first that seem to hold most.
 	askedRouters = 4
-	// refusedPause is how long a router that gave nothing is not asked again.
-	refusedPause = 300 * time.Millisecond
+	// refusedPause is how long a router that gave nothing is not asked again for the same team, unreachablePause how long
+	// one that did not answer is not asked for anything: about when its entry in the roster is read again.
+	refusedPause     = 300 * time.Millisecond
+	unreachablePause = 2 * time.Second
 	// askedTime is how long a router draws for another one that is cut off and asks again.
 	askedTime = 1 * time.Second
 	// borrowAhead is the use for which more is asked than the waiting requests need, keepAhead the use for which a router
@@ -217,12 +219,15 @@
 			return
 		}
 		key := instance + "/" + w.team
-		if time.Since(refused[key]) < refusedPause {
+		if time.Since(refused[key]) < refusedPause || time.Since(refused[instance]) < unreachablePause {
 			continue
 		}
 		asked++
 		got, err := h.ask(ctx, instance, w)
-		if err != nil || got == 0 {
+		if err != nil {
+			refused[instance] = time.Now()
+		}
+		if got == 0 {
 			refused[key] = time.Now()
 			// One router that draws is enough.
 			w.cutOff = w.cutOff && err != nil
