--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -189,13 +189,14 @@
 }
 
 // Reserve sets the most that a request can use aside, or fails with ErrSpent or ErrElsewhere. A request of a team whose
-// use isn't bounded, or that uses no tokens, is paid at once.
-func (h *Holder) Reserve(ctx context.Context, team *site.Team, most int64) (*Reservation, error) {
+// use isn't bounded, or that uses no tokens, is paid at once. Log lines name the request by its identifier.
+func (h *Holder) Reserve(ctx context.Context, request string, team *site.Team, most int64) (*Reservation, error) {
 	if team == nil || !team.HasPrepaid || most <= 0 {
 		return nil, nil
 	}
 	w, err := h.reserve(team.Name, most)
 	if err != nil {
+		h.logRefusal(request, team.Name, most, err)
 		return nil, err
 	}
 	reservation := &Reservation{holder: h, team: team.Name, most: most}
@@ -214,7 +215,7 @@
 	}
 	if h.giveUp(team.Name, w) {
 		err := h.refuse(team.Name, most)
-		h.logRefusal(team.Name, most, err)
+		h.logRefusal(request, team.Name, most, err)
 		return nil, err
 	}
 	return h.waited(reservation, <-w.done)
@@ -301,11 +302,11 @@
 }
 
 // logRefusal tells what a refusal was decided by.
-func (h *Holder) logRefusal(team string, most int64, err error) {
+func (h *Holder) logRefusal(request, team string, most int64, err error) {
 	h.mu.Lock()
 	held := h.holdingLocked(team)
 	fields := log.Fields{
-		fieldTeam: team, "Most": most, "Usable": held.usable, "Spent": held.spent, "Reserved": held.reserved,
+		"Request": request, fieldTeam: team, "Most": most, "Usable": held.usable, "Spent": held.spent, "Reserved": held.reserved,
 		"Free": held.free(h.uptime()), "Given": held.given, "Received": held.received, "Rate": int64(held.rate()), "Prepaid": held.account.Prepaid, "Available": held.account.Available(),
 		"Reported": held.account.Reported(), "Settled": held.account.Settled, "Holders": len(held.account.Shares),
 		"AgeMilliseconds": time.Since(h.reached).Milliseconds(),
--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -119,7 +119,7 @@
 // assertReserves fails the test unless the router can pay for a request.
 func (r *routers) assertReserves(name string, most int64) *Reservation {
 	r.t.Helper()
-	reservation, err := r.holders[name].Reserve(r.t.Context(), r.team, most)
+	reservation, err := r.holders[name].Reserve(r.t.Context(), "id", r.team, most)
 	if err != nil {
 		h := r.holders[name]
 		h.mu.Lock()
@@ -132,7 +132,7 @@
 
 func (r *routers) assertRefuses(name string, most int64, want error) {
 	r.t.Helper()
-	_, err := r.holders[name].Reserve(r.t.Context(), r.team, most)
+	_, err := r.holders[name].Reserve(r.t.Context(), "id", r.team, most)
 	assert.ErrorIs(r.t, err, want)
 }
 
@@ -177,7 +177,7 @@
 	})
 	t.Run("pays nothing for teams without a total", func(t *testing.T) {
 		play(t, 0, 1, func(r *routers) {
-			reservation, err := r.holders["router-0"].Reserve(r.t.Context(), &site.Team{Name: "guest"}, 1_000)
+			reservation, err := r.holders["router-0"].Reserve(r.t.Context(), "id", &site.Team{Name: "guest"}, 1_000)
 			assert.NoError(r.t, err)
 			reservation.Settle(5)
 		})
@@ -222,7 +222,7 @@
 			r.logs["router-0"].cut.Store(true)
 			time.Sleep(3 * time.Second)
 			for range 3 {
-				if _, err := r.holders["router-0"].Reserve(r.t.Context(), r.team, 60_000); err == nil {
+				if _, err := r.holders["router-0"].Reserve(r.t.Context(), "id", r.team, 60_000); err == nil {
 					return
 				}
 			}
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -1,5 +1,11 @@
 package gateway
 
+// Names of the fields that several log lines have.
+const (
+	fieldRequest  = "Request"
+	fieldEndpoint = "Endpoint"
+)
+
 // Names of the counters; after retryPrefix stands the reason of the attempt before.
 const (
 	retryPrefix             = "retry."
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -71,7 +71,9 @@
 			return j.end(ctx, held, err)
 		}
 		j.tried = append(j.tried, e)
+		begun := time.Now()
 		out := j.exchange(ctx, e)
+		j.noteAttempt(e, begun, out)
 		j.server.targets.began(e, j, false)
 		j.server.targets.release(e, out)
 		if out.verdict != verdict.NotRun {
@@ -255,7 +257,7 @@
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status), misdirected: true,
 		}
 	}
-	if response.Header.Get(wire.RequestID) != j.r.Header.Get(wire.RequestID) {
+	if response.Header.Get(wire.RequestID) != j.identifier() {
 		return attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errForeign}
 	}
 	if response.Header.Get(wire.NotRun) != "" {
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -184,7 +184,7 @@
 		}
 		if d.register.Put(e) {
 			changed = true
-			d.Logger.WithFields(log.Fields{"Endpoint": e.Name, "Service": e.Service, "State": e.State.String()}).Info("endpoint changed")
+			d.Logger.WithFields(log.Fields{fieldEndpoint: e.Name, "Service": e.Service, "State": e.State.String()}).Info("endpoint changed")
 		}
 	}
 	if read.whole {
@@ -196,7 +196,7 @@
 func (d *Directories) remove(now time.Time, name string) bool {
 	removed := d.register.Remove(now, name)
 	if removed {
-		d.Logger.WithField("Endpoint", name).Info("endpoint removed")
+		d.Logger.WithField(fieldEndpoint, name).Info("endpoint removed")
 	}
 	return removed
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -217,7 +217,7 @@
 // pay reserves the most that the request can use.
 func (j *job) pay(ctx context.Context) error {
 	begun := time.Now()
-	reservation, err := j.server.payer.Reserve(ctx, j.team, j.demand.Most())
+	reservation, err := j.server.payer.Reserve(ctx, j.identifier(), j.team, j.demand.Most())
 	j.paid = time.Since(begun)
 	switch {
 	case err == nil:
@@ -244,10 +244,25 @@
 	return j.demand.Prompt + min(j.demand.Output, j.events.count()*j.engine.EventTokens)
 }
 
+// identifier returns the caller's identifier of the request.
+func (j *job) identifier() string { return j.r.Header.Get(j.server.wire.RequestID) }
+
+// noteAttempt logs an attempt that did not end in a whole answer.
+func (j *job) noteAttempt(e *target, begun time.Time, out attempt) {
+	if out.cause == nil {
+		return
+	}
+	j.server.logger.WithFields(log.Fields{
+		fieldRequest: j.identifier(), fieldEndpoint: e.Name, "Verdict": out.verdict.String(), "Reason": string(out.reason),
+		"Milliseconds": time.Since(begun).Milliseconds(), "Beside": j.beside, "WaitMilliseconds": j.wait.Milliseconds(),
+		"Sent": !out.unsent, "Resumes": out.resume,
+	}).WithError(out.cause).Info("attempt failed")
+}
+
 // note logs how the request ended.
 func (j *job) note() {
 	fields := log.Fields{
-		"Request": j.r.Header.Get(j.server.wire.RequestID), "Status": j.status, "Outcome": j.outcome,
+		fieldRequest: j.identifier(), "Status": j.status, "Outcome": j.outcome,
 		"Milliseconds": time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
 	}
 	if j.route != nil {
@@ -262,7 +277,7 @@
 		fields["Unread"], fields["WaitMilliseconds"] = j.miss, j.wait.Milliseconds()
 	}
 	if n := len(j.tried); n > 0 {
-		fields["Endpoint"], fields["Beside"] = j.tried[n-1].Name, j.beside
+		fields[fieldEndpoint], fields["Beside"] = j.tried[n-1].Name, j.beside
 	}
 	if !j.first.IsZero() {
 		fields["FirstMilliseconds"] = j.first.Sub(j.received).Milliseconds()
