--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -293,7 +293,7 @@
 func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
 	own := Position{
 		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.spent,
-		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: max(held.largest, int64(firstBurst*h.mean)), Now: h.settings.Now(),
+		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: max(held.largest, int64(firstBurst*h.mean)), Now: h.settings.Now(), Mean: int64(h.mean),
 		Ending: ending,
 	}
 	own.Pressed = held.pressed
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -22,6 +22,8 @@
 	movePart = 0.02
 	// renewPart is the part of a pledge, in percent, that may be used before it is renewed.
 	renewPart = 60
+	// aheadRequests is the number of requests of usual size that a draw takes beside the one that waits.
+	aheadRequests = 4
 )
 
 // Policy says how much a holder keeps ahead of its use. Its zero value has the defaults.
@@ -56,6 +58,8 @@
 	Pressed bool
 	// Largest is the most that a recent request could use.
 	Largest int64
+	// Mean is the average of the most that recent requests of all teams could use.
+	Mean int64
 	// Now is the present moment on the holder's machine.
 	Now Moment
 	// Ending says that the holder uses nothing any more.
@@ -138,7 +142,7 @@
 	available := max(0, others.Available()-share.Granted)
 	target := p.target(a, own)
 	if own.Wanted > 0 {
-		wanted := max(target, own.Reserved+own.Wanted)
+		wanted := max(target, own.Reserved+own.Wanted+p.ahead(a, own))
 		return max(kept, own.Net()+min(wanted, held+available))
 	}
 	// What others lack is left to them, and what they still lack then goes back.
@@ -150,6 +154,13 @@
 	return max(kept, own.Net()+wanted)
 }
 
+// ahead returns what a draw takes for the next requests: a few of usual size, no more than an even part of the reach. In a
+// large fleet a router has few requests of one team, and one write for each would be too many.
+func (p Policy) ahead(a *Account, own Position) int64 {
+	even := orDefault(p.Reach, DefaultReach) * float64(max(0, a.Remaining())) / float64(max(1, len(a.Shares)))
+	return min(aheadRequests*own.Mean, int64(even))
+}
+
 // lacking returns what requests at the holders wait for.
 func (a *Account) lacking() int64 {
 	var lacking int64
--- a/standin/docs_test.go
+++ b/standin/docs_test.go
@@ -66,7 +66,7 @@
 		"README.md": {
 			setUp: "make() { :; }", script: "bin/standin platform",
 		},
-		"docs/operations.md": {
+		"docs/OPERATIONS.md": {
 			setUp: operationsSite,
 			plan: example.Plan{Before: map[string]string{
 				"Install 4": `
