--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -22,8 +22,8 @@
 	movePart = 0.02
 	// renewPart is the part of a pledge, in percent, that may be used before it is renewed.
 	renewPart = 60
-	// aheadRequests is the number of requests of usual size that a draw takes beside the one that waits.
-	aheadRequests = 4
+	// aheadHolders is the number of holders for each of which a draw takes a request of usual size beside those that wait.
+	aheadHolders = 16
 )
 
 // Policy says how much a holder keeps ahead of its use. Its zero value has the defaults.
@@ -154,11 +154,11 @@
 	return max(kept, own.Net()+wanted)
 }
 
-// ahead returns what a draw takes for the next requests: a few of usual size, no more than an even part of the reach. In a
-// large fleet a router has few requests of one team, and one write for each would be too many.
+// ahead returns what a draw takes for the next requests: the more the larger the fleet, whose routers have few requests of
+// one team each, so that one write for each would be too many; no more than an even part of the reach.
 func (p Policy) ahead(a *Account, own Position) int64 {
 	even := orDefault(p.Reach, DefaultReach) * float64(max(0, a.Remaining())) / float64(max(1, len(a.Shares)))
-	return min(aheadRequests*own.Mean, int64(even))
+	return min(int64(len(a.Shares)/aheadHolders)*own.Mean, int64(even))
 }
 
 // lacking returns what requests at the holders wait for.
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -34,7 +34,7 @@
 		"controller": counterTable(controller.Counters()), "endpoint": counterTable(endpoint.Counters()),
 		"order":        counterTable(order.Counters()),
 		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
-		"allowance": counterTable(allowance.Counters()), "gateway": counterTable(gateway.Counters()),
+		"allowance": counterTable(allowance.Counters()), "gateway": counterTable(append(gateway.Counters(), gateway.Stages()...)),
 	}
 	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
 		text := readAll(t, page)
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -198,7 +198,7 @@
 		header.Set(wire.ResumeAfter, j.events.last)
 	}
 	if j.engine != nil && wire.Urgency != "" {
-		header.Set(wire.Urgency, strconv.Itoa(urgency(j.route.Target-time.Since(j.received), j.work)))
+		header.Set(wire.Urgency, strconv.Itoa(urgency(j.route.Target-time.Since(j.received), j.work, j.priority())))
 	}
 	header.Set(wire.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	return header
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -29,6 +29,8 @@
 	// leaveDelay is how long a router that was told to stop goes on as before: two looks of the balancer and a caller's
 	// connection on its way.
 	leaveDelay = 3 * time.Second
+	// settingsPause lies between two looks at whether the settings changed.
+	settingsPause = 2 * time.Second
 	// endMargin is the part of the grace that is left for returning shares.
 	endMargin = 1100 * time.Millisecond
 	// killMargin is the part of the grace that is left unused.
@@ -41,8 +43,9 @@
 	Listen, Ready, Metrics string
 	// Grace is how long the router may take to end after it was told to.
 	Grace time.Duration
-	// Reload reads the settings again; it may be nil.
-	Reload func() error
+	// Changed reports whether the settings changed since they were last read, Reload reads them again; both may be nil.
+	Changed func() bool
+	Reload  func() error
 }
 
 // Node is a router with all its parts.
@@ -116,12 +119,18 @@
 	return nil
 }
 
-// wait returns once a signal tells the router to end.
+// wait returns once a signal tells the router to end. Settings that change without a signal are noticed too.
 func (n *Node) wait(ctx context.Context, signals <-chan os.Signal) {
+	ticker := time.NewTicker(settingsPause)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			if n.Settings.Changed != nil && n.Settings.Changed() {
+				n.reload()
+			}
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				n.Logger.WithField("Signal", s.String()).Info("router is leaving")
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -261,6 +261,7 @@
 
 // note logs how the request ended.
 func (j *job) note() {
+	j.measure(time.Since(j.received))
 	fields := log.Fields{
 		fieldRequest: j.identifier(), "Status": j.status, "Outcome": j.outcome,
 		"Milliseconds": time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
