--- /dev/null
+++ b/router/gateway/attempts.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+// attempt is how one exchange with an endpoint ended. Without a cause its answer was passed on.
+type attempt struct {
+	verdict verdict.Verdict
+	reason  verdict.Reason
+	cause   error
+	// broken says that the endpoint is to blame; misdirected that it is not the one that was meant.
+	broken, misdirected bool
+	// abort says that the caller must not take its answer for complete. resume says that another endpoint may go on with it.
+	abort, resume bool
+	// unsent says that nothing was sent to the endpoint.
+	unsent bool
+	// held is an endpoint's error that was not passed on.
+	held       *heldAnswer
+	retryAfter time.Duration
+}
+
+// heldAnswer is an endpoint's own error.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempts sends the request until an endpoint answers it or it is given up. It reports whether the connection to the
+// caller must end.
+func (j *job) attempts(ctx context.Context) bool {
+	var held *heldAnswer
+	j.server.retries.first(j.service)
+	for {
+		e, err := j.server.targets.acquire(j.server.board.Directory.Load(), j)
+		if err != nil {
+			if j.started {
+				return true
+			}
+			return j.end(ctx, held, err)
+		}
+		j.tried = append(j.tried, e)
+		begun := time.Now()
+		out := j.exchange(ctx, e)
+		j.noteAttempt(e, begun, out)
+		j.server.targets.began(e, j, false)
+		j.server.targets.release(e, out)
+		if out.verdict != verdict.NotRun {
+			j.mayHaveRun = true
+		}
+		if !out.unsent {
+			j.sent++
+		}
+		if out.cause == nil || out.abort && !out.resume {
+			return out.abort
+		}
+		if out.held != nil {
+			held = out.held
+		}
+		if !j.mayRetry(ctx, out) {
+			if j.started {
+				return true
+			}
+			return j.end(ctx, held, j.giveUp(out))
+		}
+		j.events.drop()
+		j.server.board.Count(retryPrefix + string(out.reason))
+	}
+}
+
+// mayRetry holds the rule that a request runs at most once unless it is repeatable, and that repeats stay in their
+// budget.
+func (j *job) mayRetry(ctx context.Context, out attempt) bool {
+	if ctx.Err() != nil || j.started && !j.events.whole || j.sent >= max(1, j.route.Attempts) || len(j.tried) >= mostTried {
+		return false
+	}
+	if out.unsent {
+		// Nothing arrived anywhere, so that nothing is repeated.
+		return true
+	}
+	if out.verdict != verdict.NotRun && !j.route.Repeatable() {
+		return false
+	}
+	if !j.server.retries.repeat(j.service) {
+		j.server.board.Count(repeatsSpent)
+		return false
+	}
+	return true
+}
+
+// giveUp turns the last attempt into what the caller hears.
+func (j *job) giveUp(out attempt) error {
+	refusal := &verdict.Refusal{Verdict: verdict.NotRun, Reason: out.reason, RetryAfter: out.retryAfter, Cause: out.cause}
+	if j.mayHaveRun {
+		refusal.Verdict = verdict.MayHaveRun
+	} else if out.reason == verdict.EndpointFailed || out.reason == verdict.EndpointRefused {
+		refusal.Reason = verdict.Overloaded
+	}
+	return refusal
+}
+
+// end answers with the endpoint's error that was held back, or with one of the router's own.
+func (j *job) end(ctx context.Context, held *heldAnswer, err error) bool {
+	if held == nil || ctx.Err() != nil {
+		j.refuse(err)
+		return false
+	}
+	copyHeader(j.w.Header(), held.header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
+	j.status, j.outcome = held.status, "endpoint_error"
+	j.w.WriteHeader(held.status)
+	_, _ = j.w.Write(held.body)
+	return false
+}
