Let the check of names in pages know the platform's program

Cause: the check asks every program for its help, but not the new one, so docs/platform.md named a flag that nothing knew. The check is as strict: it has one more program to ask.

--- a/standin/docs_test.go
+++ b/standin/docs_test.go
@@ -179,7 +179,7 @@
 	session, err := newSession(t.Context(), programs, "PATH="+programs+":"+os.Getenv("PATH"), "COLUMNS=500")
 	assert.NoError(t, err)
 	defer func() { _ = session.Close() }()
-	help, err := session.Run(`router --help; for p in dragonflyctl standin; do $p --help
+	help, err := session.Run(`router --help; platform --help; for p in dragonflyctl standin; do $p --help
 		$p --help | sed -nE 's/^  ([a-z]+( [a-z]+)?)( .*)?$/\1/p' | while read -r verb; do $p $verb --help; done; done`)
 	assert.NoError(t, err)
 	return help
