Forget endpoints once a directory, share the hash's finalizer, and end a waiter without an error

Found on reading the change again; behaviour stays. Every request compared the names of all endpoints with each other to find those no longer listed, which only a new directory can change; router/gateway had its own copy of fleet/endpoint's mix; a waiter's channel carried an error that was always nil.

--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -135,8 +135,8 @@
 	timer := time.NewTimer(h.settings.DrawTimeout)
 	defer timer.Stop()
 	select {
-	case err := <-w.done:
-		return h.waited(reservation, err)
+	case <-w.done:
+		return reservation, nil
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -145,13 +145,6 @@
 		h.logRefusal(request, team.Name, most, err)
 		return nil, err
 	}
-	return h.waited(reservation, <-w.done)
-}
-
-func (h *Holder) waited(reservation *Reservation, err error) (*Reservation, error) {
-	if err != nil {
-		return nil, err
-	}
 	return reservation, nil
 }
 
@@ -171,7 +164,7 @@
 		held.reserved += most
 		return nil, nil
 	}
-	w := &waiter{most: most, done: make(chan error, 1)}
+	w := &waiter{most: most, done: make(chan struct{})}
 	held.waiters = append(held.waiters, w)
 	return w, nil
 }
@@ -295,7 +288,7 @@
 	for _, w := range held.waiters {
 		if held.free(uptime) >= w.most {
 			held.reserved += w.most
-			w.done <- nil
+			close(w.done)
 			continue
 		}
 		waiting = append(waiting, w)
--- a/fleet/allowance/holding.go
+++ b/fleet/allowance/holding.go
@@ -76,8 +76,8 @@
 // waiter is a request that waits for tokens.
 type waiter struct {
 	most int64
-	// done gets nil once the tokens are reserved.
-	done chan error
+	// done is closed once the tokens are reserved.
+	done chan struct{}
 }
 
 // meter averages the use over rateMemory. A request counts at its most when it comes and is corrected when it ends.
--- a/fleet/endpoint/choose.go
+++ b/fleet/endpoint/choose.go
@@ -176,7 +176,7 @@
 		if !inAffinitySet(c, remote) || c.Load() >= p.affinityBound(c, total, warmth) {
 			continue
 		}
-		if rank := mix(prefix ^ c.NameHash); best < 0 || rank > highest {
+		if rank := Mix(prefix ^ c.NameHash); best < 0 || rank > highest {
 			best, highest = i, rank
 		}
 	}
@@ -194,8 +194,8 @@
 	return int(math.Ceil(orDefault(p.AffinityBound, DefaultAffinityBound) * float64(total+1) * share))
 }
 
-// mix spreads the bits of a hash (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
+// Mix spreads the bits of a hash (the finalizer of SplitMix64).
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/fleet/endpoint/simulation_test.go
+++ b/fleet/endpoint/simulation_test.go
@@ -285,7 +285,7 @@
 	r.budget.Deposit()
 	r.place(&simRequest{
 		fingerprint: ledger.Fingerprint(s.report.requests),
-		team:        string(rune('a' + skewed(simTeams))), prefix: mix(uint64(skewed(simPrefixes)) + 1),
+		team:        string(rune('a' + skewed(simTeams))), prefix: Mix(uint64(skewed(simPrefixes)) + 1),
 		tokens: 1 + int(s.random.ExpFloat64()*simTokens), arrived: s.now,
 		failure: Failure{Verdict: verdict.NotRun, Idempotent: true, Limit: 3},
 	})
--- a/router/gateway/notes.go
+++ b/router/gateway/notes.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -80,7 +81,7 @@
 }
 
 func (r *Routers) rank(other peer.Router) uint64 {
-	return mix(xxhash.Sum64String(r.Self.Instance) ^ xxhash.Sum64String(other.Instance))
+	return endpoint.Mix(xxhash.Sum64String(r.Self.Instance) ^ xxhash.Sum64String(other.Instance))
 }
 
 // silentPause is how long a router that could not be told is left out.
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -25,6 +26,7 @@
 	if directory != t.directory {
 		t.directory = directory
 		t.services = make(map[string][]*target)
+		t.forgetLocked()
 	}
 	for _, share := range services {
 		if _, ok := t.services[share.Service]; ok {
@@ -36,7 +38,6 @@
 		}
 		t.services[share.Service] = listed
 	}
-	t.forgetLocked()
 }
 
 func (t *targets) targetLocked(e site.Endpoint) *target {
@@ -56,7 +57,7 @@
 	return fresh
 }
 
-// forgetLocked drops endpoints that no service lists any more.
+// forgetLocked drops endpoints that no service lists any more; one with requests in progress goes with a later directory.
 func (t *targets) forgetLocked() {
 	for name, known := range t.byName {
 		listed := false
@@ -113,7 +114,7 @@
 		if t.place.remote(e) {
 			load += remoteLoad
 		}
-		rank := mix(e.hash ^ random)
+		rank := endpoint.Mix(e.hash ^ random)
 		if chosen == nil || load < least || load == least && rank > highest {
 			chosen, least, highest = e, load, rank
 		}
@@ -130,7 +131,7 @@
 	candidates := make([]placement.Candidate, 0, len(usable))
 	for _, e := range usable {
 		candidates = append(candidates, placement.Candidate{
-			Hash: mix(e.hash ^ subject), Wait: e.backlog.Wait(now), Hit: e.cache.Hit(now, j.demand.Parts), Beside: e.inFlight,
+			Hash: endpoint.Mix(e.hash ^ subject), Wait: e.backlog.Wait(now), Hit: e.cache.Hit(now, j.demand.Parts), Beside: e.inFlight,
 			Slow: e.slow, Remote: t.place.remote(e),
 		})
 	}
@@ -204,12 +205,3 @@
 		e.failures, e.blocked = 0, time.Time{}
 	}
 }
-
-// mix spreads the bits of a hash (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
