In large fleets one router a region holds a team's shares and lends to the others

Ruled out before: shares that shrink with the fleet, draws ahead, one router that draws while each still writes (docs/platform.md). What is lent counts as used at the lender until it is repaid; an account also reports use once nothing is free.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	for _, team := range h.configuration.Teams {
-		if team.HasPrepaid && !h.holdingLocked(team.Name).read {
+		if team.HasPrepaid && !h.holdingLocked(team.Name).read && len(h.lenders(team.Name)) == 0 {
 			return false
 		}
 	}
@@ -92,6 +92,7 @@
 func (h *Holder) Run(ctx context.Context) error {
 	loops := &errgroup.Group{}
 	loops.Go(func() error { return h.runBorrower(ctx) })
+	loops.Go(func() error { return h.runRepayer(ctx) })
 	for _, b := range h.books {
 		loops.Go(func() error { return b.run(ctx) })
 	}
@@ -109,6 +110,9 @@
 
 // Return gives all shares back, to the accounts or else to other routers. No request may be in progress or come.
 func (h *Holder) Return(ctx context.Context) error {
+	if h.settings.Lenders != nil {
+		h.repay(ctx, 0)
+	}
 	returns := &errgroup.Group{}
 	returning, cancel := context.WithTimeout(ctx, h.settings.CallTimeout/2)
 	defer cancel()
@@ -188,7 +192,8 @@
 	return false
 }
 
-// teamsLocked returns the teams with prepaid tokens whose accounts are in the partition.
+// teamsLocked returns the teams with prepaid tokens whose accounts are in the partition and in which this router takes
+// part.
 func (b *book) teamsLocked() []*site.Team {
 	if b.holder.configuration == nil {
 		return nil
@@ -196,13 +201,19 @@
 	var teams []*site.Team
 	for i := range b.holder.configuration.Teams {
 		team := &b.holder.configuration.Teams[i]
-		if team.HasPrepaid && b.holder.bookOf(team.Name) == b {
+		if team.HasPrepaid && b.holder.bookOf(team.Name) == b && b.holder.drawsLocked(team.Name) {
 			teams = append(teams, team)
 		}
 	}
 	return teams
 }
 
+// drawsLocked reports whether this router takes part in a team's account.
+func (h *Holder) drawsLocked(team string) bool {
+	held := h.holdingLocked(team)
+	return held.draws(time.Now(), h.settings.Instance, h.settings.Holder, len(h.lenders(team)))
+}
+
 // end returns the partition's shares.
 func (b *book) end(ctx context.Context) error {
 	for {
--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -36,6 +36,13 @@
 	// Ask returns how many of a team's tokens the router on the instance handed over. After an error it may have handed
 	// over tokens that nobody uses. A router that is cut off from the platform lets the other one draw for it.
 	Ask(ctx context.Context, instance, team string, wanted int64, cutOff bool) (int64, error)
+	// Holders returns the instances that hold a team's shares for this router, the first to ask first; none if this router
+	// holds shares itself.
+	Holders(team string) []string
+	// Borrow asks the router on the instance to pay a request. After an error it may have lent tokens that nobody uses.
+	Borrow(ctx context.Context, instance, team string, wanted int64) (Loan, error)
+	// Repay hands back what was not used of loans. After an error the other router may or may not have it.
+	Repay(ctx context.Context, instance, team string, tokens int64) error
 }
 
 // Give hands tokens to another router that lacks them and returns how many. They are subtracted before they are sent: an
--- a/fleet/allowance/counters.go
+++ b/fleet/allowance/counters.go
@@ -15,6 +15,7 @@
 	writeMoved   = "allowance.write.moved"
 	writeFailed  = "allowance.write.failed"
 	borrowFailed = "allowance.borrow.failed"
+	loanFailed   = "allowance.loan.failed"
 )
 
 // Description says what a counter counts.
@@ -31,6 +32,7 @@
 		{writeMoved, "Writes of accounts between which another router wrote; they are tried again."},
 		{writeFailed, "Writes of accounts that the platform refused or did not answer."},
 		{borrowFailed, "Requests for tokens that another router did not answer."},
+		{loanFailed, "Requests for loans that another router did not answer."},
 	}
 }
 
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -80,8 +80,10 @@
 	mean float64
 	// leaving says that the router ends soon: it keeps little and takes nothing over.
 	leaving bool
-	// reached is when a call to the platform last succeeded.
+	// reached is when a call to the platform last succeeded, here or at a router that lends.
 	reached time.Time
+	// silent is until when a router is not asked for loans.
+	silent map[string]time.Time
 }
 
 // NewHolder returns a holder that holds nothing yet.
@@ -99,7 +101,7 @@
 		settings.Now = Now
 	}
 	settings.Partitions = orDefault(settings.Partitions, DefaultPartitions)
-	h := &Holder{log: keyed, settings: settings, lacking: make(chan struct{}, 1), teams: make(map[string]*holding)}
+	h := &Holder{log: keyed, settings: settings, lacking: make(chan struct{}, 1), teams: make(map[string]*holding), silent: make(map[string]time.Time)}
 	for i := range settings.Partitions {
 		h.books = append(h.books, &book{holder: h, partition: i, kick: make(chan struct{}, 1)})
 	}
@@ -121,31 +123,45 @@
 	if team == nil || !team.HasPrepaid || most <= 0 {
 		return nil, nil
 	}
-	w, err := h.reserve(team.Name, most)
-	if err != nil {
+	if err := h.pay(ctx, team.Name, most); err != nil {
 		h.logRefusal(request, team.Name, most, err)
 		return nil, err
 	}
-	reservation := &Reservation{holder: h, team: team.Name, most: most}
-	if w == nil {
-		return reservation, nil
+	return &Reservation{holder: h, team: team.Name, most: most}, nil
+}
+
+// pay reserves tokens of a share or, where others hold the team's shares, of loans.
+func (h *Holder) pay(ctx context.Context, team string, most int64) error {
+	if lenders := h.lenders(team); len(lenders) > 0 {
+		err := h.borrowFor(ctx, team, most, lenders)
+		if !errors.Is(err, errNoLender) {
+			return err
+		}
+		h.drawItself(team)
+	}
+	w, err := h.reserve(team, most)
+	if err != nil || w == nil {
+		return err
 	}
-	h.bookOf(team.Name).wake()
+	return h.await(ctx, team, w, h.settings.DrawTimeout)
+}
+
+// await waits until a request's tokens are reserved.
+func (h *Holder) await(ctx context.Context, team string, w *waiter, wait time.Duration) error {
+	h.bookOf(team).wake()
 	h.wakeBorrower()
-	timer := time.NewTimer(h.settings.DrawTimeout)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-w.done:
-		return reservation, nil
+		return nil
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	if h.giveUp(team.Name, w) {
-		err := h.refuse(team.Name, most)
-		h.logRefusal(request, team.Name, most, err)
-		return nil, err
+	if h.giveUp(team, w) {
+		return h.refuse(team, w.most)
 	}
-	return reservation, nil
+	return nil
 }
 
 // reserve takes tokens that are free, or returns a waiter for them.
@@ -203,7 +219,7 @@
 			prepaid = t.Prepaid
 		}
 	}
-	unreported := held.spent - held.account.Shares[h.settings.Holder].Spent
+	unreported := held.reported() - held.account.Shares[h.settings.Holder].Spent
 	remaining := prepaid - held.account.Prepaid + held.account.Remaining()
 	return remaining-unreported-held.reserved < most
 }
--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -26,6 +26,16 @@
 	holders map[string]*Holder
 	logs    map[string]*ownLog
 	apart   atomic.Bool
+	// lending are the routers that hold shares of the team, in the order in which the others ask them; if there are none,
+	// every router holds a share.
+	lending []string
+	// dead is a router that the others can't reach.
+	dead atomic.Pointer[string]
+}
+
+func (r *routers) unreachable(instance string) bool {
+	dead := r.dead.Load()
+	return r.apart.Load() || dead != nil && *dead == instance
 }
 
 // ownLog is one router's way to the log.
@@ -56,6 +66,29 @@
 	return c.routers.holders[instance].Give(c.from, team, wanted, cutOff), nil
 }
 
+func (c *caller) Holders(string) []string {
+	for i, name := range c.routers.lending {
+		if name == c.from {
+			return c.routers.lending[:i]
+		}
+	}
+	return c.routers.lending
+}
+
+func (c *caller) Borrow(ctx context.Context, instance, team string, wanted int64) (Loan, error) {
+	if c.routers.unreachable(instance) {
+		return Loan{}, errApart
+	}
+	return c.routers.holders[instance].Lend(ctx, c.from, team, wanted)
+}
+
+func (c *caller) Repay(_ context.Context, instance, team string, tokens int64) error {
+	if c.routers.unreachable(instance) || !c.routers.holders[instance].Repay(c.from, team, tokens) {
+		return errApart
+	}
+	return nil
+}
+
 func (c *caller) Hand(_ context.Context, instance, team string, tokens int64) error {
 	if c.routers.apart.Load() || !c.routers.holders[instance].Take(c.from, team, tokens) {
 		return errApart
@@ -65,6 +98,14 @@
 
 // newRouters starts holders whose loops run until the test's context ends.
 func newRouters(ctx context.Context, t *testing.T, prepaid int64, n int) *routers {
+	t.Helper()
+	r := makeRouters(t, prepaid, n)
+	r.start(ctx)
+	return r
+}
+
+// makeRouters returns holders whose loops do not run yet.
+func makeRouters(t *testing.T, prepaid int64, n int) *routers {
 	t.Helper()
 	r := &routers{t: t, log: &memory.KeyedLog{}, holders: make(map[string]*Holder), logs: make(map[string]*ownLog)}
 	r.team = &site.Team{Name: "studio", Prepaid: prepaid, HasPrepaid: true}
@@ -78,10 +119,14 @@
 		})
 		r.configure(name, 1)
 	}
+	return r
+}
+
+// start runs the holders' loops until the context ends.
+func (r *routers) start(ctx context.Context) {
 	for name := range r.holders {
 		r.run(ctx, name)
 	}
-	return r
 }
 
 // free returns what a router may use for new requests.
--- a/fleet/allowance/holding.go
+++ b/fleet/allowance/holding.go
@@ -24,6 +24,10 @@
 	reserved int64
 	given    int64
 	received int64
+	// lent is the part of received that lenders count as used until it is repaid.
+	lent int64
+	// directUntil is until when this router draws itself though others hold the team's shares.
+	directUntil time.Time
 	// pledges are those that may stand in the account: the last one that surely did and those of writes since then.
 	pledges []Pledge
 	// largest is the most that a recent request could use, as of noted.
@@ -56,6 +60,26 @@
 // net returns what was used or handed over of what was granted.
 func (held *holding) net() int64 { return held.spent + held.given - held.received }
 
+// reported returns what was used and is not counted by a lender.
+func (held *holding) reported() int64 { return max(0, held.spent-held.lent) }
+
+// draws reports whether this router takes part in a team's account: because it holds shares, because something is to be
+// returned or settled, or because no lender answered.
+func (held *holding) draws(now time.Time, instance, holder string, lenders int) bool {
+	if lenders == 0 || !held.read || now.Before(held.directUntil) || now.Before(held.askedUntil) || len(held.waiters) > 0 {
+		return true
+	}
+	if held.usable > max(0, held.spent+held.given)+held.reserved {
+		return true
+	}
+	for name, share := range held.account.Shares {
+		if share.Instance == instance && name != holder {
+			return true
+		}
+	}
+	return false
+}
+
 // keepFor draws for a request that comes again within some time.
 func (held *holding) keepFor(most int64, wait time.Duration) {
 	now := time.Now()
--- /dev/null
+++ b/fleet/allowance/loan.go
@@ -0,0 +1,249 @@
+package allowance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const (
+	// lendTime bounds how long a loan waits for a draw: half of DefaultDrawTimeout, so that a second router can be asked.
+	lendTime = DefaultDrawTimeout / 2
+	// loanTimeout bounds a question for a loan: lendTime and the ways within a region.
+	loanTimeout = lendTime + 50*time.Millisecond
+	// silentLender is how long a router that did not answer is not asked for loans.
+	silentLender = 2 * time.Second
+	// directTime is how long a router draws a share of its own after no lender answered.
+	directTime = 2 * time.Second
+	// repayPause lies between two looks at what is left of loans, repayIdle is how long a team is idle before it is repaid:
+	// some times the pause between two requests of a team that one router of a large fleet sees.
+	repayPause = 1 * time.Second
+	repayIdle  = 2 * time.Second
+)
+
+var (
+	// errLeaving is the cause of loans that a router which ends soon doesn't give.
+	errLeaving = errors.New("router is leaving")
+	// errNoLender reports that no router that holds shares of a team answers.
+	errNoLender = errors.New("no router that holds the team's shares answers")
+)
+
+// Loan is what a router lends of a team's prepaid tokens for a request at another one.
+type Loan struct {
+	// Tokens is what the borrower may use from now on; all that it asked for, or nothing.
+	Tokens int64
+	// Spent says that too few of the team's tokens remain, whoever holds them.
+	Spent bool
+	// CutOff says that the lender can't reach the platform.
+	CutOff bool
+}
+
+// Lend pays a request of another router from this one's share, drawing if it must. What is lent counts as used here
+// until it is repaid. An error says that this router lends nothing for now.
+func (h *Holder) Lend(ctx context.Context, from, team string, wanted int64) (Loan, error) {
+	if h.isLeaving() {
+		return Loan{}, errLeaving
+	}
+	w, err := h.reserve(team, wanted)
+	if err == nil && w != nil {
+		err = h.await(ctx, team, w, lendTime)
+	}
+	loan := Loan{Spent: errors.Is(err, ErrSpent), CutOff: h.cutOff(team)}
+	if err == nil {
+		h.settle(team, wanted, wanted)
+		loan.Tokens = wanted
+	}
+	h.settings.Logger.WithFields(log.Fields{
+		"To": from, fieldTeam: team, fieldTokens: loan.Tokens, "Wanted": wanted, "Spent": loan.Spent, "CutOff": loan.CutOff,
+	}).Info("loan decided")
+	return loan, nil
+}
+
+// Repay takes back what another router did not use of its loans. It is right after a restart too: what the former process
+// lent was settled as used.
+func (h *Holder) Repay(from, team string, tokens int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leaving {
+		return false
+	}
+	held := h.holdingLocked(team)
+	held.spent -= tokens
+	held.meter(time.Now(), -tokens)
+	h.serveWaitersLocked(held)
+	h.settings.Logger.WithFields(log.Fields{"From": from, fieldTeam: team, fieldTokens: tokens}).Info("loan repaid")
+	return true
+}
+
+func (h *Holder) isLeaving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving
+}
+
+// cutOff reports whether a team's account seems to be out of reach.
+func (h *Holder) cutOff(team string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.bookOf(team).stuckLocked(time.Now())
+}
+
+// lenders returns the routers from which this one borrows a team's tokens; none if it holds shares of its own.
+func (h *Holder) lenders(team string) []string {
+	if h.settings.Lenders == nil {
+		return nil
+	}
+	return h.settings.Lenders.Holders(team)
+}
+
+// borrowFor reserves tokens of loans for a request. It returns errNoLender if this router has to draw itself.
+func (h *Holder) borrowFor(ctx context.Context, team string, most int64, lenders []string) error {
+	lacking := most - h.reserveFree(team, most)
+	for _, instance := range lenders {
+		if lacking == 0 {
+			return nil
+		}
+		if h.silentUntil(instance).After(time.Now()) {
+			continue
+		}
+		loan, err := h.borrowFrom(ctx, instance, team, lacking)
+		switch {
+		case err != nil:
+			continue
+		case loan.Tokens == lacking:
+			return nil
+		}
+		h.release(team, most, most-lacking)
+		if loan.Spent {
+			return ErrSpent
+		}
+		return ErrElsewhere
+	}
+	if lacking == 0 {
+		return nil
+	}
+	h.release(team, most, most-lacking)
+	return errNoLender
+}
+
+// borrowFrom asks one router for a loan and reserves it. It goes on if the caller leaves, so that nothing gets lost.
+func (h *Holder) borrowFrom(ctx context.Context, instance, team string, lacking int64) (Loan, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loanTimeout)
+	defer cancel()
+	loan, err := h.settings.Lenders.Borrow(ctx, instance, team, lacking)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.count(loanFailed)
+		h.silent[instance] = time.Now().Add(silentLender)
+		h.settings.Logger.WithFields(log.Fields{"From": instance, fieldTeam: team, "Wanted": lacking}).WithError(err).Warn("loan not had")
+		return loan, err
+	}
+	if !loan.CutOff {
+		h.reached = time.Now()
+	}
+	held := h.holdingLocked(team)
+	held.received += loan.Tokens
+	held.lent += loan.Tokens
+	held.reserved += loan.Tokens
+	return loan, nil
+}
+
+func (h *Holder) silentUntil(instance string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.silent[instance]
+}
+
+// reserveFree reserves as much of a request as is free and returns that.
+func (h *Holder) reserveFree(team string, most int64) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.holdingLocked(team)
+	now := time.Now()
+	held.noteDemand(now, most)
+	held.meter(now, most)
+	h.noteMean(most)
+	own := min(most, max(0, held.free(h.uptime())))
+	held.reserved += own
+	return own
+}
+
+// release gives back what was reserved for a request that can't be paid, and takes the request out of the team's use.
+func (h *Holder) release(team string, most, reserved int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.holdingLocked(team)
+	held.reserved -= reserved
+	held.meter(time.Now(), -most)
+	h.serveWaitersLocked(held)
+}
+
+// drawItself makes the router hold a share of a team for a while.
+func (h *Holder) drawItself(team string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.holdingLocked(team).directUntil = time.Now().Add(directTime)
+}
+
+// repayment is what is left of the loans for a team that is idle here.
+type repayment struct {
+	team    string
+	tokens  int64
+	lenders []string
+}
+
+// runRepayer repays what is left of loans until the context ends.
+func (h *Holder) runRepayer(ctx context.Context) error {
+	if h.settings.Lenders == nil {
+		return nil
+	}
+	for sleep(ctx, repayPause) {
+		h.repay(ctx, repayIdle)
+	}
+	return nil
+}
+
+// repay hands back what is left of loans for teams that were idle for some time. Tokens are subtracted before they are
+// sent: an answer that is lost leaves them unused.
+func (h *Holder) repay(ctx context.Context, idle time.Duration) {
+	for _, r := range h.repayments(idle) {
+		fields := log.Fields{fieldTeam: r.team, fieldTokens: r.tokens, "To": r.lenders[0]}
+		one, cancel := context.WithTimeout(ctx, askTimeout)
+		err := h.settings.Lenders.Repay(one, r.lenders[0], r.team, r.tokens)
+		cancel()
+		if err != nil {
+			h.settings.Logger.WithFields(fields).WithError(err).Warn("tokens left behind")
+			continue
+		}
+		h.settings.Logger.WithFields(fields).Info("loans repaid")
+	}
+}
+
+func (h *Holder) repayments(idle time.Duration) []repayment {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var due []repayment
+	now := time.Now()
+	for team, held := range h.teams {
+		left := min(held.lent, held.free(h.uptime()))
+		if left <= 0 || len(held.waiters) > 0 || now.Sub(held.updated) < idle {
+			continue
+		}
+		r := repayment{team: team, tokens: left}
+		for _, instance := range h.lenders(team) {
+			if !h.silent[instance].After(now) {
+				r.lenders = append(r.lenders, instance)
+			}
+		}
+		if len(r.lenders) == 0 {
+			continue
+		}
+		held.received -= left
+		held.lent -= left
+		due = append(due, r)
+	}
+	return due
+}
--- /dev/null
+++ b/fleet/allowance/loan_test.go
@@ -0,0 +1,116 @@
+package allowance
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+)
+
+// manyRouters is a large fleet: with a share each, no router could pay for a request of a small team.
+const manyRouters = 40
+
+// playLoans runs a test in which the first routers of the fleet hold the shares.
+func playLoans(t *testing.T, prepaid int64, n, holding int, body func(r *routers)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := makeRouters(t, prepaid, n)
+		for i := range holding {
+			r.lending = append(r.lending, fmt.Sprintf("router-%d", i))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		r.start(ctx)
+		time.Sleep(3 * time.Second)
+		body(r)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestLoans(t *testing.T) {
+	t.Run("a small total serves a large fleet at once", func(t *testing.T) {
+		playLoans(t, 100_000, manyRouters, 1, func(r *routers) {
+			var all sync.WaitGroup
+			for i := range manyRouters {
+				all.Go(func() {
+					reservation, err := r.holders[fmt.Sprintf("router-%d", i)].Reserve(r.t.Context(), "id", r.team, 2_400)
+					assert.NoError(r.t, err)
+					reservation.Settle(2_400)
+				})
+			}
+			all.Wait()
+			time.Sleep(5 * time.Second)
+			a := r.account(r.t)
+			assert.Equal(r.t, int64(manyRouters*2_400), a.Reported())
+			assert.Equal(r.t, 1, len(a.Shares))
+		})
+	})
+	t.Run("what is left of a loan goes back", func(t *testing.T) {
+		playLoans(t, 10_000, 3, 1, func(r *routers) {
+			r.assertReserves("router-1", 9_000).Settle(1_000)
+			time.Sleep(repayPause + repayIdle + 2*time.Second)
+			r.assertReserves("router-2", 9_000).Settle(9_000)
+			time.Sleep(5 * time.Second)
+			assert.Equal(r.t, int64(10_000), reported(r))
+			r.assertRefuses("router-1", 1, ErrSpent)
+		})
+	})
+	t.Run("a lender says that nothing is left", func(t *testing.T) {
+		playLoans(t, 10_000, 2, 1, func(r *routers) {
+			r.assertReserves("router-1", 10_000).Settle(10_000)
+			r.assertRefuses("router-1", 1, ErrSpent)
+		})
+	})
+	t.Run("the next one lends if the first is silent", func(t *testing.T) {
+		playLoans(t, 10_000, 3, 2, func(r *routers) {
+			r.dead.Store(&r.lending[0])
+			r.assertReserves("router-2", 4_000).Settle(4_000)
+		})
+	})
+	t.Run("a router that no lender answers draws itself, and returns what is left", func(t *testing.T) {
+		playLoans(t, 10_000, 2, 1, func(r *routers) {
+			r.dead.Store(&r.lending[0])
+			r.assertReserves("router-1", 4_000).Settle(1_000)
+			r.dead.Store(nil)
+			time.Sleep(directTime + silentLender + 3*time.Second)
+			r.assertReserves("router-1", 9_000).Settle(9_000)
+			time.Sleep(5 * time.Second)
+			assert.Equal(r.t, int64(10_000), reported(r))
+		})
+	})
+	t.Run("lenders pay in an outage", func(t *testing.T) {
+		playLoans(t, 100_000, 3, 1, func(r *routers) {
+			for range 10 {
+				r.assertReserves("router-1", 300).Settle(300)
+				time.Sleep(300 * time.Millisecond)
+			}
+			r.log.SetOutage(true)
+			for range 20 {
+				r.assertReserves("router-2", 300).Settle(300)
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+	})
+	t.Run("a router that leaves repays and lends nothing", func(t *testing.T) {
+		playLoans(t, 10_000, 3, 2, func(r *routers) {
+			r.assertReserves("router-2", 9_000).Settle(1_000)
+			r.holders["router-2"].Leave()
+			assert.Must(r.t, r.holders["router-2"].Return(r.t.Context()))
+			r.holders["router-0"].Leave()
+			time.Sleep(2 * DefaultInterval)
+			r.assertReserves("router-1", 8_000).Settle(8_000)
+			_, err := r.holders["router-0"].Lend(r.t.Context(), "router-1", "studio", 1)
+			assert.ErrorIs(r.t, err, errLeaving)
+		})
+	})
+}
+
+// reported returns what the account says to be used.
+func reported(r *routers) int64 {
+	a := r.account(r.t)
+	return a.Reported()
+}
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -41,12 +41,12 @@
 	Instance string
 	// Usable is what the holder takes as granted; it may be below what the account says while a return is under way.
 	Usable int64
-	// Spent is what was used, Reserved the most that requests in progress will use beyond it.
+	// Spent is what was used and no lender counts, Reserved the most that requests in progress will use beyond it.
 	Spent    int64
 	Reserved int64
-	// Given and Received are what the holder handed to others and got from them past the account.
-	Given    int64
-	Received int64
+	// Net is what the holder used or handed to others of what it was granted, which is negative if it received more from
+	// others than it used.
+	Net int64
 	// Rate is the use in tokens a second.
 	Rate float64
 	// Wanted is what waiting requests, and other routers that can't draw, need beyond Reserved.
@@ -62,36 +62,36 @@
 	Mean int64
 	// Now is the present moment on the holder's machine.
 	Now Moment
+	// Transient says that others hold the team's shares: this router keeps nothing ahead.
+	Transient bool
 	// Ending says that the holder uses nothing any more.
 	Ending bool
 }
 
-// Net returns what the holder used of what it was granted, which is negative if it received more than it used.
-func (p *Position) Net() int64 { return p.Spent + p.Given - p.Received }
-
 // Plan returns the account as the holder wants it, and whether that is worth a write.
 func (p Policy) Plan(current Account, own Position) (Account, bool) {
 	a := current.clone()
-	changed := a.takeTotal(own)
+	// The total alone is written by those that hold shares.
+	changed := a.takeTotal(own) && !own.Transient
 	changed = a.retireFormer(own) || changed
 	if own.Ending {
 		if _, ok := a.Shares[own.Holder]; !ok {
 			return a, changed
 		}
-		a.retire(own.Holder, own.Net(), own.Spent)
+		a.retire(own.Holder, own.Net, own.Spent)
 		return a, true
 	}
 	share := a.Shares[own.Holder]
 	stored := share
 	share.Instance = own.Instance
 	// A holder whose share was retired by mistake starts a new one that covers what it has used.
-	share.Granted = max(share.Granted, own.Net()+own.Reserved)
+	share.Granted = max(share.Granted, own.Net+own.Reserved)
 	share.Granted = p.granted(&a, share, own)
 	share.Spent = own.Spent
 	share.Rate = math.Round(own.Rate)
 	share.Lacking = 0
 	if own.Wanted > 0 {
-		share.Lacking = max(0, own.Net()+own.Reserved+own.Wanted-share.Granted)
+		share.Lacking = max(0, own.Net+own.Reserved+own.Wanted-share.Granted)
 	}
 	share.Pledge = own.pledge(share.Granted)
 	a.Shares[own.Holder] = share
@@ -100,7 +100,7 @@
 
 // pledge returns what the holder promises with its next write, by its use so far and what the share leaves it.
 func (p *Position) pledge(granted int64) Pledge {
-	base := p.Net() + p.Reserved
+	base := p.Net + p.Reserved
 	free := float64(max(0, granted-base))
 	return Pledge{
 		Base:   base,
@@ -135,15 +135,15 @@
 
 // granted returns what the holder should have been granted in all.
 func (p Policy) granted(a *Account, share Share, own Position) int64 {
-	kept := own.Net() + own.Reserved
-	held := share.Granted - own.Net()
+	kept := own.Net + own.Reserved
+	held := share.Granted - own.Net
 	others := a.clone()
 	delete(others.Shares, own.Holder)
 	available := max(0, others.Available()-share.Granted)
 	target := p.target(a, own)
 	if own.Wanted > 0 {
 		wanted := max(target, own.Reserved+own.Wanted+p.ahead(a, own))
-		return max(kept, own.Net()+min(wanted, held+available))
+		return max(kept, own.Net+min(wanted, held+available))
 	}
 	// What others lack is left to them, and what they still lack then goes back.
 	lacking := others.lacking()
@@ -151,7 +151,7 @@
 	if lacking > available {
 		wanted = min(wanted, max(own.Reserved, held+available-lacking))
 	}
-	return max(kept, own.Net()+wanted)
+	return max(kept, own.Net+wanted)
 }
 
 // ahead returns what a draw takes for the next requests: the more the larger the fleet, whose routers have few requests of
@@ -181,6 +181,9 @@
 			holders++
 		}
 	}
+	if own.Transient {
+		return own.Reserved
+	}
 	if p.Leaving {
 		return own.Reserved + int64(own.Rate*p.Horizon.Seconds())
 	}
@@ -206,12 +209,17 @@
 	if own.Pressed {
 		return binding && share.Pledge.Base+share.Pledge.Burst > bound
 	}
-	if share.Granted-own.Net()-own.Reserved <= int64(movePart*float64(a.Remaining())) {
+	aged := own.Now.Uptime-stored.Pledge.Uptime > pledgeAge
+	if aged && share.Spent-stored.Spent > int64(movePart*float64(a.Remaining())) {
+		// Others tell by what is reported whether the total is used up.
+		return true
+	}
+	if share.Granted-own.Net-own.Reserved <= int64(movePart*float64(a.Remaining())) {
 		// So little is free that a pledge would bound next to nothing.
 		return false
 	}
 	used := share.Pledge.Base - stored.Pledge.Base
-	return own.Now.Uptime-stored.Pledge.Uptime > pledgeAge || 100*used > renewPart*(bound-stored.Pledge.Base)
+	return aged || 100*used > renewPart*(bound-stored.Pledge.Base)
 }
 
 func absolute(n int64) int64 {
--- a/fleet/allowance/plan_test.go
+++ b/fleet/allowance/plan_test.go
@@ -27,7 +27,7 @@
 	t.Run("lowered total leaves what is reserved", func(t *testing.T) {
 		current := Account{Version: 2, Prepaid: 5_000, Shares: map[string]Share{"a/1": {Instance: "a", Granted: 3_000}}}
 		busy := own
-		busy.Usable, busy.Reserved, busy.Spent = 3_000, 700, 800
+		busy.Usable, busy.Reserved, busy.Spent, busy.Net = 3_000, 700, 800, 800
 		a, write := Policy{}.Plan(current, busy)
 		assert.Equal(t, true, write)
 		assert.Equal(t, int64(1_500), a.Shares["a/1"].Granted)
@@ -45,7 +45,7 @@
 	})
 	t.Run("tokens that were received can be returned", func(t *testing.T) {
 		lucky := own
-		lucky.Received, lucky.Ending = 300, true
+		lucky.Net, lucky.Ending = -300, true
 		a, _ := Policy{}.Plan(Account{Version: 3, Prepaid: 1_000, Shares: map[string]Share{"a/1": {Instance: "a"}}}, lucky)
 		assert.Equal(t, int64(-300), a.Settled)
 	})
--- a/fleet/allowance/property_test.go
+++ b/fleet/allowance/property_test.go
@@ -159,6 +159,57 @@
 	}
 }
 
+// lend moves a loan between two routers, or a part of one back; the answer may be lost.
+func (m *fleetModel) lend(t *rapid.T) {
+	from, to := m.pick(t), m.pick(t)
+	if from == to {
+		return
+	}
+	wanted := rapid.Int64Range(1, 200).Draw(t, "loan")
+	if rapid.Bool().Draw(t, "repays") {
+		to.holder.settings.Lenders = &courier{to: from.holder, arrives: rapid.Bool().Draw(t, "arrives")}
+		to.holder.repay(context.Background(), 0)
+		to.holder.settings.Lenders = nil
+		return
+	}
+	w, err := from.holder.reserve(modelTeam, wanted)
+	if err != nil || w != nil && from.holder.giveUp(modelTeam, w) {
+		return
+	}
+	from.holder.settle(modelTeam, wanted, wanted)
+	if rapid.Bool().Draw(t, "arrives") {
+		to.holder.settings.Lenders = &courier{loan: Loan{Tokens: wanted}}
+		_, _ = to.holder.borrowFrom(context.Background(), from.name, modelTeam, wanted)
+		to.holder.settings.Lenders = nil
+		one := &Reservation{holder: to.holder, team: modelTeam, most: wanted}
+		to.open = append(to.open, one)
+	}
+}
+
+// courier brings a loan that was decided on, or a repayment to its lender unless it gets lost.
+type courier struct {
+	loan    Loan
+	to      *Holder
+	arrives bool
+}
+
+func (c *courier) Hand(context.Context, string, string, int64) error { return errApart }
+
+func (c *courier) Ask(context.Context, string, string, int64, bool) (int64, error) {
+	return 0, errApart
+}
+
+func (c *courier) Holders(string) []string { return []string{"lender"} }
+
+func (c *courier) Borrow(context.Context, string, string, int64) (Loan, error) { return c.loan, nil }
+
+func (c *courier) Repay(_ context.Context, _, team string, tokens int64) error {
+	if c.arrives && c.to.Repay("borrower", team, tokens) {
+		return nil
+	}
+	return errApart
+}
+
 // stop ends a process: it returns its shares, or is killed in the middle of its requests, which use all that they reserved.
 func (m *fleetModel) stop(t *rapid.T) {
 	one := m.pick(t)
@@ -227,7 +278,7 @@
 		m := newFleetModel(t)
 		actions := []func(*rapid.T){
 			m.reserve, m.reserve, m.reserve, m.reserve, m.update, m.update, m.update, m.settle, m.settle, m.hand, m.hand,
-			m.stop, m.disturb, m.passSome, m.passSome, m.topUp,
+			m.lend, m.lend, m.stop, m.disturb, m.passSome, m.passSome, m.topUp,
 		}
 		for range modelSteps {
 			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")](t)
--- a/fleet/allowance/update.go
+++ b/fleet/allowance/update.go
@@ -15,6 +15,9 @@
 // update reads the partition's accounts and writes those that the policy wants changed.
 func (b *book) update(ctx context.Context, ending bool) error {
 	h := b.holder
+	if !b.takesPart() {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, h.settings.CallTimeout)
 	defer cancel()
 	b.begin()
@@ -48,6 +51,13 @@
 	return fmt.Errorf("write accounts: %w", err)
 }
 
+// takesPart reports whether this router takes part in any account of the partition.
+func (b *book) takesPart() bool {
+	b.holder.mu.Lock()
+	defer b.holder.mu.Unlock()
+	return len(b.teamsLocked()) > 0
+}
+
 // plan decides on the partition's accounts. Tokens that are returned are not used from now on, whatever becomes of the
 // write.
 func (b *book) plan(state platform.KeyedState, ending bool) (map[string]Account, []platform.KeyedRecord) {
@@ -88,10 +98,11 @@
 
 func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
 	own := Position{
-		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.spent,
-		Reserved: held.reserved, Given: held.given, Received: held.received, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: max(held.largest, int64(firstBurst*h.mean)), Now: h.settings.Now(), Mean: int64(h.mean),
+		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.reported(), Net: held.net(),
+		Reserved: held.reserved, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: max(held.largest, int64(firstBurst*h.mean)), Now: h.settings.Now(), Mean: int64(h.mean),
 		Ending: ending,
 	}
+	own.Transient = len(h.lenders(team.Name)) > 0
 	own.Pressed = held.pressed
 	if time.Now().Before(held.askedUntil) {
 		own.Wanted = held.asked
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -13,8 +13,8 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
-//msgp:tuple request answer entry tokenRequest tokenAnswer Note NotePart
-//msgp:ignore Copy
+//msgp:tuple request answer entry tokenRequest tokenAnswer loanAnswer Note NotePart
+//msgp:ignore Copy Loan
 //msgp:limit arrays:4096 maps:0
 
 // Bounds of a message; longer ones are refused.
@@ -41,6 +41,8 @@
 	configurationMessage
 	tokensMessage
 	giftMessage
+	loanMessage
+	repaymentMessage
 )
 
 // request is what a router asks of another; the fields in use depend on the kind.
@@ -52,7 +54,8 @@
 	Next uint64
 }
 
-// tokenRequest is the payload of a request for prepaid tokens of a team, and of one that hands some over.
+// tokenRequest is the payload of each message about a team's prepaid tokens: one that asks for some or for a loan, and one
+// that hands some over or repays them.
 type tokenRequest struct {
 	Team   string
 	Tokens int64
@@ -72,6 +75,23 @@
 	Tokens int64
 }
 
+// Loan is what a router lends of a team's prepaid tokens for a request at another one.
+type Loan struct {
+	// Tokens is what the borrower may use from now on; all that it asked for, or nothing.
+	Tokens int64
+	// Spent says that too few of the team's tokens remain, whoever holds them.
+	Spent bool
+	// CutOff says that the lender can't reach the platform.
+	CutOff bool
+}
+
+// loanAnswer is the payload of the only entry of an answer to a loanMessage.
+type loanAnswer struct {
+	Tokens int64
+	Spent  bool
+	CutOff bool
+}
+
 // entry is an entry of the configuration stream.
 type entry struct {
 	Offset  uint64
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -300,6 +300,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z loanAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.Tokens)
+	o = msgp.AppendBool(o, z.Spent)
+	o = msgp.AppendBool(o, z.CutOff)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *loanAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	z.Spent, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Spent")
+		return
+	}
+	z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CutOff")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z loanAnswer) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z messageKind) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -47,6 +47,10 @@
 	// GiveTokens returns how many of a team's tokens the named instance may use from now on; this router no longer does.
 	// An instance that is cut off from the platform can't draw any itself.
 	GiveTokens(from, team string, wanted int64, cutOff bool) int64
+	// LendTokens pays a request at the named instance. It may take some time; an error says that nothing was lent.
+	LendTokens(ctx context.Context, from, team string, wanted int64) (Loan, error)
+	// RepayTokens takes back what the named instance did not use of its loans.
+	RepayTokens(from, team string, tokens int64) bool
 }
 
 // Listener takes notes in. A handler that implements it is told of them.
@@ -234,7 +238,7 @@
 	data, err := readBounded(x.stream, MaxRequestBytes)
 	a := answer{Refusal: ErrMalformed.Error()}
 	if err == nil {
-		a = x.node.answer(x.from, data)
+		a = x.node.answer(x.stream.Context(), x.from, data)
 	}
 	if a.Refusal != "" {
 		x.node.count(requestsRefused)
@@ -248,7 +252,7 @@
 }
 
 // answer does what a request asks for. Nothing of a request is trusted but the name of its sender.
-func (n *Node) answer(from string, data []byte) answer {
+func (n *Node) answer(ctx context.Context, from string, data []byte) answer {
 	r := request{}
 	if rest, err := r.UnmarshalMsg(data); err != nil || len(rest) > 0 {
 		return answer{Refusal: ErrMalformed.Error()}
@@ -265,7 +269,11 @@
 	case tokensMessage:
 		return n.giveTokens(from, r.Payload)
 	case giftMessage:
-		return n.takeTokens(from, r.Payload)
+		return n.takeTokens(r.Payload, func(g Giver, gift tokenRequest) bool { return g.TakeTokens(from, gift.Team, gift.Tokens) })
+	case repaymentMessage:
+		return n.takeTokens(r.Payload, func(g Giver, gift tokenRequest) bool { return g.RepayTokens(from, gift.Team, gift.Tokens) })
+	case loanMessage:
+		return n.lendTokens(ctx, from, r.Payload)
 	default:
 		return answer{Refusal: ErrMalformed.Error()}
 	}
@@ -285,16 +293,34 @@
 		return answer{Refusal: ErrMalformed.Error()}
 	}
 	given := tokenAnswer{Tokens: giver.GiveTokens(from, asked.Team, asked.Tokens, asked.CutOff)}
-	encoded, err := given.MarshalMsg(nil)
+	return single(given.MarshalMsg(nil))
+}
+
+// single returns an answer with one payload, if that could be encoded.
+func single(payload []byte, err error) answer {
 	if err != nil {
 		return answer{Refusal: ErrMalformed.Error()}
 	}
-	return answer{Entries: []entry{{Payload: encoded}}}
+	return answer{Entries: []entry{{Payload: payload}}}
+}
+
+func (n *Node) lendTokens(ctx context.Context, from string, payload []byte) answer {
+	giver, asked, ok := n.readTokens(payload)
+	if !ok {
+		return answer{Refusal: ErrMalformed.Error()}
+	}
+	loan, err := giver.LendTokens(ctx, from, asked.Team, asked.Tokens)
+	if err != nil {
+		return answer{Refusal: refusalText(err)}
+	}
+	lent := loanAnswer(loan)
+	return single(lent.MarshalMsg(nil))
 }
 
-func (n *Node) takeTokens(from string, payload []byte) answer {
+// takeTokens lets a handler take what a message hands over.
+func (n *Node) takeTokens(payload []byte, take func(Giver, tokenRequest) bool) answer {
 	taker, gift, ok := n.readTokens(payload)
-	if !ok || !taker.TakeTokens(from, gift.Team, gift.Tokens) {
+	if !ok || !take(taker, gift) {
 		return answer{Refusal: ErrMalformed.Error()}
 	}
 	return answer{}
--- a/fleet/peer/node_test.go
+++ b/fleet/peer/node_test.go
@@ -203,7 +203,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		h := &holder{}
 		n := NewNode("", Credentials{}, h, metrics.NewRegistry())
-		a := n.answer("router-a", data)
+		a := n.answer(t.Context(), "router-a", data)
 		accepted := len(h.copies) > 0
 		if accepted && a.Refusal != "" {
 			t.Errorf("a copy was accepted and refused with %q", a.Refusal)
--- a/fleet/peer/pinned.go
+++ b/fleet/peer/pinned.go
@@ -30,6 +30,10 @@
 	Address string
 	// Fingerprint is the SHA-256 digest of its certificate, in hexadecimal.
 	Fingerprint string
+	// Region is where it runs.
+	Region string `json:",omitempty"`
+	// Capacity is its part of a processor core; zero if it didn't say.
+	Capacity float64 `json:",omitempty"`
 }
 
 // Roster holds what the routers of a site told of themselves. Only routers may write where it is read from. Its zero
@@ -37,6 +41,7 @@
 type Roster struct {
 	mu      sync.Mutex
 	routers map[string]Router
+	changes int64
 }
 
 // Put takes a router's newest entry in.
@@ -46,7 +51,17 @@
 	if r.routers == nil {
 		r.routers = make(map[string]Router)
 	}
-	r.routers[router.Instance] = router
+	if r.routers[router.Instance] != router {
+		r.routers[router.Instance] = router
+		r.changes++
+	}
+}
+
+// Changes counts the changes since the start, so that readers know whether what they made of the roster still holds.
+func (r *Roster) Changes() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changes
 }
 
 // Router returns the newest entry of an instance.
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -35,14 +35,8 @@
 // AskTokens asks another router for prepaid tokens of a team and returns how many it handed over. After an error it may
 // have handed over tokens that nobody uses. A router that is cut off from the platform asks the other one to draw.
 func (n *Node) AskTokens(ctx context.Context, to Address, team string, wanted int64, cutOff bool) (int64, error) {
-	asked := tokenRequest{Team: team, Tokens: wanted, CutOff: cutOff}
-	payload, err := asked.MarshalMsg(nil)
+	a, err := n.sendTokens(ctx, to, tokensMessage, tokenRequest{Team: team, Tokens: wanted, CutOff: cutOff})
 	if err != nil {
-		return 0, err
-	}
-	a, err := n.ask(ctx, to, request{Kind: tokensMessage, Payload: payload})
-	if err != nil {
-		n.count(handoverFailed)
 		return 0, fmt.Errorf("asking %s for tokens: %w", to.Instance, err)
 	}
 	given := tokenAnswer{}
@@ -55,15 +49,46 @@
 	return given.Tokens, nil
 }
 
-// GiveTokens hands prepaid tokens of a team to another router. After an error it may or may not have them.
-func (n *Node) GiveTokens(ctx context.Context, to Address, team string, tokens int64) error {
-	gift := tokenRequest{Team: team, Tokens: tokens}
-	payload, err := gift.MarshalMsg(nil)
+// BorrowTokens asks another router to pay a request. After an error it may have lent tokens that nobody uses.
+func (n *Node) BorrowTokens(ctx context.Context, to Address, team string, wanted int64) (Loan, error) {
+	a, err := n.sendTokens(ctx, to, loanMessage, tokenRequest{Team: team, Tokens: wanted})
 	if err != nil {
-		return err
+		return Loan{}, fmt.Errorf("asking %s for a loan: %w", to.Instance, err)
+	}
+	lent := loanAnswer{}
+	if len(a.Entries) != 1 {
+		return Loan{}, ErrMalformed
+	}
+	if rest, err := lent.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || lent.Tokens != 0 && lent.Tokens != wanted {
+		return Loan{}, ErrMalformed
+	}
+	return Loan(lent), nil
+}
+
+// RepayTokens hands back what was not used of loans. After an error the other router may or may not have it.
+func (n *Node) RepayTokens(ctx context.Context, to Address, team string, tokens int64) error {
+	if _, err := n.sendTokens(ctx, to, repaymentMessage, tokenRequest{Team: team, Tokens: tokens}); err != nil {
+		return fmt.Errorf("repaying %s: %w", to.Instance, err)
 	}
-	if _, err := n.ask(ctx, to, request{Kind: giftMessage, Payload: payload}); err != nil {
+	return nil
+}
+
+// sendTokens sends a message about tokens.
+func (n *Node) sendTokens(ctx context.Context, to Address, kind messageKind, r tokenRequest) (answer, error) {
+	payload, err := r.MarshalMsg(nil)
+	if err != nil {
+		return answer{}, err
+	}
+	a, err := n.ask(ctx, to, request{Kind: kind, Payload: payload})
+	if err != nil {
 		n.count(handoverFailed)
+	}
+	return a, err
+}
+
+// GiveTokens hands prepaid tokens of a team to another router. After an error it may or may not have them.
+func (n *Node) GiveTokens(ctx context.Context, to Address, team string, tokens int64) error {
+	if _, err := n.sendTokens(ctx, to, giftMessage, tokenRequest{Team: team, Tokens: tokens}); err != nil {
 		return fmt.Errorf("handing tokens to %s: %w", to.Instance, err)
 	}
 	return nil
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -35,22 +35,24 @@
 	Payer *allowance.Holder
 	Noted func(peer.Note)
 
+	holders holders
+
 	// unanswered is when a router last could not be told of a prompt. Only the goroutine that sends notes uses it.
 	unanswered map[string]time.Time
 }
 
 // NewRouters returns the roster and this router's end of the connections to the others.
-func NewRouters(instance, address string, keyed platform.KeyedLog, logger log.Interface, counters metrics.Registry) (*Routers, error) {
+//
+// The fingerprint of self is set here.
+func NewRouters(self peer.Router, keyed platform.KeyedLog, logger log.Interface, counters metrics.Registry) (*Routers, error) {
 	roster := &peer.Roster{}
-	identity, err := peer.NewPinned(instance, roster)
+	identity, err := peer.NewPinned(self.Instance, roster)
 	if err != nil {
 		return nil, fmt.Errorf("making the router's identity: %w", err)
 	}
-	r := &Routers{
-		Self:   peer.Router{Instance: instance, Address: address, Fingerprint: identity.Fingerprint},
-		Roster: roster, Log: keyed, Logger: logger, unanswered: make(map[string]time.Time),
-	}
-	r.Node = peer.NewNode(address, identity, r, counters)
+	self.Fingerprint = identity.Fingerprint
+	r := &Routers{Self: self, Roster: roster, Log: keyed, Logger: logger, unanswered: make(map[string]time.Time)}
+	r.Node = peer.NewNode(self.Address, identity, r, counters)
 	return r, nil
 }
 
@@ -70,22 +72,66 @@
 	return r.Payer.Take(from, team, tokens)
 }
 
-// Hand implements allowance.Lenders.
-func (r *Routers) Hand(ctx context.Context, instance, team string, tokens int64) error {
+// LendTokens implements peer.Giver.
+func (r *Routers) LendTokens(ctx context.Context, from, team string, wanted int64) (peer.Loan, error) {
+	loan, err := r.Payer.Lend(ctx, from, team, wanted)
+	return peer.Loan(loan), err
+}
+
+// RepayTokens implements peer.Giver.
+func (r *Routers) RepayTokens(from, team string, tokens int64) bool {
+	return r.Payer.Repay(from, team, tokens)
+}
+
+// Holders implements allowance.Lenders.
+func (r *Routers) Holders(team string) []string {
+	return r.holders.of(team, r.Self, r.Roster)
+}
+
+// address returns where an instance is reached.
+func (r *Routers) address(instance string) (peer.Address, error) {
 	listed, ok := r.Roster.Router(instance)
 	if !ok {
-		return fmt.Errorf("handing tokens to %s: %w", instance, peer.ErrUntrusted)
+		return peer.Address{}, fmt.Errorf("finding %s: %w", instance, peer.ErrUntrusted)
+	}
+	return peer.Address{Instance: instance, Address: listed.Address}, nil
+}
+
+// Borrow implements allowance.Lenders.
+func (r *Routers) Borrow(ctx context.Context, instance, team string, wanted int64) (allowance.Loan, error) {
+	to, err := r.address(instance)
+	if err != nil {
+		return allowance.Loan{}, err
 	}
-	return r.Node.GiveTokens(ctx, peer.Address{Instance: instance, Address: listed.Address}, team, tokens)
+	loan, err := r.Node.BorrowTokens(ctx, to, team, wanted)
+	return allowance.Loan(loan), err
+}
+
+// Repay implements allowance.Lenders.
+func (r *Routers) Repay(ctx context.Context, instance, team string, tokens int64) error {
+	to, err := r.address(instance)
+	if err != nil {
+		return err
+	}
+	return r.Node.RepayTokens(ctx, to, team, tokens)
+}
+
+// Hand implements allowance.Lenders.
+func (r *Routers) Hand(ctx context.Context, instance, team string, tokens int64) error {
+	to, err := r.address(instance)
+	if err != nil {
+		return err
+	}
+	return r.Node.GiveTokens(ctx, to, team, tokens)
 }
 
 // Ask implements allowance.Lenders.
 func (r *Routers) Ask(ctx context.Context, instance, team string, wanted int64, cutOff bool) (int64, error) {
-	listed, ok := r.Roster.Router(instance)
-	if !ok {
-		return 0, fmt.Errorf("asking %s for tokens: %w", instance, peer.ErrUntrusted)
+	to, err := r.address(instance)
+	if err != nil {
+		return 0, err
 	}
-	return r.Node.AskTokens(ctx, peer.Address{Instance: instance, Address: listed.Address}, team, wanted, cutOff)
+	return r.Node.AskTokens(ctx, to, team, wanted, cutOff)
 }
 
 // Run announces the router and follows the others' entries until the context ends.
