Close callers' idle connections only when nothing has arrived; write log lines in batches

Change: a leaving router closes a connection once it is idle, nothing is unread in the socket and nothing arrived for 500 ms; Shutdown comes last. Lines of 20 ms go out in one write: a system call a line took a router with 260 lines a second a part of its time. Not measured apart.

--- a/router/gateway/lines.go
+++ b/router/gateway/lines.go
@@ -11,6 +11,9 @@
 const (
 	// lineBacklog bounds the log lines that wait to be written: some seconds of a busy router.
 	lineBacklog = 2048
+	// gatherTime is how long lines gather for one write: each write costs a system call, and a router that is killed loses
+	// what has gathered.
+	gatherTime = 20 * time.Millisecond
 	// flushTimeout bounds the wait for the last lines at the end.
 	flushTimeout = 150 * time.Millisecond
 )
@@ -44,17 +47,39 @@
 // run writes lines until Close.
 func (l *Lines) run() {
 	defer close(l.ended)
+	var batch bytes.Buffer
 	for line := range l.lines {
 		if len(line) == 0 {
 			return
 		}
-		_, _ = l.out.Write(line)
-		if n := l.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(l.out, "{\"fields\":{\"Lines\":%d},\"level\":\"warn\",\"message\":\"log lines dropped\"}\n", n)
+		batch.Write(line)
+		time.Sleep(gatherTime)
+		more := l.gather(&batch)
+		_, _ = batch.WriteTo(l.out)
+		batch.Reset()
+		if !more {
+			return
 		}
 	}
 }
 
+// gather adds the lines that wait by now, and how many were dropped. It reports whether more may come.
+func (l *Lines) gather(batch *bytes.Buffer) bool {
+	more := true
+	for range len(l.lines) {
+		line := <-l.lines
+		if len(line) == 0 {
+			more = false
+			break
+		}
+		batch.Write(line)
+	}
+	if n := l.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(batch, "{\"fields\":{\"Lines\":%d},\"level\":\"warn\",\"message\":\"log lines dropped\"}\n", n)
+	}
+	return more
+}
+
 // Close waits a bounded time until the lines before have been written. Nothing must be logged afterwards.
 func (l *Lines) Close() {
 	timer := time.NewTimer(flushTimeout)
--- a/router/gateway/lines_test.go
+++ b/router/gateway/lines_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
@@ -20,6 +21,34 @@
 	return r.got.Write(p)
 }
 
+// countingWriter counts its writes.
+type countingWriter struct {
+	bytes.Buffer
+
+	writes int
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.writes++
+	return w.Buffer.Write(p)
+}
+
+// TestLinesGather checks that lines of one moment take one write.
+func TestLinesGather(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &countingWriter{}
+		lines := NewLines(out)
+		for range 50 {
+			_, _ = lines.Write([]byte("line\n"))
+		}
+		time.Sleep(2 * gatherTime)
+		assert.Equal(t, 1, out.writes)
+		_, _ = lines.Write([]byte("last\n"))
+		lines.Close()
+		assert.Equal(t, strings.Repeat("line\n", 50)+"last\n", out.String())
+	})
+}
+
 // TestLines floods a slow reader: who logs doesn't wait, and the lines that were lost are counted.
 func TestLines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -31,6 +31,8 @@
 	leaveDelay = 3 * time.Second
 	// settingsPause lies between two looks at whether the settings changed.
 	settingsPause = 2 * time.Second
+	// lastTime is the part of the grace in which no new connections are accepted any more.
+	lastTime = 1 * time.Second
 	// endMargin is the part of the grace that is left for returning shares.
 	endMargin = 1100 * time.Millisecond
 	// killMargin is the part of the grace that is left unused.
@@ -59,6 +61,7 @@
 	Routers        *Routers
 	Logger         log.Interface
 
+	callers callerConnections
 	// answeredReady is what the balancer was last told.
 	answeredReady atomic.Bool
 }
@@ -69,6 +72,7 @@
 	defer stop()
 	callers := &http.Server{
 		Handler: n.closing(n.Server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesHard,
+		ConnState: n.callers.note,
 	}
 	operators := &http.Server{Handler: n.operators(), ReadHeaderTimeout: headerTimeout}
 	loops, ctx := errgroup.WithContext(ctx)
@@ -83,6 +87,9 @@
 		if err != nil {
 			return fmt.Errorf("listening on %s: %w", l.address, err)
 		}
+		if l.server == callers {
+			socket = callerListener{socket}
+		}
 		loops.Go(func() error { return serve(l.server, socket) })
 	}
 	if _, err := n.Routers.Node.Listen(ctx); err != nil {
@@ -152,12 +159,16 @@
 	n.Logger.Info("settings reloaded")
 }
 
-// end tells the balancer at once, serves on until it has heard, finishes the requests in progress and returns the shares.
+// end tells the balancer at once, serves on until it has heard, closes idle connections, finishes the requests in progress
+// and returns the shares.
 func (n *Node) end(ctx context.Context, callers *http.Server, stopPayer context.CancelFunc, paying *errgroup.Group) {
 	n.Board.Leaving.Store(true)
 	n.Payer.Leave()
 	until := time.Now().Add(n.Settings.Grace - endMargin)
 	sleep(ctx, leaveDelay)
+	closing, cancelClosing := context.WithDeadline(ctx, until.Add(-lastTime))
+	n.callers.closeIdle(closing)
+	cancelClosing()
 	grace, cancel := context.WithDeadline(context.WithoutCancel(ctx), until)
 	defer cancel()
 	if err := callers.Shutdown(grace); err != nil {
