--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -39,8 +39,9 @@
 	// Holders returns the instances that hold a team's shares for this router, the first to ask first; none if this router
 	// holds shares itself.
 	Holders(team string) []string
-	// Borrow asks the router on the instance to pay a request. After an error it may have lent tokens that nobody uses.
-	Borrow(ctx context.Context, instance, team string, wanted int64) (Loan, error)
+	// Borrow asks the router on the instance for what a request needs at least, and for more if that is free. After an error
+	// it may have lent tokens that nobody uses.
+	Borrow(ctx context.Context, instance, team string, least, wanted int64) (Loan, error)
 	// Repay hands back what was not used of loans. After an error the other router may or may not have it.
 	Repay(ctx context.Context, instance, team string, tokens int64) error
 }
@@ -70,7 +71,7 @@
 	}
 	held.given += given
 	h.settings.Logger.WithFields(log.Fields{
-		"To": from, "CutOff": cutOff, fieldTeam: team, fieldTokens: given, "Wanted": wanted, "Free": held.free(h.uptime()),
+		fieldTo: from, fieldCutOff: cutOff, fieldTeam: team, fieldTokens: given, fieldWanted: wanted, "Free": held.free(h.uptime()),
 	}).Info("tokens handed over")
 	return given
 }
@@ -85,7 +86,7 @@
 	held := h.holdingLocked(team)
 	held.received += tokens
 	h.serveWaitersLocked(held)
-	h.settings.Logger.WithFields(log.Fields{"From": from, fieldTeam: team, fieldTokens: tokens}).Info("tokens taken over")
+	h.settings.Logger.WithFields(log.Fields{fieldFrom: from, fieldTeam: team, fieldTokens: tokens}).Info("tokens taken over")
 	return true
 }
 
@@ -108,7 +109,7 @@
 		one, cancel := context.WithTimeout(ctx, askTimeout)
 		err := h.settings.Lenders.Hand(one, b.instances[0], b.team, b.tokens)
 		cancel()
-		fields["To"] = b.instances[0]
+		fields[fieldTo] = b.instances[0]
 		if err != nil {
 			h.settings.Logger.WithFields(fields).WithError(err).Warn("tokens left behind")
 			continue
@@ -247,7 +248,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	got, err := h.settings.Lenders.Ask(ctx, instance, w.team, w.tokens, w.cutOff)
-	fields := log.Fields{"From": instance, fieldTeam: w.team, "Wanted": w.tokens, fieldTokens: got}
+	fields := log.Fields{fieldFrom: instance, fieldTeam: w.team, fieldWanted: w.tokens, fieldTokens: got}
 	if err != nil {
 		h.count(borrowFailed)
 		h.settings.Logger.WithFields(fields).WithError(err).Warn("tokens not handed over")
--- a/fleet/allowance/counters.go
+++ b/fleet/allowance/counters.go
@@ -6,6 +6,10 @@
 const (
 	fieldTeam   = "Team"
 	fieldTokens = "Tokens"
+	fieldWanted = "Wanted"
+	fieldFrom   = "From"
+	fieldTo     = "To"
+	fieldCutOff = "CutOff"
 )
 
 // Names of the counters.
--- a/fleet/allowance/loan.go
+++ b/fleet/allowance/loan.go
@@ -17,6 +17,10 @@
 	silentLender = 2 * time.Second
 	// directTime is how long a router draws a share of its own after no lender answered.
 	directTime = 2 * time.Second
+	// aheadTime is the use for which a router borrows ahead if it has several requests of a team in that time: a loan for each
+	// would cost it more than the requests. morePart is the most of a lender's free tokens that one loan takes ahead.
+	aheadTime = 500 * time.Millisecond
+	morePart  = 0.05
 	// repayPause lies between two looks at what is left of loans, repayIdle is how long a team is idle before it is repaid:
 	// some times the pause between two requests of a team that one router of a large fleet sees.
 	repayPause = 1 * time.Second
@@ -32,7 +36,7 @@
 
 // Loan is what a router lends of a team's prepaid tokens for a request at another one.
 type Loan struct {
-	// Tokens is what the borrower may use from now on; all that it asked for, or nothing.
+	// Tokens is what the borrower may use from now on: from the least to the most that it asked for, or nothing.
 	Tokens int64
 	// Spent says that too few of the team's tokens remain, whoever holds them.
 	Spent bool
@@ -40,27 +44,38 @@
 	CutOff bool
 }
 
-// Lend pays a request of another router from this one's share, drawing if it must. What is lent counts as used here
-// until it is repaid. An error says that this router lends nothing for now.
-func (h *Holder) Lend(ctx context.Context, from, team string, wanted int64) (Loan, error) {
+// Lend pays a request of another router from this one's share, drawing if it must, and lends more if that is free. What is
+// lent counts as used here until it is repaid. An error says that this router lends nothing for now.
+func (h *Holder) Lend(ctx context.Context, from, team string, least, wanted int64) (Loan, error) {
 	if h.isLeaving() {
 		return Loan{}, errLeaving
 	}
-	w, err := h.reserve(team, wanted)
+	w, err := h.reserve(team, least)
 	if err == nil && w != nil {
 		err = h.await(ctx, team, w, lendTime)
 	}
 	loan := Loan{Spent: errors.Is(err, ErrSpent), CutOff: h.cutOff(team)}
 	if err == nil {
-		h.settle(team, wanted, wanted)
-		loan.Tokens = wanted
+		loan.Tokens = h.lendReserved(team, least, wanted)
 	}
 	h.settings.Logger.WithFields(log.Fields{
-		"To": from, fieldTeam: team, fieldTokens: loan.Tokens, "Wanted": wanted, "Spent": loan.Spent, "CutOff": loan.CutOff,
+		fieldTo: from, fieldTeam: team, fieldTokens: loan.Tokens, fieldWanted: wanted, "Spent": loan.Spent, fieldCutOff: loan.CutOff,
 	}).Info("loan decided")
 	return loan, nil
 }
 
+// lendReserved lends what was reserved, and of what is free as much as a loan may take ahead. It returns the loan.
+func (h *Holder) lendReserved(team string, least, wanted int64) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.holdingLocked(team)
+	more := min(wanted-least, int64(morePart*float64(max(0, held.free(h.uptime())))))
+	held.reserved -= least
+	held.spent += least + more
+	held.meter(time.Now(), more)
+	return least + more
+}
+
 // Repay takes back what another router did not use of its loans. It is right after a restart too: what the former process
 // lent was settled as used.
 func (h *Holder) Repay(from, team string, tokens int64) bool {
@@ -73,7 +88,7 @@
 	held.spent -= tokens
 	held.meter(time.Now(), -tokens)
 	h.serveWaitersLocked(held)
-	h.settings.Logger.WithFields(log.Fields{"From": from, fieldTeam: team, fieldTokens: tokens}).Info("loan repaid")
+	h.settings.Logger.WithFields(log.Fields{fieldFrom: from, fieldTeam: team, fieldTokens: tokens}).Info("loan repaid")
 	return true
 }
 
@@ -112,7 +127,7 @@
 		switch {
 		case err != nil:
 			continue
-		case loan.Tokens == lacking:
+		case loan.Tokens > 0:
 			return nil
 		}
 		h.release(team, most, most-lacking)
@@ -132,13 +147,13 @@
 func (h *Holder) borrowFrom(ctx context.Context, instance, team string, lacking int64) (Loan, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loanTimeout)
 	defer cancel()
-	loan, err := h.settings.Lenders.Borrow(ctx, instance, team, lacking)
+	loan, err := h.settings.Lenders.Borrow(ctx, instance, team, lacking, lacking+h.borrowAhead(team, lacking))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
 		h.count(loanFailed)
 		h.silent[instance] = time.Now().Add(silentLender)
-		h.settings.Logger.WithFields(log.Fields{"From": instance, fieldTeam: team, "Wanted": lacking}).WithError(err).Warn("loan not had")
+		h.settings.Logger.WithFields(log.Fields{fieldFrom: instance, fieldTeam: team, fieldWanted: lacking}).WithError(err).Warn("loan not had")
 		return loan, err
 	}
 	if !loan.CutOff {
@@ -147,10 +162,24 @@
 	held := h.holdingLocked(team)
 	held.received += loan.Tokens
 	held.lent += loan.Tokens
-	held.reserved += loan.Tokens
+	if loan.Tokens > 0 {
+		held.reserved += lacking
+		h.serveWaitersLocked(held)
+	}
 	return loan, nil
 }
 
+// borrowAhead returns what is asked for beyond a request.
+func (h *Holder) borrowAhead(team string, lacking int64) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ahead := int64(h.holdingLocked(team).rate() * aheadTime.Seconds())
+	if ahead < 2*lacking {
+		return 0
+	}
+	return ahead
+}
+
 func (h *Holder) silentUntil(instance string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -210,7 +239,7 @@
 // sent: an answer that is lost leaves them unused.
 func (h *Holder) repay(ctx context.Context, idle time.Duration) {
 	for _, r := range h.repayments(idle) {
-		fields := log.Fields{fieldTeam: r.team, fieldTokens: r.tokens, "To": r.lenders[0]}
+		fields := log.Fields{fieldTeam: r.team, fieldTokens: r.tokens, fieldTo: r.lenders[0]}
 		one, cancel := context.WithTimeout(ctx, askTimeout)
 		err := h.settings.Lenders.Repay(one, r.lenders[0], r.team, r.tokens)
 		cancel()
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -61,6 +61,8 @@
 	Tokens int64
 	// CutOff says that the sender can't reach the platform itself.
 	CutOff bool
+	// Least is the least loan that pays the sender's request; Tokens is the most that it wants.
+	Least int64
 }
 
 // answer is what a router answers; an empty Refusal means that the request was accepted.
@@ -77,7 +79,7 @@
 
 // Loan is what a router lends of a team's prepaid tokens for a request at another one.
 type Loan struct {
-	// Tokens is what the borrower may use from now on; all that it asked for, or nothing.
+	// Tokens is what the borrower may use from now on: from the least to the most that it asked for, or nothing.
 	Tokens int64
 	// Spent says that too few of the team's tokens remain, whoever holds them.
 	Spent bool
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -47,8 +47,9 @@
 	// GiveTokens returns how many of a team's tokens the named instance may use from now on; this router no longer does.
 	// An instance that is cut off from the platform can't draw any itself.
 	GiveTokens(from, team string, wanted int64, cutOff bool) int64
-	// LendTokens pays a request at the named instance. It may take some time; an error says that nothing was lent.
-	LendTokens(ctx context.Context, from, team string, wanted int64) (Loan, error)
+	// LendTokens lends the named instance what a request needs at least, and more if that is free. It may take some time; an
+	// error says that nothing was lent.
+	LendTokens(ctx context.Context, from, team string, least, wanted int64) (Loan, error)
 	// RepayTokens takes back what the named instance did not use of its loans.
 	RepayTokens(from, team string, tokens int64) bool
 }
@@ -306,10 +307,10 @@
 
 func (n *Node) lendTokens(ctx context.Context, from string, payload []byte) answer {
 	giver, asked, ok := n.readTokens(payload)
-	if !ok {
+	if !ok || asked.Least <= 0 || asked.Least > asked.Tokens {
 		return answer{Refusal: ErrMalformed.Error()}
 	}
-	loan, err := giver.LendTokens(ctx, from, asked.Team, asked.Tokens)
+	loan, err := giver.LendTokens(ctx, from, asked.Team, asked.Least, asked.Tokens)
 	if err != nil {
 		return answer{Refusal: refusalText(err)}
 	}
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -49,9 +49,10 @@
 	return given.Tokens, nil
 }
 
-// BorrowTokens asks another router to pay a request. After an error it may have lent tokens that nobody uses.
-func (n *Node) BorrowTokens(ctx context.Context, to Address, team string, wanted int64) (Loan, error) {
-	a, err := n.sendTokens(ctx, to, loanMessage, tokenRequest{Team: team, Tokens: wanted})
+// BorrowTokens asks another router to pay a request, and for more if that is free. After an error it may have lent tokens
+// that nobody uses.
+func (n *Node) BorrowTokens(ctx context.Context, to Address, team string, least, wanted int64) (Loan, error) {
+	a, err := n.sendTokens(ctx, to, loanMessage, tokenRequest{Team: team, Tokens: wanted, Least: least})
 	if err != nil {
 		return Loan{}, fmt.Errorf("asking %s for a loan: %w", to.Instance, err)
 	}
@@ -59,7 +60,7 @@
 	if len(a.Entries) != 1 {
 		return Loan{}, ErrMalformed
 	}
-	if rest, err := lent.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || lent.Tokens != 0 && lent.Tokens != wanted {
+	if rest, err := lent.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || lent.Tokens != 0 && (lent.Tokens < least || lent.Tokens > wanted) {
 		return Loan{}, ErrMalformed
 	}
 	return Loan(lent), nil
--- a/router/gateway/board.go
+++ b/router/gateway/board.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"net"
 	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,8 +20,36 @@
 	Directory atomic.Pointer[site.Directory]
 	// Leaving says that the router has told the balancer to send no new work.
 	Leaving atomic.Bool
+	// Overloaded says that the router has more callers than it can serve in time.
+	Overloaded atomic.Bool
+	// Traffic counts what callers' connections and those to endpoints and the platform carry.
+	Traffic Traffic
 	Metrics metrics.Registry
 }
 
+// Traffic counts bytes since the start.
+type Traffic struct{ Received, Sent atomic.Int64 }
+
+// countedConnection is a connection whose bytes are counted.
+type countedConnection struct {
+	net.Conn
+
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countedConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConnection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
+
 // Count adds one to a counter.
 func (b *Board) Count(name string) { metrics.GetOrRegisterCounter(name, b.Metrics).Inc(1) }
--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -70,14 +70,14 @@
 
 // callerConnection notes when something last arrived.
 type callerConnection struct {
-	net.Conn
+	countedConnection
 
 	arrived atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *callerConnection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.countedConnection.Read(p)
 	if n > 0 {
 		c.arrived.Store(time.Now().UnixNano())
 	}
@@ -109,7 +109,11 @@
 }
 
 // callerListener accepts callers' connections.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+
+	traffic *Traffic
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -117,5 +121,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConnection{Conn: connection}, nil
+	return &callerConnection{countedConnection: countedConnection{Conn: connection, traffic: l.traffic}}, nil
 }
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -45,6 +45,8 @@
 	Listen, Ready, Metrics string
 	// Grace is how long the router may take to end after it was told to.
 	Grace time.Duration
+	// Link is what the instance's link carries in each direction, in bytes a second; zero if that isn't known.
+	Link float64
 	// Changed reports whether the settings changed since they were last read, Reload reads them again; both may be nil.
 	Changed func() bool
 	Reload  func() error
@@ -88,7 +90,7 @@
 			return fmt.Errorf("listening on %s: %w", l.address, err)
 		}
 		if l.server == callers {
-			socket = callerListener{socket}
+			socket = callerListener{Listener: socket, traffic: &n.Board.Traffic}
 		}
 		loops.Go(func() error { return serve(l.server, socket) })
 	}
@@ -97,6 +99,10 @@
 	}
 	loops.Go(func() error { return n.Routers.Node.Run(ctx) })
 	loops.Go(func() error { return n.Routers.Run(ctx) })
+	watch := &loadWatch{
+		board: n.Board, logger: n.Logger, routers: n.Routers.Roster.Len, overload: overload{link: n.Settings.Link},
+	}
+	loops.Go(func() error { return watch.run(ctx) })
 	n.Server.TellRouters(n.Routers)
 	loops.Go(func() error { return n.Server.notes.run(ctx) })
 	payerContext, stopPayer := context.WithCancel(ctx)
@@ -184,10 +190,10 @@
 	}
 }
 
-// closing asks callers of a leaving router to open their next connection elsewhere.
+// closing asks callers of a router that is leaving or overloaded to open their next connection elsewhere.
 func (n *Node) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.Board.Leaving.Load() {
+		if n.Board.Leaving.Load() || n.Board.Overloaded.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -204,7 +210,8 @@
 
 // ready tells the balancer whether to send new work.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
-	ready := n.Board.Configuration.Load() != nil && n.Board.Directory.Load() != nil && n.Payer.Known() && !n.Board.Leaving.Load()
+	known := n.Board.Configuration.Load() != nil && n.Board.Directory.Load() != nil && n.Payer.Known()
+	ready := known && !n.Board.Leaving.Load() && !n.Board.Overloaded.Load()
 	if n.answeredReady.Swap(ready) != ready {
 		n.Logger.WithField("Ready", ready).Info("readiness changed")
 	}
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -52,7 +52,7 @@
 	if ok {
 		known.transport.CloseIdleConnections()
 	}
-	fresh := &target{Endpoint: e, transport: NewTransport(), hash: xxhash.Sum64String(e.Name)}
+	fresh := &target{Endpoint: e, transport: NewTransport(t.traffic), hash: xxhash.Sum64String(e.Name)}
 	t.byName[e.Name] = fresh
 	return fresh
 }
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -73,8 +73,8 @@
 }
 
 // LendTokens implements peer.Giver.
-func (r *Routers) LendTokens(ctx context.Context, from, team string, wanted int64) (peer.Loan, error) {
-	loan, err := r.Payer.Lend(ctx, from, team, wanted)
+func (r *Routers) LendTokens(ctx context.Context, from, team string, least, wanted int64) (peer.Loan, error) {
+	loan, err := r.Payer.Lend(ctx, from, team, least, wanted)
 	return peer.Loan(loan), err
 }
 
@@ -98,12 +98,12 @@
 }
 
 // Borrow implements allowance.Lenders.
-func (r *Routers) Borrow(ctx context.Context, instance, team string, wanted int64) (allowance.Loan, error) {
+func (r *Routers) Borrow(ctx context.Context, instance, team string, least, wanted int64) (allowance.Loan, error) {
 	to, err := r.address(instance)
 	if err != nil {
 		return allowance.Loan{}, err
 	}
-	loan, err := r.Node.BorrowTokens(ctx, to, team, wanted)
+	loan, err := r.Node.BorrowTokens(ctx, to, team, least, wanted)
 	return allowance.Loan(loan), err
 }
 
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -40,7 +40,7 @@
 
 // NewServer returns a server that pays from a holder's shares.
 func NewServer(board *Board, wire Wire, place Place, payer *allowance.Holder, logger log.Interface) *Server {
-	return &Server{board: board, wire: wire, payer: payer, logger: logger, targets: targets{place: place}}
+	return &Server{board: board, wire: wire, payer: payer, logger: logger, targets: targets{place: place, traffic: &board.Traffic}}
 }
 
 // TellRouters lets the server exchange notes with other routers. It must be called before the first request.
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -46,11 +47,18 @@
 	return failed
 }
 
-// NewTransport returns a transport with bounded connections that takes no proxy from the environment.
-func NewTransport() *http.Transport {
+// NewTransport returns a transport with bounded connections that takes no proxy from the environment and counts what they
+// carry.
+func NewTransport(traffic *Traffic) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: BoundSocket}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConnection{Conn: connection, traffic: traffic}, nil
+		},
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTime,
 		DisableCompression:  true,
@@ -84,7 +92,8 @@
 	// rates are how fast the engines of a service read prompts.
 	rates map[string]*placement.Rate
 	// place is where this router is.
-	place Place
+	place   Place
+	traffic *Traffic
 }
 
 // Place is where a router is, and the region of each availability zone.
