Void loans that got lost; let endpoints give up before the router; keep callers away longer from routers that overload again

Change: a loan has an identifier; a borrower that did not get it voids it until the lender has heard, and a voided loan is never given. Endpoints get 25 ms less than what is left, so that their word comes before the router gives up. A router whose callers come back at once stays away twice as long, from half of its link on.

--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -39,9 +39,10 @@
 	// Holders returns the instances that hold a team's shares for this router, the first to ask first; none if this router
 	// holds shares itself.
 	Holders(team string) []string
-	// Borrow asks the router on the instance for what a request needs at least, and for more if that is free. After an error
-	// it may have lent tokens that nobody uses.
-	Borrow(ctx context.Context, instance, team string, least, wanted int64) (Loan, error)
+	// Borrow asks the router on the instance for a loan. After an error it may have lent tokens that nobody uses; Void gives
+	// them back, also if it is called several times or before the loan is asked for.
+	Borrow(ctx context.Context, instance string, r LoanRequest) (Loan, error)
+	Void(ctx context.Context, instance, team string, identifier uint64) error
 	// Repay hands back what was not used of loans. After an error the other router may or may not have it.
 	Repay(ctx context.Context, instance, team string, tokens int64) error
 }
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -72,6 +74,8 @@
 	books    []*book
 	// lacking asks the borrower to look for requests that wait.
 	lacking chan struct{}
+	// nextLoan counts the loans that were asked for.
+	nextLoan atomic.Uint64
 
 	mu            sync.Mutex
 	configuration *site.Configuration
@@ -84,6 +88,9 @@
 	reached time.Time
 	// silent is until when a router is not asked for loans.
 	silent map[string]time.Time
+	// loans are those that were given or voided lately, voids those that were not had.
+	loans map[loanKey]loanRecord
+	voids []void
 }
 
 // NewHolder returns a holder that holds nothing yet.
@@ -101,7 +108,12 @@
 		settings.Now = Now
 	}
 	settings.Partitions = orDefault(settings.Partitions, DefaultPartitions)
-	h := &Holder{log: keyed, settings: settings, lacking: make(chan struct{}, 1), teams: make(map[string]*holding), silent: make(map[string]time.Time)}
+	h := &Holder{
+		log: keyed, settings: settings, lacking: make(chan struct{}, 1), teams: make(map[string]*holding), silent: make(map[string]time.Time),
+		loans: make(map[loanKey]loanRecord),
+	}
+	// No other process of this instance uses the same identifiers.
+	h.nextLoan.Store(rand.Uint64()) //nolint:gosec // no secret
 	for i := range settings.Partitions {
 		h.books = append(h.books, &book{holder: h, partition: i, kick: make(chan struct{}, 1)})
 	}
--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -33,6 +33,8 @@
 	dead atomic.Pointer[string]
 	// loans counts those that were asked for.
 	loans atomic.Int64
+	// lost says that the next loan gets lost on its way.
+	lost atomic.Bool
 }
 
 func (r *routers) unreachable(instance string) bool {
@@ -77,12 +79,23 @@
 	return c.routers.lending
 }
 
-func (c *caller) Borrow(ctx context.Context, instance, team string, least, wanted int64) (Loan, error) {
+func (c *caller) Borrow(ctx context.Context, instance string, r LoanRequest) (Loan, error) {
 	if c.routers.unreachable(instance) {
 		return Loan{}, errApart
 	}
 	c.routers.loans.Add(1)
-	return c.routers.holders[instance].Lend(ctx, c.from, team, least, wanted)
+	loan, err := c.routers.holders[instance].Lend(ctx, c.from, r)
+	if c.routers.lost.CompareAndSwap(true, false) {
+		return Loan{}, errApart
+	}
+	return loan, err
+}
+
+func (c *caller) Void(_ context.Context, instance, team string, identifier uint64) error {
+	if c.routers.unreachable(instance) || !c.routers.holders[instance].Void(c.from, team, identifier) {
+		return errApart
+	}
+	return nil
 }
 
 func (c *caller) Repay(_ context.Context, instance, team string, tokens int64) error {
--- a/fleet/allowance/loan.go
+++ b/fleet/allowance/loan.go
@@ -15,6 +15,8 @@
 	loanTimeout = lendTime + 50*time.Millisecond
 	// silentLender is how long a router that did not answer is not asked for loans.
 	silentLender = 2 * time.Second
+	// loanMemory is how long a lender remembers a loan: some times as long as any message about it is under way.
+	loanMemory = 30 * time.Second
 	// directTime is how long a router draws a share of its own after no lender answered.
 	directTime = 2 * time.Second
 	// aheadTime is the use for which a router borrows ahead if it has several requests of a team in that time: a loan for each
@@ -34,6 +36,15 @@
 	errNoLender = errors.New("no router that holds the team's shares answers")
 )
 
+// LoanRequest asks for a loan of a team's tokens.
+type LoanRequest struct {
+	Team string
+	// Least is the least that pays the borrower's request, Wanted the most that it takes.
+	Least, Wanted int64
+	// Identifier is one that the borrower's process uses once.
+	Identifier uint64
+}
+
 // Loan is what a router lends of a team's prepaid tokens for a request at another one.
 type Loan struct {
 	// Tokens is what the borrower may use from now on: from the least to the most that it asked for, or nothing.
@@ -46,34 +57,85 @@
 
 // Lend pays a request of another router from this one's share, drawing if it must, and lends more if that is free. What is
 // lent counts as used here until it is repaid. An error says that this router lends nothing for now.
-func (h *Holder) Lend(ctx context.Context, from, team string, least, wanted int64) (Loan, error) {
+func (h *Holder) Lend(ctx context.Context, from string, r LoanRequest) (Loan, error) {
 	if h.isLeaving() {
 		return Loan{}, errLeaving
 	}
-	w, err := h.reserve(team, least)
+	w, err := h.reserve(r.Team, r.Least)
 	if err == nil && w != nil {
-		err = h.await(ctx, team, w, lendTime)
+		err = h.await(ctx, r.Team, w, lendTime)
 	}
-	loan := Loan{Spent: errors.Is(err, ErrSpent), CutOff: h.cutOff(team)}
+	loan := Loan{Spent: errors.Is(err, ErrSpent), CutOff: h.cutOff(r.Team)}
 	if err == nil {
-		loan.Tokens = h.lendReserved(team, least, wanted)
+		loan.Tokens = h.lendReserved(from, r)
 	}
 	h.settings.Logger.WithFields(log.Fields{
-		fieldTo: from, fieldTeam: team, fieldTokens: loan.Tokens, fieldWanted: wanted, "Spent": loan.Spent, fieldCutOff: loan.CutOff,
+		fieldTo: from, fieldTeam: r.Team, fieldTokens: loan.Tokens, fieldWanted: r.Wanted, "Spent": loan.Spent,
+		fieldCutOff: loan.CutOff,
 	}).Info("loan decided")
 	return loan, nil
 }
 
-// lendReserved lends what was reserved, and of what is free as much as a loan may take ahead. It returns the loan.
-func (h *Holder) lendReserved(team string, least, wanted int64) int64 {
+// loanKey names a loan at its lender.
+type loanKey struct {
+	from       string
+	identifier uint64
+}
+
+// loanRecord is what a lender remembers of a loan.
+type loanRecord struct {
+	tokens int64
+	noted  time.Time
+	void   bool
+}
+
+// lendReserved lends what was reserved, and of what is free as much as a loan may take ahead. It returns the loan: nothing if
+// the borrower has given it up.
+func (h *Holder) lendReserved(from string, r LoanRequest) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	held := h.holdingLocked(r.Team)
+	held.reserved -= r.Least
+	key := loanKey{from: from, identifier: r.Identifier}
+	if h.loans[key].void {
+		h.serveWaitersLocked(held)
+		return 0
+	}
+	free := max(0, held.free(h.uptime())-r.Least)
+	lent := r.Least + min(r.Wanted-r.Least, int64(morePart*float64(free)))
+	held.spent += lent
+	held.meter(time.Now(), lent-r.Least)
+	h.loans[key] = loanRecord{tokens: lent, noted: time.Now()}
+	return lent
+}
+
+// Void takes back a loan that the borrower did not get and never uses, and lends nothing for it any more. A process that
+// started since knows no loan: what the former one lent was settled as used.
+func (h *Holder) Void(from, team string, identifier uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := loanKey{from: from, identifier: identifier}
+	record := h.loans[key]
+	h.loans[key] = loanRecord{noted: time.Now(), void: true}
+	h.forgetLoansLocked(time.Now())
+	if record.tokens == 0 {
+		return true
+	}
 	held := h.holdingLocked(team)
-	more := min(wanted-least, int64(morePart*float64(max(0, held.free(h.uptime())))))
-	held.reserved -= least
-	held.spent += least + more
-	held.meter(time.Now(), more)
-	return least + more
+	held.spent -= record.tokens
+	held.meter(time.Now(), -record.tokens)
+	h.serveWaitersLocked(held)
+	h.settings.Logger.WithFields(log.Fields{fieldFrom: from, fieldTeam: team, fieldTokens: record.tokens}).Info("loan voided")
+	return true
+}
+
+// forgetLoansLocked drops loans that no message is on its way for.
+func (h *Holder) forgetLoansLocked(now time.Time) {
+	for key, record := range h.loans {
+		if now.Sub(record.noted) > loanMemory {
+			delete(h.loans, key)
+		}
+	}
 }
 
 // Repay takes back what another router did not use of its loans. It is right after a restart too: what the former process
@@ -147,11 +209,15 @@
 func (h *Holder) borrowFrom(ctx context.Context, instance, team string, lacking int64) (Loan, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loanTimeout)
 	defer cancel()
-	loan, err := h.settings.Lenders.Borrow(ctx, instance, team, lacking, lacking+h.borrowAhead(team, lacking))
+	r := LoanRequest{
+		Team: team, Least: lacking, Wanted: lacking + h.borrowAhead(team, lacking), Identifier: h.nextLoan.Add(1),
+	}
+	loan, err := h.settings.Lenders.Borrow(ctx, instance, r)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
 		h.count(loanFailed)
+		h.voids = append(h.voids, void{instance: instance, team: team, identifier: r.Identifier, since: time.Now()})
 		h.silent[instance] = time.Now().Add(silentLender)
 		h.settings.Logger.WithFields(log.Fields{fieldFrom: instance, fieldTeam: team, fieldWanted: lacking}).WithError(err).Warn("loan not had")
 		return loan, err
@@ -217,6 +283,38 @@
 	h.holdingLocked(team).directUntil = time.Now().Add(directTime)
 }
 
+// void is a loan that was not had and that its lender may have given.
+type void struct {
+	instance, team string
+	identifier     uint64
+	since          time.Time
+}
+
+// voidLoans tells lenders of the loans that were not had. Those that do not answer are told again for a while.
+func (h *Holder) voidLoans(ctx context.Context) {
+	h.mu.Lock()
+	voids := h.voids
+	h.voids = nil
+	h.mu.Unlock()
+	silent := make(map[string]bool)
+	for _, v := range voids {
+		if !silent[v.instance] {
+			one, cancel := context.WithTimeout(ctx, askTimeout)
+			err := h.settings.Lenders.Void(one, v.instance, v.team, v.identifier)
+			cancel()
+			if err == nil {
+				continue
+			}
+			silent[v.instance] = true
+		}
+		if time.Since(v.since) < loanMemory/2 {
+			h.mu.Lock()
+			h.voids = append(h.voids, v)
+			h.mu.Unlock()
+		}
+	}
+}
+
 // repayment is what is left of the loans for a team that is idle here.
 type repayment struct {
 	team    string
@@ -230,6 +328,7 @@
 		return nil
 	}
 	for sleep(ctx, repayPause) {
+		h.voidLoans(ctx)
 		h.repay(ctx, repayIdle)
 	}
 	return nil
--- a/fleet/allowance/loan_test.go
+++ b/fleet/allowance/loan_test.go
@@ -88,6 +88,23 @@
 			assert.Equal(r.t, int64(10_000), reported(r))
 		})
 	})
+	t.Run("a loan that got lost is given back", func(t *testing.T) {
+		playLoans(t, 10_000, 2, 1, func(r *routers) {
+			r.lost.Store(true)
+			r.assertRefuses("router-1", 9_000, ErrElsewhere)
+			time.Sleep(directTime + silentLender + 2*time.Second)
+			r.assertReserves("router-1", 10_000).Settle(10_000)
+		})
+	})
+	t.Run("a loan that was voided before it is asked for is not given", func(t *testing.T) {
+		playLoans(t, 10_000, 2, 1, func(r *routers) {
+			lender := r.holders["router-0"]
+			assert.Equal(r.t, true, lender.Void("router-1", "studio", 7))
+			loan, err := lender.Lend(r.t.Context(), "router-1", LoanRequest{Team: "studio", Least: 5, Wanted: 5, Identifier: 7})
+			assert.NoError(r.t, err)
+			assert.Equal(r.t, int64(0), loan.Tokens)
+		})
+	})
 	t.Run("lenders pay in an outage", func(t *testing.T) {
 		playLoans(t, 100_000, 3, 1, func(r *routers) {
 			for range 10 {
@@ -109,7 +126,7 @@
 			r.holders["router-0"].Leave()
 			time.Sleep(2 * DefaultInterval)
 			r.assertReserves("router-1", 8_000).Settle(8_000)
-			_, err := r.holders["router-0"].Lend(r.t.Context(), "router-1", "studio", 1, 1)
+			_, err := r.holders["router-0"].Lend(r.t.Context(), "router-1", LoanRequest{Team: "studio", Least: 1, Wanted: 1})
 			assert.ErrorIs(r.t, err, errLeaving)
 		})
 	})
--- a/fleet/allowance/property_test.go
+++ b/fleet/allowance/property_test.go
@@ -36,6 +36,9 @@
 	configuration *site.Configuration
 	// used is what endpoints delivered, highest the highest total that was in force.
 	used, highest int64
+	// loans counts loans, lost are those that did not arrive.
+	loans uint64
+	lost  []lostLoan
 }
 
 func newFleetModel(t *rapid.T) *fleetModel {
@@ -176,8 +179,15 @@
 	if err != nil || w != nil && from.holder.giveUp(modelTeam, w) {
 		return
 	}
-	lent := from.holder.lendReserved(modelTeam, wanted, wanted+rapid.Int64Range(0, 500).Draw(t, "more"))
-	if rapid.Bool().Draw(t, "arrives") {
+	m.loans++
+	lent := from.holder.lendReserved(to.name, LoanRequest{
+		Team: modelTeam, Least: wanted, Wanted: wanted + rapid.Int64Range(0, 500).Draw(t, "more"), Identifier: m.loans,
+	})
+	if !rapid.Bool().Draw(t, "arrives") {
+		m.lost = append(m.lost, lostLoan{from: from, to: to.name, identifier: m.loans})
+		return
+	}
+	if lent > 0 {
 		to.holder.settings.Lenders = &courier{loan: Loan{Tokens: lent}}
 		_, _ = to.holder.borrowFrom(context.Background(), from.name, modelTeam, wanted)
 		to.holder.settings.Lenders = nil
@@ -186,6 +196,22 @@
 	}
 }
 
+// lostLoan is a loan that did not arrive.
+type lostLoan struct {
+	from       *machine
+	to         string
+	identifier uint64
+}
+
+// void gives a loan back that did not arrive, perhaps once more, perhaps to a later process.
+func (m *fleetModel) void(t *rapid.T) {
+	if len(m.lost) == 0 {
+		return
+	}
+	lost := m.lost[rapid.IntRange(0, len(m.lost)-1).Draw(t, "lost")]
+	lost.from.holder.Void(lost.to, modelTeam, lost.identifier)
+}
+
 // courier brings a loan that was decided on, or a repayment to its lender unless it gets lost.
 type courier struct {
 	loan    Loan
@@ -201,9 +227,9 @@
 
 func (c *courier) Holders(string) []string { return []string{"lender"} }
 
-func (c *courier) Borrow(context.Context, string, string, int64, int64) (Loan, error) {
-	return c.loan, nil
-}
+func (c *courier) Borrow(context.Context, string, LoanRequest) (Loan, error) { return c.loan, nil }
+
+func (c *courier) Void(context.Context, string, string, uint64) error { return errApart }
 
 func (c *courier) Repay(_ context.Context, _, team string, tokens int64) error {
 	if c.arrives && c.to.Repay("borrower", team, tokens) {
@@ -280,7 +306,7 @@
 		m := newFleetModel(t)
 		actions := []func(*rapid.T){
 			m.reserve, m.reserve, m.reserve, m.reserve, m.update, m.update, m.update, m.settle, m.settle, m.hand, m.hand,
-			m.lend, m.lend, m.stop, m.disturb, m.passSome, m.passSome, m.topUp,
+			m.lend, m.lend, m.void, m.stop, m.disturb, m.passSome, m.passSome, m.topUp,
 		}
 		for range modelSteps {
 			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")](t)
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -14,7 +14,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
 //msgp:tuple request answer entry tokenRequest tokenAnswer loanAnswer Note NotePart
-//msgp:ignore Copy Loan
+//msgp:ignore Copy Loan LoanRequest
 //msgp:limit arrays:4096 maps:0
 
 // Bounds of a message; longer ones are refused.
@@ -43,6 +43,7 @@
 	giftMessage
 	loanMessage
 	repaymentMessage
+	voidMessage
 )
 
 // request is what a router asks of another; the fields in use depend on the kind.
@@ -63,6 +64,8 @@
 	CutOff bool
 	// Least is the least loan that pays the sender's request; Tokens is the most that it wants.
 	Least int64
+	// Loan is the sender's identifier of a loan.
+	Loan uint64
 }
 
 // answer is what a router answers; an empty Refusal means that the request was accepted.
@@ -77,6 +80,15 @@
 	Tokens int64
 }
 
+// LoanRequest asks for a loan of a team's prepaid tokens.
+type LoanRequest struct {
+	Team string
+	// Least is the least that pays the borrower's request, Wanted the most that it takes.
+	Least, Wanted int64
+	// Identifier is one that the borrower's process uses once.
+	Identifier uint64
+}
+
 // Loan is what a router lends of a team's prepaid tokens for a request at another one.
 type Loan struct {
 	// Tokens is what the borrower may use from now on: from the least to the most that it asked for, or nothing.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -489,12 +489,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *tokenRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.Team)
 	o = msgp.AppendInt64(o, z.Tokens)
 	o = msgp.AppendBool(o, z.CutOff)
 	o = msgp.AppendInt64(o, z.Least)
+	o = msgp.AppendUint64(o, z.Loan)
 	return
 }
 
@@ -506,8 +507,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Team, bts, err = msgp.ReadStringBytes(bts)
@@ -530,12 +531,17 @@
 		err = msgp.WrapError(err, "Least")
 		return
 	}
+	z.Loan, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loan")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *tokenRequest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint64Size
 	return
 }
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -49,7 +49,9 @@
 	GiveTokens(from, team string, wanted int64, cutOff bool) int64
 	// LendTokens lends the named instance what a request needs at least, and more if that is free. It may take some time; an
 	// error says that nothing was lent.
-	LendTokens(ctx context.Context, from, team string, least, wanted int64) (Loan, error)
+	LendTokens(ctx context.Context, from string, r LoanRequest) (Loan, error)
+	// VoidLoan takes back a loan that the named instance did not get and never uses, and lends nothing for it any more.
+	VoidLoan(from, team string, identifier uint64) bool
 	// RepayTokens takes back what the named instance did not use of its loans.
 	RepayTokens(from, team string, tokens int64) bool
 }
@@ -273,6 +275,8 @@
 		return n.takeTokens(r.Payload, func(g Giver, gift tokenRequest) bool { return g.TakeTokens(from, gift.Team, gift.Tokens) })
 	case repaymentMessage:
 		return n.takeTokens(r.Payload, func(g Giver, gift tokenRequest) bool { return g.RepayTokens(from, gift.Team, gift.Tokens) })
+	case voidMessage:
+		return n.takeTokens(r.Payload, func(g Giver, void tokenRequest) bool { return g.VoidLoan(from, void.Team, void.Loan) })
 	case loanMessage:
 		return n.lendTokens(ctx, from, r.Payload)
 	default:
@@ -310,7 +314,9 @@
 	if !ok || asked.Least <= 0 || asked.Least > asked.Tokens {
 		return answer{Refusal: ErrMalformed.Error()}
 	}
-	loan, err := giver.LendTokens(ctx, from, asked.Team, asked.Least, asked.Tokens)
+	loan, err := giver.LendTokens(ctx, from, LoanRequest{
+		Team: asked.Team, Least: asked.Least, Wanted: asked.Tokens, Identifier: asked.Loan,
+	})
 	if err != nil {
 		return answer{Refusal: refusalText(err)}
 	}
--- a/fleet/peer/pinned_test.go
+++ b/fleet/peer/pinned_test.go
@@ -17,6 +17,8 @@
 	mu     sync.Mutex
 	tokens int64
 	cutOff bool
+	// loan is the newest loan's identifier.
+	loan uint64
 }
 
 // contents returns the tokens, and whether the last one that asked was cut off.
@@ -46,20 +48,28 @@
 }
 
 // LendTokens lends nothing of a team that it doesn't know.
-func (p *purse) LendTokens(_ context.Context, _, team string, least, wanted int64) (Loan, error) {
-	if team == "unknown" {
+func (p *purse) LendTokens(_ context.Context, _ string, r LoanRequest) (Loan, error) {
+	if r.Team == "unknown" {
 		return Loan{}, errors.New("unknown team")
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.tokens < least {
+	if p.tokens < r.Least {
 		return Loan{Spent: true, CutOff: true}, nil
 	}
-	lent := min(p.tokens, wanted)
+	lent := min(p.tokens, r.Wanted)
+	p.loan = r.Identifier
 	p.tokens -= lent
 	return Loan{Tokens: lent}, nil
 }
 
+// VoidLoan voids the newest loan.
+func (p *purse) VoidLoan(_, _ string, identifier uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return identifier == p.loan
+}
+
 func (p *purse) RepayTokens(_, team string, tokens int64) bool {
 	return p.TakeTokens("", team, tokens)
 }
@@ -99,20 +109,25 @@
 		assert.Fails(t, asker.GiveTokens(t.Context(), giver, "", 5))
 	})
 	t.Run("lent and repaid", func(t *testing.T) {
-		loan, err := asker.BorrowTokens(t.Context(), giver, "studio", 3, 4)
+		borrow := func(team string, least int64) (Loan, error) {
+			return asker.BorrowTokens(t.Context(), giver, LoanRequest{Team: team, Least: least, Wanted: 4, Identifier: 7})
+		}
+		loan, err := borrow("studio", 3)
 		assert.NoError(t, err)
 		assert.Equal(t, Loan{Tokens: 4}, loan)
-		loan, err = asker.BorrowTokens(t.Context(), giver, "studio", 4, 4)
+		assert.NoError(t, asker.VoidLoan(t.Context(), giver, "studio", 7))
+		assert.Fails(t, asker.VoidLoan(t.Context(), giver, "studio", 8))
+		loan, err = borrow("studio", 4)
 		assert.NoError(t, err)
 		assert.Equal(t, Loan{Spent: true, CutOff: true}, loan)
 		assert.NoError(t, asker.RepayTokens(t.Context(), giver, "studio", 3))
 		tokens, _ := rich.contents()
 		assert.Equal(t, int64(4), tokens)
 		assert.Fails(t, asker.RepayTokens(t.Context(), giver, "", 3))
-		_, err = asker.BorrowTokens(t.Context(), giver, "unknown", 4, 4)
+		_, err = borrow("unknown", 4)
 		assert.ErrorIs(t, err, ErrRefused)
 		for _, least := range []int64{-4, 0, 5} {
-			_, err = asker.BorrowTokens(t.Context(), giver, "studio", least, 4)
+			_, err = borrow("studio", least)
 			assert.ErrorIs(t, err, ErrMalformed)
 		}
 	})
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -50,9 +50,9 @@
 }
 
 // BorrowTokens asks another router to pay a request, and for more if that is free. After an error it may have lent tokens
-// that nobody uses.
-func (n *Node) BorrowTokens(ctx context.Context, to Address, team string, least, wanted int64) (Loan, error) {
-	a, err := n.sendTokens(ctx, to, loanMessage, tokenRequest{Team: team, Tokens: wanted, Least: least})
+// that nobody uses; VoidLoan gives them back.
+func (n *Node) BorrowTokens(ctx context.Context, to Address, r LoanRequest) (Loan, error) {
+	a, err := n.sendTokens(ctx, to, loanMessage, tokenRequest{Team: r.Team, Tokens: r.Wanted, Least: r.Least, Loan: r.Identifier})
 	if err != nil {
 		return Loan{}, fmt.Errorf("asking %s for a loan: %w", to.Instance, err)
 	}
@@ -60,12 +60,22 @@
 	if len(a.Entries) != 1 {
 		return Loan{}, ErrMalformed
 	}
-	if rest, err := lent.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || lent.Tokens != 0 && (lent.Tokens < least || lent.Tokens > wanted) {
+	if rest, err := lent.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || lent.Tokens != 0 && (lent.Tokens < r.Least || lent.Tokens > r.Wanted) {
 		return Loan{}, ErrMalformed
 	}
 	return Loan(lent), nil
 }
 
+// VoidLoan tells another router that this one did not get a loan and never uses it.
+func (n *Node) VoidLoan(ctx context.Context, to Address, team string, identifier uint64) error {
+	// The amount is the lender's to know; a message about no tokens is malformed.
+	void := tokenRequest{Team: team, Tokens: 1, Loan: identifier}
+	if _, err := n.sendTokens(ctx, to, voidMessage, void); err != nil {
+		return fmt.Errorf("voiding a loan of %s: %w", to.Instance, err)
+	}
+	return nil
+}
+
 // RepayTokens hands back what was not used of loans. After an error the other router may or may not have it.
 func (n *Node) RepayTokens(ctx context.Context, to Address, team string, tokens int64) error {
 	if _, err := n.sendTokens(ctx, to, repaymentMessage, tokenRequest{Team: team, Tokens: tokens}); err != nil {
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -21,6 +21,10 @@
 const (
 	// shortestAttempt is the least time left with which a request is sent to an endpoint.
 	shortestAttempt = 5 * time.Millisecond
+	// answerMargin is the part of the time left, up to a way between regions and back, by which an endpoint is told to give up
+	// before the router does: so the router hears whether a request that waited there has run.
+	answerMargin = 25 * time.Millisecond
+	answerPart   = 10
 	// mostTried bounds the endpoints that a request tries to reach.
 	mostTried = 5
 	// heldBytes bounds an endpoint's error that is held back while the request is tried elsewhere.
@@ -90,6 +94,7 @@
 	if j.engine != nil && wire.Urgency != "" {
 		header.Set(wire.Urgency, strconv.Itoa(urgency(j.route.Target-time.Since(j.received), j.work, j.priority())))
 	}
+	left -= min(answerMargin, left/answerPart)
 	header.Set(wire.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	return header
 }
--- a/router/gateway/overload.go
+++ b/router/gateway/overload.go
@@ -20,12 +20,16 @@
 	// overloadLag is the lateness that counts as a full load: a plain request takes about ten turns of the processor, so that
 	// it costs the tightest objective of those. overloadLink is the part of the link that does: beyond it bursts wait for long.
 	overloadLag  = 15 * time.Millisecond
-	overloadLink = 0.6
+	overloadLink = 0.5
 	// calmLoad is the load below which a router that was overloaded takes callers again.
 	calmLoad = 0.5
-	// leastShed and leastTaken bound how often it changes its mind: the balancer looks once a second and needs two looks.
-	leastShed  = 2 * time.Second
-	leastTaken = 4 * time.Second
+	// leastTaken is how long a router takes callers before it sends them elsewhere again: the time of an average.
+	leastTaken = 1 * time.Second
+	// leastShed is how long it sends them elsewhere at least, the balancer needs two looks of a second; twice as long each
+	// time that it is overloaded again within againTime, up to longestShed: the same callers would come back.
+	leastShed   = 2 * time.Second
+	longestShed = 32 * time.Second
+	againTime   = 10 * time.Second
 	// sheddingRouters is the least number of routers at which callers are sent elsewhere.
 	sheddingRouters = 3
 )
@@ -40,6 +44,8 @@
 	received, sent float64
 	shed           bool
 	changed        time.Time
+	// shedFor is how long callers are sent elsewhere at least.
+	shedFor time.Duration
 }
 
 // look is what was seen since the look before.
@@ -57,8 +63,12 @@
 	since := now.Sub(o.changed)
 	switch load := o.load(); {
 	case !o.shed && load > 1 && since > leastTaken:
+		if since > againTime {
+			o.shedFor = 0
+		}
+		o.shedFor = min(max(leastShed, 2*o.shedFor), longestShed)
 		o.shed, o.changed = true, now
-	case o.shed && load < calmLoad && since > leastShed:
+	case o.shed && load < calmLoad && since > o.shedFor:
 		o.shed, o.changed = false, now
 	}
 	return o.shed
--- a/router/gateway/overload_test.go
+++ b/router/gateway/overload_test.go
@@ -52,15 +52,22 @@
 			assert.Equal(t, false, loadPlay(unknown, &now, seen, 5*time.Second))
 		}
 	})
-	t.Run("it does not change its mind at once", func(t *testing.T) {
+	t.Run("the same callers that come back are sent elsewhere for longer", func(t *testing.T) {
 		o, now := &overload{}, time.Unix(1_800_000_000, 0)
-		assert.Equal(t, true, lagPlay(o, &now, 200*ms, 2*time.Second))
-		begin := now
-		for lagPlay(o, &now, 0, loadInterval) {
+		var away []time.Duration
+		for range 6 {
+			for !lagPlay(o, &now, 200*ms, loadInterval) {
+			}
+			begin := now
+			for lagPlay(o, &now, 0, loadInterval) {
+			}
+			away = append(away, now.Sub(begin).Truncate(time.Second))
 		}
-		assert.Equal(t, true, now.Sub(begin) >= leastShed-2*time.Second)
-		assert.Equal(t, false, lagPlay(o, &now, 200*ms, 3*time.Second))
-		assert.Equal(t, true, lagPlay(o, &now, 200*ms, 3*time.Second))
+		assert.Equal(t, []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, longestShed, longestShed}, away)
+		lagPlay(o, &now, 0, 2*againTime)
+		for !lagPlay(o, &now, 200*ms, loadInterval) {
+		}
+		assert.Equal(t, leastShed, o.shedFor)
 	})
 }
 
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -73,11 +73,16 @@
 }
 
 // LendTokens implements peer.Giver.
-func (r *Routers) LendTokens(ctx context.Context, from, team string, least, wanted int64) (peer.Loan, error) {
-	loan, err := r.Payer.Lend(ctx, from, team, least, wanted)
+func (r *Routers) LendTokens(ctx context.Context, from string, asked peer.LoanRequest) (peer.Loan, error) {
+	loan, err := r.Payer.Lend(ctx, from, allowance.LoanRequest(asked))
 	return peer.Loan(loan), err
 }
 
+// VoidLoan implements peer.Giver.
+func (r *Routers) VoidLoan(from, team string, identifier uint64) bool {
+	return r.Payer.Void(from, team, identifier)
+}
+
 // RepayTokens implements peer.Giver.
 func (r *Routers) RepayTokens(from, team string, tokens int64) bool {
 	return r.Payer.Repay(from, team, tokens)
@@ -98,15 +103,24 @@
 }
 
 // Borrow implements allowance.Lenders.
-func (r *Routers) Borrow(ctx context.Context, instance, team string, least, wanted int64) (allowance.Loan, error) {
+func (r *Routers) Borrow(ctx context.Context, instance string, asked allowance.LoanRequest) (allowance.Loan, error) {
 	to, err := r.address(instance)
 	if err != nil {
 		return allowance.Loan{}, err
 	}
-	loan, err := r.Node.BorrowTokens(ctx, to, team, least, wanted)
+	loan, err := r.Node.BorrowTokens(ctx, to, peer.LoanRequest(asked))
 	return allowance.Loan(loan), err
 }
 
+// Void implements allowance.Lenders.
+func (r *Routers) Void(ctx context.Context, instance, team string, identifier uint64) error {
+	to, err := r.address(instance)
+	if err != nil {
+		return err
+	}
+	return r.Node.VoidLoan(ctx, to, team, identifier)
+}
+
 // Repay implements allowance.Lenders.
 func (r *Routers) Repay(ctx context.Context, instance, team string, tokens int64) error {
 	to, err := r.address(instance)
