Let routers that can't reach the platform borrow from those that can

Change: a router whose account does not answer asks others for a loan, its own region first, in one order for all; one that can't draw says so at once and is left out for 2 s.

--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -39,6 +39,8 @@
 	// Holders returns the instances that hold a team's shares for this router, the first to ask first; none if this router
 	// holds shares itself.
 	Holders(team string) []string
+	// Others returns the other instances that may lend to a router which can't reach the platform, the first to ask first.
+	Others(team string) []string
 	// Borrow asks the router on the instance for a loan. After an error it may have lent tokens that nobody uses; Void gives
 	// them back, also if it is called several times or before the loan is asked for.
 	Borrow(ctx context.Context, instance string, r LoanRequest) (Loan, error)
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -144,11 +144,17 @@
 
 // pay reserves tokens of a share or, where others hold the team's shares, of loans.
 func (h *Holder) pay(ctx context.Context, team string, most int64) error {
-	if lenders := h.lenders(team); len(lenders) > 0 {
-		err := h.borrowFor(ctx, team, most, lenders)
-		if !errors.Is(err, errNoLender) {
+	lenders := h.lenders(team)
+	patient := len(lenders) > 0
+	if !patient {
+		lenders = h.helpers(team, most)
+	}
+	if len(lenders) > 0 {
+		if err := h.borrowFor(ctx, team, most, lenders, patient); !errors.Is(err, errNoLender) {
 			return err
 		}
+	}
+	if patient {
 		h.drawItself(team)
 	}
 	w, err := h.reserve(team, most)
--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -79,6 +79,16 @@
 	return c.routers.lending
 }
 
+func (c *caller) Others(string) []string {
+	var others []string
+	for i := range len(c.routers.holders) {
+		if name := fmt.Sprintf("router-%d", i); name != c.from {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
 func (c *caller) Borrow(ctx context.Context, instance string, r LoanRequest) (Loan, error) {
 	if c.routers.unreachable(instance) {
 		return Loan{}, errApart
@@ -290,6 +300,22 @@
 			r.t.Error("three requests were refused")
 		})
 	})
+	t.Run("routers that are cut off borrow from those that are not", func(t *testing.T) {
+		play(t, 100_000, 4, func(r *routers) {
+			// The one that seems to hold most is cut off too.
+			r.assertReserves("router-1", 1_000).Settle(1_000)
+			time.Sleep(3 * time.Second)
+			r.logs["router-0"].cut.Store(true)
+			r.logs["router-1"].cut.Store(true)
+			time.Sleep(3 * time.Second)
+			var spent int64
+			for spent < 80_000 {
+				r.assertReserves("router-0", 2_000).Settle(2_000)
+				spent += 2_000
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	})
 	t.Run("parted routers refuse and promise nothing", func(t *testing.T) {
 		play(t, 100_000, 2, func(r *routers) {
 			r.log.SetOutage(true)
--- a/fleet/allowance/loan.go
+++ b/fleet/allowance/loan.go
@@ -13,8 +13,10 @@
 	lendTime = DefaultDrawTimeout / 2
 	// loanTimeout bounds a question for a loan: lendTime and the ways within a region.
 	loanTimeout = lendTime + 50*time.Millisecond
-	// silentLender is how long a router that did not answer is not asked for loans.
+	// silentLender is how long a router that did not answer, or that has nothing and can't draw, is not asked for loans.
 	silentLender = 2 * time.Second
+	// mostLenders bounds the routers that are asked for one request.
+	mostLenders = 3
 	// loanMemory is how long a lender remembers a loan: some times as long as any message about it is under way.
 	loanMemory = 30 * time.Second
 	// directTime is how long a router draws a share of its own after no lender answered.
@@ -43,6 +45,9 @@
 	Least, Wanted int64
 	// Identifier is one that the borrower's process uses once.
 	Identifier uint64
+	// Patient says that the lender holds the team's shares for the borrower, so that it looks for tokens elsewhere too. Another
+	// one answers at once if it can't reach the platform.
+	Patient bool
 }
 
 // Loan is what a router lends of a team's prepaid tokens for a request at another one.
@@ -63,7 +68,11 @@
 	}
 	w, err := h.reserve(r.Team, r.Least)
 	if err == nil && w != nil {
-		err = h.await(ctx, r.Team, w, lendTime)
+		wait := lendTime
+		if !r.Patient && h.cutOff(r.Team) {
+			wait = 0
+		}
+		err = h.await(ctx, r.Team, w, wait)
 	}
 	loan := Loan{Spent: errors.Is(err, ErrSpent), CutOff: h.cutOff(r.Team)}
 	if err == nil {
@@ -175,61 +184,76 @@
 	return h.settings.Lenders.Holders(team)
 }
 
-// borrowFor reserves tokens of loans for a request. It returns errNoLender if this router has to draw itself.
-func (h *Holder) borrowFor(ctx context.Context, team string, most int64, lenders []string) error {
-	lacking := most - h.reserveFree(team, most)
+// helpers returns the routers that may draw for this one if it can't reach the platform and holds too little.
+func (h *Holder) helpers(team string, most int64) []string {
+	if h.settings.Lenders == nil {
+		return nil
+	}
+	h.mu.Lock()
+	needed := h.bookOf(team).stuckLocked(time.Now()) && h.holdingLocked(team).free(h.uptime()) < most
+	h.mu.Unlock()
+	if !needed {
+		return nil
+	}
+	return h.settings.Lenders.Others(team)
+}
+
+// borrowFor reserves tokens of loans for a request. It returns errNoLender if nobody lends and this router may find tokens
+// otherwise.
+func (h *Holder) borrowFor(ctx context.Context, team string, most int64, lenders []string, patient bool) error {
+	own := h.reserveFree(team, most)
+	if own == most {
+		return nil
+	}
+	asked := 0
 	for _, instance := range lenders {
-		if lacking == 0 {
-			return nil
-		}
-		if h.silentUntil(instance).After(time.Now()) {
+		if asked == mostLenders || !h.mayLend(instance) || ctx.Err() != nil {
 			continue
 		}
-		loan, err := h.borrowFrom(ctx, instance, team, lacking)
+		asked++
+		loan, err := h.borrowFrom(ctx, instance, LoanRequest{Team: team, Least: most - own, Patient: patient})
 		switch {
 		case err != nil:
-			continue
 		case loan.Tokens > 0:
 			return nil
-		}
-		h.release(team, most, most-lacking)
-		if loan.Spent {
+		case loan.Spent:
+			h.release(team, most, own)
 			return ErrSpent
+		case patient:
+			h.release(team, most, own)
+			return ErrElsewhere
 		}
-		return ErrElsewhere
-	}
-	if lacking == 0 {
-		return nil
 	}
-	h.release(team, most, most-lacking)
+	h.release(team, most, own)
 	return errNoLender
 }
 
 // borrowFrom asks one router for a loan and reserves it. It goes on if the caller leaves, so that nothing gets lost.
-func (h *Holder) borrowFrom(ctx context.Context, instance, team string, lacking int64) (Loan, error) {
+func (h *Holder) borrowFrom(ctx context.Context, instance string, r LoanRequest) (Loan, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loanTimeout)
 	defer cancel()
-	r := LoanRequest{
-		Team: team, Least: lacking, Wanted: lacking + h.borrowAhead(team, lacking), Identifier: h.nextLoan.Add(1),
-	}
+	r.Wanted, r.Identifier = r.Least+h.borrowAhead(r.Team, r.Least), h.nextLoan.Add(1)
 	loan, err := h.settings.Lenders.Borrow(ctx, instance, r)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
 		h.count(loanFailed)
-		h.voids = append(h.voids, void{instance: instance, team: team, identifier: r.Identifier, since: time.Now()})
+		h.voids = append(h.voids, void{instance: instance, team: r.Team, identifier: r.Identifier, since: time.Now()})
 		h.silent[instance] = time.Now().Add(silentLender)
-		h.settings.Logger.WithFields(log.Fields{fieldFrom: instance, fieldTeam: team, fieldWanted: lacking}).WithError(err).Warn("loan not had")
+		h.settings.Logger.WithFields(log.Fields{fieldFrom: instance, fieldTeam: r.Team, fieldWanted: r.Least}).WithError(err).Warn("loan not had")
 		return loan, err
 	}
+	if loan.CutOff && loan.Tokens == 0 && !r.Patient {
+		h.silent[instance] = time.Now().Add(silentLender)
+	}
 	if !loan.CutOff {
 		h.reached = time.Now()
 	}
-	held := h.holdingLocked(team)
+	held := h.holdingLocked(r.Team)
 	held.received += loan.Tokens
 	held.lent += loan.Tokens
 	if loan.Tokens > 0 {
-		held.reserved += lacking
+		held.reserved += r.Least
 		h.serveWaitersLocked(held)
 	}
 	return loan, nil
@@ -246,10 +270,11 @@
 	return ahead
 }
 
-func (h *Holder) silentUntil(instance string) time.Time {
+// mayLend reports whether a router is worth asking.
+func (h *Holder) mayLend(instance string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.silent[instance]
+	return time.Now().After(h.silent[instance])
 }
 
 // reserveFree reserves as much of a request as is free and returns that.
--- a/fleet/allowance/property_test.go
+++ b/fleet/allowance/property_test.go
@@ -189,7 +189,7 @@
 	}
 	if lent > 0 {
 		to.holder.settings.Lenders = &courier{loan: Loan{Tokens: lent}}
-		_, _ = to.holder.borrowFrom(context.Background(), from.name, modelTeam, wanted)
+		_, _ = to.holder.borrowFrom(context.Background(), from.name, LoanRequest{Team: modelTeam, Least: wanted})
 		to.holder.settings.Lenders = nil
 		one := &Reservation{holder: to.holder, team: modelTeam, most: wanted}
 		to.open = append(to.open, one)
@@ -227,6 +227,8 @@
 
 func (c *courier) Holders(string) []string { return []string{"lender"} }
 
+func (c *courier) Others(string) []string { return nil }
+
 func (c *courier) Borrow(context.Context, string, LoanRequest) (Loan, error) { return c.loan, nil }
 
 func (c *courier) Void(context.Context, string, string, uint64) error { return errApart }
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -66,6 +66,8 @@
 	Least int64
 	// Loan is the sender's identifier of a loan.
 	Loan uint64
+	// Patient says that the receiver holds the team's shares for the sender.
+	Patient bool
 }
 
 // answer is what a router answers; an empty Refusal means that the request was accepted.
@@ -87,6 +89,8 @@
 	Least, Wanted int64
 	// Identifier is one that the borrower's process uses once.
 	Identifier uint64
+	// Patient says that the lender holds the team's shares for the borrower, and looks for tokens elsewhere too.
+	Patient bool
 }
 
 // Loan is what a router lends of a team's prepaid tokens for a request at another one.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -489,13 +489,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *tokenRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Team)
 	o = msgp.AppendInt64(o, z.Tokens)
 	o = msgp.AppendBool(o, z.CutOff)
 	o = msgp.AppendInt64(o, z.Least)
 	o = msgp.AppendUint64(o, z.Loan)
+	o = msgp.AppendBool(o, z.Patient)
 	return
 }
 
@@ -507,8 +508,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Team, bts, err = msgp.ReadStringBytes(bts)
@@ -536,12 +537,17 @@
 		err = msgp.WrapError(err, "Loan")
 		return
 	}
+	z.Patient, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Patient")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *tokenRequest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize
 	return
 }
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -315,7 +315,7 @@
 		return answer{Refusal: ErrMalformed.Error()}
 	}
 	loan, err := giver.LendTokens(ctx, from, LoanRequest{
-		Team: asked.Team, Least: asked.Least, Wanted: asked.Tokens, Identifier: asked.Loan,
+		Team: asked.Team, Least: asked.Least, Wanted: asked.Tokens, Identifier: asked.Loan, Patient: asked.Patient,
 	})
 	if err != nil {
 		return answer{Refusal: refusalText(err)}
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -52,7 +52,8 @@
 // BorrowTokens asks another router to pay a request, and for more if that is free. After an error it may have lent tokens
 // that nobody uses; VoidLoan gives them back.
 func (n *Node) BorrowTokens(ctx context.Context, to Address, r LoanRequest) (Loan, error) {
-	a, err := n.sendTokens(ctx, to, loanMessage, tokenRequest{Team: r.Team, Tokens: r.Wanted, Least: r.Least, Loan: r.Identifier})
+	asked := tokenRequest{Team: r.Team, Tokens: r.Wanted, Least: r.Least, Loan: r.Identifier, Patient: r.Patient}
+	a, err := n.sendTokens(ctx, to, loanMessage, asked)
 	if err != nil {
 		return Loan{}, fmt.Errorf("asking %s for a loan: %w", to.Instance, err)
 	}
--- a/router/gateway/holders.go
+++ b/router/gateway/holders.go
@@ -58,14 +58,40 @@
 			before = append(before, r)
 		}
 	}
-	slices.SortFunc(before, func(a, b peer.Router) int {
+	sortForTeam(team, before)
+	return instances(before[:min(lendingRouters, len(before))])
+}
+
+// othersOf returns the other routers, those of the same region first: one that can't reach the platform asks them to draw.
+// All routers agree on the order within a region, so that one of them draws for all.
+func othersOf(team string, self peer.Router, routers []peer.Router) []string {
+	var near, far []peer.Router
+	for _, r := range routers {
+		switch {
+		case r.Instance == self.Instance:
+		case r.Region == self.Region:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	sortForTeam(team, near)
+	sortForTeam(team, far)
+	return instances(append(near, far...))
+}
+
+func sortForTeam(team string, routers []peer.Router) {
+	slices.SortFunc(routers, func(a, b peer.Router) int {
 		return cmp.Or(cmp.Compare(rankForTeam(team, b), rankForTeam(team, a)), cmp.Compare(a.Instance, b.Instance))
 	})
-	var instances []string
-	for _, r := range before[:min(lendingRouters, len(before))] {
-		instances = append(instances, r.Instance)
+}
+
+func instances(routers []peer.Router) []string {
+	var names []string
+	for _, r := range routers {
+		names = append(names, r.Instance)
 	}
-	return instances
+	return names
 }
 
 // rankForTeam is the weighted rendezvous score of a router: routers are first in proportion to their capacity.
--- a/router/gateway/holders_test.go
+++ b/router/gateway/holders_test.go
@@ -72,6 +72,19 @@
 		// Ten of thirty routers have two thirds of the capacity.
 		assert.Equal(t, true, large > 300*55/100 && large < 300*78/100)
 	})
+	t.Run("a router that is cut off asks its region first, in one order", func(t *testing.T) {
+		routers := testRouters(7)
+		first, second := othersOf("studio", routers[0], routers), othersOf("studio", routers[2], routers)
+		assert.Equal(t, len(routers)-1, len(first))
+		regions := make(map[string]string)
+		for _, r := range routers {
+			regions[r.Instance] = r.Region
+		}
+		for i, instance := range first {
+			assert.Equal(t, i < 3, regions[instance] == routers[0].Region)
+		}
+		assert.Equal(t, first[3:], second[3:])
+	})
 	t.Run("a choice lasts until the roster changes", func(t *testing.T) {
 		roster, chosen := &peer.Roster{}, &holders{}
 		routers := testRouters(sharingRouters + 1)
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -93,6 +93,9 @@
 	return r.holders.of(team, r.Self, r.Roster)
 }
 
+// Others implements allowance.Lenders.
+func (r *Routers) Others(team string) []string { return othersOf(team, r.Self, r.Roster.All()) }
+
 // address returns where an instance is reached.
 func (r *Routers) address(instance string) (peer.Address, error) {
 	listed, ok := r.Roster.Router(instance)
