Learn of restarted routers from other routers while the platform is out of reach; lend while leaving

Change: a router that can't read the roster takes it from one that can; routers lend until they return their shares.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -110,6 +110,9 @@
 
 // Return gives all shares back, to the accounts or else to other routers. No request may be in progress or come.
 func (h *Holder) Return(ctx context.Context) error {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
 	if h.settings.Lenders != nil {
 		h.repay(ctx, 0)
 	}
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -84,6 +84,8 @@
 	mean float64
 	// leaving says that the router ends soon: it keeps little and takes nothing over.
 	leaving bool
+	// ended says that it returns what it holds: it lends no more.
+	ended bool
 	// reached is when a call to the platform last succeeded, here or at a router that lends.
 	reached time.Time
 	// silent is until when a router is not asked for loans.
--- a/fleet/allowance/loan.go
+++ b/fleet/allowance/loan.go
@@ -32,8 +32,8 @@
 )
 
 var (
-	// errLeaving is the cause of loans that a router which ends soon doesn't give.
-	errLeaving = errors.New("router is leaving")
+	// errEnded is the cause of loans that a router which has returned its shares doesn't give.
+	errEnded = errors.New("shares are returned")
 	// errNoLender reports that no router that holds shares of a team answers.
 	errNoLender = errors.New("no router that holds the team's shares answers")
 )
@@ -63,8 +63,8 @@
 // Lend pays a request of another router from this one's share, drawing if it must, and lends more if that is free. What is
 // lent counts as used here until it is repaid. An error says that this router lends nothing for now.
 func (h *Holder) Lend(ctx context.Context, from string, r LoanRequest) (Loan, error) {
-	if h.isLeaving() {
-		return Loan{}, errLeaving
+	if h.hasEnded() {
+		return Loan{}, errEnded
 	}
 	w, err := h.reserve(r.Team, r.Least)
 	if err == nil && w != nil {
@@ -152,7 +152,7 @@
 func (h *Holder) Repay(from, team string, tokens int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.leaving {
+	if h.ended {
 		return false
 	}
 	held := h.holdingLocked(team)
@@ -163,10 +163,10 @@
 	return true
 }
 
-func (h *Holder) isLeaving() bool {
+func (h *Holder) hasEnded() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.leaving
+	return h.ended
 }
 
 // cutOff reports whether a team's account seems to be out of reach.
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -44,6 +44,7 @@
 	loanMessage
 	repaymentMessage
 	voidMessage
+	rosterMessage
 )
 
 // request is what a router asks of another; the fields in use depend on the kind.
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -56,6 +57,12 @@
 	RepayTokens(from, team string, tokens int64) bool
 }
 
+// Lister tells what it knows of the site's routers. A handler that implements it is asked for them.
+type Lister interface {
+	// ListRouters returns the routers; false if this router can't read the newest entries itself.
+	ListRouters() ([]Router, bool)
+}
+
 // Listener takes notes in. A handler that implements it is told of them.
 type Listener interface {
 	TakeNote(from string, note Note)
@@ -275,6 +282,8 @@
 		return n.takeTokens(r.Payload, func(g Giver, gift tokenRequest) bool { return g.TakeTokens(from, gift.Team, gift.Tokens) })
 	case repaymentMessage:
 		return n.takeTokens(r.Payload, func(g Giver, gift tokenRequest) bool { return g.RepayTokens(from, gift.Team, gift.Tokens) })
+	case rosterMessage:
+		return n.listRouters()
 	case voidMessage:
 		return n.takeTokens(r.Payload, func(g Giver, void tokenRequest) bool { return g.VoidLoan(from, void.Team, void.Loan) })
 	case loanMessage:
@@ -284,6 +293,18 @@
 	}
 }
 
+func (n *Node) listRouters() answer {
+	lister, ok := n.handler.(Lister)
+	if !ok {
+		return answer{Refusal: ErrMalformed.Error()}
+	}
+	routers, ok := lister.ListRouters()
+	if !ok {
+		return answer{Refusal: ErrRefused.Error()}
+	}
+	return single(json.Marshal(routers))
+}
+
 // readTokens returns the handler and the request of a message about tokens.
 func (n *Node) readTokens(payload []byte) (Giver, tokenRequest, bool) {
 	giver, ok := n.handler.(Giver)
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"time"
@@ -106,6 +107,19 @@
 	return nil
 }
 
+// FetchRouters returns the entries of the site's routers as another one reads them.
+func (n *Node) FetchRouters(ctx context.Context, to Address) ([]Router, error) {
+	a, err := n.ask(ctx, to, request{Kind: rosterMessage})
+	if err != nil {
+		return nil, fmt.Errorf("fetching the routers from %s: %w", to.Instance, err)
+	}
+	var routers []Router
+	if len(a.Entries) != 1 || json.Unmarshal(a.Entries[0].Payload, &routers) != nil {
+		return nil, ErrMalformed
+	}
+	return routers, nil
+}
+
 // SendNote tells another router of a prompt. It may be lost.
 func (n *Node) SendNote(ctx context.Context, to Address, note Note) error {
 	data, err := note.MarshalMsg(nil)
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +23,11 @@
 const (
 	// rosterPause lies between two reads of the routers' entries: a router that starts is known that late.
 	rosterPause = 1500 * time.Millisecond
+	// rosterTimeout bounds a question for the entries that another router reads: a handshake between regions and an answer of
+	// some KB.
+	rosterTimeout = 300 * time.Millisecond
+	// askedForRoster bounds the routers that are asked in a round.
+	askedForRoster = 2
 	// announceTimeout bounds the write of the router's own entry.
 	announceTimeout = 1 * time.Second
 )
@@ -36,6 +44,8 @@
 	Noted func(peer.Note)
 
 	holders holders
+	// current says that the entries were read at the last try.
+	current atomic.Bool
 
 	// unanswered is when a router last could not be told of a prompt. Only the goroutine that sends notes uses it.
 	unanswered map[string]time.Time
@@ -162,8 +172,11 @@
 		}
 		read, err := f.read(ctx)
 		reach.note(r.Logger, "roster", err)
+		r.current.Store(err == nil)
 		if err == nil {
 			r.take(read)
+		} else {
+			r.askForRoster(ctx)
 		}
 		pause := rosterPause
 		if err != nil || !announced {
@@ -188,6 +201,34 @@
 	return err == nil
 }
 
+// ListRouters implements peer.Lister.
+func (r *Routers) ListRouters() ([]peer.Router, bool) { return r.Roster.All(), r.current.Load() }
+
+// askForRoster takes the entries from another router while the platform can't be reached: without them a router that was
+// started again meanwhile would not be trusted. Who is asked is trusted already, and might have written the entries.
+func (r *Routers) askForRoster(ctx context.Context) {
+	others := slices.DeleteFunc(r.Roster.All(), func(other peer.Router) bool { return other.Instance == r.Self.Instance })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads questions
+	for _, other := range others[:min(askedForRoster, len(others))] {
+		one, cancel := context.WithTimeout(ctx, rosterTimeout)
+		routers, err := r.Node.FetchRouters(one, peer.Address{Instance: other.Instance, Address: other.Address})
+		cancel()
+		if err != nil {
+			continue
+		}
+		before := r.Roster.Changes()
+		for _, listed := range routers {
+			if listed.Instance != r.Self.Instance {
+				r.Roster.Put(listed)
+			}
+		}
+		if after := r.Roster.Changes(); after != before {
+			r.Logger.WithFields(log.Fields{"From": other.Instance, "Changes": after - before}).Info("roster taken from another router")
+		}
+		return
+	}
+}
+
 // take folds a batch into the roster. An entry that can't be read is left out.
 func (r *Routers) take(read batch) {
 	for _, record := range read.records {
--- /dev/null
+++ b/router/gateway/routers_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+)
+
+// cutLog is a way to a log that can be cut off.
+type cutLog struct {
+	*keyed.KeyedLog
+
+	cut atomic.Bool
+}
+
+func (l *cutLog) Newest(ctx context.Context, topic string, partition int) (platform.KeyedState, error) {
+	if l.cut.Load() {
+		return platform.KeyedState{}, platform.ErrUnavailable
+	}
+	return l.KeyedLog.Newest(ctx, topic, partition)
+}
+
+func (l *cutLog) ReadKeyed(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (platform.KeyedTail, error) {
+	if l.cut.Load() {
+		return platform.KeyedTail{}, platform.ErrUnavailable
+	}
+	return l.KeyedLog.ReadKeyed(ctx, topic, partition, from, wait)
+}
+
+// startRouters starts a router's end on loopback.
+func startRouters(ctx context.Context, t *testing.T, instance string, way platform.KeyedLog) *Routers {
+	t.Helper()
+	logger := &log.Logger{Handler: discard.New()}
+	r, err := NewRouters(peer.Router{Instance: instance, Address: "127.0.0.1:0"}, way, logger, metrics.NewRegistry())
+	assert.Must(t, err)
+	r.Self.Address, err = r.Node.Listen(ctx)
+	assert.Must(t, err)
+	go func() { _ = r.Node.Run(ctx) }()
+	go func() { _ = r.Run(ctx) }()
+	return r
+}
+
+// await polls until a condition holds; the test's own deadline bounds it.
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("the condition never held")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// TestRosterFromAnotherRouter starts a router again while another one can't read the platform.
+func TestRosterFromAnotherRouter(t *testing.T) {
+	shared := &keyed.KeyedLog{}
+	cut := &cutLog{KeyedLog: shared}
+	first := startRouters(t.Context(), t, "a", cut)
+	former, stop := context.WithCancel(t.Context())
+	startRouters(former, t, "b", shared)
+	other := startRouters(t.Context(), t, "c", shared)
+	await(t, func() bool { return first.Roster.Len() == 3 && other.Roster.Len() == 3 })
+	cut.cut.Store(true)
+	stop()
+	again := startRouters(t.Context(), t, "b", shared)
+	await(t, func() bool {
+		listed, _ := first.Roster.Router("b")
+		return listed.Fingerprint == again.Self.Fingerprint
+	})
+	_, current := first.ListRouters()
+	assert.Equal(t, false, current)
+	_, err := other.Node.FetchRouters(t.Context(), peer.Address{Instance: "a", Address: first.Self.Address})
+	assert.ErrorIs(t, err, peer.ErrRefused)
+}
