Draw for all requests that were refused and come again

Cause: a router that lends while its store is slow refused the loans of one that was cut off, and then drew for the largest of them only. Change: the requests refused in the last seconds add up, to 32 mean requests at most. TestRefusedComeAgain: 1,000 tokens before, 5,000 after five refusals of 1,000.

--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -66,7 +66,8 @@
 	}
 	if given == 0 && cutOff && !h.leaving {
 		// The other router asks again, when this one has drawn for it.
-		held.keepFor(wanted, askedTime)
+		now := time.Now()
+		held.keepFor(now, max(held.keptFor(now), wanted), askedTime)
 		h.bookOf(team).wake()
 	}
 	if given == 0 {
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -34,6 +34,9 @@
 const (
 	// meanRequests is the number of requests over which their size is averaged.
 	meanRequests = 50
+	// refusedRequests bounds, in mean requests, what is drawn for those that were refused and come again: some seconds of
+	// one team at a router that can't draw itself.
+	refusedRequests = 32
 	// firstBurst is the number of mean requests of a team that is idle at this router for which a pledge leaves room.
 	firstBurst = 3
 )
@@ -253,7 +256,10 @@
 	if h.surelySpentLocked(held, team, most) {
 		return ErrSpent
 	}
-	held.keepFor(most, 2*recallTime)
+	// Each of those that are refused comes again.
+	now := time.Now()
+	again := min(held.keptFor(now)+most, int64(refusedRequests*h.mean))
+	held.keepFor(now, max(again, most), 2*recallTime)
 	return ErrElsewhere
 }
 
--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -328,6 +328,35 @@
 	})
 }
 
+// TestRefusedComeAgain checks that a router draws for all requests that were refused and come again, within a bound.
+func TestRefusedComeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHolder(&memory.KeyedLog{}, Settings{Holder: "router/1", Logger: &log.Logger{Handler: discard.New()}})
+		c := &site.Configuration{Version: 1, Teams: []site.Team{{Name: "studio", Prepaid: 1_000_000, HasPrepaid: true}}}
+		c.Index()
+		h.Configure(c)
+		held := h.holdingLocked("studio")
+		wanted := func() int64 { return h.positionLocked(held, &c.Teams[0], false).Wanted }
+		refuse := func(n int) {
+			for range n {
+				w, err := h.reserve("studio", 1_000)
+				assert.Must(t, err)
+				assert.Equal(t, true, h.giveUp("studio", w))
+				assert.ErrorIs(t, h.refuse("studio", 1_000), ErrElsewhere)
+			}
+		}
+		for range 10 * meanRequests {
+			h.noteMean(1_000)
+		}
+		refuse(5)
+		assert.Equal(t, int64(5_000), wanted())
+		refuse(2 * refusedRequests)
+		assert.Equal(t, int64(refusedRequests*h.mean), wanted())
+		time.Sleep(3 * recallTime)
+		assert.Equal(t, int64(0), wanted())
+	})
+}
+
 func TestReturn(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/fleet/allowance/holding.go
+++ b/fleet/allowance/holding.go
@@ -81,14 +81,18 @@
 	return false
 }
 
-// keepFor draws for a request that comes again within some time.
-func (held *holding) keepFor(most int64, wait time.Duration) {
-	now := time.Now()
+// keepFor draws for requests that come again within some time.
+func (held *holding) keepFor(now time.Time, asked int64, wait time.Duration) {
+	held.asked = asked
+	held.askedUntil = now.Add(wait)
+}
+
+// keptFor returns what is drawn for requests that come again.
+func (held *holding) keptFor(now time.Time) int64 {
 	if now.After(held.askedUntil) {
-		held.asked = 0
+		return 0
 	}
-	held.asked = max(held.asked, most)
-	held.askedUntil = now.Add(wait)
+	return held.asked
 }
 
 // noteDemand remembers the largest request of the last largestMemory.
