--- a/standin/docs_test.go
+++ b/standin/docs_test.go
@@ -75,6 +75,10 @@
 					start router-3 mindanao-a mindanao-a3 127.0.0.1:21303 127.0.0.1:21403 127.0.0.1:21503
 					standin wait http://127.0.0.1:21402/readyz http://127.0.0.1:21403/readyz`,
 				"First tickets 1": `for f in tickets/[123]-*; do dragonflyctl ticket submit $f; done`,
+				// A router that has not read the bill yet says that the request may be running.
+				"First tickets 3": `
+					until curl -s 127.0.0.1:21302/deposits/7 -H 'Authorization: Bearer demo-key-luzon' \
+						-H 'Idempotency-Key: deposit-7' -d '{}' | grep -q request_already_ran; do sleep 0.1; done`,
 				"Freeze and lower 1": `curl -s 127.0.0.1:21301/deposits/8 -H 'Authorization: Bearer demo-key-cebu' \
 					-H 'Dragonfly-Budget: studio-cebu-main' -H 'Idempotency-Key: deposit-8' -d '{}'`,
 				"Replace an instance 1": `
