--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -18,9 +18,10 @@
 	// configurationPause lies between two reads, so that changes in quick succession are decoded once.
 	configurationPause = 100 * time.Millisecond
 	// directoryWait is how long a read of the endpoints' entries waits for a change, directoryPause lies between two reads:
-	// parts of the time in which an endpoint that leaves must get no new requests.
+	// parts of the time in which an endpoint that leaves must get no new requests. Endpoints write about once a second each,
+	// so that the pause sets how often routers read.
 	directoryWait  = 1 * time.Second
-	directoryPause = 100 * time.Millisecond
+	directoryPause = 300 * time.Millisecond
 	// callMargin is what a call to the platform may take beyond its wait.
 	callMargin = 800 * time.Millisecond
 	// failurePause lies between a failed call and the next.
