--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -12,7 +12,7 @@
 	DefaultHorizon = 30 * time.Second
 	// DefaultReach is the part of what remains that all shares together should hold. The rest outlives the loss of every
 	// router at once.
-	DefaultReach = 0.45
+	DefaultReach = 0.33
 	// DefaultIdlePart is the part of the reach that routers split evenly while a team is idle everywhere.
 	DefaultIdlePart = 0.5
 )
--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -22,6 +22,9 @@
 
 // callerConnections are the open connections of callers.
 type callerConnections struct {
+	// socket accepts new ones.
+	socket net.Listener
+
 	mu   sync.Mutex
 	open map[net.Conn]http.ConnState
 }
@@ -40,9 +43,10 @@
 	c.open[connection] = state
 }
 
-// closeIdle closes idle connections until none is open or the context ends. Unlike http.Server.Shutdown it leaves a
-// connection alone on which a request has arrived that the server has not read yet.
-func (c *callerConnections) closeIdle(ctx context.Context) {
+// leave accepts no more connections and closes idle ones until none is open or the context ends. Unlike
+// http.Server.Shutdown it leaves a connection alone on which a request has arrived that the server has not read yet.
+func (c *callerConnections) leave(ctx context.Context) {
+	_ = c.socket.Close()
 	for ctx.Err() == nil {
 		idle, open := c.idle(time.Now())
 		for _, connection := range idle {
--- a/router/gateway/lines_test.go
+++ b/router/gateway/lines_test.go
@@ -42,6 +42,7 @@
 			_, _ = lines.Write([]byte("line\n"))
 		}
 		time.Sleep(2 * gatherTime)
+		synctest.Wait()
 		assert.Equal(t, 1, out.writes)
 		_, _ = lines.Write([]byte("last\n"))
 		lines.Close()
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -27,11 +27,12 @@
 	// headerBytesHard is where net/http itself gives up on headers; above what operators allow.
 	headerBytesHard = 1 << 20
 	// leaveDelay is how long a router that was told to stop goes on as before: two looks of the balancer and a caller's
-	// connection on its way.
-	leaveDelay = 3 * time.Second
+	// connection on its way. With the time until idle connections are closed it is below the 3 s after which operators allow
+	// no new requests that are cut off at the end.
+	leaveDelay = 2400 * time.Millisecond
 	// settingsPause lies between two looks at whether the settings changed.
 	settingsPause = 2 * time.Second
-	// lastTime is the part of the grace in which no new connections are accepted any more.
+	// lastTime is the part of the grace in which the server shuts down.
 	lastTime = 1 * time.Second
 	// endMargin is the part of the grace that is left for returning shares.
 	endMargin = 1100 * time.Millisecond
@@ -91,6 +92,7 @@
 		}
 		if l.server == callers {
 			socket = callerListener{Listener: socket, traffic: &n.Board.Traffic}
+			n.callers.socket = socket
 		}
 		loops.Go(func() error { return serve(l.server, socket) })
 	}
@@ -126,7 +128,7 @@
 }
 
 func serve(server *http.Server, socket net.Listener) error {
-	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
@@ -165,7 +167,7 @@
 	n.Logger.Info("settings reloaded")
 }
 
-// end tells the balancer at once, serves on until it has heard, closes idle connections, finishes the requests in progress
+// end tells the balancer at once, serves on until it has heard, takes no more connections, finishes the requests in progress
 // and returns the shares.
 func (n *Node) end(ctx context.Context, callers *http.Server, stopPayer context.CancelFunc, paying *errgroup.Group) {
 	n.Board.Leaving.Store(true)
@@ -173,7 +175,7 @@
 	until := time.Now().Add(n.Settings.Grace - endMargin)
 	sleep(ctx, leaveDelay)
 	closing, cancelClosing := context.WithDeadline(ctx, until.Add(-lastTime))
-	n.callers.closeIdle(closing)
+	n.callers.leave(closing)
 	cancelClosing()
 	grace, cancel := context.WithDeadline(context.WithoutCancel(ctx), until)
 	defer cancel()
