Drop endpoints that lapse after an outage in time

Cause: an entry that is removed within 2.2 s after an outage's end was kept for 2.2 s from its removal, and dropped only with the next read. Ruled out: the pause between reads, now 0.3 s, adds to it but 0.1 s would have been late too. Change: the time counts from the outage's end; the reader wakes when it is over; while reads fail they take 0.6 s at most in place of 1.8 s, so that the end of an outage is seen within the time after which rules hold again. The new case of TestDirectories fails without it.

--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -49,8 +49,8 @@
 // Endpoints returns those of a service that may get new requests.
 func (d *Directory) Endpoints(service string) []Endpoint { return d.services[service] }
 
-// ReturnGrace is how long after an outage of the platform an entry that lapsed may be missing: endpoints write their
-// entries again within about two seconds of the platform's return.
+// ReturnGrace is how long after the end of an outage of the platform an entry that lapsed may be missing: endpoints write
+// their entries again within about two seconds of the platform's return.
 const ReturnGrace = 2200 * time.Millisecond
 
 // Register folds the endpoints' entries into a directory. Its zero value is empty.
@@ -87,8 +87,9 @@
 		return false
 	}
 	delete(r.entries, name)
-	if e.State == EndpointReady && (r.away || now.Sub(r.returned) < ReturnGrace) {
-		r.lapsed[name] = lapsedEntry{endpoint: e, until: now.Add(ReturnGrace)}
+	if until := r.returned.Add(ReturnGrace); e.State == EndpointReady && (r.away || now.Before(until)) {
+		// In an outage the time counts from its end.
+		r.lapsed[name] = lapsedEntry{endpoint: e, until: until}
 	}
 	return true
 }
@@ -125,7 +126,7 @@
 func (r *Register) Expire(now time.Time) bool {
 	changed := false
 	for name, lapsed := range r.lapsed {
-		if !r.away && now.After(lapsed.until) {
+		if !r.away && !now.Before(lapsed.until) {
 			delete(r.lapsed, name)
 			changed = true
 		}
@@ -133,6 +134,17 @@
 	return changed
 }
 
+// NextExpiry returns when the next lapsed entry is dropped; false if none will be for now.
+func (r *Register) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for _, lapsed := range r.lapsed {
+		if !r.away && (next.IsZero() || lapsed.until.Before(next)) {
+			next = lapsed.until
+		}
+	}
+	return next, !next.IsZero()
+}
+
 // Directory returns the endpoints that may get new requests.
 func (r *Register) Directory() *Directory {
 	var endpoints []Endpoint
--- a/fleet/site/directory_test.go
+++ b/fleet/site/directory_test.go
@@ -46,7 +46,7 @@
 		assert.Equal(t, true, r.Replace(begin.Add(8*time.Second), []Endpoint{two}))
 		assertListed(t, r, "one", "two")
 		assert.Equal(t, false, r.Expire(begin.Add(9*time.Second)))
-		assert.Equal(t, true, r.Expire(begin.Add(8*time.Second+ReturnGrace+1)))
+		assert.Equal(t, true, r.Expire(begin.Add(8*time.Second+ReturnGrace)))
 		assertListed(t, r, "two")
 	})
 	t.Run("an entry that is written again stays", func(t *testing.T) {
@@ -68,6 +68,21 @@
 		r.Remove(begin, "one")
 		assertListed(t, r)
 	})
+	t.Run("an entry that lapses after the platform's return stays no longer than the others", func(t *testing.T) {
+		r := &Register{}
+		r.Put(one)
+		r.Away(begin, true)
+		r.Away(begin.Add(8*time.Second), false)
+		r.Remove(begin.Add(10*time.Second), "one")
+		assertListed(t, r, "one")
+		until, ok := r.NextExpiry()
+		assert.Equal(t, true, ok)
+		assert.Equal(t, begin.Add(8*time.Second+ReturnGrace), until)
+		assert.Equal(t, true, r.Expire(until))
+		assertListed(t, r)
+		_, ok = r.NextExpiry()
+		assert.Equal(t, false, ok)
+	})
 	t.Run("without an outage an entry that is gone is gone", func(t *testing.T) {
 		r := &Register{}
 		r.Replace(begin, []Endpoint{one, two})
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -24,8 +24,10 @@
 	directoryPause = 300 * time.Millisecond
 	// callMargin is what a call to the platform may take beyond its wait.
 	callMargin = 800 * time.Millisecond
-	// failurePause lies between a failed call and the next.
-	failurePause = 150 * time.Millisecond
+	// failurePause lies between a failed call and the next, which takes no longer than failureTimeout: the end of an outage is
+	// seen within their sum.
+	failurePause   = 150 * time.Millisecond
+	failureTimeout = 600 * time.Millisecond
 )
 
 // Source tells where the platform keeps what a follower reads, and how to read it.
@@ -47,6 +49,8 @@
 	wait  time.Duration
 	next  int64
 	begun bool
+	// failed says that the last read had no answer.
+	failed bool
 }
 
 // batch is what a read brought: the newest record of each key, or the records since the last read.
@@ -56,8 +60,19 @@
 }
 
 func (f *follower) read(ctx context.Context) (batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+callMargin)
+	wait, timeout := f.wait, f.wait+callMargin
+	if f.failed {
+		wait, timeout = 0, failureTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	read, err := f.call(ctx, wait)
+	f.failed = err != nil && !errors.Is(err, platform.ErrTrimmed)
+	return read, err
+}
+
+// call reads what is next.
+func (f *follower) call(ctx context.Context, wait time.Duration) (batch, error) {
 	if !f.begun {
 		state, err := f.log.Newest(ctx, f.topic, 0)
 		if err != nil {
@@ -66,7 +81,7 @@
 		f.begun, f.next = true, state.End
 		return batch{records: state.Records, whole: true}, nil
 	}
-	tail, err := f.log.ReadKeyed(ctx, f.topic, 0, f.next, f.wait)
+	tail, err := f.log.ReadKeyed(ctx, f.topic, 0, f.next, wait)
 	if errors.Is(err, platform.ErrTrimmed) {
 		f.begun = false
 	}
@@ -141,9 +156,10 @@
 
 // Run follows the endpoints' entries until the context ends.
 func (d *Directories) Run(ctx context.Context) error {
-	f := &follower{log: d.Source.Log, topic: d.Source.DirectoryTopic, wait: directoryWait}
+	f := &follower{log: d.Source.Log, topic: d.Source.DirectoryTopic}
 	var reach reachability
 	for ctx.Err() == nil {
+		f.wait = d.untilExpiry(directoryWait)
 		read, err := f.read(ctx)
 		reach.note(d.Logger, "directory", err)
 		now := time.Now()
@@ -155,7 +171,7 @@
 		if changed {
 			d.Board.Directory.Store(d.register.Directory())
 		}
-		pause := directoryPause
+		pause := d.untilExpiry(directoryPause)
 		if err != nil {
 			pause = failurePause
 		}
@@ -164,6 +180,15 @@
 	return nil
 }
 
+// untilExpiry shortens a wait to the time until the next lapsed entry is dropped.
+func (d *Directories) untilExpiry(wait time.Duration) time.Duration {
+	next, ok := d.register.NextExpiry()
+	if !ok {
+		return wait
+	}
+	return max(0, min(wait, time.Until(next)))
+}
+
 // take folds a batch and reports whether the directory changed. An entry that can't be read names no endpoint.
 func (d *Directories) take(now time.Time, read batch) bool {
 	var listed []site.Endpoint
--- a/router/gateway/follow_test.go
+++ b/router/gateway/follow_test.go
@@ -188,6 +188,23 @@
 			f.assertEndpoints("one")
 		})
 	})
+	t.Run("an entry that lapses after an outage is dropped in time", func(t *testing.T) {
+		follow(t, func(f *followed) {
+			f.put("servers", "one", "ready")
+			f.put("servers", "two", "ready")
+			time.Sleep(time.Second)
+			f.log.SetOutage(true)
+			time.Sleep(8 * time.Second)
+			f.log.SetOutage(false)
+			time.Sleep(time.Second)
+			f.put("servers", "two", "")
+			time.Sleep(directoryPause)
+			f.assertEndpoints("one", "two")
+			// Nothing else is written that would wake the reader.
+			time.Sleep(site.ReturnGrace - directoryPause)
+			f.assertEndpoints("one")
+		})
+	})
 	t.Run("history that expired", func(t *testing.T) {
 		follow(t, func(f *followed) {
 			f.put("servers", "one", "ready")
