--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 )
 
 const (
@@ -43,7 +45,7 @@
 	Others(team string) []string
 	// Borrow asks the router on the instance for a loan. After an error it may have lent tokens that nobody uses; Void gives
 	// them back, also if it is called several times or before the loan is asked for.
-	Borrow(ctx context.Context, instance string, r LoanRequest) (Loan, error)
+	Borrow(ctx context.Context, instance string, r peer.LoanRequest) (peer.Loan, error)
 	Void(ctx context.Context, instance, team string, identifier uint64) error
 	// Repay hands back what was not used of loans. After an error the other router may or may not have it.
 	Repay(ctx context.Context, instance, team string, tokens int64) error
--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
@@ -89,14 +90,14 @@
 	return others
 }
 
-func (c *caller) Borrow(ctx context.Context, instance string, r LoanRequest) (Loan, error) {
+func (c *caller) Borrow(ctx context.Context, instance string, r peer.LoanRequest) (peer.Loan, error) {
 	if c.routers.unreachable(instance) {
-		return Loan{}, errApart
+		return peer.Loan{}, errApart
 	}
 	c.routers.loans.Add(1)
 	loan, err := c.routers.holders[instance].Lend(ctx, c.from, r)
 	if c.routers.lost.CompareAndSwap(true, false) {
-		return Loan{}, errApart
+		return peer.Loan{}, errApart
 	}
 	return loan, err
 }
--- a/fleet/allowance/loan_test.go
+++ b/fleet/allowance/loan_test.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
@@ -100,7 +101,7 @@
 		playLoans(t, 10_000, 2, 1, func(r *routers) {
 			lender := r.holders["router-0"]
 			assert.Equal(r.t, true, lender.Void("router-1", "studio", 7))
-			loan, err := lender.Lend(r.t.Context(), "router-1", LoanRequest{Team: "studio", Least: 5, Wanted: 5, Identifier: 7})
+			loan, err := lender.Lend(r.t.Context(), "router-1", peer.LoanRequest{Team: "studio", Least: 5, Wanted: 5, Identifier: 7})
 			assert.NoError(r.t, err)
 			assert.Equal(r.t, int64(0), loan.Tokens)
 		})
@@ -127,7 +128,7 @@
 			lender.Leave()
 			r.assertReserves("router-1", 8_000).Settle(8_000)
 			assert.Must(r.t, lender.Return(r.t.Context()))
-			_, err := lender.Lend(r.t.Context(), "router-1", LoanRequest{Team: "studio", Least: 1, Wanted: 1})
+			_, err := lender.Lend(r.t.Context(), "router-1", peer.LoanRequest{Team: "studio", Least: 1, Wanted: 1})
 			assert.ErrorIs(r.t, err, errEnded)
 			assert.Equal(r.t, false, lender.Repay("router-1", "studio", 1))
 		})
@@ -181,3 +182,22 @@
 		assert.Equal(t, false, h.books[0].due())
 	})
 }
+
+// TestLoansAreForgotten checks that what a lender remembers of loans is bounded by their time.
+func TestLoansAreForgotten(t *testing.T) {
+	playLoans(t, 1_000_000, 2, 1, func(r *routers) {
+		for range 20 {
+			r.assertReserves("router-1", 1_000).Settle(1_000)
+			time.Sleep(100 * time.Millisecond)
+		}
+		lender := r.holders["router-0"]
+		remembered := func() int {
+			lender.mu.Lock()
+			defer lender.mu.Unlock()
+			return len(lender.loans)
+		}
+		assert.Equal(r.t, true, remembered() > 0)
+		time.Sleep(loanMemory + 2*repayPause)
+		assert.Equal(r.t, 0, remembered())
+	})
+}
--- a/fleet/allowance/property_test.go
+++ b/fleet/allowance/property_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 	"pgregory.net/rapid"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -180,7 +181,7 @@
 		return
 	}
 	m.loans++
-	lent := from.holder.lendReserved(to.name, LoanRequest{
+	lent := from.holder.lendReserved(to.name, peer.LoanRequest{
 		Team: modelTeam, Least: wanted, Wanted: wanted + rapid.Int64Range(0, 500).Draw(t, "more"), Identifier: m.loans,
 	})
 	if !rapid.Bool().Draw(t, "arrives") {
@@ -188,8 +189,8 @@
 		return
 	}
 	if lent > 0 {
-		to.holder.settings.Lenders = &courier{loan: Loan{Tokens: lent}}
-		_, _ = to.holder.borrowFrom(context.Background(), from.name, LoanRequest{Team: modelTeam, Least: wanted})
+		to.holder.settings.Lenders = &courier{loan: peer.Loan{Tokens: lent}}
+		_, _ = to.holder.borrowFrom(context.Background(), from.name, peer.LoanRequest{Team: modelTeam, Least: wanted})
 		to.holder.settings.Lenders = nil
 		one := &Reservation{holder: to.holder, team: modelTeam, most: wanted}
 		to.open = append(to.open, one)
@@ -214,7 +215,7 @@
 
 // courier brings a loan that was decided on, or a repayment to its lender unless it gets lost.
 type courier struct {
-	loan    Loan
+	loan    peer.Loan
 	to      *Holder
 	arrives bool
 }
@@ -229,7 +230,9 @@
 
 func (c *courier) Others(string) []string { return nil }
 
-func (c *courier) Borrow(context.Context, string, LoanRequest) (Loan, error) { return c.loan, nil }
+func (c *courier) Borrow(context.Context, string, peer.LoanRequest) (peer.Loan, error) {
+	return c.loan, nil
+}
 
 func (c *courier) Void(context.Context, string, string, uint64) error { return errApart }
 
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -90,7 +90,8 @@
 	Least, Wanted int64
 	// Identifier is one that the borrower's process uses once.
 	Identifier uint64
-	// Patient says that the lender holds the team's shares for the borrower, and looks for tokens elsewhere too.
+	// Patient says that the lender holds the team's shares for the borrower, so that it looks for tokens elsewhere too. Another
+	// one answers at once if it can't reach the platform.
 	Patient bool
 }
 
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -84,8 +84,7 @@
 
 // LendTokens implements peer.Giver.
 func (r *Routers) LendTokens(ctx context.Context, from string, asked peer.LoanRequest) (peer.Loan, error) {
-	loan, err := r.Payer.Lend(ctx, from, allowance.LoanRequest(asked))
-	return peer.Loan(loan), err
+	return r.Payer.Lend(ctx, from, asked)
 }
 
 // VoidLoan implements peer.Giver.
@@ -116,13 +115,12 @@
 }
 
 // Borrow implements allowance.Lenders.
-func (r *Routers) Borrow(ctx context.Context, instance string, asked allowance.LoanRequest) (allowance.Loan, error) {
+func (r *Routers) Borrow(ctx context.Context, instance string, asked peer.LoanRequest) (peer.Loan, error) {
 	to, err := r.address(instance)
 	if err != nil {
-		return allowance.Loan{}, err
+		return peer.Loan{}, err
 	}
-	loan, err := r.Node.BorrowTokens(ctx, to, peer.LoanRequest(asked))
-	return allowance.Loan(loan), err
+	return r.Node.BorrowTokens(ctx, to, asked)
 }
 
 // Void implements allowance.Lenders.
