Play the loss of a loan between two looks at what is to be voided

Traced: the loan was lost at 3.0 s of paused time, the instant of a tick at which loans are voided; if the tick ran second, the lender had the tokens back within the request's wait, and handed them over, which is right.

--- a/fleet/allowance/loan_test.go
+++ b/fleet/allowance/loan_test.go
@@ -91,6 +91,8 @@
 	})
 	t.Run("a loan that got lost is given back", func(t *testing.T) {
 		playLoans(t, 10_000, 2, 1, func(r *routers) {
+			// Between two looks at what is to be voided, so that the request is refused before.
+			time.Sleep(repayPause / 4)
 			r.lost.Store(true)
 			r.assertRefuses("router-1", 9_000, ErrElsewhere)
 			time.Sleep(directTime + silentLender + 2*time.Second)
