Call one piece for defaults, waits and headers of one connection

Read again: five packages had their own orDefault, which is cmp.Or; four waited on a context by the same lines, and the stand-in engine by a fifth copy: clock.Sleep; router/gateway had written again what router/endpoint does with headers of one connection and what router/caller does to measure headers: router/headers. Behaviour stays, but for one thing that nobody sends: an Expect header in an endpoint's answer is passed on, as router/endpoint does; requests lose it as before.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -158,7 +159,7 @@
 
 // pause waits after a failed update and asks for another one if a request still waits.
 func (b *book) pause(ctx context.Context) {
-	sleep(ctx, conflictPause/4+rand.N(conflictPause)) //nolint:gosec // spreads writes
+	clock.Sleep(ctx, conflictPause/4+rand.N(conflictPause)) //nolint:gosec // spreads writes
 	b.holder.mu.Lock()
 	defer b.holder.mu.Unlock()
 	for _, team := range b.teamsLocked() {
@@ -224,18 +225,6 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, rand.N(conflictPause)) //nolint:gosec // spreads writes
-	}
-}
-
-// sleep waits and reports whether the context lasted.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+		clock.Sleep(ctx, rand.N(conflictPause)) //nolint:gosec // spreads writes
 	}
 }
--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 )
 
@@ -167,7 +168,7 @@
 			return nil
 		case <-h.lacking:
 		}
-		if !sleep(ctx, borrowPause) {
+		if !clock.Sleep(ctx, borrowPause) {
 			return nil
 		}
 		wants, waiting := h.wants()
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -100,9 +101,9 @@
 
 // NewHolder returns a holder that holds nothing yet.
 func NewHolder(keyed platform.KeyedLog, settings Settings) *Holder {
-	settings.Interval = orDefault(settings.Interval, DefaultInterval)
-	settings.CallTimeout = orDefault(settings.CallTimeout, DefaultCallTimeout)
-	settings.DrawTimeout = orDefault(settings.DrawTimeout, DefaultDrawTimeout)
+	settings.Interval = cmp.Or(settings.Interval, DefaultInterval)
+	settings.CallTimeout = cmp.Or(settings.CallTimeout, DefaultCallTimeout)
+	settings.DrawTimeout = cmp.Or(settings.DrawTimeout, DefaultDrawTimeout)
 	if settings.Logger == nil {
 		settings.Logger = log.Log
 	}
@@ -112,7 +113,7 @@
 	if settings.Now == nil {
 		settings.Now = Now
 	}
-	settings.Partitions = orDefault(settings.Partitions, DefaultPartitions)
+	settings.Partitions = cmp.Or(settings.Partitions, DefaultPartitions)
 	h := &Holder{
 		log: keyed, settings: settings, lacking: make(chan struct{}, 1), teams: make(map[string]*holding), silent: make(map[string]time.Time),
 		loans: make(map[loanKey]loanRecord),
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -157,7 +158,7 @@
 // ahead returns what a draw takes for the next requests: the more the larger the fleet, whose routers have few requests of
 // one team each, so that one write for each would be too many; no more than an even part of the reach.
 func (p Policy) ahead(a *Account, own Position) int64 {
-	even := orDefault(p.Reach, DefaultReach) * float64(max(0, a.Remaining())) / float64(max(1, len(a.Shares)))
+	even := cmp.Or(p.Reach, DefaultReach) * float64(max(0, a.Remaining())) / float64(max(1, len(a.Shares)))
 	return min(int64(len(a.Shares)/aheadHolders)*own.Mean, int64(even))
 }
 
@@ -188,11 +189,11 @@
 		return own.Reserved + int64(own.Rate*p.Horizon.Seconds())
 	}
 	remaining := a.Remaining() + a.Shares[own.Holder].Spent - own.Spent - own.Reserved
-	reach := orDefault(p.Reach, DefaultReach) * float64(max(0, remaining))
+	reach := cmp.Or(p.Reach, DefaultReach) * float64(max(0, remaining))
 	if rates == 0 {
-		return own.Reserved + int64(orDefault(p.IdlePart, DefaultIdlePart)*reach/float64(holders))
+		return own.Reserved + int64(cmp.Or(p.IdlePart, DefaultIdlePart)*reach/float64(holders))
 	}
-	horizon := orDefault(p.Horizon, DefaultHorizon).Seconds()
+	horizon := cmp.Or(p.Horizon, DefaultHorizon).Seconds()
 	return own.Reserved + int64(min(reach*own.Rate/rates, own.Rate*horizon))
 }
 
@@ -228,11 +229,3 @@
 	}
 	return n
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/fleet/allowance/repay.go
+++ b/fleet/allowance/repay.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 )
 
 const (
@@ -58,7 +60,7 @@
 	if h.settings.Lenders == nil {
 		return nil
 	}
-	for sleep(ctx, repayPause) {
+	for clock.Sleep(ctx, repayPause) {
 		h.voidLoans(ctx)
 		h.repay(ctx, repayIdle)
 		h.forgetLoans(time.Now())
--- a/fleet/endpoint/choose.go
+++ b/fleet/endpoint/choose.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,12 +68,12 @@
 
 // HasRoom reports whether the endpoint may get one more request.
 func (c *Candidate) HasRoom() bool {
-	return c.InFlight < orDefault(c.Limit, c.capacity()) && c.Load() < c.capacity()
+	return c.InFlight < cmp.Or(c.Limit, c.capacity()) && c.Load() < c.capacity()
 }
 
-func (c *Candidate) capacity() int { return orDefault(c.Capacity, DefaultEndpointConcurrency) }
+func (c *Candidate) capacity() int { return cmp.Or(c.Capacity, DefaultEndpointConcurrency) }
 
-func (c *Candidate) warmth() float64 { return orDefault(c.Warmth, 1) }
+func (c *Candidate) warmth() float64 { return cmp.Or(c.Warmth, 1) }
 
 // HashName returns the hash of an endpoint's name, for Candidate.NameHash.
 func HashName(name string) uint64 { return xxhash.Sum64String(name) }
@@ -191,7 +192,7 @@
 // candidates together are above their load, so that one is always left.
 func (p Policy) affinityBound(c *Candidate, total int, warmth float64) int {
 	share := c.warmth() / warmth
-	return int(math.Ceil(orDefault(p.AffinityBound, DefaultAffinityBound) * float64(total+1) * share))
+	return int(math.Ceil(cmp.Or(p.AffinityBound, DefaultAffinityBound) * float64(total+1) * share))
 }
 
 // Mix spreads the bits of a hash (the finalizer of SplitMix64).
@@ -203,12 +204,4 @@
 	return x ^ x>>31
 }
 
-func weight(value, fallback float64) float64 { return max(0, orDefault(value, fallback)) }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
+func weight(value, fallback float64) float64 { return max(0, cmp.Or(value, fallback)) }
--- a/fleet/endpoint/limit.go
+++ b/fleet/endpoint/limit.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Parameters of the adaptive limit.
 const (
@@ -37,8 +40,8 @@
 func (l *Limit) Value() int { return int(l.present()) }
 
 func (l *Limit) present() float64 {
-	most := float64(orDefault(l.Most, DefaultEndpointConcurrency))
-	return min(most, max(limitFloor, orDefault(l.value, firstLimit*most)))
+	most := float64(cmp.Or(l.Most, DefaultEndpointConcurrency))
+	return min(most, max(limitFloor, cmp.Or(l.value, firstLimit*most)))
 }
 
 // Observe takes in the time to the first byte of an answer, and how many requests were in progress. A
--- a/fleet/endpoint/queue.go
+++ b/fleet/endpoint/queue.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -67,7 +68,7 @@
 	t := q.team(w)
 	t.entries = append(t.entries, entry)
 	q.length++
-	if q.length <= orDefault(q.Length, DefaultQueueLength) {
+	if q.length <= cmp.Or(q.Length, DefaultQueueLength) {
 		return entry, nil, ""
 	}
 	dropped = q.dropLongest()
--- a/fleet/operator/limits.go
+++ b/fleet/operator/limits.go
@@ -1,6 +1,9 @@
 package operator
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of the limits that a ticket leaves at zero.
 const (
@@ -19,22 +22,14 @@
 
 // WithDefaults returns the limits with every zero replaced by its default.
 func (l RouteLimits) WithDefaults() RouteLimits {
-	l.BodyBytes = orDefault(l.BodyBytes, DefaultBodyBytes)
-	l.DefaultMaxTokens = orDefault(l.DefaultMaxTokens, DefaultMaxTokens)
-	l.MaxTokens = orDefault(l.MaxTokens, DefaultMaxTokensBound)
-	l.CallCost = orDefault(l.CallCost, DefaultCallCost)
-	l.RequestTimeout = orDefault(l.RequestTimeout, DefaultRequestTimeout)
-	l.HeaderTimeout = orDefault(l.HeaderTimeout, DefaultHeaderTimeout)
-	l.FirstTokenTimeout = orDefault(l.FirstTokenTimeout, DefaultFirstTokenTimeout)
-	l.TokenTimeout = orDefault(l.TokenTimeout, DefaultTokenTimeout)
-	l.Attempts = orDefault(l.Attempts, DefaultAttempts)
+	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
+	l.DefaultMaxTokens = cmp.Or(l.DefaultMaxTokens, DefaultMaxTokens)
+	l.MaxTokens = cmp.Or(l.MaxTokens, DefaultMaxTokensBound)
+	l.CallCost = cmp.Or(l.CallCost, DefaultCallCost)
+	l.RequestTimeout = cmp.Or(l.RequestTimeout, DefaultRequestTimeout)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, DefaultHeaderTimeout)
+	l.FirstTokenTimeout = cmp.Or(l.FirstTokenTimeout, DefaultFirstTokenTimeout)
+	l.TokenTimeout = cmp.Or(l.TokenTimeout, DefaultTokenTimeout)
+	l.Attempts = cmp.Or(l.Attempts, DefaultAttempts)
 	return l
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/fleet/platform/memory/faults.go
+++ b/fleet/platform/memory/faults.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -58,8 +59,8 @@
 	f.mutex.Lock()
 	delay := f.delay
 	f.mutex.Unlock()
-	if err := sleep(ctx, delay); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	if !clock.Sleep(ctx, delay) {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -75,17 +76,3 @@
 	defer f.mutex.Unlock()
 	return f.random != nil && f.random.Float64() < f.lost
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/fleet/platform/memory/keyed.go
+++ b/fleet/platform/memory/keyed.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -120,8 +121,8 @@
 		if err != nil || len(tail.Records) > 0 || !time.Now().Before(end) {
 			return tail, err
 		}
-		if err := sleep(ctx, keyedPoll); err != nil {
-			return platform.KeyedTail{}, err
+		if !clock.Sleep(ctx, keyedPoll) {
+			return platform.KeyedTail{}, ctx.Err()
 		}
 	}
 }
--- a/fleet/platform/memory/log.go
+++ b/fleet/platform/memory/log.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -59,8 +60,8 @@
 	if err := l.Enter(ctx); err != nil {
 		return 0, fmt.Errorf("append to stream %s: %w", name, err)
 	}
-	if err := sleep(ctx, l.reserveAppend()); err != nil {
-		return 0, fmt.Errorf("append to stream %s: %w: %w", name, platform.ErrUnavailable, err)
+	if !clock.Sleep(ctx, l.reserveAppend()) {
+		return 0, fmt.Errorf("append to stream %s: %w: %w", name, platform.ErrUnavailable, ctx.Err())
 	}
 	offset := l.append(name, payload)
 	if l.losesAnswer() {
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/headers"
 )
 
 // Headers of requests and answers.
@@ -111,18 +112,8 @@
 	if !s.board.CaughtUp() {
 		return nil, verdict.Refuse(verdict.NotReady, "send the request to another router")
 	}
-	if headerBytes(r.Header) > s.settings.HeaderBytes {
+	if headers.Bytes(r.Header) > s.settings.HeaderBytes {
 		return nil, verdict.Refuse(verdict.HeadersTooLarge, "")
 	}
 	return s.authenticate(r)
 }
-
-func headerBytes(header http.Header) int {
-	total := 0
-	for name, values := range header {
-		for _, value := range values {
-			total += len(name) + len(value)
-		}
-	}
-	return total
-}
--- a/router/endpoint/job.go
+++ b/router/endpoint/job.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -54,7 +55,7 @@
 		switch decision := j.decide(ctx, out).(type) {
 		case *endpoint.Retry:
 			j.dispatcher.board.Count(out.retryCounter())
-			if !sleep(ctx, decision.After) {
+			if !clock.Sleep(ctx, decision.After) {
 				return j.refuse(j.interrupted(ctx))
 			}
 		case *endpoint.GiveUp:
@@ -203,15 +204,3 @@
 	}
 	return &verdict.Refusal{Reason: reason, Cause: context.Cause(ctx)}
 }
-
-// sleep waits and reports whether the context lasted.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/router/endpoint/peer.go
+++ b/router/endpoint/peer.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -68,7 +69,7 @@
 func (p *peer) declare(e operator.Endpoint) {
 	p.kind = e.Kind
 	p.tier = endpoint.TierOf(p.settings.Region, p.settings.AvailabilityZone, e.Region, e.AvailabilityZone)
-	p.limit.Most = orDefault(e.Concurrency, operator.DefaultEndpointConcurrency)
+	p.limit.Most = cmp.Or(e.Concurrency, operator.DefaultEndpointConcurrency)
 }
 
 func (p *peer) transport() *http.Transport { return p.pool.Load() }
--- a/router/endpoint/settings.go
+++ b/router/endpoint/settings.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
@@ -59,26 +60,18 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	s.BufferBytes = orDefault(s.BufferBytes, DefaultBufferBytes)
-	s.LineBytes = orDefault(s.LineBytes, DefaultLineBytes)
-	s.EventBytes = orDefault(s.EventBytes, DefaultEventBytes)
-	s.WriteTimeout = orDefault(s.WriteTimeout, DefaultWriteTimeout)
-	s.DialTimeout = orDefault(s.DialTimeout, DefaultDialTimeout)
-	s.IdleTimeout = orDefault(s.IdleTimeout, DefaultIdleTimeout)
-	s.ProbeTimeout = orDefault(s.ProbeTimeout, DefaultProbeTimeout)
-	s.ProbePath = orDefault(s.ProbePath, DefaultProbePath)
-	s.LoadInterval = orDefault(s.LoadInterval, DefaultLoadInterval)
-	s.LoadPath = orDefault(s.LoadPath, DefaultLoadPath)
-	s.TickInterval = orDefault(s.TickInterval, DefaultTickInterval)
-	s.QueueLength = orDefault(s.QueueLength, DefaultQueueLength)
-	s.QueueTimeout = orDefault(s.QueueTimeout, DefaultQueueTimeout)
+	s.BufferBytes = cmp.Or(s.BufferBytes, DefaultBufferBytes)
+	s.LineBytes = cmp.Or(s.LineBytes, DefaultLineBytes)
+	s.EventBytes = cmp.Or(s.EventBytes, DefaultEventBytes)
+	s.WriteTimeout = cmp.Or(s.WriteTimeout, DefaultWriteTimeout)
+	s.DialTimeout = cmp.Or(s.DialTimeout, DefaultDialTimeout)
+	s.IdleTimeout = cmp.Or(s.IdleTimeout, DefaultIdleTimeout)
+	s.ProbeTimeout = cmp.Or(s.ProbeTimeout, DefaultProbeTimeout)
+	s.ProbePath = cmp.Or(s.ProbePath, DefaultProbePath)
+	s.LoadInterval = cmp.Or(s.LoadInterval, DefaultLoadInterval)
+	s.LoadPath = cmp.Or(s.LoadPath, DefaultLoadPath)
+	s.TickInterval = cmp.Or(s.TickInterval, DefaultTickInterval)
+	s.QueueLength = cmp.Or(s.QueueLength, DefaultQueueLength)
+	s.QueueTimeout = cmp.Or(s.QueueTimeout, DefaultQueueTimeout)
 	return s
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 )
 
 const (
@@ -55,7 +57,7 @@
 		if open == 0 {
 			return
 		}
-		sleep(ctx, idlePause)
+		clock.Sleep(ctx, idlePause)
 	}
 }
 
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -11,11 +11,11 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/headers"
 )
 
 const (
@@ -74,8 +74,9 @@
 func (j *job) header(e *target, left time.Duration) http.Header {
 	wire := &j.server.wire
 	header := j.r.Header.Clone()
-	dropConnectionHeaders(header)
+	headers.RemoveHop(header)
 	header.Del("Authorization")
+	header.Del("Expect")
 	for _, name := range wire.Reserved {
 		header.Del(name)
 	}
@@ -99,25 +100,6 @@
 	return header
 }
 
-// connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
-func connectionHeaders() []string {
-	return []string{
-		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Expect",
-	}
-}
-
-func dropConnectionHeaders(header http.Header) {
-	for _, value := range header.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders() {
-		header.Del(name)
-	}
-}
-
 // failed classifies an exchange without an answer by where it broke.
 func (j *job) failed(ctx context.Context, err error, written bool) attempt {
 	out := attempt{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err}
@@ -199,7 +181,7 @@
 
 // copyHeader copies the headers of an answer but those of its connection.
 func copyHeader(to, from http.Header) {
-	dropConnectionHeaders(from)
+	headers.RemoveHop(from)
 	for name, values := range from {
 		to[name] = values
 	}
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -109,11 +110,11 @@
 		read, err := f.read(ctx)
 		reach.note(c.Logger, "configuration", err)
 		if err != nil {
-			sleep(ctx, failurePause)
+			clock.Sleep(ctx, failurePause)
 			continue
 		}
 		c.take(read)
-		sleep(ctx, configurationPause)
+		clock.Sleep(ctx, configurationPause)
 	}
 	return nil
 }
@@ -175,7 +176,7 @@
 		if err != nil {
 			pause = failurePause
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -244,13 +245,3 @@
 		logger.WithFields(log.Fields{"Of": what, "Milliseconds": now.Sub(r.since).Milliseconds()}).Info("platform regained")
 	}
 }
-
-// sleep waits, or until the context ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 )
 
 const (
@@ -173,7 +174,7 @@
 	n.Board.Leaving.Store(true)
 	n.Payer.Leave()
 	until := time.Now().Add(n.Settings.Grace - endMargin)
-	sleep(ctx, leaveDelay)
+	clock.Sleep(ctx, leaveDelay)
 	closing, cancelClosing := context.WithDeadline(ctx, until.Add(-lastTime))
 	n.callers.leave(closing)
 	cancelClosing()
--- a/router/gateway/overload.go
+++ b/router/gateway/overload.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 )
 
 const (
@@ -108,7 +110,7 @@
 	received, sent := traffic.Received.Load(), traffic.Sent.Load()
 	for ctx.Err() == nil {
 		before := time.Now()
-		sleep(ctx, loadInterval)
+		clock.Sleep(ctx, loadInterval)
 		now := time.Now()
 		seen := look{lasted: now.Sub(before), lag: now.Sub(before) - loadInterval}
 		newReceived, newSent := traffic.Received.Load(), traffic.Sent.Load()
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -182,7 +183,7 @@
 		if err != nil || !announced {
 			pause = failurePause
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 	return nil
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/headers"
 )
 
 const (
@@ -180,7 +181,7 @@
 }
 
 func (j *job) readBody(limits site.Limits) error {
-	if limits.HeaderBytes > 0 && headerBytes(j.r.Header) > limits.HeaderBytes {
+	if limits.HeaderBytes > 0 && headers.Bytes(j.r.Header) > limits.HeaderBytes {
 		return verdict.Refuse(verdict.HeadersTooLarge, "")
 	}
 	source := j.r.Body
@@ -205,16 +206,6 @@
 	}
 }
 
-func headerBytes(header http.Header) int {
-	total := 0
-	for name, values := range header {
-		for _, value := range values {
-			total += len(name) + len(value)
-		}
-	}
-	return total
-}
-
 // pay reserves the most that the request can use.
 func (j *job) pay(ctx context.Context) error {
 	begun := time.Now()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/standin/connection"
 	"github.com/dragonflyworks/dragonflyworks/standin/runs"
 )
@@ -92,10 +94,10 @@
 }
 
 func (e *Engine) start() {
-	e.Concurrency = orDefault(e.Concurrency, DefaultConcurrency)
-	e.AnswerTokens = orDefault(e.AnswerTokens, DefaultAnswerTokens)
-	e.LoadLag = orDefault(e.LoadLag, DefaultLoadLag)
-	e.cache.limit = orDefault(e.CacheBlocks, DefaultCacheBlocks)
+	e.Concurrency = cmp.Or(e.Concurrency, DefaultConcurrency)
+	e.AnswerTokens = cmp.Or(e.AnswerTokens, DefaultAnswerTokens)
+	e.LoadLag = cmp.Or(e.LoadLag, DefaultLoadLag)
+	e.cache.limit = cmp.Or(e.CacheBlocks, DefaultCacheBlocks)
 	e.slots = make(chan struct{}, e.Concurrency)
 	e.slow = 1
 	for _, name := range e.Models {
@@ -103,14 +105,6 @@
 	}
 }
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 func (e *Engine) serves(model string) bool {
 	return slices.Contains(e.names(), model)
 }
@@ -144,15 +138,8 @@
 	e.mutex.Lock()
 	delay = time.Duration(float64(delay) * e.slow)
 	e.mutex.Unlock()
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, delay) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -18,7 +19,7 @@
 }
 
 // served returns the name under which callers ask for the artifact.
-func (a Artifact) served() string { return orDefault(a.Adapter, a.Model) }
+func (a Artifact) served() string { return cmp.Or(a.Adapter, a.Model) }
 
 // Order asks the engine for a new state.
 type Order struct {
