Send loans as what they are

Read again: tokenRequest had grown three fields for loans that its other messages don't have, a void carried a made-up token to pass a check, loanAnswer was a second Loan, and three senders looked for the only payload of an answer by the same lines. LoanRequest and Loan are encoded themselves, the message that voids a loan has its own reader, and answers have payload beside single. Tests unchanged.

--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -13,8 +13,8 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
-//msgp:tuple request answer entry tokenRequest tokenAnswer loanAnswer Note NotePart
-//msgp:ignore Copy Loan LoanRequest
+//msgp:tuple request answer entry tokenRequest tokenAnswer LoanRequest Loan Note NotePart
+//msgp:ignore Copy
 //msgp:limit arrays:4096 maps:0
 
 // Bounds of a message; longer ones are refused.
@@ -56,19 +56,12 @@
 	Next uint64
 }
 
-// tokenRequest is the payload of each message about a team's prepaid tokens: one that asks for some or for a loan, and one
-// that hands some over or repays them.
+// tokenRequest is the payload of a request for prepaid tokens of a team, and of one that hands some over or repays them.
 type tokenRequest struct {
 	Team   string
 	Tokens int64
 	// CutOff says that the sender can't reach the platform itself.
 	CutOff bool
-	// Least is the least loan that pays the sender's request; Tokens is the most that it wants.
-	Least int64
-	// Loan is the sender's identifier of a loan.
-	Loan uint64
-	// Patient says that the receiver holds the team's shares for the sender.
-	Patient bool
 }
 
 // answer is what a router answers; an empty Refusal means that the request was accepted.
@@ -77,13 +70,13 @@
 	Entries []entry
 }
 
-// tokenAnswer is the payload of the only entry of an answer to a tokenRequest: the tokens that the sender may use from
+// tokenAnswer is the payload of an answer to a tokenRequest: the tokens that the sender may use from
 // now on, and the receiver no longer.
 type tokenAnswer struct {
 	Tokens int64
 }
 
-// LoanRequest asks for a loan of a team's prepaid tokens.
+// LoanRequest asks for a loan of a team's prepaid tokens. The message that voids one names Team and Identifier only.
 type LoanRequest struct {
 	Team string
 	// Least is the least that pays the borrower's request, Wanted the most that it takes.
@@ -105,11 +98,20 @@
 	CutOff bool
 }
 
-// loanAnswer is the payload of the only entry of an answer to a loanMessage.
-type loanAnswer struct {
-	Tokens int64
-	Spent  bool
-	CutOff bool
+// single returns an answer with one payload, if that could be encoded.
+func single(payload []byte, err error) answer {
+	if err != nil {
+		return answer{Refusal: ErrMalformed.Error()}
+	}
+	return answer{Entries: []entry{{Payload: payload}}}
+}
+
+// payload returns the only payload of an answer.
+func (a *answer) payload() ([]byte, error) {
+	if len(a.Entries) != 1 {
+		return nil, ErrMalformed
+	}
+	return a.Entries[0].Payload, nil
 }
 
 // entry is an entry of the configuration stream.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -12,6 +12,114 @@
 	zdc5d9100limitMaps   = 0
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z Loan) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.Tokens)
+	o = msgp.AppendBool(o, z.Spent)
+	o = msgp.AppendBool(o, z.CutOff)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Loan) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	z.Spent, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Spent")
+		return
+	}
+	z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CutOff")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Loan) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoanRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Team)
+	o = msgp.AppendInt64(o, z.Least)
+	o = msgp.AppendInt64(o, z.Wanted)
+	o = msgp.AppendUint64(o, z.Identifier)
+	o = msgp.AppendBool(o, z.Patient)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoanRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Team, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Team")
+		return
+	}
+	z.Least, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Least")
+		return
+	}
+	z.Wanted, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Wanted")
+		return
+	}
+	z.Identifier, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Identifier")
+		return
+	}
+	z.Patient, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Patient")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoanRequest) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Note) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -300,54 +408,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z loanAnswer) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendInt64(o, z.Tokens)
-	o = msgp.AppendBool(o, z.Spent)
-	o = msgp.AppendBool(o, z.CutOff)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *loanAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Tokens")
-		return
-	}
-	z.Spent, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Spent")
-		return
-	}
-	z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "CutOff")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z loanAnswer) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z messageKind) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -487,16 +547,13 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *tokenRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z tokenRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Team)
 	o = msgp.AppendInt64(o, z.Tokens)
 	o = msgp.AppendBool(o, z.CutOff)
-	o = msgp.AppendInt64(o, z.Least)
-	o = msgp.AppendUint64(o, z.Loan)
-	o = msgp.AppendBool(o, z.Patient)
 	return
 }
 
@@ -508,8 +565,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Team, bts, err = msgp.ReadStringBytes(bts)
@@ -527,27 +584,12 @@
 		err = msgp.WrapError(err, "CutOff")
 		return
 	}
-	z.Least, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Least")
-		return
-	}
-	z.Loan, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Loan")
-		return
-	}
-	z.Patient, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Patient")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *tokenRequest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize
+func (z tokenRequest) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize
 	return
 }
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -285,7 +285,7 @@
 	case rosterMessage:
 		return n.listRouters()
 	case voidMessage:
-		return n.takeTokens(r.Payload, func(g Giver, void tokenRequest) bool { return g.VoidLoan(from, void.Team, void.Loan) })
+		return n.voidLoan(from, r.Payload)
 	case loanMessage:
 		return n.lendTokens(ctx, from, r.Payload)
 	default:
@@ -322,27 +322,32 @@
 	return single(given.MarshalMsg(nil))
 }
 
-// single returns an answer with one payload, if that could be encoded.
-func single(payload []byte, err error) answer {
-	if err != nil {
-		return answer{Refusal: ErrMalformed.Error()}
-	}
-	return answer{Entries: []entry{{Payload: payload}}}
+// readLoan returns the handler and the request of a message about a loan.
+func (n *Node) readLoan(payload []byte) (Giver, LoanRequest, bool) {
+	giver, ok := n.handler.(Giver)
+	r := LoanRequest{}
+	rest, err := r.UnmarshalMsg(payload)
+	return giver, r, ok && err == nil && len(rest) == 0
 }
 
 func (n *Node) lendTokens(ctx context.Context, from string, payload []byte) answer {
-	giver, asked, ok := n.readTokens(payload)
-	if !ok || asked.Least <= 0 || asked.Least > asked.Tokens {
+	giver, asked, ok := n.readLoan(payload)
+	if !ok || asked.Least <= 0 || asked.Least > asked.Wanted {
 		return answer{Refusal: ErrMalformed.Error()}
 	}
-	loan, err := giver.LendTokens(ctx, from, LoanRequest{
-		Team: asked.Team, Least: asked.Least, Wanted: asked.Tokens, Identifier: asked.Loan, Patient: asked.Patient,
-	})
+	loan, err := giver.LendTokens(ctx, from, asked)
 	if err != nil {
 		return answer{Refusal: refusalText(err)}
 	}
-	lent := loanAnswer(loan)
-	return single(lent.MarshalMsg(nil))
+	return single(loan.MarshalMsg(nil))
+}
+
+func (n *Node) voidLoan(from string, payload []byte) answer {
+	giver, void, ok := n.readLoan(payload)
+	if !ok || !giver.VoidLoan(from, void.Team, void.Identifier) {
+		return answer{Refusal: ErrMalformed.Error()}
+	}
+	return answer{}
 }
 
 // takeTokens lets a handler take what a message hands over.
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -36,15 +37,16 @@
 // AskTokens asks another router for prepaid tokens of a team and returns how many it handed over. After an error it may
 // have handed over tokens that nobody uses. A router that is cut off from the platform asks the other one to draw.
 func (n *Node) AskTokens(ctx context.Context, to Address, team string, wanted int64, cutOff bool) (int64, error) {
-	a, err := n.sendTokens(ctx, to, tokensMessage, tokenRequest{Team: team, Tokens: wanted, CutOff: cutOff})
+	a, err := n.sendTokens(ctx, to, tokensMessage, &tokenRequest{Team: team, Tokens: wanted, CutOff: cutOff})
 	if err != nil {
 		return 0, fmt.Errorf("asking %s for tokens: %w", to.Instance, err)
 	}
-	given := tokenAnswer{}
-	if len(a.Entries) != 1 {
-		return 0, ErrMalformed
+	payload, err := a.payload()
+	if err != nil {
+		return 0, err
 	}
-	if rest, err := given.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || given.Tokens < 0 || given.Tokens > wanted {
+	given := tokenAnswer{}
+	if rest, err := given.UnmarshalMsg(payload); err != nil || len(rest) > 0 || given.Tokens < 0 || given.Tokens > wanted {
 		return 0, ErrMalformed
 	}
 	return given.Tokens, nil
@@ -53,26 +55,24 @@
 // BorrowTokens asks another router to pay a request, and for more if that is free. After an error it may have lent tokens
 // that nobody uses; VoidLoan gives them back.
 func (n *Node) BorrowTokens(ctx context.Context, to Address, r LoanRequest) (Loan, error) {
-	asked := tokenRequest{Team: r.Team, Tokens: r.Wanted, Least: r.Least, Loan: r.Identifier, Patient: r.Patient}
-	a, err := n.sendTokens(ctx, to, loanMessage, asked)
+	a, err := n.sendTokens(ctx, to, loanMessage, &r)
 	if err != nil {
 		return Loan{}, fmt.Errorf("asking %s for a loan: %w", to.Instance, err)
 	}
-	lent := loanAnswer{}
-	if len(a.Entries) != 1 {
-		return Loan{}, ErrMalformed
+	payload, err := a.payload()
+	if err != nil {
+		return Loan{}, err
 	}
-	if rest, err := lent.UnmarshalMsg(a.Entries[0].Payload); err != nil || len(rest) > 0 || lent.Tokens != 0 && (lent.Tokens < r.Least || lent.Tokens > r.Wanted) {
+	lent := Loan{}
+	if rest, err := lent.UnmarshalMsg(payload); err != nil || len(rest) > 0 || lent.Tokens != 0 && (lent.Tokens < r.Least || lent.Tokens > r.Wanted) {
 		return Loan{}, ErrMalformed
 	}
-	return Loan(lent), nil
+	return lent, nil
 }
 
 // VoidLoan tells another router that this one did not get a loan and never uses it.
 func (n *Node) VoidLoan(ctx context.Context, to Address, team string, identifier uint64) error {
-	// The amount is the lender's to know; a message about no tokens is malformed.
-	void := tokenRequest{Team: team, Tokens: 1, Loan: identifier}
-	if _, err := n.sendTokens(ctx, to, voidMessage, void); err != nil {
+	if _, err := n.sendTokens(ctx, to, voidMessage, &LoanRequest{Team: team, Identifier: identifier}); err != nil {
 		return fmt.Errorf("voiding a loan of %s: %w", to.Instance, err)
 	}
 	return nil
@@ -80,14 +80,14 @@
 
 // RepayTokens hands back what was not used of loans. After an error the other router may or may not have it.
 func (n *Node) RepayTokens(ctx context.Context, to Address, team string, tokens int64) error {
-	if _, err := n.sendTokens(ctx, to, repaymentMessage, tokenRequest{Team: team, Tokens: tokens}); err != nil {
+	if _, err := n.sendTokens(ctx, to, repaymentMessage, &tokenRequest{Team: team, Tokens: tokens}); err != nil {
 		return fmt.Errorf("repaying %s: %w", to.Instance, err)
 	}
 	return nil
 }
 
 // sendTokens sends a message about tokens.
-func (n *Node) sendTokens(ctx context.Context, to Address, kind messageKind, r tokenRequest) (answer, error) {
+func (n *Node) sendTokens(ctx context.Context, to Address, kind messageKind, r msgp.Marshaler) (answer, error) {
 	payload, err := r.MarshalMsg(nil)
 	if err != nil {
 		return answer{}, err
@@ -101,7 +101,7 @@
 
 // GiveTokens hands prepaid tokens of a team to another router. After an error it may or may not have them.
 func (n *Node) GiveTokens(ctx context.Context, to Address, team string, tokens int64) error {
-	if _, err := n.sendTokens(ctx, to, giftMessage, tokenRequest{Team: team, Tokens: tokens}); err != nil {
+	if _, err := n.sendTokens(ctx, to, giftMessage, &tokenRequest{Team: team, Tokens: tokens}); err != nil {
 		return fmt.Errorf("handing tokens to %s: %w", to.Instance, err)
 	}
 	return nil
@@ -113,8 +113,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("fetching the routers from %s: %w", to.Instance, err)
 	}
+	payload, err := a.payload()
+	if err != nil {
+		return nil, err
+	}
 	var routers []Router
-	if len(a.Entries) != 1 || json.Unmarshal(a.Entries[0].Payload, &routers) != nil {
+	if json.Unmarshal(payload, &routers) != nil {
 		return nil, ErrMalformed
 	}
 	return routers, nil
