Rank routers once a roster, and keep what is drawn for refused requests in one place

Read again: a router that is cut off ranked and sorted the whole roster for each request, with two hashes a comparison, beside a cache of the same order: both lists come from one ranking that lasts until the roster changes. Three places compared askedUntil by themselves: keptFor. Policy.target summed up all shares before two cases that need no sum; voidLoans locked once a loan; Return asked for lenders that repay finds itself. Behaviour stays; tests keep their assertions, and ask lendersOf for both lists.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -114,9 +114,7 @@
 	h.mu.Lock()
 	h.ended = true
 	h.mu.Unlock()
-	if h.settings.Lenders != nil {
-		h.repay(ctx, 0)
-	}
+	h.repay(ctx, 0)
 	returns := &errgroup.Group{}
 	returning, cancel := context.WithTimeout(ctx, h.settings.CallTimeout/2)
 	defer cancel()
--- a/fleet/allowance/holding.go
+++ b/fleet/allowance/holding.go
@@ -66,7 +66,7 @@
 // draws reports whether this router takes part in a team's account: because it holds shares, because something is to be
 // returned or settled, or because no lender answered.
 func (held *holding) draws(now time.Time, instance, holder string, lenders int) bool {
-	if lenders == 0 || !held.read || now.Before(held.directUntil) || now.Before(held.askedUntil) || len(held.waiters) > 0 {
+	if lenders == 0 || !held.read || now.Before(held.directUntil) || held.keptFor(now) > 0 || len(held.waiters) > 0 {
 		return true
 	}
 	// Not usable: a return whose write failed leaves the share in the account.
@@ -89,7 +89,7 @@
 
 // keptFor returns what is drawn for requests that come again.
 func (held *holding) keptFor(now time.Time) int64 {
-	if now.After(held.askedUntil) {
+	if !now.Before(held.askedUntil) {
 		return 0
 	}
 	return held.asked
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -174,6 +174,12 @@
 // target returns what the holder should have beyond what it spent: its use for the horizon, bounded by its part of the
 // reach, and what its requests in progress may still use.
 func (p Policy) target(a *Account, own Position) int64 {
+	if own.Transient {
+		return own.Reserved
+	}
+	if p.Leaving {
+		return own.Reserved + int64(own.Rate*p.Horizon.Seconds())
+	}
 	rates := own.Rate
 	holders := 1
 	for holder, s := range a.Shares {
@@ -182,12 +188,6 @@
 			holders++
 		}
 	}
-	if own.Transient {
-		return own.Reserved
-	}
-	if p.Leaving {
-		return own.Reserved + int64(own.Rate*p.Horizon.Seconds())
-	}
 	remaining := a.Remaining() + a.Shares[own.Holder].Spent - own.Spent - own.Reserved
 	reach := cmp.Or(p.Reach, DefaultReach) * float64(max(0, remaining))
 	if rates == 0 {
--- a/fleet/allowance/repay.go
+++ b/fleet/allowance/repay.go
@@ -29,23 +29,26 @@
 	voids := h.voids
 	h.voids = nil
 	h.mu.Unlock()
+	var again []void
 	silent := make(map[string]bool)
 	for _, v := range voids {
-		if !silent[v.instance] {
-			one, cancel := context.WithTimeout(ctx, askTimeout)
-			err := h.settings.Lenders.Void(one, v.instance, v.team, v.identifier)
-			cancel()
-			if err == nil {
-				continue
-			}
-			silent[v.instance] = true
+		if !silent[v.instance] && h.tellVoid(ctx, v) == nil {
+			continue
 		}
+		silent[v.instance] = true
 		if time.Since(v.since) < loanMemory/2 {
-			h.mu.Lock()
-			h.voids = append(h.voids, v)
-			h.mu.Unlock()
+			again = append(again, v)
 		}
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.voids = append(h.voids, again...)
+}
+
+func (h *Holder) tellVoid(ctx context.Context, v void) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return h.settings.Lenders.Void(ctx, v.instance, v.team, v.identifier)
 }
 
 // repayment is what is left of the loans for a team that is idle here.
--- a/fleet/allowance/update.go
+++ b/fleet/allowance/update.go
@@ -98,14 +98,10 @@
 
 func (h *Holder) positionLocked(held *holding, team *site.Team, ending bool) Position {
 	own := Position{
-		Holder: h.settings.Holder, Instance: h.settings.Instance, Usable: held.usable, Spent: held.reported(), Net: held.net(),
-		Reserved: held.reserved, Rate: held.rate(), Version: h.configuration.Version, Prepaid: team.Prepaid, Largest: max(held.largest, int64(firstBurst*h.mean)), Now: h.settings.Now(), Mean: int64(h.mean),
-		Ending: ending,
-	}
-	own.Transient = len(h.lenders(team.Name)) > 0
-	own.Pressed = held.pressed
-	if time.Now().Before(held.askedUntil) {
-		own.Wanted = held.asked
+		Holder: h.settings.Holder, Instance: h.settings.Instance, Version: h.configuration.Version, Prepaid: team.Prepaid,
+		Usable: held.usable, Spent: held.reported(), Reserved: held.reserved, Net: held.net(), Rate: held.rate(),
+		Largest: max(held.largest, int64(firstBurst*h.mean)), Mean: int64(h.mean), Now: h.settings.Now(),
+		Pressed: held.pressed, Transient: len(h.lenders(team.Name)) > 0, Ending: ending,
 	}
 	waiting := int64(0)
 	unused, free := held.usable-held.net()-held.reserved, held.free(own.Now.Uptime)
@@ -113,7 +109,7 @@
 		waiting += w.most
 		own.Pressed = own.Pressed || w.most > free && w.most <= unused
 	}
-	own.Wanted = max(own.Wanted, waiting)
+	own.Wanted = max(held.keptFor(time.Now()), waiting)
 	return own
 }
 
--- a/router/gateway/holders.go
+++ b/router/gateway/holders.go
@@ -28,68 +28,74 @@
 type holders struct {
 	mu      sync.Mutex
 	changes int64
-	teams   map[string][]string
+	teams   map[string]lenders
 }
 
-// of returns the instances that the router itself asks for a team's tokens, the first to ask first; none if it holds a
-// share itself.
-func (c *holders) of(team string, self peer.Router, roster *peer.Roster) []string {
+// lenders are the routers that one asks for a team's tokens, the first to ask first.
+type lenders struct {
+	// before rank before it in its region; none if it holds a share itself.
+	before []string
+	// others are all others, those of its region first.
+	others []string
+}
+
+// of returns the routers that the router itself asks for a team's tokens. They are chosen anew when the roster has changed.
+func (c *holders) of(team string, self peer.Router, roster *peer.Roster) lenders {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if changes := roster.Changes(); c.teams == nil || changes != c.changes {
-		c.changes, c.teams = changes, make(map[string][]string)
+		c.changes, c.teams = changes, make(map[string]lenders)
 	}
 	chosen, ok := c.teams[team]
 	if !ok {
-		chosen = holdersOf(team, self, roster.All())
+		chosen = lendersOf(team, self, roster.All())
 		c.teams[team] = chosen
 	}
 	return chosen
 }
 
-// holdersOf ranks the routers of a region for a team and returns those before the router itself.
-func holdersOf(team string, self peer.Router, routers []peer.Router) []string {
-	if len(routers) <= sharingRouters {
-		return nil
-	}
-	var before []peer.Router
-	for _, r := range routers {
-		if r.Region == self.Region && r.Instance != self.Instance && rankForTeam(team, r) > rankForTeam(team, self) {
-			before = append(before, r)
-		}
-	}
-	sortForTeam(team, before)
-	return instances(before[:min(lendingRouters, len(before))])
-}
-
-// othersOf returns the other routers, those of the same region first: one that can't reach the platform asks them to draw.
-// All routers agree on the order within a region, so that one of them draws for all.
-func othersOf(team string, self peer.Router, routers []peer.Router) []string {
-	var near, far []peer.Router
+// lendersOf ranks the routers for a team. All routers agree on the order within a region, so that one of them draws for all.
+func lendersOf(team string, self peer.Router, routers []peer.Router) lenders {
+	own := rankForTeam(team, self)
+	var near, far []ranked
+	before := 0
 	for _, r := range routers {
+		other := ranked{instance: r.Instance, rank: rankForTeam(team, r)}
 		switch {
 		case r.Instance == self.Instance:
-		case r.Region == self.Region:
-			near = append(near, r)
+		case r.Region != self.Region:
+			far = append(far, other)
 		default:
-			far = append(far, r)
+			near = append(near, other)
+			if other.rank > own {
+				before++
+			}
 		}
 	}
-	sortForTeam(team, near)
-	sortForTeam(team, far)
-	return instances(append(near, far...))
+	slices.SortFunc(near, compareRanks)
+	slices.SortFunc(far, compareRanks)
+	chosen := lenders{others: append(instances(near), instances(far)...)}
+	if len(routers) > sharingRouters {
+		chosen.before = chosen.others[:min(lendingRouters, before)]
+	}
+	return chosen
+}
+
+// ranked is a router with its rank for a team.
+type ranked struct {
+	instance string
+	rank     float64
 }
 
-func sortForTeam(team string, routers []peer.Router) {
-	slices.SortFunc(routers, func(a, b peer.Router) int {
-		return cmp.Or(cmp.Compare(rankForTeam(team, b), rankForTeam(team, a)), cmp.Compare(a.Instance, b.Instance))
-	})
+// compareRanks puts the highest rank first.
+func compareRanks(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.instance, b.instance))
 }
 
-func instances(routers []peer.Router) []string {
-	var names []string
+func instances(routers []ranked) []string {
+	names := make([]string, 0, len(routers))
 	for _, r := range routers {
-		names = append(names, r.Instance)
+		names = append(names, r.instance)
 	}
 	return names
 }
--- a/router/gateway/holders_test.go
+++ b/router/gateway/holders_test.go
@@ -25,7 +25,7 @@
 	t.Run("each router of a small fleet holds shares", func(t *testing.T) {
 		routers := testRouters(sharingRouters)
 		for _, r := range routers {
-			assert.Equal(t, 0, len(holdersOf("studio", r, routers)))
+			assert.Equal(t, 0, len(lendersOf("studio", r, routers).before))
 		}
 	})
 	t.Run("one router a region of a large fleet holds them, and all agree on it", func(t *testing.T) {
@@ -33,13 +33,13 @@
 		for team := range 30 {
 			holding := make(map[string]string)
 			for _, r := range routers {
-				if len(holdersOf(fmt.Sprint(team), r, routers)) == 0 {
+				if len(lendersOf(fmt.Sprint(team), r, routers).before) == 0 {
 					holding[r.Region] += r.Instance
 				}
 			}
 			assert.Equal(t, 2, len(holding))
 			for _, r := range routers {
-				if asked := holdersOf(fmt.Sprint(team), r, routers); len(asked) > 0 {
+				if asked := lendersOf(fmt.Sprint(team), r, routers).before; len(asked) > 0 {
 					assert.Equal(t, holding[r.Region], asked[0])
 				}
 			}
@@ -48,12 +48,12 @@
 	t.Run("a router asks a few, each of which would ask fewer", func(t *testing.T) {
 		routers := testRouters(60)
 		for _, r := range routers {
-			asked := holdersOf("studio", r, routers)
+			asked := lendersOf("studio", r, routers).before
 			assert.Equal(t, true, len(asked) <= lendingRouters)
 			for i, instance := range asked {
 				for _, other := range routers {
 					if other.Instance == instance {
-						assert.Equal(t, i, len(holdersOf("studio", other, routers)))
+						assert.Equal(t, i, len(lendersOf("studio", other, routers).before))
 					}
 				}
 			}
@@ -64,7 +64,7 @@
 		large := 0
 		for team := range 300 {
 			for _, r := range routers {
-				if r.Region == "north" && r.Capacity == 0.8 && len(holdersOf(fmt.Sprint(team), r, routers)) == 0 {
+				if r.Region == "north" && r.Capacity == 0.8 && len(lendersOf(fmt.Sprint(team), r, routers).before) == 0 {
 					large++
 				}
 			}
@@ -74,7 +74,7 @@
 	})
 	t.Run("a router that is cut off asks its region first, in one order", func(t *testing.T) {
 		routers := testRouters(7)
-		first, second := othersOf("studio", routers[0], routers), othersOf("studio", routers[2], routers)
+		first, second := lendersOf("studio", routers[0], routers).others, lendersOf("studio", routers[2], routers).others
 		assert.Equal(t, len(routers)-1, len(first))
 		regions := make(map[string]string)
 		for _, r := range routers {
@@ -93,14 +93,14 @@
 		}
 		asking := 0
 		for _, r := range routers[:sharingRouters] {
-			asking += len(chosen.of("studio", r, roster))
+			asking += len(chosen.of("studio", r, roster).before)
 		}
 		assert.Equal(t, 0, asking)
 		for range 2 {
 			roster.Put(routers[sharingRouters])
 		}
 		assert.Equal(t, int64(sharingRouters+1), roster.Changes())
-		last := holdersOf("studio", routers[sharingRouters], routers)
-		assert.Equal(t, last, chosen.of("studio", routers[sharingRouters], roster))
+		last := lendersOf("studio", routers[sharingRouters], routers).before
+		assert.Equal(t, last, chosen.of("studio", routers[sharingRouters], roster).before)
 	})
 }
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -102,11 +102,11 @@
 
 // Holders implements allowance.Lenders.
 func (r *Routers) Holders(team string) []string {
-	return r.holders.of(team, r.Self, r.Roster)
+	return r.holders.of(team, r.Self, r.Roster).before
 }
 
 // Others implements allowance.Lenders.
-func (r *Routers) Others(team string) []string { return othersOf(team, r.Self, r.Roster.All()) }
+func (r *Routers) Others(team string) []string { return r.holders.of(team, r.Self, r.Roster).others }
 
 // address returns where an instance is reached.
 func (r *Routers) address(instance string) (peer.Address, error) {
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -48,7 +48,7 @@
 func (s *Server) TellRouters(routers *Routers) {
 	s.notes = newNoter(routers)
 	routers.Noted = s.Note
-	s.retries.fleet = func() int { return routers.Roster.Len() }
+	s.retries.fleet = routers.Roster.Len
 }
 
 // job is one request on its way.
