Cut one caller off a log by one stand-in

Read again: the tests of fleet/allowance and router/gateway each wrapped the log in memory to cut one router off, each with other calls cut. memory.Way cuts them all; assertions stay.

--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -25,7 +25,7 @@
 	log     *memory.KeyedLog
 	team    *site.Team
 	holders map[string]*Holder
-	logs    map[string]*ownLog
+	logs    map[string]*memory.Way
 	apart   atomic.Bool
 	// lending are the routers that hold shares of the team, in the order in which the others ask them; if there are none,
 	// every router holds a share.
@@ -43,19 +43,6 @@
 	return r.apart.Load() || dead != nil && *dead == instance
 }
 
-// ownLog is one router's way to the log.
-type ownLog struct {
-	*memory.KeyedLog
-	cut atomic.Bool
-}
-
-func (l *ownLog) Newest(ctx context.Context, topic string, partition int) (platform.KeyedState, error) {
-	if l.cut.Load() {
-		return platform.KeyedState{}, platform.ErrUnavailable
-	}
-	return l.KeyedLog.Newest(ctx, topic, partition)
-}
-
 var errApart = errors.New("routers are parted")
 
 // caller is a router's way to the others.
@@ -134,11 +121,11 @@
 // makeRouters returns holders whose loops do not run yet.
 func makeRouters(t *testing.T, prepaid int64, n int) *routers {
 	t.Helper()
-	r := &routers{t: t, log: &memory.KeyedLog{}, holders: make(map[string]*Holder), logs: make(map[string]*ownLog)}
+	r := &routers{t: t, log: &memory.KeyedLog{}, holders: make(map[string]*Holder), logs: make(map[string]*memory.Way)}
 	r.team = &site.Team{Name: "studio", Prepaid: prepaid, HasPrepaid: true}
 	for i := range n {
 		name := fmt.Sprintf("router-%d", i)
-		r.logs[name] = &ownLog{KeyedLog: r.log}
+		r.logs[name] = &memory.Way{KeyedLog: r.log}
 		r.holders[name] = NewHolder(r.logs[name], Settings{
 			Holder: name + "/1", Instance: name, Lenders: &caller{routers: r, from: name}, Partitions: 2,
 			Now:    func() Moment { return Moment{Uptime: time.Hour + time.Since(time.Unix(0, 0)), Wall: time.Now()} },
@@ -291,7 +278,7 @@
 	})
 	t.Run("a router that is cut off lets another one draw", func(t *testing.T) {
 		play(t, 100_000, 2, func(r *routers) {
-			r.logs["router-0"].cut.Store(true)
+			r.logs["router-0"].Cut.Store(true)
 			time.Sleep(3 * time.Second)
 			for range 3 {
 				if _, err := r.holders["router-0"].Reserve(r.t.Context(), "id", r.team, 60_000); err == nil {
@@ -306,8 +293,8 @@
 			// The one that seems to hold most is cut off too.
 			r.assertReserves("router-1", 1_000).Settle(1_000)
 			time.Sleep(3 * time.Second)
-			r.logs["router-0"].cut.Store(true)
-			r.logs["router-1"].cut.Store(true)
+			r.logs["router-0"].Cut.Store(true)
+			r.logs["router-1"].Cut.Store(true)
 			time.Sleep(3 * time.Second)
 			var spent int64
 			for spent < 80_000 {
--- /dev/null
+++ b/fleet/platform/memory/way_test.go
@@ -0,0 +1,34 @@
+package memory
+
+import (
+	"testing"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+)
+
+func TestWay(t *testing.T) {
+	shared := &KeyedLog{}
+	cut, open := &Way{KeyedLog: shared}, &Way{KeyedLog: shared}
+	records := []platform.KeyedRecord{{Key: "key", Value: []byte("value")}}
+	calls := func(w *Way) []error {
+		_, appended := w.AppendAt(t.Context(), "topic", 0, platform.AnyOffset, records)
+		_, read := w.ReadKeyed(t.Context(), "topic", 0, 0, 0)
+		_, newest := w.Newest(t.Context(), "topic", 0)
+		return []error{appended, read, newest}
+	}
+	cut.Cut.Store(true)
+	for _, err := range calls(cut) {
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+	}
+	state, err := open.Newest(t.Context(), "topic", 0)
+	assert.NoError(t, err)
+	assert.Equal(t, int64(0), state.End)
+	for _, err := range calls(open) {
+		assert.NoError(t, err)
+	}
+	cut.Cut.Store(false)
+	state, err = cut.Newest(t.Context(), "topic", 0)
+	assert.NoError(t, err)
+	assert.Equal(t, int64(1), state.End)
+}
--- a/router/gateway/routers_test.go
+++ b/router/gateway/routers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,27 +17,6 @@
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 )
 
-// cutLog is a way to a log that can be cut off.
-type cutLog struct {
-	*keyed.KeyedLog
-
-	cut atomic.Bool
-}
-
-func (l *cutLog) Newest(ctx context.Context, topic string, partition int) (platform.KeyedState, error) {
-	if l.cut.Load() {
-		return platform.KeyedState{}, platform.ErrUnavailable
-	}
-	return l.KeyedLog.Newest(ctx, topic, partition)
-}
-
-func (l *cutLog) ReadKeyed(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (platform.KeyedTail, error) {
-	if l.cut.Load() {
-		return platform.KeyedTail{}, platform.ErrUnavailable
-	}
-	return l.KeyedLog.ReadKeyed(ctx, topic, partition, from, wait)
-}
-
 // startRouters starts a router's end on loopback.
 func startRouters(ctx context.Context, t *testing.T, instance string, way platform.KeyedLog) *Routers {
 	t.Helper()
@@ -93,13 +71,13 @@
 // TestRosterFromAnotherRouter starts a router again while another one can't read the platform.
 func TestRosterFromAnotherRouter(t *testing.T) {
 	shared := &keyed.KeyedLog{}
-	cut := &cutLog{KeyedLog: shared}
+	cut := &keyed.Way{KeyedLog: shared}
 	first := startRouters(t.Context(), t, "a", cut)
 	former, stop := context.WithCancel(t.Context())
 	startRouters(former, t, "b", shared)
 	other := startRouters(t.Context(), t, "c", shared)
 	await(t, func() bool { return first.Roster.Len() == 3 && other.Roster.Len() == 3 })
-	cut.cut.Store(true)
+	cut.Cut.Store(true)
 	stop()
 	again := startRouters(t.Context(), t, "b", shared)
 	await(t, func() bool {
