--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -18,8 +18,9 @@
 	broken, misdirected bool
 	// abort says that the caller must not take its answer for complete. resume says that another endpoint may go on with it.
 	abort, resume bool
-	// unsent says that nothing was sent to the endpoint.
+	// unsent says that nothing was sent to the endpoint, writes how often the transport wrote the request.
 	unsent bool
+	writes int32
 	// held is an endpoint's error that was not passed on.
 	held       *heldAnswer
 	retryAfter time.Duration
@@ -32,6 +33,20 @@
 	body   []byte
 }
 
+// next says how a request goes on after an attempt without a whole answer.
+type next string
+
+const (
+	// nextEnd: the caller, the deadline, the route or the verdict allow no further attempt.
+	nextEnd next = "end"
+	// nextSpent: the budget of repeats is spent.
+	nextSpent next = "budget_spent"
+	// nextFree: nothing was sent, so that nothing is repeated.
+	nextFree next = "free"
+	// nextRepeat: a repeat was taken from the budget.
+	nextRepeat next = "repeat"
+)
+
 // attempts sends the request until an endpoint answers it or it is given up. It reports whether the connection to the
 // caller must end.
 func (j *job) attempts(ctx context.Context) bool {
@@ -48,7 +63,7 @@
 		j.tried = append(j.tried, e)
 		begun := time.Now()
 		out := j.exchange(ctx, e)
-		j.noteAttempt(e, begun, out)
+		j.countSent(out)
 		j.server.targets.began(e, j, false)
 		j.server.targets.release(e, out)
 		if out.verdict != verdict.NotRun {
@@ -57,13 +72,18 @@
 		if !out.unsent {
 			j.sent++
 		}
-		if out.cause == nil || out.abort && !out.resume {
+		if out.cause == nil {
+			return out.abort
+		}
+		following := j.following(ctx, out)
+		j.noteAttempt(e, begun, out, following)
+		if out.abort && !out.resume {
 			return out.abort
 		}
 		if out.held != nil {
 			held = out.held
 		}
-		if !j.mayRetry(ctx, out) {
+		if following == nextEnd || following == nextSpent {
 			if j.started {
 				return true
 			}
@@ -74,24 +94,43 @@
 	}
 }
 
-// mayRetry holds the rule that a request runs at most once unless it is repeatable, and that repeats stay in their
+// following holds the rule that a request runs at most once unless it is repeatable, and that repeats stay in their
 // budget.
-func (j *job) mayRetry(ctx context.Context, out attempt) bool {
-	if ctx.Err() != nil || j.started && !j.events.whole || j.sent >= max(1, j.route.Attempts) || len(j.tried) >= mostTried {
-		return false
+func (j *job) following(ctx context.Context, out attempt) next {
+	if ctx.Err() != nil || out.abort && !out.resume || j.started && !j.events.whole {
+		return nextEnd
+	}
+	if j.sent >= max(1, j.route.Attempts) || len(j.tried) >= mostTried {
+		return nextEnd
 	}
 	if out.unsent {
-		// Nothing arrived anywhere, so that nothing is repeated.
-		return true
+		return nextFree
 	}
 	if out.verdict != verdict.NotRun && !j.route.Repeatable() {
-		return false
+		return nextEnd
 	}
 	if !j.server.retries.repeat(j.service) {
 		j.server.board.Count(repeatsSpent)
-		return false
+		return nextSpent
+	}
+	return nextRepeat
+}
+
+// countSent counts what an endpoint of the service was sent.
+func (j *job) countSent(out attempt) {
+	board := j.server.board
+	switch {
+	case out.writes == 0:
+		board.Count(sentNothing + j.service)
+		return
+	case j.sent == 0:
+		board.Count(sentFirst + j.service)
+	default:
+		board.Count(sentRepeat + j.service)
+	}
+	for range out.writes - 1 {
+		board.Count(sentByTransport + j.service)
 	}
-	return true
 }
 
 // giveUp turns the last attempt into what the caller hears.
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -6,10 +6,14 @@
 	fieldEndpoint = "Endpoint"
 )
 
-// Names of the counters; after retryPrefix stands the reason of the attempt before.
+// Names of the counters; after retryPrefix stands the reason of the attempt before, after the names with sent the service.
 const (
 	retryPrefix             = "retry."
 	repeatsSpent            = "repeat.budget_spent"
+	sentFirst               = "sent.first."
+	sentRepeat              = "sent.repeat."
+	sentByTransport         = "sent.by_transport."
+	sentNothing             = "sent.nothing."
 	configurationUnreadable = "configuration.unreadable"
 	entryUnreadable         = "directory.unreadable"
 )
@@ -25,6 +29,10 @@
 	return []Description{
 		{retryPrefix + "REASON", "Attempts at a further endpoint, by why the one before failed."},
 		{repeatsSpent, "Requests that were not repeated because the budget of repeats was spent."},
+		{sentFirst + "SERVICE", "Requests that were written to a first endpoint of the service."},
+		{sentRepeat + "SERVICE", "Requests that were written to a further endpoint of the service."},
+		{sentByTransport + "SERVICE", "Requests that the HTTP transport wrote once more by itself; there should be none."},
+		{sentNothing + "SERVICE", "Attempts that ended before anything was written to an endpoint of the service."},
 		{configurationUnreadable, "Configurations that can't be read; the one before stays in force."},
 		{entryUnreadable, "Endpoints' entries that can't be read; they name no endpoint to use."},
 	}
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -44,16 +44,20 @@
 	if left < shortestAttempt {
 		return attempt{verdict: verdict.NotRun, reason: verdict.DeadlineTooShort, cause: context.DeadlineExceeded}
 	}
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { written.Store(true) },
+	var writes atomic.Int32
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { writes.Add(1) },
 	})
-	response, err := e.transport.RoundTrip(j.request(ctx, e, left))
+	response, err := e.transport.RoundTrip(j.request(traced, e, left))
+	out := attempt{}
 	if err != nil {
-		return j.failed(ctx, err, written.Load())
+		out = j.failed(ctx, err, writes.Load() > 0)
+	} else {
+		defer func() { _ = response.Body.Close() }()
+		out = j.answered(ctx, response)
 	}
-	defer func() { _ = response.Body.Close() }()
-	return j.answered(ctx, response)
+	out.writes = writes.Load()
+	return out
 }
 
 // request builds the request to the endpoint. Its body can't be read twice, so that the transport has nothing to send
--- a/router/gateway/retry.go
+++ b/router/gateway/retry.go
@@ -39,6 +39,13 @@
 	return b.budgetLocked(service).Withdraw()
 }
 
+// saved returns how many repeats are left.
+func (b *retryBudgets) saved(service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budgetLocked(service).Saved()
+}
+
 // burst returns this router's part of what the fleet saves up.
 func (b *retryBudgets) burst() float64 {
 	if b.fleet == nil {
--- /dev/null
+++ b/router/gateway/sent_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+// counted returns a counter of the router.
+func (g *gatewayTest) counted(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, g.board.Metrics).Count()
+}
+
+func TestSentCounters(t *testing.T) {
+	t.Run("a first endpoint and repeats", func(t *testing.T) {
+		g := newGatewayTest(t, broken, broken, broken, broken)
+		g.call(http.MethodGet, "/read/", "", nil)
+		g.listener.Close()
+		assert.Equal(t, int64(1), g.counted("sent.first.plain"))
+		assert.Equal(t, int64(2), g.counted("sent.repeat.plain"))
+		assert.Equal(t, int64(0), g.counted("sent.by_transport.plain"))
+		var following []string
+		for _, line := range g.lines.Entries {
+			if line.Message == "attempt failed" {
+				following = append(following, fmt.Sprint(line.Fields.Get("Next")))
+			}
+		}
+		assert.Equal(t, []string{"repeat", "repeat", "end"}, following)
+	})
+	t.Run("nothing was sent", func(t *testing.T) {
+		g := newGatewayTest(t)
+		g.board.Directory.Store(site.NewDirectory([]site.Endpoint{{Name: "gone", Service: "plain", Address: unreachable(t)}}))
+		g.call(http.MethodGet, "/read/", "", nil)
+		assert.Equal(t, int64(1), g.counted("sent.nothing.plain"))
+		assert.Equal(t, int64(0), g.counted("sent.first.plain"))
+	})
+}
+
+// closingEndpoint closes kept connections without announcing it, some while the next request is on its way.
+type closingEndpoint struct {
+	mu       sync.Mutex
+	arrivals map[string]int
+	total    int
+}
+
+func (c *closingEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	identifier := r.Header.Get("Id")
+	c.mu.Lock()
+	c.arrivals[identifier]++
+	c.total++
+	closes := c.total%3 == 0
+	c.mu.Unlock()
+	body := "answer"
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", identifier, len(body), body)
+	if !closes {
+		w.Header().Set("Id", identifier)
+		w.Header().Set("Seal", "s")
+		_, _ = w.Write([]byte(body))
+		return
+	}
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = connection.Write([]byte(answer))
+	_ = connection.Close()
+}
+
+// TestClosedKeptConnections guards against requests that the HTTP transport sends again by itself.
+func TestClosedKeptConnections(t *testing.T) {
+	for _, c := range []struct {
+		method, path, body string
+		repeatable         bool
+	}{
+		{http.MethodGet, "/read/", "", true},
+		{http.MethodGet, "/order/", "", false},
+		{http.MethodPost, "/order/", "", false},
+		{http.MethodPost, "/order/", "body", false},
+	} {
+		t.Run(c.method+c.path+c.body, func(t *testing.T) {
+			endpoint := &closingEndpoint{arrivals: make(map[string]int)}
+			listener := httptest.NewServer(endpoint)
+			t.Cleanup(listener.Close)
+			g := newGatewayTest(t)
+			g.board.Directory.Store(site.NewDirectory([]site.Endpoint{
+				{Name: "closing", Service: "plain", Address: strings.TrimPrefix(listener.URL, "http://")},
+			}))
+			var calls sync.WaitGroup
+			for caller := range 8 {
+				calls.Go(func() {
+					for i := range 25 {
+						g.call(c.method, c.path, c.body, func(r *http.Request) {
+							r.Header.Set("Id", fmt.Sprintf("%d-%d", caller, i))
+							r.Header.Set("Idempotency-Key", fmt.Sprintf("%d-%d", caller, i))
+						})
+					}
+				})
+			}
+			calls.Wait()
+			endpoint.mu.Lock()
+			defer endpoint.mu.Unlock()
+			sent := g.counted("sent.first.plain") + g.counted("sent.repeat.plain")
+			assert.Equal(t, true, int64(endpoint.total) <= sent)
+			assert.Equal(t, int64(0), g.counted("sent.by_transport.plain"))
+			for identifier, n := range endpoint.arrivals {
+				if !c.repeatable && n > 1 {
+					t.Errorf("%s arrived %d times", identifier, n)
+				}
+			}
+		})
+	}
+}
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -239,15 +239,13 @@
 // identifier returns the caller's identifier of the request.
 func (j *job) identifier() string { return j.r.Header.Get(j.server.wire.RequestID) }
 
-// noteAttempt logs an attempt that did not end in a whole answer.
-func (j *job) noteAttempt(e *target, begun time.Time, out attempt) {
-	if out.cause == nil {
-		return
-	}
+// noteAttempt logs an attempt that did not end in a whole answer, and how the request goes on.
+func (j *job) noteAttempt(e *target, begun time.Time, out attempt, following next) {
 	j.server.logger.WithFields(log.Fields{
 		fieldRequest: j.identifier(), fieldEndpoint: e.Name, "Verdict": out.verdict.String(), "Reason": string(out.reason),
 		"Milliseconds": time.Since(begun).Milliseconds(), "Beside": j.beside, "WaitMilliseconds": j.wait.Milliseconds(),
-		"Sent": !out.unsent, "Resumes": out.resume,
+		"Sent": !out.unsent, "Writes": out.writes, "Resumes": out.resume, "Service": j.service, "Next": string(following),
+		"SavedRepeats": j.server.retries.saved(j.service),
 	}).WithError(out.cause).Info("attempt failed")
 }
 
