--- a/fleet/verdict/reason.go
+++ b/fleet/verdict/reason.go
@@ -42,6 +42,7 @@
 	EndpointSilent        Reason = "endpoint_silent"
 	EndpointRefused       Reason = "endpoint_refused"
 	Quarantined           Reason = "request_quarantined"
+	Suspected             Reason = "request_suspected"
 	LedgerUnreachable     Reason = "ledger_unreachable"
 	LeaseLapsed           Reason = "lease_lapsed"
 	NotReady              Reason = "router_not_ready"
@@ -105,6 +106,7 @@
 		{EndpointSilent, http.StatusGatewayTimeout, retrySoon, "The endpoint sent nothing in time."},
 		{EndpointRefused, http.StatusBadGateway, retrySoon, "The endpoint refused the request before running it."},
 		{Quarantined, http.StatusUnprocessableEntity, retryInvalid, "The same request was in progress when two endpoints crashed."},
+		{Suspected, http.StatusServiceUnavailable, retryOutage, "Endpoints crashed while the same request was in progress there, so it is not sent for some minutes."},
 		{LedgerUnreachable, http.StatusServiceUnavailable, retryOutage, "The log can't be reached, so nothing new can be paid for."},
 		{LeaseLapsed, http.StatusServiceUnavailable, retrySoon, "The router's lease ended before the request was sent."},
 		{NotReady, http.StatusServiceUnavailable, retrySoon, "The router hasn't read the log to its end yet."},
--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -14,6 +14,8 @@
 	verdict verdict.Verdict
 	reason  verdict.Reason
 	cause   error
+	// answered says that the endpoint began an answer to this request.
+	answered bool
 	// broken says that the endpoint is to blame; misdirected that it is not the one that was meant.
 	broken, misdirected bool
 	// abort says that the caller must not take its answer for complete. resume says that another endpoint may go on with it.
@@ -65,7 +67,8 @@
 		out := j.exchange(ctx, e)
 		j.countSent(out)
 		j.server.targets.began(e, j, false)
-		j.server.targets.release(e, out)
+		j.server.targets.release(e, j, begun, out)
+		j.clear(out)
 		if out.verdict != verdict.NotRun {
 			j.mayHaveRun = true
 		}
@@ -116,6 +119,13 @@
 	return nextRepeat
 }
 
+// clear takes a request that was answered off those that may have crashed endpoints.
+func (j *job) clear(out attempt) {
+	if (out.cause == nil || out.held != nil) && j.server.crashes.any.Load() {
+		j.server.crashes.answered(time.Now(), j.identity())
+	}
+}
+
 // countSent counts what an endpoint of the service was sent.
 func (j *job) countSent(out attempt) {
 	board := j.server.board
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -14,6 +14,7 @@
 	sentRepeat              = "sent.repeat."
 	sentByTransport         = "sent.by_transport."
 	sentNothing             = "sent.nothing."
+	requestHeld             = "request.held"
 	configurationUnreadable = "configuration.unreadable"
 	entryUnreadable         = "directory.unreadable"
 )
@@ -33,6 +34,7 @@
 		{sentRepeat + "SERVICE", "Requests that were written to a further endpoint of the service."},
 		{sentByTransport + "SERVICE", "Requests that the HTTP transport wrote once more by itself; there should be none."},
 		{sentNothing + "SERVICE", "Attempts that ended before anything was written to an endpoint of the service."},
+		{requestHeld, "Requests that crashed endpoints, one after the other, and are not sent any more."},
 		{configurationUnreadable, "Configurations that can't be read; the one before stays in force."},
 		{entryUnreadable, "Endpoints' entries that can't be read; they name no endpoint to use."},
 	}
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -55,6 +55,7 @@
 	} else {
 		defer func() { _ = response.Body.Close() }()
 		out = j.answered(ctx, response)
+		out.answered = !errors.Is(out.cause, errForeign)
 	}
 	out.writes = writes.Load()
 	return out
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -101,13 +101,14 @@
 		return err
 	}
 	loops.Go(func() error { return n.Routers.Node.Run(ctx) })
-	loops.Go(func() error { return n.Routers.Run(ctx) })
 	watch := &loadWatch{
 		board: n.Board, logger: n.Logger, routers: n.Routers.Roster.Len, overload: overload{link: n.Settings.Link},
 	}
 	loops.Go(func() error { return watch.run(ctx) })
 	n.Server.TellRouters(n.Routers)
+	loops.Go(func() error { return n.Routers.Run(ctx) })
 	loops.Go(func() error { return n.Server.notes.run(ctx) })
+	loops.Go(func() error { return n.Server.crashes.run(ctx, n.Routers) })
 	payerContext, stopPayer := context.WithCancel(ctx)
 	defer stopPayer()
 	paying := &errgroup.Group{}
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"errors"
+	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +54,7 @@
 	}
 	if ok {
 		known.transport.CloseIdleConnections()
+		t.crashLocked(known)
 	}
 	fresh := &target{Endpoint: e, transport: NewTransport(t.traffic), hash: xxhash.Sum64String(e.Name)}
 	t.byName[e.Name] = fresh
@@ -66,6 +70,7 @@
 		}
 		if !listed && known.inFlight == 0 {
 			known.transport.CloseIdleConnections()
+			t.crashLocked(known)
 			delete(t.byName, name)
 		}
 	}
@@ -188,10 +193,11 @@
 }
 
 // release gives a place back and learns from how the attempt ended.
-func (t *targets) release(e *target, out attempt) {
+func (t *targets) release(e *target, j *job, begun time.Time, out attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.inFlight--
+	t.exposeLocked(e, j, begun, out)
 	switch {
 	case out.misdirected:
 		e.gone = true
@@ -205,3 +211,29 @@
 		e.failures, e.blocked = 0, time.Time{}
 	}
 }
+
+// exposeLocked notes requests whose exchanges broke off. The endpoint has crashed if it then refuses connections, starts
+// anew, is listed no longer or has left its address to another; an answer to a later request shows that it has not.
+func (t *targets) exposeLocked(e *target, j *job, begun time.Time, out attempt) {
+	if out.broken && out.writes > 0 {
+		e.broke = time.Now()
+		if len(e.exposed) < recordedRequests {
+			e.exposed = append(e.exposed, endpoint.Exposure{Fingerprint: j.identity(), Begun: begun, Broke: e.broke})
+		}
+	}
+	switch {
+	case t.byName[e.Name] != e || out.misdirected || errors.Is(out.cause, syscall.ECONNREFUSED):
+		t.crashLocked(e)
+	case out.answered && !out.broken && begun.After(e.broke):
+		e.exposed = nil
+	}
+}
+
+// crashLocked tells of an endpoint's crash if requests were in progress there.
+func (t *targets) crashLocked(e *target) {
+	if len(e.exposed) == 0 || t.crashed == nil {
+		return
+	}
+	t.crashed(time.Now(), e.Name+"/"+strconv.FormatInt(e.Born, 10), e.exposed)
+	e.exposed = nil
+}
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +19,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
-// RouterTopic is the keyed topic that holds the routers' entries, by the names of their instances.
+// RouterTopic is the keyed topic that holds the routers' entries, by the names of their instances, and what they wrote of crashes.
 const RouterTopic = "keyed.routers"
 
 const (
@@ -31,7 +32,7 @@
 	rosterTimeout = 300 * time.Millisecond
 	// askedForRoster bounds the routers that are asked in a round.
 	askedForRoster = 2
-	// announceTimeout bounds the write of the router's own entry.
+	// announceTimeout bounds the write of one of the router's own records.
 	announceTimeout = 1 * time.Second
 )
 
@@ -42,13 +43,17 @@
 	Node   *peer.Node
 	Log    platform.KeyedLog
 	Logger log.Interface
-	// Payer hands over tokens, Noted takes notes of other routers in; both are set before Run.
-	Payer *allowance.Holder
-	Noted func(peer.Note)
+	// Payer hands over tokens, Noted takes notes of other routers in, Crashed what a router wrote of crashes; all are set before
+	// Run.
+	Payer   *allowance.Holder
+	Noted   func(peer.Note)
+	Crashed func(router string, value []byte)
 
 	holders holders
 	// current says that the entries were read at the last try.
 	current atomic.Bool
+	// begun says that they were read since the start.
+	begun atomic.Bool
 
 	// unanswered is when a router last could not be told of a prompt. Only the goroutine that sends notes uses it.
 	unanswered map[string]time.Time
@@ -176,6 +181,7 @@
 		r.current.Store(err == nil)
 		if err == nil {
 			r.take(read)
+			r.begun.Store(true)
 		} else {
 			r.askForRoster(ctx)
 		}
@@ -195,11 +201,15 @@
 		r.Logger.WithError(err).Error("router's entry can't be written")
 		return true
 	}
+	return r.write(ctx, platform.KeyedRecord{Key: r.Self.Instance, Value: value}) == nil
+}
+
+// write writes one of the router's own records.
+func (r *Routers) write(ctx context.Context, record platform.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	record := platform.KeyedRecord{Key: r.Self.Instance, Value: value}
-	_, err = r.Log.AppendAt(ctx, RouterTopic, 0, platform.AnyOffset, []platform.KeyedRecord{record})
-	return err == nil
+	_, err := r.Log.AppendAt(ctx, RouterTopic, 0, platform.AnyOffset, []platform.KeyedRecord{record})
+	return err
 }
 
 // ListRouters implements peer.Lister.
@@ -233,6 +243,10 @@
 // take folds a batch into the roster. An entry that can't be read is left out.
 func (r *Routers) take(read batch) {
 	for _, record := range read.records {
+		if router, ok := strings.CutSuffix(record.Key, crashSuffix); ok {
+			r.Crashed(router, record.Value)
+			continue
+		}
 		var listed peer.Router
 		if err := json.Unmarshal(record.Value, &listed); err != nil || listed.Instance != record.Key {
 			r.Logger.WithField("Instance", record.Key).Warn("router's entry can't be read")
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -36,14 +38,17 @@
 	logger  log.Interface
 	targets targets
 	retries retryBudgets
+	crashes *crashes
 	// notes tells other routers of prompts; nil if there are none to tell.
 	notes *noter
 }
 
 // NewServer returns a server that pays from a holder's shares.
 func NewServer(board *Board, wire Wire, place Place, payer *allowance.Holder, logger log.Interface) *Server {
+	crashes := newCrashes(board, logger)
 	return &Server{
-		board: board, wire: wire, payer: payer, logger: logger, targets: targets{place: place, traffic: &board.Traffic},
+		board: board, wire: wire, payer: payer, logger: logger, crashes: crashes,
+		targets: targets{place: place, traffic: &board.Traffic, crashed: crashes.crash},
 		retries: retryBudgets{bounds: endpoint.DefaultRepeatBounds()},
 	}
 }
@@ -51,10 +56,13 @@
 // BoundRepeats sets what operators allow the fleet to repeat. It may be called while requests are served.
 func (s *Server) BoundRepeats(bounds endpoint.RepeatBounds) { s.retries.bound(bounds) }
 
-// TellRouters lets the server exchange notes with other routers. It must be called before the first request.
+// TellRouters lets the server exchange notes and crashes with other routers. It must be called before the first request.
 func (s *Server) TellRouters(routers *Routers) {
 	s.notes = newNoter(routers)
 	routers.Noted = s.Note
+	routers.Crashed = func(router string, value []byte) {
+		s.crashes.take(time.Now(), router, router == routers.Self.Instance, value)
+	}
 	s.retries.fleet = routers.Roster.Len
 }
 
@@ -74,6 +82,8 @@
 	demand  site.Demand
 	body    []byte
 	random  uint64
+	// fingerprint is what requests have in common that a caller sends again; zero until it is asked for.
+	fingerprint ledger.Fingerprint
 
 	tried       []*target
 	reservation *allowance.Reservation
@@ -117,6 +127,10 @@
 		j.refuse(err)
 		return false
 	}
+	if err := j.mayCrash(); err != nil {
+		j.refuse(err)
+		return false
+	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
 	if err := j.pay(ctx); err != nil {
@@ -213,6 +227,35 @@
 	}
 }
 
+// mayCrash refuses a request that crashed endpoints.
+func (j *job) mayCrash() error {
+	if !j.server.crashes.any.Load() {
+		return nil
+	}
+	wait := j.server.crashes.held(j.received, j.identity())
+	if wait == 0 {
+		return nil
+	}
+	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Suspected, RetryAfter: wait}
+}
+
+// identity returns the request's fingerprint: its team, method, path and body.
+func (j *job) identity() ledger.Fingerprint {
+	if j.fingerprint == 0 {
+		digest := xxhash.New()
+		if j.team != nil {
+			_, _ = digest.WriteString(j.team.Name)
+		}
+		for _, part := range []string{j.r.Method, j.r.Host, j.r.RequestURI} {
+			_, _ = digest.WriteString("\n" + part)
+		}
+		_, _ = digest.WriteString("\n")
+		_, _ = digest.Write(j.body)
+		j.fingerprint = ledger.Fingerprint(digest.Sum64())
+	}
+	return j.fingerprint
+}
+
 // pay reserves the most that the request can use.
 func (j *job) pay(ctx context.Context) error {
 	begun := time.Now()
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -79,6 +80,9 @@
 	backlog placement.Backlog
 	cache   placement.Cache
 	slow    placement.Slowness
+	// exposed are the requests whose exchanges broke off since the endpoint's last answer, broke is when the newest did.
+	exposed []endpoint.Exposure
+	broke   time.Time
 	// gone says that the address belongs to another endpoint by now.
 	gone bool
 }
@@ -94,6 +98,8 @@
 	// place is where this router is.
 	place   Place
 	traffic *Traffic
+	// crashed is told of an endpoint's crash with the requests that were in progress there.
+	crashed func(now time.Time, crash string, exposures []endpoint.Exposure)
 }
 
 // Place is where a router is, and the region of each availability zone.
