--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -25,10 +25,12 @@
 	directoryPause = 300 * time.Millisecond
 	// callMargin is what a call to the platform may take beyond its wait.
 	callMargin = 800 * time.Millisecond
-	// failurePause lies between a failed call and the next, which takes no longer than failureTimeout: the end of an outage is
-	// seen within their sum.
+	// failurePause lies between a failed call and the next. For entries of some hundred bytes that one takes no longer than
+	// entriesTimeout, so that the end of an outage is seen within their sum; but each patientEvery-th may take as long as any, so that
+	// more entries than the link brings in entriesTimeout are read too.
 	failurePause   = 150 * time.Millisecond
-	failureTimeout = 600 * time.Millisecond
+	entriesTimeout = 600 * time.Millisecond
+	patientEvery   = 3
 )
 
 // Source tells where the platform keeps what a follower reads, and how to read it.
@@ -48,10 +50,13 @@
 	log   platform.KeyedLog
 	topic string
 	wait  time.Duration
+	// again bounds most reads after one that failed; zero sets no other bound than that of each read.
+	again time.Duration
 	next  int64
+	// begun says that the newest records were read, and all since then.
 	begun bool
-	// failed says that the last read had no answer.
-	failed bool
+	// failures counts the reads since the last that had an answer.
+	failures int
 }
 
 // batch is what a read brought: the newest record of each key, or the records since the last read.
@@ -60,32 +65,34 @@
 	whole   bool
 }
 
+// read returns what is next. After a read that failed it returns the newest records in place of all that came meanwhile,
+// which may be more than a link brings in time.
 func (f *follower) read(ctx context.Context) (batch, error) {
-	wait, timeout := f.wait, f.wait+callMargin
-	if f.failed {
-		wait, timeout = 0, failureTimeout
+	timeout := f.wait + callMargin
+	if f.again > 0 && f.failures%patientEvery != 0 {
+		timeout = f.again
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	read, err := f.call(ctx, wait)
-	f.failed = err != nil && !errors.Is(err, platform.ErrTrimmed)
+	read, err := f.call(ctx)
+	f.begun = err == nil
+	f.failures++
+	if err == nil || errors.Is(err, platform.ErrTrimmed) {
+		f.failures = 0
+	}
 	return read, err
 }
 
-// call reads what is next.
-func (f *follower) call(ctx context.Context, wait time.Duration) (batch, error) {
+func (f *follower) call(ctx context.Context) (batch, error) {
 	if !f.begun {
 		state, err := f.log.Newest(ctx, f.topic, 0)
 		if err != nil {
 			return batch{}, err
 		}
-		f.begun, f.next = true, state.End
+		f.next = state.End
 		return batch{records: state.Records, whole: true}, nil
 	}
-	tail, err := f.log.ReadKeyed(ctx, f.topic, 0, f.next, wait)
-	if errors.Is(err, platform.ErrTrimmed) {
-		f.begun = false
-	}
+	tail, err := f.log.ReadKeyed(ctx, f.topic, 0, f.next, f.wait)
 	if err != nil {
 		return batch{}, err
 	}
@@ -157,7 +164,7 @@
 
 // Run follows the endpoints' entries until the context ends.
 func (d *Directories) Run(ctx context.Context) error {
-	f := &follower{log: d.Source.Log, topic: d.Source.DirectoryTopic}
+	f := &follower{log: d.Source.Log, topic: d.Source.DirectoryTopic, again: entriesTimeout}
 	var reach reachability
 	for ctx.Err() == nil {
 		f.wait = d.untilExpiry(directoryWait)
@@ -216,6 +223,7 @@
 	}
 	if read.whole {
 		changed = d.register.Replace(now, listed) || changed
+		d.Logger.WithFields(log.Fields{"Endpoints": len(listed), "Changed": changed}).Info("endpoints read anew")
 	}
 	return changed
 }
--- a/router/gateway/follow_test.go
+++ b/router/gateway/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
@@ -29,12 +31,18 @@
 
 // follow runs body with both followers on paused time.
 func follow(t *testing.T, body func(f *followed)) {
+	t.Helper()
+	followBy(t, func(l *keyed.KeyedLog) platform.KeyedLog { return l }, body)
+}
+
+// followBy runs body with followers that reach the log by some way.
+func followBy(t *testing.T, way func(*keyed.KeyedLog) platform.KeyedLog, body func(f *followed)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &followed{t: t, log: &keyed.KeyedLog{}, board: &Board{Metrics: metrics.NewRegistry()}}
 		ctx, cancel := context.WithCancel(t.Context())
 		source := Source{
-			Log: f.log, ConfigurationTopic: "op", ConfigurationKey: "config", DirectoryTopic: "servers",
+			Log: way(f.log), ConfigurationTopic: "op", ConfigurationKey: "config", DirectoryTopic: "servers",
 			Configuration: decodeVersion, Endpoint: decodeState,
 		}
 		logger := &log.Logger{Handler: discard.New()}
@@ -51,6 +59,36 @@
 	})
 }
 
+// narrowLink brings each record in a time.
+type narrowLink struct {
+	*keyed.KeyedLog
+
+	each time.Duration
+}
+
+const (
+	// configurationTime is what a configuration with hundreds of routes takes on a link of 10 Mbit/s that is busy, entryTime what
+	// some hundred entries of endpoints take there.
+	configurationTime = 150 * time.Millisecond
+	entryTime         = 300 * time.Millisecond
+)
+
+func (l narrowLink) ReadKeyed(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (platform.KeyedTail, error) {
+	tail, err := l.KeyedLog.ReadKeyed(ctx, topic, partition, from, wait)
+	if err == nil && !clock.Sleep(ctx, time.Duration(len(tail.Records))*l.each) {
+		err = ctx.Err()
+	}
+	return tail, err
+}
+
+func (l narrowLink) Newest(ctx context.Context, topic string, partition int) (platform.KeyedState, error) {
+	state, err := l.KeyedLog.Newest(ctx, topic, partition)
+	if err == nil && !clock.Sleep(ctx, time.Duration(len(state.Records))*l.each) {
+		err = ctx.Err()
+	}
+	return state, err
+}
+
 var errUnreadable = errors.New("unreadable")
 
 func decodeVersion(value []byte) (*site.Configuration, error) {
@@ -129,6 +167,21 @@
 			f.assertVersion(5)
 		})
 	})
+	t.Run("after an outage with many changes on a narrow link", func(t *testing.T) {
+		followBy(t, func(l *keyed.KeyedLog) platform.KeyedLog { return narrowLink{l, configurationTime} }, func(f *followed) {
+			f.put("op", "config", `{"Version": 1}`)
+			time.Sleep(2 * time.Second)
+			f.log.SetOutage(true)
+			time.Sleep(8 * time.Second)
+			f.log.SetOutage(false)
+			for version := range 40 {
+				f.put("op", "config", fmt.Sprintf(`{"Version": %d}`, 2+version))
+			}
+			// The time in which operators want changes to be in force.
+			time.Sleep(2500 * time.Millisecond)
+			f.assertVersion(41)
+		})
+	})
 	t.Run("after an outage in which the history expired", func(t *testing.T) {
 		follow(t, func(f *followed) {
 			f.put("op", "config", `{"Version":1}`)
@@ -171,6 +224,20 @@
 			f.assertEndpoints()
 		})
 	})
+	t.Run("after an outage with more entries than a short read brings", func(t *testing.T) {
+		followBy(t, func(l *keyed.KeyedLog) platform.KeyedLog { return narrowLink{l, entryTime} }, func(f *followed) {
+			for _, name := range []string{"one", "two", "three"} {
+				f.put("servers", name, "ready")
+			}
+			time.Sleep(3 * time.Second)
+			f.log.SetOutage(true)
+			time.Sleep(8 * time.Second)
+			f.log.SetOutage(false)
+			f.put("servers", "three", "draining")
+			time.Sleep(4 * time.Second)
+			f.assertEndpoints("one", "two")
+		})
+	})
 	t.Run("entries that lapse in an outage are kept until endpoints write again", func(t *testing.T) {
 		follow(t, func(f *followed) {
 			f.put("servers", "one", "ready")
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -169,7 +169,7 @@
 
 // Run announces the router and follows the others' entries until the context ends.
 func (r *Routers) Run(ctx context.Context) error {
-	f := &follower{log: r.Log, topic: RouterTopic, wait: rosterWait}
+	f := &follower{log: r.Log, topic: RouterTopic, wait: rosterWait, again: entriesTimeout}
 	var reach reachability
 	announced := false
 	for ctx.Err() == nil {
