--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROGRAMS := router platform dragonflyctl standin
 export PATH := $(PATH):$(shell go env GOPATH)/bin
 
-.PHONY: build test lint format tools bench demo docs capacity fuzz
+.PHONY: build test lint format tools bench demo docs capacity soak fuzz
 
 BIN := bin
 # VERSION is what the programs call themselves; empty for what Go records of the module.
@@ -41,6 +41,12 @@
 capacity: ## measures the slopes of docs/CAPACITY.md in some minutes and rewrites the page's tables
 	CAPACITY_PAGE=$(CURDIR)/docs/CAPACITY.md go test -count 1 -timeout 10m -v -run '^TestMeasure$$' ./router/capacity
 
+SEEDS := 50
+FIRST := 1
+
+soak: ## plays SEEDS seeds from FIRST on of random faults on real processes; one takes about 21 s
+	SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) go test -count 1 -timeout 60m -run '^TestSoak$$' ./platform
+
 FUZZ_TIME := 30s
 FUZZ_TARGETS := \
 	fleet/ledger:FuzzDecode fleet/ledger:FuzzAssembler fleet/ledger:FuzzLoad fleet/order:FuzzDecode \
