Take no repeat for a request whose time is over

Callers saw: a request with less than 5 ms left took up to two repeats from its service's budget and a turn at three endpoints, though none of them was sent anything; others then lacked the repeats.

Cause: an attempt that ends for want of time counts neither as sent nor as unsent, so that the rule on repeats treated it as an endpoint's failure. Now the request ends there. Found by the new counters: sent.nothing 3 for one request. TestNoTimeLeftTakesNoRepeat fails before (3 attempts, 2 repeats taken).

--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -106,6 +106,10 @@
 	if j.sent >= max(1, j.route.Attempts) || len(j.tried) >= mostTried {
 		return nextEnd
 	}
+	if out.reason == verdict.DeadlineTooShort {
+		// No endpoint would get the request either, and a repeat is worth more elsewhere.
+		return nextEnd
+	}
 	if out.unsent {
 		return nextFree
 	}
--- a/router/gateway/sent_test.go
+++ b/router/gateway/sent_test.go
@@ -44,6 +44,17 @@
 	})
 }
 
+// TestNoTimeLeftTakesNoRepeat guards against repeats that are taken from the budget for requests that no endpoint gets.
+func TestNoTimeLeftTakesNoRepeat(t *testing.T) {
+	g := newGatewayTest(t, sealed("never"), sealed("never"), sealed("never"))
+	before := g.server.retries.saved("plain")
+	got := g.call(http.MethodGet, "/read/", "", func(r *http.Request) { r.Header.Set("Left", "4") })
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, true, g.server.retries.saved("plain") >= before)
+	assert.Equal(t, int64(1), g.counted("sent.nothing.plain"))
+	g.assertRuns(0, 0, 0)
+}
+
 // closingEndpoint closes kept connections without announcing it, some while the next request is on its way.
 type closingEndpoint struct {
 	mu       sync.Mutex
