--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -2,8 +2,9 @@
 
 // Names of the fields that several log lines have.
 const (
-	fieldRequest  = "Request"
-	fieldEndpoint = "Endpoint"
+	fieldRequest     = "Request"
+	fieldEndpoint    = "Endpoint"
+	fieldFingerprint = "Fingerprint"
 )
 
 // Names of the counters; after retryPrefix stands the reason of the attempt before, after the names with sent the service.
--- a/router/gateway/crashes.go
+++ b/router/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,11 +99,14 @@
 func (c *crashes) suspectLocked(now time.Time, name, from string, exposures []endpoint.Exposure) {
 	for _, f := range c.suspects.Crash(now, name, exposures) {
 		c.board.Count(requestHeld)
-		c.logger.WithFields(log.Fields{"Fingerprint": uint64(f), "Crash": name, "From": from}).Warn("request is held")
+		c.logger.WithFields(log.Fields{fieldFingerprint: formatFingerprint(f), "Crash": name, "From": from}).Warn("request is held")
 	}
 	c.any.Store(c.suspects.Len() > 0)
 }
 
+// formatFingerprint writes a fingerprint as lines show it.
+func formatFingerprint(f ledger.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
+
 // answered clears a request that an endpoint answered.
 func (c *crashes) answered(now time.Time, f ledger.Fingerprint) {
 	c.mu.Lock()
--- a/router/gateway/crashes_test.go
+++ b/router/gateway/crashes_test.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
 // crashFleet is routers that tell each other of crashes by a log.
@@ -183,4 +184,13 @@
 	assert.Equal(t, http.StatusOK, g.call(http.MethodPost, "/order/", "good", nil).status)
 	assert.Equal(t, http.StatusOK, g.call(http.MethodPost, "/order/x", "bad", nil).status)
 	assert.Equal(t, int64(1), g.counted(requestHeld))
+	g.listener.Close()
+	named := make(map[string]any)
+	for _, line := range g.lines.Entries {
+		if line.Fields.Get("Outcome") == string(verdict.Suspected) || line.Message == "request is held" {
+			named[line.Message] = line.Fields.Get(fieldFingerprint)
+		}
+	}
+	want := formatFingerprint(held.identity())
+	assert.Equal(t, map[string]any{"request ended": want, "request is held": want}, named)
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -312,6 +312,9 @@
 	if j.team != nil {
 		fields["Team"] = j.team.Name
 	}
+	if j.fingerprint != 0 {
+		fields[fieldFingerprint] = formatFingerprint(j.fingerprint)
+	}
 	if j.demand.Most() > 0 {
 		fields["Prompt"], fields["Output"], fields["Events"] = j.demand.Prompt, j.demand.Output, j.events.count()
 		fields["PaidMilliseconds"] = j.paid.Milliseconds()
