--- a/dragonflyctl/verbs.go
+++ b/dragonflyctl/verbs.go
@@ -5,6 +5,7 @@
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/certificate"
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/config"
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/fleet"
+	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/request"
 	"github.com/dragonflyworks/dragonflyworks/dragonflyctl/ticket"
 )
 
@@ -23,6 +24,7 @@
 		{"budget", "Prepaid budgets.", &budget.Verbs{}},
 		{"fleet", "The routers.", &fleet.Verbs{}},
 		{"certificate", "Certificates of the routers.", &certificate.Verbs{}},
+		{"explain", "Explains what became of a request, from the routers' logs.", &request.Explain{}},
 		{"version", "Prints the version.", &versionVerb{}},
 	}
 }
