Count recent requests by the steady clock, and take a router's own record in once

Requests of the last window were counted by parts of the time of day. After a step back by an hour nothing was forgotten for an hour, so that a router could save up more and more repeats. The parts go by the steady clock that the times carry.

A router read back the first record of crashes that it had written and took it for one of a former process, so that each crash stood there twice. TestCrashingRequestIsHeldByAllRouters asks for one (2 before).

--- a/fleet/endpoint/repeats.go
+++ b/fleet/endpoint/repeats.go
@@ -41,15 +41,16 @@
 	saved float64
 	// at is when saved was last brought up to date.
 	at time.Time
-	// recent counts the requests of the last window by its parts; slot is the number of the newest.
+	// recent counts the requests of the last window by its parts; newest is the index of the last part, begun its beginning.
 	recent [recentSlots]int
-	slot   int64
+	newest int
+	begun  time.Time
 }
 
 // First counts a request.
 func (b *RepeatBudget) First(now time.Time, bounds RepeatBounds, routers int) {
 	b.update(now, bounds, routers)
-	b.recent[b.slot%recentSlots]++
+	b.recent[b.newest]++
 	b.saved = min(b.saved+paidRatio*bounds.Ratio, b.most(bounds, routers))
 }
 
@@ -70,22 +71,30 @@
 
 // update adds what the time since the last update brings, and drops what is above the most that may be saved up.
 func (b *RepeatBudget) update(now time.Time, bounds RepeatBounds, routers int) {
-	if bounds.Window <= 0 {
+	if bounds.Window < recentSlots {
 		b.saved = 0
 		return
 	}
-	if !b.at.IsZero() {
+	if b.at.IsZero() {
+		b.begun = now
+	} else {
 		b.saved += steadySlack * slack(bounds, routers) * now.Sub(b.at).Seconds() / bounds.Window.Seconds()
 	}
 	b.at = now
-	slot := now.UnixNano() / int64(bounds.Window/recentSlots)
-	for old := max(b.slot, slot-recentSlots); old < slot; old++ {
-		b.recent[(old+1)%recentSlots] = 0
-	}
-	b.slot = max(b.slot, slot)
+	b.forget(now, bounds.Window/recentSlots)
 	b.saved = min(b.saved, b.most(bounds, routers))
 }
 
+// forget drops the requests that are older than a window, in parts of a width. It goes by the steady clock, which the times have.
+func (b *RepeatBudget) forget(now time.Time, width time.Duration) {
+	passed := now.Sub(b.begun) / width
+	for range min(passed, recentSlots) {
+		b.newest = (b.newest + 1) % recentSlots
+		b.recent[b.newest] = 0
+	}
+	b.begun = b.begun.Add(passed * width)
+}
+
 // most returns how many repeats a router may save up.
 func (b *RepeatBudget) most(bounds RepeatBounds, routers int) float64 {
 	requests := 0
--- a/router/gateway/crashes.go
+++ b/router/gateway/crashes.go
@@ -27,9 +27,9 @@
 	// crashMemory is how long crashes stay in the record: as long as a request is held.
 	crashMemory = 10 * time.Minute
 	// recordedCrashes, recordedRequests and recordedAnswers bound the record, to some ten KB.
-	recordedCrashes  = 32
-	recordedRequests = 64
-	recordedAnswers  = 64
+	recordedCrashes  = 16
+	recordedRequests = 32
+	recordedAnswers  = 32
 )
 
 // crashRecord is what a router tells the others of crashes, under a key of its own. Times are Unix milliseconds.
@@ -220,6 +220,8 @@
 		return errRosterUnread
 	}
 	c.mu.Lock()
+	// What is read under the own name from here on is what this process wrote.
+	c.taken[routers.Self.Instance] = max(1, c.taken[routers.Self.Instance])
 	value, err := json.Marshal(c.own)
 	c.mu.Unlock()
 	if err != nil {
--- a/router/gateway/crashes_test.go
+++ b/router/gateway/crashes_test.go
@@ -80,6 +80,7 @@
 		f.assertHeld(false, a, b, c)
 		f.crash(b, "two/1")
 		f.assertHeld(true, a, b, c)
+		assert.Equal(t, 1, len(a.own.Crashes))
 	})
 	play("routers that start again", func(f *crashFleet) {
 		a, end := f.start("a")
