--- a/dragonflyctl/request/explain.go
+++ b/dragonflyctl/request/explain.go
@@ -25,6 +25,7 @@
 	// fieldFingerprint is what requests have in common that a caller sends again.
 	fieldFingerprint = "Fingerprint"
 	lineEnded        = "request ended"
+	lineStarted      = "router started"
 	lineAttempt      = "attempt failed"
 )
 
@@ -212,7 +213,7 @@
 // isBelief reports whether a line tells what its router believes from then on.
 func isBelief(l *line) bool {
 	switch l.Message {
-	case "configuration in force", "platform lost", "platform regained", "readiness changed", "overload changed", "router started",
+	case "configuration in force", "platform lost", "platform regained", "readiness changed", "overload changed", lineStarted,
 		"router is leaving", "log lines dropped":
 		return true
 	default:
@@ -220,7 +221,7 @@
 	}
 }
 
-// beliefs returns the newest line of each kind that a router wrote before a time.
+// beliefs returns the newest line of each kind that a router's process wrote before a time.
 func beliefs(router string, before time.Time, lines []line) []line {
 	var newest []line
 	for _, l := range lines {
@@ -228,7 +229,7 @@
 			continue
 		}
 		same := func(other line) bool {
-			return topic(&other) == topic(&l) && other.text("Of") == l.text("Of")
+			return l.Message == lineStarted || topic(&other) == topic(&l) && other.text("Of") == l.text("Of")
 		}
 		newest = append(slices.DeleteFunc(newest, same), l)
 	}
--- a/dragonflyctl/request/line.go
+++ b/dragonflyctl/request/line.go
@@ -37,7 +37,10 @@
 			continue
 		}
 		l := line{Process: process}
-		if json.Unmarshal(scanner.Bytes()[begin:], &l) != nil || l.Message == "" {
+		decoder := json.NewDecoder(bytes.NewReader(scanner.Bytes()[begin:]))
+		// Numbers are shown as they were written.
+		decoder.UseNumber()
+		if decoder.Decode(&l) != nil || l.Message == "" {
 			continue
 		}
 		if before := strings.Fields(scanner.Text()[:begin]); len(before) > 0 {
@@ -62,7 +65,14 @@
 
 // duration returns a field in milliseconds.
 func (l *line) duration(name string) time.Duration {
-	milliseconds, _ := l.Fields[name].(float64)
+	number, ok := l.Fields[name].(json.Number)
+	if !ok {
+		return 0
+	}
+	milliseconds, err := number.Float64()
+	if err != nil {
+		return 0
+	}
 	return time.Duration(milliseconds * float64(time.Millisecond))
 }
 
