--- a/fleet/platform/memory/connection_test.go
+++ b/fleet/platform/memory/connection_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -32,3 +34,21 @@
 	assert.NoError(t, err)
 	assert.Equal(t, int64(1), state.End)
 }
+
+// TestCutEndsCallsInProgress guards against a long poll that reads over a connection which was cut after the poll began.
+func TestCutEndsCallsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sharedLog := &KeyedLog{}
+		connection := &Connection{KeyedLog: sharedLog}
+		result := make(chan error)
+		go func() {
+			_, err := connection.ReadKeyed(t.Context(), "topic", 0, 0, time.Minute)
+			result <- err
+		}()
+		synctest.Wait()
+		connection.Cut.Store(true)
+		_, err := sharedLog.AppendAt(t.Context(), "topic", 0, platform.AnyOffset, []platform.KeyedRecord{{Key: "key", Value: []byte("value")}})
+		assert.NoError(t, err)
+		assert.ErrorIs(t, <-result, platform.ErrUnavailable)
+	})
+}
