--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -93,8 +93,12 @@
 	return true
 }
 
-// Run draws, reports and returns tokens until the context ends.
+// Run draws, reports and returns tokens until the context ends. Former processes on this instance must have ended, because
+// Run settles their shares.
 func (h *Holder) Run(ctx context.Context) error {
+	h.mu.Lock()
+	h.recordStartLocked(h.clocks())
+	h.mu.Unlock()
 	loops := &errgroup.Group{}
 	loops.Go(func() error { return h.runBorrower(ctx) })
 	loops.Go(func() error { return h.runRepayer(ctx) })
@@ -150,6 +154,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			p.serveWaiters()
 			if !p.needsUpdate() {
 				continue
 			}
@@ -161,6 +166,16 @@
 	}
 }
 
+// serveWaiters serves requests that wait for a spending bound which allows more with time.
+func (p *accountPartition) serveWaiters() {
+	h := p.holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, team := range p.teamsLocked() {
+		h.serveWaitersLocked(h.holdingLocked(team.Name))
+	}
+}
+
 // backOff waits after a failed update and signals another update if requests still wait.
 func (p *accountPartition) backOff(ctx context.Context) {
 	clock.Sleep(ctx, conflictBackoff/4+rand.N(conflictBackoff)) //nolint:gosec // spreads writes
--- a/fleet/allowance/borrow.go
+++ b/fleet/allowance/borrow.go
@@ -72,7 +72,7 @@
 	}
 	teamHolding.recordUse(time.Now(), 0)
 	tokens := max(0, min(wanted, teamHolding.free(h.uptime())-int64(teamHolding.rate()*keepReserveTime.Seconds())))
-	if tokens < wanted && teamHolding.usable-teamHolding.netUsed()-teamHolding.reserved > teamHolding.free(h.uptime()) {
+	if tokens < wanted && teamHolding.unused() > teamHolding.free(h.uptime()) {
 		teamHolding.boundExceeded = true
 		h.partitionOf(team).signalUpdate()
 	}
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -14,6 +14,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 )
 
 // Topic is the platform's keyed topic that stores the accounts. The key is the name of the team.
@@ -69,6 +70,8 @@
 	DrawTimeout time.Duration
 	// Now reads the clocks of this machine; nil selects the package's function Now.
 	Now func() ClockReading
+	// Agreement holds the time of day on which this machine and others agree; nil if other machines are not asked.
+	Agreement *timeofday.Agreement
 	// Lenders requests tokens from other routers; nil if there are no other routers.
 	Lenders Lenders
 	Logger  log.Interface
@@ -98,6 +101,10 @@
 	// platformReachedAt is the time of the last successful read by this router, or of the last answer by a lender that
 	// could reach the platform.
 	platformReachedAt time.Time
+	// startedAt and startClocks are the time and the clocks' reading at the start of Run, or else at the first update of
+	// an account.
+	startedAt   time.Time
+	startClocks ClockReading
 	// unresponsiveUntil maps an instance to the time until which its router is not asked for loans.
 	unresponsiveUntil map[string]time.Time
 	// loanRecords are the loans that this router recently granted or voided as a lender. pendingVoids are loan requests
@@ -179,17 +186,22 @@
 	return h.awaitTokens(ctx, team, w, h.settings.DrawTimeout)
 }
 
-// awaitTokens waits until a waiting request has its tokens reserved, up to the given time.
+// awaitTokens waits until a waiting request has its tokens reserved, up to the given time. If only a spending bound keeps
+// the request from its tokens, because the platform is unreachable, it waits longer, until the bound allows more.
 func (h *Holder) awaitTokens(ctx context.Context, team string, w *waiter, wait time.Duration) error {
 	h.partitionOf(team).signalUpdate()
 	h.signalBorrower()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-w.done:
-		return nil
-	case <-ctx.Done():
-	case <-timer.C:
+	for wait > 0 && ctx.Err() == nil {
+		timer := time.NewTimer(wait)
+		select {
+		case <-w.done:
+			timer.Stop()
+			return nil
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+		wait = h.boundWait(team, w.maxTokens)
 	}
 	if h.cancelWait(team, w) {
 		return h.refuse(team, w.maxTokens)
@@ -197,6 +209,21 @@
 	return nil
 }
 
+// boundWait returns how long a request may wait for a spending bound that allows more; zero if no bound keeps it from
+// its tokens, if the wait would be longer than boundDelay, or if the bound can be rewritten.
+func (h *Holder) boundWait(team string, maxTokens int64) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.partitionOf(team).platformUnreachableLocked(time.Now()) {
+		return 0
+	}
+	wait := h.holdingLocked(team).allowsAfter(h.uptime(), maxTokens)
+	if wait == 0 || wait > boundDelay {
+		return 0
+	}
+	return wait + watchInterval
+}
+
 // reserve reserves free tokens, or queues the request and returns its waiter if too few are free.
 func (h *Holder) reserve(team string, maxTokens int64) (*waiter, error) {
 	h.mu.Lock()
@@ -325,6 +352,21 @@
 
 func (h *Holder) uptime() time.Duration { return h.settings.Now().Uptime }
 
+// clocks reads the clocks of this machine, with the boot time that was agreed with other machines.
+func (h *Holder) clocks() ClockReading {
+	reading := h.settings.Now()
+	reading.BootTime, _ = h.settings.Agreement.BootTime()
+	return reading
+}
+
+// recordStartLocked records the start of this process unless it is known, and the boot time once there is an agreement.
+func (h *Holder) recordStartLocked(clocks ClockReading) {
+	if h.startedAt.IsZero() {
+		h.startedAt, h.startClocks = time.Now(), clocks
+	}
+	h.startClocks.BootTime = clocks.BootTime
+}
+
 func (h *Holder) holdingLocked(team string) *holding {
 	teamHolding, ok := h.teams[team]
 	if !ok {
--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -21,12 +22,14 @@
 
 // testRouters is a fleet of holders that can call each other and share one in-memory log.
 type testRouters struct {
-	t           *testing.T
-	log         *memory.KeyedLog
-	team        *site.Team
-	holders     map[string]*Holder
-	logs        map[string]*memory.Connection
-	partitioned atomic.Bool
+	t       *testing.T
+	log     *memory.KeyedLog
+	team    *site.Team
+	holders map[string]*Holder
+	// holdersMutex guards holders in tests that restart routers.
+	holdersMutex sync.RWMutex
+	logs         map[string]*memory.Connection
+	partitioned  atomic.Bool
 	// shareHolders are the routers that hold shares of the team, in the order in which the other routers ask them. If
 	// it is empty, every router holds a share.
 	shareHolders []string
@@ -38,6 +41,13 @@
 	loseNextLoan atomic.Bool
 }
 
+// holder returns the holder of the router's current process.
+func (r *testRouters) holder(name string) *Holder {
+	r.holdersMutex.RLock()
+	defer r.holdersMutex.RUnlock()
+	return r.holders[name]
+}
+
 func (r *testRouters) unreachable(instance string) bool {
 	name := r.unreachableRouter.Load()
 	return r.partitioned.Load() || name != nil && *name == instance
@@ -55,7 +65,7 @@
 	if c.routers.partitioned.Load() {
 		return 0, errPartitioned
 	}
-	return c.routers.holders[instance].TransferOut(c.from, team, wanted, cutOff), nil
+	return c.routers.holder(instance).TransferOut(c.from, team, wanted, cutOff), nil
 }
 
 func (c *peerClient) ShareHolders(string) []string {
@@ -82,7 +92,7 @@
 		return peer.Loan{}, errPartitioned
 	}
 	c.routers.loanRequests.Add(1)
-	loan, err := c.routers.holders[instance].Lend(ctx, c.from, r)
+	loan, err := c.routers.holder(instance).Lend(ctx, c.from, r)
 	if c.routers.loseNextLoan.CompareAndSwap(true, false) {
 		return peer.Loan{}, errPartitioned
 	}
@@ -90,21 +100,21 @@
 }
 
 func (c *peerClient) Void(_ context.Context, instance, team string, identifier uint64) error {
-	if c.routers.unreachable(instance) || !c.routers.holders[instance].Void(c.from, team, identifier) {
+	if c.routers.unreachable(instance) || !c.routers.holder(instance).Void(c.from, team, identifier) {
 		return errPartitioned
 	}
 	return nil
 }
 
 func (c *peerClient) Repay(_ context.Context, instance, team string, tokens int64) error {
-	if c.routers.unreachable(instance) || !c.routers.holders[instance].Repay(c.from, team, tokens) {
+	if c.routers.unreachable(instance) || !c.routers.holder(instance).Repay(c.from, team, tokens) {
 		return errPartitioned
 	}
 	return nil
 }
 
 func (c *peerClient) Transfer(_ context.Context, instance, team string, tokens int64) error {
-	if c.routers.partitioned.Load() || !c.routers.holders[instance].AcceptTransfer(c.from, team, tokens) {
+	if c.routers.partitioned.Load() || !c.routers.holder(instance).AcceptTransfer(c.from, team, tokens) {
 		return errPartitioned
 	}
 	return nil
@@ -160,7 +170,8 @@
 }
 
 func (r *testRouters) run(ctx context.Context, name string) {
-	go func() { _ = r.holders[name].Run(ctx) }()
+	h := r.holder(name)
+	go func() { _ = h.Run(ctx) }()
 }
 
 func (r *testRouters) account(t *testing.T) Account {
@@ -405,7 +416,7 @@
 			configuration.Index()
 			h.Configure(configuration)
 			assert.NoError(t, h.partitions[0].update(t.Context(), false))
-			uptime += 2 * boundRenewalAge
+			uptime += 2 * idleRenewalAge
 			failing.err = c.err
 			assert.ErrorIs(t, h.partitions[0].update(t.Context(), false), c.err)
 			assert.Equal(t, c.want, len(h.holdingLocked("studio").spendingBounds))
--- a/fleet/allowance/holding.go
+++ b/fleet/allowance/holding.go
@@ -59,7 +59,7 @@
 // still apply.
 func (t *holding) free(uptime time.Duration) int64 {
 	used := t.netUsed() + t.reserved
-	free := t.usable - used
+	free := t.unused()
 	for i := range t.spendingBounds {
 		if bound, ok := t.spendingBounds[i].MaxUsed(uptime); ok {
 			free = min(free, bound-used)
@@ -68,6 +68,22 @@
 	return free
 }
 
+// allowsAfter returns how long a request must wait until the spending bounds allow it, or zero if no bound keeps it from its
+// tokens.
+func (t *holding) allowsAfter(uptime time.Duration, maxTokens int64) time.Duration {
+	if t.unused() < maxTokens {
+		return 0
+	}
+	wait := time.Duration(0)
+	for i := range t.spendingBounds {
+		wait = max(wait, t.spendingBounds[i].allowsAfter(uptime, t.netUsed()+t.reserved+maxTokens))
+	}
+	return wait
+}
+
+// unused returns the granted tokens that are neither used nor reserved.
+func (t *holding) unused() int64 { return t.usable - t.netUsed() - t.reserved }
+
 // netUsed returns the granted tokens that were used or transferred to other routers, less the tokens received from
 // them.
 func (t *holding) netUsed() int64 { return t.spent + t.transferred - t.received }
--- a/fleet/allowance/lend.go
+++ b/fleet/allowance/lend.go
@@ -17,9 +17,10 @@
 	// loanRecordLifetime is how long a lender remembers a loan: several times the maximum time that a message about the
 	// loan can be in transit.
 	loanRecordLifetime = 30 * time.Second
-	// maxExtraFraction is the maximum fraction of a lender's free tokens that one loan takes in addition to what its
-	// request needs.
-	maxExtraFraction = 0.05
+	// maxExtraFraction is the maximum fraction of a lender's unused tokens that one loan takes in addition to what its
+	// request needs, maxExtraFreeFraction that of the tokens that the spending bound leaves free.
+	maxExtraFraction     = 0.05
+	maxExtraFreeFraction = 0.25
 )
 
 // errClosed is returned for loan requests that arrive after the router has begun to return its shares.
@@ -27,7 +28,8 @@
 
 // Lend reserves tokens of this router's share for a request at another router, drawing more if necessary. If there are
 // more free tokens, the loan includes a part of them, up to request.Maximum in total. Lent tokens count as used by this
-// router until they are repaid. An error means that this router currently lends nothing.
+// router until they are repaid. An error means that this router currently lends nothing, peer.ErrRetrySoon that its spending
+// bound allows more soon.
 func (h *Holder) Lend(ctx context.Context, from string, request peer.LoanRequest) (peer.Loan, error) {
 	if h.isClosed() {
 		return peer.Loan{}, errClosed
@@ -38,7 +40,12 @@
 		if !request.MayWait && h.platformUnreachable(request.Team) {
 			wait = 0
 		}
-		err = h.awaitTokens(ctx, request.Team, w, wait)
+		waitContext, cancel := context.WithTimeout(ctx, wait)
+		err = h.awaitTokens(waitContext, request.Team, w, wait)
+		cancel()
+		if err != nil && request.MayWait && h.boundWait(request.Team, request.Minimum) > 0 {
+			return peer.Loan{}, peer.ErrRetrySoon
+		}
 	}
 	loan := peer.Loan{Spent: errors.Is(err, ErrExhausted), CutOff: h.platformUnreachable(request.Team)}
 	if err == nil {
@@ -65,7 +72,7 @@
 }
 
 // lendReserved lends the reserved tokens of a request and, up to the request's maximum, at most maxExtraFraction of the
-// free ones. It returns the lent amount in tokens, which is zero if the borrower has already voided the loan.
+// unused ones. It returns the lent amount in tokens, which is zero if the borrower has already voided the loan.
 func (h *Holder) lendReserved(from string, request peer.LoanRequest) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -77,7 +84,8 @@
 		return 0
 	}
 	free := max(0, teamHolding.free(h.uptime())-request.Minimum)
-	lent := request.Minimum + min(request.Maximum-request.Minimum, int64(maxExtraFraction*float64(free)))
+	extra := min(int64(maxExtraFreeFraction*float64(free)), int64(maxExtraFraction*float64(max(0, teamHolding.unused()-request.Minimum))))
+	lent := request.Minimum + min(request.Maximum-request.Minimum, extra)
 	teamHolding.spent += lent
 	teamHolding.recordUse(time.Now(), lent-request.Minimum)
 	h.loanRecords[key] = loanRecord{tokens: lent, recordedAt: time.Now()}
--- a/fleet/allowance/loan.go
+++ b/fleet/allowance/loan.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 )
 
@@ -16,6 +17,8 @@
 	// lenderBackoff is how long a router is not asked for loans after it did not answer, or after it had no tokens as a
 	// fallback lender and could not draw any.
 	lenderBackoff = 2 * time.Second
+	// retrySoonInterval is the time between two requests to a lender that may lend soon.
+	retrySoonInterval = 50 * time.Millisecond
 	// maxLenders is the maximum number of routers that are asked for a loan per request.
 	maxLenders = 3
 	// directDrawTime is how long a router draws its own share of a team after no lender answered.
@@ -67,7 +70,7 @@
 			continue
 		}
 		attempts++
-		loan, err := h.borrowFrom(ctx, instance, peer.LoanRequest{Team: team, Minimum: maxTokens - reserved, MayWait: fromHolders})
+		loan, err := h.borrowWhenOpen(ctx, instance, peer.LoanRequest{Team: team, Minimum: maxTokens - reserved, MayWait: fromHolders})
 		switch {
 		case err != nil:
 		case loan.Tokens > 0:
@@ -84,6 +87,16 @@
 	return errNoLender
 }
 
+// borrowWhenOpen requests a loan from one router, and again while that router's spending bound allows more soon.
+func (h *Holder) borrowWhenOpen(ctx context.Context, instance string, request peer.LoanRequest) (peer.Loan, error) {
+	for start := time.Now(); ; {
+		loan, err := h.borrowFrom(ctx, instance, request)
+		if !errors.Is(err, peer.ErrRetrySoon) || time.Since(start) > boundDelay || !clock.Sleep(ctx, retrySoonInterval) {
+			return loan, err
+		}
+	}
+}
+
 // borrowFrom requests a loan from one router and reserves the borrowed tokens. It ignores cancellation by the caller,
 // so that a loan already granted is not lost.
 func (h *Holder) borrowFrom(ctx context.Context, instance string, request peer.LoanRequest) (peer.Loan, error) {
@@ -91,6 +104,9 @@
 	defer cancel()
 	request.Maximum, request.Identifier = request.Minimum+h.borrowAhead(request.Team, request.Minimum), h.lastLoanIdentifier.Add(1)
 	loan, err := h.settings.Lenders.Borrow(ctx, instance, request)
+	if errors.Is(err, peer.ErrRetrySoon) {
+		return loan, err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
--- a/fleet/allowance/loan_test.go
+++ b/fleet/allowance/loan_test.go
@@ -122,6 +122,15 @@
 			}
 		})
 	})
+	t.Run("a request waits for the lender's spending bound in an outage", func(t *testing.T) {
+		runRoutersWithLoans(t, 100_000, 3, 1, func(r *testRouters) {
+			r.log.SetOutage(true)
+			time.Sleep(2 * watchInterval)
+			r.assertReserves("router-2", 4_000).Settle(4_000)
+			r.assertReserves("router-1", 1_000).Settle(1_000)
+			r.assertRefuses("router-1", 50_000, ErrHeldElsewhere)
+		})
+	})
 	t.Run("a leaving router lends until it returns its shares", func(t *testing.T) {
 		runRoutersWithLoans(t, 10_000, 3, 2, func(r *testRouters) {
 			r.assertReserves("router-2", 9_000).Settle(1_000)
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -23,8 +23,10 @@
 	// minChangeFraction is the minimum change of a share that justifies a write, as a fraction of the team's remaining
 	// tokens.
 	minChangeFraction = 0.02
-	// renewPercent is the percentage of a spending bound that may be used before the bound is rewritten.
-	renewPercent = 60
+	// renewPercent is the percentage of a spending bound that may be used before the bound is rewritten, minRenewPercent
+	// the percentage from which a bound of boundRenewalAge is.
+	renewPercent    = 40
+	minRenewPercent = 10
 	// holdersPerExtraRequest is the number of holders per additional request of mean size that a draw covers beyond the
 	// waiting requests.
 	holdersPerExtraRequest = 16
@@ -71,8 +73,11 @@
 	LargestRequest int64
 	// MeanRequest is the average of the maximum use of recent requests of all teams.
 	MeanRequest int64
-	// Now is the current reading of the clocks of the holder's machine.
-	Now ClockReading
+	// Now is the current reading of the clocks of the holder's machine, Start their reading at the start of the
+	// process.
+	Now, Start ClockReading
+	// AwaitsAgreement is true if the agreed time of day is not known yet but expected soon.
+	AwaitsAgreement bool
 	// BorrowsOnly is true if other routers hold the team's shares, so that this router keeps no tokens in advance.
 	BorrowsOnly bool
 	// Ending is true if the holder uses no more tokens and its share is to be retired.
@@ -104,21 +109,21 @@
 	if position.Demand > 0 {
 		share.UnmetDemand = max(0, position.NetUsed+position.Reserved+position.Demand-share.Granted)
 	}
-	share.SpendingBound = position.spendingBound(share.Granted)
+	share.SpendingBound = position.spendingBound(share.Granted, a.Remaining())
 	a.Shares[position.Holder] = share
 	return a, changed || p.justifiesWrite(&a, stored, share, position)
 }
 
-// spendingBound returns the spending bound for the next write, based on the holder's use and the free tokens of its
-// share.
-func (p *Position) spendingBound(granted int64) SpendingBound {
+// spendingBound returns the spending bound for the next write, based on the holder's use, its waiting requests, the free
+// tokens of its share and the team's remaining tokens.
+func (p *Position) spendingBound(granted, remaining int64) SpendingBound {
 	base := p.NetUsed + p.Reserved
 	free := float64(max(0, granted-base))
+	burst := max(p.Rate*boundBurstTime.Seconds(), free*boundIdleBurst-p.Rate*boundIdleTime.Seconds(), float64(remaining)*boundRemainingBurst)
 	return SpendingBound{
-		Base:   base,
-		Burst:  max(p.LargestRequest, int64(p.Rate*boundBurstTime.Seconds()), int64(free*boundFreeBurst)),
-		Rate:   max(p.Rate*boundRateFactor, free*boundFreeRate),
-		Uptime: p.Now.Uptime, WallMilliseconds: p.Now.Wall.UnixMilli(),
+		Base: base, Burst: p.Demand + max(p.LargestRequest, int64(burst)),
+		Rate: max(p.Rate*boundRateFactor, free*boundFreeRate), Delay: boundDelay,
+		Uptime: p.Now.Uptime, WallMilliseconds: p.Now.Wall.UnixMilli(), AgreedMilliseconds: p.Now.agreedMilliseconds(),
 	}
 }
 
@@ -132,15 +137,21 @@
 	return changed
 }
 
-// retireFormerShares settles the shares of earlier processes on this instance, which have certainly ended.
+// retireFormerShares settles the shares of earlier processes on this instance, which have certainly ended. A share that
+// the agreed time of day would settle at less than its grant is left until that is known.
 func (a *Account) retireFormerShares(position Position) bool {
 	changed := false
 	for _, holder := range a.holders() {
 		share := a.Shares[holder]
-		if share.Instance == position.Instance && holder != position.Holder {
-			a.retire(holder, share.settlement(position.Now), share.Spent)
-			changed = true
+		if share.Instance != position.Instance || holder == position.Holder {
+			continue
 		}
+		settled, isTimed := share.settlement(position.Start)
+		if !isTimed && position.AwaitsAgreement && share.SpendingBound.AgreedMilliseconds != 0 {
+			continue
+		}
+		a.retire(holder, settled, share.Spent)
+		changed = true
 	}
 	return changed
 }
@@ -223,8 +234,8 @@
 	if position.BoundExceeded {
 		return boundApplies && share.SpendingBound.Base+share.SpendingBound.Burst > bound
 	}
-	renewalDue := position.Now.Uptime-stored.SpendingBound.Uptime > boundRenewalAge
-	if renewalDue && share.Spent-stored.Spent > int64(minChangeFraction*float64(a.Remaining())) {
+	age := position.Now.Uptime - stored.SpendingBound.Uptime
+	if age > idleRenewalAge && share.Spent-stored.Spent > int64(minChangeFraction*float64(a.Remaining())) {
 		// Other routers decide from the reported use whether the team's tokens are exhausted.
 		return true
 	}
@@ -233,8 +244,8 @@
 		// write.
 		return false
 	}
-	used := share.SpendingBound.Base - stored.SpendingBound.Base
-	return renewalDue || 100*used > renewPercent*(bound-stored.SpendingBound.Base)
+	usedPercent := 100 * (share.SpendingBound.Base - stored.SpendingBound.Base) / max(1, bound-stored.SpendingBound.Base)
+	return age > idleRenewalAge || age > boundRenewalAge && usedPercent > minRenewPercent || usedPercent > renewPercent
 }
 
 func absolute(n int64) int64 {
--- a/fleet/allowance/plan_test.go
+++ b/fleet/allowance/plan_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 )
 
 func clockAt(uptime time.Duration) ClockReading {
@@ -52,27 +55,77 @@
 }
 
 func TestSettlement(t *testing.T) {
-	share := Share{Instance: "a", Granted: 10_000, SpendingBound: SpendingBound{
-		Base: 1_000, Burst: 200, Rate: 100, Uptime: time.Hour, WallMilliseconds: clockAt(time.Hour).Wall.UnixMilli(),
-	}}
+	written := clockAt(time.Hour)
+	bound := SpendingBound{
+		Base: 1_000, Burst: 200, Rate: 100, Uptime: time.Hour, WallMilliseconds: written.Wall.UnixMilli(),
+	}
+	agreedBound := bound
+	agreedBound.AgreedMilliseconds = written.Wall.UnixMilli()
+	// rebooted returns the clocks of a machine that booted one second ago, at the given time after the write.
+	rebooted := func(elapsed time.Duration) ClockReading {
+		now := written.Wall.Add(elapsed)
+		return ClockReading{Uptime: time.Second, Wall: now, BootTime: now.Add(-time.Second)}
+	}
+	unknownTime := rebooted(2 * time.Second)
+	unknownTime.BootTime = time.Time{}
+	steppedWall := rebooted(2 * time.Second)
+	steppedWall.Wall = steppedWall.Wall.Add(-4 * time.Second)
+	const tolerance = int64(maxAgreedDifference/time.Millisecond) * 100 / 1_000
 	for _, c := range []struct {
-		name string
-		now  ClockReading
-		want int64
+		name  string
+		bound SpendingBound
+		start ClockReading
+		want  int64
+		timed bool
 	}{
-		{"process restarted", clockAt(time.Hour + 2*time.Second), 1_400},
-		{"spending bound expired", clockAt(time.Hour + boundLifetime), 10_000},
-		{"machine rebooted", ClockReading{Uptime: 30 * time.Second, Wall: clockAt(time.Hour + 2*time.Second).Wall}, 10_000},
-		{"uptime after reboot happens to match", ClockReading{Uptime: time.Hour + time.Second, Wall: clockAt(2 * time.Hour).Wall}, 10_000},
-		{"wall clock was set back", ClockReading{Uptime: time.Hour + time.Second, Wall: clockAt(time.Hour).Wall.Add(-2 * time.Second)}, 10_000},
-		{"no uptime", ClockReading{Wall: clockAt(time.Hour).Wall}, 10_000},
+		{"process restarted", bound, clockAt(time.Hour + 2*time.Second), 1_400, true},
+		{"spending bound expired", bound, clockAt(time.Hour + boundLifetime), 10_000, true},
+		{"machine rebooted", bound, rebooted(2 * time.Second), 10_000, false},
+		{"uptime after reboot happens to match", bound, ClockReading{Uptime: time.Hour + time.Second, Wall: clockAt(2 * time.Hour).Wall}, 10_000, false},
+		{"wall clock was set back", bound, ClockReading{Uptime: time.Hour + time.Second, Wall: written.Wall.Add(-2 * time.Second)}, 10_000, false},
+		{"no uptime", bound, ClockReading{Wall: written.Wall}, 10_000, false},
+		{"rebooted, time agreed", agreedBound, rebooted(2 * time.Second), 1_400 + tolerance, true},
+		{"rebooted, time agreed, own wall clock stepped", agreedBound, steppedWall, 1_400 + tolerance, true},
+		{"rebooted, time not agreed", agreedBound, unknownTime, 10_000, false},
+		{"rebooted, time not agreed at the write", bound, rebooted(2 * time.Second), 10_000, false},
+		{"rebooted, bound expired", agreedBound, rebooted(boundLifetime), 10_000, true},
+		{"rebooted, agreed time before the write", agreedBound, rebooted(-2 * time.Second), 10_000, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, c.want, share.settlement(c.now))
+			share := Share{Instance: "a", Granted: 10_000, SpendingBound: c.bound}
+			got, timed := share.settlement(c.start)
+			assert.Equal(t, c.want, got)
+			assert.Equal(t, c.timed, timed)
 		})
 	}
 }
 
+// TestSettlementAwaitsAgreement guards against a share that is settled at its full grant before the routers have agreed
+// on the time of day.
+func TestSettlementAwaitsAgreement(t *testing.T) {
+	written := clockAt(time.Hour)
+	current := Account{Version: 3, Prepaid: 20_000, Shares: map[string]Share{"a/1": {
+		Instance: "a", Granted: 10_000, Spent: 1_000,
+		SpendingBound: SpendingBound{Base: 1_000, Burst: 200, Uptime: time.Hour, AgreedMilliseconds: written.Wall.UnixMilli()},
+	}}}
+	position := Position{Holder: "a/2", Instance: "a", Version: 3, Prepaid: 20_000, AwaitsAgreement: true}
+	position.Start = ClockReading{Uptime: time.Second, Wall: written.Wall.Add(time.Second)}
+	a, _ := Policy{}.Plan(current, position)
+	assert.Equal(t, int64(10_000), a.Shares["a/1"].Granted)
+	t.Run("agreement reached", func(t *testing.T) {
+		position.Start.BootTime = written.Wall
+		a, write := Policy{}.Plan(current, position)
+		assert.Equal(t, true, write)
+		assert.Equal(t, int64(1_200), a.Settled)
+	})
+	t.Run("agreement not reached in time", func(t *testing.T) {
+		position.Start.BootTime, position.AwaitsAgreement = time.Time{}, false
+		a, write := Policy{}.Plan(current, position)
+		assert.Equal(t, true, write)
+		assert.Equal(t, int64(10_000), a.Settled)
+	})
+}
+
 func TestDecodeAccount(t *testing.T) {
 	a := Account{Version: 1, Prepaid: 10, Shares: map[string]Share{"a/1": {Granted: -5, Spent: 2}}}
 	encoded, err := a.Encode()
@@ -105,3 +158,27 @@
 func keyed(key, value string) []platform.KeyedRecord {
 	return []platform.KeyedRecord{{Key: key, Value: []byte(value)}}
 }
+
+// TestSettlementCoversUse guards against a share that is settled at less than its holder was allowed to use, with errors
+// of the agreed time of day that the tolerance allows.
+func TestSettlementCoversUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		agreementError := rapid.Int64Range(-int64(timeofday.Tolerance), int64(timeofday.Tolerance))
+		written := clockAt(time.Hour)
+		bound := SpendingBound{Base: 1_000, Burst: rapid.Int64Range(0, 1_000).Draw(t, "burst"), Rate: float64(rapid.Int64Range(0, 5_000).Draw(t, "rate")), Uptime: written.Uptime}
+		bound.AgreedMilliseconds = written.Wall.Add(time.Duration(agreementError.Draw(t, "errorAtWrite"))).UnixMilli()
+		end := time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "end"))
+		down := time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "down"))
+		granted := rapid.Int64Range(1_000, 20_000).Draw(t, "granted")
+		used := granted
+		if limit, applies := bound.MaxUsed(written.Uptime + end); applies {
+			used = min(used, limit)
+		}
+		start := ClockReading{Uptime: time.Second}
+		start.BootTime = written.Wall.Add(end + down - start.Uptime + time.Duration(agreementError.Draw(t, "errorAtStart")))
+		share := Share{Granted: granted, SpendingBound: bound}
+		if settled, _ := share.settlement(start); settled < used {
+			t.Fatalf("settled %d tokens, but %d may have been used", settled, used)
+		}
+	})
+}
--- a/fleet/allowance/pledge.go
+++ b/fleet/allowance/pledge.go
@@ -4,33 +4,48 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 )
 
 const (
-	// boundLifetime is how long a spending bound applies after it was written. It must be longer than the time from a
-	// process's last write until its restart, and shorter than the platform outages that a share is meant to cover.
-	boundLifetime = 5 * time.Second
+	// boundLifetime is how long a spending bound applies after it was written. It covers the time from a process's last
+	// write until its restart, also if an outage of the platform ends with a loss of power.
+	boundLifetime = 15 * time.Second
+	// maxAgreedDifference is the maximum difference between the agreed times of two processes. Each is wrong by no more
+	// than the tolerance.
+	maxAgreedDifference = 2 * timeofday.Tolerance
 	// boundBurstTime and boundRateFactor set a spending bound from the holder's current rate of use: the bound allows
-	// at once what this rate uses in boundBurstTime, and afterwards boundRateFactor times the rate. Together they cover
-	// the use during boundLifetime.
-	boundBurstTime  = 2 * time.Second
-	boundRateFactor = 1.5
-	// boundFreeBurst is the fraction of a share's free tokens that a spending bound allows at once, boundFreeRate the
-	// fraction per second that it allows afterwards. They leave room for teams whose use jumps to a multiple of its
-	// previous rate.
-	boundFreeBurst = 0.25
-	boundFreeRate  = 0.1
-	// boundRenewalAge is the age at which a spending bound is rewritten, so that the stored bound still applies if the
-	// process restarts.
-	boundRenewalAge = 2 * time.Second
+	// at once what this rate uses in boundBurstTime, and from boundDelay on boundRateFactor times the rate. While the
+	// platform answers, the bound is rewritten before the delay is over.
+	boundBurstTime  = 800 * time.Millisecond
+	boundDelay      = 1400 * time.Millisecond
+	boundRateFactor = 1.6
+	// boundRemainingBurst is the fraction of the team's remaining tokens that a spending bound allows at once. It makes
+	// writes rare for totals that last long.
+	boundRemainingBurst = 0.003
+	// boundIdleBurst is the fraction of a share's free tokens that a spending bound allows at once, less the use in
+	// boundIdleTime at the current rate. It leaves room for teams that are idle until an outage begins.
+	boundIdleBurst = 0.25
+	boundIdleTime  = 2 * time.Second
+	// boundFreeRate is the fraction of a share's free tokens per second that a spending bound allows from boundDelay on.
+	// It leaves room for teams whose use jumps to a multiple of its previous rate.
+	boundFreeRate = 0.1
+	// boundRenewalAge is the age at which a spending bound of which a part was used is rewritten, idleRenewalAge that at
+	// which any bound is rewritten, so that the stored bound still applies if the process restarts.
+	boundRenewalAge = 400 * time.Millisecond
+	idleRenewalAge  = 2 * time.Second
 	// clockTolerance is the maximum drift between the wall clock and the uptime across process restarts on one machine.
 	clockTolerance = 500 * time.Millisecond
 	// minUptime is the uptime from which the two clocks can distinguish a reboot of the machine from a restart of the
 	// process.
 	minUptime = 1 * time.Minute
+	// agreementWait is how long after its start a process waits for the agreed time of day before it settles the share
+	// of a former process at the full granted amount. It covers the start of many routers at once.
+	agreementWait = 4 * time.Second
 )
 
-// SpendingBound limits a holder's use after a write to Base + Burst + Rate x (uptime - Uptime) tokens until
+// SpendingBound limits a holder's use after a write to Base + Burst + Rate x (uptime - Uptime - Delay) tokens until
 // boundLifetime after Uptime, even if more was granted. When a process restarts on the same machine, it settles the
 // share of its predecessor at this bound instead of the full granted amount.
 type SpendingBound struct {
@@ -38,29 +53,61 @@
 	// maximum.
 	Base int64
 	// Burst is the additional use in tokens that is allowed at once; Rate is the further use allowed, in tokens per
-	// second.
+	// second, from Delay after the write on.
 	Burst int64
-	Rate  float64 `json:"Pace"`
+	Rate  float64       `json:"Pace"`
+	Delay time.Duration `json:",omitempty"`
 	// Uptime is the time since the machine booted, including time in suspend. WallMilliseconds is the wall clock in
 	// milliseconds since the Unix epoch.
 	Uptime           time.Duration
 	WallMilliseconds int64
+	// AgreedMilliseconds is the agreed time of day in milliseconds since the Unix epoch; zero if there was no agreement.
+	AgreedMilliseconds int64 `json:",omitempty"`
 }
 
 // MaxUsed returns the upper bound on the holder's total use in tokens at the given uptime, or false if the spending
 // bound does not apply at that time.
 func (b *SpendingBound) MaxUsed(uptime time.Duration) (int64, bool) {
-	elapsed := uptime - b.Uptime
+	return b.maxUsedAfter(uptime - b.Uptime)
+}
+
+// allowsAfter returns how long after the given uptime the spending bound allows a total use in tokens; zero if it does
+// already.
+func (b *SpendingBound) allowsAfter(uptime time.Duration, used int64) time.Duration {
+	limit, applies := b.MaxUsed(uptime)
+	if !applies || limit >= used {
+		return 0
+	}
+	allowedAt := boundLifetime
+	if b.Rate > 0 {
+		allowedAt = min(allowedAt, b.Delay+time.Duration(float64(used-b.Base-b.Burst)/b.Rate*float64(time.Second)))
+	}
+	return b.Uptime + allowedAt - uptime
+}
+
+// maxUsedAfter returns the upper bound on the holder's total use in tokens at the given time after the write, or false if
+// the spending bound does not apply at that time.
+func (b *SpendingBound) maxUsedAfter(elapsed time.Duration) (int64, bool) {
 	if elapsed < 0 || elapsed >= boundLifetime {
 		return 0, false
 	}
-	return b.Base + b.Burst + int64(b.Rate*elapsed.Seconds()), true
+	return b.Base + b.Burst + int64(b.Rate*max(0, elapsed-b.Delay).Seconds()), true
 }
 
 // ClockReading is a simultaneous reading of a machine's uptime and wall clock.
 type ClockReading struct {
 	Uptime time.Duration
 	Wall   time.Time
+	// BootTime is the time of day at which the uptime was zero, by agreement with other machines; zero if unknown.
+	BootTime time.Time
+}
+
+// agreedMilliseconds returns the agreed time of day in milliseconds since the Unix epoch, or zero if it is unknown.
+func (r *ClockReading) agreedMilliseconds() int64 {
+	if r.BootTime.IsZero() {
+		return 0
+	}
+	return r.BootTime.Add(r.Uptime).UnixMilli()
 }
 
 // Now reads the clocks of this machine.
@@ -73,18 +120,31 @@
 	return ClockReading{Uptime: time.Duration(t.Nano()), Wall: time.Now()}
 }
 
-// settlement returns an upper bound on the tokens that a former holder on this machine used. The result is the granted
-// amount, or the spending bound if that is lower, still applies, and both clocks show that the machine has not rebooted
-// since the bound was written.
-func (s *Share) settlement(now ClockReading) int64 {
-	elapsed := now.Uptime - s.SpendingBound.Uptime
-	drift := now.Wall.Sub(time.UnixMilli(s.SpendingBound.WallMilliseconds)) - elapsed
-	if s.SpendingBound.Uptime < minUptime || drift.Abs() > clockTolerance {
-		return s.Granted
+// settlement returns an upper bound on the tokens that a former holder on this machine used. start is the reading of the
+// clocks at the start of the process that settles the share, which is after the end of the former one. The result is the
+// granted amount, or the spending bound if that is lower and applied until then. isTimed is false if the clocks cannot
+// tell how long after the last write the former process ended.
+func (s *Share) settlement(start ClockReading) (tokens int64, isTimed bool) {
+	elapsed, isTimed := s.SpendingBound.elapsedUntil(start)
+	if bound, ok := s.SpendingBound.maxUsedAfter(elapsed); isTimed && ok {
+		return min(s.Granted, bound), true
 	}
-	bound, ok := s.SpendingBound.MaxUsed(now.Uptime)
-	if !ok {
-		return s.Granted
+	return s.Granted, isTimed
+}
+
+// elapsedUntil returns an upper bound on the time from the write of the spending bound to the start of a later process on
+// the same machine. If both clocks of the machine show that it has not rebooted, the uptime gives the result, and
+// otherwise the agreed time of day.
+func (b *SpendingBound) elapsedUntil(start ClockReading) (time.Duration, bool) {
+	elapsed := start.Uptime - b.Uptime
+	drift := start.Wall.Sub(time.UnixMilli(b.WallMilliseconds)) - elapsed
+	if b.Uptime >= minUptime && drift.Abs() <= clockTolerance {
+		return elapsed, elapsed >= 0
+	}
+	agreed := start.agreedMilliseconds()
+	if agreed == 0 || b.AgreedMilliseconds == 0 {
+		return 0, false
 	}
-	return min(s.Granted, bound)
+	elapsed = time.Duration(agreed-b.AgreedMilliseconds)*time.Millisecond + maxAgreedDifference
+	return elapsed, elapsed >= 0
 }
--- a/fleet/allowance/property_test.go
+++ b/fleet/allowance/property_test.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 )
 
 const modelTeam = "studio"
@@ -27,13 +28,19 @@
 	starts   int
 	holder   *Holder
 	inFlight []*Reservation
+	// agreement is the time of day that the router agreed on with other machines. bootTime is the true time at which the
+	// uptime was zero.
+	agreement *timeofday.Agreement
+	bootTime  time.Time
 }
 
 // fleetModel simulates routers that use one account through a log that loses, delays and refuses calls. The model
 // counts the use that endpoints delivered and is independent of how shares are computed.
 type fleetModel struct {
-	log           memory.KeyedLog
-	machines      []*modelMachine
+	log      memory.KeyedLog
+	machines []*modelMachine
+	// now is the true time.
+	now           time.Time
 	configuration *site.Configuration
 	// used is the use in tokens that endpoints delivered. highestTotal is the highest prepaid total that was ever
 	// configured.
@@ -44,12 +51,15 @@
 }
 
 func newFleetModel(t *rapid.T) *fleetModel {
-	m := &fleetModel{}
+	m := &fleetModel{now: time.Unix(1_800_000_000, 0)}
 	m.configure(rapid.Int64Range(500, 4_000).Draw(t, "prepaid"))
 	for i := range rapid.IntRange(1, 3).Draw(t, "machines") {
-		host := &modelMachine{name: fmt.Sprintf("router-%d", i), uptime: time.Hour, wall: time.Unix(1_800_000_000, 0)}
+		host := &modelMachine{name: fmt.Sprintf("router-%d", i)}
+		host.wall = m.now.Add(time.Duration(rapid.Int64Range(-300, 300).Draw(t, "clockError")) * time.Millisecond)
+		host.boot(m.now, time.Hour)
 		m.machines = append(m.machines, host)
 		m.start(host)
+		m.agreeOn(t, host)
 	}
 	return m
 }
@@ -67,12 +77,38 @@
 	m.highestTotal = max(m.highestTotal, prepaid)
 }
 
+// boot sets the machine's uptime.
+func (host *modelMachine) boot(now time.Time, uptime time.Duration) {
+	host.uptime, host.bootTime = uptime, now.Add(-uptime)
+}
+
+// agreeOn lets the router on a machine agree with others on the time of day, give up, or go on expecting an agreement. The
+// agreed time is wrong by no more than the tolerance.
+func (m *fleetModel) agreeOn(t *rapid.T, host *modelMachine) {
+	switch rapid.SampledFrom([]string{"agrees", "agrees", "abandons", "awaits"}).Draw(t, "agreement") {
+	case "agrees":
+		limit := int64(timeofday.Tolerance)
+		host.agreement.SetBootTime(host.bootTime.Add(time.Duration(rapid.Int64Range(-limit, limit).Draw(t, "agreementError"))))
+	case "abandons":
+		host.agreement.Abandon()
+	}
+}
+
+// agree is a later result of an agreement that is awaited.
+func (m *fleetModel) agree(t *rapid.T) {
+	if host := m.pickMachine(t); host.agreement.IsPending() {
+		m.agreeOn(t, host)
+	}
+}
+
 func (m *fleetModel) start(host *modelMachine) {
 	host.starts++
+	host.agreement = &timeofday.Agreement{}
 	host.holder = NewHolder(&m.log, Settings{
 		Holder: fmt.Sprintf("%s/%d", host.name, host.starts), Instance: host.name,
-		Now:    func() ClockReading { return ClockReading{Uptime: host.uptime, Wall: host.wall} },
-		Logger: &log.Logger{Handler: discard.New()},
+		Now:       func() ClockReading { return ClockReading{Uptime: host.uptime, Wall: host.wall} },
+		Agreement: host.agreement,
+		Logger:    &log.Logger{Handler: discard.New()},
 	})
 	host.holder.Configure(m.configuration)
 	host.inFlight = nil
@@ -80,6 +116,7 @@
 
 // advance moves the clocks of all machines forward.
 func (m *fleetModel) advance(d time.Duration) {
+	m.now = m.now.Add(d)
 	for _, host := range m.machines {
 		host.uptime += d
 		host.wall = host.wall.Add(d)
@@ -263,12 +300,13 @@
 	}
 	m.advance(rapid.SampledFrom([]time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 7 * time.Second}).Draw(t, "down"))
 	if rapid.Bool().Draw(t, "losesPower") {
-		host.uptime = rapid.SampledFrom([]time.Duration{time.Second, time.Hour, 30 * time.Hour}).Draw(t, "uptime")
+		host.boot(m.now, rapid.SampledFrom([]time.Duration{time.Second, time.Hour, 30 * time.Hour}).Draw(t, "uptime"))
 	}
 	if rapid.Bool().Draw(t, "clockStep") {
 		host.wall = host.wall.Add(rapid.SampledFrom([]time.Duration{-4 * time.Second, 4 * time.Second}).Draw(t, "step"))
 	}
 	m.start(host)
+	m.agreeOn(t, host)
 }
 
 func (m *fleetModel) injectFault(t *rapid.T) {
@@ -309,13 +347,13 @@
 const modelActions = 150
 
 // TestNoOverspend guards against use beyond the prepaid total under arbitrary interleavings of requests, draws,
-// transfers, loans, restarts and faults.
+// transfers, loans, restarts, losses of power, clock steps and faults.
 func TestNoOverspend(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newFleetModel(t)
 		actions := []func(*rapid.T){
 			m.reserve, m.reserve, m.reserve, m.reserve, m.update, m.update, m.update, m.settle, m.settle, m.transfer, m.transfer,
-			m.lend, m.lend, m.void, m.stop, m.injectFault, m.advanceSome, m.advanceSome, m.topUp,
+			m.lend, m.lend, m.void, m.stop, m.agree, m.injectFault, m.advanceSome, m.advanceSome, m.topUp,
 		}
 		for range modelActions {
 			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")](t)
--- a/fleet/allowance/update.go
+++ b/fleet/allowance/update.go
@@ -98,14 +98,17 @@
 }
 
 func (h *Holder) positionLocked(teamHolding *holding, team *site.Team, ending bool) Position {
+	clocks := h.clocks()
+	h.recordStartLocked(clocks)
 	position := Position{
 		Holder: h.settings.Holder, Instance: h.settings.Instance, Version: h.configuration.Version, Prepaid: team.Prepaid,
 		Usable: teamHolding.usable, Spent: teamHolding.reported(), Reserved: teamHolding.reserved, NetUsed: teamHolding.netUsed(), Rate: teamHolding.rate(),
-		LargestRequest: max(teamHolding.largestRequest, int64(idleBurstRequests*h.meanRequest)), MeanRequest: int64(h.meanRequest), Now: h.settings.Now(),
-		BoundExceeded: teamHolding.boundExceeded, BorrowsOnly: len(h.lenders(team.Name)) > 0, Ending: ending,
+		LargestRequest: max(teamHolding.largestRequest, int64(idleBurstRequests*h.meanRequest)), MeanRequest: int64(h.meanRequest), Now: clocks, Start: h.startClocks,
+		AwaitsAgreement: h.settings.Agreement.IsPending() && time.Since(h.startedAt) < agreementWait,
+		BoundExceeded:   teamHolding.boundExceeded, BorrowsOnly: len(h.lenders(team.Name)) > 0, Ending: ending,
 	}
 	waitingTokens := int64(0)
-	unused, free := teamHolding.usable-teamHolding.netUsed()-teamHolding.reserved, teamHolding.free(position.Now.Uptime)
+	unused, free := teamHolding.unused(), teamHolding.free(position.Now.Uptime)
 	for _, w := range teamHolding.waiters {
 		waitingTokens += w.maxTokens
 		position.BoundExceeded = position.BoundExceeded || w.maxTokens > free && w.maxTokens <= unused
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -1,6 +1,6 @@
 // Package peer exchanges messages between the routers of a fleet over QUIC. Routers that can't reach the
 // log send copies of their ledger groups to other routers and fetch configuration entries from them. Routers
-// also transfer and lend prepaid tokens, send placement notices and fetch each other's list of routers.
+// also transfer and lend prepaid tokens, send placement notices and fetch each other's list of routers and wall clock.
 //
 // Each request uses one QUIC stream: the sender writes the request and closes its side, then the receiver
 // writes the answer and closes the other side. Placement notices are QUIC datagrams without an answer. Both
@@ -15,7 +15,7 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
-//msgp:tuple request answer entry tokenRequest tokenAnswer LoanRequest Loan PlacementNotice PlacementPart
+//msgp:tuple request answer entry tokenRequest tokenAnswer clockAnswer LoanRequest Loan PlacementNotice PlacementPart
 //msgp:ignore Copy
 //msgp:limit arrays:4096 maps:0
 
@@ -47,6 +47,7 @@
 	loanRepaymentMessage
 	loanVoidMessage
 	rosterMessage
+	clockMessage
 )
 
 // request is the encoded form of a request to another router. The kind determines which of the other fields are used.
@@ -79,6 +80,11 @@
 	Tokens int64
 }
 
+// clockAnswer is the payload of the answer to a request for the wall clock, in milliseconds since the Unix epoch.
+type clockAnswer struct {
+	Milliseconds int64
+}
+
 // LoanRequest asks another router, the lender, for a loan of a team's prepaid tokens. It is also the payload of the message
 // that voids a loan, which sets only Team and Identifier.
 type LoanRequest struct {
@@ -151,6 +157,8 @@
 	ErrQueueFull = errors.New("peer holds as many copies as it can")
 	// ErrForeignWriter means that another instance than the sender of a copy wrote the group.
 	ErrForeignWriter = errors.New("group was written by another instance")
+	// ErrRetrySoon means that a lender has the tokens for a loan, but may lend them only some hundred milliseconds later.
+	ErrRetrySoon = errors.New("tokens may be lent soon")
 	// ErrMalformed means that a request or an answer could not be decoded or had invalid values.
 	ErrMalformed = errors.New("message can't be read")
 	// ErrRefused means that the other router refused a request for a reason that this version doesn't know.
@@ -159,7 +167,7 @@
 
 // refusals returns the errors that answers carry by their texts. The texts must not change, because routers of other
 // versions compare them.
-func refusals() []error { return []error{ErrQueueFull, ErrForeignWriter, ErrMalformed} }
+func refusals() []error { return []error{ErrQueueFull, ErrForeignWriter, ErrRetrySoon, ErrMalformed} }
 
 // refusalText returns the text that an answer carries for an error. If the error wraps one that refusals returns, the text is
 // that of the wrapped error alone.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -350,6 +350,42 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z clockAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendInt64(o, z.Milliseconds)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *clockAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Milliseconds, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Milliseconds")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z clockAnswer) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -301,6 +301,9 @@
 		return n.acceptTokens(r.Payload, func(h TokenHandler, t tokenRequest) bool { return h.AcceptRepayment(from, t.Team, t.Tokens) })
 	case rosterMessage:
 		return n.listRouters()
+	case clockMessage:
+		reading := clockAnswer{Milliseconds: time.Now().UnixMilli()}
+		return singlePayloadAnswer(reading.MarshalMsg(nil))
 	case loanVoidMessage:
 		return n.voidLoan(from, r.Payload)
 	case loanRequestMessage:
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -126,6 +126,23 @@
 	return routers, nil
 }
 
+// FetchClock returns the reading of another router's wall clock.
+func (n *Node) FetchClock(ctx context.Context, to Address) (time.Time, error) {
+	a, err := n.roundTrip(ctx, to, request{Kind: clockMessage})
+	if err != nil {
+		return time.Time{}, fmt.Errorf("fetching the wall clock of %s: %w", to.Instance, err)
+	}
+	payload, err := a.singlePayload()
+	if err != nil {
+		return time.Time{}, err
+	}
+	reading := clockAnswer{}
+	if rest, err := reading.UnmarshalMsg(payload); err != nil || len(rest) > 0 {
+		return time.Time{}, ErrMalformed
+	}
+	return time.UnixMilli(reading.Milliseconds), nil
+}
+
 // SendNotice sends a placement notice to another router as a datagram, which may be lost without an error.
 func (n *Node) SendNotice(ctx context.Context, to Address, notice PlacementNotice) error {
 	data, err := notice.MarshalMsg(nil)
--- /dev/null
+++ b/router/gateway/clocks.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
+)
+
+const (
+	// clocksAsked is the number of other routers whose clocks are compared. With fewer routers, all are asked.
+	clocksAsked = 5
+	// clockTimeout bounds fetching a clock: a handshake between regions. clockRoundTrip is the maximum duration of a call
+	// whose answer is used: the reading is wrong by up to half of it.
+	clockTimeout   = 400 * time.Millisecond
+	clockRoundTrip = 100 * time.Millisecond
+	// clockRetryInterval is the time between two rounds of questions until there is an agreement, and clockInterval the
+	// time until the agreement is renewed, which bounds the drift of the uptime.
+	clockRetryInterval = 150 * time.Millisecond
+	clockInterval      = 10 * time.Minute
+	// clockRounds is the number of rounds of questions after which the readings are discarded, as they may be old.
+	clockRounds = 30
+	// minClockRouters is the number of routers below which there can be no agreement.
+	minClockRouters = 3
+)
+
+// clockComparer compares this machine's clock with those of other routers until they agree on the time of day.
+type clockComparer struct {
+	routers   *Routers
+	agreement *timeofday.Agreement
+	logger    log.Interface
+	// readClocks reads the clocks of this machine.
+	readClocks func() allowance.ClockReading
+
+	mu sync.Mutex
+	// bootTimes holds the boot time of this machine that each answer implies, by the instance that answered.
+	bootTimes map[string]time.Time
+}
+
+// run compares clocks until the context ends.
+func (c *clockComparer) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := clockInterval
+		if !c.agree(ctx) {
+			wait = clockRetryInterval
+		}
+		clock.Sleep(ctx, wait)
+	}
+	return nil
+}
+
+// agree asks other routers until there is an agreement. It returns false if there is none after clockRounds.
+func (c *clockComparer) agree(ctx context.Context) bool {
+	c.bootTimes = make(map[string]time.Time)
+	for range clockRounds {
+		if c.routers.hasRoster.Load() {
+			if c.routers.Roster.Len() < minClockRouters {
+				c.agreement.Abandon()
+			}
+			c.askOthers(ctx)
+			if c.decide() {
+				return true
+			}
+		}
+		if !clock.Sleep(ctx, clockRetryInterval) {
+			return false
+		}
+	}
+	c.logger.WithFields(log.Fields{"Clocks": len(c.bootTimes) + 1}).Warn("no agreement on the time of day")
+	return false
+}
+
+// decide compares the readings so far and records an agreement once enough routers have answered.
+func (c *clockComparer) decide() bool {
+	if len(c.bootTimes) < min(clocksAsked, c.routers.Roster.Len()-1) {
+		return false
+	}
+	reading := c.readClocks()
+	own := reading.Wall.Add(-reading.Uptime)
+	bootTimes := []time.Time{own}
+	for _, t := range c.bootTimes {
+		bootTimes = append(bootTimes, t)
+	}
+	agreed, ok := timeofday.Agree(bootTimes)
+	if !ok {
+		return false
+	}
+	c.agreement.SetBootTime(agreed)
+	c.logger.WithFields(log.Fields{
+		"Clocks": len(bootTimes), "OwnErrorMilliseconds": own.Sub(agreed).Milliseconds(), "UptimeMilliseconds": reading.Uptime.Milliseconds(),
+	}).Info("time of day agreed")
+	return true
+}
+
+// askOthers asks random routers that have not answered yet, so that clocksAsked answers are reached if all answer.
+func (c *clockComparer) askOthers(ctx context.Context) {
+	others := c.routers.Roster.Routers()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] }) //nolint:gosec // spreads questions
+	var questions sync.WaitGroup
+	missing := clocksAsked - len(c.bootTimes)
+	for _, other := range others {
+		if _, answered := c.bootTimes[other.Instance]; answered || other.Instance == c.routers.Self.Instance {
+			continue
+		}
+		if missing == 0 {
+			break
+		}
+		missing--
+		q := &clockQuestion{comparer: c, to: peer.Address{Instance: other.Instance, Address: other.Address}}
+		questions.Go(func() { q.run(ctx) })
+	}
+	questions.Wait()
+}
+
+// clockQuestion asks one router for its clock.
+type clockQuestion struct {
+	comparer *clockComparer
+	to       peer.Address
+}
+
+// run records the boot time that the answer implies, unless a call fails or takes too long. The first call opens the
+// connection, which would make its answer inexact.
+func (q *clockQuestion) run(ctx context.Context) {
+	c := q.comparer
+	ctx, cancel := context.WithTimeout(ctx, clockTimeout)
+	defer cancel()
+	if _, err := c.routers.Node.FetchClock(ctx, q.to); err != nil {
+		return
+	}
+	before := c.readClocks().Uptime
+	reading, err := c.routers.Node.FetchClock(ctx, q.to)
+	after := c.readClocks().Uptime
+	if err != nil || after-before > clockRoundTrip {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bootTimes[q.to.Instance] = reading.Add(-(before + after) / 2)
+}
--- /dev/null
+++ b/router/gateway/clocks_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
+)
+
+// startClockComparer starts a router and the comparison of its clock, which is off by the given error.
+func startClockComparer(ctx context.Context, t *testing.T, instance string, shared *keyed.KeyedLog, clockError time.Duration) *clockComparer {
+	t.Helper()
+	c := &clockComparer{
+		routers: startRouter(ctx, t, instance, shared), agreement: &timeofday.Agreement{}, logger: &log.Logger{Handler: discard.New()},
+		readClocks: func() allowance.ClockReading {
+			reading := allowance.Now()
+			reading.Wall = reading.Wall.Add(clockError)
+			return reading
+		},
+	}
+	go func() { _ = c.run(ctx) }()
+	return c
+}
+
+// TestClocksAgree guards against a router whose own wall clock decides what the time of day is.
+func TestClocksAgree(t *testing.T) {
+	shared := &keyed.KeyedLog{}
+	for _, instance := range []string{"b", "c", "d", "e", "f"} {
+		startRouter(t.Context(), t, instance, shared)
+	}
+	stepped := startClockComparer(t.Context(), t, "a", shared, 4*time.Second)
+	waitFor(t, func() bool { return !stepped.agreement.IsPending() })
+	agreed, ok := stepped.agreement.BootTime()
+	assert.Equal(t, true, ok)
+	reading := allowance.Now()
+	assert.Equal(t, true, agreed.Add(reading.Uptime).Sub(reading.Wall).Abs() <= timeofday.Tolerance)
+}
+
+// TestClocksOfTooFewRouters guards against waiting for an agreement that a small fleet can't reach.
+func TestClocksOfTooFewRouters(t *testing.T) {
+	shared := &keyed.KeyedLog{}
+	startRouter(t.Context(), t, "b", shared)
+	alone := startClockComparer(t.Context(), t, "a", shared, 0)
+	waitFor(t, func() bool { return !alone.agreement.IsPending() })
+	_, ok := alone.agreement.BootTime()
+	assert.Equal(t, false, ok)
+}
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 )
 
 const (
@@ -66,6 +67,8 @@
 	Directories    *Directories
 	Routers        *Routers
 	Logger         log.Interface
+	// Agreement receives the time of day on which this machine and those of other routers agree.
+	Agreement *timeofday.Agreement
 
 	callers callerConnections
 	// lastReady is the result of the load balancer's last readiness check.
@@ -111,6 +114,8 @@
 	loops.Go(func() error { return n.Routers.Run(ctx) })
 	loops.Go(func() error { return n.Server.notices.run(ctx) })
 	loops.Go(func() error { return n.Server.crashes.run(ctx, n.Routers) })
+	comparer := &clockComparer{routers: n.Routers, agreement: n.Agreement, logger: n.Logger, readClocks: allowance.Now}
+	loops.Go(func() error { return comparer.run(ctx) })
 	payerContext, stopPayer := context.WithCancel(ctx)
 	defer stopPayer()
 	payerGroup := &errgroup.Group{}
