Bound what endpoints send without end, and test the hazards seen elsewhere

Cause: the transport to endpoints accepted heads of up to 10 MB each, interim answers included, on machines of 112 MB; a stream without line ends was kept in memory; a refusal whose body doesn't end held the request until its deadline in place of a retry; an error answer above 64 KiB was cut there and sent as the whole.

Requests accepted at a planned stop are covered by TestLeave and TestRollingRestartCutsNothingOff, a broken-off answer by TestPass.

--- a/router/gateway/events.go
+++ b/router/gateway/events.go
@@ -5,8 +5,12 @@
 	"strings"
 )
 
-// maxPendingEventBytes bounds an incomplete event that is held back. Events of engines are far shorter.
-const maxPendingEventBytes = 64 << 10
+const (
+	// maxPendingEventBytes bounds an incomplete event that is held back. Events of engines are far shorter.
+	maxPendingEventBytes = 64 << 10
+	// maxEventLineBytes bounds the part of a line that is kept to find event identifiers.
+	maxEventLineBytes = 4 << 10
+)
 
 // eventTracker counts the events of a server-sent event stream (WHATWG HTML, section 9.2: a blank line ends an event).
 // For a resumable stream it releases only complete events, so that another endpoint can continue after the last one.
@@ -20,7 +24,8 @@
 	// inEvent reports whether part of an event has been read since the last complete one.
 	inEvent bool
 	pending []byte
-	line    []byte
+	// line is the start of the line that is being read.
+	line []byte
 }
 
 // accept adds bytes read from the endpoint and returns the bytes that may be forwarded now.
@@ -58,7 +63,9 @@
 		switch {
 		case b == '\r':
 		case b != '\n':
-			e.line = append(e.line, b)
+			if len(e.line) < maxEventLineBytes {
+				e.line = append(e.line, b)
+			}
 			e.inEvent = true
 		case len(e.line) == 0:
 			if e.inEvent {
@@ -66,7 +73,7 @@
 			}
 			e.inEvent = false
 		default:
-			if id, ok := strings.CutPrefix(string(e.line), "id:"); ok {
+			if id, ok := strings.CutPrefix(string(e.line), "id:"); ok && len(e.line) < maxEventLineBytes {
 				e.lastIdentifier = strings.TrimSpace(id)
 			}
 			e.line = e.line[:0]
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -30,8 +30,12 @@
 	// maxEndpointsTried bounds the endpoints that are tried for one request.
 	maxEndpointsTried = 5
 	// maxBufferedErrorBytes bounds an endpoint's error answer that is buffered while the request is tried at another
-	// endpoint; the rest is cut off.
+	// endpoint. A longer one is forwarded in place of a retry.
 	maxBufferedErrorBytes = 64 << 10
+	// maxRefusalBytes and refusalReadTime bound reading the body of an endpoint's refusal, after which the connection can
+	// be used again.
+	maxRefusalBytes = 64 << 10
+	refusalReadTime = 50 * time.Millisecond
 )
 
 var (
@@ -148,7 +152,7 @@
 		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errWrongRequest}
 	}
 	if response.Header.Get(protocol.NotRun) != "" {
-		_, _ = io.CopyN(io.Discard, response.Body, maxBufferedErrorBytes)
+		discardRefusal(response.Body)
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
 			retryAfter: parseRetryAfter(response.Header),
@@ -162,17 +166,30 @@
 		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errors.New(response.Status)}
 	}
 	if response.StatusCode >= http.StatusInternalServerError && j.route.IsRetryable() {
-		return j.bufferError(response)
+		return j.bufferError(ctx, response)
 	}
 	return j.forwardResponse(ctx, response)
 }
 
-// bufferError reads an endpoint's error answer into memory, so that the request may be tried at another endpoint first.
-func (j *job) bufferError(response *http.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedErrorBytes))
+// discardRefusal reads the body of an endpoint's refusal. It closes the body, and with it the connection, if the body is too
+// long or doesn't end in time.
+func discardRefusal(body io.ReadCloser) {
+	timer := time.AfterFunc(refusalReadTime, func() { _ = body.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, body, maxRefusalBytes)
+}
+
+// bufferError reads an endpoint's error answer into memory, so that the request may be tried at another endpoint first. An
+// answer that is too long for that is forwarded.
+func (j *job) bufferError(ctx context.Context, response *http.Response) attemptResult {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedErrorBytes+1))
 	if err != nil {
 		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err, endpointFailed: true}
 	}
+	if len(body) > maxBufferedErrorBytes {
+		response.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
+		return j.forwardResponse(ctx, response)
+	}
 	return attemptResult{
 		verdict: verdict.Ran, reason: verdict.EndpointFailed,
 		cause:    fmt.Errorf("endpoint answered %s", response.Status),
@@ -180,6 +197,12 @@
 	}
 }
 
+// prefixedBody is the body of an answer of which a part was read already.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // parseRetryAfter returns the value of a Retry-After header in seconds as a duration; zero if it is missing, invalid or
 // above maxRequestTime.
 func parseRetryAfter(header http.Header) time.Duration {
--- a/router/gateway/follow_test.go
+++ b/router/gateway/follow_test.go
@@ -27,6 +27,8 @@
 	state *Board
 	// appliedVersions are the versions of the configurations that were put in force.
 	appliedVersions []int64
+	// restart ends the followers and starts new ones, as a new process of the router does.
+	restart func()
 }
 
 // runFollowers runs body with a follower of each kind on a fake clock.
@@ -39,26 +41,38 @@
 func runFollowersOver(t *testing.T, wrap func(*keyed.KeyedLog) platform.KeyedLog, body func(f *followerTest)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &followerTest{t: t, log: &keyed.KeyedLog{}, state: &Board{Metrics: metrics.NewRegistry()}}
-		ctx, cancel := context.WithCancel(t.Context())
-		source := Source{
-			Log: wrap(f.log), ConfigurationTopic: "op", ConfigurationKey: "config", DirectoryTopic: "servers",
-			DecodeConfiguration: decodeVersion, DecodeEndpoint: decodeState,
-		}
-		logger := &log.Logger{Handler: discard.New()}
-		configurations := &Configurations{
-			Board: f.state, Source: source, Logger: logger,
-			OnChange: func(c *site.Configuration) { f.appliedVersions = append(f.appliedVersions, c.Version) },
+		f := &followerTest{t: t, log: &keyed.KeyedLog{}}
+		stop := f.start(t.Context(), wrap(f.log))
+		f.restart = func() {
+			stop()
+			synctest.Wait()
+			stop = f.start(t.Context(), wrap(f.log))
 		}
-		directories := &Directories{Board: f.state, Source: source, Logger: logger}
-		go func() { _ = configurations.Run(ctx) }()
-		go func() { _ = directories.Run(ctx) }()
 		body(f)
-		cancel()
+		stop()
 		synctest.Wait()
 	})
 }
 
+// start starts followers with an empty state. The result ends them.
+func (f *followerTest) start(ctx context.Context, keyedLog platform.KeyedLog) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	f.state = &Board{Metrics: metrics.NewRegistry()}
+	source := Source{
+		Log: keyedLog, ConfigurationTopic: "op", ConfigurationKey: "config", DirectoryTopic: "servers",
+		DecodeConfiguration: decodeVersion, DecodeEndpoint: decodeState,
+	}
+	logger := &log.Logger{Handler: discard.New()}
+	configurations := &Configurations{
+		Board: f.state, Source: source, Logger: logger,
+		OnChange: func(c *site.Configuration) { f.appliedVersions = append(f.appliedVersions, c.Version) },
+	}
+	directories := &Directories{Board: f.state, Source: source, Logger: logger}
+	go func() { _ = configurations.Run(ctx) }()
+	go func() { _ = directories.Run(ctx) }()
+	return cancel
+}
+
 // slowLink is a log whose reads take perRecord for each record returned.
 type slowLink struct {
 	*keyed.KeyedLog
@@ -284,3 +298,27 @@
 		})
 	})
 }
+
+// TestRestart guards against an endpoint that has left, or a configuration with a withdrawn key, in use again after a
+// restart: a new process must know nothing until it has read the platform's newest records.
+func TestRestart(t *testing.T) {
+	runFollowers(t, func(f *followerTest) {
+		f.put("op", "config", `{"Version":3}`)
+		f.put("servers", "one", "ready")
+		f.put("servers", "two", "ready")
+		time.Sleep(time.Second)
+		f.put("op", "config", `{"Version":4}`)
+		f.put("servers", "one", "draining")
+		f.put("servers", "one", "")
+		f.log.Expire()
+		f.log.SetOutage(true)
+		f.restart()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, true, f.state.Configuration.Load() == nil)
+		assert.Equal(t, true, f.state.Directory.Load() == nil)
+		f.log.SetOutage(false)
+		time.Sleep(3 * time.Second)
+		f.assertVersion(4)
+		f.assertEndpoints("two")
+	})
+}
--- /dev/null
+++ b/router/gateway/hazards_test.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+// maxBytesOfBadAnswer is the number of bytes of an invalid answer that a router may read: its bound for heads and what the
+// buffers of one connection hold.
+const maxBytesOfBadAnswer = 256 << 10
+
+// rawEndpoint is an endpoint that writes arbitrary bytes.
+type rawEndpoint struct {
+	listener net.Listener
+	answer   func(connection net.Conn, identifier string)
+
+	mu          sync.Mutex
+	connections int
+}
+
+// newRawEndpoint starts an endpoint that calls answer for each request, until answer fails to write.
+func newRawEndpoint(t *testing.T, answer func(connection net.Conn, identifier string)) *rawEndpoint {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.Must(t, err)
+	e := &rawEndpoint{listener: listener, answer: answer}
+	t.Cleanup(func() { _ = listener.Close() })
+	go e.loop()
+	return e
+}
+
+func (e *rawEndpoint) loop() {
+	for {
+		connection, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.connections++
+		e.mu.Unlock()
+		go e.serve(connection)
+	}
+}
+
+func (e *rawEndpoint) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		e.answer(connection, request.Header.Get("Id"))
+	}
+}
+
+func (e *rawEndpoint) connectionCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.connections
+}
+
+// setEndpoints makes the services consist of raw endpoints.
+func (g *gatewayTest) setEndpoints(endpoints ...*rawEndpoint) {
+	var listed []site.Endpoint
+	for i, e := range endpoints {
+		for _, service := range []string{"plain", "engine"} {
+			listed = append(listed, site.Endpoint{Name: service + string(rune('a'+i)), Service: service, Address: e.listener.Addr().String()})
+		}
+	}
+	g.state.Directory.Store(site.NewDirectory(listed))
+}
+
+// writeEndlessly writes a text again and again until the other end closes the connection.
+func writeEndlessly(connection net.Conn, text string) {
+	for {
+		if _, err := io.WriteString(connection, text); err != nil {
+			return
+		}
+	}
+}
+
+// writeSlowly writes a text again and again with pauses until the other end closes the connection.
+func writeSlowly(connection net.Conn, text string) {
+	for {
+		if _, err := io.WriteString(connection, text); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// withDeadline sets the caller's deadline.
+func withDeadline(milliseconds string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("Left", milliseconds) }
+}
+
+// TestEndlessAnswers guards against an endpoint whose bytes without end fill the router's memory or hold a request.
+func TestEndlessAnswers(t *testing.T) {
+	for _, c := range []struct{ name, start, rest string }{
+		{"head without end", "HTTP/1.1 200 OK\r\n", "Filler: " + strings.Repeat("x", 1000) + "\r\n"},
+		{"header line without end", "HTTP/1.1 200 OK\r\nFiller: ", strings.Repeat("x", 1000)},
+		{"status line without end", "HTTP/1.1 200 ", strings.Repeat("x", 1000)},
+		{"interim answers without end", "", "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 1000) + "\r\n\r\n"},
+		{"bytes that are no answer", "", strings.Repeat("\x00", 1000)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGatewayTest(t)
+			g.setEndpoints(newRawEndpoint(t, func(connection net.Conn, _ string) {
+				_, _ = io.WriteString(connection, c.start)
+				writeEndlessly(connection, c.rest)
+			}))
+			got := g.call(http.MethodPost, "/order/", "", nil)
+			assert.Equal(t, http.StatusBadGateway, got.status)
+			assert.Equal(t, true, g.state.Traffic.Received.Load() <= maxBytesOfBadAnswer)
+		})
+	}
+	t.Run("other requests go on beside 50 endless heads", func(t *testing.T) {
+		g := newGatewayTest(t, answerSealed("answer"))
+		listed := []site.Endpoint{{Name: "engine", Service: "engine", Address: strings.TrimPrefix(g.endpoints[0].server.URL, "http://")}}
+		for i := range 50 {
+			e := newRawEndpoint(t, func(connection net.Conn, _ string) {
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n")
+				writeEndlessly(connection, "Filler: "+strings.Repeat("x", 1000)+"\r\n")
+			})
+			listed = append(listed, site.Endpoint{Name: fmt.Sprintf("bad-%d", i), Service: "plain", Address: e.listener.Addr().String()})
+		}
+		g.state.Directory.Store(site.NewDirectory(listed))
+		var calls sync.WaitGroup
+		for range 50 {
+			calls.Go(func() { assert.Equal(t, http.StatusBadGateway, g.call(http.MethodPost, "/order/", "", nil).status) })
+			calls.Go(func() { assert.Equal(t, "answer", g.call(http.MethodPost, "/chat/", "", nil).body) })
+		}
+		calls.Wait()
+		assert.Equal(t, true, g.state.Traffic.Received.Load() <= 50*maxBytesOfBadAnswer)
+	})
+	t.Run("refusal with a body without end", func(t *testing.T) {
+		g := newGatewayTest(t)
+		refusing := newRawEndpoint(t, func(connection net.Conn, identifier string) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 Full\r\nId: %s\r\nUnrun: 1\r\n\r\n", identifier)
+			writeSlowly(connection, "x")
+		})
+		working := newRawEndpoint(t, func(connection net.Conn, identifier string) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 6\r\n\r\nanswer", identifier)
+		})
+		g.setEndpoints(refusing, working)
+		for range 5 {
+			assert.Equal(t, "answer", g.call(http.MethodPost, "/order/", "", withDeadline("2000")).body)
+		}
+		assert.Equal(t, true, refusing.connectionCount() > 0)
+	})
+	t.Run("error answer without end", func(t *testing.T) {
+		g := newGatewayTest(t)
+		g.setEndpoints(newRawEndpoint(t, func(connection net.Conn, identifier string) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 500 Failed\r\nId: %s\r\nSeal: s\r\n\r\n", identifier)
+			writeSlowly(connection, strings.Repeat("x", 10_000))
+		}))
+		assert.Equal(t, true, g.call(http.MethodGet, "/read/", "", withDeadline("500")).truncated)
+	})
+}
+
+// TestLongErrorAnswer guards against a part of an endpoint's error answer that reaches the caller as the whole.
+func TestLongErrorAnswer(t *testing.T) {
+	long := strings.Repeat("x", 3*maxBufferedErrorBytes)
+	g := newGatewayTest(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "s")
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, long)
+	})
+	got := g.call(http.MethodGet, "/read/", "", nil)
+	assert.Equal(t, http.StatusInternalServerError, got.status)
+	assert.Equal(t, len(long), len(got.body))
+	assert.Equal(t, false, got.truncated)
+}
+
+// TestLongLines guards against a stream without line ends that fills the router's memory.
+func TestLongLines(t *testing.T) {
+	for _, wholeEventsOnly := range []bool{false, true} {
+		t.Run(fmt.Sprintf("whole events only %v", wholeEventsOnly), func(t *testing.T) {
+			tracker := eventTracker{wholeEventsOnly: wholeEventsOnly}
+			part := []byte(strings.Repeat("x", copyBufferBytes))
+			forwarded := 0
+			for range 1000 {
+				forwarded += len(tracker.accept(part))
+			}
+			forwarded += len(tracker.flush())
+			assert.Equal(t, 1000*len(part), forwarded)
+			assert.Equal(t, true, cap(tracker.line) <= 2*maxEventLineBytes)
+			assert.Equal(t, true, cap(tracker.pending) <= 4*maxPendingEventBytes)
+		})
+	}
+}
+
+// TestSecondCopy guards against a late second copy of an answer that reaches the next caller on the same connection.
+func TestSecondCopy(t *testing.T) {
+	for _, c := range []struct{ name, body string }{{"with a body", "copy"}, {"without a body", ""}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGatewayTest(t)
+			write := func(connection net.Conn, identifier, body string) {
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", identifier, len(body), body)
+			}
+			previous := ""
+			e := newRawEndpoint(t, func(connection net.Conn, identifier string) {
+				if identifier == "second" {
+					write(connection, previous, c.body)
+				}
+				previous = identifier
+				write(connection, identifier, "answer to "+identifier)
+			})
+			g.setEndpoints(e)
+			call := func(identifier string) callResult {
+				return g.call(http.MethodPost, "/order/", "", func(r *http.Request) { r.Header.Set("Id", identifier) })
+			}
+			assert.Equal(t, "answer to first", call("first").body)
+			assert.Equal(t, http.StatusBadGateway, call("second").status)
+			for _, identifier := range []string{"third", "fourth"} {
+				assert.Equal(t, "answer to "+identifier, call(identifier).body)
+			}
+			assert.Equal(t, 2, e.connectionCount())
+		})
+	}
+}
+
+// TestSlowStreams guards against a slow but sound stream that is cut, and against a stalled one that sends a byte now and
+// then and never ends.
+func TestSlowStreams(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nConnection: close\r\n\r\n"
+	t.Run("slow", func(t *testing.T) {
+		g := newGatewayTest(t)
+		const events = 20
+		g.setEndpoints(newRawEndpoint(t, func(connection net.Conn, identifier string) {
+			_, _ = fmt.Fprintf(connection, head, identifier)
+			for i := range events {
+				_, _ = fmt.Fprintf(connection, "id: %d\n\n", i)
+				time.Sleep(20 * time.Millisecond)
+			}
+			_ = connection.Close()
+		}))
+		got := g.call(http.MethodPost, "/chat/", "", withDeadline("60000"))
+		assert.Equal(t, false, got.truncated)
+		assert.Equal(t, events, strings.Count(got.body, "id:"))
+	})
+	t.Run("stalled", func(t *testing.T) {
+		g := newGatewayTest(t)
+		g.setEndpoints(newRawEndpoint(t, func(connection net.Conn, identifier string) {
+			_, _ = fmt.Fprintf(connection, head, identifier)
+			writeSlowly(connection, ":")
+		}))
+		assert.Equal(t, true, g.call(http.MethodPost, "/chat/", "", withDeadline("300")).truncated)
+	})
+}
+
+// TestSecondProcess guards against two processes of one router that act at the same time around a hand-over: the second one
+// must end before it takes part in anything.
+func TestSecondProcess(t *testing.T) {
+	shared := &keyed.KeyedLog{}
+	first := startRouter(t.Context(), t, "a", shared)
+	waitFor(t, func() bool { return first.Roster.Len() == 1 })
+	second, err := NewRouters(peer.Router{Instance: "a", Address: first.Self.Address}, shared, &log.Logger{Handler: discard.New()}, metrics.NewRegistry())
+	assert.Must(t, err)
+	g := newGatewayTest(t)
+	n := &Node{Board: g.state, Server: g.server, Routers: second, Payer: g.server.payer, Logger: &log.Logger{Handler: discard.New()}}
+	assert.Equal(t, true, n.Run(context.Background(), nil) != nil)
+	listed, _ := first.Roster.Router("a")
+	assert.Equal(t, first.Self.Fingerprint, listed.Fingerprint)
+	state, err := shared.Newest(t.Context(), RouterTopic, 0)
+	assert.NoError(t, err)
+	assert.Equal(t, int64(1), state.End)
+}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -31,6 +31,9 @@
 	// idle connections themselves.
 	maxIdleConnections = 32
 	maxIdleTime        = 2500 * time.Millisecond
+	// maxResponseHeaderBytes bounds the status line and headers of an answer, interim answers included. The headers of
+	// endpoints are far shorter.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // KeepAlive returns TCP keep-alive settings that detect connections with unresponsive peers.
@@ -66,6 +69,8 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     maxIdleTime,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
