Read other routers' clocks on connections of their own

Cause: each comparison of clocks left five connections to random routers open, with keep-alives in both directions: 1,475 at 295 routers, which nothing else needs.

--- a/fleet/peer/node_test.go
+++ b/fleet/peer/node_test.go
@@ -219,3 +219,19 @@
 		}
 	})
 }
+
+// TestFetchClock guards against a reading that was taken outside the reported round trip, and against connections for
+// readings that stay open.
+func TestFetchClock(t *testing.T) {
+	authority := newAuthority(t)
+	a, b := startNode(t, authority, "router-a"), startNode(t, authority, "router-b")
+	before := time.Now()
+	reading, err := a.node.FetchClock(context.Background(), b.address)
+	after := time.Now()
+	assert.NoError(t, err)
+	assert.Equal(t, true, !reading.Wall.Before(before.Truncate(time.Millisecond)) && !reading.Wall.After(after))
+	assert.Equal(t, true, reading.RoundTrip > 0 && reading.RoundTrip <= after.Sub(before))
+	assert.Equal(t, 0, len(a.node.dialled))
+	_, err = a.node.FetchClock(context.Background(), Address{Instance: "router-c", Address: b.address.Address})
+	assert.Fails(t, err)
+}
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -126,21 +126,55 @@
 	return routers, nil
 }
 
-// FetchClock returns the reading of another router's wall clock.
-func (n *Node) FetchClock(ctx context.Context, to Address) (time.Time, error) {
-	a, err := n.roundTrip(ctx, to, request{Kind: clockMessage})
+// ClockReading is a reading of another router's wall clock.
+type ClockReading struct {
+	Wall time.Time
+	// RoundTrip is the duration of the exchange. The clock was read at some time within it.
+	RoundTrip time.Duration
+}
+
+// FetchClock returns a reading of another router's wall clock. It uses a connection of its own and asks twice, as the first
+// exchange on a connection takes longer.
+func (n *Node) FetchClock(ctx context.Context, to Address) (ClockReading, error) {
+	connection, err := n.dial(ctx, to)
+	if err != nil {
+		return ClockReading{}, fmt.Errorf("fetching the wall clock of %s: %w", to.Instance, err)
+	}
+	defer func() { _ = connection.CloseWithError(0, "clock read") }()
+	question := request{Kind: clockMessage}
+	data, err := question.MarshalMsg(nil)
+	if err != nil {
+		return ClockReading{}, err
+	}
+	reading := ClockReading{}
+	for range 2 {
+		if reading, err = readClock(ctx, connection, data); err != nil {
+			return ClockReading{}, fmt.Errorf("fetching the wall clock of %s: %w", to.Instance, err)
+		}
+	}
+	return reading, nil
+}
+
+func readClock(ctx context.Context, connection *quic.Conn, question []byte) (ClockReading, error) {
+	start := time.Now()
+	reply, err := roundTripOn(ctx, connection, question)
+	roundTrip := time.Since(start)
+	if err != nil {
+		return ClockReading{}, err
+	}
+	a, err := decodeAnswer(reply)
 	if err != nil {
-		return time.Time{}, fmt.Errorf("fetching the wall clock of %s: %w", to.Instance, err)
+		return ClockReading{}, err
 	}
 	payload, err := a.singlePayload()
 	if err != nil {
-		return time.Time{}, err
+		return ClockReading{}, err
 	}
 	reading := clockAnswer{}
 	if rest, err := reading.UnmarshalMsg(payload); err != nil || len(rest) > 0 {
-		return time.Time{}, ErrMalformed
+		return ClockReading{}, ErrMalformed
 	}
-	return time.UnixMilli(reading.Milliseconds), nil
+	return ClockReading{Wall: time.UnixMilli(reading.Milliseconds), RoundTrip: roundTrip}, nil
 }
 
 // SendNotice sends a placement notice to another router as a datagram, which may be lost without an error.
@@ -172,6 +206,11 @@
 		n.dropConnection(to, connection)
 		return answer{}, err
 	}
+	return decodeAnswer(reply)
+}
+
+// decodeAnswer decodes an answer and returns an error if it is a refusal.
+func decodeAnswer(reply []byte) (answer, error) {
 	a := answer{}
 	if rest, err := a.UnmarshalMsg(reply); err != nil || len(rest) > 0 {
 		return answer{}, ErrMalformed
@@ -207,11 +246,23 @@
 // connection returns the open connection to another router, or dials one if there is none.
 func (n *Node) connection(ctx context.Context, to Address) (*quic.Conn, error) {
 	n.mutex.Lock()
-	existing, transport := n.dialled[to], n.transport
+	existing := n.dialled[to]
 	n.mutex.Unlock()
 	if existing != nil && existing.Context().Err() == nil {
 		return existing, nil
 	}
+	connection, err := n.dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return n.storeConnection(to, connection), nil
+}
+
+// dial opens a new connection to another router.
+func (n *Node) dial(ctx context.Context, to Address) (*quic.Conn, error) {
+	n.mutex.Lock()
+	transport := n.transport
+	n.mutex.Unlock()
 	if transport == nil {
 		return nil, fmt.Errorf("dialling %s: %w", to.Instance, net.ErrClosed)
 	}
@@ -228,7 +279,7 @@
 		n.increment(dialsFailed)
 		return nil, fmt.Errorf("dialling %s: %w", to.Instance, err)
 	}
-	return n.storeConnection(to, connection), nil
+	return connection, nil
 }
 
 // storeConnection stores a dialled connection for reuse and returns it. If a concurrent call has already stored an open one
--- a/router/gateway/clocks.go
+++ b/router/gateway/clocks.go
@@ -17,8 +17,8 @@
 const (
 	// clocksAsked is the number of other routers whose clocks are compared. With fewer routers, all are asked.
 	clocksAsked = 5
-	// clockTimeout bounds fetching a clock: a handshake between regions. clockRoundTrip is the maximum duration of a call
-	// whose answer is used: the reading is wrong by up to half of it.
+	// clockTimeout bounds fetching a clock: a handshake between regions and two exchanges. clockRoundTrip is the maximum
+	// duration of an exchange whose answer is used: the reading is wrong by up to half of it.
 	clockTimeout   = 400 * time.Millisecond
 	clockRoundTrip = 100 * time.Millisecond
 	// clockRetryInterval is the time between two rounds of questions until there is an agreement, and clockInterval the
@@ -125,22 +125,17 @@
 	to       peer.Address
 }
 
-// run records the boot time that the answer implies, unless a call fails or takes too long. The first call opens the
-// connection, which would make its answer inexact.
+// run records the boot time that the answer implies, unless the call fails or takes too long.
 func (q *clockQuestion) run(ctx context.Context) {
 	c := q.comparer
 	ctx, cancel := context.WithTimeout(ctx, clockTimeout)
 	defer cancel()
-	if _, err := c.routers.Node.FetchClock(ctx, q.to); err != nil {
-		return
-	}
-	before := c.readClocks().Uptime
 	reading, err := c.routers.Node.FetchClock(ctx, q.to)
-	after := c.readClocks().Uptime
-	if err != nil || after-before > clockRoundTrip {
+	uptime := c.readClocks().Uptime
+	if err != nil || reading.RoundTrip > clockRoundTrip {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bootTimes[q.to.Instance] = reading.Add(-(before + after) / 2)
+	c.bootTimes[q.to.Instance] = reading.Wall.Add(reading.RoundTrip/2 - uptime)
 }
