Compare clocks only on routers with shares

Cause: each router of a large fleet opened connections to five others at its start for a time of day that only routers with shares, or with the shares of a former process, use. Change: Holder.NeedsTimeOfDay; a router that only borrows compares nothing (TestOnlyHoldersNeedTheTimeOfDay).

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -238,6 +238,22 @@
 	return teamHolding.participates(time.Now(), h.settings.Instance, h.settings.Holder, len(h.lenders(team)))
 }
 
+// NeedsTimeOfDay reports whether this router holds shares or has to settle those of a former process, which both need the
+// agreed time of day. A router that only borrows does not.
+func (h *Holder) NeedsTimeOfDay() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.configuration == nil {
+		return false
+	}
+	for _, team := range h.configuration.Teams {
+		if team.HasPrepaid && h.holdingLocked(team.Name).accountRead && h.participatesLocked(team.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // returnShares returns all shares of the partition and retries until it succeeds or the context ends.
 func (p *accountPartition) returnShares(ctx context.Context) error {
 	for {
--- a/fleet/allowance/loan_test.go
+++ b/fleet/allowance/loan_test.go
@@ -215,3 +215,12 @@
 		assert.Equal(r.t, 0, recordCount())
 	})
 }
+
+// TestOnlyHoldersNeedTheTimeOfDay guards against comparisons of clocks by each router of a large fleet.
+func TestOnlyHoldersNeedTheTimeOfDay(t *testing.T) {
+	runRoutersWithLoans(t, 100_000, largeFleet, 1, func(r *testRouters) {
+		for name, h := range r.holders {
+			assert.Equal(r.t, name == "router-0", h.NeedsTimeOfDay())
+		}
+	})
+}
--- a/router/gateway/clocks.go
+++ b/router/gateway/clocks.go
@@ -36,19 +36,20 @@
 	routers   *Routers
 	agreement *timeofday.Agreement
 	logger    log.Interface
-	// readClocks reads the clocks of this machine.
+	// readClocks reads the clocks of this machine. isNeeded reports whether this router needs the time of day.
 	readClocks func() allowance.ClockReading
+	isNeeded   func() bool
 
 	mu sync.Mutex
 	// bootTimes holds the boot time of this machine that each answer implies, by the instance that answered.
 	bootTimes map[string]time.Time
 }
 
-// run compares clocks until the context ends.
+// run compares clocks until the context ends, while the time of day is needed.
 func (c *clockComparer) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait := clockInterval
-		if !c.agree(ctx) {
+		if !c.isNeeded() || !c.agree(ctx) {
 			wait = clockRetryInterval
 		}
 		clock.Sleep(ctx, wait)
--- a/router/gateway/clocks_test.go
+++ b/router/gateway/clocks_test.go
@@ -24,6 +24,7 @@
 			reading.Wall = reading.Wall.Add(clockError)
 			return reading
 		},
+		isNeeded: func() bool { return true },
 	}
 	go func() { _ = c.run(ctx) }()
 	return c
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -114,7 +114,9 @@
 	loops.Go(func() error { return n.Routers.Run(ctx) })
 	loops.Go(func() error { return n.Server.notices.run(ctx) })
 	loops.Go(func() error { return n.Server.crashes.run(ctx, n.Routers) })
-	comparer := &clockComparer{routers: n.Routers, agreement: n.Agreement, logger: n.Logger, readClocks: allowance.Now}
+	comparer := &clockComparer{
+		routers: n.Routers, agreement: n.Agreement, logger: n.Logger, readClocks: allowance.Now, isNeeded: n.Payer.NeedsTimeOfDay,
+	}
 	loops.Go(func() error { return comparer.run(ctx) })
 	payerContext, stopPayer := context.WithCancel(ctx)
 	defer stopPayer()
