--- a/fleet/site/configuration_test.go
+++ b/fleet/site/configuration_test.go
@@ -1,11 +1,34 @@
 package site
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
 
+// TestManyRoutes guards against routes that are not found, or found as others, after a configuration added 1,440 at once.
+func TestManyRoutes(t *testing.T) {
+	configuration := &Configuration{Routes: []Route{{Name: "all", Host: "a.example", Prefix: "/"}, {Name: "first", Host: "a.example", Prefix: "/first/"}}}
+	const added = 1440
+	for i := range added {
+		name := fmt.Sprintf("added-%d", i)
+		configuration.Routes = append(configuration.Routes, Route{Name: name, Host: "a.example", Prefix: "/" + name + "/"})
+	}
+	configuration.Index()
+	find := func(path string) string {
+		route, _ := configuration.Route("a.example", path)
+		return route.Name
+	}
+	for i := range added {
+		name := fmt.Sprintf("added-%d", i)
+		assert.Equal(t, name, find("/"+name+"/x"))
+	}
+	assert.Equal(t, "first", find("/first/x"))
+	assert.Equal(t, "all", find("/added-1440/x"))
+	assert.Equal(t, "all", find("/added-1"))
+}
+
 func TestRoute(t *testing.T) {
 	configuration := &Configuration{Routes: []Route{
 		{Name: "all", Host: "a.example", Prefix: "/"},
