--- a/fleet/allowance/pledge.go
+++ b/fleet/allowance/spending_bound.go
@@ -48,6 +48,9 @@
 // SpendingBound limits a holder's use after a write to Base + Burst + Rate x (uptime - Uptime - Delay) tokens until
 // boundLifetime after Uptime, even if more was granted. When a process restarts on the same machine, it settles the
 // share of its predecessor at this bound instead of the full granted amount.
+//
+// The bound answers two loads: a loss of power everywhere while a team's total runs low, for which it must be tight, and an
+// outage of the platform, in which it cannot be rewritten and must leave room for the team's use.
 type SpendingBound struct {
 	// Base is the holder's net use in tokens at the time of the write, with each request in progress counted at its
 	// maximum.
