Let the tests of clocks wait for the routers' entries

On a router the order is harmless: it goes on comparing, and the roster of a site that lost power keeps its entries.

--- a/router/gateway/clocks_test.go
+++ b/router/gateway/clocks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,23 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 )
 
+// startListed starts routers and waits until their entries can be read.
+func startListed(ctx context.Context, t *testing.T, shared *keyed.KeyedLog, instances ...string) {
+	t.Helper()
+	for _, instance := range instances {
+		startRouter(ctx, t, instance, shared)
+	}
+	waitFor(t, func() bool {
+		state, err := shared.Newest(t.Context(), RouterTopic, 0)
+		assert.NoError(t, err)
+		listed := make(map[string]bool)
+		for _, r := range state.Records {
+			listed[r.Key] = true
+		}
+		return !slices.ContainsFunc(instances, func(instance string) bool { return !listed[instance] })
+	})
+}
+
 // startClockComparer starts a router and the comparison of its clock, which is off by the given error.
 func startClockComparer(ctx context.Context, t *testing.T, instance string, shared *keyed.KeyedLog, clockError time.Duration) *clockComparer {
 	t.Helper()
@@ -33,9 +51,7 @@
 // TestClocksAgree guards against a router whose own wall clock decides what the time of day is.
 func TestClocksAgree(t *testing.T) {
 	shared := &keyed.KeyedLog{}
-	for _, instance := range []string{"b", "c", "d", "e", "f"} {
-		startRouter(t.Context(), t, instance, shared)
-	}
+	startListed(t.Context(), t, shared, "b", "c", "d", "e", "f")
 	stepped := startClockComparer(t.Context(), t, "a", shared, 4*time.Second)
 	waitFor(t, func() bool { return !stepped.agreement.IsPending() })
 	agreed, ok := stepped.agreement.BootTime()
@@ -47,13 +63,9 @@
 // TestClocksWithoutSomeRouters guards against waiting for the answers of routers that are gone but still listed.
 func TestClocksWithoutSomeRouters(t *testing.T) {
 	shared := &keyed.KeyedLog{}
-	for _, instance := range []string{"b", "c"} {
-		startRouter(t.Context(), t, instance, shared)
-	}
+	startListed(t.Context(), t, shared, "b", "c")
 	goneContext, stop := context.WithCancel(t.Context())
-	for _, instance := range []string{"d", "e", "f"} {
-		startRouter(goneContext, t, instance, shared)
-	}
+	startListed(goneContext, t, shared, "d", "e", "f")
 	stop()
 	remaining := startClockComparer(t.Context(), t, "a", shared, 0)
 	waitFor(t, func() bool { return !remaining.agreement.IsPending() })
@@ -64,7 +76,7 @@
 // TestClocksOfTooFewRouters guards against waiting for an agreement that a small fleet can't reach.
 func TestClocksOfTooFewRouters(t *testing.T) {
 	shared := &keyed.KeyedLog{}
-	startRouter(t.Context(), t, "b", shared)
+	startListed(t.Context(), t, shared, "b")
 	alone := startClockComparer(t.Context(), t, "a", shared, 0)
 	waitFor(t, func() bool { return !alone.agreement.IsPending() })
 	_, ok := alone.agreement.BootTime()
