Look up endpoints in a directory by name

Cause: at each change of the directory a router compared every endpoint that it knew with every one that was listed: 60,000 comparisons at 246 endpoints, 1.2 million at 1,100, on each of 295 routers. Change: the listed endpoints are sorted by name already; Directory.Lists searches them (TestLists). The work a change now grows with the endpoints times the logarithm of their number. Behaviour stays as it is.

--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -49,6 +49,12 @@
 // Endpoints returns the endpoints of a service that may get new requests. Callers must not modify the slice.
 func (d *Directory) Endpoints(service string) []Endpoint { return d.services[service] }
 
+// Lists reports whether an endpoint of a service may get new requests.
+func (d *Directory) Lists(service, name string) bool {
+	_, found := slices.BinarySearchFunc(d.services[service], name, func(e Endpoint, n string) int { return strings.Compare(e.Name, n) })
+	return found
+}
+
 // RetentionGrace is how long an endpoint whose entry expired during an outage of the platform stays in the directory
 // after the outage. Live endpoints write their entries again within about two seconds after the platform is reachable.
 const RetentionGrace = 2200 * time.Millisecond
--- a/fleet/site/directory_test.go
+++ b/fleet/site/directory_test.go
@@ -91,3 +91,13 @@
 		assertListed(t, r, "one")
 	})
 }
+
+func TestLists(t *testing.T) {
+	d := NewDirectory([]Endpoint{{Name: "c", Service: "engine"}, {Name: "a", Service: "engine"}, {Name: "b", Service: "plain"}})
+	for _, c := range []struct {
+		service, name string
+		want          bool
+	}{{"engine", "a", true}, {"engine", "c", true}, {"plain", "b", true}, {"engine", "b", false}, {"plain", "a", false}, {"none", "a", false}} {
+		assert.Equal(t, c.want, d.Lists(c.service, c.name))
+	}
+}
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -66,11 +66,7 @@
 // removed with a later directory.
 func (t *targets) removeUnlistedLocked() {
 	for name, known := range t.byName {
-		listed := false
-		for _, e := range t.directory.Endpoints(known.Service) {
-			listed = listed || e.Name == name
-		}
-		if !listed && known.inFlight == 0 {
+		if !t.directory.Lists(known.Service, name) && known.inFlight == 0 {
 			known.transport.CloseIdleConnections()
 			t.reportCrashLocked(known)
 			delete(t.byName, name)
