Serve a waiting request that its bound allows before refusing it

A bound allows more with time, but the queue was served only every 200 ms: a request whose wait ended in between was refused although its tokens were free.

--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -317,11 +317,13 @@
 	h.settings.Logger.WithFields(fields).WithError(err).Info("tokens not reserved")
 }
 
-// cancelWait removes a waiter from the queue and reports whether it was still queued.
+// cancelWait removes a waiter from the queue and reports whether it was still queued. It first serves the queue, since a
+// spending bound may have come to allow more since the last time.
 func (h *Holder) cancelWait(team string, w *waiter) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	teamHolding := h.holdingLocked(team)
+	h.serveWaitersLocked(teamHolding)
 	for i, candidate := range teamHolding.waiters {
 		if candidate == w {
 			teamHolding.waiters = append(teamHolding.waiters[:i], teamHolding.waiters[i+1:]...)
