Make one piece of code serve what stood twice

Both callers of newCrashFleet set its log: the constructor does. - Each partition listed and checked its teams every 200 ms only to serve waiting requests: now it looks at teams with waiters alone.

--- a/fleet/allowance/book.go
+++ b/fleet/allowance/book.go
@@ -171,8 +171,10 @@
 	h := p.holder
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, team := range p.teamsLocked() {
-		h.serveWaitersLocked(h.holdingLocked(team.Name))
+	for team, teamHolding := range h.teams {
+		if len(teamHolding.waiters) > 0 && h.partitionOf(team) == p {
+			h.serveWaitersLocked(teamHolding)
+		}
 	}
 }
 
--- a/fleet/allowance/crash_test.go
+++ b/fleet/allowance/crash_test.go
@@ -103,7 +103,7 @@
 		t: t, random: rand.New(rand.NewPCG(1, 1)),
 		stops: make(map[string]context.CancelFunc), starts: make(map[string]int), down: make(map[string]bool),
 	}
-	f.routers = &testRouters{t: t, holders: make(map[string]*Holder), logs: make(map[string]*memory.Connection)}
+	f.routers = &testRouters{t: t, log: &f.log.KeyedLog, holders: make(map[string]*Holder), logs: make(map[string]*memory.Connection)}
 	f.routers.team = &site.Team{Name: "studio", Prepaid: int64(crashRate * crashTotalTime.Seconds()), HasPrepaid: true}
 	for i := range n {
 		f.start(ctx, i, n, time.Hour)
@@ -207,7 +207,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newCrashFleet(ctx, t, routers)
-		f.routers.log = &f.log.KeyedLog
 		time.Sleep(3 * time.Second)
 		f.serve(ctx, 20*time.Second)
 		f.losePower(ctx, crashing)
@@ -224,7 +223,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newCrashFleet(ctx, t, routers)
-		f.routers.log = &f.log.KeyedLog
 		time.Sleep(3 * time.Second)
 		f.log.writes.Store(0)
 		f.log.reads.Store(0)
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -10,6 +10,8 @@
 import (
 	"errors"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
@@ -127,6 +129,18 @@
 	return a.Entries[0].Payload, nil
 }
 
+// decodePayload decodes the single payload of an answer, or returns ErrMalformed.
+func (a *answer) decodePayload(into msgp.Unmarshaler) error {
+	payload, err := a.singlePayload()
+	if err != nil {
+		return err
+	}
+	if rest, err := into.UnmarshalMsg(payload); err != nil || len(rest) > 0 {
+		return ErrMalformed
+	}
+	return nil
+}
+
 // entry is an element of an answer: an entry of the configuration stream, or with offset 0 a single payload of another kind.
 type entry struct {
 	Offset  uint64
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -42,12 +42,11 @@
 	if err != nil {
 		return 0, fmt.Errorf("asking %s for tokens: %w", to.Instance, err)
 	}
-	payload, err := a.singlePayload()
-	if err != nil {
+	granted := tokenAnswer{}
+	if err := a.decodePayload(&granted); err != nil {
 		return 0, err
 	}
-	granted := tokenAnswer{}
-	if rest, err := granted.UnmarshalMsg(payload); err != nil || len(rest) > 0 || granted.Tokens < 0 || granted.Tokens > wanted {
+	if granted.Tokens < 0 || granted.Tokens > wanted {
 		return 0, ErrMalformed
 	}
 	return granted.Tokens, nil
@@ -60,12 +59,11 @@
 	if err != nil {
 		return Loan{}, fmt.Errorf("asking %s for a loan: %w", to.Instance, err)
 	}
-	payload, err := a.singlePayload()
-	if err != nil {
+	loan := Loan{}
+	if err := a.decodePayload(&loan); err != nil {
 		return Loan{}, err
 	}
-	loan := Loan{}
-	if rest, err := loan.UnmarshalMsg(payload); err != nil || len(rest) > 0 || loan.Tokens != 0 && (loan.Tokens < r.Minimum || loan.Tokens > r.Maximum) {
+	if loan.Tokens != 0 && (loan.Tokens < r.Minimum || loan.Tokens > r.Maximum) {
 		return Loan{}, ErrMalformed
 	}
 	return loan, nil
@@ -166,13 +164,9 @@
 	if err != nil {
 		return ClockReading{}, err
 	}
-	payload, err := a.singlePayload()
-	if err != nil {
-		return ClockReading{}, err
-	}
 	reading := clockAnswer{}
-	if rest, err := reading.UnmarshalMsg(payload); err != nil || len(rest) > 0 {
-		return ClockReading{}, ErrMalformed
+	if err := a.decodePayload(&reading); err != nil {
+		return ClockReading{}, err
 	}
 	return ClockReading{Wall: time.UnixMilli(reading.Milliseconds), RoundTrip: roundTrip}, nil
 }
--- a/fleet/placement/scale_out_test.go
+++ b/fleet/placement/scale_out_test.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
 
@@ -71,7 +72,7 @@
 				view[i] = known
 			}
 			candidates[i] = Candidate{
-				Hash: mix(engines[i].hash ^ xxhash.Sum64String(subject)), Wait: known.backlog.Wait(now), CachedTokens: known.cache.CachedTokens(now, parts),
+				Hash: endpoint.MixHash(engines[i].hash ^ xxhash.Sum64String(subject)), Wait: known.backlog.Wait(now), CachedTokens: known.cache.CachedTokens(now, parts),
 			}
 		}
 		chosen, unread, _ := Choose(candidates, p, rate)
@@ -98,13 +99,6 @@
 	return old, added
 }
 
-// mix spreads the bits of a hash.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
-}
-
 // TestScaleOut guards against empty engines that are added and stay idle, and against a herd of routers that all choose
 // them: within two seconds they take between half and twice their even part, and no prompt waits longer there than the
 // objective allows.
--- a/fleet/timeofday/agreement.go
+++ b/fleet/timeofday/agreement.go
@@ -15,16 +15,16 @@
 const (
 	// Tolerance is the maximum difference from the median at which a clock agrees.
 	Tolerance = 100 * time.Millisecond
-	// minAgreeing is the minimum number of clocks that must agree, this machine's own included.
-	minAgreeing = 3
+	// MinClocks is the minimum number of clocks that must agree, this machine's own included.
+	MinClocks = 3
 	// clocksPerOutlier is the number of clocks per one that may disagree.
 	clocksPerOutlier = 6
 )
 
-// Agree returns the median of the boot times that several clocks imply. It returns false if fewer than minAgreeing
+// Agree returns the median of the boot times that several clocks imply. It returns false if fewer than MinClocks
 // clocks are within Tolerance of it, or if too many are not.
 func Agree(bootTimes []time.Time) (time.Time, bool) {
-	if len(bootTimes) < minAgreeing {
+	if len(bootTimes) < MinClocks {
 		return time.Time{}, false
 	}
 	sorted := slices.SortedFunc(slices.Values(bootTimes), time.Time.Compare)
@@ -36,7 +36,7 @@
 		}
 	}
 	outliers := len(sorted) - agreeing
-	return median, agreeing >= minAgreeing && outliers <= len(sorted)/clocksPerOutlier
+	return median, agreeing >= MinClocks && outliers <= len(sorted)/clocksPerOutlier
 }
 
 // Agreement holds the result of the comparisons with other machines. The zero value expects a result; a nil Agreement
--- a/router/gateway/clocks.go
+++ b/router/gateway/clocks.go
@@ -27,11 +27,9 @@
 	clockRetryInterval = 150 * time.Millisecond
 	clockInterval      = 10 * time.Minute
 	// clockRounds is the number of rounds of questions after which the readings are discarded, as they may be old.
-	// fullClockRounds is the number of rounds in which all answers are awaited; then minClockRouters are enough.
+	// fullClockRounds is the number of rounds in which all answers are awaited; then timeofday.MinClocks are enough.
 	clockRounds     = 30
 	fullClockRounds = 3
-	// minClockRouters is the number of routers below which there can be no agreement.
-	minClockRouters = 3
 )
 
 // clockComparer compares this machine's clock with those of other routers until they agree on the time of day.
@@ -66,13 +64,13 @@
 	c.bootTimes = make(map[string]time.Time)
 	for round := range clockRounds {
 		if c.routers.hasRoster.Load() {
-			if c.routers.Roster.Len() < minClockRouters {
+			if c.routers.Roster.Len() < timeofday.MinClocks {
 				c.agreement.Abandon()
 			}
 			c.askOthers(ctx)
 			awaited := min(clocksAsked, c.routers.Roster.Len()-1)
 			if round >= fullClockRounds {
-				awaited = minClockRouters - 1
+				awaited = timeofday.MinClocks - 1
 			}
 			if c.decide(awaited) {
 				return true
