--- a/router/gateway/events.go
+++ b/router/gateway/events.go
@@ -92,9 +92,12 @@
 // discardPartial discards the held-back part of an event after the stream broke off.
 func (e *eventTracker) discardPartial() { e.pending = nil }
 
+// isInsideEvent reports whether the bytes read so far end inside an event.
+func (e *eventTracker) isInsideEvent() bool { return e.inEvent || len(e.pending) > 0 }
+
 // count returns the number of events that endpoints sent, including an incomplete last one.
 func (e *eventTracker) count() int64 {
-	if e.inEvent || len(e.pending) > 0 {
+	if e.isInsideEvent() {
 		return e.completed + 1
 	}
 	return e.completed
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -45,6 +45,27 @@
 	errUnsealed = errors.New("success without a seal")
 )
 
+// responseFraming is how an answer marks the end of its body.
+type responseFraming string
+
+const (
+	framedByLength responseFraming = "length"
+	framedByChunks responseFraming = "chunks"
+	// framedByClose: the body ends where the connection does.
+	framedByClose responseFraming = "close"
+)
+
+func framingOf(response *http.Response) responseFraming {
+	switch {
+	case response.ContentLength >= 0:
+		return framedByLength
+	case len(response.TransferEncoding) > 0:
+		return framedByChunks
+	default:
+		return framedByClose
+	}
+}
+
 // exchange sends the request to one endpoint and forwards its answer to the caller.
 func (j *job) exchange(ctx context.Context, e *target) attemptResult {
 	timeLeft := time.Until(j.deadline)
@@ -61,6 +82,7 @@
 		result = j.classifyFailure(ctx, err, writes.Load() > 0)
 	} else {
 		defer func() { _ = response.Body.Close() }()
+		j.framing = framingOf(response)
 		result = j.handleResponse(ctx, response)
 		result.responded = !errors.Is(result.cause, errWrongRequest)
 	}
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -96,6 +96,8 @@
 	// hasResponse reports whether any endpoint began an answer, endpointFailed whether the last attempt failed at its
 	// endpoint.
 	hasResponse, endpointFailed bool
+	// framing is how the newest answer of an endpoint marks its end; empty if there was none.
+	framing responseFraming
 	// endpointsSent counts the endpoints to which the request was sent.
 	endpointsSent int
 	// events tracks the events of the stream read from endpoints.
@@ -303,7 +305,7 @@
 		fieldRequest: j.callerIdentifier(), fieldEndpoint: e.Name, "Verdict": result.verdict.String(), "Reason": string(result.reason),
 		"Milliseconds": time.Since(startedAt).Milliseconds(), "Beside": j.inFlightAtChoice, "WaitMilliseconds": j.engineWait.Milliseconds(),
 		"Sent": !result.notSent, "Writes": result.writeCount, "Resumes": result.canResume, "Service": j.service, "Next": string(step),
-		"SavedRepeats": j.server.retries.availableRetries(j.service),
+		"SavedRepeats": j.server.retries.availableRetries(j.service), "Framing": string(j.framing),
 	}).WithError(result.cause).Info("attempt failed")
 }
 
@@ -331,6 +333,9 @@
 	if n := len(j.tried); n > 0 {
 		fields[fieldEndpoint], fields["Beside"] = j.tried[n-1].Name, j.inFlightAtChoice
 	}
+	if j.framing != "" {
+		fields["Framing"], fields["InEvent"] = string(j.framing), j.events.isInsideEvent()
+	}
 	if !j.firstByte.IsZero() {
 		fields["FirstMilliseconds"] = j.firstByte.Sub(j.received).Milliseconds()
 	}
--- a/router/gateway/server_test.go
+++ b/router/gateway/server_test.go
@@ -194,7 +194,7 @@
 	line := g.lines.Entries[len(g.lines.Entries)-1]
 	assert.Equal(t, "request ended", line.Message)
 	for name, want := range map[string]any{
-		"Request": "id-1", "Route": "order", "Endpoint": "plaina", "Status": 200, "Outcome": "answered", "Attempts": 1,
+		"Request": "id-1", "Route": "order", "Endpoint": "plaina", "Status": 200, "Outcome": "answered", "Attempts": 1, "Framing": "length", "InEvent": false,
 	} {
 		assert.Equal(t, want, line.Fields.Get(name))
 	}
