--- a/router/gateway/hazards_test.go
+++ b/router/gateway/hazards_test.go
@@ -285,3 +285,55 @@
 	assert.NoError(t, err)
 	assert.Equal(t, int64(1), state.End)
 }
+
+// TestBrokenOffStreams guards against a stream that its endpoint broke off and that reaches the caller as complete.
+func TestBrokenOffStreams(t *testing.T) {
+	const whole, cut = "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\nid: 2\nda"
+	unframed := func(body string) string { return "\r\n" + body }
+	withLength := func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) }
+	inChunks := func(body string) string {
+		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	for _, c := range []struct {
+		name, path, answer string
+		truncated          bool
+	}{
+		{"closed inside an event", "/chat/", unframed(cut), true},
+		{"closed before the first event", "/chat/", unframed(""), true},
+		{"closed after a whole event", "/chat/", unframed(whole), false},
+		{"length that ends inside an event", "/chat/", withLength(cut), true},
+		{"length that ends after a whole event", "/chat/", withLength(whole), false},
+		{"last chunk inside an event", "/chat/", inChunks(cut), true},
+		{"last chunk after a whole event", "/chat/", inChunks(whole), false},
+		{"resumable, closed inside an event at each endpoint", "/talk/", unframed(cut), true},
+		{"plain answer that ends with its connection", "/order/", unframed(cut), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGatewayTest(t)
+			g.setEndpoints(newRawEndpoint(t, func(connection net.Conn, identifier string) {
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n%s", identifier, c.answer)
+				_ = connection.Close()
+			}))
+			got := g.call(http.MethodPost, c.path, "", nil)
+			assert.Equal(t, http.StatusOK, got.status)
+			assert.Equal(t, c.truncated, got.truncated)
+		})
+	}
+	t.Run("resumed at another endpoint", func(t *testing.T) {
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("After") != "" {
+				answerResumed(w, r)
+				return
+			}
+			connection, _, err := http.NewResponseController(w).Hijack()
+			assert.Must(t, err)
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n\r\n%s", r.Header.Get("Id"), cut)
+			_ = connection.Close()
+		}
+		g := newGatewayTest(t, answer, answer)
+		got := g.call(http.MethodPost, "/talk/", "", nil)
+		assert.Equal(t, whole+"id: 2\ndata: b\n\n", got.body)
+		assert.Equal(t, false, got.truncated)
+		g.assertRequestCounts(1, 1)
+	})
+}
