Cut a caller's stream when its endpoint's stream ended inside an event

Callers got a stream that its endpoint had broken off as complete: 200, the endpoint's signature, a short body and the last chunk of a whole answer.

Cause: an answer that has neither a length nor chunks ends with its connection. The router took the end of the connection for the end of the answer and ended its own, without looking at whether the stream stood inside an event. The class: a framing that can't tell a whole answer from a cut one, translated into one that says the answer is whole.

Change: a stream that ends inside an event, in whatever framing, or with its connection before the first event, is an attempt that failed at its endpoint: resumable streams go on elsewhere, others are cut. Streams are sent on without a length, since a length is met before the end can be judged. The tracker of events knows comments and all three line ends, since a wrong "inside" now cuts a stream; it sends comments between events on at once.

Ruled out by the record: a failure that the router saw and lost (no line "attempt failed" for the seven requests).

--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -18,16 +18,26 @@
 	writeTimeout = 5 * time.Second
 )
 
+// errStreamCut is the cause of a failed attempt whose event stream ended inside an event, or with its connection before
+// the first event.
+var errStreamCut = errors.New("event stream ended inside an event")
+
 // forwardResponse writes an answer to the caller as it arrives. If the answer breaks off or can't be written, the
 // connection to the caller must be aborted, so that the caller doesn't take the answer for complete, unless another
 // endpoint may resume it.
 func (j *job) forwardResponse(ctx context.Context, response *http.Response) attemptResult {
 	control := http.NewResponseController(j.w)
 	isStream := j.route.Kind == site.Streaming
+	hasEvents := isStream && response.StatusCode == http.StatusOK && j.r.Method != http.MethodHead
+	eventsBefore := j.events.completed
 	if !j.responseStarted {
 		copyHeader(j.w.Header(), response.Header)
+		if hasEvents {
+			// Without a length, the answer can still be cut or continued after its last byte from this endpoint.
+			j.w.Header().Del("Content-Length")
+		}
 		j.status, j.responseStarted = response.StatusCode, true
-		j.events.wholeEventsOnly = isStream && j.route.Resumable && response.StatusCode == http.StatusOK
+		j.events.wholeEventsOnly = hasEvents && j.route.Resumable
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		j.w.WriteHeader(response.StatusCode)
 		if isStream {
@@ -46,6 +56,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if hasEvents && j.isStreamCut(eventsBefore) {
+				return j.classifyTruncation(ctx, errStreamCut)
+			}
 			_, _ = j.w.Write(j.events.flush())
 			_ = control.SetWriteDeadline(time.Time{})
 			return attemptResult{verdict: verdict.Ran}
@@ -56,6 +69,12 @@
 	}
 }
 
+// isStreamCut reports whether the event stream that has ended was broken off. eventsBefore is the number of events that
+// other endpoints sent before.
+func (j *job) isStreamCut(eventsBefore int64) bool {
+	return j.events.isInsideEvent() || j.framing == framedByClose && j.events.completed == eventsBefore
+}
+
 // recordFirstByte records that the first part of the answer has arrived and that the engine has thus read the prompt.
 func (j *job) recordFirstByte() {
 	if j.firstByte.IsZero() {
--- a/router/gateway/server_test.go
+++ b/router/gateway/server_test.go
@@ -214,6 +214,9 @@
 		{"in pieces", true, []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, "id: 1\ndata: a\n\n", 2, "1"},
 		{"in pieces as they come", false, []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, "id: 1\ndata: a\n\nid: 2", 2, "1"},
 		{"other line ends", true, []string{"id: 1\r\n\r\n", "\n\n", "id: 2\n\nid"}, "id: 1\r\n\r\n\n\nid: 2\n\n", 3, "2"},
+		{"carriage returns alone", true, []string{"id: 1\rdata: a\r\rid: 2\r", "\rid: 3\r"}, "id: 1\rdata: a\r\rid: 2\r\r", 3, "2"},
+		{"line ends cut in two", true, []string{"id: 1\r", "\ndata: a\r\n\r", "\nid: 2\r", "\n"}, "id: 1\r\ndata: a\r\n\r\n", 2, "1"},
+		{"comments", true, []string{": a\n", "id: 1\n\n: b\n\n", ": c\n", ": d"}, ": a\nid: 1\n\n: b\n\n: c\n", 2, "1"},
 		{"without end", true, []string{strings.Repeat("x", maxPendingEventBytes+1), "y"}, strings.Repeat("x", maxPendingEventBytes+1) + "y", 1, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
