Take a model engine's cut JSON for an attempt that failed, on the own interface

Event streams were safe: they need [DONE].

Such a response is whole only if its JSON is. The case "cut" of TestWhole failed before (verdict Ran, the half text) and passes now. A plain service's response that ends with its connection, and one larger than the buffer, can't be judged.

--- a/router/endpoint/buffered.go
+++ b/router/endpoint/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -52,6 +53,9 @@
 	buffer := x.dispatcher.buffers.get()
 	defer x.dispatcher.buffers.put(buffer)
 	read, err := io.Copy(buffer, io.LimitReader(body, x.dispatcher.settings.MaxBufferedBytes+1))
+	if err == nil && read <= x.dispatcher.settings.MaxBufferedBytes && x.isCut(response, buffer.Bytes()) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		out := x.classifyFailure(ctx, err)
 		out.usage = x.partialCost(response, 0)
@@ -73,6 +77,12 @@
 	return out
 }
 
+// isCut reports whether a model engine's response ended with its connection before the end of its JSON text.
+func (x *exchange) isCut(response *http.Response, body []byte) bool {
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return endsWithConnection && x.call.Model != nil && response.StatusCode == http.StatusOK && !json.Valid(body)
+}
+
 // writeResponse writes a complete response to the caller.
 func (x *exchange) writeResponse(response *http.Response, body []byte) error {
 	copyResponseHeader(x.w.Header(), response.Header)
--- a/router/endpoint/dispatcher_test.go
+++ b/router/endpoint/dispatcher_test.go
@@ -344,6 +344,16 @@
 	}
 }
 
+// respondUnframed returns a handler whose response has neither a length nor chunks and ends with the connection.
+func respondUnframed(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if connection, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\n"+body)
+			_ = connection.Close()
+		}
+	}
+}
+
 func TestWhole(t *testing.T) {
 	t.Run("headers", func(t *testing.T) {
 		var got http.Header
@@ -367,6 +377,23 @@
 		call.Model.Stream = false
 		assert.Equal(t, callOutcome{"Ran", "", 7, true, 1, body}, perform(t, f, t.Context(), call))
 	})
+	t.Run("response that ends with its connection", func(t *testing.T) {
+		const whole, cut = `{"choices":[{"message":{"content":"abcd"}}]}`, `{"choices":[{"message":{"co`
+		for _, c := range []struct {
+			name, body string
+			want       callOutcome
+		}{
+			{"whole", whole, callOutcome{"Ran", "", promptBound + 2, true, 1, whole}},
+			{"cut", cut, callOutcome{"MayHaveRun", verdict.EndpointFailed, promptBound, false, 1, ""}},
+		} {
+			t.Run(c.name, func(t *testing.T) {
+				f := newFixture(t, respondUnframed(c.body))
+				call := streamCall()
+				call.Idempotent, call.Model.Stream = false, false
+				assert.Equal(t, c.want, perform(t, f, t.Context(), call))
+			})
+		}
+	})
 	t.Run("response larger than the buffer", func(t *testing.T) {
 		body := strings.Repeat("x", 3*DefaultMaxBufferedBytes)
 		f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
