Reset an HTTP/1.0 caller's connection when its answer is cut

The connection is now reset.

The case "caller that speaks HTTP/1.0" of TestBrokenOffStreams read to a plain end before and gets the reset now.

--- a/router/caller/serve.go
+++ b/router/caller/serve.go
@@ -8,6 +8,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // serve reserves the cost of a request, sends the request to an endpoint, and bills or releases the reservation.
@@ -29,11 +30,13 @@
 	checked.call.CheckDispatch = reservation.CheckDispatch
 	w.Header().Set(HeaderVerdict, verdict.Ran.String())
 	result, err := s.dispatcher.Do(ctx, checked.call, w)
-	s.settle(ctx, w, callOutcome{request: checked, reservation: reservation, result: result, err: err})
+	s.settle(ctx, w, callOutcome{received: r, request: checked, reservation: reservation, result: result, err: err})
 }
 
 // callOutcome is a request with its reservation and the result of the call to an endpoint.
 type callOutcome struct {
+	// received is the request as the caller sent it.
+	received    *http.Request
 	request     *checkedRequest
 	reservation ledgerstream.Reservation
 	result      endpoint.Result
@@ -106,6 +109,6 @@
 	}
 	_ = s.countRefusal(outcome.err)
 	if outcome.result.MustAbort {
-		panic(http.ErrAbortHandler)
+		http1.Abort(w, outcome.received)
 	}
 }
--- a/router/gateway/board.go
+++ b/router/gateway/board.go
@@ -38,6 +38,9 @@
 	traffic *Traffic
 }
 
+// NetConn returns the wrapped connection.
+func (c *byteCountingConnection) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *byteCountingConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/router/gateway/hazards_test.go
+++ b/router/gateway/hazards_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -319,6 +320,20 @@
 			assert.Equal(t, c.truncated, got.truncated)
 		})
 	}
+	t.Run("caller that speaks HTTP/1.0", func(t *testing.T) {
+		g := newGatewayTest(t)
+		g.setEndpoints(newRawEndpoint(t, func(connection net.Conn, identifier string) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n\r\n%s", identifier, cut)
+			_ = connection.Close()
+		}))
+		caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", g.listener.Listener.Addr().String())
+		assert.Must(t, err)
+		defer func() { _ = caller.Close() }()
+		_, err = io.WriteString(caller, "POST /chat/ HTTP/1.0\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\n\r\n")
+		assert.Must(t, err)
+		_, err = io.ReadAll(caller)
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+	})
 	t.Run("resumed at another endpoint", func(t *testing.T) {
 		answer := func(w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get("After") != "" {
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -21,6 +21,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 const (
@@ -128,7 +129,7 @@
 	abort := j.serve()
 	j.logEnd()
 	if abort {
-		panic(http.ErrAbortHandler)
+		http1.Abort(w, r)
 	}
 }
 
--- /dev/null
+++ b/router/http1/abort.go
@@ -0,0 +1,34 @@
+// Package http1 ends HTTP/1 answers that can't be completed.
+package http1
+
+import (
+	"net"
+	"net/http"
+)
+
+// Abort ends an answer of which a part was written, so that the caller can't take it for complete. It panics with
+// http.ErrAbortHandler. An HTTP/1.0 answer without a length ends where its connection is closed, so the connection is reset.
+func Abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if connection, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(connection)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection with a TCP reset.
+func reset(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	inner := connection
+	for {
+		wrapper, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		inner = wrapper.NetConn()
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
