--- a/fleet/site/demand.go
+++ b/fleet/site/demand.go
@@ -33,6 +33,15 @@
 	return total
 }
 
+// SharedParts returns the identifiers of the parts that other requests may share, which are all but the last.
+func (d *Demand) SharedParts() []string {
+	var identifiers []string
+	for i := range len(d.Parts) - 1 {
+		identifiers = append(identifiers, d.Parts[i].Identifier)
+	}
+	return identifiers
+}
+
 // LastSharedPart returns the identifier of the last part that other requests may share, which is the last but one of
 // the prompt. It is empty for prompts of fewer than two parts.
 func (d *Demand) LastSharedPart() string {
--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -68,6 +68,7 @@
 		}
 		j.tried = append(j.tried, e)
 		startedAt := time.Now()
+		j.attemptFirstByte = time.Time{}
 		result := j.exchange(ctx, e)
 		j.hasResponse, j.endpointFailed = j.hasResponse || result.responded, result.endpointFailed
 		j.countWrites(result)
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -77,8 +77,11 @@
 
 // recordFirstByte records that the first part of the answer has arrived and that the engine has thus read the prompt.
 func (j *job) recordFirstByte() {
+	if j.attemptFirstByte.IsZero() {
+		j.attemptFirstByte = time.Now()
+	}
 	if j.firstByte.IsZero() {
-		j.firstByte = time.Now()
+		j.firstByte = j.attemptFirstByte
 	}
 	j.server.targets.finishPrompt(j.tried[len(j.tried)-1], j, true)
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -107,6 +107,8 @@
 	// the answer arrived; zero if none has.
 	reserveTime time.Duration
 	firstByte   time.Time
+	// attemptFirstByte is when the first part of the newest attempt's answer arrived; zero if none has.
+	attemptFirstByte time.Time
 	// inFlightAtChoice is the number of requests that this router had in flight at the endpoint when it selected the
 	// endpoint.
 	inFlightAtChoice int
@@ -302,12 +304,19 @@
 
 // logAttempt logs an attempt that gave no complete answer, and how the request continues.
 func (j *job) logAttempt(e *target, startedAt time.Time, result attemptResult, step nextStep) {
-	j.server.logger.WithFields(log.Fields{
+	fields := log.Fields{
 		fieldRequest: j.callerIdentifier(), fieldEndpoint: e.Name, "Verdict": result.verdict.String(), "Reason": string(result.reason),
 		"Milliseconds": time.Since(startedAt).Milliseconds(), "Beside": j.inFlightAtChoice, "WaitMilliseconds": j.engineWait.Milliseconds(),
 		"Sent": !result.notSent, "Writes": result.writeCount, "Resumes": result.canResume, "Service": j.service, "Next": string(step),
 		"SavedRepeats": j.server.retries.availableRetries(j.service), "Framing": string(j.framing),
-	}).WithError(result.cause).Info("attempt failed")
+	}
+	if parts := j.demand.SharedParts(); len(parts) > 0 {
+		fields["Parts"] = strings.Join(parts, ",")
+	}
+	if !j.attemptFirstByte.IsZero() {
+		fields["AnsweredMilliseconds"] = time.Since(j.attemptFirstByte).Milliseconds()
+	}
+	j.server.logger.WithFields(fields).WithError(result.cause).Info("attempt failed")
 }
 
 // logEnd logs how the request ended and adds its times to the histograms.
