Notice a crash of an endpoint that answers again before its restart is listed

Cause, from the routers' lines of such a run: an answer to a later request was taken for proof that the endpoint had not crashed. Two routers sent a request to an endpoint's next process before the directory listed it, and dropped the evidence; the request was blocked 2 s late.

The evidence is kept now, and counts if the directory then shows that the answering process started after the exchange had broken off.

--- a/router/gateway/crash_evidence.go
+++ b/router/gateway/crash_evidence.go
@@ -22,7 +22,7 @@
 
 // recordExposureLocked records requests whose exchanges broke off. The endpoint counts as crashed if it then refuses
 // connections or restarts, if it is no longer listed or if another endpoint answers at its address. An answer to a later
-// request shows that the endpoint has not crashed.
+// request shows that the endpoint has not crashed, unless it turns out that the endpoint had restarted before.
 func (t *targets) recordExposureLocked(e *target, j *job, startedAt time.Time, result attemptResult) {
 	now := time.Now()
 	t.concludeAnswersLocked(now, e)
@@ -36,14 +36,17 @@
 	switch {
 	case t.byName[e.Name] != e || result.misdirected || errors.Is(result.cause, syscall.ECONNREFUSED):
 		t.reportCrashLocked(e)
-	case result.responded && !result.endpointFailed && startedAt.After(e.lastBroken):
-		e.exposures = nil
+	case result.responded && !result.endpointFailed && startedAt.After(e.lastBroken) && e.answeredSince.IsZero():
+		e.answeredSince = startedAt
 	}
 }
 
 // recordInterruptionLocked records that the exchange of a request broke off, with the answers that the endpoint had begun
 // shortly before and completed.
 func (t *targets) recordInterruptionLocked(now time.Time, e *target, j *job, startedAt time.Time) {
+	if !e.answeredSince.IsZero() {
+		e.exposures, e.answeredSince = nil, time.Time{}
+	}
 	e.lastBroken = now
 	exposure := endpoint.InterruptedExchange{Fingerprint: j.requestFingerprint(), SentAt: startedAt, InterruptedAt: now}
 	if parts := j.demand.SharedParts(); j.attemptFirstByte.IsZero() || now.Sub(j.attemptFirstByte) < endpoint.SoundAnswerTime {
@@ -107,9 +110,18 @@
 	}
 }
 
-// reportCrashLocked reports an endpoint's crash if requests were in progress there.
+// reportRestartLocked reports that an endpoint's process has been replaced by one that started at a time. That was a crash
+// unless the former process answered after exchanges had broken off.
+func (t *targets) reportRestartLocked(e *target, startedAt time.Time) {
+	if !e.answeredSince.Before(startedAt) && e.lastBroken.Before(startedAt) {
+		e.answeredSince = time.Time{}
+	}
+	t.reportCrashLocked(e)
+}
+
+// reportCrashLocked reports an endpoint's crash if requests were in progress there and it has not answered since.
 func (t *targets) reportCrashLocked(e *target) {
-	if len(e.exposures) == 0 || t.onCrash == nil {
+	if len(e.exposures) == 0 || t.onCrash == nil || !e.answeredSince.IsZero() {
 		return
 	}
 	t.onCrash(time.Now(), e.Name+"/"+strconv.FormatInt(e.StartedAt, 10), e.exposures)
--- a/router/gateway/crashes_test.go
+++ b/router/gateway/crashes_test.go
@@ -170,6 +170,37 @@
 	}
 }
 
+// TestRestartBeforeListing guards against an endpoint's crash that goes unnoticed because its next process answers before the
+// directory lists that.
+func TestRestartBeforeListing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// sentAfter is the time from the restart to the request that is answered.
+		sentAfter time.Duration
+		want      int
+	}{{"answered by the next process", time.Second, 1}, {"answered by the former process", -time.Second, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				crashed := 0
+				ts := &targets{traffic: &Traffic{}, onCrash: func(_ time.Time, _ string, exposures []endpoint.InterruptedExchange) { crashed += len(exposures) }}
+				j := &job{r: &http.Request{Method: http.MethodGet}, server: &Server{}, route: &site.Route{}, service: "plain"}
+				services := []site.WeightedService{{Service: "plain"}}
+				entry := site.Endpoint{Name: "e", Service: "plain", Address: "127.0.0.1:1", StartedAt: 1}
+				ts.updateDirectoryLocked(site.NewDirectory([]site.Endpoint{entry}), services)
+				e := ts.byName["e"]
+				e.inFlight = 2
+				ts.release(e, j, time.Now(), attemptResult{endpointFailed: true, writeCount: 1, cause: errors.New("reset")})
+				restartedAt := time.Now().Add(2 * time.Second)
+				entry.StartedAt = restartedAt.UnixMilli()
+				time.Sleep(4 * time.Second)
+				ts.release(e, j, restartedAt.Add(c.sentAfter), attemptResult{responded: true, writeCount: 1})
+				ts.updateDirectoryLocked(site.NewDirectory([]site.Endpoint{entry}), services)
+				assert.Equal(t, c.want, crashed)
+			})
+		})
+	}
+}
+
 // TestSuspectedRequestIsRefused checks the answer and the log messages for a quarantined request.
 func TestSuspectedRequestIsRefused(t *testing.T) {
 	g := newGatewayTest(t, answerSealed("never"))
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -52,7 +52,7 @@
 	}
 	if ok {
 		known.transport.CloseIdleConnections()
-		t.reportCrashLocked(known)
+		t.reportRestartLocked(known, time.UnixMilli(e.StartedAt))
 	}
 	created := &target{Endpoint: e, transport: NewTransport(t.traffic), hash: xxhash.Sum64String(e.Name)}
 	t.byName[e.Name] = created
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -90,9 +90,9 @@
 	cache    placement.Cache
 	slowness placement.Slowness
 	// exposures are the requests whose exchanges broke off since the endpoint's last answer. lastBroken is when the
-	// newest of them broke off.
-	exposures  []endpoint.InterruptedExchange
-	lastBroken time.Time
+	// newest of them broke off, answeredSince when the first request was sent that the endpoint answered after that.
+	exposures                 []endpoint.InterruptedExchange
+	lastBroken, answeredSince time.Time
 	// recentAnswers are complete answers that were begun less than endpoint.SoundAnswerTime ago, or were when the endpoint was last
 	// used. isBeingChecked is true while a crashCheck runs.
 	recentAnswers  []recentAnswer
