Withdraw "not run" when no endpoint is left after one that may have run the request

The refusal of a choice without endpoints ignored the attempts before it. It gets 502 now. The case "no further endpoint after one that may have run it" of TestAttempts got 503 before.

--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -64,7 +65,7 @@
 			if j.responseStarted {
 				return true
 			}
-			return j.respondFailure(ctx, buffered, err)
+			return j.respondFailure(ctx, buffered, j.withdrawNotRun(err))
 		}
 		j.tried = append(j.tried, e)
 		startedAt := time.Now()
@@ -162,6 +163,17 @@
 	}
 }
 
+// withdrawNotRun returns a refusal whose verdict doesn't promise that the request has not run if an attempt may have run it.
+func (j *job) withdrawNotRun(err error) error {
+	var refusal *verdict.Refusal
+	if !j.mayHaveRun || !errors.As(err, &refusal) {
+		return err
+	}
+	withdrawn := *refusal
+	withdrawn.Verdict = verdict.MayHaveRun
+	return &withdrawn
+}
+
 // finalRefusal returns the refusal that the caller gets after the last attempt. Its verdict is MayHaveRun if any
 // attempt may have run the request.
 func (j *job) finalRefusal(result attemptResult) error {
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -261,11 +261,7 @@
 	if wait == 0 {
 		return nil
 	}
-	refusal := &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Suspected, RetryAfter: wait}
-	if j.mayHaveRun {
-		refusal.Verdict = verdict.MayHaveRun
-	}
-	return refusal
+	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Suspected, RetryAfter: wait}
 }
 
 // requestFingerprint returns a hash of the request's team, method, host, path with query, and body.
--- a/router/gateway/server_test.go
+++ b/router/gateway/server_test.go
@@ -159,6 +159,12 @@
 		got := g.call(http.MethodPost, "/order/", "", nil)
 		assert.Equal(t, http.StatusServiceUnavailable, got.status)
 	})
+	t.Run("no further endpoint after one that may have run it", func(t *testing.T) {
+		g := newGatewayTest(t, abortConnection)
+		got := g.call(http.MethodGet, "/read/", "", nil)
+		assert.Equal(t, http.StatusBadGateway, got.status)
+		assert.Equal(t, "", got.header.Get("Retry-After"))
+	})
 	t.Run("the route's timeout is over", func(t *testing.T) {
 		g := newGatewayTest(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 		got := g.call(http.MethodPost, "/quick/", "", nil)
