Send nothing new to endpoints that leave, and nothing in a pause that an endpoint asks for

An endpoint says in all its answers that it leaves, and may ask for a pause in a 503; routers read neither and sent on until the directory told them, or for ever.

endpoint.Notices holds both for one process of an endpoint and decides without a network. A leaving endpoint gets nothing from the first answer with the header on; for one second it still serves requests that no other endpoint can serve. A pause is kept to its end without a probe, 10 minutes at most; dates and what is no number ask for none. After it the requests in progress grow from one, and routers begin up to a tenth of the pause, at most half a second, apart. When all endpoints of a service are paused, requests are refused at once with the end of the first pause as Retry-After; none waits for it, which is left.

In TestPauseEndBringsNoHerd, with 6 and 30 routers that all have work waiting, 1 request reaches the endpoint at the end of the pause and 66 and 330 in the first 200 ms. Without the reading of the headers eight subtests of TestLeavingEndpointGetsNoRequests and TestPausedEndpointGetsNoRequests fail. The own interface doesn't use Notices yet.

--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -6,6 +6,7 @@
 	fieldEndpoint    = "Endpoint"
 	fieldFingerprint = "Fingerprint"
 	fieldFrom        = "From"
+	fieldMillis      = "Milliseconds"
 )
 
 // Names of the counters, or prefixes that end in a dot: the reason why the previous attempt failed follows
@@ -19,6 +20,8 @@
 	nothingWrittenPrefix    = "sent.nothing."
 	requestQuarantined      = "request.held"
 	partsBlocked            = "parts.held"
+	endpointLeaving         = "endpoint.leaving"
+	endpointPaused          = "endpoint.paused"
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
 )
@@ -40,6 +43,8 @@
 		{nothingWrittenPrefix + "SERVICE", "Attempts that ended before anything was sent to an endpoint of the service."},
 		{requestQuarantined, "Requests that are no longer sent because endpoints crashed one after the other while they were in progress."},
 		{partsBlocked, "Groups of prompt parts that are no longer sent because endpoints crashed one after the other while answers on them began."},
+		{endpointLeaving, "Endpoints that said in an answer that they leave, and get no new requests."},
+		{endpointPaused, "Pauses for which endpoints asked in a refusal."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
 	}
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
 )
@@ -83,6 +84,7 @@
 	} else {
 		defer func() { _ = response.Body.Close() }()
 		j.framing = framingOf(response)
+		j.server.recordNotices(e, response)
 		result = j.handleResponse(ctx, response)
 		result.responded = !errors.Is(result.cause, errWrongRequest)
 	}
@@ -177,7 +179,7 @@
 		discardRefusal(response.Body)
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
-			retryAfter: parseRetryAfter(response.Header),
+			retryAfter: endpoint.ParsePause(response.Header.Get("Retry-After")),
 		}
 	}
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
@@ -225,16 +227,6 @@
 	io.Closer
 }
 
-// parseRetryAfter returns the value of a Retry-After header in seconds as a duration; zero if it is missing, invalid or
-// above maxRequestTime.
-func parseRetryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 || seconds > maxRequestTime.Seconds() {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // copyHeader copies the headers of an answer except the hop-by-hop ones.
 func copyHeader(to, from http.Header) {
 	headers.RemoveHopByHop(from)
--- /dev/null
+++ b/router/gateway/notices.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+)
+
+// recordNotices records what an endpoint asks for in the headers of an answer: no new requests because it leaves, or none for
+// some time.
+func (s *Server) recordNotices(e *target, response *http.Response) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		// Another endpoint answered at the address.
+		return
+	}
+	now := time.Now()
+	pause := time.Duration(0)
+	if response.StatusCode == http.StatusServiceUnavailable {
+		pause = endpoint.ParsePause(response.Header.Get("Retry-After"))
+	}
+	leaving := s.protocol.Leaving != "" && response.Header.Get(s.protocol.Leaving) == "1"
+	s.targets.mu.Lock()
+	defer s.targets.mu.Unlock()
+	if leaving && e.notices.RecordLeaving(now) {
+		s.state.Count(endpointLeaving)
+		s.logger.WithField(fieldEndpoint, e.Name).Info("endpoint leaves")
+	}
+	if e.notices.RecordPause(now, pause, rand.Float64()) { //nolint:gosec // spreads load
+		s.state.Count(endpointPaused)
+		s.logger.WithFields(log.Fields{fieldEndpoint: e.Name, fieldMillis: pause.Milliseconds()}).Info("endpoint asks for a pause")
+	}
+}
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -19,6 +19,8 @@
 	// consecutive ones: a crashed endpoint is back after some seconds.
 	initialBackoff = 300 * time.Millisecond
 	maxBackoff     = 2 * time.Second
+	// trialRetryDelay is the time after which a request may come again that found all endpoints busy after a pause.
+	trialRetryDelay = 100 * time.Millisecond
 )
 
 // updateDirectoryLocked switches to a new directory and looks up the endpoints of the given services. Endpoints that
@@ -83,7 +85,7 @@
 		eligible = t.eligibleLocked(now, j, true)
 	}
 	if len(eligible) == 0 {
-		return nil, verdict.Refuse(verdict.NoEndpoint, "")
+		return nil, t.refuseLocked(now, j)
 	}
 	chosen := t.leastLoaded(eligible, j.random)
 	if j.engine != nil {
@@ -94,6 +96,25 @@
 	return chosen, nil
 }
 
+// refuseLocked returns the refusal of a request for which no endpoint is left. If endpoints have asked for a pause, the request may
+// come again when the first pause ends, or soon after that.
+func (t *targets) refuseLocked(now time.Time, j *job) error {
+	var retryAfter time.Duration
+	for _, e := range t.services[j.service] {
+		if !e.notices.IsOnTrial() || e.notices.IsLeaving() || e.isReplaced {
+			continue
+		}
+		left := max(trialRetryDelay, e.notices.PauseLeft(now))
+		if retryAfter == 0 || left < retryAfter {
+			retryAfter = left
+		}
+	}
+	if retryAfter == 0 {
+		return verdict.Refuse(verdict.NoEndpoint, "")
+	}
+	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: retryAfter}
+}
+
 // eligibleLocked returns the endpoints to which the request may be sent. Endpoints in backoff are included with
 // includeBlocked, as a last resort.
 func (t *targets) eligibleLocked(now time.Time, j *job, includeBlocked bool) []*target {
@@ -185,6 +206,14 @@
 	if e.isReplaced || !includeBlocked && now.Before(e.blockedUntil) {
 		return false
 	}
+	switch e.notices.Admission(now, e.inFlight) {
+	case endpoint.AdmissionClosed:
+		return false
+	case endpoint.AdmissionLastResort:
+		if !includeBlocked {
+			return false
+		}
+	}
 	for _, tried := range j.tried {
 		if tried == e {
 			return false
@@ -200,6 +229,9 @@
 	defer t.mu.Unlock()
 	e.inFlight--
 	t.recordExposureLocked(e, j, startedAt, result)
+	if result.responded && result.verdict != verdict.NotRun {
+		e.notices.RecordAccepted(startedAt)
+	}
 	switch {
 	case result.misdirected:
 		e.isReplaced = true
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -316,7 +316,7 @@
 func (j *job) logAttempt(e *target, startedAt time.Time, result attemptResult, step nextStep) {
 	fields := log.Fields{
 		fieldRequest: j.callerIdentifier(), fieldEndpoint: e.Name, "Verdict": result.verdict.String(), "Reason": string(result.reason),
-		"Milliseconds": time.Since(startedAt).Milliseconds(), "Beside": j.inFlightAtChoice, "WaitMilliseconds": j.engineWait.Milliseconds(),
+		fieldMillis: time.Since(startedAt).Milliseconds(), "Beside": j.inFlightAtChoice, "WaitMilliseconds": j.engineWait.Milliseconds(),
 		"Sent": !result.notSent, "Writes": result.writeCount, "Resumes": result.canResume, "Service": j.service, "Next": string(step),
 		"SavedRepeats": j.server.retries.availableRetries(j.service), "Framing": string(j.framing),
 	}
@@ -334,7 +334,7 @@
 	j.observeStages(time.Since(j.received))
 	fields := log.Fields{
 		fieldRequest: j.callerIdentifier(), "Status": j.status, "Outcome": j.outcome,
-		"Milliseconds": time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
+		fieldMillis: time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
 	}
 	if j.route != nil {
 		fields["Route"], fields["Kind"] = j.route.Name, j.route.Kind.String()
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -97,6 +97,8 @@
 	// used. isBeingChecked is true while a crashCheck runs.
 	recentAnswers  []recentAnswer
 	isBeingChecked bool
+	// notices are what the endpoint's process has asked for in its answers.
+	notices endpoint.Notices
 	// isReplaced is true once another endpoint has been found to answer at the address.
 	isReplaced bool
 }
--- a/router/gateway/wire.go
+++ b/router/gateway/wire.go
@@ -21,6 +21,8 @@
 	Seal string
 	// NotRun is the header by which an endpoint states that it did not run the request.
 	NotRun string
+	// Leaving is the header with which an endpoint that leaves marks its answers; empty if endpoints don't.
+	Leaving string
 	// ResumeAfter is the header with the identifier of the last event of a stream that was received.
 	ResumeAfter string
 	// Urgency is the header with the request's urgency at an engine, from 0, the most urgent, to 9.
