Let the trial of a blocked part reach an endpoint, and hold no part that is sound elsewhere

The prompt that is let through on trial was refused by the check before its first attempt, so that a block never ended. Records of crashes named parts known to be sound if no other was in progress; a router that starts, to which all parts are unknown, would have held them after three crashes in the record. Such parts are now counted by each router alone, and none in the first 3 s after a start.

--- a/fleet/endpoint/part_suspects.go
+++ b/fleet/endpoint/part_suspects.go
@@ -271,10 +271,9 @@
 }
 
 // BlockTimeLeft returns for how long a prompt with these parts must not be sent; zero if it may be sent now. Once a block has
-// ended, one prompt at a time may be sent on trial.
-func (s *PartSuspects) BlockTimeLeft(now time.Time, parts []string) time.Duration {
+// ended, one prompt at a time may be sent on trial; isTrial reports whether it is this one.
+func (s *PartSuspects) BlockTimeLeft(now time.Time, parts []string) (wait time.Duration, isTrial bool) {
 	var due []*partGroup
-	var wait time.Duration
 	for _, g := range s.blocked {
 		if !containsAll(parts, g.parts) {
 			continue
@@ -283,12 +282,12 @@
 		due = append(due, g)
 	}
 	if wait > 0 {
-		return wait
+		return wait, false
 	}
 	for _, g := range due {
 		g.trialUntil = now.Add(partTrialTime)
 	}
-	return 0
+	return 0, len(due) > 0
 }
 
 // RecordSound records that an endpoint survived the beginning of an answer on the parts, which are then blocked no longer.
--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -106,8 +106,10 @@
 
 // acquireTarget returns an endpoint for the next attempt. Parts of the prompt may have been blocked since the last one.
 func (j *job) acquireTarget() (*target, error) {
-	if err := j.checkPartsBlocked(); err != nil {
-		return nil, err
+	if !j.isTrial || len(j.tried) > 0 {
+		if err := j.checkPartsBlocked(); err != nil {
+			return nil, err
+		}
 	}
 	return j.server.targets.acquire(j.server.state.Directory.Load(), j)
 }
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -2,11 +2,11 @@
 
 // Names of log fields that several messages share.
 const (
-	fieldRequest     = "Request"
-	fieldEndpoint    = "Endpoint"
-	fieldFingerprint = "Fingerprint"
-	fieldFrom        = "From"
-	fieldMillis      = "Milliseconds"
+	fieldRequest      = "Request"
+	fieldEndpoint     = "Endpoint"
+	fieldFingerprint  = "Fingerprint"
+	fieldFrom         = "From"
+	fieldMilliseconds = "Milliseconds"
 )
 
 // Names of the counters, or prefixes that end in a dot: the reason why the previous attempt failed follows
--- a/router/gateway/crashes.go
+++ b/router/gateway/crashes.go
@@ -36,6 +36,8 @@
 	maxRecordedAnswers  = 32
 	// maxRecordedBlocks bounds the blocked groups of parts in the crash record.
 	maxRecordedBlocks = 32
+	// learningTime is the time after a start in which a router learns which parts of prompts are sound.
+	learningTime = 3 * time.Second
 	// maxTrialDelay bounds the random time by which routers delay the trials of blocked parts.
 	maxTrialDelay = 5 * time.Minute
 )
@@ -67,7 +69,8 @@
 type recordedRequest struct {
 	Fingerprint  ledger.Fingerprint
 	Begun, Broke int64
-	// Parts are the parts of the prompt that may have crashed the endpoint.
+	// Parts are the parts of the prompt that may have crashed the endpoint. Those known to be sound are left out, since a
+	// router that starts takes all that it reads here for unknown.
 	Parts []string `json:",omitempty"`
 }
 
@@ -87,10 +90,13 @@
 	// hasBlockedParts is false while no parts of prompts are blocked.
 	hasBlockedParts atomic.Bool
 
-	mu        sync.Mutex
-	suspects  endpoint.Suspects
-	parts     endpoint.PartSuspects
-	ownRecord crashRecord
+	mu       sync.Mutex
+	suspects endpoint.Suspects
+	parts    endpoint.PartSuspects
+	// learningUntil is the time before which crashes don't count against parts of prompts, as this router has not yet seen
+	// which of them are sound.
+	learningUntil time.Time
+	ownRecord     crashRecord
 	// mergedUntil is, by router, the timestamp of the newest merged crash or answer in Unix milliseconds. It is at least
 	// 1 once the router's crash record has been merged.
 	mergedUntil map[string]int64
@@ -103,7 +109,8 @@
 func newCrashTracker(state *Board, logger log.Interface) *crashTracker {
 	return &crashTracker{
 		state: state, logger: logger, mergedUntil: make(map[string]int64), writePending: make(chan struct{}, 1),
-		parts: endpoint.PartSuspects{TrialDelay: rand.N(maxTrialDelay)}, //nolint:gosec // spreads load
+		parts:         endpoint.PartSuspects{TrialDelay: rand.N(maxTrialDelay)}, //nolint:gosec // spreads load
+		learningUntil: time.Now().Add(learningTime),
 	}
 }
 
@@ -111,11 +118,18 @@
 func (c *crashTracker) recordCrash(now time.Time, name string, exposures []endpoint.InterruptedExchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	exposures = c.omitSoundPartsLocked(exposures[:min(len(exposures), maxRecordedRequests)])
+	if now.Before(c.learningUntil) {
+		exposures = omitParts(exposures, func(string) bool { return true })
+	}
+	exposures = exposures[:min(len(exposures), maxRecordedRequests)]
+	unknown := omitParts(exposures, c.parts.IsSound)
 	record := recordedCrash{Crash: name}
-	for _, e := range exposures {
+	for _, e := range unknown {
 		record.Requests = append(record.Requests, recordedRequest{e.Fingerprint, e.SentAt.UnixMilli(), e.InterruptedAt.UnixMilli(), e.Parts})
 	}
+	if suspectedParts(unknown) != "" {
+		exposures = unknown
+	}
 	c.logger.WithFields(log.Fields{"Crash": name, "InProgress": len(exposures), "Parts": suspectedParts(exposures)}).Warn("endpoint crashed")
 	record.At = c.nextTimestampLocked(now)
 	c.ownRecord.Crashes = append(c.ownRecord.Crashes, record)
@@ -144,16 +158,13 @@
 	c.hasBlockedParts.Store(c.parts.Len() > 0)
 }
 
-// omitSoundPartsLocked returns the exposures without the parts known to be sound, or with all parts if the rest would be none.
-func (c *crashTracker) omitSoundPartsLocked(exposures []endpoint.InterruptedExchange) []endpoint.InterruptedExchange {
-	suspected := slices.Clone(exposures)
-	for i := range suspected {
-		suspected[i].Parts = slices.DeleteFunc(slices.Clone(suspected[i].Parts), c.parts.IsSound)
-	}
-	if suspectedParts(suspected) == "" {
-		return exposures
+// omitParts returns the exposures without the parts for which omit returns true.
+func omitParts(exposures []endpoint.InterruptedExchange, omit func(part string) bool) []endpoint.InterruptedExchange {
+	rest := slices.Clone(exposures)
+	for i := range rest {
+		rest[i].Parts = slices.DeleteFunc(slices.Clone(rest[i].Parts), omit)
 	}
-	return suspected
+	return rest
 }
 
 // suspectedParts lists the parts of the exposures' prompts.
@@ -175,7 +186,8 @@
 }
 
 // partsBlockTimeLeft returns for how long a prompt with these parts must not be sent; zero if it may be sent.
-func (c *crashTracker) partsBlockTimeLeft(now time.Time, parts []string) time.Duration {
+// isTrial reports whether it is sent on trial.
+func (c *crashTracker) partsBlockTimeLeft(now time.Time, parts []string) (wait time.Duration, isTrial bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.parts.BlockTimeLeft(now, parts)
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -256,6 +256,6 @@
 		logger.WithField("Of", source).WithError(err).Warn("platform lost")
 	case err == nil && l.isUnreachable:
 		l.isUnreachable = false
-		logger.WithFields(log.Fields{"Of": source, fieldMillis: now.Sub(l.since).Milliseconds()}).Info("platform regained")
+		logger.WithFields(log.Fields{"Of": source, fieldMilliseconds: now.Sub(l.since).Milliseconds()}).Info("platform regained")
 	}
 }
--- a/router/gateway/notices.go
+++ b/router/gateway/notices.go
@@ -23,6 +23,9 @@
 		pause = endpoint.ParsePause(response.Header.Get("Retry-After"))
 	}
 	leaving := s.protocol.Leaving != "" && response.Header.Get(s.protocol.Leaving) == "1"
+	if !leaving && pause == 0 {
+		return
+	}
 	s.targets.mu.Lock()
 	defer s.targets.mu.Unlock()
 	if leaving && e.notices.RecordLeaving(now) {
@@ -31,6 +34,6 @@
 	}
 	if e.notices.RecordPause(now, pause, rand.Float64()) { //nolint:gosec // spreads load
 		s.state.Count(endpointPaused)
-		s.logger.WithFields(log.Fields{fieldEndpoint: e.Name, fieldMillis: pause.Milliseconds()}).Info("endpoint asks for a pause")
+		s.logger.WithFields(log.Fields{fieldEndpoint: e.Name, fieldMilliseconds: pause.Milliseconds()}).Info("endpoint asks for a pause")
 	}
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -119,6 +119,8 @@
 	unreadTokens int64
 	readTime     time.Duration
 	engineWait   time.Duration
+	// isTrial reports whether the first attempt is a trial of blocked parts of prompts.
+	isTrial bool
 	// status is the HTTP status of the answer to the caller, outcome its classification in the log.
 	status  int
 	outcome string
@@ -257,8 +259,9 @@
 	if !j.server.crashes.hasBlockedParts.Load() {
 		return nil
 	}
-	wait := j.server.crashes.partsBlockTimeLeft(time.Now(), j.demand.SharedParts())
+	wait, isTrial := j.server.crashes.partsBlockTimeLeft(time.Now(), j.demand.SharedParts())
 	if wait == 0 {
+		j.isTrial = isTrial
 		return nil
 	}
 	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Suspected, RetryAfter: wait}
@@ -316,7 +319,7 @@
 func (j *job) logAttempt(e *target, startedAt time.Time, result attemptResult, step nextStep) {
 	fields := log.Fields{
 		fieldRequest: j.callerIdentifier(), fieldEndpoint: e.Name, "Verdict": result.verdict.String(), "Reason": string(result.reason),
-		fieldMillis: time.Since(startedAt).Milliseconds(), "Beside": j.inFlightAtChoice, "WaitMilliseconds": j.engineWait.Milliseconds(),
+		fieldMilliseconds: time.Since(startedAt).Milliseconds(), "Beside": j.inFlightAtChoice, "WaitMilliseconds": j.engineWait.Milliseconds(),
 		"Sent": !result.notSent, "Writes": result.writeCount, "Resumes": result.canResume, "Service": j.service, "Next": string(step),
 		"SavedRepeats": j.server.retries.availableRetries(j.service), "Framing": string(j.framing),
 	}
@@ -334,7 +337,7 @@
 	j.observeStages(time.Since(j.received))
 	fields := log.Fields{
 		fieldRequest: j.callerIdentifier(), "Status": j.status, "Outcome": j.outcome,
-		fieldMillis: time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
+		fieldMilliseconds: time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
 	}
 	if j.route != nil {
 		fields["Route"], fields["Kind"] = j.route.Name, j.route.Kind.String()
