Remember sound parts of prompts over restarts, and try a blocked part after 30 s

Crash records now name up to 128 such parts, which a router that starts, and any other, takes over. The first block lasts 30 s and a delay by which routers differ, 2 s for each of them on average, the next ones 10 minutes and more.

--- a/fleet/endpoint/part_suspects.go
+++ b/fleet/endpoint/part_suspects.go
@@ -20,6 +20,8 @@
 	// tiedCrashes is the number of further crashes that may tell parts apart that were in progress at the same crashes, in
 	// different prompts, before all of them are blocked.
 	tiedCrashes = 2
+	// partProbation is how long a part is blocked before the first trial, after which the block lasts quarantineDuration.
+	partProbation = 30 * time.Second
 	// partTrialTime is how long a prompt that is let through on trial keeps others with the same parts blocked.
 	partTrialTime = 5 * time.Second
 	// maxPartBlockDoublings bounds the time between two trials, which doubles with each that crashes an endpoint.
@@ -74,7 +76,15 @@
 	// decidedAt is when the group was blocked or last failed a trial, until when the next trial is due, and trialUntil when
 	// the present one ends.
 	decidedAt, until, trialUntil time.Time
-	doublings                    int
+	failedTrials                 int
+}
+
+// blockTime returns the time until the next trial.
+func (g *partGroup) blockTime() time.Duration {
+	if g.failedTrials == 0 {
+		return partProbation
+	}
+	return quarantineDuration << (min(g.failedTrials, maxPartBlockDoublings) - 1)
 }
 
 // PartSuspects detects parts of prompts that crash each endpoint that begins an answer on them, in requests that have nothing
@@ -159,15 +169,15 @@
 
 // removeOldBlocks removes the groups for which no prompt has come on trial for long.
 func (s *PartSuspects) removeOldBlocks(now time.Time) {
-	s.blocked = slices.DeleteFunc(s.blocked, func(g *partGroup) bool { return now.Sub(g.until) > quarantineDuration<<g.doublings })
+	s.blocked = slices.DeleteFunc(s.blocked, func(g *partGroup) bool { return now.Sub(g.until) > quarantineDuration+g.blockTime() })
 }
 
-// extendBlocks doubles the block of each group that failed a trial.
+// extendBlocks extends the block of each group that failed a trial, here or at another router.
 func (s *PartSuspects) extendBlocks(now time.Time, crash *partCrash) {
 	for _, g := range s.blocked {
-		if crash.containsAll(g.parts) && crash.at.Sub(g.decidedAt) > quarantineDuration {
-			g.doublings = min(g.doublings+1, maxPartBlockDoublings)
-			g.decidedAt, g.until = now, now.Add(quarantineDuration<<g.doublings+s.TrialDelay)
+		if crash.containsAll(g.parts) && crash.at.Sub(g.decidedAt) > partProbation {
+			g.failedTrials++
+			g.decidedAt, g.until = now, now.Add(g.blockTime()+s.TrialDelay)
 		}
 	}
 }
@@ -266,7 +276,7 @@
 		return false
 	}
 	s.blocked = slices.DeleteFunc(s.blocked, func(g *partGroup) bool { return containsAll(g.parts, parts) })
-	s.blocked = append(s.blocked, &partGroup{parts: slices.Clone(parts), decidedAt: now, until: now.Add(quarantineDuration + s.TrialDelay)})
+	s.blocked = append(s.blocked, &partGroup{parts: slices.Clone(parts), decidedAt: now, until: now.Add(partProbation + s.TrialDelay)})
 	return true
 }
 
@@ -292,6 +302,17 @@
 
 // RecordSound records that an endpoint survived the beginning of an answer on the parts, which are then blocked no longer.
 func (s *PartSuspects) RecordSound(at time.Time, parts []string) {
+	s.rememberSound(at, parts)
+	for _, g := range s.blocked {
+		g.parts = slices.DeleteFunc(g.parts, func(part string) bool { return slices.Contains(parts, part) })
+	}
+	s.blocked = slices.DeleteFunc(s.blocked, func(g *partGroup) bool { return len(g.parts) == 0 })
+}
+
+// RememberSound records that answers on the parts were sound some time ago, as another process has seen.
+func (s *PartSuspects) RememberSound(parts []string) { s.rememberSound(time.Time{}, parts) }
+
+func (s *PartSuspects) rememberSound(at time.Time, parts []string) {
 	if len(s.sound) >= maxSoundParts {
 		s.olderSound, s.sound = s.sound, nil
 	}
@@ -301,10 +322,14 @@
 	for _, part := range parts {
 		s.sound[part] = later(s.sound[part], at)
 	}
-	for _, g := range s.blocked {
-		g.parts = slices.DeleteFunc(g.parts, func(part string) bool { return slices.Contains(parts, part) })
-	}
-	s.blocked = slices.DeleteFunc(s.blocked, func(g *partGroup) bool { return len(g.parts) == 0 })
+}
+
+// SoundParts returns up to n parts under which answers were sound, the newest first.
+func (s *PartSuspects) SoundParts(n int) []string {
+	parts := slices.SortedFunc(maps.Keys(s.sound), func(a, b string) int {
+		return cmp.Or(s.sound[b].Compare(s.sound[a]), strings.Compare(a, b))
+	})
+	return parts[:min(n, len(parts))]
 }
 
 // IsSound reports whether an answer on the part was sound.
@@ -316,5 +341,5 @@
 func (s *PartSuspects) soundAt(part string) (time.Time, bool) {
 	at, ok := s.sound[part]
 	older, wasSound := s.olderSound[part]
-	return cmp.Or(at, older), ok || wasSound
+	return later(at, older), ok || wasSound
 }
--- a/fleet/endpoint/part_suspects_test.go
+++ b/fleet/endpoint/part_suspects_test.go
@@ -127,20 +127,29 @@
 		assert.Equal(t, 0, s.Len())
 	})
 	t.Run("one prompt at a time is let through on trial", func(t *testing.T) {
-		s := &PartSuspects{TrialDelay: time.Minute}
+		s := &PartSuspects{TrialDelay: 10 * time.Second}
 		recordPartCrashes(s, 1, []string{"bad"}, []string{"bad"}, []string{"bad"})
-		due := 3 + (quarantineDuration + time.Minute).Seconds()
+		due := 3 + (partProbation + 10*time.Second).Seconds()
+		for _, block := range []time.Duration{quarantineDuration, 2 * quarantineDuration} {
+			assertBlocked(t, s, true, due-1, "bad")
+			assertBlocked(t, s, false, due, "bad")
+			assertBlocked(t, s, true, due, "bad")
+			recordPartCrashes(s, due+1, []string{"bad"})
+			due += 1 + (block + 10*time.Second).Seconds()
+		}
 		assertBlocked(t, s, true, due-1, "bad")
-		assertBlocked(t, s, false, due, "bad")
-		assertBlocked(t, s, true, due, "bad")
-		recordPartCrashes(s, due+1, []string{"bad"})
-		assertBlocked(t, s, true, due+quarantineDuration.Seconds()+partTrialTime.Seconds(), "bad")
-		assertBlocked(t, s, false, due+1+(2*quarantineDuration+time.Minute).Seconds(), "bad")
+	})
+	t.Run("a part that another process knows to be sound", func(t *testing.T) {
+		s := &PartSuspects{}
+		s.RememberSound([]string{"a", "b"})
+		s.RecordSound(start(), []string{"c"})
+		assert.Equal(t, []string{"c", "a"}, s.SoundParts(2))
+		assert.Equal(t, 0, len(recordPartCrashes(s, 1, []string{"a"}, []string{"a"}, []string{"a"})))
 	})
 	t.Run("a trial that goes well ends the block", func(t *testing.T) {
 		s := &PartSuspects{}
 		recordPartCrashes(s, 1, []string{"a"}, []string{"a"}, []string{"a"})
-		s.RecordSound(secondsAfterStart(700), []string{"a"})
+		s.RecordSound(secondsAfterStart(40), []string{"a"})
 		assert.Equal(t, 0, s.Len())
 	})
 	t.Run("what is remembered is bounded", func(t *testing.T) {
--- a/router/gateway/crashes.go
+++ b/router/gateway/crashes.go
@@ -36,10 +36,13 @@
 	maxRecordedAnswers  = 32
 	// maxRecordedBlocks bounds the blocked groups of parts in the crash record.
 	maxRecordedBlocks = 32
+	// maxRecordedSoundParts bounds the parts known to be sound in the crash record.
+	maxRecordedSoundParts = 128
 	// learningTime is the time after a start in which a router learns which parts of prompts are sound.
 	learningTime = 3 * time.Second
-	// maxTrialDelay bounds the random time by which routers delay the trials of blocked parts.
-	maxTrialDelay = 5 * time.Minute
+	// trialSpacing is the mean time between the trials of a blocked part by two routers. A router learns of another's failed trial
+	// in less.
+	trialSpacing = 2 * time.Second
 )
 
 // crashRecord lists the endpoint crashes that a router has seen. The router writes it as JSON under a key of its own,
@@ -48,8 +51,9 @@
 	Crashes []recordedCrash
 	// Answers lists the suspected requests that an endpoint answered.
 	Answers []recordedAnswer
-	// Blocked lists the groups of prompt parts that this router has blocked.
+	// Blocked lists the groups of prompt parts that this router has blocked, Sound parts under which answers were sound.
 	Blocked []recordedBlock
+	Sound   []string
 }
 
 type recordedBlock struct {
@@ -96,7 +100,11 @@
 	// learningUntil is the time before which crashes don't count against parts of prompts, as this router has not yet seen
 	// which of them are sound.
 	learningUntil time.Time
-	ownRecord     crashRecord
+	// spread, from 0 to 1, differs between routers and delays this router's trials of blocked parts. countRouters returns
+	// the number of routers; nil if there are no others.
+	spread       float64
+	countRouters func() int
+	ownRecord    crashRecord
 	// mergedUntil is, by router, the timestamp of the newest merged crash or answer in Unix milliseconds. It is at least
 	// 1 once the router's crash record has been merged.
 	mergedUntil map[string]int64
@@ -109,7 +117,7 @@
 func newCrashTracker(state *Board, logger log.Interface) *crashTracker {
 	return &crashTracker{
 		state: state, logger: logger, mergedUntil: make(map[string]int64), writePending: make(chan struct{}, 1),
-		parts:         endpoint.PartSuspects{TrialDelay: rand.N(maxTrialDelay)}, //nolint:gosec // spreads load
+		spread:        rand.Float64(), //nolint:gosec // spreads load
 		learningUntil: time.Now().Add(learningTime),
 	}
 }
@@ -138,7 +146,16 @@
 	c.addSuspectsLocked(now, name, "", exposures)
 }
 
+// trialDelay returns the time by which this router delays the trials of blocked parts.
+func (c *crashTracker) trialDelay() time.Duration {
+	if c.countRouters == nil {
+		return 0
+	}
+	return time.Duration(c.spread * float64(c.countRouters()) * float64(trialSpacing))
+}
+
 func (c *crashTracker) addSuspectsLocked(now time.Time, name, from string, exposures []endpoint.InterruptedExchange) {
+	c.parts.TrialDelay = c.trialDelay()
 	for _, f := range c.suspects.RecordCrash(now, name, exposures) {
 		c.state.Count(requestQuarantined)
 		c.logger.WithFields(log.Fields{fieldFingerprint: formatFingerprint(f), "Crash": name, fieldFrom: from}).Warn("request is held")
@@ -241,10 +258,12 @@
 	record.prune(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if isOwn && c.mergedUntil[router] > 0 {
+		return
+	}
+	c.parts.RememberSound(record.Sound)
+	c.parts.TrialDelay = c.trialDelay()
 	if isOwn {
-		if c.mergedUntil[router] > 0 {
-			return
-		}
 		c.ownRecord.Crashes = append(slices.Clone(record.Crashes), c.ownRecord.Crashes...)
 		c.ownRecord.Answers = append(slices.Clone(record.Answers), c.ownRecord.Answers...)
 		c.ownRecord.Blocked = append(slices.Clone(record.Blocked), c.ownRecord.Blocked...)
@@ -337,6 +356,7 @@
 	// From the first write on, a crash record read under the router's own key is this process's own and must not be
 	// merged.
 	c.mergedUntil[routers.Self.Instance] = max(1, c.mergedUntil[routers.Self.Instance])
+	c.ownRecord.Sound = c.parts.SoundParts(maxRecordedSoundParts)
 	value, err := json.Marshal(c.ownRecord)
 	c.mu.Unlock()
 	if err != nil {
--- a/router/gateway/crashes_test.go
+++ b/router/gateway/crashes_test.go
@@ -307,6 +307,18 @@
 		b, _ := f.start("b")
 		f.assertPartBlocked(false, "common", a, b)
 	})
+	run("a router that restarts remembers which parts are sound", func(f *crashFleet) {
+		a, stop := f.start("a")
+		a.recordSound(time.Now(), []string{"common"})
+		f.reportPartCrash(a, "one/1", "bad")
+		stop()
+		a, _ = f.start("a")
+		b, _ := f.start("b")
+		for _, name := range []string{"two/1", "three/1", "four/1"} {
+			f.reportPartCrash(a, name, "common")
+		}
+		f.assertPartBlocked(false, "common", a, b)
+	})
 	run("a router that has just started counts nothing against parts", func(f *crashFleet) {
 		a, _ := f.start("a")
 		a.learningUntil = time.Now().Add(learningTime)
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -66,7 +66,7 @@
 	routers.MergeCrashes = func(router string, value []byte) {
 		s.crashes.mergeRecord(time.Now(), router, router == routers.Self.Instance, value)
 	}
-	s.retries.countRouters = routers.Roster.Len
+	s.retries.countRouters, s.crashes.countRouters = routers.Roster.Len, routers.Roster.Len
 }
 
 // job is the state of one request while the router serves it.
