Take over sound parts once from each router

They are merged with the first record that is read of a router, which serves a start, and are 64 at most.

--- a/router/gateway/crashes.go
+++ b/router/gateway/crashes.go
@@ -37,7 +37,7 @@
 	// maxRecordedBlocks bounds the blocked groups of parts in the crash record.
 	maxRecordedBlocks = 32
 	// maxRecordedSoundParts bounds the parts known to be sound in the crash record.
-	maxRecordedSoundParts = 128
+	maxRecordedSoundParts = 64
 	// learningTime is the time after a start in which a router learns which parts of prompts are sound.
 	learningTime = 3 * time.Second
 	// trialSpacing is the mean time between the trials of a blocked part by two routers. A router learns of another's failed trial
@@ -261,7 +261,10 @@
 	if isOwn && c.mergedUntil[router] > 0 {
 		return
 	}
-	c.parts.RememberSound(record.Sound)
+	if c.mergedUntil[router] == 0 {
+		// Later records name parts that this router has seen itself, or will.
+		c.parts.RememberSound(record.Sound)
+	}
 	c.parts.TrialDelay = c.trialDelay()
 	if isOwn {
 		c.ownRecord.Crashes = append(slices.Clone(record.Crashes), c.ownRecord.Crashes...)
