Wait a moment for a budget that the router has not read from the log yet

Cause: the command for tickets waits until one router has copied the budget into the ledger; another that reads the log later refused the request at once. A reservation now waits for the budget as long as for a share (DrawWait) before it is refused. TestBudgetReadLate failed before and passes now.

--- a/fleet/ledgerstream/client_test.go
+++ b/fleet/ledgerstream/client_test.go
@@ -80,6 +80,22 @@
 	})
 }
 
+// TestBudgetReadLate guards against a request that is refused because its router reads a budget's prepaid total from the log a
+// moment after the operators were told that the budget is in force.
+func TestBudgetReadLate(t *testing.T) {
+	runWithClients(t, 2, 1000, func(c *cluster) {
+		t := c.tb
+		time.AfterFunc(DefaultDrawWait/4, func() { c.members[0].DeclarePrepaid([]ledger.Prepaid{{Budget: "new", Ticket: 2, Total: 100}}) })
+		late := demand(1, 10, true)
+		late.Budget = "new"
+		r, err := c.members[1].Reserve(context.Background(), late)
+		assertEqual(t, "refusal", outcome{}, outcomeOf(err))
+		if err == nil {
+			r.Bill(10)
+		}
+	})
+}
+
 // TestReleaseFreesTheRequest guards against a released request that cannot be reserved again on another router.
 func TestReleaseFreesTheRequest(t *testing.T) {
 	runWithClients(t, 2, 100, func(c *cluster) {
--- a/fleet/ledgerstream/reserve.go
+++ b/fleet/ledgerstream/reserve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
@@ -11,7 +12,7 @@
 // Reserve reserves a demand's amount in this router's share of the budget and returns once the reservation is in
 // the log. It draws a share first if the current one is too small.
 func (c *Client) Reserve(ctx context.Context, demand Demand) (Reservation, error) {
-	a, refusal := c.admit(demand)
+	a, refusal := c.admitOnceKnown(ctx, demand)
 	if refusal == nil {
 		refusal = a.wait(ctx)
 	}
@@ -25,6 +26,23 @@
 	return a, nil
 }
 
+// budgetPollInterval is the time between two looks for a budget that has not been read from the log yet.
+const budgetPollInterval = 20 * time.Millisecond
+
+// admitOnceKnown admits a demand. It waits up to DrawWait for a budget that is not in the ledger yet: its ticket may just have been
+// accepted, and other routers read the log sooner.
+func (c *Client) admitOnceKnown(ctx context.Context, demand Demand) (*attempt, *verdict.Refusal) {
+	wait, cancel := context.WithTimeout(ctx, c.settings.DrawWait)
+	defer cancel()
+	for {
+		a, refusal := c.admit(demand)
+		if refusal == nil || refusal.Reason != verdict.BudgetNotYetInLedger || wait.Err() != nil {
+			return a, refusal
+		}
+		clock.Sleep(wait, budgetPollInterval)
+	}
+}
+
 // withEarlierAttempts corrects a refusal by the ledger's record of the request's earlier attempts on any router. The
 // caller relies on the verdict "not run" for the request as a whole, not only for the refused attempt.
 func (c *Client) withEarlierAttempts(demand Demand, refusal *verdict.Refusal) *verdict.Refusal {
