--- a/fleet/endpoint/part_suspects.go
+++ b/fleet/endpoint/part_suspects.go
@@ -92,7 +92,7 @@
 // endpoints crash faster than they come back. A part is blocked by crashes that no part blocked before explains. The zero value is
 // ready for use.
 type PartSuspects struct {
-	// TrialDelay is added to the time until the first trial of a blocked part. Routers with different delays don't let
+	// TrialDelay is added to the time until each trial of a blocked part. Routers with different delays don't let
 	// the part through at the same time.
 	TrialDelay time.Duration
 
--- a/router/endpoint/buffered.go
+++ b/router/endpoint/buffered.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // copyBufferBytes is the size of the buffer through which responses beyond Settings.MaxBufferedBytes are relayed.
@@ -79,8 +80,7 @@
 
 // isCut reports whether a model engine's response ended with its connection before the end of its JSON text.
 func (x *exchange) isCut(response *http.Response, body []byte) bool {
-	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	return endsWithConnection && x.call.Model != nil && response.StatusCode == http.StatusOK && !json.Valid(body)
+	return http1.EndsWithConnection(response) && x.call.Model != nil && response.StatusCode == http.StatusOK && !json.Valid(body)
 }
 
 // writeResponse writes a complete response to the caller.
--- a/router/gateway/crashes_test.go
+++ b/router/gateway/crashes_test.go
@@ -29,6 +29,17 @@
 	log *keyed.KeyedLog
 }
 
+// runCrashFleet runs a subtest with a fleet in simulated time.
+func runCrashFleet(t *testing.T, name string, body func(f *crashFleet)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			body(&crashFleet{t: t, log: &keyed.KeyedLog{}})
+			synctest.Wait()
+		})
+	})
+}
+
 // start starts or restarts a router. It returns the router's crash tracker and a function that stops the router.
 func (f *crashFleet) start(name string) (*crashTracker, context.CancelFunc) {
 	f.t.Helper()
@@ -67,15 +78,7 @@
 // TestCrashingRequestIsHeldByAllRouters guards against a request that crashes endpoints behind one router after the
 // other, because routers don't learn of each other's crashes or forget them in a restart.
 func TestCrashingRequestIsHeldByAllRouters(t *testing.T) {
-	runFleet := func(name string, body func(f *crashFleet)) {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				body(&crashFleet{t: t, log: &keyed.KeyedLog{}})
-				synctest.Wait()
-			})
-		})
-	}
-	runFleet("crashes behind two routers", func(f *crashFleet) {
+	runCrashFleet(t, "crashes behind two routers", func(f *crashFleet) {
 		a, _ := f.start("a")
 		b, _ := f.start("b")
 		c, _ := f.start("c")
@@ -85,7 +88,7 @@
 		f.assertQuarantined(true, a, b, c)
 		assert.Equal(t, 1, len(a.ownRecord.Crashes))
 	})
-	runFleet("routers that restart", func(f *crashFleet) {
+	runCrashFleet(t, "routers that restart", func(f *crashFleet) {
 		a, stop := f.start("a")
 		f.reportCrash(a, "one/1")
 		stop()
@@ -98,7 +101,7 @@
 		b, _ := f.start("b")
 		f.assertQuarantined(true, b)
 	})
-	runFleet("writes of the record are not answered", func(f *crashFleet) {
+	runCrashFleet(t, "writes of the record are not answered", func(f *crashFleet) {
 		a, _ := f.start("a")
 		b, _ := f.start("b")
 		f.log.SetAppendsDelayed(true)
@@ -110,7 +113,7 @@
 		f.waitForRecords()
 		f.assertQuarantined(true, b)
 	})
-	runFleet("an answer through another router clears the suspicion", func(f *crashFleet) {
+	runCrashFleet(t, "an answer through another router clears the suspicion", func(f *crashFleet) {
 		a, _ := f.start("a")
 		b, _ := f.start("b")
 		f.reportCrash(a, "one/1")
@@ -119,7 +122,7 @@
 		f.reportCrash(a, "two/1")
 		f.assertQuarantined(false, a, b)
 	})
-	runFleet("a record that can't be decoded", func(f *crashFleet) {
+	runCrashFleet(t, "a record that can't be decoded", func(f *crashFleet) {
 		a, _ := f.start("a")
 		a.mergeRecord(time.Now(), "b", false, []byte("{"))
 		f.reportCrash(a, "one/1")
@@ -249,15 +252,7 @@
 // TestCrashingPartIsHeldByAllRouters guards against a part of prompts that crashes endpoints behind one router after the other,
 // because routers don't learn of each other's crashes or forget them in a restart.
 func TestCrashingPartIsHeldByAllRouters(t *testing.T) {
-	run := func(name string, body func(f *crashFleet)) {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				body(&crashFleet{t: t, log: &keyed.KeyedLog{}})
-				synctest.Wait()
-			})
-		})
-	}
-	run("crashes behind three routers", func(f *crashFleet) {
+	runCrashFleet(t, "crashes behind three routers", func(f *crashFleet) {
 		a, _ := f.start("a")
 		b, _ := f.start("b")
 		c, _ := f.start("c")
@@ -269,7 +264,7 @@
 		assert.Equal(t, 0, len(a.ownRecord.Blocked)+len(b.ownRecord.Blocked))
 		assert.Equal(t, 1, len(c.ownRecord.Blocked))
 	})
-	run("routers that restart", func(f *crashFleet) {
+	runCrashFleet(t, "routers that restart", func(f *crashFleet) {
 		a, stop := f.start("a")
 		for _, name := range []string{"one/1", "two/1", "three/1"} {
 			f.reportPartCrash(a, name, "bad", name)
@@ -280,7 +275,7 @@
 		b, _ := f.start("b")
 		f.assertPartBlocked(true, "bad", b)
 	})
-	run("a part that is sound at another router is not held there", func(f *crashFleet) {
+	runCrashFleet(t, "a part that is sound at another router is not held there", func(f *crashFleet) {
 		a, _ := f.start("a")
 		b, _ := f.start("b")
 		b.recordSound(time.Now(), []string{"common"})
@@ -290,7 +285,7 @@
 		f.assertPartBlocked(true, "common", a)
 		f.assertPartBlocked(false, "common", b)
 	})
-	run("parts known to be sound are not reported beside others", func(f *crashFleet) {
+	runCrashFleet(t, "parts known to be sound are not reported beside others", func(f *crashFleet) {
 		a, _ := f.start("a")
 		a.recordSound(time.Now(), []string{"common"})
 		f.reportPartCrash(a, "one/1", "common", "bad")
@@ -298,7 +293,7 @@
 		assert.Equal(t, []string{"bad"}, a.ownRecord.Crashes[0].Requests[0].Parts)
 		assert.Equal(t, 0, len(a.ownRecord.Crashes[1].Requests[0].Parts))
 	})
-	run("a router that starts holds none of the parts that were sound elsewhere", func(f *crashFleet) {
+	runCrashFleet(t, "a router that starts holds none of the parts that were sound elsewhere", func(f *crashFleet) {
 		a, _ := f.start("a")
 		a.recordSound(time.Now(), []string{"common"})
 		for _, name := range []string{"one/1", "two/1", "three/1"} {
@@ -307,7 +302,7 @@
 		b, _ := f.start("b")
 		f.assertPartBlocked(false, "common", a, b)
 	})
-	run("a router that restarts remembers which parts are sound", func(f *crashFleet) {
+	runCrashFleet(t, "a router that restarts remembers which parts are sound", func(f *crashFleet) {
 		a, stop := f.start("a")
 		a.recordSound(time.Now(), []string{"common"})
 		f.reportPartCrash(a, "one/1", "bad")
@@ -319,7 +314,7 @@
 		}
 		f.assertPartBlocked(false, "common", a, b)
 	})
-	run("a router that has just started counts nothing against parts", func(f *crashFleet) {
+	runCrashFleet(t, "a router that has just started counts nothing against parts", func(f *crashFleet) {
 		a, _ := f.start("a")
 		a.learningUntil = time.Now().Add(learningTime)
 		f.reportPartCrash(a, "one/1", "common")
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 const (
@@ -58,12 +59,12 @@
 
 func framingOf(response *http.Response) responseFraming {
 	switch {
+	case http1.EndsWithConnection(response):
+		return framedByClose
 	case response.ContentLength >= 0:
 		return framedByLength
-	case len(response.TransferEncoding) > 0:
-		return framedByChunks
 	default:
-		return framedByClose
+		return framedByChunks
 	}
 }
 
--- a/router/http1/abort.go
+++ b/router/http1/abort.go
@@ -1,4 +1,4 @@
-// Package http1 ends HTTP/1 answers that can't be completed.
+// Package http1 tells how HTTP/1 answers end, and ends those that can't be completed.
 package http1
 
 import (
