Log and count the rate limits that endpoints name

No line told that an endpoint named a limit, so that 'routers don't read it' and 'each router keeps it for itself' looked the same. A line 'endpoint limit changed' now names the endpoint, the rate and the previous one, and endpoint.limited counts them. Requests are placed as before.

--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -22,6 +22,8 @@
 	partsBlocked            = "parts.held"
 	endpointLeaving         = "endpoint.leaving"
 	endpointPaused          = "endpoint.paused"
+	endpointLimited         = "endpoint.limited"
+	endpointLimitUnreadable = "endpoint.limit_unreadable"
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
 )
@@ -45,6 +47,8 @@
 		{partsBlocked, "Groups of prompt parts that are no longer sent because endpoints crashed one after the other while answers on them began."},
 		{endpointLeaving, "Endpoints that said in an answer that they leave, and get no new requests."},
 		{endpointPaused, "Pauses for which endpoints asked in a refusal."},
+		{endpointLimited, "Changes of the rate limit that an endpoint names, its begin and end included."},
+		{endpointLimitUnreadable, "Answers with a rate limit that can't be read; the previous limit stays in force."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
 	}
--- a/router/gateway/notices.go
+++ b/router/gateway/notices.go
@@ -17,6 +17,7 @@
 		// Another endpoint answered at the address.
 		return
 	}
+	s.recordRateLimit(e, response)
 	now := time.Now()
 	pause := time.Duration(0)
 	if response.StatusCode == http.StatusServiceUnavailable {
@@ -37,3 +38,23 @@
 		s.logger.WithFields(log.Fields{fieldEndpoint: e.Name, fieldMilliseconds: pause.Milliseconds()}).Info("endpoint asks for a pause")
 	}
 }
+
+// recordRateLimit records the rate of requests that an endpoint names in an answer.
+func (s *Server) recordRateLimit(e *target, response *http.Response) {
+	if s.protocol.RateLimit == "" {
+		return
+	}
+	rate, err := endpoint.ParseRateLimit(response.Header.Get(s.protocol.RateLimit))
+	if err != nil {
+		s.state.Count(endpointLimitUnreadable)
+		return
+	}
+	s.targets.mu.Lock()
+	defer s.targets.mu.Unlock()
+	if rate == e.rateLimit {
+		return
+	}
+	s.state.Count(endpointLimited)
+	s.logger.WithFields(log.Fields{fieldEndpoint: e.Name, "Rate": rate, "Previous": e.rateLimit}).Info("endpoint limit changed")
+	e.rateLimit = rate
+}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -99,6 +99,8 @@
 	isBeingChecked bool
 	// notices are what the endpoint's process has asked for in its answers.
 	notices endpoint.Notices
+	// rateLimit is the rate that the endpoint's process named in its newest answer, in requests a second; zero if it named none.
+	rateLimit float64
 	// isReplaced is true once another endpoint has been found to answer at the address.
 	isReplaced bool
 }
--- a/router/gateway/wire.go
+++ b/router/gateway/wire.go
@@ -23,6 +23,9 @@
 	NotRun string
 	// Leaving is the header with which an endpoint that leaves marks its answers; empty if endpoints don't.
 	Leaving string
+	// RateLimit is the header with which an endpoint names the rate of requests, in requests a second, that it accepts from all routers
+	// together; empty if endpoints don't.
+	RateLimit string
 	// ResumeAfter is the header with the identifier of the last event of a stream that was received.
 	ResumeAfter string
 	// Urgency is the header with the request's urgency at an engine, from 0, the most urgent, to 9.
