Keep the rate limits that endpoints name, summed over all routers

An endpoint that named 1.7 requests a second got 21 in 4 s from routers that it had told.

Cause: routers passed the limit on and placed requests by load alone. The class: an endpoint speaks to the whole fleet through answers that each router gets alone, and nobody adds up. A part for each router would not do: 1.1 requests a second are one in four minutes for each of 295.

Few routers hold a limit, one for each two requests a second of it; they claim it by records in the routers' topic, which all routers read anyway, and rank by a hash if too many claim. A claim counts 5 s after its write, ends 8 s after its newest acknowledged one and is respected for 12 s, so that no two sets of holders are in force. Without the platform, routers of the first ranks use a fifth. What finds no room is refused at once, with the time to the next request as Retry-After, or a spread second if another router holds the limit. A router is ready only once it has read these records.

--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -78,6 +78,7 @@
 	tracedContext := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { writes.Add(1) },
 	})
+	sentAt := time.Now()
 	response, err := e.transport.RoundTrip(j.newRequest(tracedContext, e, timeLeft))
 	result := attemptResult{}
 	if err != nil {
@@ -85,7 +86,7 @@
 	} else {
 		defer func() { _ = response.Body.Close() }()
 		j.framing = framingOf(response)
-		j.server.recordNotices(e, response)
+		j.server.recordNotices(e, sentAt, response)
 		result = j.handleResponse(ctx, response)
 		result.responded = !errors.Is(result.cause, errWrongRequest)
 	}
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -114,6 +114,8 @@
 	loops.Go(func() error { return n.Routers.Run(ctx) })
 	loops.Go(func() error { return n.Server.notices.run(ctx) })
 	loops.Go(func() error { return n.Server.crashes.run(ctx, n.Routers) })
+	claimer := &limitClaimer{server: n.Server, routers: n.Routers}
+	loops.Go(func() error { return claimer.run(ctx) })
 	comparer := &clockComparer{
 		routers: n.Routers, agreement: n.Agreement, logger: n.Logger, readClocks: allowance.Now, isNeeded: n.Payer.NeedsTimeOfDay,
 	}
@@ -227,7 +229,7 @@
 // requests.
 func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	isInitialized := n.Board.Configuration.Load() != nil && n.Board.Directory.Load() != nil && n.Payer.AccountsRead()
-	isReady := isInitialized && !n.Board.Leaving.Load() && !n.Board.Overloaded.Load()
+	isReady := isInitialized && n.Routers.hasRoster.Load() && !n.Board.Leaving.Load() && !n.Board.Overloaded.Load()
 	if n.lastReady.Swap(isReady) != isReady {
 		n.Logger.WithField("Ready", isReady).Info("readiness changed")
 	}
--- a/router/gateway/notices.go
+++ b/router/gateway/notices.go
@@ -10,14 +10,14 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 )
 
-// recordNotices records what an endpoint asks for in the headers of an answer: no new requests because it leaves, or none for
-// some time.
-func (s *Server) recordNotices(e *target, response *http.Response) {
+// recordNotices records what an endpoint asks for in the headers of the answer to a request that was sent at a time: no new requests
+// because it leaves, none for some time, or no more than some rate.
+func (s *Server) recordNotices(e *target, sentAt time.Time, response *http.Response) {
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		// Another endpoint answered at the address.
 		return
 	}
-	s.recordRateLimit(e, response)
+	s.recordRateLimit(e, sentAt, response)
 	now := time.Now()
 	pause := time.Duration(0)
 	if response.StatusCode == http.StatusServiceUnavailable {
@@ -38,23 +38,3 @@
 		s.logger.WithFields(log.Fields{fieldEndpoint: e.Name, fieldMilliseconds: pause.Milliseconds()}).Info("endpoint asks for a pause")
 	}
 }
-
-// recordRateLimit records the rate of requests that an endpoint names in an answer.
-func (s *Server) recordRateLimit(e *target, response *http.Response) {
-	if s.protocol.RateLimit == "" {
-		return
-	}
-	rate, err := endpoint.ParseRateLimit(response.Header.Get(s.protocol.RateLimit))
-	if err != nil {
-		s.state.Count(endpointLimitUnreadable)
-		return
-	}
-	s.targets.mu.Lock()
-	defer s.targets.mu.Unlock()
-	if rate == e.rateLimit {
-		return
-	}
-	s.state.Count(endpointLimited)
-	s.logger.WithFields(log.Fields{fieldEndpoint: e.Name, "Rate": rate, "Previous": e.rateLimit}).Info("endpoint limit changed")
-	e.rateLimit = rate
-}
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -55,8 +55,11 @@
 	if ok {
 		known.transport.CloseIdleConnections()
 		t.reportRestartLocked(known, time.UnixMilli(e.StartedAt))
+		delete(t.limits, processOf(&known.Endpoint))
+	}
+	created := &target{
+		Endpoint: e, transport: NewTransport(t.traffic), hash: xxhash.Sum64String(e.Name), limit: t.limitLocked(processOf(&e)),
 	}
-	created := &target{Endpoint: e, transport: NewTransport(t.traffic), hash: xxhash.Sum64String(e.Name)}
 	t.byName[e.Name] = created
 	return created
 }
@@ -68,6 +71,7 @@
 		if !t.directory.Lists(known.Service, name) && known.inFlight == 0 {
 			known.transport.CloseIdleConnections()
 			t.reportCrashLocked(known)
+			delete(t.limits, processOf(&known.Endpoint))
 			delete(t.byName, name)
 		}
 	}
@@ -93,18 +97,20 @@
 	}
 	j.inFlightAtChoice = chosen.inFlight
 	chosen.inFlight++
+	chosen.limit.Take()
 	return chosen, nil
 }
 
-// refuseLocked returns the refusal of a request for which no endpoint is left. If endpoints have asked for a pause, the request may
-// come again when the first pause ends, or soon after that.
+// refuseLocked returns the refusal of a request for which no endpoint is left. If endpoints have asked for a pause or name a rate
+// limit, the request may come again when the first of them accepts one, or soon after that.
 func (t *targets) refuseLocked(now time.Time, j *job) error {
 	var retryAfter time.Duration
 	for _, e := range t.services[j.service] {
-		if !e.notices.IsOnTrial() || e.notices.IsLeaving() || e.isReplaced {
+		limitLeft := t.timeToAdmissionLocked(now, e, j.random)
+		if !e.notices.IsOnTrial() && limitLeft == 0 || e.notices.IsLeaving() || e.isReplaced {
 			continue
 		}
-		left := max(trialRetryDelay, e.notices.PauseLeft(now))
+		left := max(trialRetryDelay, e.notices.PauseLeft(now), limitLeft)
 		if retryAfter == 0 || left < retryAfter {
 			retryAfter = left
 		}
@@ -120,7 +126,7 @@
 func (t *targets) eligibleLocked(now time.Time, j *job, includeBlocked bool) []*target {
 	var eligible []*target
 	for _, e := range t.services[j.service] {
-		if j.isEligible(now, e, includeBlocked) {
+		if j.isEligible(now, e, includeBlocked) && t.isWithinLimitLocked(now, e) {
 			eligible = append(eligible, e)
 		}
 	}
@@ -134,7 +140,7 @@
 	var lowestLoad int
 	var highestRank uint64
 	for _, e := range eligible {
-		load := e.inFlight
+		load := e.inFlight + e.loadPenalty()
 		if t.location.isRemote(e) {
 			load += remoteLoadPenalty
 		}
@@ -156,7 +162,7 @@
 	candidates := make([]placement.Candidate, 0, len(eligible))
 	for _, e := range eligible {
 		candidates = append(candidates, placement.Candidate{
-			Hash: endpoint.MixHash(e.hash ^ affinityHash), Wait: e.backlog.Wait(now), CachedTokens: e.cache.CachedTokens(now, j.demand.Parts), InFlight: e.inFlight,
+			Hash: endpoint.MixHash(e.hash ^ affinityHash), Wait: e.backlog.Wait(now), CachedTokens: e.cache.CachedTokens(now, j.demand.Parts), InFlight: e.inFlight + e.loadPenalty(),
 			Slowness: e.slowness, IsRemote: t.location.isRemote(e),
 		})
 	}
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -44,17 +44,20 @@
 	Node   *peer.Node
 	Log    platform.KeyedLog
 	Logger log.Interface
-	// Payer transfers and lends tokens, ApplyNotice applies placement notices of other routers, and MergeCrashes merges
-	// the crash record that a router wrote. All are set before Run.
+	// Payer transfers and lends tokens, ApplyNotice applies placement notices of other routers, and MergeCrashes and MergeLimits merge
+	// the records of crashes and rate limits that a router wrote. All are set before Run.
 	Payer        *allowance.Holder
 	ApplyNotice  func(peer.PlacementNotice)
 	MergeCrashes func(router string, value []byte)
+	MergeLimits  func(router string, value []byte)
 
 	lenders lenderCache
 	// isCurrent reports whether the last read of the routers' entries succeeded.
 	isCurrent atomic.Bool
 	// hasRoster is true once the routers' entries have been read since the start of this process.
 	hasRoster atomic.Bool
+	// readAt is the start of the newest successful read of the routers' entries.
+	readAt atomic.Pointer[time.Time]
 
 	// lastUnresponsive is, by instance, when a placement notice last could not be sent. Only the goroutine that sends
 	// notices uses it.
@@ -181,12 +184,14 @@
 		if !announced {
 			announced = r.announce(ctx)
 		}
+		startedAt := time.Now()
 		received, err := f.read(ctx)
 		outages.update(r.Logger, "roster", err)
 		r.isCurrent.Store(err == nil)
 		if err == nil {
 			r.applyRecords(received)
 			r.hasRoster.Store(true)
+			r.readAt.Store(&startedAt)
 		} else {
 			r.fetchRosterFromPeers(ctx)
 		}
@@ -255,6 +260,10 @@
 			r.MergeCrashes(router, record.Value)
 			continue
 		}
+		if router, ok := strings.CutSuffix(record.Key, limitKeySuffix); ok {
+			r.MergeLimits(router, record.Value)
+			continue
+		}
 		var listed peer.Router
 		if err := json.Unmarshal(record.Value, &listed); err != nil || listed.Instance != record.Key {
 			r.Logger.WithField("Instance", record.Key).Warn("cannot decode a router's entry")
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -41,6 +41,8 @@
 	targets  targets
 	retries  retryBudgets
 	crashes  *crashTracker
+	// limitChanges signals that a rate limit has changed.
+	limitChanges limitSignal
 	// notices sends placement notices to other routers; nil if there are no other routers.
 	notices *noticeSender
 }
@@ -50,22 +52,25 @@
 	crashes := newCrashTracker(state, logger)
 	return &Server{
 		state: state, protocol: protocol, payer: payer, logger: logger, crashes: crashes,
-		targets: targets{location: location, traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
-		retries: retryBudgets{limits: endpoint.DefaultRepeatBounds()},
+		targets:      targets{location: location, traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
+		retries:      retryBudgets{limits: endpoint.DefaultRepeatBounds()},
+		limitChanges: make(limitSignal, 1),
 	}
 }
 
 // SetRetryLimits sets the operators' limits on the retries of the fleet. It may be called while requests are served.
 func (s *Server) SetRetryLimits(bounds endpoint.RepeatBounds) { s.retries.setLimits(bounds) }
 
-// ConnectRouters makes the server exchange placement notices and crash records with other routers. It must be called
-// before the first request.
+// ConnectRouters makes the server exchange placement notices, crash records and rate limits with other routers. It must be
+// called before the first request.
 func (s *Server) ConnectRouters(routers *Routers) {
 	s.notices = newNoticeSender(routers)
 	routers.ApplyNotice = s.ApplyNotice
 	routers.MergeCrashes = func(router string, value []byte) {
 		s.crashes.mergeRecord(time.Now(), router, router == routers.Self.Instance, value)
 	}
+	routers.MergeLimits = func(router string, value []byte) { s.mergeLimits(time.Now(), router, value) }
+	s.targets.routers = routers
 	s.retries.countRouters, s.crashes.countRouters = routers.Roster.Len, routers.Roster.Len
 }
 
@@ -162,7 +167,7 @@
 // admit finds the request's route, team and service and reads its body.
 func (j *job) admit() error {
 	configuration := j.server.state.Configuration.Load()
-	if configuration == nil || j.server.state.Directory.Load() == nil {
+	if configuration == nil || j.server.state.Directory.Load() == nil || !j.server.targets.hasReadRecords() {
 		return verdict.Refuse(verdict.NotReady, "")
 	}
 	route, ok := configuration.Route(j.r.Host, escapedPath(j.r))
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -99,8 +99,9 @@
 	isBeingChecked bool
 	// notices are what the endpoint's process has asked for in its answers.
 	notices endpoint.Notices
-	// rateLimit is the rate that the endpoint's process named in its newest answer, in requests a second; zero if it named none.
-	rateLimit float64
+	// limit is the rate limit that the endpoint's process names, and unreadableLimit the newest value if that couldn't be read.
+	limit           *processLimit
+	unreadableLimit string
 	// isReplaced is true once another endpoint has been found to answer at the address.
 	isReplaced bool
 }
@@ -117,6 +118,9 @@
 	directory *site.Directory
 	byName    map[string]*target
 	services  map[string][]*target
+	// limits are the rate limits of endpoints' processes, routers the other routers, which share them; nil if there are none.
+	limits  map[endpointProcess]*processLimit
+	routers *Routers
 	// rates are, by service, the observed speeds at which engines read prompts.
 	rates map[string]*placement.Rate
 	// location is where this router runs.
