--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -29,6 +29,8 @@
 	State EndpointState
 	// StartedAt is the endpoint's start time in Unix milliseconds, or zero if the entry has none.
 	StartedAt int64
+	// SoftwareVersion is the version of the endpoint's software, or empty if the entry has none. Versions have no order.
+	SoftwareVersion string
 }
 
 // Directory holds the endpoints of a site by service. It is immutable, so that goroutines can share it without a lock.
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -6,6 +6,7 @@
 	fieldEndpoint     = "Endpoint"
 	fieldFingerprint  = "Fingerprint"
 	fieldFrom         = "From"
+	fieldVersion      = "SoftwareVersion"
 	fieldMilliseconds = "Milliseconds"
 )
 
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -25,7 +25,7 @@
 func testProtocol() Protocol {
 	return Protocol{
 		RequestID: "Id", Deadline: "Left", Team: "Team", ExpectedEndpoint: "Meant", Seal: "Seal", NotRun: "Unrun", Leaving: "Leaves", RateLimit: "Limit",
-		ResumeAfter: "After", Reserved: []string{"Own"},
+		ResumeAfter: "After", Resumes: "Resumes", Reserved: []string{"Own"},
 		Demand: func(h http.Header) (site.Demand, error) {
 			if h.Get("Demand") == "bad" {
 				return site.Demand{}, errors.New("bad demand")
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -320,6 +320,15 @@
 // callerIdentifier returns the request identifier that the caller set.
 func (j *job) callerIdentifier() string { return j.r.Header.Get(j.server.protocol.RequestID) }
 
+// resumedIdentifier returns the identifier of the request that brought the first event of the stream that the caller resumes, or an
+// empty string if it names none.
+func (j *job) resumedIdentifier() string {
+	if j.server.protocol.Resumes == "" {
+		return ""
+	}
+	return j.r.Header.Get(j.server.protocol.Resumes)
+}
+
 // logAttempt logs an attempt that gave no complete answer, and how the request continues.
 func (j *job) logAttempt(e *target, startedAt time.Time, result attemptResult, step nextStep) {
 	fields := log.Fields{
@@ -328,6 +337,9 @@
 		"Sent": !result.notSent, "Writes": result.writeCount, "Resumes": result.canResume, "Service": j.service, "Next": string(step),
 		"SavedRepeats": j.server.retries.availableRetries(j.service), "Framing": string(j.framing),
 	}
+	if e.SoftwareVersion != "" {
+		fields[fieldVersion] = e.SoftwareVersion
+	}
 	if parts := j.demand.SharedParts(); len(parts) > 0 {
 		fields["Parts"] = strings.Join(parts, ",")
 	}
@@ -363,6 +375,12 @@
 	}
 	if n := len(j.tried); n > 0 {
 		fields[fieldEndpoint], fields["Beside"] = j.tried[n-1].Name, j.inFlightAtChoice
+		if version := j.tried[n-1].SoftwareVersion; version != "" {
+			fields[fieldVersion] = version
+		}
+	}
+	if after := j.r.Header.Get(j.server.protocol.ResumeAfter); after != "" {
+		fields["ResumesAfter"], fields["Resumes"] = after, j.resumedIdentifier()
 	}
 	if j.framing != "" {
 		fields["Framing"], fields["InEvent"] = string(j.framing), j.events.isInsideEvent()
--- a/router/gateway/wire.go
+++ b/router/gateway/wire.go
@@ -28,6 +28,9 @@
 	RateLimit string
 	// ResumeAfter is the header with the identifier of the last event of a stream that was received.
 	ResumeAfter string
+	// Resumes is the header with the identifier of the request that brought the first event of the stream that the caller resumes;
+	// empty if callers don't name it.
+	Resumes string
 	// Urgency is the header with the request's urgency at an engine, from 0, the most urgent, to 9.
 	Urgency string
 	// Reserved lists the headers that only routers may set; those of callers are dropped.
