--- a/router/gateway/hazards_test.go
+++ b/router/gateway/hazards_test.go
@@ -163,10 +163,9 @@
 			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 6\r\n\r\nanswer", identifier)
 		})
 		g.setEndpoints(refusing, working)
-		for range 5 {
+		for i := 0; i < 5 || refusing.connectionCount() == 0; i++ {
 			assert.Equal(t, "answer", g.call(http.MethodPost, "/order/", "", withDeadline("2000")).body)
 		}
-		assert.Equal(t, true, refusing.connectionCount() > 0)
 	})
 	t.Run("error answer without end", func(t *testing.T) {
 		g := newGatewayTest(t)
