Continue streams only at the software version that began them

Cause: routers didn't know versions, and placed a continuation like any new request, their own as well as a caller's. The class: state that is carried from one endpoint to another without asking whether the two agree on what it means.

Change: a stream is bound to its endpoint's version with its first complete event. The router goes on only there, and cuts the stream at once if no endpoint of the version is listed. For callers that take a stream up at any router, its version is sent to three other routers, which are found by a hash; the resuming router asks them. If nobody knows it, the stream goes on only if one version alone has served for the last minute. Otherwise the caller hears at once that the stream can begin anew (stream_version_unknown, stream_version_gone). A route's service is kept as well. Weighed: a write to the platform a stream (some 590 calls a second at 295 routers with batches of half a second, and nothing without the platform); a version derived from the identifier by a hash (free, but wrong or refused for up to half of the streams around a release).

--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -1,6 +1,7 @@
 // Package peer exchanges messages between the routers of a fleet over QUIC. Routers that can't reach the
 // log send copies of their ledger groups to other routers and fetch configuration entries from them. Routers
-// also transfer and lend prepaid tokens, send placement notices and fetch each other's list of routers and wall clock.
+// also transfer and lend prepaid tokens, send placement notices, keep the software versions of each other's streams, and fetch each
+// other's list of routers and wall clock.
 //
 // Each request uses one QUIC stream: the sender writes the request and closes its side, then the receiver
 // writes the answer and closes the other side. Placement notices are QUIC datagrams without an answer. Both
@@ -17,7 +18,7 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
-//msgp:tuple request answer entry tokenRequest tokenAnswer clockAnswer LoanRequest Loan PlacementNotice PlacementPart
+//msgp:tuple request answer entry tokenRequest tokenAnswer clockAnswer LoanRequest Loan PlacementNotice PlacementPart StreamVersion streamVersions
 //msgp:ignore Copy
 //msgp:limit arrays:4096 maps:0
 
@@ -50,6 +51,8 @@
 	loanVoidMessage
 	rosterMessage
 	clockMessage
+	streamVersionsMessage
+	streamLookupMessage
 )
 
 // request is the encoded form of a request to another router. The kind determines which of the other fields are used.
@@ -165,6 +168,19 @@
 	Tokens     int64
 }
 
+// StreamVersion is the service and the software version of the endpoint that began a stream. It is also the payload of the request that asks for the
+// version, which sets only Stream.
+type StreamVersion struct {
+	// Stream identifies the stream by a hash of its team and the identifier of the request that brought its first event.
+	Stream           uint64
+	Service, Version string
+}
+
+// streamVersions is the payload of the message that makes another router keep the versions of streams.
+type streamVersions struct {
+	List []StreamVersion
+}
+
 // Errors of requests to other routers. The texts of all but ErrRefused are part of the protocol: answers carry them.
 var (
 	// ErrQueueFull means that the other router already holds its maximum number of copies.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -251,6 +251,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z StreamVersion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Stream)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamVersion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stream, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StreamVersion) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -546,6 +594,89 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *streamVersions) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.List[za0001].Stream)
+		o = msgp.AppendString(o, z.List[za0001].Service)
+		o = msgp.AppendString(o, z.List[za0001].Version)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *streamVersions) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]StreamVersion, zb0002)
+	}
+	for za0001 := range z.List {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.List[za0001].Stream, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Stream")
+			return
+		}
+		z.List[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Service")
+			return
+		}
+		z.List[za0001].Version, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Version")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *streamVersions) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.List[za0001].Service) + msgp.StringPrefixSize + len(z.List[za0001].Version)
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z tokenAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -75,6 +75,14 @@
 	HandleNotice(from string, notice PlacementNotice)
 }
 
+// StreamKeeper is implemented by a Handler that also keeps the software versions of other routers' streams.
+type StreamKeeper interface {
+	// KeepVersions keeps the versions of streams.
+	KeepVersions(list []StreamVersion)
+	// Version returns the version of a stream, or false if it isn't known.
+	Version(stream uint64) (StreamVersion, bool)
+}
+
 // Node accepts connections of other routers, handles their requests, and sends requests to them over connections that it
 // dials and reuses. The methods that send requests are safe for concurrent use.
 type Node struct {
@@ -308,11 +316,46 @@
 		return n.voidLoan(from, r.Payload)
 	case loanRequestMessage:
 		return n.lendTokens(ctx, from, r.Payload)
+	case streamVersionsMessage, streamLookupMessage:
+		return n.answerAboutStreams(r)
 	default:
 		return answer{Refusal: ErrMalformed.Error()}
 	}
 }
 
+// answerAboutStreams answers a request about the versions of streams.
+func (n *Node) answerAboutStreams(r request) answer {
+	if r.Kind == streamVersionsMessage {
+		return n.keepVersions(r.Payload)
+	}
+	return n.lookUpVersion(r.Payload)
+}
+
+// keepVersions has the handler keep the versions of streams.
+func (n *Node) keepVersions(payload []byte) answer {
+	keeper, ok := n.handler.(StreamKeeper)
+	received := streamVersions{}
+	if rest, err := received.UnmarshalMsg(payload); !ok || err != nil || len(rest) > 0 {
+		return answer{Refusal: ErrMalformed.Error()}
+	}
+	keeper.KeepVersions(received.List)
+	return answer{}
+}
+
+// lookUpVersion answers with the version of a stream, or with no payload if the handler doesn't know it.
+func (n *Node) lookUpVersion(payload []byte) answer {
+	keeper, ok := n.handler.(StreamKeeper)
+	requested := StreamVersion{}
+	if rest, err := requested.UnmarshalMsg(payload); !ok || err != nil || len(rest) > 0 {
+		return answer{Refusal: ErrMalformed.Error()}
+	}
+	known, isKnown := keeper.Version(requested.Stream)
+	if !isKnown {
+		return answer{}
+	}
+	return singlePayloadAnswer(known.MarshalMsg(nil))
+}
+
 // listRouters answers a request for the site's routers with one payload, their JSON encoding.
 func (n *Node) listRouters() answer {
 	lister, ok := n.handler.(RouterLister)
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -171,6 +171,38 @@
 	return ClockReading{Wall: time.UnixMilli(reading.Milliseconds), RoundTrip: roundTrip}, nil
 }
 
+// SendVersions makes another router keep the versions of streams.
+func (n *Node) SendVersions(ctx context.Context, to Address, list []StreamVersion) error {
+	payload, err := (&streamVersions{List: list}).MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := n.roundTrip(ctx, to, request{Kind: streamVersionsMessage, Payload: payload}); err != nil {
+		return fmt.Errorf("sending versions of streams to %s: %w", to.Instance, err)
+	}
+	return nil
+}
+
+// FetchVersion asks another router for the version of a stream. It returns false if that router doesn't know it.
+func (n *Node) FetchVersion(ctx context.Context, to Address, stream uint64) (StreamVersion, bool, error) {
+	known := StreamVersion{Stream: stream}
+	payload, err := known.MarshalMsg(nil)
+	if err != nil {
+		return known, false, err
+	}
+	a, err := n.roundTrip(ctx, to, request{Kind: streamLookupMessage, Payload: payload})
+	if err != nil {
+		return known, false, fmt.Errorf("asking %s for the version of a stream: %w", to.Instance, err)
+	}
+	if len(a.Entries) == 0 {
+		return known, false, nil
+	}
+	if err := a.decodePayload(&known); err != nil {
+		return known, false, err
+	}
+	return known, known.Stream == stream, nil
+}
+
 // SendNotice sends a placement notice to another router as a datagram, which may be lost without an error.
 func (n *Node) SendNotice(ctx context.Context, to Address, notice PlacementNotice) error {
 	data, err := notice.MarshalMsg(nil)
--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -51,6 +51,19 @@
 // Endpoints returns the endpoints of a service that may get new requests. Callers must not modify the slice.
 func (d *Directory) Endpoints(service string) []Endpoint { return d.services[service] }
 
+// SoftwareVersions returns the software versions of the endpoints of each service.
+func (d *Directory) SoftwareVersions() map[string][]string {
+	versions := make(map[string][]string, len(d.services))
+	for service, listed := range d.services {
+		for _, e := range listed {
+			if !slices.Contains(versions[service], e.SoftwareVersion) {
+				versions[service] = append(versions[service], e.SoftwareVersion)
+			}
+		}
+	}
+	return versions
+}
+
 // Lists reports whether an endpoint of a service may get new requests.
 func (d *Directory) Lists(service, name string) bool {
 	_, found := slices.BinarySearchFunc(d.services[service], name, func(e Endpoint, n string) int { return strings.Compare(e.Name, n) })
--- a/fleet/verdict/reason.go
+++ b/fleet/verdict/reason.go
@@ -41,6 +41,8 @@
 	EndpointFailed        Reason = "endpoint_failed"
 	EndpointUnresponsive  Reason = "endpoint_silent"
 	EndpointRefused       Reason = "endpoint_refused"
+	StreamVersionUnknown  Reason = "stream_version_unknown"
+	StreamVersionGone     Reason = "stream_version_gone"
 	Quarantined           Reason = "request_quarantined"
 	Suspected             Reason = "request_suspected"
 	LedgerUnreachable     Reason = "ledger_unreachable"
@@ -106,6 +108,8 @@
 		{EndpointFailed, http.StatusBadGateway, retrySoon, "The endpoint broke off the exchange."},
 		{EndpointUnresponsive, http.StatusGatewayTimeout, retrySoon, "The endpoint sent nothing in time."},
 		{EndpointRefused, http.StatusBadGateway, retrySoon, "The endpoint refused the request before running it."},
+		{StreamVersionUnknown, http.StatusServiceUnavailable, retrySoon, "No router knows which software version of the endpoints began the stream, so it can't be resumed; it can begin anew."},
+		{StreamVersionGone, http.StatusServiceUnavailable, retrySoon, "No endpoint of the software version that began the stream is left, so it can't be resumed; it can begin anew."},
 		{Quarantined, http.StatusUnprocessableEntity, noRetryAfter, "The same request was in progress when two endpoints crashed."},
 		{Suspected, http.StatusServiceUnavailable, retryOutage, "Endpoints crashed while the same request, or one with the same part in its prompt, was in progress there, so it is not sent for some minutes."},
 		{LedgerUnreachable, http.StatusServiceUnavailable, retryOutage, "The log can't be reached, so nothing new can be paid for."},
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -162,7 +162,9 @@
 type Directories struct {
 	Board  *Board
 	Source Source
-	Logger log.Interface
+	// OnChange is called with each new directory immediately before it is put in force; it may be nil.
+	OnChange func(*site.Directory)
+	Logger   log.Interface
 
 	registry site.EndpointRegistry
 }
@@ -182,7 +184,7 @@
 			changed = d.apply(now, received) || changed || received.isSnapshot
 		}
 		if changed {
-			d.Board.Directory.Store(d.registry.Directory())
+			d.publish(d.registry.Directory())
 		}
 		delay := d.capAtNextExpiry(directoryReadDelay)
 		if err != nil {
@@ -193,6 +195,13 @@
 	return nil
 }
 
+func (d *Directories) publish(directory *site.Directory) {
+	if d.OnChange != nil {
+		d.OnChange(directory)
+	}
+	d.Board.Directory.Store(directory)
+}
+
 // capAtNextExpiry limits a wait to the time until the next expired entry must be dropped.
 func (d *Directories) capAtNextExpiry(wait time.Duration) time.Duration {
 	next, ok := d.registry.NextExpiry()
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -95,6 +95,7 @@
 	if len(part) == 0 {
 		return nil
 	}
+	j.bindToEndpoint(j.tried[len(j.tried)-1])
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := j.w.Write(part); err != nil {
 		return err
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 )
 
@@ -114,6 +115,7 @@
 	loops.Go(func() error { return n.Routers.Run(ctx) })
 	loops.Go(func() error { return n.Server.notices.run(ctx) })
 	loops.Go(func() error { return n.Server.crashes.run(ctx, n.Routers) })
+	loops.Go(func() error { return n.Server.streams.run(ctx) })
 	claimer := &limitClaimer{server: n.Server, routers: n.Routers}
 	loops.Go(func() error { return claimer.run(ctx) })
 	comparer := &clockComparer{
@@ -124,6 +126,7 @@
 	defer stopPayer()
 	payerGroup := &errgroup.Group{}
 	payerGroup.Go(func() error { return n.Payer.Run(payerContext) })
+	n.Directories.OnChange = func(directory *site.Directory) { n.Server.streams.observe(time.Now(), directory) }
 	loops.Go(func() error { return n.Configurations.Run(ctx) })
 	loops.Go(func() error { return n.Directories.Run(ctx) })
 	n.Logger.WithField("Listen", n.Settings.Listen).Info("router started")
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -105,7 +105,12 @@
 // limit, the request may come again when the first of them accepts one, or soon after that.
 func (t *targets) refuseLocked(now time.Time, j *job) error {
 	var retryAfter time.Duration
+	hasVersion := false
 	for _, e := range t.services[j.service] {
+		if !j.bound.allows(&e.Endpoint) {
+			continue
+		}
+		hasVersion = true
 		limitLeft := t.timeToAdmissionLocked(now, e, j.random)
 		if !e.notices.IsOnTrial() && limitLeft == 0 || e.notices.IsLeaving() || e.isReplaced {
 			continue
@@ -115,7 +120,10 @@
 			retryAfter = left
 		}
 	}
-	if retryAfter == 0 {
+	switch {
+	case j.bound.isBound && !hasVersion:
+		return verdict.Refuse(verdict.StreamVersionGone, "")
+	case retryAfter == 0:
 		return verdict.Refuse(verdict.NoEndpoint, "")
 	}
 	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: retryAfter}
@@ -209,7 +217,7 @@
 
 // isEligible reports whether the request may be sent to an endpoint.
 func (j *job) isEligible(now time.Time, e *target, includeBlocked bool) bool {
-	if e.isReplaced || !includeBlocked && now.Before(e.blockedUntil) {
+	if e.isReplaced || !j.bound.allows(&e.Endpoint) || !includeBlocked && now.Before(e.blockedUntil) {
 		return false
 	}
 	switch e.notices.Admission(now, e.inFlight) {
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -51,6 +51,9 @@
 	MergeCrashes func(router string, value []byte)
 	MergeLimits  func(router string, value []byte)
 
+	// Streams keeps the versions of other routers' streams. It is set before Run.
+	Streams *streamTracker
+
 	lenders lenderCache
 	// isCurrent reports whether the last read of the routers' entries succeeded.
 	isCurrent atomic.Bool
@@ -111,6 +114,30 @@
 	return r.Payer.Repay(from, team, tokens)
 }
 
+// KeepVersions implements peer.StreamKeeper.
+func (r *Routers) KeepVersions(list []peer.StreamVersion) { r.Streams.KeepVersions(list) }
+
+// Version implements peer.StreamKeeper.
+func (r *Routers) Version(stream uint64) (peer.StreamVersion, bool) { return r.Streams.Version(stream) }
+
+// SendVersions implements streamPeers.
+func (r *Routers) SendVersions(ctx context.Context, instance string, list []peer.StreamVersion) error {
+	to, err := r.peerAddress(instance)
+	if err != nil {
+		return err
+	}
+	return r.Node.SendVersions(ctx, to, list)
+}
+
+// FetchVersion implements streamPeers.
+func (r *Routers) FetchVersion(ctx context.Context, instance string, stream uint64) (peer.StreamVersion, bool, error) {
+	to, err := r.peerAddress(instance)
+	if err != nil {
+		return peer.StreamVersion{}, false, err
+	}
+	return r.Node.FetchVersion(ctx, to, stream)
+}
+
 // ShareHolders implements allowance.Lenders.
 func (r *Routers) ShareHolders(team string) []string {
 	return r.lenders.get(team, r.Self, r.Roster).holders
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -41,6 +41,7 @@
 	targets  targets
 	retries  retryBudgets
 	crashes  *crashTracker
+	streams  *streamTracker
 	// limitChanges signals that a rate limit has changed.
 	limitChanges limitSignal
 	// notices sends placement notices to other routers; nil if there are no other routers.
@@ -55,13 +56,14 @@
 		targets:      targets{location: location, traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
 		retries:      retryBudgets{limits: endpoint.DefaultRepeatBounds()},
 		limitChanges: make(limitSignal, 1),
+		streams:      newStreamTracker(state, logger),
 	}
 }
 
 // SetRetryLimits sets the operators' limits on the retries of the fleet. It may be called while requests are served.
 func (s *Server) SetRetryLimits(bounds endpoint.RepeatBounds) { s.retries.setLimits(bounds) }
 
-// ConnectRouters makes the server exchange placement notices, crash records and rate limits with other routers. It must be
+// ConnectRouters makes the server exchange placement notices, crash records, rate limits and versions of streams with other routers. It must be
 // called before the first request.
 func (s *Server) ConnectRouters(routers *Routers) {
 	s.notices = newNoticeSender(routers)
@@ -70,7 +72,8 @@
 		s.crashes.mergeRecord(time.Now(), router, router == routers.Self.Instance, value)
 	}
 	routers.MergeLimits = func(router string, value []byte) { s.mergeLimits(time.Now(), router, value) }
-	s.targets.routers = routers
+	s.targets.routers, routers.Streams = routers, s.streams
+	s.streams.self, s.streams.roster, s.streams.peers = routers.Self.Instance, routers.Roster, routers
 	s.retries.countRouters, s.crashes.countRouters = routers.Roster.Len, routers.Roster.Len
 }
 
@@ -93,6 +96,10 @@
 	// fingerprint identifies the request and its resends by the caller; zero until it is computed.
 	fingerprint ledger.Fingerprint
 
+	// bound is the software version to which the stream is bound, isVersionKept whether other routers learn of it.
+	bound         boundVersion
+	isVersionKept bool
+
 	tried       []*target
 	reservation *allowance.Reservation
 	// responseStarted is true once a part of the answer has been written to the caller.
@@ -155,6 +162,10 @@
 	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	if err := j.bindToVersion(ctx); err != nil {
+		j.refuse(err)
+		return false
+	}
 	if err := j.reserveTokens(ctx); err != nil {
 		j.refuse(err)
 		return false
--- /dev/null
+++ b/router/gateway/versions.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+)
+
+const (
+	// streamKeepers is the number of other routers that keep the version of a stream: two of them may be lost with its router.
+	streamKeepers = 3
+	// maxStreamLookups is the number of other routers that are asked for the version of a stream. Those that keep it are among the first in
+	// the order of ranks, unless many were unresponsive.
+	maxStreamLookups = 6
+	// streamSendInterval is the interval at which the versions of new streams are sent to their keepers.
+	streamSendInterval = 50 * time.Millisecond
+	// streamCallTimeout bounds a message to a keeper: a handshake and an exchange between regions.
+	streamCallTimeout = 300 * time.Millisecond
+	// maxQueuedStreams bounds the versions of streams that wait to be sent; those of further streams are kept by this router only.
+	maxQueuedStreams = 2048
+)
+
+// boundVersion is the software version at which a stream may go on. The zero value binds to none.
+type boundVersion struct {
+	version string
+	isBound bool
+}
+
+// allows reports whether a stream may go on at an endpoint.
+func (b boundVersion) allows(e *site.Endpoint) bool {
+	return !b.isBound || b.version == e.SoftwareVersion
+}
+
+// streamKey identifies a stream by the team and the identifier of the request that brought its first event.
+func streamKey(team, identifier string) uint64 { return xxhash.Sum64String(team + "\n" + identifier) }
+
+// streamPeers carries messages to the keepers of streams.
+type streamPeers interface {
+	// SendVersions makes the router on an instance keep the versions of streams.
+	SendVersions(ctx context.Context, instance string, list []peer.StreamVersion) error
+	// FetchVersion asks the router on an instance for the version of a stream, which it knows or not.
+	FetchVersion(ctx context.Context, instance string, stream uint64) (peer.StreamVersion, bool, error)
+}
+
+// streamTracker remembers which software versions began streams, here and for other routers, so that a stream can be resumed at any
+// router.
+type streamTracker struct {
+	state  *Board
+	logger log.Interface
+	// self is this router's instance, roster lists all routers, and peers carries messages to the others; nil if there are none.
+	self   string
+	roster *peer.Roster
+	peers  streamPeers
+
+	mu        sync.Mutex
+	versions  endpoint.StreamVersions[peer.StreamVersion]
+	histories map[string]*endpoint.VersionHistory
+	queue     []peer.StreamVersion
+	// ranked holds the routers in the order in which they keep the streams of each bucket, as of the roster's change count rankedAt.
+	ranked   map[uint64][]string
+	rankedAt int64
+	// unresponsiveAt is, by instance, when a message to another router last failed.
+	unresponsiveAt map[string]time.Time
+}
+
+func newStreamTracker(state *Board, logger log.Interface) *streamTracker {
+	return &streamTracker{
+		state: state, logger: logger, histories: make(map[string]*endpoint.VersionHistory), unresponsiveAt: make(map[string]time.Time),
+	}
+}
+
+// KeepVersions implements peer.StreamKeeper.
+func (s *streamTracker) KeepVersions(list []peer.StreamVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range list {
+		s.versions.Record(time.Now(), v.Stream, v)
+	}
+}
+
+// Version implements peer.StreamKeeper.
+func (s *streamTracker) Version(stream uint64) (peer.StreamVersion, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions.Get(time.Now(), stream)
+}
+
+// record remembers the version of a stream, and has other routers keep it.
+func (s *streamTracker) record(v peer.StreamVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions.Record(time.Now(), v.Stream, v)
+	if s.peers == nil {
+		return
+	}
+	if len(s.queue) >= maxQueuedStreams {
+		s.state.Count(streamVersionsNotSent)
+		return
+	}
+	s.queue = append(s.queue, v)
+}
+
+// observe records the versions of the directory's services.
+func (s *streamTracker) observe(now time.Time, directory *site.Directory) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, versions := range directory.SoftwareVersions() {
+		if s.histories[service] == nil {
+			s.histories[service] = &endpoint.VersionHistory{}
+		}
+		s.histories[service].Observe(now, versions)
+	}
+}
+
+// onlyVersion returns the version that has begun all streams of a service that may still be resumed, if there is just one.
+func (s *streamTracker) onlyVersion(service string) (peer.StreamVersion, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	history := s.histories[service]
+	if history == nil {
+		return peer.StreamVersion{}, false
+	}
+	version, ok := history.Only(time.Now())
+	return peer.StreamVersion{Service: service, Version: version}, ok
+}
+
+// run sends the versions of new streams to their keepers until the context ends.
+func (s *streamTracker) run(ctx context.Context) error {
+	for clock.Sleep(ctx, streamSendInterval) {
+		s.mu.Lock()
+		queue := s.queue
+		s.queue = nil
+		s.mu.Unlock()
+		if failed := s.send(ctx, queue); len(failed) > 0 {
+			// The keepers that failed count as unresponsive now, so that others take their place.
+			s.send(ctx, failed)
+		}
+	}
+	return nil
+}
+
+// send sends versions to the keepers of their streams, and returns those that not all keepers have received.
+func (s *streamTracker) send(ctx context.Context, list []peer.StreamVersion) []peer.StreamVersion {
+	batches := make(map[string]*streamBatch)
+	for _, v := range list {
+		for _, keeper := range s.keepers(v.Stream, streamKeepers) {
+			if batches[keeper] == nil {
+				batches[keeper] = &streamBatch{tracker: s, to: keeper}
+			}
+			batches[keeper].list = append(batches[keeper].list, v)
+		}
+	}
+	var sends sync.WaitGroup
+	for _, b := range batches {
+		sends.Go(func() { b.run(ctx) })
+	}
+	sends.Wait()
+	var failed []peer.StreamVersion
+	for _, b := range batches {
+		if b.hasFailed {
+			failed = append(failed, b.list...)
+		}
+	}
+	return failed
+}
+
+// streamBatch is a message with versions of streams to one keeper.
+type streamBatch struct {
+	tracker   *streamTracker
+	to        string
+	list      []peer.StreamVersion
+	hasFailed bool
+}
+
+// run sends the message.
+func (b *streamBatch) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
+	defer cancel()
+	err := b.tracker.peers.SendVersions(ctx, b.to, b.list)
+	b.hasFailed = err != nil
+	b.tracker.recordCall(b.to, err)
+}
+
+// recordCall records whether another router answered.
+func (s *streamTracker) recordCall(instance string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		delete(s.unresponsiveAt, instance)
+		return
+	}
+	s.unresponsiveAt[instance] = time.Now()
+}
+
+// keepers returns the first other routers in the order in which they keep the version of a stream, without those that did not answer
+// within unresponsiveBackoff.
+func (s *streamTracker) keepers(stream uint64, count int) []string {
+	if s.peers == nil {
+		return nil
+	}
+	ranked := s.rankedKeepers(stream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var chosen []string
+	for _, instance := range ranked {
+		if len(chosen) < count && instance != s.self && now.Sub(s.unresponsiveAt[instance]) > unresponsiveBackoff {
+			chosen = append(chosen, instance)
+		}
+	}
+	return chosen
+}
+
+// rankedKeepers returns all routers in the order in which they keep the version of a stream.
+func (s *streamTracker) rankedKeepers(stream uint64) []string {
+	changes := s.roster.ChangeCount()
+	bucket := endpoint.KeeperBucket(stream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rankedAt != changes || s.ranked == nil {
+		s.rankedAt, s.ranked = changes, make(map[uint64][]string)
+	}
+	if s.ranked[bucket] == nil {
+		var instances []string
+		for _, listed := range s.roster.Routers() {
+			instances = append(instances, listed.Instance)
+		}
+		s.ranked[bucket] = endpoint.RankKeepers(bucket, instances)
+	}
+	return s.ranked[bucket]
+}
+
+// lookUp returns the version of a stream, or false if neither this router nor one of the stream's keepers knows it.
+func (s *streamTracker) lookUp(ctx context.Context, stream uint64) (peer.StreamVersion, bool) {
+	if known, ok := s.Version(stream); ok {
+		return known, true
+	}
+	asked := s.keepers(stream, maxStreamLookups)
+	answers := make(chan streamAnswer, len(asked))
+	for _, instance := range asked {
+		q := &streamQuestion{tracker: s, to: instance, stream: stream, answers: answers}
+		// A question that is cancelled would end the connection and with it other calls.
+		go q.run(context.WithoutCancel(ctx))
+	}
+	for range asked {
+		select {
+		case <-ctx.Done():
+			return peer.StreamVersion{}, false
+		case a := <-answers:
+			if a.isKnown {
+				return a.known, true
+			}
+		}
+	}
+	return peer.StreamVersion{}, false
+}
+
+// streamAnswer is another router's answer to a streamQuestion.
+type streamAnswer struct {
+	known   peer.StreamVersion
+	isKnown bool
+}
+
+// streamQuestion asks another router for the version of a stream.
+type streamQuestion struct {
+	tracker *streamTracker
+	to      string
+	stream  uint64
+	answers chan<- streamAnswer
+}
+
+// run asks and passes the answer on.
+func (q *streamQuestion) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
+	defer cancel()
+	known, isKnown, err := q.tracker.peers.FetchVersion(ctx, q.to, q.stream)
+	q.tracker.recordCall(q.to, err)
+	q.answers <- streamAnswer{known, isKnown && err == nil}
+}
+
+// bindToVersion binds a request that resumes a stream to the service and the software version that began it. It refuses the
+// request if these are not known, or serve no more.
+func (j *job) bindToVersion(ctx context.Context) error {
+	if j.r.Header.Get(j.server.protocol.ResumeAfter) == "" || !j.isResumableStream() {
+		return nil
+	}
+	directory := j.server.state.Directory.Load()
+	j.server.streams.observe(time.Now(), directory)
+	if !j.hasVersions(directory) {
+		return nil
+	}
+	known, ok := j.server.streams.lookUp(ctx, j.resumedStream())
+	if !ok && len(j.route.Services) == 1 {
+		known, ok = j.server.streams.onlyVersion(j.service)
+	}
+	if !ok {
+		return verdict.Refuse(verdict.StreamVersionUnknown, "")
+	}
+	j.service = known.Service
+	j.bound = boundVersion{version: known.Version, isBound: true}
+	isRouted := slices.ContainsFunc(j.route.Services, func(w site.WeightedService) bool { return w.Service == known.Service })
+	if !isRouted || !slices.Contains(directory.SoftwareVersions()[known.Service], known.Version) {
+		return verdict.Refuse(verdict.StreamVersionGone, "")
+	}
+	return nil
+}
+
+// isResumableStream reports whether the request is for a stream that may be resumed.
+func (j *job) isResumableStream() bool { return j.route.Kind == site.Streaming && j.route.Resumable }
+
+// hasVersions reports whether any endpoint of the route's services has a software version.
+func (j *job) hasVersions(directory *site.Directory) bool {
+	versions := directory.SoftwareVersions()
+	return slices.ContainsFunc(j.route.Services, func(w site.WeightedService) bool {
+		return slices.ContainsFunc(versions[w.Service], func(version string) bool { return version != "" })
+	})
+}
+
+// resumedStream returns the key of the stream that the caller resumes.
+func (j *job) resumedStream() uint64 { return streamKey(j.teamName(), j.resumedIdentifier()) }
+
+func (j *job) teamName() string {
+	if j.team == nil {
+		return ""
+	}
+	return j.team.Name
+}
+
+// bindToEndpoint binds the stream to the software version of the endpoint that brings its events. Other routers learn of it once the
+// first event is complete, also of a stream that the caller has resumed, so that it may be resumed again.
+func (j *job) bindToEndpoint(e *target) {
+	if j.isVersionKept || j.events.completed == 0 || !j.isResumableStream() {
+		return
+	}
+	j.isVersionKept = true
+	j.bound = boundVersion{version: e.SoftwareVersion, isBound: true}
+	if e.SoftwareVersion == "" {
+		return
+	}
+	stream := streamKey(j.teamName(), j.callerIdentifier())
+	if j.r.Header.Get(j.server.protocol.ResumeAfter) != "" {
+		stream = j.resumedStream()
+	}
+	j.server.streams.record(peer.StreamVersion{Stream: stream, Service: j.service, Version: e.SoftwareVersion})
+}
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -1,11 +1,26 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
 
@@ -34,8 +49,8 @@
 	g.state.Directory.Store(site.NewDirectory(listed))
 }
 
-// beginStream sends a request for a resumable stream to the first endpoint, then lists the endpoints with the given versions.
-func (g *gatewayTest) beginStream(identifier string, versions ...string) callResult {
+// beginStream sends the request id-1 for a resumable stream to the first endpoint, then lists the endpoints with the given versions.
+func (g *gatewayTest) beginStream(versions ...string) callResult {
 	g.t.Helper()
 	g.setVersions(versions[0])
 	answer := g.endpoints[0].answer
@@ -43,7 +58,7 @@
 		g.setVersions(versions...)
 		answer(w, r)
 	}
-	return g.call(http.MethodPost, "/talk/", "", func(r *http.Request) { r.Header.Set("Id", identifier) })
+	return g.call(http.MethodPost, "/talk/", "", func(r *http.Request) { r.Header.Set("Id", "id-1") })
 }
 
 // resumeStream sends a caller's request that resumes a stream after its first event.
@@ -62,26 +77,26 @@
 	t.Run("router continues", func(t *testing.T) {
 		for range versionTries {
 			g := newGatewayTest(t, breakOffAfter(first), answerSealed("id: other\n\n"), answerSealed(second))
-			got := g.beginStream("id-1", "v1", "v2", "v1")
+			got := g.beginStream("v1", "v2", "v1")
 			assert.Equal(t, first+second, got.body)
 			g.assertRequestCounts(1, 0, 1)
 		}
 	})
 	t.Run("router has no endpoint of the version left", func(t *testing.T) {
 		g := newGatewayTest(t, breakOffAfter(first), answerSealed(second))
-		got := g.beginStream("id-1", "v1", "v2")
+		got := g.beginStream("v1", "v2")
 		assert.Equal(t, true, got.truncated)
 		g.assertRequestCounts(1, 0)
 	})
 	t.Run("no event was passed on", func(t *testing.T) {
 		g := newGatewayTest(t, breakOffAfter("id: 1\n"), answerSealed(first))
-		got := g.beginStream("id-1", "v1", "v2")
+		got := g.beginStream("v1", "v2")
 		assert.Equal(t, first, got.body)
 	})
 	t.Run("caller resumes", func(t *testing.T) {
 		for range versionTries {
 			g := newGatewayTest(t, answerSealed(first), answerSealed("id: other\n\n"), answerSealed(second))
-			g.beginStream("id-1", "v1", "v2", "v1")
+			g.beginStream("v1", "v2", "v1")
 			g.setVersions("", "v2", "v1")
 			assert.Equal(t, second, g.resumeStream("id-2", "id-1").body)
 			assert.Equal(t, second, g.resumeStream("id-3", "id-1").body)
@@ -90,7 +105,7 @@
 	})
 	t.Run("caller resumes, the version has gone", func(t *testing.T) {
 		g := newGatewayTest(t, answerSealed(first), answerSealed(second))
-		g.beginStream("id-1", "v1", "v2")
+		g.beginStream("v1", "v2")
 		g.setVersions("", "v2")
 		got := g.resumeStream("id-2", "id-1")
 		assert.Equal(t, http.StatusServiceUnavailable, got.status)
@@ -108,3 +123,189 @@
 		}
 	})
 }
+
+// TestStreamIsResumedAtAnotherRouter guards against routers that don't know the version of a stream which another router, dead by now,
+// passed on.
+func TestStreamIsResumedAtAnotherRouter(t *testing.T) {
+	const first, second = "id: 1\n\n", "id: 2\n\n"
+	shared := &keyed.KeyedLog{}
+	var gateways []*gatewayTest
+	var stops []context.CancelFunc
+	for _, instance := range []string{"a", "b", "c", "d"} {
+		ctx, stop := context.WithCancel(t.Context())
+		g := newGatewayTest(t, answerSealed(first), answerSealed("id: other\n\n"), answerSealed(second))
+		g.server.ConnectRouters(startRouter(ctx, t, instance, shared))
+		go func() { _ = g.server.streams.run(ctx) }()
+		gateways, stops = append(gateways, g), append(stops, stop)
+	}
+	for _, g := range gateways {
+		waitFor(t, func() bool { return g.server.targets.routers.Roster.Len() == len(gateways) })
+	}
+	gateways[0].beginStream("v1", "v2", "v1")
+	waitFor(t, func() bool {
+		known := 0
+		for _, g := range gateways[1:] {
+			if _, ok := g.server.streams.Version(streamKey("studio", "id-1")); ok {
+				known++
+			}
+		}
+		return known == streamKeepers
+	})
+	stops[0]()
+	for _, g := range gateways[1:] {
+		for range versionTries {
+			g.setVersions("", "v2", "v1")
+			got := g.resumeStream("id-2", "id-1")
+			assert.Equal(t, second, got.body)
+		}
+		g.assertRequestCounts(0, 0, versionTries)
+	}
+}
+
+// streamNetwork carries messages between the routers of a fleet in memory. It implements streamPeers for each of them.
+type streamNetwork struct {
+	ctx context.Context
+
+	mu       sync.Mutex
+	trackers map[string]*streamTracker
+	isDead   map[string]bool
+	// side is the side of a partition on which a router is.
+	side map[string]int
+}
+
+// streamNetworkPeer is one router's access to a streamNetwork.
+type streamNetworkPeer struct {
+	network *streamNetwork
+	self    string
+}
+
+var errUnreachable = errors.New("unreachable")
+
+// reach returns another router's tracker. Messages to routers that can't be reached time out.
+func (p *streamNetworkPeer) reach(ctx context.Context, instance string) (*streamTracker, error) {
+	n := p.network
+	n.mu.Lock()
+	isReachable := !n.isDead[instance] && !n.isDead[p.self] && n.side[instance] == n.side[p.self]
+	tracker := n.trackers[instance]
+	n.mu.Unlock()
+	if !isReachable {
+		<-ctx.Done()
+		return nil, errUnreachable
+	}
+	clock.Sleep(ctx, 10*time.Millisecond)
+	return tracker, ctx.Err()
+}
+
+// SendVersions implements streamPeers.
+func (p *streamNetworkPeer) SendVersions(ctx context.Context, instance string, list []peer.StreamVersion) error {
+	tracker, err := p.reach(ctx, instance)
+	if err == nil {
+		tracker.KeepVersions(list)
+	}
+	return err
+}
+
+// FetchVersion implements streamPeers.
+func (p *streamNetworkPeer) FetchVersion(ctx context.Context, instance string, stream uint64) (peer.StreamVersion, bool, error) {
+	tracker, err := p.reach(ctx, instance)
+	if err != nil {
+		return peer.StreamVersion{}, false, err
+	}
+	known, ok := tracker.Version(stream)
+	return known, ok, nil
+}
+
+// newStreamNetwork returns a fleet of routers that know each other.
+func newStreamNetwork(ctx context.Context, routers int) (network *streamNetwork, instances []string) {
+	network = &streamNetwork{ctx: ctx, trackers: make(map[string]*streamTracker), isDead: make(map[string]bool), side: make(map[string]int)}
+	roster := &peer.Roster{}
+	for i := range routers {
+		instance := "router-" + strconv.Itoa(i)
+		instances = append(instances, instance)
+		roster.Put(peer.Router{Instance: instance})
+		network.start(instance, roster)
+	}
+	return network, instances
+}
+
+// start starts a router's process.
+func (n *streamNetwork) start(instance string, roster *peer.Roster) {
+	tracker := newStreamTracker(&Board{Metrics: metrics.NewRegistry()}, &log.Logger{Handler: discard.New()})
+	tracker.self, tracker.roster, tracker.peers = instance, roster, &streamNetworkPeer{network: n, self: instance}
+	n.trackers[instance] = tracker
+	go func() { _ = tracker.run(n.ctx) }()
+}
+
+// TestVersionsOutlastRouters guards against streams that can't be resumed, or are resumed at the wrong version, after routers have ended or
+// lost each other.
+func TestVersionsOutlastRouters(t *testing.T) {
+	const streams = 600
+	for _, c := range []struct {
+		name string
+		// fail makes routers fail after the streams began, leastKnown is the share of the streams of which a router that is left must know the
+		// version.
+		fail       func(n *streamNetwork, instances []string)
+		leastKnown float64
+	}{
+		{"calm", func(*streamNetwork, []string) {}, 1},
+		{"one router ends", func(n *streamNetwork, instances []string) { n.isDead[instances[0]] = true }, 1},
+		{"two routers end", func(n *streamNetwork, instances []string) {
+			n.isDead[instances[0]], n.isDead[instances[1]] = true, true
+		}, 1},
+		{"half of the routers end", func(n *streamNetwork, instances []string) {
+			for _, instance := range instances[:len(instances)/2] {
+				n.isDead[instance] = true
+			}
+		}, 0.75},
+		{"half of the routers start anew", func(n *streamNetwork, instances []string) {
+			for _, instance := range instances[:len(instances)/2] {
+				n.start(instance, n.trackers[instance].roster)
+			}
+		}, 0.75},
+		{"the routers part", func(n *streamNetwork, instances []string) {
+			for _, instance := range instances[:len(instances)/2] {
+				n.side[instance] = 1
+			}
+		}, 0.75},
+	} {
+		for _, routers := range []int{6, 30, 295} {
+			t.Run(fmt.Sprintf("%s, %d routers", c.name, routers), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					n, instances := newStreamNetwork(ctx, routers)
+					random := rand.New(rand.NewPCG(1, uint64(routers)))
+					version := func(stream int) string { return "v" + strconv.Itoa(stream%2) }
+					for i := range streams {
+						n.trackers[instances[random.IntN(routers)]].record(peer.StreamVersion{
+							Stream: streamKey("team", strconv.Itoa(i)), Service: "engine", Version: version(i),
+						})
+					}
+					time.Sleep(2 * time.Second)
+					n.mu.Lock()
+					c.fail(n, instances)
+					n.mu.Unlock()
+					known, wrong := 0, 0
+					for i := range streams {
+						resuming := instances[random.IntN(routers)]
+						for n.isDead[resuming] {
+							resuming = instances[random.IntN(routers)]
+						}
+						got, ok := n.trackers[resuming].lookUp(ctx, streamKey("team", strconv.Itoa(i)))
+						switch {
+						case ok && got.Version == version(i):
+							known++
+						case ok:
+							wrong++
+						}
+					}
+					t.Logf("%d of %d known, %d wrong", known, streams, wrong)
+					assert.Equal(t, 0, wrong)
+					assert.Equal(t, true, float64(known) >= c.leastKnown*streams)
+					cancel()
+					time.Sleep(time.Second)
+				})
+			})
+		}
+	}
+}
