Withdraw the claims of a router's former process to rate limits

A process that ended leaves its record; each router that reads the whole topic took its claims for new ones and left a part of the limit unused for 12 s. A router that finds such a record of its own now writes it anew. TestFormerClaimsEnd failed before.

--- a/router/gateway/limits.go
+++ b/router/gateway/limits.go
@@ -195,6 +195,7 @@
 			s.logLimitChange(r.Endpoint, rate, previous, router)
 		}
 		claimed[p] = r.Rate > 0 && !isOwn
+		s.targets.hasOwnRecord = s.targets.hasOwnRecord || isOwn
 	}
 	for p, l := range s.targets.limits {
 		l.RecordClaim(now, router, claimed[p])
@@ -248,7 +249,8 @@
 	defer t.mu.Unlock()
 	t.dropUnlistedLimitsLocked(now)
 	var record limitRecord
-	isChanged := c.hasFailed
+	// A record of this router's former process claims limits that nobody uses.
+	isChanged := c.hasFailed || c.writtenAt.IsZero() && t.hasOwnRecord
 	for p, l := range t.limits {
 		l.publishes = l.isPublishable(now, t.fleetLocked(l)) && len(record.Limits) < maxRecordedLimits
 		if !l.publishes {
--- a/router/gateway/rate_limits_test.go
+++ b/router/gateway/rate_limits_test.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -181,3 +182,24 @@
 		synctest.Wait()
 	})
 }
+
+// TestFormerClaimsEnd guards against claims of a router's former process that block a rate limit for others.
+func TestFormerClaimsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &limitedFleet{directory: site.NewDirectory(nil)}
+		record := []byte(`{"Limits":[{"Endpoint":"limited","StartedAt":0,"Rate":1.1,"AgeMilliseconds":0}]}`)
+		_, err := f.log.AppendAt(t.Context(), RouterTopic, 0, platform.AnyOffset, []platform.KeyedRecord{{Key: "router-0/limits", Value: record}})
+		assert.Must(t, err)
+		r := f.startRouter(t, "router-0")
+		time.Sleep(3 * time.Second)
+		state, err := f.log.Newest(t.Context(), RouterTopic, 0)
+		assert.Must(t, err)
+		for _, listed := range state.Records {
+			if listed.Key == "router-0/limits" {
+				assert.Equal(t, 0, len(listed.Value))
+			}
+		}
+		r.stop()
+		synctest.Wait()
+	})
+}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -121,6 +121,8 @@
 	// limits are the rate limits of endpoints' processes, routers the other routers, which share them; nil if there are none.
 	limits  map[endpointProcess]*processLimit
 	routers *Routers
+	// hasOwnRecord reports whether this router has read a record of rate limits of its own, also one of its former process.
+	hasOwnRecord bool
 	// rates are, by service, the observed speeds at which engines read prompts.
 	rates map[string]*placement.Rate
 	// location is where this router runs.
