--- a/router/gateway/limits.go
+++ b/router/gateway/limits.go
@@ -203,10 +203,12 @@
 	s.limitChanges.signal()
 }
 
-// limitSignal tells the writer of the record of rate limits that a limit has changed.
-type limitSignal chan struct{}
+// changeSignal tells a loop that something has changed since it last looked.
+type changeSignal chan struct{}
 
-func (c limitSignal) signal() {
+func newChangeSignal() changeSignal { return make(changeSignal, 1) }
+
+func (c changeSignal) signal() {
 	select {
 	case c <- struct{}{}:
 	default:
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -43,7 +43,7 @@
 	crashes  *crashTracker
 	streams  *streamTracker
 	// limitChanges signals that a rate limit has changed.
-	limitChanges limitSignal
+	limitChanges changeSignal
 	// notices sends placement notices to other routers; nil if there are no other routers.
 	notices *noticeSender
 }
@@ -55,8 +55,8 @@
 		state: state, protocol: protocol, payer: payer, logger: logger, crashes: crashes,
 		targets:      targets{location: location, traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
 		retries:      retryBudgets{limits: endpoint.DefaultRepeatBounds()},
-		limitChanges: make(limitSignal, 1),
-		streams:      newStreamTracker(state, logger),
+		limitChanges: newChangeSignal(),
+		streams:      newStreamTracker(state),
 	}
 }
 
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
@@ -22,8 +21,8 @@
 	// maxStreamLookups is the number of other routers that are asked for the version of a stream. Those that keep it are among the first in
 	// the order of ranks, unless many were unresponsive.
 	maxStreamLookups = 6
-	// streamSendInterval is the interval at which the versions of new streams are sent to their keepers.
-	streamSendInterval = 50 * time.Millisecond
+	// streamSendDelay is the delay after which the version of a new stream is sent to its keepers, together with those of others.
+	streamSendDelay = 50 * time.Millisecond
 	// streamCallTimeout bounds a message to a keeper: a handshake and an exchange between regions.
 	streamCallTimeout = 300 * time.Millisecond
 	// maxQueuedStreams bounds the versions of streams that wait to be sent; those of further streams are kept by this router only.
@@ -55,8 +54,7 @@
 // streamTracker remembers which software versions began streams, here and for other routers, so that a stream can be resumed at any
 // router.
 type streamTracker struct {
-	state  *Board
-	logger log.Interface
+	state *Board
 	// self is this router's instance, roster lists all routers, and peers carries messages to the others; nil if there are none.
 	self   string
 	roster *peer.Roster
@@ -66,6 +64,8 @@
 	versions  endpoint.StreamVersions[peer.StreamVersion]
 	histories map[string]*endpoint.VersionHistory
 	queue     []peer.StreamVersion
+	// queued signals that queue has become longer.
+	queued changeSignal
 	// ranked holds the routers in the order in which they keep the streams of each bucket, as of the roster's change count rankedAt.
 	ranked   map[uint64][]string
 	rankedAt int64
@@ -73,9 +73,10 @@
 	unresponsiveAt map[string]time.Time
 }
 
-func newStreamTracker(state *Board, logger log.Interface) *streamTracker {
+func newStreamTracker(state *Board) *streamTracker {
 	return &streamTracker{
-		state: state, logger: logger, histories: make(map[string]*endpoint.VersionHistory), unresponsiveAt: make(map[string]time.Time),
+		state: state, queued: newChangeSignal(),
+		histories: make(map[string]*endpoint.VersionHistory), unresponsiveAt: make(map[string]time.Time),
 	}
 }
 
@@ -108,6 +109,7 @@
 		return
 	}
 	s.queue = append(s.queue, v)
+	s.queued.signal()
 }
 
 // observe records the versions of the directory's services.
@@ -136,7 +138,13 @@
 
 // run sends the versions of new streams to their keepers until the context ends.
 func (s *streamTracker) run(ctx context.Context) error {
-	for clock.Sleep(ctx, streamSendInterval) {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.queued:
+		}
+		clock.Sleep(ctx, streamSendDelay)
 		s.mu.Lock()
 		queue := s.queue
 		s.queue = nil
@@ -146,7 +154,6 @@
 			s.send(ctx, failed)
 		}
 	}
-	return nil
 }
 
 // send sends versions to the keepers of their streams, and returns those that not all keepers have received.
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -13,8 +13,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
@@ -230,7 +228,7 @@
 
 // start starts a router's process.
 func (n *streamNetwork) start(instance string, roster *peer.Roster) {
-	tracker := newStreamTracker(&Board{Metrics: metrics.NewRegistry()}, &log.Logger{Handler: discard.New()})
+	tracker := newStreamTracker(&Board{Metrics: metrics.NewRegistry()})
 	tracker.self, tracker.roster, tracker.peers = instance, roster, &streamNetworkPeer{network: n, self: instance}
 	n.trackers[instance] = tracker
 	go func() { _ = tracker.run(n.ctx) }()
