Bill prompts whose answers were lost

Cause: since a request that failed at its endpoints before any of them began an answer was not billed. An endpoint that broke off may have read the prompt, and operators count it once for each request that ran. Only proof that it has not run frees it: the endpoint's word, or nothing written.

Change: that exception is gone. Two cases of TestBilledTokens held it as right and now ask for the prompt's tokens; both failed before.

--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -71,7 +71,6 @@
 		startedAt := time.Now()
 		j.attemptFirstByte = time.Time{}
 		result := j.exchange(ctx, e)
-		j.hasResponse, j.endpointFailed = j.hasResponse || result.responded, result.endpointFailed
 		j.countWrites(result)
 		j.server.targets.finishPrompt(e, j, false)
 		j.server.targets.release(e, j, startedAt, result)
--- a/router/gateway/billing_test.go
+++ b/router/gateway/billing_test.go
@@ -13,9 +13,9 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
 
-// TestBilledTokens guards against teams that pay for requests that failed at an endpoint without an answer, and against
-// answers, or prompts of callers who left, that nobody pays for. The prompt of the request has 100 tokens, an event at
-// most 5.
+// TestBilledTokens guards against answers that nobody pays for, against prompts that nobody pays for although an endpoint may have read
+// them, their answers lost or not, and against teams that pay for requests that did not run. The prompt of the request has 100 tokens,
+// an event at most 5.
 func TestBilledTokens(t *testing.T) {
 	leave := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 	breakOff := func(w http.ResponseWriter, _ *http.Request) {
@@ -47,8 +47,8 @@
 	}{
 		{"whole answer", "/chat/", []http.HandlerFunc{answerSealed("id: 1\n\nid: 2\n\n")}, 0, 110},
 		{"refused", "/chat/", []http.HandlerFunc{answerNotRun}, 0, 0},
-		{"answer lost", "/chat/", []http.HandlerFunc{abortConnection}, 0, 0},
-		{"all answers lost", "/talk/", []http.HandlerFunc{abortConnection, abortConnection}, 0, 0},
+		{"answer lost", "/chat/", []http.HandlerFunc{abortConnection}, 0, 100},
+		{"all answers lost", "/talk/", []http.HandlerFunc{abortConnection, abortConnection}, 0, 100},
 		{"answer lost, retry answered", "/talk/", []http.HandlerFunc{abortFirst, abortFirst}, 0, 105},
 		{"broken off after an event", "/chat/", []http.HandlerFunc{breakOff}, 0, 105},
 		{"broken off after the head", "/chat/", []http.HandlerFunc{breakOffAfterHead}, 0, 100},
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -106,9 +106,6 @@
 	responseStarted bool
 	// mayHaveRun reports whether any attempt may have run the request.
 	mayHaveRun bool
-	// hasResponse reports whether any endpoint began an answer, endpointFailed whether the last attempt failed at its
-	// endpoint.
-	hasResponse, endpointFailed bool
 	// framing is how the newest answer of an endpoint marks its end; empty if there was none.
 	framing responseFraming
 	// endpointsSent counts the endpoints to which the request was sent.
@@ -319,10 +316,10 @@
 }
 
 // billedTokens returns the number of tokens that the request is billed: those of its prompt, once, if the request may
-// have run, plus the upper bound of an event's tokens for each event that an endpoint sent. A request that failed at its
-// endpoints before any of them began an answer is not billed.
+// have run, plus the upper bound of an event's tokens for each event that an endpoint sent. A lost answer is no proof that the
+// prompt has not been read.
 func (j *job) billedTokens() int64 {
-	if j.engine == nil || !j.mayHaveRun || j.endpointFailed && !j.hasResponse {
+	if j.engine == nil || !j.mayHaveRun {
 		return 0
 	}
 	return j.demand.PromptTokens + min(j.demand.MaxOutputTokens, j.events.count()*j.engine.EventTokens)
