--- a/router/gateway/limits.go
+++ b/router/gateway/limits.go
@@ -54,7 +54,7 @@
 	position, routers int
 	rosterChanges     int64
 	// publishes reports whether this router's record holds the limit. endedAt is when this router learned of the limit's end, reportedAt when
-	// it last read of the limit in another router's record.
+	// it last read of the limit in another router's record, or when the directory ceased to list the process: it may list it again.
 	publishes           bool
 	endedAt, reportedAt time.Time
 }
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -71,7 +71,10 @@
 		if !t.directory.Lists(known.Service, name) && known.inFlight == 0 {
 			known.transport.CloseIdleConnections()
 			t.reportCrashLocked(known)
-			delete(t.limits, processOf(&known.Endpoint))
+			known.limit.reportedAt = time.Now()
+			if known.limit.Rate() == 0 {
+				delete(t.limits, processOf(&known.Endpoint))
+			}
 			delete(t.byName, name)
 		}
 	}
--- a/router/gateway/rate_limits_test.go
+++ b/router/gateway/rate_limits_test.go
@@ -203,3 +203,15 @@
 		synctest.Wait()
 	})
 }
+
+// TestLimitOutlastsTheDirectory guards against a limit that is forgotten when the endpoint's entry lapses for a while.
+func TestLimitOutlastsTheDirectory(t *testing.T) {
+	g := newGatewayTest(t, withHeader("Limit", "0.02", answerSealed("answer")))
+	listed := g.state.Directory.Load()
+	assert.Equal(t, http.StatusOK, g.call(http.MethodPost, "/order/", "", nil).status)
+	g.state.Directory.Store(site.NewDirectory(nil))
+	assert.Equal(t, http.StatusServiceUnavailable, g.call(http.MethodPost, "/order/", "", nil).status)
+	g.state.Directory.Store(listed)
+	assert.Equal(t, http.StatusServiceUnavailable, g.call(http.MethodPost, "/order/", "", nil).status)
+	g.assertRequestCounts(1)
+}
