Connect a router's handlers before other routers can reach it

The peer node listened before the tracker of streams was set, so that a message in between would have ended the process.

--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -80,6 +80,8 @@
 func (n *Node) Run(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	// Callers and other routers are served from here on.
+	n.Server.ConnectRouters(n.Routers)
 	callerServer := &http.Server{
 		Handler: n.closeConnections(n.Server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: n.callers.trackState,
@@ -111,7 +113,6 @@
 		state: n.Board, logger: n.Logger, routerCount: n.Routers.Roster.Len, detector: overloadDetector{linkRate: n.Settings.LinkBytesPerSecond},
 	}
 	loops.Go(func() error { return monitor.run(ctx) })
-	n.Server.ConnectRouters(n.Routers)
 	loops.Go(func() error { return n.Routers.Run(ctx) })
 	loops.Go(func() error { return n.Server.notices.run(ctx) })
 	loops.Go(func() error { return n.Server.crashes.run(ctx, n.Routers) })
