Take the engine's settings from the service that a resumed stream is bound to

Found on a second reading. On a route with several services the request kept the settings of the service that was drawn for it, and with it the number of tokens of an event.

--- a/fleet/endpoint/shared_limit.go
+++ b/fleet/endpoint/shared_limit.go
@@ -78,9 +78,9 @@
 	ClaimsReadAt time.Time
 }
 
-// Rank returns the rank of a router at an endpoint. The routers with the lowest ranks hold its limit.
-func Rank(endpointName, router string) uint64 {
-	return MixHash(xxhash.Sum64String(endpointName) ^ MixHash(xxhash.Sum64String(router)))
+// Rank returns the rank of a router for a subject, such as an endpoint whose limit the routers with the lowest ranks hold.
+func Rank(subject, router string) uint64 {
+	return MixHash(xxhash.Sum64String(subject) ^ MixHash(xxhash.Sum64String(router)))
 }
 
 // Rate returns the limit in requests a second; zero if there is none.
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -191,14 +191,18 @@
 		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.InvalidHeader, Cause: err}
 	}
 	j.demand = demand
-	j.service = route.PickService(float64(j.random>>11) / (1 << 53))
-	if service, ok := configuration.Service(j.service); ok {
-		j.engine = service.Engine
-	}
+	j.setService(configuration, route.PickService(float64(j.random>>11)/(1<<53)))
 	j.setDeadline()
 	return j.readBody(configuration.Limits)
 }
 
+func (j *job) setService(configuration *site.Configuration, name string) {
+	j.service, j.engine = name, nil
+	if service, ok := configuration.Service(name); ok {
+		j.engine = service.Engine
+	}
+}
+
 // escapedPath returns the request's path as the caller sent it, without decoding and without the query.
 func escapedPath(r *http.Request) string {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -313,7 +313,7 @@
 	if !ok {
 		return verdict.Refuse(verdict.StreamVersionUnknown, "")
 	}
-	j.service = known.Service
+	j.setService(j.server.state.Configuration.Load(), known.Service)
 	j.bound = boundVersion{version: known.Version, isBound: true}
 	isRouted := slices.ContainsFunc(j.route.Services, func(w site.WeightedService) bool { return w.Service == known.Service })
 	if !isRouted || !slices.Contains(directory.SoftwareVersions()[known.Service], known.Version) {
