Resume streams where one software version alone has served

Change: a stream that nobody remembers goes on if one version alone has served for as long as the route lets a caller resume it, its timeout and 3 s, in place of a minute; or since the site's first start, which the settings tell; or, as one of the stream's keepers answers, for a minute there. The cases of TestStreamStaysAtItsVersion and TestStreamIsResumedAtAnotherRouter that this adds failed before.

--- a/fleet/endpoint/stream_versions.go
+++ b/fleet/endpoint/stream_versions.go
@@ -57,6 +57,9 @@
 
 // VersionHistory tracks which software versions of a service have served lately. The zero value has seen nothing.
 type VersionHistory struct {
+	// IsComplete reports whether the service had not served before the first observation.
+	IsComplete bool
+
 	since    time.Time
 	lastSeen map[string]time.Time
 	// serving are the versions that served at the last observation.
@@ -74,16 +77,16 @@
 	h.serving = slices.Clone(versions)
 }
 
-// Only returns the version that has begun all streams of the last StreamMemory, or false if there were several or this history is
+// Only returns the version that has begun all streams within a time before now, or false if there were several or this history is
 // shorter.
-func (h *VersionHistory) Only(now time.Time) (string, bool) {
+func (h *VersionHistory) Only(now time.Time, within time.Duration) (string, bool) {
 	only, count := "", 0
 	for version, seenAt := range h.lastSeen {
-		if now.Sub(seenAt) <= StreamMemory || slices.Contains(h.serving, version) {
+		if now.Sub(seenAt) <= within || slices.Contains(h.serving, version) {
 			only, count = version, count+1
 		}
 	}
-	return only, count == 1 && now.Sub(h.since) > StreamMemory
+	return only, count == 1 && (h.IsComplete || now.Sub(h.since) > within)
 }
 
 // KeeperBucket returns the group of streams with the same keepers to which a stream belongs.
--- a/fleet/endpoint/stream_versions_test.go
+++ b/fleet/endpoint/stream_versions_test.go
@@ -42,24 +42,27 @@
 	}
 	for _, c := range []struct {
 		name         string
+		isComplete   bool
 		observations []observation
 		want         string
 	}{
-		{"nothing seen", nil, ""},
-		{"one version for long", []observation{{0, []string{"v1"}}, {2 * StreamMemory, []string{"v1"}}}, "v1"},
-		{"one version for a short time", []observation{{3 * StreamMemory / 2, []string{"v1"}}, {2 * StreamMemory, []string{"v1"}}}, ""},
-		{"two versions", []observation{{0, []string{"v1"}}, {2 * StreamMemory, []string{"v1", "v2"}}}, ""},
-		{"the other one has just gone", []observation{{0, []string{"v1", "v2"}}, {2 * StreamMemory, []string{"v2"}}}, ""},
-		{"the other one has gone for long", []observation{{0, []string{"v1", "v2"}}, {StreamMemory / 2, []string{"v2"}}}, "v2"},
-		{"a version that came back", []observation{{0, []string{"v1"}}, {time.Second, []string{"v2"}}, {2 * StreamMemory, []string{"v1"}}}, ""},
+		{"nothing seen", false, nil, ""},
+		{"one version for long", false, []observation{{0, []string{"v1"}}, {2 * StreamMemory, []string{"v1"}}}, "v1"},
+		{"one version for a short time", false, []observation{{3 * StreamMemory / 2, []string{"v1"}}, {2 * StreamMemory, []string{"v1"}}}, ""},
+		{"two versions", false, []observation{{0, []string{"v1"}}, {2 * StreamMemory, []string{"v1", "v2"}}}, ""},
+		{"the other one has just gone", false, []observation{{0, []string{"v1", "v2"}}, {2 * StreamMemory, []string{"v2"}}}, ""},
+		{"the other one has gone for long", false, []observation{{0, []string{"v1", "v2"}}, {StreamMemory / 2, []string{"v2"}}}, "v2"},
+		{"a version that came back", false, []observation{{0, []string{"v1"}}, {time.Second, []string{"v2"}}, {2 * StreamMemory, []string{"v1"}}}, ""},
+		{"first start, one version", true, []observation{{2*StreamMemory - time.Second, []string{"v1"}}}, "v1"},
+		{"first start, two versions", true, []observation{{2*StreamMemory - time.Second, []string{"v1"}}, {2 * StreamMemory, []string{"v2"}}}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			start := time.Unix(1, 0)
-			var h VersionHistory
+			h := VersionHistory{IsComplete: c.isComplete}
 			for _, o := range c.observations {
 				h.Observe(start.Add(o.at), o.versions)
 			}
-			got, ok := h.Only(start.Add(2 * StreamMemory))
+			got, ok := h.Only(start.Add(2*StreamMemory), StreamMemory)
 			if !ok {
 				got = ""
 			}
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -168,8 +168,9 @@
 	Tokens     int64
 }
 
-// StreamVersion is the service and the software version of the endpoint that began a stream. It is also the payload of the request that asks for the
-// version, which sets only Stream.
+// StreamVersion is the service and the software version of the endpoint that began a stream. It is also the payload of the request that
+// asks for the version, without the version. In an answer with a Stream of zero, Version is the only one of the service that has
+// served lately.
 type StreamVersion struct {
 	// Stream identifies the stream by a hash of its team and the identifier of the request that brought its first event.
 	Stream           uint64
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -79,8 +79,9 @@
 type StreamKeeper interface {
 	// KeepVersions keeps the versions of streams.
 	KeepVersions(list []StreamVersion)
-	// Version returns the version of a stream, or false if it isn't known.
-	Version(stream uint64) (StreamVersion, bool)
+	// Version returns the version of a stream. If that isn't known, it returns the only version of the service that has served lately, with
+	// a Stream of zero, or false if there were several.
+	Version(stream uint64, service string) (StreamVersion, bool)
 }
 
 // Node accepts connections of other routers, handles their requests, and sends requests to them over connections that it
@@ -349,7 +350,7 @@
 	if rest, err := requested.UnmarshalMsg(payload); !ok || err != nil || len(rest) > 0 {
 		return answer{Refusal: ErrMalformed.Error()}
 	}
-	known, isKnown := keeper.Version(requested.Stream)
+	known, isKnown := keeper.Version(requested.Stream, requested.Service)
 	if !isKnown {
 		return answer{}
 	}
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -183,9 +183,9 @@
 	return nil
 }
 
-// FetchVersion asks another router for the version of a stream. It returns false if that router doesn't know it.
-func (n *Node) FetchVersion(ctx context.Context, to Address, stream uint64) (StreamVersion, bool, error) {
-	known := StreamVersion{Stream: stream}
+// FetchVersion asks another router for the version of a stream of a service. It returns what StreamKeeper.Version returns there.
+func (n *Node) FetchVersion(ctx context.Context, to Address, stream uint64, service string) (StreamVersion, bool, error) {
+	known := StreamVersion{Stream: stream, Service: service}
 	payload, err := known.MarshalMsg(nil)
 	if err != nil {
 		return known, false, err
@@ -200,7 +200,7 @@
 	if err := a.decodePayload(&known); err != nil {
 		return known, false, err
 	}
-	return known, known.Stream == stream, nil
+	return known, known.Stream == stream || known.Stream == 0 && known.Service == service, nil
 }
 
 // SendNotice sends a placement notice to another router as a datagram, which may be lost without an error.
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -118,7 +118,9 @@
 func (r *Routers) KeepVersions(list []peer.StreamVersion) { r.Streams.KeepVersions(list) }
 
 // Version implements peer.StreamKeeper.
-func (r *Routers) Version(stream uint64) (peer.StreamVersion, bool) { return r.Streams.Version(stream) }
+func (r *Routers) Version(stream uint64, service string) (peer.StreamVersion, bool) {
+	return r.Streams.Version(stream, service)
+}
 
 // SendVersions implements streamPeers.
 func (r *Routers) SendVersions(ctx context.Context, instance string, list []peer.StreamVersion) error {
@@ -130,12 +132,12 @@
 }
 
 // FetchVersion implements streamPeers.
-func (r *Routers) FetchVersion(ctx context.Context, instance string, stream uint64) (peer.StreamVersion, bool, error) {
+func (r *Routers) FetchVersion(ctx context.Context, instance string, stream uint64, service string) (peer.StreamVersion, bool, error) {
 	to, err := r.peerAddress(instance)
 	if err != nil {
 		return peer.StreamVersion{}, false, err
 	}
-	return r.Node.FetchVersion(ctx, to, stream)
+	return r.Node.FetchVersion(ctx, to, stream, service)
 }
 
 // ShareHolders implements allowance.Lenders.
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -63,6 +63,10 @@
 // SetRetryLimits sets the operators' limits on the retries of the fleet. It may be called while requests are served.
 func (s *Server) SetRetryLimits(bounds endpoint.RepeatBounds) { s.retries.setLimits(bounds) }
 
+// SetFirstStart tells the server that the site starts for the first time: no stream is older than this process. It must be called before
+// the first request.
+func (s *Server) SetFirstStart() { s.streams.isFirstStart = true }
+
 // ConnectRouters makes the server exchange placement notices, crash records, rate limits and versions of streams with other routers. It must be
 // called before the first request.
 func (s *Server) ConnectRouters(routers *Routers) {
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -25,6 +25,8 @@
 	streamSendDelay = 50 * time.Millisecond
 	// streamCallTimeout bounds a message to a keeper: a handshake and an exchange between regions.
 	streamCallTimeout = 300 * time.Millisecond
+	// resumptionMargin is the time by which a caller may resume a stream later than the route's timeout allows a request to take.
+	resumptionMargin = 3 * time.Second
 	// maxQueuedStreams bounds the versions of streams that wait to be sent; those of further streams are kept by this router only.
 	maxQueuedStreams = 2048
 )
@@ -47,8 +49,8 @@
 type streamPeers interface {
 	// SendVersions makes the router on an instance keep the versions of streams.
 	SendVersions(ctx context.Context, instance string, list []peer.StreamVersion) error
-	// FetchVersion asks the router on an instance for the version of a stream, which it knows or not.
-	FetchVersion(ctx context.Context, instance string, stream uint64) (peer.StreamVersion, bool, error)
+	// FetchVersion asks the router on an instance for the version of a stream of a service. See peer.StreamKeeper.
+	FetchVersion(ctx context.Context, instance string, stream uint64, service string) (peer.StreamVersion, bool, error)
 }
 
 // streamTracker remembers which software versions began streams, here and for other routers, so that a stream can be resumed at any
@@ -59,6 +61,8 @@
 	self   string
 	roster *peer.Roster
 	peers  streamPeers
+	// isFirstStart reports whether the site has started for the first time, so that no stream is older than this process.
+	isFirstStart bool
 
 	mu        sync.Mutex
 	versions  endpoint.StreamVersions[peer.StreamVersion]
@@ -90,7 +94,15 @@
 }
 
 // Version implements peer.StreamKeeper.
-func (s *streamTracker) Version(stream uint64) (peer.StreamVersion, bool) {
+func (s *streamTracker) Version(stream uint64, service string) (peer.StreamVersion, bool) {
+	if known, ok := s.known(stream); ok {
+		return known, true
+	}
+	return s.onlyVersion(service, endpoint.StreamMemory)
+}
+
+// known returns the version of a stream if this router remembers it.
+func (s *streamTracker) known(stream uint64) (peer.StreamVersion, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.versions.Get(time.Now(), stream)
@@ -118,21 +130,21 @@
 	defer s.mu.Unlock()
 	for service, versions := range directory.SoftwareVersions() {
 		if s.histories[service] == nil {
-			s.histories[service] = &endpoint.VersionHistory{}
+			s.histories[service] = &endpoint.VersionHistory{IsComplete: s.isFirstStart}
 		}
 		s.histories[service].Observe(now, versions)
 	}
 }
 
-// onlyVersion returns the version that has begun all streams of a service that may still be resumed, if there is just one.
-func (s *streamTracker) onlyVersion(service string) (peer.StreamVersion, bool) {
+// onlyVersion returns the version that has begun all streams of a service within a time before now, if there is just one.
+func (s *streamTracker) onlyVersion(service string, within time.Duration) (peer.StreamVersion, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	history := s.histories[service]
 	if history == nil {
 		return peer.StreamVersion{}, false
 	}
-	version, ok := history.Only(time.Now())
+	version, ok := history.Only(time.Now(), within)
 	return peer.StreamVersion{Service: service, Version: version}, ok
 }
 
@@ -247,15 +259,18 @@
 	return s.ranked[bucket]
 }
 
-// lookUp returns the version of a stream, or false if neither this router nor one of the stream's keepers knows it.
-func (s *streamTracker) lookUp(ctx context.Context, stream uint64) (peer.StreamVersion, bool) {
-	if known, ok := s.Version(stream); ok {
+// lookUp returns the version of a stream that began within a time before now. If neither this router nor one of the stream's keepers
+// remembers it, it returns the only version that has served in that time, as this router or else a keeper knows. It returns false
+// if there were several, or nobody knows.
+func (s *streamTracker) lookUp(ctx context.Context, stream uint64, service string, within time.Duration) (peer.StreamVersion, bool) {
+	if known, ok := s.known(stream); ok {
 		return known, true
 	}
+	only, hasOnly := s.onlyVersion(service, within)
 	asked := s.keepers(stream, maxStreamLookups)
 	answers := make(chan streamAnswer, len(asked))
 	for _, instance := range asked {
-		q := &streamQuestion{tracker: s, to: instance, stream: stream, answers: answers}
+		q := &streamQuestion{tracker: s, to: instance, stream: stream, service: service, answers: answers}
 		// A question that is cancelled would end the connection and with it other calls.
 		go q.run(context.WithoutCancel(ctx))
 	}
@@ -264,12 +279,15 @@
 		case <-ctx.Done():
 			return peer.StreamVersion{}, false
 		case a := <-answers:
-			if a.isKnown {
+			if a.isKnown && a.known.Stream == stream {
 				return a.known, true
 			}
+			if a.isKnown && !hasOnly {
+				only, hasOnly = a.known, true
+			}
 		}
 	}
-	return peer.StreamVersion{}, false
+	return only, hasOnly
 }
 
 // streamAnswer is another router's answer to a streamQuestion.
@@ -283,6 +301,7 @@
 	tracker *streamTracker
 	to      string
 	stream  uint64
+	service string
 	answers chan<- streamAnswer
 }
 
@@ -290,7 +309,7 @@
 func (q *streamQuestion) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
-	known, isKnown, err := q.tracker.peers.FetchVersion(ctx, q.to, q.stream)
+	known, isKnown, err := q.tracker.peers.FetchVersion(ctx, q.to, q.stream, q.service)
 	q.tracker.recordCall(q.to, err)
 	q.answers <- streamAnswer{known, isKnown && err == nil}
 }
@@ -306,11 +325,9 @@
 	if !j.hasVersions(directory) {
 		return nil
 	}
-	known, ok := j.server.streams.lookUp(ctx, j.resumedStream())
-	if !ok && len(j.route.Services) == 1 {
-		known, ok = j.server.streams.onlyVersion(j.service)
-	}
-	if !ok {
+	known, ok := j.server.streams.lookUp(ctx, j.resumedStream(), j.service, j.longestResumption())
+	isInferred := known.Stream != j.resumedStream()
+	if !ok || isInferred && (len(j.route.Services) > 1 || len(directory.SoftwareVersions()[j.service]) > 1) {
 		return verdict.Refuse(verdict.StreamVersionUnknown, "")
 	}
 	j.setService(j.server.state.Configuration.Load(), known.Service)
@@ -322,6 +339,14 @@
 	return nil
 }
 
+// longestResumption returns how long after the begin of a stream its caller may resume it.
+func (j *job) longestResumption() time.Duration {
+	if j.route.Timeout > 0 {
+		return min(endpoint.StreamMemory, j.route.Timeout+resumptionMargin)
+	}
+	return endpoint.StreamMemory
+}
+
 // isResumableStream reports whether the request is for a stream that may be resumed.
 func (j *job) isResumableStream() bool { return j.route.Kind == site.Streaming && j.route.Resumable }
 
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -110,6 +110,15 @@
 		assert.Equal(t, true, strings.Contains(got.body, `"code":"stream_version_gone"`))
 		g.assertRequestCounts(1, 0)
 	})
+	t.Run("caller resumes, one version since the first start", func(t *testing.T) {
+		for _, isFirstStart := range []bool{true, false} {
+			g := newGatewayTest(t, answerSealed(second))
+			g.server.streams.isFirstStart = isFirstStart
+			g.setVersions("v1")
+			got := g.resumeStream("id-2", "")
+			assert.Equal(t, isFirstStart, got.status == http.StatusOK)
+		}
+	})
 	t.Run("caller resumes, nobody knows the version", func(t *testing.T) {
 		for _, resumed := range []string{"id-0", ""} {
 			g := newGatewayTest(t, answerSealed(first), answerSealed(second))
@@ -143,13 +152,19 @@
 	waitFor(t, func() bool {
 		known := 0
 		for _, g := range gateways[1:] {
-			if _, ok := g.server.streams.Version(streamKey("studio", "id-1")); ok {
+			if _, ok := g.server.streams.known(streamKey("studio", "id-1")); ok {
 				known++
 			}
 		}
 		return known == streamKeepers
 	})
 	stops[0]()
+	gateways[3].server.streams.isFirstStart = true
+	gateways[3].setVersions("", "", "v1")
+	gateways[3].server.streams.observe(time.Now(), gateways[3].state.Directory.Load())
+	gateways[2].setVersions("", "", "v1")
+	assert.Equal(t, second, gateways[2].resumeStream("id-2", "").body)
+	gateways[2].endpoints[2].requests = nil
 	for _, g := range gateways[1:] {
 		for range versionTries {
 			g.setVersions("", "v2", "v1")
@@ -204,12 +219,12 @@
 }
 
 // FetchVersion implements streamPeers.
-func (p *streamNetworkPeer) FetchVersion(ctx context.Context, instance string, stream uint64) (peer.StreamVersion, bool, error) {
+func (p *streamNetworkPeer) FetchVersion(ctx context.Context, instance string, stream uint64, service string) (peer.StreamVersion, bool, error) {
 	tracker, err := p.reach(ctx, instance)
 	if err != nil {
 		return peer.StreamVersion{}, false, err
 	}
-	known, ok := tracker.Version(stream)
+	known, ok := tracker.Version(stream, service)
 	return known, ok, nil
 }
 
@@ -289,7 +304,7 @@
 						for n.isDead[resuming] {
 							resuming = instances[random.IntN(routers)]
 						}
-						got, ok := n.trackers[resuming].lookUp(ctx, streamKey("team", strconv.Itoa(i)))
+						got, ok := n.trackers[resuming].lookUp(ctx, streamKey("team", strconv.Itoa(i)), "engine", time.Minute)
 						switch {
 						case ok && got.Version == version(i):
 							known++
