Send an endpoint with a rate limit a request if nobody has heard of it for 3 s

The engine was held and had room, and lost each comparison of predicted costs, so that no router would have learned of the end of its limit. Change: of the endpoints that may get a request, those with a limit that is unheard of for 3 s go first; TestOldLimitIsTried failed before.

--- a/router/gateway/limits.go
+++ b/router/gateway/limits.go
@@ -28,10 +28,10 @@
 	// maxRecordedLimits bounds the record of rate limits to a few tens of KB.
 	maxRecordedLimits = 256
 	// limitedLoadPenalty is the number of requests added to the load of an endpoint that names a rate limit: few requests in
-	// progress there don't say that it is idle. There is no penalty later than limitNewsTime after the newest answer, as only a request
-	// shows whether the limit is still in force.
+	// progress there don't say that it is idle.
 	limitedLoadPenalty = 2
-	limitNewsTime      = 3 * time.Second
+	// limitNewsTime is the age of a limit's newest answer from which on the endpoint gets the next request that the limit allows.
+	limitNewsTime = 3 * time.Second
 	// otherRouterDelay is the mean time after which a request may come again, at another router, that found only endpoints whose
 	// rate limits other routers hold.
 	otherRouterDelay = 1 * time.Second
@@ -132,13 +132,28 @@
 }
 
 // loadPenalty returns the number of requests added to an endpoint's load for its rate limit.
-func (e *target) loadPenalty(now time.Time) int {
-	if e.limit.Rate() > 0 && e.limit.Age(now) <= limitNewsTime {
+func (e *target) loadPenalty() int {
+	if e.limit.Rate() > 0 {
 		return limitedLoadPenalty
 	}
 	return 0
 }
 
+// preferUnheard returns the endpoints whose rate limits nobody has heard of for limitNewsTime, or else all: only a request shows whether a
+// limit is still in force.
+func preferUnheard(now time.Time, eligible []*target) []*target {
+	var unheard []*target
+	for _, e := range eligible {
+		if e.limit.Rate() > 0 && e.limit.Age(now) > limitNewsTime {
+			unheard = append(unheard, e)
+		}
+	}
+	if len(unheard) > 0 {
+		return unheard
+	}
+	return eligible
+}
+
 // recordRateLimit records the rate of requests that an endpoint names in the answer to a request that was sent at a time.
 func (s *Server) recordRateLimit(e *target, sentAt time.Time, response *http.Response) {
 	if s.protocol.RateLimit == "" {
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -94,7 +94,8 @@
 	if len(eligible) == 0 {
 		return nil, t.refuseLocked(now, j)
 	}
-	chosen := t.leastLoaded(now, eligible, j.random)
+	eligible = preferUnheard(now, eligible)
+	chosen := t.leastLoaded(eligible, j.random)
 	if j.engine != nil {
 		chosen = t.chooseEngineLocked(now, eligible, j)
 	}
@@ -146,12 +147,12 @@
 
 // leastLoaded returns the endpoint with the fewest requests in flight, after adding remoteLoadPenalty to endpoints in
 // other regions. Hashing with the request's random number breaks ties.
-func (t *targets) leastLoaded(now time.Time, eligible []*target, random uint64) *target {
+func (t *targets) leastLoaded(eligible []*target, random uint64) *target {
 	var chosen *target
 	var lowestLoad int
 	var highestRank uint64
 	for _, e := range eligible {
-		load := e.inFlight + e.loadPenalty(now)
+		load := e.inFlight + e.loadPenalty()
 		if t.location.isRemote(e) {
 			load += remoteLoadPenalty
 		}
@@ -173,7 +174,7 @@
 	candidates := make([]placement.Candidate, 0, len(eligible))
 	for _, e := range eligible {
 		candidates = append(candidates, placement.Candidate{
-			Hash: endpoint.MixHash(e.hash ^ affinityHash), Wait: e.backlog.Wait(now), CachedTokens: e.cache.CachedTokens(now, j.demand.Parts), InFlight: e.inFlight + e.loadPenalty(now),
+			Hash: endpoint.MixHash(e.hash ^ affinityHash), Wait: e.backlog.Wait(now), CachedTokens: e.cache.CachedTokens(now, j.demand.Parts), InFlight: e.inFlight + e.loadPenalty(),
 			Slowness: e.slowness, IsRemote: t.location.isRemote(e),
 		})
 	}
--- a/router/gateway/rate_limits_test.go
+++ b/router/gateway/rate_limits_test.go
@@ -215,3 +215,21 @@
 	assert.Equal(t, http.StatusServiceUnavailable, g.call(http.MethodPost, "/order/", "", nil).status)
 	g.assertRequestCounts(1)
 }
+
+// TestOldLimitIsTried guards against an endpoint that gets no requests any more because others look better, so that no router learns that its
+// limit has ended.
+func TestOldLimitIsTried(t *testing.T) {
+	for _, c := range []struct{ path, endpoint string }{{"/order/", "plaina"}, {"/talk/", "enginea"}} {
+		for range 8 {
+			g := newGatewayTest(t, answerSealed("id: 1\n\n"), answerSealed("id: 1\n\n"))
+			g.call(http.MethodPost, c.path, "", nil)
+			before := g.endpoints[0].requestCount()
+			g.server.targets.mu.Lock()
+			limited := g.server.targets.byName[c.endpoint]
+			limited.limit.RecordAnswer(time.Now().Add(-time.Minute), time.Now().Add(-time.Minute), 10)
+			g.server.targets.mu.Unlock()
+			g.call(http.MethodPost, c.path, "", nil)
+			assert.Equal(t, before+1, g.endpoints[0].requestCount())
+		}
+	}
+}
