Tell requests that end with their router from those whose callers left

Both ended as caller_left, so that the hypotheses on requests lost in a stop couldn't be told apart. The requests' contexts end with a cause of their own, request ended says Leaving and Stopped, and the end of the grace period how many connections were open. No change of behaviour.

--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -74,6 +74,13 @@
 	return idle, len(c.states)
 }
 
+// count returns the number of open connections.
+func (c *callerConnections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.states)
+}
+
 // callerConnection is a caller's connection that records when data was last read from it.
 type callerConnection struct {
 	byteCountingConnection
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -72,6 +72,8 @@
 	Agreement *timeofday.Agreement
 
 	callers callerConnections
+	// endRequests ends the contexts of all requests in progress.
+	endRequests context.CancelCauseFunc
 	// lastReady is the result of the load balancer's last readiness check.
 	lastReady atomic.Bool
 }
@@ -82,10 +84,7 @@
 	defer stop()
 	// Callers and other routers are served from here on.
 	n.Server.ConnectRouters(n.Routers)
-	callerServer := &http.Server{
-		Handler: n.closeConnections(n.Server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: n.callers.trackState,
-	}
+	callerServer := n.newCallerServer()
 	operatorServer := &http.Server{Handler: n.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, l := range []struct {
@@ -140,6 +139,16 @@
 	return err
 }
 
+// newCallerServer returns the HTTP server for callers.
+func (n *Node) newCallerServer() *http.Server {
+	base, endRequests := context.WithCancelCause(context.Background())
+	n.endRequests = endRequests
+	return &http.Server{
+		Handler: n.closeConnections(n.Server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: n.callers.trackState, BaseContext: func(net.Listener) context.Context { return base },
+	}
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	return (&net.ListenConfig{Control: SetUserTimeout, KeepAliveConfig: KeepAlive()}).Listen(ctx, "tcp", address)
 }
@@ -198,7 +207,8 @@
 	shutdownContext, cancelShutdown := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancelShutdown()
 	if err := callerServer.Shutdown(shutdownContext); err != nil {
-		n.Logger.WithError(err).Warn("grace period is over; aborting the remaining requests")
+		n.Logger.WithField("Connections", n.callers.count()).WithError(err).Warn("grace period is over; aborting the remaining requests")
+		n.endRequests(errStopping)
 		_ = callerServer.Close()
 	}
 	stopPayer()
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -32,6 +32,12 @@
 	maxRequestTime = 60 * time.Second
 )
 
+// errStopping is the cause with which the contexts of requests end that a router stops with.
+var errStopping = errors.New("the router stops")
+
+// isStopped reports whether a request's context ended because the router stops, and not because the caller left.
+func isStopped(r *http.Request) bool { return errors.Is(context.Cause(r.Context()), errStopping) }
+
 // Server is the HTTP handler for callers' requests.
 type Server struct {
 	state    *Board
@@ -372,6 +378,9 @@
 		fieldRequest: j.callerIdentifier(), "Status": j.status, "Outcome": j.outcome,
 		fieldMilliseconds: time.Since(j.received).Milliseconds(), "Attempts": len(j.tried),
 	}
+	if j.server.state.Leaving.Load() {
+		fields["Leaving"], fields["Stopped"] = true, isStopped(j.r)
+	}
 	if j.route != nil {
 		fields["Route"], fields["Kind"] = j.route.Name, j.route.Kind.String()
 	}
