Reproduce requests that get no answer from a router that stops

A stop in simulated time: requests whose endpoint gives no answer lose their connection when the grace period ends, and a request on a connection from before the stop is sent to an endpoint and cut there. On the own interface the same happens when the drain maximum is over and at a second signal.

--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -35,6 +36,12 @@
 }
 
 func startRouterFixture(t *testing.T, drainDelay time.Duration) *routerFixture {
+	t.Helper()
+	return startRouterFixtureWith(t, func(settings *Settings) { settings.DrainDelay = drainDelay })
+}
+
+// startRouterFixtureWith starts a router with changed settings.
+func startRouterFixtureWith(t *testing.T, change func(*Settings)) *routerFixture {
 	t.Helper()
 	s := &routerFixture{
 		platformLog:    &memory.Log{},
@@ -47,7 +54,7 @@
 	t.Cleanup(s.endpoint.Close)
 	s.submitTicket(t)
 	settings := fixtureSettings(t)
-	settings.DrainDelay = drainDelay
+	change(settings)
 	s.start(t, settings)
 	return s
 }
@@ -188,6 +195,37 @@
 	assert.Equal(t, 0, len(state.Incarnations()))
 }
 
+// TestEndAnswersEveryRequest guards against a router that ends without an answer to a request whose endpoint gives none.
+func TestEndAnswersEveryRequest(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		maximum time.Duration
+		signals int
+		want    error
+	}{
+		{"the drain maximum is over", time.Second, 1, context.DeadlineExceeded},
+		{"a second signal", time.Minute, 2, errForced},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startRouterFixtureWith(t, func(settings *Settings) {
+				settings.DrainDelay, settings.DrainMaximum = time.Millisecond, c.maximum
+			})
+			waitUntil(t, func() bool { _, found := s.readLedger(t).Budget("main"); return found })
+			answer := make(chan string, 1)
+			go func() { answer <- s.sendBooking("waiting") }()
+			<-s.requestArrived
+			for range c.signals {
+				s.signals <- syscall.SIGTERM
+			}
+			assert.Equal(t, "502", strings.SplitN(<-answer, " ", 2)[0])
+			if err := <-s.runResult; !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+			close(s.allowAnswer)
+		})
+	}
+}
+
 // TestSecondSignal guards against a router that ignores a second signal during its drain delay.
 func TestSecondSignal(t *testing.T) {
 	s := startRouterFixture(t, time.Minute)
--- /dev/null
+++ b/router/gateway/stop_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+)
+
+// pipeListener is a net.Listener whose connections are in-memory pipes.
+type pipeListener struct {
+	accepted  chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.accepted:
+		return connection, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial() (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	select {
+	case l.accepted <- theirs:
+		return ours, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// stopTest is a router that is told to stop while requests are in progress, with callers and an endpoint on in-memory connections.
+type stopTest struct {
+	t        *testing.T
+	gateway  *gatewayTest
+	node     *Node
+	callers  *pipeListener
+	endpoint *http.Server
+	server   *http.Server
+	stopped  chan struct{}
+}
+
+// runStopTest runs check in a bubble with a router whose endpoint answers with the given handler. The grace period is 8 s.
+func runStopTest(t *testing.T, answer http.HandlerFunc, check func(s *stopTest)) {
+	t.Helper()
+	g := newGatewayTest(t, answer)
+	synctest.Test(t, func(t *testing.T) {
+		s := &stopTest{t: t, gateway: g, callers: newPipeListener(), stopped: make(chan struct{})}
+		endpoints := newPipeListener()
+		s.endpoint = &http.Server{Handler: g.endpoints[0], ReadHeaderTimeout: time.Minute}
+		go func() { _ = s.endpoint.Serve(endpoints) }()
+		g.server.targets.mu.Lock()
+		for _, route := range testRoutes() {
+			g.server.targets.updateDirectoryLocked(g.state.Directory.Load(), route.Services)
+		}
+		for _, e := range g.server.targets.byName {
+			e.transport.DialContext = func(context.Context, string, string) (net.Conn, error) { return endpoints.dial() }
+		}
+		g.server.targets.mu.Unlock()
+		s.node = &Node{Settings: Settings{Grace: 8 * time.Second}, Board: g.state, Server: g.server, Payer: g.server.payer, Logger: g.server.logger}
+		s.server = s.node.newCallerServer()
+		s.node.callers.listener = callerListener{Listener: s.callers, traffic: &Traffic{}}
+		go func() { _ = serve(s.server, s.node.callers.listener) }()
+		defer s.close()
+		check(s)
+	})
+}
+
+func (s *stopTest) close() {
+	_ = s.endpoint.Close()
+	_ = s.server.Close()
+	for _, e := range s.gateway.server.targets.byName {
+		e.transport.CloseIdleConnections()
+	}
+}
+
+// stop tells the router to stop. It returns at once.
+func (s *stopTest) stop() {
+	go func() {
+		defer close(s.stopped)
+		s.node.shutDown(s.t.Context(), s.server, func() {}, &errgroup.Group{})
+	}()
+}
+
+// caller is a caller with one connection that it uses for several requests.
+type caller struct {
+	s          *stopTest
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+func (s *stopTest) newCaller() *caller {
+	connection, err := s.callers.dial()
+	assert.Must(s.t, err)
+	s.t.Cleanup(func() { _ = connection.Close() })
+	return &caller{s: s, connection: connection, reader: bufio.NewReader(connection)}
+}
+
+// send writes a request whose deadline is the given number of milliseconds ahead.
+func (c *caller) send(path, milliseconds string) {
+	_, err := io.WriteString(c.connection, "POST "+path+" HTTP/1.1\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: "+milliseconds+
+		"\r\nContent-Length: 2\r\n\r\nhi")
+	assert.Must(c.s.t, err)
+}
+
+// receive reads an answer and returns its status, or zero if the connection ends before the answer is complete.
+func (c *caller) receive() int {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// waitForCaller delays an answer until the caller leaves or the time is over.
+func waitForCaller(r *http.Request, wait time.Duration) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(wait):
+	}
+}
+
+// TestStopAnswersEveryRequest guards against a stop that closes connections on which a whole request was read and no answer has begun.
+func TestStopAnswersEveryRequest(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		want       int
+	}{
+		{"may run once", "/order/1", http.StatusBadGateway},
+		{"may be repeated", "/read/1", http.StatusBadGateway},
+		{"stream", "/chat/1", http.StatusBadGateway},
+	} {
+		t.Run("an endpoint that gives no answer, "+c.name, func(t *testing.T) {
+			runStopTest(t, func(_ http.ResponseWriter, r *http.Request) { waitForCaller(r, time.Minute) }, func(s *stopTest) {
+				caller := s.newCaller()
+				caller.send(c.path, "30000")
+				synctest.Wait()
+				s.stop()
+				assert.Equal(t, c.want, caller.receive())
+				<-s.stopped
+			})
+		})
+	}
+	t.Run("a request on a connection from before the stop, which the grace period is too short for", func(t *testing.T) {
+		runStopTest(t, answerSlowly(4*time.Second), func(s *stopTest) {
+			caller := s.newCaller()
+			caller.send("/chat/1", "30000")
+			synctest.Wait()
+			s.stop()
+			assert.Equal(t, http.StatusOK, caller.receive())
+			caller.send("/order/2", "30000")
+			assert.Equal(t, http.StatusServiceUnavailable, caller.receive())
+			assert.Equal(t, 1, s.gateway.endpoints[0].requestCount())
+			<-s.stopped
+		})
+	})
+	t.Run("a request on a connection from before the stop that ends in time", func(t *testing.T) {
+		runStopTest(t, answerSlowly(3*time.Second), func(s *stopTest) {
+			caller := s.newCaller()
+			caller.send("/chat/1", "30000")
+			synctest.Wait()
+			s.stop()
+			assert.Equal(t, http.StatusOK, caller.receive())
+			caller.send("/order/2", "3500")
+			assert.Equal(t, http.StatusOK, caller.receive())
+			<-s.stopped
+		})
+	})
+	t.Run("a request during the stop gets its answer", func(t *testing.T) {
+		runStopTest(t, answerSlowly(time.Second), func(s *stopTest) {
+			s.stop()
+			time.Sleep(2 * time.Second)
+			caller := s.newCaller()
+			caller.send("/order/1", "30000")
+			assert.Equal(t, http.StatusOK, caller.receive())
+			<-s.stopped
+		})
+	})
+}
+
+// answerSlowly returns a handler that begins a successful answer at once and ends it after a delay.
+func answerSlowly(delay time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Seal", "seal-1")
+		if strings.HasPrefix(r.URL.Path, "/chat/") {
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		waitForCaller(r, delay)
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+	}
+}
