Read no request from a connection that is closed as idle

Whether a connection is idle was decided before it was closed, so that a request could be read in between, be sent to an endpoint and lose its connection. Both happen under one lock now; what is read after the decision is dropped. TestDrainedConnectionGivesNoRequest read 3 bytes from the closed connection before.

--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,7 +53,7 @@
 	for {
 		idle, total := c.idleConnections(time.Now())
 		for _, connection := range idle {
-			_ = connection.Close()
+			connection.closeIfQuiet(time.Now())
 		}
 		if total == 0 {
 			return true
@@ -89,21 +88,46 @@
 type callerConnection struct {
 	byteCountingConnection
 
-	lastReadUnixNano atomic.Int64
+	mu       sync.Mutex
+	lastRead time.Time
+	// isClosed is true once the connection was closed as quiet.
+	isClosed bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns no data that arrived while the connection was closed as quiet, so that no request is read
+// from it that can't be answered.
 func (c *callerConnection) Read(p []byte) (int, error) {
 	n, err := c.byteCountingConnection.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
-		c.lastReadUnixNano.Store(time.Now().UnixNano())
+		c.lastRead = time.Now()
 	}
 	return n, err
 }
 
+// closeIfQuiet closes the connection if it is quiet.
+func (c *callerConnection) closeIfQuiet(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isQuietLocked(now) {
+		c.isClosed = true
+		_ = c.Close()
+	}
+}
+
 // isQuiet reports whether no data was read during the last quietPeriod and the socket's receive buffer is empty.
 func (c *callerConnection) isQuiet(now time.Time) bool {
-	return now.Sub(time.Unix(0, c.lastReadUnixNano.Load())) > quietPeriod && c.unreadBytes() == 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isQuietLocked(now)
+}
+
+func (c *callerConnection) isQuietLocked(now time.Time) bool {
+	return now.Sub(c.lastRead) > quietPeriod && c.unreadBytes() == 0
 }
 
 // unreadBytes returns the number of bytes in the socket's receive buffer; zero if it can't be determined.
--- a/router/gateway/callers_test.go
+++ b/router/gateway/callers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -118,3 +119,38 @@
 	assert.Equal(t, http.StatusOK, <-answered)
 	<-drained
 }
+
+// lateConnection is a connection whose Read returns data only after the connection was closed.
+type lateConnection struct {
+	net.Conn
+
+	closed chan struct{}
+}
+
+func (c *lateConnection) Read(p []byte) (int, error) {
+	<-c.closed
+	return copy(p, "GET"), nil
+}
+
+func (c *lateConnection) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// TestDrainedConnectionGivesNoRequest guards against a request that is read from a connection while the connection is closed as idle, and can't be answered.
+func TestDrainedConnectionGivesNoRequest(t *testing.T) {
+	socket, err := listen(t.Context(), "127.0.0.1:0")
+	assert.Must(t, err)
+	c := &callerConnections{listener: socket}
+	connection := &callerConnection{byteCountingConnection: byteCountingConnection{
+		Conn: &lateConnection{closed: make(chan struct{})}, traffic: &Traffic{},
+	}}
+	c.trackState(connection, http.StateIdle)
+	drained := make(chan struct{})
+	go func() { c.drainUntil(t.Context(), time.Now().Add(time.Hour)); close(drained) }()
+	n, err := connection.Read(make([]byte, 3))
+	assert.Equal(t, 0, n)
+	assert.Equal(t, true, errors.Is(err, net.ErrClosed))
+	c.trackState(connection, http.StateClosed)
+	<-drained
+}
