Answer requests whose handler panics

net/http answers a panic by closing the connection: a whole request would get neither an answer nor a refusal, and its tokens stay reserved. No panic has been seen; this closes a way in which a request can be lost.

--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -28,6 +28,7 @@
 	streamVersionsNotSent   = "stream.versions_not_sent"
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
+	handlerPanicked         = "request.panicked"
 )
 
 // Description is the name of a counter or histogram and what it measures.
@@ -54,5 +55,6 @@
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
+		{handlerPanicked, "Requests that were answered with an error because their handler panicked; expected to stay zero."},
 	}
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -143,13 +144,32 @@
 // incomplete answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{server: s, w: w, r: r, received: time.Now(), random: rand.Uint64()} //nolint:gosec // spreads load
-	abort := j.serve()
+	abort := j.serveRecovering()
 	j.logEnd()
 	if abort {
 		http1.Abort(w, r)
 	}
 }
 
+// serveRecovering serves the request and answers it if that panics, so that the caller doesn't lose its connection without an answer. Tokens that
+// were reserved are billed as if the request had run, since a panic may have come after an attempt.
+func (j *job) serveRecovering() (abort bool) {
+	defer func() {
+		fault := recover()
+		if fault == nil {
+			return
+		}
+		j.server.state.Count(handlerPanicked)
+		j.server.logger.WithFields(log.Fields{fieldRequest: j.callerIdentifier(), "Stack": string(debug.Stack())}).Errorf("handler panicked: %v", fault)
+		j.mayHaveRun = true
+		j.reservation.Settle(j.billedTokens())
+		if abort = j.responseStarted; !abort {
+			j.refuse(&verdict.Refusal{Verdict: verdict.MayHaveRun, Reason: verdict.Internal})
+		}
+	}()
+	return j.serve()
+}
+
 // serve answers the request. It reports whether the connection to the caller must be aborted because the answer is
 // incomplete.
 func (j *job) serve() bool {
