Answer every request before a router of the own interface ends

The requests' contexts now end with a refusal as the cause, and the router waits up to a second for the answers: 503 router_shutting_down if the request has not run, 502 outcome_unknown if it may have.

--- a/router/caller/serve.go
+++ b/router/caller/serve.go
@@ -24,13 +24,28 @@
 	defer cancel()
 	reservation, err := s.accounts.Reserve(ctx, checked.demand)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuse(w, endedByRouter(r, err))
 		return
 	}
 	checked.call.CheckDispatch = reservation.CheckDispatch
 	w.Header().Set(HeaderVerdict, verdict.Ran.String())
 	result, err := s.dispatcher.Do(ctx, checked.call, w)
-	s.settle(ctx, w, callOutcome{received: r, request: checked, reservation: reservation, result: result, err: err})
+	s.settle(ctx, w, callOutcome{received: r, request: checked, reservation: reservation, result: result, err: endedByRouter(r, err)})
+}
+
+// endedByRouter returns the error for the caller of a request that ended with err. If the router ended the request's context, with a refusal as
+// the cause, the caller did not leave and gets that refusal, or one that promises nothing if the request may have run.
+func endedByRouter(r *http.Request, err error) error {
+	var stop, refusal *verdict.Refusal
+	if !errors.As(context.Cause(r.Context()), &stop) || !errors.As(err, &refusal) || refusal.Reason != verdict.CallerDisconnected {
+		return err
+	}
+	ended := *refusal
+	ended.Reason, ended.RetryAfter = stop.Reason, stop.RetryAfter
+	if ended.Verdict != verdict.NotRun {
+		ended.Reason = verdict.OutcomeUnknown
+	}
+	return &ended
 }
 
 // callOutcome is a request with its reservation and the result of the call to an endpoint.
--- a/router/drain.go
+++ b/router/drain.go
@@ -5,12 +5,18 @@
 	"fmt"
 	"os"
 	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
+// answerTime is how long handlers may take to answer the requests in progress that the router ends.
+const answerTime = time.Second
+
 // waitAndDrain waits for a signal and then shuts the router down gracefully; a second signal makes it return errForced. If ctx
 // ends first, because a loop failed, it returns nil without a shutdown. The order of the shutdown matters: the router first
 // reports to the load balancer that it is not ready, then refuses new requests, then waits for those in flight. The ledger
-// client appends its last records and leaves at the end, because requests in flight still have to be billed.
+// client appends its last records and leaves at the end, because requests in flight still have to be billed. Requests that are in flight
+// when the wait is over, or at a second signal, are ended with an answer.
 func (p *program) waitAndDrain(ctx context.Context, callers *listener, signals <-chan os.Signal) error {
 	select {
 	case <-ctx.Done():
@@ -25,6 +31,7 @@
 	case err := <-d.done:
 		return err
 	case <-signals:
+		d.endRequests(ctx)
 		return errForced
 	}
 }
@@ -48,6 +55,7 @@
 	d.program.Board.Draining.Store(true)
 	d.program.Logger.Info("refusing new requests")
 	if err := d.callers.server.Shutdown(ctx); err != nil {
+		d.endRequests(context.WithoutCancel(ctx))
 		return fmt.Errorf("waiting for requests in flight: %w", err)
 	}
 	result, err := d.program.Ledger.Drain(ctx)
@@ -61,3 +69,14 @@
 	}
 	return nil
 }
+
+// endRequests ends the requests in flight and waits until they have been answered, up to answerTime.
+func (d *drain) endRequests(ctx context.Context) {
+	d.program.Logger.Warn("ending the requests in flight")
+	d.callers.endRequests(verdict.Refuse(verdict.ShuttingDown, ""))
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	if err := d.callers.server.Shutdown(ctx); err != nil {
+		d.program.Logger.WithError(err).Warn("some requests in flight were not answered")
+	}
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -122,6 +122,8 @@
 type listener struct {
 	server *http.Server
 	socket net.Listener
+	// endRequests ends the contexts of all requests in progress.
+	endRequests context.CancelCauseFunc
 }
 
 func (p *program) listen(ctx context.Context, address string, handler http.Handler) (*listener, error) {
@@ -129,13 +131,15 @@
 	if err != nil {
 		return nil, err
 	}
+	base, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	server := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return base },
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    httpHeaderBytesLimit,
 	}
-	return &listener{server: server, socket: socket}, nil
+	return &listener{server: server, socket: socket, endRequests: endRequests}, nil
 }
 
 func (l *listener) address() string { return l.socket.Addr().String() }
