Keep the router of the own interface running on SIGHUP

A Go program that doesn't handle SIGHUP ends at once: a supervisor's reload, or a terminal that closes, would cut every request without an answer. The router reads no settings while it runs, so that the signal is logged and changes nothing, also during a drain. TestHangup failed before: the router ended.

--- a/router/drain.go
+++ b/router/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -18,24 +19,39 @@
 // client appends its last records and leaves at the end, because requests in flight still have to be billed. Requests that are in flight
 // when the wait is over, or at a second signal, are ended with an answer.
 func (p *program) waitAndDrain(ctx context.Context, callers *listener, signals <-chan os.Signal) error {
-	select {
-	case <-ctx.Done():
+	if !p.awaitStop(ctx, signals) {
 		return nil
-	case <-signals:
 	}
 	drainCtx, cancel := context.WithTimeout(ctx, p.Settings.DrainDelay+p.Settings.DrainMaximum)
 	defer cancel()
 	d := &drain{program: p, callers: callers, done: make(chan error, 1)}
 	go d.run(drainCtx)
+	forced := make(chan bool, 1)
+	go d.runForced(drainCtx, signals, forced)
 	select {
 	case err := <-d.done:
 		return err
-	case <-signals:
+	case <-forced:
 		d.endRequests(ctx)
 		return errForced
 	}
 }
 
+// awaitStop waits for a signal to stop and reports whether one came before ctx ended. SIGHUP is ignored.
+func (p *program) awaitStop(ctx context.Context, signals <-chan os.Signal) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return true
+			}
+			p.Logger.Info("SIGHUP ignored; the router's settings are those of its start")
+		}
+	}
+}
+
 // drain is a graceful shutdown in progress.
 type drain struct {
 	program *program
@@ -43,6 +59,13 @@
 	done    chan error
 }
 
+// runForced reports a second signal to stop on forced.
+func (d *drain) runForced(ctx context.Context, signals <-chan os.Signal, forced chan<- bool) {
+	if d.program.awaitStop(ctx, signals) {
+		forced <- true
+	}
+}
+
 func (d *drain) run(ctx context.Context) { d.done <- d.shutDown(ctx) }
 
 func (d *drain) shutDown(ctx context.Context) error {
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -226,6 +227,28 @@
 	}
 }
 
+// TestHangup guards against a router that ends, or drains, when its terminal or supervisor sends SIGHUP.
+func TestHangup(t *testing.T) {
+	s := startRouterFixture(t, time.Minute)
+	assert.Equal(t, true, slices.Contains(handledSignals(), os.Signal(syscall.SIGHUP)))
+	waitUntil(t, func() bool { _, found := s.readLedger(t).Budget("main"); return found })
+	close(s.allowAnswer)
+	go func() {
+		for range s.requestArrived {
+		}
+	}()
+	s.signals <- syscall.SIGHUP
+	s.signals <- syscall.SIGHUP
+	waitUntil(t, func() bool { return len(s.signals) == 0 || len(s.runResult) > 0 })
+	assert.Equal(t, 0, len(s.runResult))
+	assert.Equal(t, "200 booked", s.sendBooking("running"))
+	s.signals <- syscall.SIGTERM
+	s.signals <- syscall.SIGTERM
+	if err := <-s.runResult; !errors.Is(err, errForced) {
+		t.Errorf("got %v, want %v", err, errForced)
+	}
+}
+
 // TestSecondSignal guards against a router that ignores a second signal during its drain delay.
 func TestSecondSignal(t *testing.T) {
 	s := startRouterFixture(t, time.Minute)
--- a/router/run.go
+++ b/router/run.go
@@ -29,7 +29,7 @@
 		return exitUsage
 	}
 	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, handledSignals()...)
 	defer signal.Stop(signals)
 	err := serve(context.Background(), settings, stderr, signals)
 	switch {
@@ -44,6 +44,11 @@
 	}
 }
 
+// handledSignals returns the signals that the router handles. It reads no settings while it runs, so that SIGHUP changes nothing.
+func handledSignals() []os.Signal {
+	return []os.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}
+}
+
 // signalBuffer is the capacity of the signal channel. os/signal drops signals that a channel has no room for, and the second
 // one, which forces the exit, must not be lost while the first is handled.
 const signalBuffer = 2
