Believe a 421 only if it names the request that it answers

Callers saw 'not run, try again' for a request that an endpoint ran, and such a request ran at a second endpoint: a 421 was taken for proof that the request hasn't run before its request identifier was compared, so that another request's answer, written once more on a kept connection, spoke for the next one. It also took a sound endpoint out of use for good, as if another one had the address, and the notices in such answers were recorded.

The identifier is compared first now, and notices are taken from the request's own answer only. Endpoints repeat the identifier in all their answers.

TestRepeatedRefusal writes a refusal once more at seven places of an exchange, with the identifier of an earlier request and without one.

--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -86,7 +86,9 @@
 	} else {
 		defer func() { _ = response.Body.Close() }()
 		j.framing = framingOf(response)
-		j.server.recordNotices(e, sentAt, response)
+		if j.isOwnAnswer(response) {
+			j.server.recordNotices(e, sentAt, response)
+		}
 		result = j.handleResponse(ctx, response)
 		result.responded = !errors.Is(result.cause, errWrongRequest)
 	}
@@ -165,18 +167,23 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
+// isOwnAnswer reports whether an answer names this request.
+func (j *job) isOwnAnswer(response *http.Response) bool {
+	return response.Header.Get(j.server.protocol.RequestID) == j.callerIdentifier()
+}
+
 // handleResponse checks that an answer belongs to this request and was given by the intended endpoint, then forwards or
 // buffers it.
 func (j *job) handleResponse(ctx context.Context, response *http.Response) attemptResult {
 	protocol := &j.server.protocol
+	if !j.isOwnAnswer(response) {
+		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errWrongRequest}
+	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status), misdirected: true,
 		}
 	}
-	if response.Header.Get(protocol.RequestID) != j.callerIdentifier() {
-		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errWrongRequest}
-	}
 	if response.Header.Get(protocol.NotRun) != "" {
 		discardRefusal(response.Body)
 		return attemptResult{
