Take no answer that contradicts itself for proof that a request hasn't run

A 200 or a 101 with the header that states that a request has not run counted as a refusal: the caller was told 'not run' or the request was sent to a second endpoint. Such answers prove nothing, so the attempt may have run. A 101, which routers don't ask for, was otherwise forwarded as the answer.

TestAnswersThatAreNoRefusals got 503 for both before, and gets 502.

--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -43,6 +43,10 @@
 var (
 	// errWrongRequest is the cause of a failed attempt whose answer has the identifier of another request.
 	errWrongRequest = errors.New("answer to another request")
+	// errProtocolSwitch is the cause of a failed attempt whose answer ends the use of HTTP on the connection.
+	errProtocolSwitch = errors.New("answer switches protocols")
+	// errContradiction is the cause of a failed attempt whose answer is no error and states that the request has not run.
+	errContradiction = errors.New("answer is no error and states that the request has not run")
 	// errUnsealed is the cause of a failed attempt whose successful answer lacks the seal header of an endpoint.
 	errUnsealed = errors.New("success without a seal")
 )
@@ -179,6 +183,9 @@
 	if !j.isOwnAnswer(response) {
 		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errWrongRequest}
 	}
+	if cause := inconsistency(response, protocol.NotRun); cause != nil {
+		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: cause, endpointFailed: true}
+	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status), misdirected: true,
@@ -204,6 +211,19 @@
 	return j.forwardResponse(ctx, response)
 }
 
+// inconsistency returns why an answer says nothing about its request: it switches protocols, which routers don't ask for, or is
+// no error although it states that the request has not run. It returns nil for other answers.
+func inconsistency(response *http.Response, notRun string) error {
+	switch {
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return errProtocolSwitch
+	case response.StatusCode < http.StatusBadRequest && response.Header.Get(notRun) != "":
+		return errContradiction
+	default:
+		return nil
+	}
+}
+
 // discardRefusal reads the body of an endpoint's refusal. It closes the body, and with it the connection, if the body is too
 // long or doesn't end in time.
 func discardRefusal(body io.ReadCloser) {
--- a/router/gateway/refusals_test.go
+++ b/router/gateway/refusals_test.go
@@ -181,6 +181,21 @@
 	assert.Equal(t, "answer to third", g.callAs("third", "").body)
 }
 
+// TestAnswersThatAreNoRefusals guards against answers that contradict themselves and are taken for proof that a request
+// has not run.
+func TestAnswersThatAreNoRefusals(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nUnrun: 1\r\nSeal: s\r\n", "HTTP/1.1 101 Switching Protocols\r\nUnrun: 1\r\nUpgrade: x\r\nConnection: Upgrade\r\n"} {
+		t.Run(head[:16], func(t *testing.T) {
+			g := newGatewayTest(t)
+			e := newRawEndpoint(t, func(connection net.Conn, identifier string) {
+				_, _ = fmt.Fprintf(connection, "%sId: %s\r\nContent-Length: 0\r\n\r\n", head, identifier)
+			})
+			g.setEndpoints(e)
+			assert.Equal(t, http.StatusBadGateway, g.callAs("first", "").status)
+		})
+	}
+}
+
 // callAs sends a request that must not be repeated.
 func (g *gatewayTest) callAs(identifier, body string) callResult {
 	g.t.Helper()
