Send no request where an earlier refusal could pass for its answer

A refusal that an endpoint wrote once more on a kept connection was taken for the answer to a later attempt with the same identifier, or without one: the caller was told 'not run' for a request that ran, or it ran at a second endpoint. The identifier can't tell the two apart, so a connection now remembers the requests that were refused on it, as hashes. A request with one of these identifiers, or without any, goes out on another connection: the write fails before its first byte, and the exchange begins again. A connection is also closed when it brings an answer to another request, since its own may still come.

--- /dev/null
+++ b/router/gateway/connection.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxRefusalsPerConnection bounds the refused requests that a connection remembers. After that many no more requests are
+// sent on it.
+const maxRefusalsPerConnection = 64
+
+// errAmbiguousConnection is the error of a write on a connection on which a repeated refusal of an earlier request could be
+// taken for the answer to the new one.
+var errAmbiguousConnection = errors.New("connection carried a refusal that can't be told from the request's own answer")
+
+// endpointConnection is a connection to an endpoint. Answers are told apart by the identifiers of their requests, and an
+// endpoint may write a refusal twice. No request is therefore sent on a connection on which one with the same identifier
+// was refused.
+type endpointConnection struct {
+	byteCountingConnection
+
+	mu sync.Mutex
+	// isUsed reports whether a request was sent on the connection, isAmbiguous whether writes fail.
+	isUsed, isAmbiguous bool
+	// refused are hashes of the identifiers of refused requests.
+	refused []uint64
+}
+
+// begin is called before a request is sent. A request without an identifier is sent only on a new connection.
+func (c *endpointConnection) begin(identifier string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isKnown := identifier == "" || len(c.refused) >= maxRefusalsPerConnection || slices.Contains(c.refused, xxhash.Sum64String(identifier))
+	c.isAmbiguous = c.isAmbiguous || c.isUsed && isKnown
+	c.isUsed = true
+}
+
+// recordRefusal records that the endpoint refused a request. It has no effect on nil.
+func (c *endpointConnection) recordRefusal(identifier string) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = append(c.refused, xxhash.Sum64String(identifier))
+}
+
+// rejects reports whether writes on the connection fail, so that nothing of a request was sent. It is false for nil.
+func (c *endpointConnection) rejects() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isAmbiguous
+}
+
+// Write implements net.Conn.
+func (c *endpointConnection) Write(p []byte) (int, error) {
+	if c.rejects() {
+		return 0, errAmbiguousConnection
+	}
+	return c.byteCountingConnection.Write(p)
+}
+
+// close closes the connection, so that nothing more is read from it. It has no effect on nil.
+func (c *endpointConnection) close() {
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// roundTrip sends the request to an endpoint and returns the answer. It opens a new connection in place of those on which
+// the answer couldn't be told from an earlier one. writes counts how often the transport has written the request.
+func (j *job) roundTrip(ctx context.Context, e *target, timeLeft time.Duration, writes *atomic.Int32) (*http.Response, error) {
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			j.connection = connectionOf(info.Conn)
+			if j.connection != nil {
+				j.connection.begin(j.callerIdentifier())
+			}
+		},
+		WroteHeaders: func() { writes.Add(1) },
+	})
+	for {
+		j.connection = nil
+		response, err := e.transport.RoundTrip(j.newRequest(traced, e, timeLeft))
+		if err == nil || ctx.Err() != nil || !j.connection.rejects() {
+			return response, err
+		}
+		writes.Store(0)
+	}
+}
+
+func connectionOf(connection net.Conn) *endpointConnection {
+	c, _ := connection.(*endpointConnection)
+	return c
+}
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -79,11 +78,8 @@
 		return attemptResult{verdict: verdict.NotRun, reason: verdict.DeadlineTooShort, cause: context.DeadlineExceeded}
 	}
 	var writes atomic.Int32
-	tracedContext := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { writes.Add(1) },
-	})
 	sentAt := time.Now()
-	response, err := e.transport.RoundTrip(j.newRequest(tracedContext, e, timeLeft))
+	response, err := j.roundTrip(ctx, e, timeLeft, &writes)
 	result := attemptResult{}
 	if err != nil {
 		result = j.classifyFailure(ctx, err, writes.Load() > 0)
@@ -181,17 +177,21 @@
 func (j *job) handleResponse(ctx context.Context, response *http.Response) attemptResult {
 	protocol := &j.server.protocol
 	if !j.isOwnAnswer(response) {
+		// The request's own answer may still come, and would be read as the answer to the next request.
+		j.connection.close()
 		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errWrongRequest}
 	}
 	if cause := inconsistency(response, protocol.NotRun); cause != nil {
 		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: cause, endpointFailed: true}
 	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
+		j.connection.recordRefusal(j.callerIdentifier())
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status), misdirected: true,
 		}
 	}
 	if response.Header.Get(protocol.NotRun) != "" {
+		j.connection.recordRefusal(j.callerIdentifier())
 		discardRefusal(response.Body)
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
--- a/router/gateway/refusals_test.go
+++ b/router/gateway/refusals_test.go
@@ -171,6 +171,35 @@
 	}
 }
 
+// TestRepeatedRefusalOfSameIdentifier guards against a refusal of an earlier request that has the same identifier.
+func TestRepeatedRefusalOfSameIdentifier(t *testing.T) {
+	for _, identifier := range []string{"same", ""} {
+		t.Run(fmt.Sprintf("identifier %q", identifier), func(t *testing.T) {
+			g := newGatewayTest(t)
+			runs := 0
+			connections := make(map[net.Conn]int)
+			var mu sync.Mutex
+			g.setEndpoints(newRawEndpoint(t, func(connection net.Conn, _ string) {
+				mu.Lock()
+				defer mu.Unlock()
+				connections[connection]++
+				if len(connections) == 1 {
+					_, _ = io.WriteString(connection, refusal(http.StatusServiceUnavailable, identifier))
+				}
+				if len(connections) > 1 || connections[connection] > 1 {
+					runs++
+					_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 3\r\n\r\nran", identifier)
+				}
+			}))
+			assert.Equal(t, http.StatusServiceUnavailable, g.callAs(identifier, "").status)
+			for range 3 {
+				assert.Equal(t, "ran", g.callAs(identifier, "").body)
+			}
+			assert.Equal(t, 3, runs)
+		})
+	}
+}
+
 // TestMisdirectedAnswerToAnotherRequest guards against a sound endpoint that is given up for another request's 421.
 func TestMisdirectedAnswerToAnotherRequest(t *testing.T) {
 	g := newGatewayTest(t)
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -110,6 +110,8 @@
 	responseStarted bool
 	// mayHaveRun reports whether any attempt may have run the request.
 	mayHaveRun bool
+	// connection is that of the newest attempt; nil if it had none.
+	connection *endpointConnection
 	// framing is how the newest answer of an endpoint marks its end; empty if there was none.
 	framing responseFraming
 	// endpointsSent counts the endpoints to which the request was sent.
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -64,7 +64,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &byteCountingConnection{Conn: connection, traffic: traffic}, nil
+			return &endpointConnection{byteCountingConnection: byteCountingConnection{Conn: connection, traffic: traffic}}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     maxIdleTime,
