Begin no call where an earlier refusal could pass for its answer

A refusal that an endpoint wrote once more on a kept connection was taken for the answer to the next call there: it was told 'not run', or sent to a second endpoint, and ran. On the own interface an answer names no request, so that only its place on the connection tells to which call it belongs.

Nothing more is written on a connection after a refusal. The first byte of a call waits until the answer before it is known to be no refusal and net/http has nothing left of what it read; bytes that arrived since, or wait at the socket, make the connection unclean, and the call goes out on another one before anything of it was written. Load polls keep to the same rule.

A refusal costs a new connection.

--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -74,10 +74,10 @@
 	defer cancel(nil)
 	x.startedAt = time.Now()
 	x.guard = &writeGuard{check: x.call.CheckDispatch}
-	defer x.guard.detach()
+	defer func() { x.guard.detach() }()
 	x.watchdog = newWatchdog(cancel, x.headerTimeout())
 	defer x.watchdog.stop()
-	response, err := x.peer.transport().RoundTrip(x.newRequest(ctx))
+	response, err := x.roundTrip(ctx)
 	if err != nil {
 		return x.classifyFailure(ctx, err)
 	}
@@ -85,7 +85,6 @@
 	switch {
 	case isNotRunRefusal(response):
 		_, _ = x.guard.end()
-		_, _ = io.CopyN(io.Discard, response.Body, drainBytes)
 		return outcome{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
 			retryAfter: parseRetryAfter(response.Header), startedAt: x.startedAt,
@@ -99,6 +98,26 @@
 	}
 }
 
+// roundTrip sends the request and returns the response. It sends it on another connection if the one that the transport
+// selected is unclean.
+func (x *exchange) roundTrip(ctx context.Context) (*http.Response, error) {
+	for {
+		response, err := x.peer.transport().RoundTrip(x.newRequest(ctx))
+		isRejected, isReused := x.guard.rejection()
+		if !isRejected {
+			x.guard.conclude(err == nil && isNotRunRefusal(response))
+			return response, err
+		}
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if !isReused || ctx.Err() != nil {
+			return nil, errUnclean
+		}
+		x.guard = &writeGuard{check: x.call.CheckDispatch}
+	}
+}
+
 // headerTimeout returns the maximum wait for the response headers. An engine that does not stream sends them only
 // after it has generated the last token.
 func (x *exchange) headerTimeout() time.Duration {
@@ -171,7 +190,7 @@
 		out.reason, out.cause, out.isFinal = verdict.CallerDisconnected, cause, true
 	case written:
 		out.failureKind, out.isInterrupted = endpoint.Interrupted, !isResponseError(err)
-	case isDialError(err):
+	case isDialError(err), errors.Is(err, errUnclean):
 		out.failureKind = endpoint.Unreachable
 	default:
 		// The endpoint closed an idle connection, as HTTP allows at any time, so the endpoint is not at fault.
--- a/router/endpoint/probe.go
+++ b/router/endpoint/probe.go
@@ -82,7 +82,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return transport.RoundTrip(request)
+	guard := &writeGuard{}
+	response, err := transport.RoundTrip(request.WithContext(guard.withTrace(ctx)))
+	if isRejected, _ := guard.rejection(); isRejected && err == nil {
+		_ = response.Body.Close()
+		return nil, errUnclean
+	}
+	guard.conclude(err == nil && response.StatusCode != http.StatusOK)
+	return response, err
 }
 
 // tick starts the probes of ejected endpoints that are due and polls the load of engines that had requests.
--- a/router/endpoint/write_guard.go
+++ b/router/endpoint/write_guard.go
@@ -31,7 +31,12 @@
 	// check is called right before the first byte is written.
 	check func() error
 
-	mu         sync.Mutex
+	// bound is the connection that the transport selected last, isReused whether an earlier request was sent on it.
+	bound    atomic.Pointer[guardedConn]
+	isReused atomic.Bool
+
+	mu sync.Mutex
+	// connection is the one that the attempt was written to.
 	connection *guardedConn
 	hasEnded   bool
 	refusal    error
@@ -48,6 +53,8 @@
 		return errResent
 	case g.hasEnded:
 		return errAttemptEnded
+	case !c.begin():
+		return errUnclean
 	}
 	if g.check != nil {
 		if err := g.check(); err != nil {
@@ -76,33 +83,56 @@
 	g.hasEnded, g.check, g.refusal = true, nil, nil
 }
 
+// conclude tells the connection whether the endpoint refused the request, after which no other is sent on it. It must be
+// called once after each exchange: the connection's next request waits for it.
+func (g *writeGuard) conclude(refused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.connection != nil {
+		g.connection.conclude(refused)
+	}
+}
+
+// rejection reports whether nothing of the attempt was written because the connection was unclean, and ends the attempt
+// if so. isReused reports whether a new connection may do.
+func (g *writeGuard) rejection() (isRejected, isReused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.bound.Load()
+	isRejected = g.connection == nil && c != nil && c.isRejected()
+	g.hasEnded = g.hasEnded || isRejected
+	return isRejected, g.isReused.Load()
+}
+
+// bind records the connection that the transport selects.
+func (g *writeGuard) bind(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*guardedConn)
+	if !ok {
+		return
+	}
+	g.bound.Store(c)
+	g.isReused.Store(info.Reused)
+	c.bind(g)
+}
+
 // withTrace returns a context that binds the connection that the transport selects to this guard.
 func (g *writeGuard) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*guardedConn); ok {
-				c.guard.Store(g)
+		GotConn: g.bind,
+		// The first byte may be left from what the transport read before it put the connection back.
+		GotFirstResponseByte: func() {
+			if c := g.bound.Load(); c != nil {
+				c.recordInput()
+			}
+		},
+		PutIdleConn: func(error) {
+			if c := g.bound.Load(); c != nil {
+				c.release(g)
 			}
 		},
 	})
 }
 
-// guardedConn is a connection to an endpoint. It writes only the bytes that the guard of its current attempt permits.
-type guardedConn struct {
-	net.Conn
-	guard atomic.Pointer[writeGuard]
-}
-
-// Write writes p to the connection if the guard permits it.
-func (c *guardedConn) Write(p []byte) (int, error) {
-	if g := c.guard.Load(); g != nil {
-		if err := g.allowWrite(c); err != nil {
-			return 0, err
-		}
-	}
-	return c.Conn.Write(p)
-}
-
 // newTransport returns a transport with an empty connection pool for one endpoint.
 func newTransport(s Settings) *http.Transport {
 	dialer := &net.Dialer{
@@ -118,7 +148,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &guardedConn{Conn: c}, nil
+			return newGuardedConn(c), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    DefaultMaxIdleConnections,
