Use no endpoint whose entry has an address or number out of range

An entry of another writer with a port out of range, no port, a host name, 0.0.0.0, a multicast address, a number below zero or a key that no header can carry was listed as an endpoint to use. Requests were tried there in vain, up to five endpoints each, and a host name was looked up for each connection. Such an entry names no endpoint now, like one that can't be decoded. What an address is stands in site.ParseAddress, which the tickets of the own interface use too; they now refuse the broadcast address as well.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 FUZZ_TARGETS := \
 	fleet/ledger:FuzzDecode fleet/ledger:FuzzAssembler fleet/ledger:FuzzLoad fleet/order:FuzzDecode \
 	fleet/operator:FuzzDecodeTicket fleet/operator:FuzzDecodeSnapshot fleet/peer:FuzzRequest \
-	router/endpoint:FuzzEventReader router/caller:FuzzModelBody
+	router/endpoint:FuzzEventReader router/caller:FuzzModelBody platform:FuzzDecodeEndpoint
 
 fuzz: ## runs every fuzz target for FUZZ_TIME
 	@for t in $(FUZZ_TARGETS); do \
--- a/fleet/operator/validate.go
+++ b/fleet/operator/validate.go
@@ -3,13 +3,13 @@
 import (
 	"cmp"
 	"fmt"
-	"net/netip"
 	"regexp"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
 
 // Maximum values of the fields of a ticket; maximum lengths are in bytes. MaxTeamLimit applies to the rates per second
@@ -172,10 +172,8 @@
 	v.requireName(path+".Region", e.Region)
 	isKind := e.Kind == EngineEndpoint || e.Kind == PlainEndpoint
 	v.require(isKind, path+".Kind", invalidValueMessage(string(e.Kind)), fmt.Sprintf("%s or %s", EngineEndpoint, PlainEndpoint))
-	address, err := netip.ParseAddrPort(e.Address)
-	isUsable := err == nil && address.Port() > 0 && address.Addr().Zone() == "" &&
-		!address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
-	v.require(isUsable, path+".Address", invalidValueMessage(e.Address), "the IP address of one machine with a port, such as 10.1.2.3:8000 or [fd00::1]:8000")
+	_, err := site.ParseAddress(e.Address)
+	v.require(err == nil, path+".Address", invalidValueMessage(e.Address), "the IP address of one machine with a port, such as 10.1.2.3:8000 or [fd00::1]:8000")
 	requireInRange(v, path+".Concurrency", e.Concurrency, 0, MaxEndpointConcurrency)
 	v.require(len(e.Wanted) == 0 || e.Kind != PlainEndpoint, path+".Wanted", "is set for an endpoint of kind Plain", "endpoints of kind Engine")
 	v.validateWanted(path, e.Wanted, e.Role)
