Use no endpoint whose entry another writer has replaced after an outage

While entries that expired in an outage of the platform are retained, an endpoint stayed in use although an entry that can't be decoded had replaced its own: that counted as expired. Only an entry that is gone does now; one that can't be decoded names no endpoint to use, at any time.

TestOddEntryAfterOutage found i-2 and i-3 in use before, and finds only i-1 now.

--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -121,6 +121,16 @@
 	return true
 }
 
+// Withdraw records that the platform has an entry under an endpoint's name that names no endpoint to use, and reports whether
+// the endpoint was in use. Unlike one whose entry is removed, it is not retained.
+func (r *EndpointRegistry) Withdraw(name string) bool {
+	_, isListed := r.entries[name]
+	_, isRetained := r.retained[name]
+	delete(r.entries, name)
+	delete(r.retained, name)
+	return isListed || isRetained
+}
+
 // Replace applies a complete list of the platform's entries: it puts the listed ones and removes all others. It reports
 // whether anything changed.
 func (r *EndpointRegistry) Replace(now time.Time, endpoints []Endpoint) bool {
--- /dev/null
+++ b/router/gateway/entries_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+)
+
+// newDirectoriesTest returns a follower whose entries can be decoded if they are "ready", and its log lines.
+func newDirectoriesTest() (*Directories, *memory.Handler) {
+	lines := memory.New()
+	decode := func(key string, value []byte) (site.Endpoint, error) {
+		if string(value) != "ready" {
+			return site.Endpoint{}, errors.New("odd entry: " + string(value))
+		}
+		return site.Endpoint{Name: key, Service: "engine"}, nil
+	}
+	return &Directories{
+		Board: &Board{Metrics: metrics.NewRegistry()}, Source: Source{DecodeEndpoint: decode},
+		Logger: &log.Logger{Handler: lines, Level: log.WarnLevel},
+	}, lines
+}
+
+func record(key, value string) platform.KeyedRecord {
+	return platform.KeyedRecord{Key: key, Value: []byte(value)}
+}
+
+// TestOddEntryAfterOutage guards against an endpoint that stays in use after another writer has replaced its entry
+// while expired entries are retained.
+func TestOddEntryAfterOutage(t *testing.T) {
+	for _, isSnapshot := range []bool{false, true} {
+		t.Run(fmt.Sprintf("snapshot %v", isSnapshot), func(t *testing.T) {
+			d, _ := newDirectoriesTest()
+			now := time.Now()
+			d.apply(now, batch{records: []platform.KeyedRecord{record("i-1", "ready"), record("i-2", "ready"), record("i-3", "ready")}, isSnapshot: true})
+			d.registry.SetUnreachable(now, true)
+			d.registry.SetUnreachable(now, false)
+			received := batch{records: []platform.KeyedRecord{record("i-1", "ready"), record("i-2", "x")}, isSnapshot: isSnapshot}
+			if !isSnapshot {
+				received.records = append(received.records, record("i-3", ""))
+			}
+			d.apply(now, received)
+			d.apply(now, batch{records: []platform.KeyedRecord{record("i-3", "x")}})
+			var names []string
+			for _, e := range d.registry.Directory().Endpoints("engine") {
+				names = append(names, e.Name)
+			}
+			assert.Equal(t, []string{"i-1"}, names)
+		})
+	}
+}
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -43,7 +43,8 @@
 	// DirectoryTopic is the topic with the endpoints' entries, by endpoint name.
 	DirectoryTopic string
 	// DecodeConfiguration and DecodeEndpoint decode a record's value. A configuration that can't be decoded leaves the
-	// previous one in force; an endpoint's entry that can't be decoded counts as removed.
+	// previous one in force; an endpoint's entry that can't be decoded
+	// names no endpoint to use.
 	DecodeConfiguration func(value []byte) (*site.Configuration, error)
 	DecodeEndpoint      func(key string, value []byte) (site.Endpoint, error)
 }
@@ -212,7 +213,7 @@
 }
 
 // apply merges a batch into the registry and reports whether the directory changed. An entry that can't be decoded
-// counts as removed.
+// names no endpoint to use.
 func (d *Directories) apply(now time.Time, received batch) bool {
 	var listed []site.Endpoint
 	changed := false
@@ -224,7 +225,7 @@
 		e, err := d.Source.DecodeEndpoint(record.Key, record.Value)
 		if err != nil {
 			d.Board.Count(endpointEntryUnreadable)
-			changed = d.remove(now, record.Key) || changed
+			changed = d.registry.Withdraw(record.Key) || changed
 			continue
 		}
 		if received.isSnapshot {
