Name entries that can't be decoded in the log

An endpoint's entry that can't be decoded was counted and nothing else: operators could tell neither whose it was nor what is wrong with it. A line names the key and the error, at most once a minute for a key, 64 for all, and cut to 300 bytes, since errors quote entries.

TestOddEntryIsNamedInTheLog found no line before.

--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -53,6 +53,6 @@
 		{endpointLimitUnreadable, "Answers with a rate limit that can't be read; the previous limit stays in force."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
-		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
+		{endpointEntryUnreadable, "Endpoint entries that can't be decoded, or whose address or numbers are out of range; they name no endpoint to use."},
 	}
 }
--- a/router/gateway/entries_test.go
+++ b/router/gateway/entries_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -34,6 +36,30 @@
 	return platform.KeyedRecord{Key: key, Value: []byte(value)}
 }
 
+// TestOddEntryIsNamedInTheLog guards against an entry that can't be decoded and that no log line names, and against
+// lines without bounds.
+func TestOddEntryIsNamedInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, lines := newDirectoriesTest()
+		for range 100 {
+			d.apply(time.Now(), batch{records: []platform.KeyedRecord{record("i-1", "ready"), record("i-2", strings.Repeat("x", 1<<20))}})
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, 1, len(lines.Entries))
+		assert.Equal(t, "i-2", lines.Entries[0].Fields[fieldEndpoint])
+		message := fmt.Sprint(lines.Entries[0].Fields["error"])
+		assert.Equal(t, true, strings.HasPrefix(message, "odd entry: xxx") && len(message) < 1000)
+		for i := range 10_000 {
+			d.apply(time.Now(), batch{records: []platform.KeyedRecord{record(fmt.Sprintf("odd-%d", i), "x")}})
+		}
+		assert.Equal(t, true, len(lines.Entries) <= maxOddEntryLines)
+		time.Sleep(oddEntryLogInterval)
+		d.apply(time.Now(), batch{records: []platform.KeyedRecord{record("i-2", "x")}})
+		assert.Equal(t, "i-2", lines.Entries[len(lines.Entries)-1].Fields[fieldEndpoint])
+		assert.Equal(t, 1, len(d.registry.Directory().Endpoints("engine")))
+	})
+}
+
 // TestOddEntryAfterOutage guards against an endpoint that stays in use after another writer has replaced its entry
 // while expired entries are retained.
 func TestOddEntryAfterOutage(t *testing.T) {
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -167,7 +167,8 @@
 	OnChange func(*site.Directory)
 	Logger   log.Interface
 
-	registry site.EndpointRegistry
+	registry   site.EndpointRegistry
+	oddEntries oddEntryLog
 }
 
 // Run follows the endpoints' entries until the context ends.
@@ -225,6 +226,7 @@
 		e, err := d.Source.DecodeEndpoint(record.Key, record.Value)
 		if err != nil {
 			d.Board.Count(endpointEntryUnreadable)
+			d.oddEntries.warn(d.Logger, now, record.Key, err)
 			changed = d.registry.Withdraw(record.Key) || changed
 			continue
 		}
