--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -43,6 +42,10 @@
 var (
 	// errWrongRequest is the cause of a failed attempt whose answer has the identifier of another request.
 	errWrongRequest = errors.New("answer to another request")
+	// errProtocolSwitch is the cause of a failed attempt whose answer ends the use of HTTP on the connection.
+	errProtocolSwitch = errors.New("answer switches protocols")
+	// errContradiction is the cause of a failed attempt whose answer is no error and states that the request has not run.
+	errContradiction = errors.New("answer is no error and states that the request has not run")
 	// errUnsealed is the cause of a failed attempt whose successful answer lacks the seal header of an endpoint.
 	errUnsealed = errors.New("success without a seal")
 )
@@ -75,18 +78,17 @@
 		return attemptResult{verdict: verdict.NotRun, reason: verdict.DeadlineTooShort, cause: context.DeadlineExceeded}
 	}
 	var writes atomic.Int32
-	tracedContext := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { writes.Add(1) },
-	})
 	sentAt := time.Now()
-	response, err := e.transport.RoundTrip(j.newRequest(tracedContext, e, timeLeft))
+	response, err := j.roundTrip(ctx, e, timeLeft, &writes)
 	result := attemptResult{}
 	if err != nil {
 		result = j.classifyFailure(ctx, err, writes.Load() > 0)
 	} else {
 		defer func() { _ = response.Body.Close() }()
 		j.framing = framingOf(response)
-		j.server.recordNotices(e, sentAt, response)
+		if j.isOwnAnswer(response) {
+			j.server.recordNotices(e, sentAt, response)
+		}
 		result = j.handleResponse(ctx, response)
 		result.responded = !errors.Is(result.cause, errWrongRequest)
 	}
@@ -167,19 +169,31 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
+// isOwnAnswer reports whether an answer names this request.
+func (j *job) isOwnAnswer(response *http.Response) bool {
+	return response.Header.Get(j.server.protocol.RequestID) == j.callerIdentifier()
+}
+
 // handleResponse checks that an answer belongs to this request and was given by the intended endpoint, then forwards or
 // buffers it.
 func (j *job) handleResponse(ctx context.Context, response *http.Response) attemptResult {
 	protocol := &j.server.protocol
+	if !j.isOwnAnswer(response) {
+		// The request's own answer may still come, and would be read as the answer to the next request.
+		j.connection.close()
+		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errWrongRequest}
+	}
+	if cause := inconsistency(response, protocol.NotRun); cause != nil {
+		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: cause, endpointFailed: true}
+	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
+		j.connection.recordRefusal(j.callerIdentifier())
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status), misdirected: true,
 		}
 	}
-	if response.Header.Get(protocol.RequestID) != j.callerIdentifier() {
-		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: errWrongRequest}
-	}
 	if response.Header.Get(protocol.NotRun) != "" {
+		j.connection.recordRefusal(j.callerIdentifier())
 		discardRefusal(response.Body)
 		return attemptResult{
 			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
@@ -199,6 +213,19 @@
 	return j.forwardResponse(ctx, response)
 }
 
+// inconsistency returns why an answer says nothing about its request: it switches protocols, which routers don't ask for, or is
+// no error although it states that the request has not run. It returns nil for other answers.
+func inconsistency(response *http.Response, notRun string) error {
+	switch {
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return errProtocolSwitch
+	case response.StatusCode < http.StatusBadRequest && response.Header.Get(notRun) != "":
+		return errContradiction
+	default:
+		return nil
+	}
+}
+
 // discardRefusal reads the body of an endpoint's refusal. It closes the body, and with it the connection, if the body is too
 // long or doesn't end in time.
 func discardRefusal(body io.ReadCloser) {
