Store the versions of streams on the platform, so that they outlast all routers

Callers whose streams had broken off when all routers were lost got 503 stream_version_unknown: versions were kept in the memory of routers only. A record states which version began a stream, and records that disagree count as none, so that old or lost records can't join a stream.

--- a/fleet/endpoint/stream_versions.go
+++ b/fleet/endpoint/stream_versions.go
@@ -13,9 +13,9 @@
 	StreamMemory = 1 * time.Minute
 	// maxRememberedStreams bounds the streams of one generation of StreamVersions.
 	maxRememberedStreams = 200_000
-	// keeperBuckets is the number of groups of streams that have the same keepers, which bounds the routers that one router is connected
+	// KeeperBuckets is the number of groups of streams that have the same keepers, which bounds the routers that one router is connected
 	// to.
-	keeperBuckets = 16
+	KeeperBuckets = 16
 )
 
 // StreamVersions remembers a value for each stream for StreamMemory to twice as long. The zero value is empty.
@@ -90,7 +90,7 @@
 }
 
 // KeeperBucket returns the group of streams with the same keepers to which a stream belongs.
-func KeeperBucket(stream uint64) uint64 { return stream % keeperBuckets }
+func KeeperBucket(stream uint64) uint64 { return stream % KeeperBuckets }
 
 // RankKeepers returns routers in the order in which they keep the versions of a bucket's streams. The order is the same at each router that
 // lists the same ones.
--- a/fleet/endpoint/stream_versions_test.go
+++ b/fleet/endpoint/stream_versions_test.go
@@ -81,12 +81,12 @@
 			reversed = append([]string{names[i]}, reversed...)
 		}
 		first := make(map[string]int)
-		for stream := range uint64(keeperBuckets) {
+		for stream := range uint64(KeeperBuckets) {
 			ranked := RankKeepers(KeeperBucket(stream), names)
 			assert.Equal(t, ranked, RankKeepers(KeeperBucket(stream), reversed))
-			assert.Equal(t, ranked, RankKeepers(KeeperBucket(stream+keeperBuckets), names))
+			assert.Equal(t, ranked, RankKeepers(KeeperBucket(stream+KeeperBuckets), names))
 			first[ranked[0]]++
 		}
-		assert.Equal(t, true, len(first) >= min(routers, keeperBuckets)/2)
+		assert.Equal(t, true, len(first) >= min(routers, KeeperBuckets)/2)
 	}
 }
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -26,6 +26,8 @@
 	endpointLimited         = "endpoint.limited"
 	endpointLimitUnreadable = "endpoint.limit_unreadable"
 	streamVersionsNotSent   = "stream.versions_not_sent"
+	streamVersionsNotStored = "stream.versions_not_stored"
+	streamWritesFailed      = "stream.writes_failed"
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
 )
@@ -52,6 +54,8 @@
 		{endpointLimited, "Changes of the rate limit that an endpoint names, its begin and end included."},
 		{endpointLimitUnreadable, "Answers with a rate limit that can't be read; the previous limit stays in force."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
+		{streamVersionsNotStored, "Streams whose software version the platform doesn't store, since too many waited to be written."},
+		{streamWritesFailed, "Writes of streams' software versions that failed or timed out; they are repeated."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
 	}
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -51,6 +51,8 @@
 	MergeCrashes func(router string, value []byte)
 	MergeLimits  func(router string, value []byte)
 
+	// Partitions is the number of partitions of StreamTopic; zero counts as one. All routers must use the same number.
+	Partitions int
 	// Streams keeps the versions of other routers' streams. It is set before Run.
 	Streams *streamTracker
 
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -78,6 +78,8 @@
 	routers.MergeLimits = func(router string, value []byte) { s.mergeLimits(time.Now(), router, value) }
 	s.targets.routers, routers.Streams = routers, s.streams
 	s.streams.self, s.streams.roster, s.streams.peers = routers.Self.Instance, routers.Roster, routers
+	s.streams.store = newStreamStore(routers, s.state, s.logger)
+	s.streams.store.onRestored = s.streams.restoreVersions
 	s.retries.countRouters, s.crashes.countRouters = routers.Roster.Len, routers.Roster.Len
 }
 
--- a/router/gateway/stream_store_test.go
+++ b/router/gateway/stream_store_test.go
@@ -1,15 +1,25 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 )
 
@@ -115,3 +125,140 @@
 		})
 	}
 }
+
+const (
+	// simulatedStreams begin over simulatedTime until all routers of a streamNetwork are lost; each lasts streamLifetime.
+	simulatedStreams = 1200
+	simulatedTime    = 12 * time.Second
+	streamLifetime   = 3 * time.Second
+)
+
+// connectStore starts a router's process that stores the versions of streams.
+func (n *streamNetwork) connectStore(shared *keyed.KeyedLog, instance string) {
+	tracker := newStreamTracker(&Board{Metrics: metrics.NewRegistry()})
+	tracker.self, tracker.roster, tracker.peers = instance, n.roster, &streamNetworkPeer{network: n, self: instance}
+	tracker.store = &streamStore{
+		state: tracker.state, logger: &log.Logger{Handler: discard.New()}, log: shared, self: instance, partitions: 12, roster: n.roster,
+		hasRoster: func() bool { return true }, onRestored: tracker.restoreVersions, restored: make(chan struct{}), added: newChangeSignal(),
+	}
+	ctx, kill := context.WithCancel(n.ctx)
+	n.trackers[instance], n.kill[instance] = tracker, kill
+	go func() { _ = tracker.run(ctx) }()
+}
+
+// loseAll kills all routers at once and starts them again.
+func (n *streamNetwork) loseAll(shared *keyed.KeyedLog, instances []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, instance := range instances {
+		n.kill[instance]()
+	}
+	for _, instance := range instances {
+		n.connectStore(shared, instance)
+	}
+}
+
+// simulatedVersion is the version that begins a stream. Releases change it in part of the fleet at a time.
+func simulatedVersion(stream int) string {
+	release, progress := stream/400, stream%400
+	if progress > 100 && stream%300 < progress-100 {
+		release++
+	}
+	return "v" + strconv.Itoa(release)
+}
+
+// TestVersionsOutlastAllRouters guards against streams that can't be resumed, or are resumed at the wrong version, after all routers were
+// lost at once in the middle of their writes.
+func TestVersionsOutlastAllRouters(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// disturb makes the store fail from the time at which it is called, before the streams begin.
+		disturb func(shared *keyed.KeyedLog)
+		losses  int
+		// leastKnown is the share of the streams in progress of which a version must be known.
+		leastKnown float64
+	}{
+		{"calm", func(*keyed.KeyedLog) {}, 1, 0.9},
+		{"lost twice", func(*keyed.KeyedLog) {}, 2, 0.9},
+		{"the platform loses a third of its answers", func(shared *keyed.KeyedLog) { shared.LoseResponses(0.3, 1) }, 1, 0.9},
+		{"the platform is away for 4 s early on", func(shared *keyed.KeyedLog) { shared.OutageFor(4 * time.Second) }, 1, 0.9},
+		{"the platform is away until the routers are lost", func(shared *keyed.KeyedLog) { shared.OutageFor(simulatedTime) }, 1, 0},
+	} {
+		for _, routers := range []int{6, 30, 295} {
+			t.Run(fmt.Sprintf("%s, %d routers", c.name, routers), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					shared := &keyed.KeyedLog{}
+					shared.SetDelay(10 * time.Millisecond)
+					n, instances := newStreamNetwork(ctx, 0)
+					for i := range routers {
+						instances = append(instances, "router-"+strconv.Itoa(i))
+						n.roster.Put(peer.Router{Instance: instances[i]})
+					}
+					for _, instance := range instances {
+						n.connectStore(shared, instance)
+					}
+					time.Sleep(time.Second)
+					c.disturb(shared)
+					random := rand.New(rand.NewPCG(1, uint64(routers)))
+					for i := range simulatedStreams {
+						n.trackers[instances[random.IntN(routers)]].record(peer.StreamVersion{
+							Stream: streamKey("team", strconv.Itoa(i)), Service: "engine", Version: simulatedVersion(i),
+						})
+						time.Sleep(simulatedTime / simulatedStreams)
+					}
+					for range c.losses {
+						n.loseAll(shared, instances)
+						time.Sleep(200 * time.Millisecond)
+					}
+					inProgress := int(streamLifetime * simulatedStreams / simulatedTime)
+					known, wrong := 0, 0
+					for i := simulatedStreams - inProgress; i < simulatedStreams; i++ {
+						got, ok := n.trackers[instances[random.IntN(routers)]].lookUp(ctx, streamKey("team", strconv.Itoa(i)), "engine", time.Minute)
+						switch {
+						case ok && got.Version == simulatedVersion(i):
+							known++
+						case ok:
+							wrong++
+						}
+					}
+					t.Logf("%d of %d known, %d wrong", known, inProgress, wrong)
+					assert.Equal(t, 0, wrong)
+					assert.Equal(t, true, float64(known) >= c.leastKnown*float64(inProgress))
+					cancel()
+					time.Sleep(2 * time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestDisputedStreamsAreUnknown guards against the older of two records being taken for the version that began a stream.
+func TestDisputedStreamsAreUnknown(t *testing.T) {
+	agreed := agreedVersions([]streamRecord{
+		{Sequence: 1, Groups: []streamGroup{{Service: "engine", Version: "v1", Streams: []uint64{1, 2}}}},
+		{Sequence: 2, Groups: []streamGroup{{Service: "engine", Version: "v2", Streams: []uint64{2, 3}}}},
+		{Sequence: 3, Groups: []streamGroup{{Service: "engine", Version: "v1", Streams: []uint64{1, 2}}}},
+	})
+	slices.SortFunc(agreed, func(a, b peer.StreamVersion) int { return cmp.Compare(a.Stream, b.Stream) })
+	assert.Equal(t, []peer.StreamVersion{{Stream: 1, Service: "engine", Version: "v1"}, {Stream: 3, Service: "engine", Version: "v2"}}, agreed)
+}
+
+// TestOddStreamRecords guards against a record that can't be decoded keeping a router from its others.
+func TestOddStreamRecords(t *testing.T) {
+	shared := &keyed.KeyedLog{}
+	records := []platform.KeyedRecord{{Key: "a/9", Value: []byte(`{"Sequence":9,"Groups":[{"Service":"engine","Version":"v1","Streams":[7]}]}`)}}
+	for i, value := range []string{"", "[", `{"Sequence":-1}`, `{"Sequence":1e99}`, `{"Groups":{}}`, strings.Repeat("[", 100_000)} {
+		records = append(records, platform.KeyedRecord{Key: fmt.Sprint("a/", i), Value: []byte(value)})
+	}
+	_, err := shared.AppendAt(t.Context(), StreamTopic, 0, platform.AnyOffset, records)
+	assert.Must(t, err)
+	n, _ := newStreamNetwork(t.Context(), 0)
+	n.roster.Put(peer.Router{Instance: "a"})
+	n.connectStore(shared, "a")
+	known, ok := n.trackers["a"].lookUp(t.Context(), 7, "engine", time.Minute)
+	assert.Equal(t, true, ok)
+	assert.Equal(t, "v1", known.Version)
+	n.kill["a"]()
+}
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -61,6 +61,8 @@
 	self   string
 	roster *peer.Roster
 	peers  streamPeers
+	// store keeps the versions on the platform; nil if there are no other routers.
+	store *streamStore
 	// isFirstStart reports whether the site has started for the first time, so that no stream is older than this process.
 	isFirstStart bool
 
@@ -87,14 +89,41 @@
 // KeepVersions implements peer.StreamKeeper.
 func (s *streamTracker) KeepVersions(list []peer.StreamVersion) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, v := range list {
 		s.versions.Record(time.Now(), v.Stream, v)
 	}
+	s.mu.Unlock()
+	for _, v := range list {
+		if s.store != nil && s.isWriter(v.Stream, false) {
+			s.store.add(v)
+		}
+	}
+}
+
+// restoreVersions remembers versions that were written before this process started. What this process has learned itself is newer.
+func (s *streamTracker) restoreVersions(list []peer.StreamVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range list {
+		if _, ok := s.versions.Get(time.Now(), v.Stream); !ok {
+			s.versions.Record(time.Now(), v.Stream, v)
+		}
+	}
+}
+
+// isWriter reports whether this router writes the version of a stream to the platform. isOwn reports whether it began the stream.
+func (s *streamTracker) isWriter(stream uint64, isOwn bool) bool {
+	if s.roster.Len() <= maxOwnWriters {
+		return isOwn
+	}
+	return slices.Contains(s.rankedKeepers(stream)[:min(streamWriters, s.roster.Len())], s.self)
 }
 
 // Version implements peer.StreamKeeper.
 func (s *streamTracker) Version(stream uint64, service string) (peer.StreamVersion, bool) {
+	if s.store != nil {
+		s.store.waitUntilRestored(context.Background())
+	}
 	if known, ok := s.known(stream); ok {
 		return known, true
 	}
@@ -108,8 +137,11 @@
 	return s.versions.Get(time.Now(), stream)
 }
 
-// record remembers the version of a stream, and has other routers keep it.
+// record remembers the version of a stream, and has other routers keep it and the platform store it.
 func (s *streamTracker) record(v peer.StreamVersion) {
+	if s.store != nil && s.isWriter(v.Stream, true) {
+		s.store.add(v)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions.Record(time.Now(), v.Stream, v)
@@ -148,8 +180,13 @@
 	return peer.StreamVersion{Service: service, Version: version}, ok
 }
 
-// run sends the versions of new streams to their keepers until the context ends.
+// run sends the versions of new streams to their keepers, and has the platform store them, until the context ends.
 func (s *streamTracker) run(ctx context.Context) error {
+	if s.store != nil {
+		var writes sync.WaitGroup
+		defer writes.Wait()
+		writes.Go(func() { s.store.run(ctx) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -266,6 +303,12 @@
 	if known, ok := s.known(stream); ok {
 		return known, true
 	}
+	if s.store != nil {
+		s.store.waitUntilRestored(ctx)
+		if known, ok := s.known(stream); ok {
+			return known, true
+		}
+	}
 	only, hasOnly := s.onlyVersion(service, within)
 	asked := s.keepers(stream, maxStreamLookups)
 	answers := make(chan streamAnswer, len(asked))
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -177,10 +177,12 @@
 
 // streamNetwork carries messages between the routers of a fleet in memory. It implements streamPeers for each of them.
 type streamNetwork struct {
-	ctx context.Context
+	ctx    context.Context
+	roster *peer.Roster
 
 	mu       sync.Mutex
 	trackers map[string]*streamTracker
+	kill     map[string]context.CancelFunc
 	isDead   map[string]bool
 	// side is the side of a partition on which a router is.
 	side map[string]int
@@ -230,13 +232,15 @@
 
 // newStreamNetwork returns a fleet of routers that know each other.
 func newStreamNetwork(ctx context.Context, routers int) (network *streamNetwork, instances []string) {
-	network = &streamNetwork{ctx: ctx, trackers: make(map[string]*streamTracker), isDead: make(map[string]bool), side: make(map[string]int)}
-	roster := &peer.Roster{}
+	network = &streamNetwork{
+		ctx: ctx, roster: &peer.Roster{}, trackers: make(map[string]*streamTracker), kill: make(map[string]context.CancelFunc),
+		isDead: make(map[string]bool), side: make(map[string]int),
+	}
 	for i := range routers {
 		instance := "router-" + strconv.Itoa(i)
 		instances = append(instances, instance)
-		roster.Put(peer.Router{Instance: instance})
-		network.start(instance, roster)
+		network.roster.Put(peer.Router{Instance: instance})
+		network.start(instance, network.roster)
 	}
 	return network, instances
 }
