Keep streams apart whose requests have no identifier

A caller that resumed a stream without naming it got the version of the team's newest stream whose request had no identifier, also while several versions served: its text could be joined from two versions. Such streams are neither recorded nor looked up now.

TestUnnamedStreamsAreNotConfused failed before with 200 for 503.

--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -42,8 +42,16 @@
 	return !b.isBound || b.version == e.SoftwareVersion
 }
 
+// unnamedStream stands for a stream whose request has no identifier, or that a caller resumes without naming it.
+const unnamedStream uint64 = 0
+
 // streamKey identifies a stream by the team and the identifier of the request that brought its first event.
-func streamKey(team, identifier string) uint64 { return xxhash.Sum64String(team + "\n" + identifier) }
+func streamKey(team, identifier string) uint64 {
+	if identifier == "" {
+		return unnamedStream
+	}
+	return xxhash.Sum64String(team + "\n" + identifier)
+}
 
 // streamPeers carries messages to the keepers of streams.
 type streamPeers interface {
@@ -322,7 +330,7 @@
 		case <-ctx.Done():
 			return peer.StreamVersion{}, false
 		case a := <-answers:
-			if a.isKnown && a.known.Stream == stream {
+			if a.isKnown && a.known.Stream == stream && stream != unnamedStream {
 				return a.known, true
 			}
 			if a.isKnown && !hasOnly {
@@ -369,7 +377,7 @@
 		return nil
 	}
 	known, ok := j.server.streams.lookUp(ctx, j.resumedStream(), j.service, j.longestResumption())
-	isInferred := known.Stream != j.resumedStream()
+	isInferred := known.Stream == unnamedStream || known.Stream != j.resumedStream()
 	if !ok || isInferred && (len(j.route.Services) > 1 || len(directory.SoftwareVersions()[j.service]) > 1) {
 		return verdict.Refuse(verdict.StreamVersionUnknown, "")
 	}
@@ -426,5 +434,7 @@
 	if j.r.Header.Get(j.server.protocol.ResumeAfter) != "" {
 		stream = j.resumedStream()
 	}
-	j.server.streams.record(peer.StreamVersion{Stream: stream, Service: j.service, Version: e.SoftwareVersion})
+	if stream != unnamedStream {
+		j.server.streams.record(peer.StreamVersion{Stream: stream, Service: j.service, Version: e.SoftwareVersion})
+	}
 }
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -131,6 +131,18 @@
 	})
 }
 
+// TestUnnamedStreamsAreNotConfused guards against a stream that a caller resumes without naming it being taken for another caller's stream whose
+// request had no identifier.
+func TestUnnamedStreamsAreNotConfused(t *testing.T) {
+	const first, second = "id: 1\n\n", "id: 2\n\n"
+	g := newGatewayTest(t, answerSealed(first), answerSealed(second))
+	g.setVersions("v1")
+	got := g.call(http.MethodPost, "/talk/", "", func(r *http.Request) { r.Header.Del("Id") })
+	assert.Equal(t, first, got.body)
+	g.setVersions("v1", "v2")
+	assert.Equal(t, http.StatusServiceUnavailable, g.resumeStream("id-2", "").status)
+}
+
 // TestStreamIsResumedAtAnotherRouter guards against routers that don't know the version of a stream which another router, dead by now,
 // passed on.
 func TestStreamIsResumedAtAnotherRouter(t *testing.T) {
