Infer a stream's version only from a directory that is being read

A router that is cut off from the platform and from the keepers of a stream took the only version in its old directory for the one that began the stream, though another may have been listed since: the text could be joined from two versions. It refuses now (stream_version_unknown) once its newest read is over 2 s old. A stream whose version is remembered goes on as before.

TestOldDirectoryShowsNoOnlyVersion failed before with 200 for 503.

--- a/router/gateway/board.go
+++ b/router/gateway/board.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -19,6 +20,8 @@
 	Configuration atomic.Pointer[site.Configuration]
 	// Directory lists the endpoints; nil until their entries have been read once.
 	Directory atomic.Pointer[site.Directory]
+	// DirectoryReadAt is when the newest successful read of the endpoints' entries ended; nil if nothing follows them.
+	DirectoryReadAt atomic.Pointer[time.Time]
 	// Leaving is true once the router shuts down and its readiness check asks the load balancer for no new requests.
 	Leaving atomic.Bool
 	// Overloaded is true while the router has more callers than it can serve in time.
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -186,6 +186,9 @@
 		if changed {
 			d.publish(d.registry.Directory())
 		}
+		if err == nil {
+			d.Board.DirectoryReadAt.Store(&now)
+		}
 		delay := d.capAtNextExpiry(directoryReadDelay)
 		if err != nil {
 			delay = retryDelay
--- a/router/gateway/follow_test.go
+++ b/router/gateway/follow_test.go
@@ -213,6 +213,19 @@
 }
 
 func TestDirectories(t *testing.T) {
+	t.Run("the age of the entries grows in an outage only", func(t *testing.T) {
+		runFollowers(t, func(f *followerTest) {
+			f.put("servers", "one", "ready")
+			time.Sleep(time.Minute)
+			assert.Equal(t, true, time.Since(*f.state.DirectoryReadAt.Load()) <= maxDirectoryAge)
+			f.log.SetOutage(true)
+			time.Sleep(time.Minute)
+			assert.Equal(t, true, time.Since(*f.state.DirectoryReadAt.Load()) > maxDirectoryAge)
+			f.log.SetOutage(false)
+			time.Sleep(time.Minute)
+			assert.Equal(t, true, time.Since(*f.state.DirectoryReadAt.Load()) <= maxDirectoryAge)
+		})
+	})
 	t.Run("endpoints are added, drain and are removed", func(t *testing.T) {
 		runFollowers(t, func(f *followerTest) {
 			f.put("servers", "one", "ready")
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -27,6 +27,9 @@
 	streamCallTimeout = 300 * time.Millisecond
 	// resumptionMargin is the time by which a caller may resume a stream later than the route's timeout allows a request to take.
 	resumptionMargin = 3 * time.Second
+	// maxDirectoryAge is the age of the endpoints' entries up to which they show all versions that serve: a long poll, the delay before it and
+	// its answer.
+	maxDirectoryAge = 2 * time.Second
 	// maxQueuedStreams bounds the versions of streams that wait to be sent; those of further streams are kept by this router only.
 	maxQueuedStreams = 2048
 )
@@ -176,12 +179,13 @@
 	}
 }
 
-// onlyVersion returns the version that has begun all streams of a service within a time before now, if there is just one.
+// onlyVersion returns the version that has begun all streams of a service within a time before now, if there is just one. It returns false
+// while the endpoints' entries can't be read, since other routers may know of further versions.
 func (s *streamTracker) onlyVersion(service string, within time.Duration) (peer.StreamVersion, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	history := s.histories[service]
-	if history == nil {
+	if readAt := s.state.DirectoryReadAt.Load(); history == nil || readAt != nil && time.Since(*readAt) > maxDirectoryAge {
 		return peer.StreamVersion{}, false
 	}
 	version, ok := history.Only(time.Now(), within)
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -143,6 +143,22 @@
 	assert.Equal(t, http.StatusServiceUnavailable, g.resumeStream("id-2", "").status)
 }
 
+// TestOldDirectoryShowsNoOnlyVersion guards against the only version in a directory that has not been read for long being taken for the one that
+// began a stream.
+func TestOldDirectoryShowsNoOnlyVersion(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want int
+	}{{0, http.StatusOK}, {time.Hour, http.StatusServiceUnavailable}} {
+		g := newGatewayTest(t, answerSealed("id: 2\n\n"))
+		g.server.streams.isFirstStart = true
+		g.setVersions("v1")
+		readAt := time.Now().Add(-c.age)
+		g.state.DirectoryReadAt.Store(&readAt)
+		assert.Equal(t, c.want, g.resumeStream("id-2", "id-1").status)
+	}
+}
+
 // TestStreamIsResumedAtAnotherRouter guards against routers that don't know the version of a stream which another router, dead by now,
 // passed on.
 func TestStreamIsResumedAtAnotherRouter(t *testing.T) {
