Write the versions of new streams every 50 ms in small fleets

The test of releases now begins streams at each version, since placement sometimes left one without.

--- a/router/gateway/stream_store.go
+++ b/router/gateway/stream_store.go
@@ -29,7 +29,7 @@
 	// streamWriters is the number of keepers that write the version of a stream to the platform in fleets above maxOwnWriters.
 	streamWriters = 2
 	// minStreamWriteDelay is the delay between two writes of a router, maxStreamWriteRate the writes a second of all routers together.
-	minStreamWriteDelay = 100 * time.Millisecond
+	minStreamWriteDelay = 50 * time.Millisecond
 	maxStreamWriteRate  = 150
 	// streamRestoreWait bounds the time that a resumption waits for the versions that were written before this router's start.
 	streamRestoreWait = 300 * time.Millisecond
--- a/router/gateway/stream_store_test.go
+++ b/router/gateway/stream_store_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -95,8 +96,14 @@
 			shared := &keyed.KeyedLog{}
 			fleet := startVersionFleet(t, shared)
 			fleet.setVersions(c.before...)
-			began := fleet.begin("old-", streams)
-			assert.Equal(t, streams, len(began))
+			began := make(map[string]string)
+			for i, version := range c.before {
+				if version != "" {
+					fleet.setVersions(append(make([]string, i), version)...)
+					maps.Copy(began, fleet.begin(version+"-", streams))
+				}
+			}
+			fleet.setVersions(c.before...)
 			time.Sleep(streamRecordAge)
 			fleet.stop()
 
@@ -104,10 +111,9 @@
 			defer fleet.stop()
 			fleet.setVersions(c.after...)
 			resumable, wentOn, joined := 0, 0, 0
-			for i := range streams {
-				identifier := fmt.Sprint("old-", i)
+			for i, identifier := range slices.Sorted(maps.Keys(began)) {
 				version := began[identifier]
-				got := fleet.gateways[(i+1)%len(fleet.gateways)].resumeStream("again-"+identifier, identifier)
+				got := fleet.gateways[i%len(fleet.gateways)].resumeStream("again-"+identifier, identifier)
 				switch {
 				case got.status == http.StatusOK && streamVersionOf(got.body) == version:
 					wentOn++
