Bound the records of streams on the platform

Records of routers that were replaced stayed for ever, and a router wrote the streams of two seconds anew with each write.

--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -79,7 +79,7 @@
 	s.targets.routers, routers.Streams = routers, s.streams
 	s.streams.self, s.streams.roster, s.streams.peers = routers.Self.Instance, routers.Roster, routers
 	s.streams.store = newStreamStore(routers, s.state, s.logger)
-	s.streams.store.onRestored = s.streams.restoreVersions
+	s.streams.store.isWriter, s.streams.store.onRestored = s.streams.isAnyWriter, s.streams.restoreVersions
 	s.retries.countRouters, s.crashes.countRouters = routers.Roster.Len, routers.Roster.Len
 }
 
--- a/router/gateway/stream_store.go
+++ b/router/gateway/stream_store.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,7 +21,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
 
-// StreamTopic is the keyed topic with the versions of streams: for each router a ring of records.
+// StreamTopic is the keyed topic with the versions of streams, in records of several under a router's instance name and a number.
 const StreamTopic = "keyed.streams"
 
 const (
@@ -33,6 +35,8 @@
 	maxStreamWriteRate  = 150
 	// streamRestoreWait bounds the time that a resumption waits for the versions that were written before this router's start.
 	streamRestoreWait = 300 * time.Millisecond
+	// maxRecordSequence bounds the numbers of records, so that none overflows.
+	maxRecordSequence = 1 << 60
 	// streamRestoreTimeout bounds a read of a partition with versions of streams.
 	streamRestoreTimeout = 3 * time.Second
 )
@@ -46,9 +50,13 @@
 // streamGroup lists the streams that a version of a service began.
 type streamGroup struct {
 	Service, Version string
-	Streams          []uint64
+	// Streams are the streams' keys, of 8 bytes each, the highest byte first.
+	Streams []byte
 }
 
+// streamKeyBytes is the length of a stream's key in a streamGroup.
+const streamKeyBytes = 8
+
 // streamStore keeps the versions of streams on the platform, which outlasts the loss of all routers. A record states which version began a
 // stream, so that records may be lost or old without a stream being resumed at another version.
 type streamStore struct {
@@ -61,11 +69,18 @@
 	roster     *peer.Roster
 	// hasRoster reports whether the routers' entries have been read.
 	hasRoster func() bool
+	// isWriter reports whether this router writes the versions of any streams.
+	isWriter func() bool
 	// onRestored is called once with the versions that were written before this process started.
 	onRestored func([]peer.StreamVersion)
 	// restored is closed after onRestored has been called.
 	restored chan struct{}
 
+	// leftovers are the keys of other routers' records, and of odd ones, that were read at restoredAt. Their routers may be gone, so that this one
+	// deletes them once they are too old to be of use. Only run uses both.
+	leftovers  []string
+	restoredAt time.Time
+
 	mu    sync.Mutex
 	slots endpoint.StreamSlots[peer.StreamVersion]
 	added changeSignal
@@ -131,7 +146,7 @@
 // write writes the record of the current slot, and reports whether nothing waits to be written again.
 func (s *streamStore) write(ctx context.Context) bool {
 	s.mu.Lock()
-	pending, ok := s.slots.Pending()
+	pending, ok := s.slots.Pending(time.Now())
 	s.mu.Unlock()
 	if !ok {
 		return true
@@ -143,18 +158,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 	defer cancel()
-	key := s.self + "/" + strconv.FormatInt(pending.Slot(), 10)
-	record := platform.KeyedRecord{Key: key, Value: value}
-	if _, err := s.log.AppendAt(ctx, StreamTopic, s.partition(), platform.AnyOffset, []platform.KeyedRecord{record}); err != nil {
+	records := []platform.KeyedRecord{{Key: s.recordKey(pending.Sequence), Value: value}}
+	for _, dropped := range pending.Dropped {
+		records = append(records, platform.KeyedRecord{Key: s.recordKey(dropped)})
+	}
+	dropsLeftovers := time.Since(s.restoredAt) > endpoint.StreamMemory
+	if dropsLeftovers {
+		for _, key := range s.leftovers {
+			records = append(records, platform.KeyedRecord{Key: key})
+		}
+	}
+	if _, err := s.log.AppendAt(ctx, StreamTopic, s.partition(), platform.AnyOffset, records); err != nil {
 		s.state.Count(streamWritesFailed)
 		return false
 	}
+	if dropsLeftovers {
+		s.leftovers = nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.slots.Acknowledge(pending)
 	return true
 }
 
+func (s *streamStore) recordKey(sequence int64) string {
+	return s.self + "/" + strconv.FormatInt(sequence, 10)
+}
+
 // partition returns the partition of this router's records. Small fleets share one, which each router reads as a whole.
 func (s *streamStore) partition() int {
 	if s.roster.Len() <= maxOwnWriters {
@@ -168,6 +198,10 @@
 	if !s.hasRoster() {
 		return false
 	}
+	if !s.isWriter() {
+		close(s.restored)
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, streamRestoreTimeout)
 	defer cancel()
 	startedAt := time.Now()
@@ -175,11 +209,12 @@
 	if err != nil {
 		return false
 	}
-	records, highest := s.decodeRecords(written.Records)
+	records, own := s.decodeRecords(written.Records)
 	versions := agreedVersions(records)
 	s.mu.Lock()
-	s.slots.Resume(highest)
+	s.slots.Resume(time.Now(), own)
 	s.mu.Unlock()
+	s.restoredAt = time.Now()
 	s.onRestored(versions)
 	close(s.restored)
 	s.logger.WithFields(log.Fields{"Records": len(records), "Streams": len(versions), fieldMilliseconds: time.Since(startedAt).Milliseconds()}).
@@ -187,26 +222,33 @@
 	return true
 }
 
-// decodeRecords decodes the records that this router restores, and returns the highest sequence number of its own ones, or -1.
-func (s *streamStore) decodeRecords(written []platform.KeyedRecord) (records []streamRecord, highest int64) {
-	highest = -1
+// decodeRecords decodes the records that this router restores, and returns the sequence numbers of its own ones. It notes the others as
+// leftovers.
+func (s *streamStore) decodeRecords(written []platform.KeyedRecord) (records []streamRecord, own []int64) {
 	readsAll := s.roster.Len() <= maxOwnWriters
 	for _, r := range written {
 		isOwn := strings.HasPrefix(r.Key, s.self+"/")
+		if len(r.Value) == 0 {
+			continue
+		}
 		if !isOwn && !readsAll {
+			s.leftovers = append(s.leftovers, r.Key)
 			continue
 		}
 		record, err := decodeStreamRecord(r.Value)
 		if err != nil {
 			s.logger.WithField("Key", r.Key).WithError(err).Warn("cannot decode a router's record of streams")
+			s.leftovers = append(s.leftovers, r.Key)
 			continue
 		}
 		records = append(records, record)
 		if isOwn {
-			highest = max(highest, record.Sequence)
+			own = append(own, record.Sequence)
+		} else {
+			s.leftovers = append(s.leftovers, r.Key)
 		}
 	}
-	return records, highest
+	return records, own
 }
 
 // newStreamRecord groups the streams of a slot by service and version.
@@ -220,20 +262,28 @@
 			record.Groups = append(record.Groups, streamGroup{Service: v.Service, Version: v.Version})
 		}
 		group := &record.Groups[groups[key]]
-		group.Streams = append(group.Streams, v.Stream)
+		group.Streams = binary.BigEndian.AppendUint64(group.Streams, v.Stream)
 	}
 	return record
 }
 
-var errNegativeSequence = errors.New("sequence number is negative")
+var (
+	errBadSequence  = errors.New("sequence number is out of range")
+	errPartialField = errors.New("field ends inside a stream's key")
+)
 
 func decodeStreamRecord(value []byte) (streamRecord, error) {
 	var record streamRecord
 	if err := json.Unmarshal(value, &record); err != nil {
 		return streamRecord{}, fmt.Errorf("decode record of streams: %w", err)
 	}
-	if record.Sequence < 0 {
-		return streamRecord{}, errNegativeSequence
+	if record.Sequence < 0 || record.Sequence > maxRecordSequence {
+		return streamRecord{}, errBadSequence
+	}
+	for _, group := range record.Groups {
+		if len(group.Streams)%streamKeyBytes != 0 {
+			return streamRecord{}, errPartialField
+		}
 	}
 	return record, nil
 }
@@ -244,7 +294,8 @@
 	isDisputed := make(map[uint64]bool)
 	for _, record := range records {
 		for _, group := range record.Groups {
-			for _, stream := range group.Streams {
+			for key := range slices.Chunk(group.Streams, streamKeyBytes) {
+				stream := binary.BigEndian.Uint64(key)
 				v := peer.StreamVersion{Stream: stream, Service: group.Service, Version: group.Version}
 				if known, ok := versions[stream]; ok && known != v {
 					isDisputed[stream] = true
--- a/router/gateway/stream_store_test.go
+++ b/router/gateway/stream_store_test.go
@@ -19,6 +19,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
@@ -145,7 +146,7 @@
 	tracker.self, tracker.roster, tracker.peers = instance, n.roster, &streamNetworkPeer{network: n, self: instance}
 	tracker.store = &streamStore{
 		state: tracker.state, logger: &log.Logger{Handler: discard.New()}, log: shared, self: instance, partitions: 12, roster: n.roster,
-		hasRoster: func() bool { return true }, onRestored: tracker.restoreVersions, restored: make(chan struct{}), added: newChangeSignal(),
+		hasRoster: func() bool { return true }, isWriter: tracker.isAnyWriter, onRestored: tracker.restoreVersions, restored: make(chan struct{}), added: newChangeSignal(),
 	}
 	ctx, kill := context.WithCancel(n.ctx)
 	n.trackers[instance], n.kill[instance] = tracker, kill
@@ -240,13 +241,55 @@
 	}
 }
 
+// TestStreamRecordsAreDropped guards against records that stay on the platform for ever, those of routers that are gone included.
+func TestStreamRecordsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		shared := &keyed.KeyedLog{}
+		n, _ := newStreamNetwork(ctx, 0)
+		begin := func(instance string, streams int) {
+			for range streams {
+				n.trackers[instance].record(peer.StreamVersion{Stream: rand.Uint64(), Service: "engine", Version: "v1"})
+				time.Sleep(time.Second)
+			}
+		}
+		keys := func() (keys []string) {
+			state, err := shared.Newest(ctx, StreamTopic, 0)
+			assert.Must(t, err)
+			for _, r := range state.Records {
+				keys = append(keys, r.Key)
+			}
+			return keys
+		}
+		for _, instance := range []string{"a", "b"} {
+			n.roster.Put(peer.Router{Instance: instance})
+			n.connectStore(shared, instance)
+		}
+		begin("a", 100)
+		n.kill["a"]()
+		n.kill["b"]()
+		n.connectStore(shared, "b")
+		begin("b", int(endpoint.StreamMemory/time.Second)-1)
+		assert.Equal(t, true, slices.ContainsFunc(keys(), func(key string) bool { return strings.HasPrefix(key, "a/") }))
+		begin("b", 100)
+		assert.Equal(t, false, slices.ContainsFunc(keys(), func(key string) bool { return strings.HasPrefix(key, "a/") }))
+		assert.Equal(t, true, len(keys()) <= int(endpoint.StreamMemory/endpoint.StreamSlotTime)+2)
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // TestDisputedStreamsAreUnknown guards against the older of two records being taken for the version that began a stream.
 func TestDisputedStreamsAreUnknown(t *testing.T) {
-	agreed := agreedVersions([]streamRecord{
-		{Sequence: 1, Groups: []streamGroup{{Service: "engine", Version: "v1", Streams: []uint64{1, 2}}}},
-		{Sequence: 2, Groups: []streamGroup{{Service: "engine", Version: "v2", Streams: []uint64{2, 3}}}},
-		{Sequence: 3, Groups: []streamGroup{{Service: "engine", Version: "v1", Streams: []uint64{1, 2}}}},
-	})
+	record := func(version string, streams ...uint64) streamRecord {
+		var list []peer.StreamVersion
+		for _, stream := range streams {
+			list = append(list, peer.StreamVersion{Stream: stream, Service: "engine", Version: version})
+		}
+		return newStreamRecord(endpoint.SlotRecord[peer.StreamVersion]{Streams: list})
+	}
+	agreed := agreedVersions([]streamRecord{record("v1", 1, 2), record("v2", 2, 3), record("v1", 1, 2)})
 	slices.SortFunc(agreed, func(a, b peer.StreamVersion) int { return cmp.Compare(a.Stream, b.Stream) })
 	assert.Equal(t, []peer.StreamVersion{{Stream: 1, Service: "engine", Version: "v1"}, {Stream: 3, Service: "engine", Version: "v2"}}, agreed)
 }
@@ -254,8 +297,8 @@
 // TestOddStreamRecords guards against a record that can't be decoded keeping a router from its others.
 func TestOddStreamRecords(t *testing.T) {
 	shared := &keyed.KeyedLog{}
-	records := []platform.KeyedRecord{{Key: "a/9", Value: []byte(`{"Sequence":9,"Groups":[{"Service":"engine","Version":"v1","Streams":[7]}]}`)}}
-	for i, value := range []string{"", "[", `{"Sequence":-1}`, `{"Sequence":1e99}`, `{"Groups":{}}`, strings.Repeat("[", 100_000)} {
+	records := []platform.KeyedRecord{{Key: "a/9", Value: []byte(`{"Sequence":9,"Groups":[{"Service":"engine","Version":"v1","Streams":"AAAAAAAAAAc="}]}`)}}
+	for i, value := range []string{"", "[", `{"Sequence":-1}`, `{"Sequence":9223372036854775807}`, `{"Sequence":1e99}`, `{"Groups":{}}`, `{"Groups":[{"Streams":"AAAA"}]}`, strings.Repeat("[", 100_000)} {
 		records = append(records, platform.KeyedRecord{Key: fmt.Sprint("a/", i), Value: []byte(value)})
 	}
 	_, err := shared.AppendAt(t.Context(), StreamTopic, 0, platform.AnyOffset, records)
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -308,6 +308,16 @@
 	return s.ranked[bucket]
 }
 
+// isAnyWriter reports whether this router writes the versions of any streams to the platform.
+func (s *streamTracker) isAnyWriter() bool {
+	for bucket := range uint64(endpoint.KeeperBuckets) {
+		if s.isWriter(bucket, true) {
+			return true
+		}
+	}
+	return false
+}
+
 // lookUp returns the version of a stream that began within a time before now. If neither this router nor one of the stream's keepers
 // remembers it, it returns the only version that has served in that time, as this router or else a keeper knows. It returns false
 // if there were several, or nobody knows.
