--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -27,6 +27,9 @@
 	streamCallTimeout = 300 * time.Millisecond
 	// resumptionMargin is the time by which a caller may resume a stream later than the route's timeout allows a request to take.
 	resumptionMargin = 3 * time.Second
+	// maxDirectoryAge is the age of the endpoints' entries up to which they show all versions that serve: a long poll, the delay before it and
+	// its answer.
+	maxDirectoryAge = 2 * time.Second
 	// maxQueuedStreams bounds the versions of streams that wait to be sent; those of further streams are kept by this router only.
 	maxQueuedStreams = 2048
 )
@@ -42,8 +45,16 @@
 	return !b.isBound || b.version == e.SoftwareVersion
 }
 
+// unnamedStream stands for a stream whose request has no identifier, or that a caller resumes without naming it.
+const unnamedStream uint64 = 0
+
 // streamKey identifies a stream by the team and the identifier of the request that brought its first event.
-func streamKey(team, identifier string) uint64 { return xxhash.Sum64String(team + "\n" + identifier) }
+func streamKey(team, identifier string) uint64 {
+	if identifier == "" {
+		return unnamedStream
+	}
+	return xxhash.Sum64String(team + "\n" + identifier)
+}
 
 // streamPeers carries messages to the keepers of streams.
 type streamPeers interface {
@@ -61,6 +72,8 @@
 	self   string
 	roster *peer.Roster
 	peers  streamPeers
+	// store keeps the versions on the platform; nil if there are no other routers.
+	store *streamStore
 	// isFirstStart reports whether the site has started for the first time, so that no stream is older than this process.
 	isFirstStart bool
 
@@ -87,14 +100,41 @@
 // KeepVersions implements peer.StreamKeeper.
 func (s *streamTracker) KeepVersions(list []peer.StreamVersion) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, v := range list {
 		s.versions.Record(time.Now(), v.Stream, v)
 	}
+	s.mu.Unlock()
+	for _, v := range list {
+		if s.store != nil && s.isWriter(v.Stream, false) {
+			s.store.add(v)
+		}
+	}
+}
+
+// restoreVersions remembers versions that were written before this process started. What this process has learned itself is newer.
+func (s *streamTracker) restoreVersions(list []peer.StreamVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range list {
+		if _, ok := s.versions.Get(time.Now(), v.Stream); !ok {
+			s.versions.Record(time.Now(), v.Stream, v)
+		}
+	}
+}
+
+// isWriter reports whether this router writes the version of a stream to the platform. isOwn reports whether it began the stream.
+func (s *streamTracker) isWriter(stream uint64, isOwn bool) bool {
+	if s.roster.Len() <= maxOwnWriters {
+		return isOwn
+	}
+	return slices.Contains(s.rankedKeepers(stream)[:min(streamWriters, s.roster.Len())], s.self)
 }
 
 // Version implements peer.StreamKeeper.
 func (s *streamTracker) Version(stream uint64, service string) (peer.StreamVersion, bool) {
+	if s.store != nil {
+		s.store.waitUntilRestored(context.Background())
+	}
 	if known, ok := s.known(stream); ok {
 		return known, true
 	}
@@ -108,8 +148,11 @@
 	return s.versions.Get(time.Now(), stream)
 }
 
-// record remembers the version of a stream, and has other routers keep it.
+// record remembers the version of a stream, and has other routers keep it and the platform store it.
 func (s *streamTracker) record(v peer.StreamVersion) {
+	if s.store != nil && s.isWriter(v.Stream, true) {
+		s.store.add(v)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions.Record(time.Now(), v.Stream, v)
@@ -136,20 +179,26 @@
 	}
 }
 
-// onlyVersion returns the version that has begun all streams of a service within a time before now, if there is just one.
+// onlyVersion returns the version that has begun all streams of a service within a time before now, if there is just one. It returns false
+// while the endpoints' entries can't be read, since other routers may know of further versions.
 func (s *streamTracker) onlyVersion(service string, within time.Duration) (peer.StreamVersion, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	history := s.histories[service]
-	if history == nil {
+	if readAt := s.state.DirectoryReadAt.Load(); history == nil || readAt != nil && time.Since(*readAt) > maxDirectoryAge {
 		return peer.StreamVersion{}, false
 	}
 	version, ok := history.Only(time.Now(), within)
 	return peer.StreamVersion{Service: service, Version: version}, ok
 }
 
-// run sends the versions of new streams to their keepers until the context ends.
+// run sends the versions of new streams to their keepers, and has the platform store them, until the context ends.
 func (s *streamTracker) run(ctx context.Context) error {
+	if s.store != nil {
+		var writes sync.WaitGroup
+		defer writes.Wait()
+		writes.Go(func() { s.store.run(ctx) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -259,6 +308,16 @@
 	return s.ranked[bucket]
 }
 
+// isAnyWriter reports whether this router writes the versions of any streams to the platform.
+func (s *streamTracker) isAnyWriter() bool {
+	for bucket := range uint64(endpoint.KeeperBuckets) {
+		if s.isWriter(bucket, true) {
+			return true
+		}
+	}
+	return false
+}
+
 // lookUp returns the version of a stream that began within a time before now. If neither this router nor one of the stream's keepers
 // remembers it, it returns the only version that has served in that time, as this router or else a keeper knows. It returns false
 // if there were several, or nobody knows.
@@ -266,6 +325,12 @@
 	if known, ok := s.known(stream); ok {
 		return known, true
 	}
+	if s.store != nil {
+		s.store.waitUntilRestored(ctx)
+		if known, ok := s.known(stream); ok {
+			return known, true
+		}
+	}
 	only, hasOnly := s.onlyVersion(service, within)
 	asked := s.keepers(stream, maxStreamLookups)
 	answers := make(chan streamAnswer, len(asked))
@@ -279,7 +344,7 @@
 		case <-ctx.Done():
 			return peer.StreamVersion{}, false
 		case a := <-answers:
-			if a.isKnown && a.known.Stream == stream {
+			if a.isKnown && a.known.Stream == stream && stream != unnamedStream {
 				return a.known, true
 			}
 			if a.isKnown && !hasOnly {
@@ -326,7 +391,7 @@
 		return nil
 	}
 	known, ok := j.server.streams.lookUp(ctx, j.resumedStream(), j.service, j.longestResumption())
-	isInferred := known.Stream != j.resumedStream()
+	isInferred := known.Stream == unnamedStream || known.Stream != j.resumedStream()
 	if !ok || isInferred && (len(j.route.Services) > 1 || len(directory.SoftwareVersions()[j.service]) > 1) {
 		return verdict.Refuse(verdict.StreamVersionUnknown, "")
 	}
@@ -383,5 +448,7 @@
 	if j.r.Header.Get(j.server.protocol.ResumeAfter) != "" {
 		stream = j.resumedStream()
 	}
-	j.server.streams.record(peer.StreamVersion{Stream: stream, Service: j.service, Version: e.SoftwareVersion})
+	if stream != unnamedStream {
+		j.server.streams.record(peer.StreamVersion{Stream: stream, Service: j.service, Version: e.SoftwareVersion})
+	}
 }
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -131,6 +131,34 @@
 	})
 }
 
+// TestUnnamedStreamsAreNotConfused guards against a stream that a caller resumes without naming it being taken for another caller's stream whose
+// request had no identifier.
+func TestUnnamedStreamsAreNotConfused(t *testing.T) {
+	const first, second = "id: 1\n\n", "id: 2\n\n"
+	g := newGatewayTest(t, answerSealed(first), answerSealed(second))
+	g.setVersions("v1")
+	got := g.call(http.MethodPost, "/talk/", "", func(r *http.Request) { r.Header.Del("Id") })
+	assert.Equal(t, first, got.body)
+	g.setVersions("v1", "v2")
+	assert.Equal(t, http.StatusServiceUnavailable, g.resumeStream("id-2", "").status)
+}
+
+// TestOldDirectoryShowsNoOnlyVersion guards against the only version in a directory that has not been read for long being taken for the one that
+// began a stream.
+func TestOldDirectoryShowsNoOnlyVersion(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want int
+	}{{0, http.StatusOK}, {time.Hour, http.StatusServiceUnavailable}} {
+		g := newGatewayTest(t, answerSealed("id: 2\n\n"))
+		g.server.streams.isFirstStart = true
+		g.setVersions("v1")
+		readAt := time.Now().Add(-c.age)
+		g.state.DirectoryReadAt.Store(&readAt)
+		assert.Equal(t, c.want, g.resumeStream("id-2", "id-1").status)
+	}
+}
+
 // TestStreamIsResumedAtAnotherRouter guards against routers that don't know the version of a stream which another router, dead by now,
 // passed on.
 func TestStreamIsResumedAtAnotherRouter(t *testing.T) {
@@ -177,10 +205,12 @@
 
 // streamNetwork carries messages between the routers of a fleet in memory. It implements streamPeers for each of them.
 type streamNetwork struct {
-	ctx context.Context
+	ctx    context.Context
+	roster *peer.Roster
 
 	mu       sync.Mutex
 	trackers map[string]*streamTracker
+	kill     map[string]context.CancelFunc
 	isDead   map[string]bool
 	// side is the side of a partition on which a router is.
 	side map[string]int
@@ -230,13 +260,15 @@
 
 // newStreamNetwork returns a fleet of routers that know each other.
 func newStreamNetwork(ctx context.Context, routers int) (network *streamNetwork, instances []string) {
-	network = &streamNetwork{ctx: ctx, trackers: make(map[string]*streamTracker), isDead: make(map[string]bool), side: make(map[string]int)}
-	roster := &peer.Roster{}
+	network = &streamNetwork{
+		ctx: ctx, roster: &peer.Roster{}, trackers: make(map[string]*streamTracker), kill: make(map[string]context.CancelFunc),
+		isDead: make(map[string]bool), side: make(map[string]int),
+	}
 	for i := range routers {
 		instance := "router-" + strconv.Itoa(i)
 		instances = append(instances, instance)
-		roster.Put(peer.Router{Instance: instance})
-		network.start(instance, roster)
+		network.roster.Put(peer.Router{Instance: instance})
+		network.start(instance, network.roster)
 	}
 	return network, instances
 }
