Refuse requests whose bodies end late in a stop

Whether a request comes too late in a stop was decided by when its headers were read, so that one with a slow body was sent to an endpoint seconds later and its stream was cut at the end of the grace period. The end of the body decides now. TestStopAnswersEveryRequest failed in the added case: the connection closed in place of 503, one request at the endpoint. The harness' send uses write, which sends parts of requests.

--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -220,7 +220,7 @@
 	if err := j.readBody(configuration.Limits); err != nil {
 		return err
 	}
-	if stop := j.server.state.Stop.Load(); stop != nil && !stop.admits(j.received, j.deadline) {
+	if stop := j.server.state.Stop.Load(); stop != nil && !stop.admits(time.Now(), j.deadline) {
 		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.ShuttingDown, RetryAfter: lateRetryAfter}
 	}
 	return nil
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -34,10 +34,10 @@
 	return stopSchedule{AcceptUntil: now.Add(drainDelay), EndAt: now.Add(time.Duration(requestShare * float64(grace)))}
 }
 
-// admits reports whether a request may be sent to an endpoint: a late one only if its deadline is before the requests in progress are
-// ended.
-func (s stopSchedule) admits(received, deadline time.Time) bool {
-	return s.EndAt.IsZero() || !received.After(s.AcceptUntil) || deadline.Before(s.EndAt)
+// admits reports whether a request whose body was read by now may be sent to an endpoint: a late one only if its deadline is before the
+// requests in progress are ended.
+func (s stopSchedule) admits(now, deadline time.Time) bool {
+	return s.EndAt.IsZero() || !now.After(s.AcceptUntil) || deadline.Before(s.EndAt)
 }
 
 // stopCallers serves on until the load balancer has noticed that the router is leaving, then accepts no more connections, waits for the requests
--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -123,8 +123,13 @@
 
 // send writes a request whose deadline is the given number of milliseconds ahead.
 func (c *caller) send(path, milliseconds string) {
-	_, err := io.WriteString(c.connection, "POST "+path+" HTTP/1.1\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: "+milliseconds+
+	c.write("POST " + path + " HTTP/1.1\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: " + milliseconds +
 		"\r\nContent-Length: 2\r\n\r\nhi")
+}
+
+// write writes a part of a request.
+func (c *caller) write(part string) {
+	_, err := io.WriteString(c.connection, part)
 	assert.Must(c.s.t, err)
 }
 
@@ -195,6 +200,19 @@
 			<-s.stopped
 		})
 	})
+	t.Run("a request whose body ends late, which the grace period is too short for", func(t *testing.T) {
+		runStopTest(t, answerSlowly(4*time.Second), func(s *stopTest) {
+			s.stop()
+			time.Sleep(2 * time.Second)
+			caller := s.newCaller()
+			caller.write("POST /chat/1 HTTP/1.1\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: 30000\r\nContent-Length: 2\r\n\r\nh")
+			time.Sleep(3 * time.Second)
+			caller.write("i")
+			assert.Equal(t, http.StatusServiceUnavailable, caller.receive())
+			assert.Equal(t, 0, s.gateway.endpoints[0].requestCount())
+			<-s.stopped
+		})
+	})
 	t.Run("a request during the stop gets its answer", func(t *testing.T) {
 		runStopTest(t, answerSlowly(time.Second), func(s *stopTest) {
 			s.stop()
