Finish the requests in progress when a loop of the router fails

If one of a router's loops failed, before or during a stop, the context that the stop waited with had ended, so that every connection was closed at once, whatever its request waited for. The stop doesn't depend on that context any more: the listener is closed at once, the requests in progress have the time of any other stop, and the payer runs until they ended. TestFailureAnswersEveryRequest failed in its first three cases: the connection closed in place of 200. No failure of a loop has been seen.

--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -117,7 +117,8 @@
 		routers: n.Routers, agreement: n.Agreement, logger: n.Logger, readClocks: allowance.Now, isNeeded: n.Payer.NeedsTimeOfDay,
 	}
 	loops.Go(func() error { return comparer.run(ctx) })
-	payerContext, stopPayer := context.WithCancel(ctx)
+	// Requests in progress still have to be paid for after another loop has failed.
+	payerContext, stopPayer := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopPayer()
 	payerGroup := &errgroup.Group{}
 	payerGroup.Go(func() error { return n.Payer.Run(payerContext) })
@@ -189,17 +190,22 @@
 	n.Logger.Info("settings reloaded")
 }
 
-// shutDown fails the readiness check at once, ends the callers' requests and returns the shares.
+// shutDown fails the readiness check at once, ends the callers' requests and returns the shares. If ctx has ended because one of the router's
+// loops failed, no more connections are accepted, and the requests in progress have the same time as in any other stop.
 func (n *Node) shutDown(ctx context.Context, callerServer *http.Server, stopPayer context.CancelFunc, payerGroup *errgroup.Group) {
 	now := time.Now()
 	schedule := newStopSchedule(now, n.Settings.Grace)
+	if ctx.Err() != nil {
+		schedule.AcceptUntil = now
+	}
+	ctx = context.WithoutCancel(ctx)
 	n.Board.Stop.Store(&schedule)
 	n.Board.Leaving.Store(true)
 	n.Payer.PrepareShutdown()
 	n.stopCallers(ctx, callerServer, schedule)
 	stopPayer()
 	_ = payerGroup.Wait()
-	returnContext, cancelReturn := context.WithDeadline(context.WithoutCancel(ctx), now.Add(n.Settings.Grace-unusedGrace))
+	returnContext, cancelReturn := context.WithDeadline(ctx, now.Add(n.Settings.Grace-unusedGrace))
 	defer cancelReturn()
 	if err := n.Payer.ReturnShares(returnContext); err != nil {
 		n.Logger.WithError(err).Warn("cannot return shares")
--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -100,10 +101,13 @@
 }
 
 // stop tells the router to stop. It returns at once.
-func (s *stopTest) stop() {
+func (s *stopTest) stop() { s.stopWith(s.t.Context()) }
+
+// stopWith makes the router stop with a context that is ended if one of the router's loops has failed. It returns at once.
+func (s *stopTest) stopWith(ctx context.Context) {
 	go func() {
 		defer close(s.stopped)
-		s.node.shutDown(s.t.Context(), s.server, func() {}, &errgroup.Group{})
+		s.node.shutDown(ctx, s.server, func() {}, &errgroup.Group{})
 	}()
 }
 
@@ -225,6 +229,43 @@
 	})
 }
 
+// TestFailureAnswersEveryRequest guards against a router that cuts the requests in progress when one of its loops fails, before or during a
+// stop.
+func TestFailureAnswersEveryRequest(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		failAfter time.Duration
+	}{{"the reason of the stop", 0}, {"during the stop", time.Second}, {"while connections are drained", 3 * time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			runStopTest(t, answerSlowly(5*time.Second), func(s *stopTest) {
+				caller := s.newCaller()
+				caller.send("/chat/1", "30000")
+				synctest.Wait()
+				ctx, fail := context.WithCancel(s.t.Context())
+				if c.failAfter == 0 {
+					fail()
+				}
+				s.stopWith(ctx)
+				time.Sleep(c.failAfter)
+				fail()
+				assert.Equal(t, http.StatusOK, caller.receive())
+				<-s.stopped
+			})
+		})
+	}
+	t.Run("accepts no more connections", func(t *testing.T) {
+		runStopTest(t, answerSlowly(time.Second), func(s *stopTest) {
+			ctx, fail := context.WithCancel(s.t.Context())
+			fail()
+			s.stopWith(ctx)
+			synctest.Wait()
+			_, err := s.callers.dial()
+			assert.Equal(t, true, errors.Is(err, net.ErrClosed))
+			<-s.stopped
+		})
+	})
+}
+
 // answerSlowly returns a handler that begins a successful answer at once and ends it after a delay.
 func answerSlowly(delay time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
