Fit a stop into any grace period, with more time for the last answers

Connections were accepted for 2.4 s and answers had 200 ms whatever the grace period was: with 0.5 s and 2 s the router was still accepting when it would be killed. TestStopFitsGracePeriod failed with 0.5 s and 2 s: the connection closed in place of 502, and the stop took longer than the grace period.

--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -34,8 +34,6 @@
 	drainDelay = 2400 * time.Millisecond
 	// settingsCheckInterval is the interval between two checks for changed settings.
 	settingsCheckInterval = 2 * time.Second
-	// unusedGrace is the part of the grace period that stays unused, so that the router ends before it is killed.
-	unusedGrace = 200 * time.Millisecond
 )
 
 // Settings configures a router process.
@@ -205,7 +203,7 @@
 	n.stopCallers(ctx, callerServer, schedule)
 	stopPayer()
 	_ = payerGroup.Wait()
-	returnContext, cancelReturn := context.WithDeadline(ctx, now.Add(n.Settings.Grace-unusedGrace))
+	returnContext, cancelReturn := context.WithDeadline(ctx, schedule.ReturnUntil)
 	defer cancelReturn()
 	if err := n.Payer.ReturnShares(returnContext); err != nil {
 		n.Logger.WithError(err).Warn("cannot return shares")
--- a/router/gateway/stop.go
+++ b/router/gateway/stop.go
@@ -10,10 +10,15 @@
 )
 
 const (
-	// requestShare is the part of the grace period after which the requests in progress are ended.
+	// acceptShare is the part of the grace period after which no more connections are accepted, if drainDelay is longer.
+	acceptShare = 0.6
+	// requestShare is the part of the grace period after which the requests in progress are ended, and answerShare that after which handlers
+	// must have answered those.
 	requestShare = 0.875
-	// answerTime is how long handlers may take to answer the requests that are ended.
-	answerTime = 200 * time.Millisecond
+	answerShare  = 0.925
+	// returnShare is the part of the grace period after which shares must have been returned. The rest stays unused, so that the router ends
+	// before it is killed.
+	returnShare = 0.975
 	// lateRetryAfter is the Retry-After of requests that come too late in a stop: any other router serves them.
 	lateRetryAfter = 50 * time.Millisecond
 )
@@ -28,10 +33,16 @@
 type stopSchedule struct {
 	// AcceptUntil is when the router stops to accept connections, EndAt when it ends the requests in progress.
 	AcceptUntil, EndAt time.Time
+	// AnswerUntil is when the requests that are ended must have been answered, ReturnUntil when shares must have been returned.
+	AnswerUntil, ReturnUntil time.Time
 }
 
 func newStopSchedule(now time.Time, grace time.Duration) stopSchedule {
-	return stopSchedule{AcceptUntil: now.Add(drainDelay), EndAt: now.Add(time.Duration(requestShare * float64(grace)))}
+	after := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
+	return stopSchedule{
+		AcceptUntil: now.Add(min(drainDelay, after(acceptShare))), EndAt: now.Add(after(requestShare)),
+		AnswerUntil: now.Add(after(answerShare)), ReturnUntil: now.Add(after(returnShare)),
+	}
 }
 
 // admits reports whether a request whose body was read by now may be sent to an endpoint: a late one only if its deadline is before the
@@ -49,6 +60,6 @@
 	}
 	n.Logger.WithField("Connections", n.callers.count()).Warn("grace period is over; ending the remaining requests")
 	n.endRequests(errStopping)
-	n.callers.drainUntil(ctx, schedule.EndAt.Add(answerTime))
+	n.callers.drainUntil(ctx, schedule.AnswerUntil)
 	_ = callerServer.Close()
 }
--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -279,6 +279,26 @@
 	}
 }
 
+// TestStopFitsGracePeriod guards against a stop that takes longer than its grace period, after which the process is killed.
+func TestStopFitsGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second, 20 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			runStopTest(t, func(_ http.ResponseWriter, r *http.Request) { waitForCaller(r, time.Minute) }, func(s *stopTest) {
+				s.node.Settings.Grace = grace
+				caller, idle := s.newCaller(), s.newCaller()
+				caller.send("/order/1", "30000")
+				synctest.Wait()
+				startedAt := time.Now()
+				s.stop()
+				assert.Equal(t, http.StatusBadGateway, caller.receive())
+				<-s.stopped
+				assert.Equal(t, true, time.Since(startedAt) < grace)
+				assert.Equal(t, 0, idle.receive())
+			})
+		})
+	}
+}
+
 func TestStopSchedule(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	s := newStopSchedule(now, 8*time.Second)
