Close no caller's connection on which a request is being read

A stop closed a kept connection as idle 0.5 s after the last byte had been read from it, also if these bytes were the begin of a request whose rest was late, or of one that a slow machine had read but not yet parsed; that request could then be sent to an endpoint and lose its answer. Whether anything was read since the last answer decides now. TestStopAnswersEveryRequest failed in the added case: the rest of the headers met a closed connection.

TestIdleConnections asserted the fault: that a connection counts as idle a second after bytes of a request were read from it. It asserts now that it doesn't, and that it does a quiet period after the answer, not before.

--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// quietPeriod is how long a connection must have received no data before it is closed as idle: a busy router may
-	// take that long from receiving a request's bytes to calling its handler.
+	// quietPeriod is how long a connection must have been idle before it is closed: its next request may have been read together with the
+	// one before, or be on its way.
 	quietPeriod = 500 * time.Millisecond
 	// idleCheckInterval is the interval at which a router that shuts down checks for idle connections.
 	idleCheckInterval = 50 * time.Millisecond
@@ -42,6 +42,9 @@
 		return
 	}
 	c.states[connection] = state
+	if caller, ok := connection.(*callerConnection); ok && state == http.StateIdle {
+		caller.recordIdle(time.Now())
+	}
 }
 
 // drainUntil closes the listener, then closes idle connections until none is open or the time has come. It reports whether none is open. Unlike
@@ -84,12 +87,14 @@
 	return len(c.states)
 }
 
-// callerConnection is a caller's connection that records when data was last read from it.
+// callerConnection is a caller's connection that records whether a request is being read from it.
 type callerConnection struct {
 	byteCountingConnection
 
-	mu       sync.Mutex
-	lastRead time.Time
+	mu sync.Mutex
+	// idleSince is when the last answer ended, isReading whether data was read after that: a part of the next request.
+	idleSince time.Time
+	isReading bool
 	// isClosed is true once the connection was closed as quiet.
 	isClosed bool
 }
@@ -104,11 +109,18 @@
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
-		c.lastRead = time.Now()
+		c.isReading = true
 	}
 	return n, err
 }
 
+// recordIdle records that an answer has ended.
+func (c *callerConnection) recordIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince, c.isReading = now, false
+}
+
 // closeIfQuiet closes the connection if it is quiet.
 func (c *callerConnection) closeIfQuiet(now time.Time) {
 	c.mu.Lock()
@@ -119,7 +131,7 @@
 	}
 }
 
-// isQuiet reports whether no data was read during the last quietPeriod and the socket's receive buffer is empty.
+// isQuiet reports whether nothing of a request has arrived since an answer ended at least quietPeriod ago.
 func (c *callerConnection) isQuiet(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -127,7 +139,7 @@
 }
 
 func (c *callerConnection) isQuietLocked(now time.Time) bool {
-	return now.Sub(c.lastRead) > quietPeriod && c.unreadBytes() == 0
+	return !c.isReading && now.Sub(c.idleSince) > quietPeriod && c.unreadBytes() == 0
 }
 
 // unreadBytes returns the number of bytes in the socket's receive buffer; zero if it can't be determined.
--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -217,6 +217,20 @@
 			<-s.stopped
 		})
 	})
+	t.Run("a request whose headers arrive in two parts on a connection from before the stop", func(t *testing.T) {
+		runStopTest(t, answerSlowly(0), func(s *stopTest) {
+			caller := s.newCaller()
+			caller.send("/order/1", "30000")
+			assert.Equal(t, http.StatusOK, caller.receive())
+			time.Sleep(time.Second)
+			caller.write("POST /order/2 HTTP/1.1\r\nHost: h\r\nId: id-1\r\n")
+			s.stop()
+			time.Sleep(3 * time.Second)
+			caller.write("Authorization: Bearer key\r\nLeft: 1000\r\nContent-Length: 2\r\n\r\nhi")
+			assert.Equal(t, http.StatusOK, caller.receive())
+			<-s.stopped
+		})
+	})
 	t.Run("a request during the stop gets its answer", func(t *testing.T) {
 		runStopTest(t, answerSlowly(time.Second), func(s *stopTest) {
 			s.stop()
