Answer the requests in flight when a loop of the own interface's router fails

The listeners' connections were closed with the context of the loops, so that one that failed cut every request, also in a drain. They serve until the requests in flight were ended with an answer. TestFailureAnswersEveryRequest failed in both cases: the caller's connection was closed in place of 502. No failure of a loop has been seen.

--- a/router/drain.go
+++ b/router/drain.go
@@ -14,17 +14,20 @@
 const answerTime = time.Second
 
 // waitAndDrain waits for a signal and then shuts the router down gracefully; a second signal makes it return errForced. If ctx
-// ends first, because a loop failed, it returns nil without a shutdown. The order of the shutdown matters: the router first
+// ends first, because a loop failed, it ends the requests in flight at once, with an answer, and returns nil. The order of the shutdown matters: the router first
 // reports to the load balancer that it is not ready, then refuses new requests, then waits for those in flight. The ledger
 // client appends its last records and leaves at the end, because requests in flight still have to be billed. Requests that are in flight
 // when the wait is over, or at a second signal, are ended with an answer.
 func (p *program) waitAndDrain(ctx context.Context, callers *listener, signals <-chan os.Signal) error {
+	d := &drain{program: p, callers: callers, done: make(chan error, 1)}
 	if !p.awaitStop(ctx, signals) {
+		p.Board.Leaving.Store(true)
+		p.Board.Draining.Store(true)
+		d.endRequests(ctx)
 		return nil
 	}
 	drainCtx, cancel := context.WithTimeout(ctx, p.Settings.DrainDelay+p.Settings.DrainMaximum)
 	defer cancel()
-	d := &drain{program: p, callers: callers, done: make(chan error, 1)}
 	go d.run(drainCtx)
 	forced := make(chan bool, 1)
 	go d.runForced(drainCtx, signals, forced)
@@ -78,7 +81,7 @@
 	d.program.Board.Draining.Store(true)
 	d.program.Logger.Info("refusing new requests")
 	if err := d.callers.server.Shutdown(ctx); err != nil {
-		d.endRequests(context.WithoutCancel(ctx))
+		d.endRequests(ctx)
 		return fmt.Errorf("waiting for requests in flight: %w", err)
 	}
 	result, err := d.program.Ledger.Drain(ctx)
@@ -93,11 +96,11 @@
 	return nil
 }
 
-// endRequests ends the requests in flight and waits until they have been answered, up to answerTime.
+// endRequests ends the requests in flight and waits until they have been answered, up to answerTime, also if ctx has ended.
 func (d *drain) endRequests(ctx context.Context) {
 	d.program.Logger.Warn("ending the requests in flight")
 	d.callers.endRequests(verdict.Refuse(verdict.ShuttingDown, ""))
-	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
 	defer cancel()
 	if err := d.callers.server.Shutdown(ctx); err != nil {
 		d.program.Logger.WithError(err).Warn("some requests in flight were not answered")
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -34,6 +34,8 @@
 	signals        chan os.Signal
 	runResult      chan error
 	callerURL      string
+	// fail ends the context of the router's loops, as the failure of one of them does.
+	fail context.CancelFunc
 }
 
 func startRouterFixture(t *testing.T, drainDelay time.Duration) *routerFixture {
@@ -82,8 +84,11 @@
 		assert.Must(tb, err)
 		err = container.Decorate(func(platform.Log) platform.Log { return s.platformLog })
 		assert.Must(tb, err)
+		ctx, fail := context.WithCancel(context.Background())
+		s.fail = fail
 		go func() {
-			s.runResult <- container.Invoke(func(p program) error { return p.run(context.Background(), s.signals) })
+			defer fail()
+			s.runResult <- container.Invoke(func(p program) error { return p.run(ctx, s.signals) })
 		}()
 		s.callerURL = "http://" + settings.Listen
 		err = s.waitUntilReady(settings)
@@ -227,6 +232,33 @@
 	}
 }
 
+// TestFailureAnswersEveryRequest guards against a router that cuts the requests in progress when one of its loops fails, before or during a
+// stop.
+func TestFailureAnswersEveryRequest(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		signals int
+		want    error
+	}{{"in operation", 0, nil}, {"during a stop", 1, context.Canceled}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startRouterFixture(t, time.Minute)
+			waitUntil(t, func() bool { _, found := s.readLedger(t).Budget("main"); return found })
+			answer := make(chan string, 1)
+			go func() { answer <- s.sendBooking("waiting") }()
+			<-s.requestArrived
+			for range c.signals {
+				s.signals <- syscall.SIGTERM
+			}
+			s.fail()
+			assert.Equal(t, "502", strings.SplitN(<-answer, " ", 2)[0])
+			if err := <-s.runResult; !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+			close(s.allowAnswer)
+		})
+	}
+}
+
 // TestHangup guards against a router that ends, or drains, when its terminal or supervisor sends SIGHUP.
 func TestHangup(t *testing.T) {
 	s := startRouterFixture(t, time.Minute)
--- a/router/serve.go
+++ b/router/serve.go
@@ -79,12 +79,18 @@
 	if err := p.Peers.listen(ctx); err != nil {
 		return fmt.Errorf("opening --peer-listen: %w", err)
 	}
+	// The listeners serve until the requests in progress were answered, also after a loop has failed.
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	loops, ctx := errgroup.WithContext(ctx)
+	for _, l := range []*listener{callers, operators} {
+		loops.Go(func() error { return l.run(serving) })
+	}
 	for _, run := range []func(context.Context) error{
 		p.Ledger.Run, p.Dispatcher.Run, p.Configuration.Run, p.Snapshots.Run, p.Instances.Run, p.publishLedgerReady,
-		p.Orders.Run, p.Peers.Run, callers.run, operators.run,
+		p.Orders.Run, p.Peers.Run,
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
@@ -94,6 +100,7 @@
 		"Instance":    p.Settings.Instance,
 	}).Info("router started")
 	result := p.waitAndDrain(ctx, callers, signals)
+	stopServing()
 	stop()
 	// Loops that stop may return context.Canceled, which is not a failure.
 	if err := loops.Wait(); err != nil && result == nil && !errors.Is(err, context.Canceled) {
