--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -100,10 +101,13 @@
 }
 
 // stop tells the router to stop. It returns at once.
-func (s *stopTest) stop() {
+func (s *stopTest) stop() { s.stopWith(s.t.Context()) }
+
+// stopWith makes the router stop with a context that is ended if one of the router's loops has failed. It returns at once.
+func (s *stopTest) stopWith(ctx context.Context) {
 	go func() {
 		defer close(s.stopped)
-		s.node.shutDown(s.t.Context(), s.server, func() {}, &errgroup.Group{})
+		s.node.shutDown(ctx, s.server, func() {}, &errgroup.Group{})
 	}()
 }
 
@@ -112,6 +116,8 @@
 	s          *stopTest
 	connection net.Conn
 	reader     *bufio.Reader
+	// method is the method of its requests if their answers have no body.
+	method string
 }
 
 func (s *stopTest) newCaller() *caller {
@@ -123,14 +129,19 @@
 
 // send writes a request whose deadline is the given number of milliseconds ahead.
 func (c *caller) send(path, milliseconds string) {
-	_, err := io.WriteString(c.connection, "POST "+path+" HTTP/1.1\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: "+milliseconds+
+	c.write("POST " + path + " HTTP/1.1\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: " + milliseconds +
 		"\r\nContent-Length: 2\r\n\r\nhi")
+}
+
+// write writes a part of a request.
+func (c *caller) write(part string) {
+	_, err := io.WriteString(c.connection, part)
 	assert.Must(c.s.t, err)
 }
 
 // receive reads an answer and returns its status, or zero if the connection ends before the answer is complete.
 func (c *caller) receive() int {
-	response, err := http.ReadResponse(c.reader, nil)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: c.method})
 	if err != nil {
 		return 0
 	}
@@ -195,6 +206,33 @@
 			<-s.stopped
 		})
 	})
+	t.Run("a request whose body ends late, which the grace period is too short for", func(t *testing.T) {
+		runStopTest(t, answerSlowly(4*time.Second), func(s *stopTest) {
+			s.stop()
+			time.Sleep(2 * time.Second)
+			caller := s.newCaller()
+			caller.write("POST /chat/1 HTTP/1.1\r\nHost: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: 30000\r\nContent-Length: 2\r\n\r\nh")
+			time.Sleep(3 * time.Second)
+			caller.write("i")
+			assert.Equal(t, http.StatusServiceUnavailable, caller.receive())
+			assert.Equal(t, 0, s.gateway.endpoints[0].requestCount())
+			<-s.stopped
+		})
+	})
+	t.Run("a request whose headers arrive in two parts on a connection from before the stop", func(t *testing.T) {
+		runStopTest(t, answerSlowly(0), func(s *stopTest) {
+			caller := s.newCaller()
+			caller.send("/order/1", "30000")
+			assert.Equal(t, http.StatusOK, caller.receive())
+			time.Sleep(time.Second)
+			caller.write("POST /order/2 HTTP/1.1\r\nHost: h\r\nId: id-1\r\n")
+			s.stop()
+			time.Sleep(3 * time.Second)
+			caller.write("Authorization: Bearer key\r\nLeft: 1000\r\nContent-Length: 2\r\n\r\nhi")
+			assert.Equal(t, http.StatusOK, caller.receive())
+			<-s.stopped
+		})
+	})
 	t.Run("a request during the stop gets its answer", func(t *testing.T) {
 		runStopTest(t, answerSlowly(time.Second), func(s *stopTest) {
 			s.stop()
@@ -207,6 +245,86 @@
 	})
 }
 
+// TestStopAnswersEveryForm guards against forms of requests that net/http treats apart from others and that get no answer in a stop.
+func TestStopAnswersEveryForm(t *testing.T) {
+	const headers = "Host: h\r\nId: id-1\r\nAuthorization: Bearer key\r\nLeft: 30000\r\n"
+	for _, c := range []struct{ name, request, method, afterContinue string }{
+		{name: "HTTP/1.0", request: "POST /order/1 HTTP/1.0\r\n" + headers + "Content-Length: 2\r\n\r\nhi"},
+		{name: "HEAD", method: http.MethodHead, request: "HEAD /read/1 HTTP/1.1\r\n" + headers + "\r\n"},
+		{name: "chunks", request: "POST /order/1 HTTP/1.1\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
+		{
+			name: "a body that waits for 100", request: "POST /order/1 HTTP/1.1\r\n" + headers + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+			afterContinue: "hi",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runStopTest(t, func(_ http.ResponseWriter, r *http.Request) { waitForCaller(r, time.Minute) }, func(s *stopTest) {
+				caller := s.newCaller()
+				caller.method = c.method
+				caller.write(c.request)
+				if c.afterContinue != "" {
+					assert.Equal(t, http.StatusContinue, caller.receive())
+					caller.write(c.afterContinue)
+				}
+				synctest.Wait()
+				s.stop()
+				assert.Equal(t, http.StatusBadGateway, caller.receive())
+				assert.Equal(t, 1, s.gateway.endpoints[0].requestCount())
+				<-s.stopped
+			})
+		})
+	}
+	t.Run("pipelined behind a stream from before the stop", func(t *testing.T) {
+		runStopTest(t, answerSlowly(4*time.Second), func(s *stopTest) {
+			caller := s.newCaller()
+			request := "POST /chat/1 HTTP/1.1\r\n" + headers + "Content-Length: 2\r\n\r\nhi"
+			caller.write(request + request)
+			synctest.Wait()
+			s.stop()
+			assert.Equal(t, http.StatusOK, caller.receive())
+			assert.Equal(t, http.StatusServiceUnavailable, caller.receive())
+			<-s.stopped
+		})
+	})
+}
+
+// TestFailureAnswersEveryRequest guards against a router that cuts the requests in progress when one of its loops fails, before or during a
+// stop.
+func TestFailureAnswersEveryRequest(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		failAfter time.Duration
+	}{{"the reason of the stop", 0}, {"during the stop", time.Second}, {"while connections are drained", 3 * time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			runStopTest(t, answerSlowly(5*time.Second), func(s *stopTest) {
+				caller := s.newCaller()
+				caller.send("/chat/1", "30000")
+				synctest.Wait()
+				ctx, fail := context.WithCancel(s.t.Context())
+				if c.failAfter == 0 {
+					fail()
+				}
+				s.stopWith(ctx)
+				time.Sleep(c.failAfter)
+				fail()
+				assert.Equal(t, http.StatusOK, caller.receive())
+				<-s.stopped
+			})
+		})
+	}
+	t.Run("accepts no more connections", func(t *testing.T) {
+		runStopTest(t, answerSlowly(time.Second), func(s *stopTest) {
+			ctx, fail := context.WithCancel(s.t.Context())
+			fail()
+			s.stopWith(ctx)
+			synctest.Wait()
+			_, err := s.callers.dial()
+			assert.Equal(t, true, errors.Is(err, net.ErrClosed))
+			<-s.stopped
+		})
+	})
+}
+
 // answerSlowly returns a handler that begins a successful answer at once and ends it after a delay.
 func answerSlowly(delay time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -220,6 +338,26 @@
 	}
 }
 
+// TestStopFitsGracePeriod guards against a stop that takes longer than its grace period, after which the process is killed.
+func TestStopFitsGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second, 20 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			runStopTest(t, func(_ http.ResponseWriter, r *http.Request) { waitForCaller(r, time.Minute) }, func(s *stopTest) {
+				s.node.Settings.Grace = grace
+				caller, idle := s.newCaller(), s.newCaller()
+				caller.send("/order/1", "30000")
+				synctest.Wait()
+				startedAt := time.Now()
+				s.stop()
+				assert.Equal(t, http.StatusBadGateway, caller.receive())
+				<-s.stopped
+				assert.Equal(t, true, time.Since(startedAt) < grace)
+				assert.Equal(t, 0, idle.receive())
+			})
+		})
+	}
+}
+
 func TestStopSchedule(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	s := newStopSchedule(now, 8*time.Second)
