Log when a router is cut off from the endpoints of a service, and since when

Cause of the blind spot: each failed attempt was put down to its endpoint. Reachability decides by new connections: failures at two endpoints call for a check of three, and if none of them can be reached, the router is cut off from the service. Exchanges that wait while no endpoint sends anything call for one, too. A probe finds the end. Lines "cut off from endpoints" and "endpoints can be reached again" with the service and how long it took, counters reach.cut_off.SERVICE and reach.healed.SERVICE. Requests are sent as before, except that endpoints lose the backoffs that a cut caused.

--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -25,6 +25,8 @@
 	endpointPaused          = "endpoint.paused"
 	endpointLimited         = "endpoint.limited"
 	endpointLimitUnreadable = "endpoint.limit_unreadable"
+	reachCutOffPrefix       = "reach.cut_off."
+	reachHealedPrefix       = "reach.healed."
 	streamVersionsNotSent   = "stream.versions_not_sent"
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
@@ -51,6 +53,8 @@
 		{endpointPaused, "Pauses for which endpoints asked in a refusal."},
 		{endpointLimited, "Changes of the rate limit that an endpoint names, its begin and end included."},
 		{endpointLimitUnreadable, "Answers with a rate limit that can't be read; the previous limit stays in force."},
+		{reachCutOffPrefix + "SERVICE", "Times at which this router found that it can open no connection to the endpoints of the service."},
+		{reachHealedPrefix + "SERVICE", "Times at which this router could open connections to the endpoints of the service again."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -79,7 +79,9 @@
 		WroteHeaders: func() { writes.Add(1) },
 	})
 	sentAt := time.Now()
+	silence := j.server.targets.watchSilence(e)
 	response, err := e.transport.RoundTrip(j.newRequest(tracedContext, e, timeLeft))
+	silence.Stop()
 	result := attemptResult{}
 	if err != nil {
 		result = j.classifyFailure(ctx, err, writes.Load() > 0)
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -57,9 +57,8 @@
 		t.reportRestartLocked(known, time.UnixMilli(e.StartedAt))
 		delete(t.limits, processOf(&known.Endpoint))
 	}
-	created := &target{
-		Endpoint: e, transport: NewTransport(t.traffic), hash: xxhash.Sum64String(e.Name), limit: t.limitLocked(processOf(&e)),
-	}
+	created := &target{Endpoint: e, hash: xxhash.Sum64String(e.Name), limit: t.limitLocked(processOf(&e))}
+	created.transport = newTransport(t.traffic, (&endpointDialer{targets: t, service: e.Service, endpoint: e.Name}).dial)
 	t.byName[e.Name] = created
 	return created
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -51,13 +51,15 @@
 // NewServer returns a server that pays for requests from the shares of payer.
 func NewServer(state *Board, protocol Protocol, location Location, payer *allowance.Holder, logger log.Interface) *Server {
 	crashes := newCrashTracker(state, logger)
-	return &Server{
+	s := &Server{
 		state: state, protocol: protocol, payer: payer, logger: logger, crashes: crashes,
 		targets:      targets{location: location, traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
 		retries:      retryBudgets{limits: endpoint.DefaultRepeatBounds()},
 		limitChanges: newChangeSignal(),
 		streams:      newStreamTracker(state),
 	}
+	s.targets.onReachChange = s.logReachChange
+	return s
 }
 
 // SetRetryLimits sets the operators' limits on the retries of the fleet. It may be called while requests are served.
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,11 +57,19 @@
 
 // NewTransport returns an HTTP transport with bounded connections that ignores the proxy settings of the environment
 // and adds the bytes on its connections to traffic.
-func NewTransport(traffic *Traffic) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: SetUserTimeout}
+func NewTransport(traffic *Traffic) *http.Transport { return newTransport(traffic, newDialer()) }
+
+func newDialer() dialFunc {
+	return (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: SetUserTimeout}).DialContext
+}
+
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newTransport(traffic *Traffic, dial dialFunc) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
+			connection, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -128,6 +137,14 @@
 	// location is where this router runs.
 	location Location
 	traffic  *Traffic
+	// dial opens connections to endpoints; newDialer if nil.
+	dial dialFunc
+	// reach says, by service, whether its endpoints are reached. lastHeard is when data last came from any endpoint, in
+	// nanoseconds of the Unix time.
+	reach     map[string]*endpoint.Reachability
+	lastHeard atomic.Int64
+	// onReachChange is called when the router finds itself cut off from a service's endpoints, or no longer.
+	onReachChange func(service string, r *endpoint.Reachability, now, since time.Time)
 	// onCrash is called with an endpoint's crash and the requests that were in progress there.
 	onCrash func(now time.Time, crash string, exposures []endpoint.InterruptedExchange)
 	// onSound is called with the parts of prompts on which an endpoint's answer was sound.
