--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -1,7 +1,8 @@
 // Package peer exchanges messages between the routers of a fleet over QUIC. Routers that can't reach the
 // log send copies of their ledger groups to other routers and fetch configuration entries from them. Routers
 // also transfer and lend prepaid tokens, send placement notices, keep the software versions of each other's streams, and fetch each
-// other's list of routers and wall clock.
+// other's list of routers and wall clock. A router that is cut off from endpoints has
+// other routers carry out its exchanges with them, see Exchange.
 //
 // Each request uses one QUIC stream: the sender writes the request and closes its side, then the receiver
 // writes the answer and closes the other side. Placement notices are QUIC datagrams without an answer. Both
@@ -53,6 +54,7 @@
 	clockMessage
 	streamVersionsMessage
 	streamLookupMessage
+	exchangeMessage
 )
 
 // request is the encoded form of a request to another router. The kind determines which of the other fields are used.
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -28,7 +28,10 @@
 	// requestTimeout bounds the handling of a request by its receiver, and the wait of a sender whose context has no deadline.
 	requestTimeout = 5 * time.Second
 	// maxStreamsPerConnection is the maximum number of requests in progress on a connection that another router opened.
-	maxStreamsPerConnection = 64
+	maxStreamsPerConnection = 256
+	// streamWindow and connectionWindow bound the bytes that a router holds for a stream, or a connection, whose data it hasn't read.
+	streamWindow     = 256 << 10
+	connectionWindow = 8 << 20
 	// maxAcceptedConnections is the maximum number of open connections from other routers.
 	maxAcceptedConnections = 1024
 )
@@ -97,6 +100,8 @@
 	listener            *quic.Listener
 	dialled             map[Address]*quic.Conn
 	acceptedConnections int
+	// exchanges counts the exchanges in progress by dialled connection.
+	exchanges map[*quic.Conn]int
 }
 
 // Address is the network address of a router, and the instance that the router there must prove to be.
@@ -136,10 +141,15 @@
 // disable unidirectional streams.
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:  handshakeTimeout,
-		MaxIdleTimeout:        idleTimeout,
-		KeepAlivePeriod:       keepAliveInterval,
-		MaxIncomingStreams:    maxStreamsPerConnection,
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAliveInterval,
+		MaxIncomingStreams:   maxStreamsPerConnection,
+
+		InitialStreamReceiveWindow: streamWindow,
+		MaxStreamReceiveWindow:     streamWindow,
+		MaxConnectionReceiveWindow: connectionWindow,
+
 		MaxIncomingUniStreams: -1,
 		EnableDatagrams:       true,
 		Allow0RTT:             false,
@@ -273,6 +283,10 @@
 	data, err := readBounded(h.stream, MaxRequestBytes)
 	a := answer{Refusal: ErrMalformed.Error()}
 	if err == nil {
+		if isExchange(data) {
+			h.serveExchange(data)
+			return
+		}
 		a = h.node.answer(h.stream.Context(), h.from, data)
 	}
 	if a.Refusal != "" {
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -335,12 +335,14 @@
 	}
 }
 
-// dropConnection closes a connection on which a request failed, and removes it unless another has replaced it.
+// dropConnection removes a connection on which a request failed unless another has replaced it, and closes it after its exchanges.
 func (n *Node) dropConnection(to Address, connection *quic.Conn) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.dialled[to] == connection {
 		delete(n.dialled, to)
 	}
-	_ = connection.CloseWithError(0, "request failed")
+	if n.exchanges[connection] == 0 {
+		_ = connection.CloseWithError(0, "request failed")
+	}
 }
