Have other routers carry out exchanges of a router that is cut off from endpoints

Cause: a router had no way to an endpoint but its own connections. Now one exchange goes through another router, which sends it over its own connections and never hands it on. Everything that has one owner stays with the caller's router. "Not run" is said only if nothing was written; what may have reached the endpoint is repeated only where the route allows it. A refused connection no longer closes the endpoint's open ones, and is no evidence of a crash while the router may be cut off.

--- a/fleet/endpoint/reachability.go
+++ b/fleet/endpoint/reachability.go
@@ -87,6 +87,11 @@
 // IsCutOff reports whether the router is cut off.
 func (r *Reachability) IsCutOff() bool { return !r.cutOffSince.IsZero() }
 
+// IsDoubtful reports whether a refused connection may be due to a cut, and so is no evidence that the endpoint has ended.
+func (r *Reachability) IsDoubtful(now time.Time) bool {
+	return r.IsCutOff() || len(r.failed) >= failuresBeforeCheck || r.DirectShare(now) < 1
+}
+
 // CutOffSince returns when the present cut was found; zero if there is none.
 func (r *Reachability) CutOffSince() time.Time { return r.cutOffSince }
 
--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -61,6 +61,9 @@
 	j.server.retries.recordRequest(j.service)
 	for {
 		e, err := j.acquireTarget()
+		if err != nil && j.retryUnsent(err) {
+			continue
+		}
 		if err != nil {
 			if j.responseStarted {
 				return true
@@ -75,6 +78,7 @@
 		j.server.targets.finishPrompt(e, j, false)
 		j.server.targets.release(e, j, startedAt, result)
 		j.clearSuspicion(result)
+		j.recordFailedDial(e, result)
 		if result.verdict != verdict.NotRun {
 			j.mayHaveRun = true
 		}
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -8,6 +8,7 @@
 	fieldFrom         = "From"
 	fieldVersion      = "SoftwareVersion"
 	fieldMilliseconds = "Milliseconds"
+	fieldThrough      = "Through"
 )
 
 // Names of the counters, or prefixes that end in a dot: the reason why the previous attempt failed follows
@@ -27,6 +28,10 @@
 	endpointLimitUnreadable = "endpoint.limit_unreadable"
 	reachCutOffPrefix       = "reach.cut_off."
 	reachHealedPrefix       = "reach.healed."
+	exchangeHandedOver      = "exchange.handed_over"
+	exchangeNotCarried      = "exchange.not_carried"
+	exchangeCarried         = "exchange.carried"
+	exchangeDeclinedPrefix  = "exchange.declined."
 	streamVersionsNotSent   = "stream.versions_not_sent"
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
@@ -55,6 +60,10 @@
 		{endpointLimitUnreadable, "Answers with a rate limit that can't be read; the previous limit stays in force."},
 		{reachCutOffPrefix + "SERVICE", "Times at which this router found that it can open no connection to the endpoints of the service."},
 		{reachHealedPrefix + "SERVICE", "Times at which this router could open connections to the endpoints of the service again."},
+		{exchangeHandedOver, "Exchanges with endpoints that another router carried out for this one, up to the answer's headers."},
+		{exchangeNotCarried, "Exchanges that no other router carried out; nothing was sent."},
+		{exchangeCarried, "Exchanges with endpoints that this router carried out for others."},
+		{exchangeDeclinedPrefix + "REASON", "Exchanges of other routers that this one did not carry out, by reason."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
--- a/router/gateway/crash_evidence.go
+++ b/router/gateway/crash_evidence.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
 
 const (
@@ -34,8 +35,10 @@
 		t.concludeAnswersLocked(now, e)
 	}
 	switch {
-	case t.byName[e.Name] != e || result.misdirected || errors.Is(result.cause, syscall.ECONNREFUSED):
+	case t.byName[e.Name] != e || result.misdirected:
 		t.reportCrashLocked(e)
+	case errors.Is(result.cause, syscall.ECONNREFUSED):
+		t.reportRefusalLocked(now, e, j.through == "")
 	case result.responded && !result.endpointFailed && startedAt.After(e.lastBroken) && e.answeredSince.IsZero():
 		e.answeredSince = startedAt
 	}
@@ -66,6 +69,19 @@
 	}
 }
 
+// reportRefusalLocked reports a crash of an endpoint that refused a connection. If it was a connection of this router, and that may be
+// cut off, a crashCheck decides.
+func (t *targets) reportRefusalLocked(now time.Time, e *target, isDirect bool) {
+	if !isDirect || !t.reachLocked(e.Service).IsDoubtful(now) {
+		t.reportCrashLocked(e)
+		return
+	}
+	if len(e.exposures) > 0 && !e.isBeingChecked {
+		e.isBeingChecked = true
+		go (&crashCheck{targets: t, target: e}).run()
+	}
+}
+
 // concludeAnswersLocked reports the parts of answers that the endpoint has survived for long enough.
 func (t *targets) concludeAnswersLocked(now time.Time, e *target) {
 	for len(e.recentAnswers) > 0 && now.Sub(e.recentAnswers[0].begunAt) >= endpoint.SoundAnswerTime {
@@ -102,14 +118,30 @@
 	if err == nil {
 		_ = connection.Close()
 	}
+	isRefused := errors.Is(err, syscall.ECONNREFUSED) && !c.isCutOff()
 	c.targets.mu.Lock()
 	defer c.targets.mu.Unlock()
 	c.target.isBeingChecked = false
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if isRefused {
 		c.targets.reportCrashLocked(c.target)
 	}
 }
 
+// isCutOff reports whether the router can't reach any of some other endpoints of the service either.
+func (c *crashCheck) isCutOff() bool {
+	t := c.targets
+	t.mu.Lock()
+	isDoubtful := t.reachLocked(c.target.Service).IsDoubtful(time.Now())
+	t.mu.Unlock()
+	if !isDoubtful {
+		return false
+	}
+	others := slices.DeleteFunc(t.pickEndpoints(c.target.Service, endpoint.ReachabilityChecked+1), func(e site.Endpoint) bool {
+		return e.Name == c.target.Name
+	})
+	return len(others) > 0 && !slices.ContainsFunc(others, func(e site.Endpoint) bool { return t.canConnect(e.Address) })
+}
+
 // reportRestartLocked reports that an endpoint's process has been replaced by one that started at a time. That was a crash
 // unless the former process answered after exchanges had broken off.
 func (t *targets) reportRestartLocked(e *target, startedAt time.Time) {
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -79,9 +79,7 @@
 		WroteHeaders: func() { writes.Add(1) },
 	})
 	sentAt := time.Now()
-	silence := j.server.targets.watchSilence(e)
-	response, err := e.transport.RoundTrip(j.newRequest(tracedContext, e, timeLeft))
-	silence.Stop()
+	response, err := j.roundTrip(e, j.newRequest(tracedContext, e, timeLeft))
 	result := attemptResult{}
 	if err != nil {
 		result = j.classifyFailure(ctx, err, writes.Load() > 0)
@@ -96,16 +94,17 @@
 	return result
 }
 
-// newRequest builds the request to the endpoint. Its body can be read only once, so that the HTTP transport can't
-// resend the request by itself.
+// newRequest builds the request to the endpoint.
 func (j *job) newRequest(ctx context.Context, e *target, timeLeft time.Duration) *http.Request {
+	return endpointRequest(ctx, j.r.Method, e.Address, j.r.RequestURI, j.r.Host, j.requestHeader(e, timeLeft), j.body)
+}
+
+// endpointRequest builds a request to an endpoint. Its body can be read only once, so that the HTTP transport can't resend the request
+// by itself.
+func endpointRequest(ctx context.Context, method, address, target, host string, header http.Header, body []byte) *http.Request {
 	outgoing := &http.Request{
-		Method:        j.r.Method,
-		URL:           &url.URL{Scheme: "http", Host: e.Address, Opaque: j.r.RequestURI},
-		Host:          j.r.Host,
-		Header:        j.requestHeader(e, timeLeft),
-		Body:          io.NopCloser(bytes.NewReader(j.body)),
-		ContentLength: int64(len(j.body)),
+		Method: method, URL: &url.URL{Scheme: "http", Host: address, Opaque: target}, Host: host, Header: header,
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
 	}
 	return outgoing.WithContext(ctx)
 }
@@ -135,11 +134,16 @@
 	if j.engine != nil && protocol.Urgency != "" {
 		header.Set(protocol.Urgency, strconv.Itoa(urgency(j.route.Target-time.Since(j.received), j.readTime, j.priority())))
 	}
-	timeLeft -= min(endpointDeadlineMargin, timeLeft/endpointDeadlineDivisor)
-	header.Set(protocol.Deadline, strconv.FormatInt(timeLeft.Milliseconds(), 10))
+	j.setTimeLeft(header, timeLeft)
 	return header
 }
 
+// setTimeLeft tells the endpoint how much time is left.
+func (j *job) setTimeLeft(header http.Header, timeLeft time.Duration) {
+	timeLeft -= min(endpointDeadlineMargin, timeLeft/endpointDeadlineDivisor)
+	header.Set(j.server.protocol.Deadline, strconv.FormatInt(timeLeft.Milliseconds(), 10))
+}
+
 // classifyFailure classifies an exchange without an answer. If the connection could not be opened or nothing was
 // written to it, the request has not run.
 func (j *job) classifyFailure(ctx context.Context, err error, written bool) attemptResult {
@@ -156,7 +160,7 @@
 			result.reason = verdict.DeadlineTooShort
 		}
 	default:
-		result.endpointFailed = true
+		result.endpointFailed = !isOtherRouterFailure(err)
 	}
 	return result
 }
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -201,6 +201,7 @@
 		n.Logger.WithError(err).Warn("grace period is over; aborting the remaining requests")
 		_ = callerServer.Close()
 	}
+	n.Server.exchanges.wait(shutdownContext)
 	stopPayer()
 	_ = payerGroup.Wait()
 	returnContext, cancelReturn := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(returnMargin-unusedGrace))
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -246,6 +248,12 @@
 	defer t.mu.Unlock()
 	e.inFlight--
 	t.recordExposureLocked(e, j, startedAt, result)
+	t.updateStateLocked(e, startedAt, result, j.through == "")
+}
+
+// updateStateLocked updates the endpoint's state from the result of an exchange. isDirect reports whether this router's own
+// connections were used.
+func (t *targets) updateStateLocked(e *target, startedAt time.Time, result attemptResult, isDirect bool) {
 	if result.responded && result.verdict != verdict.NotRun {
 		e.notices.RecordAccepted(startedAt)
 	}
@@ -253,11 +261,16 @@
 	case result.misdirected:
 		e.isReplaced = true
 		e.transport.CloseIdleConnections()
+	case isDirect && result.notSent && t.reachLocked(e.Service).IsCutOff():
+		// The cut is this router's own.
 	case result.endpointFailed:
 		e.failures++
 		backoff := initialBackoff << min(e.failures-1, 4)
 		e.blockedUntil = time.Now().Add(min(backoff, maxBackoff))
-		e.transport.CloseIdleConnections()
+		if isDirect && !errors.Is(result.cause, syscall.ECONNREFUSED) {
+			// Connections that are open may live on while new ones are refused.
+			e.transport.CloseIdleConnections()
+		}
 	case result.cause == nil:
 		e.failures, e.blockedUntil = 0, time.Time{}
 	}
--- /dev/null
+++ b/router/gateway/relay_serve.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
+)
+
+const (
+	// maxExchanges and maxExchangesPerRouter bound the exchanges that a router carries out for all other routers, and for one.
+	maxExchanges          = 256
+	maxExchangesPerRouter = 128
+	// exchangeWaitInterval is the interval at which a router that stops looks whether it still carries out exchanges.
+	exchangeWaitInterval = 20 * time.Millisecond
+)
+
+// declineReason is why a router doesn't carry out an exchange. It is empty if it does.
+type declineReason string
+
+const (
+	declineLeaving     declineReason = "leaving"
+	declineOverloaded  declineReason = "overloaded"
+	declineTooMany     declineReason = "too_many"
+	declineCutOff      declineReason = "cut_off"
+	declineNotListed   declineReason = "endpoint_not_listed"
+	declineNotAdmitted declineReason = "endpoint_not_admitted"
+)
+
+// exchangeServer carries out exchanges with endpoints for other routers.
+type exchangeServer struct {
+	server *Server
+
+	mu sync.Mutex
+	// inProgress counts the exchanges by router, total all of them.
+	inProgress map[string]int
+	total      int
+}
+
+// HandleExchange implements peer.ExchangeHandler.
+func (r *Routers) HandleExchange(ctx context.Context, from string, x *peer.Exchange, out *peer.ExchangeWriter) {
+	if r.ServeExchange == nil {
+		_ = out.End(&peer.ExchangeEnd{Outcome: peer.ExchangeDeclined, Cause: string(declineLeaving)})
+		return
+	}
+	r.ServeExchange(ctx, from, x, out)
+}
+
+// serve carries out an exchange over this router's own connections.
+func (s *exchangeServer) serve(ctx context.Context, from string, x *peer.Exchange, out *peer.ExchangeWriter) {
+	startedAt := time.Now()
+	e, reason := s.admit(from, x)
+	if reason != "" {
+		s.server.state.Count(exchangeDeclinedPrefix + string(reason))
+		_ = out.End(&peer.ExchangeEnd{Outcome: peer.ExchangeDeclined, Cause: string(reason)})
+		return
+	}
+	defer s.release(from)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(x.TimeLeftMilliseconds)*time.Millisecond)
+	defer cancel()
+	c := &carriedExchange{server: s.server, target: e, exchange: x, out: out}
+	end, result := c.run(ctx)
+	_ = out.End(&end)
+	s.server.targets.releaseCarried(e, startedAt, result)
+	s.server.state.Count(exchangeCarried)
+	s.server.logger.WithFields(log.Fields{
+		fieldRequest: fieldsHeader(x.Header).Get(s.server.protocol.RequestID), fieldFrom: from, fieldEndpoint: e.Name, "Outcome": int(end.Outcome),
+		"Writes": end.Writes, "Cause": end.Cause, "Status": c.status, fieldMilliseconds: time.Since(startedAt).Milliseconds(),
+	}).Info("exchange for another router ended")
+}
+
+// admit counts an exchange, or returns why this router doesn't carry it out. A router that is cut off itself never asks a further one.
+func (s *exchangeServer) admit(from string, x *peer.Exchange) (*target, declineReason) {
+	state := s.server.state
+	directory := state.Directory.Load()
+	switch {
+	case state.Leaving.Load():
+		return nil, declineLeaving
+	case state.Overloaded.Load():
+		return nil, declineOverloaded
+	case directory == nil:
+		return nil, declineNotListed
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.total >= maxExchanges || s.inProgress[from] >= maxExchangesPerRouter {
+		return nil, declineTooMany
+	}
+	e, reason := s.server.targets.acquireCarried(directory, x)
+	if reason == "" {
+		s.total++
+		s.inProgress[from]++
+	}
+	return e, reason
+}
+
+func (s *exchangeServer) release(from string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total--
+	if s.inProgress[from]--; s.inProgress[from] == 0 {
+		delete(s.inProgress, from)
+	}
+}
+
+// wait waits until no exchange is in progress or the context ends.
+func (s *exchangeServer) wait(ctx context.Context) {
+	for s.count() > 0 && clock.Sleep(ctx, exchangeWaitInterval) {
+	}
+}
+
+func (s *exchangeServer) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+// acquireCarried returns the endpoint of an exchange for another router and counts the exchange as in flight there. What the endpoint's
+// process has asked of this router applies.
+func (t *targets) acquireCarried(directory *site.Directory, x *peer.Exchange) (*target, declineReason) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.updateDirectoryLocked(directory, []site.WeightedService{{Service: x.Service}})
+	if t.reachLocked(x.Service).IsCutOff() {
+		return nil, declineCutOff
+	}
+	for _, e := range t.services[x.Service] {
+		if e.Name != x.Endpoint || e.Address != x.Address || e.StartedAt != x.StartedAt {
+			continue
+		}
+		if e.isReplaced || e.notices.Admission(time.Now(), e.inFlight) == endpoint.AdmissionClosed {
+			return nil, declineNotAdmitted
+		}
+		e.inFlight++
+		return e, ""
+	}
+	return nil, declineNotListed
+}
+
+// releaseCarried removes an exchange for another router from those in flight at an endpoint.
+func (t *targets) releaseCarried(e *target, startedAt time.Time, result attemptResult) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.inFlight--
+	t.updateStateLocked(e, startedAt, result, true)
+}
+
+// carriedExchange is an exchange with an endpoint for another router.
+type carriedExchange struct {
+	server   *Server
+	target   *target
+	exchange *peer.Exchange
+	out      *peer.ExchangeWriter
+	status   int
+}
+
+// run sends the request and passes the answer on.
+func (c *carriedExchange) run(ctx context.Context) (peer.ExchangeEnd, attemptResult) {
+	if err := c.out.Accept(); err != nil {
+		return peer.ExchangeEnd{Outcome: peer.ExchangeDeclined, Cause: err.Error()}, attemptResult{verdict: verdict.NotRun, cause: err}
+	}
+	var writes atomic.Int32
+	tracedContext := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { writes.Add(1) }})
+	sentAt, x := time.Now(), c.exchange
+	silence := c.server.targets.watchSilence(c.target)
+	response, err := c.target.transport.RoundTrip(endpointRequest(tracedContext, x.Method, x.Address, x.Target, x.Host, fieldsHeader(x.Header), x.Body))
+	silence.Stop()
+	if err != nil {
+		return c.fail(ctx, err, int(writes.Load()))
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.status = response.StatusCode
+	c.server.recordNotices(c.target, sentAt, response)
+	head := &peer.ExchangeHead{
+		Status: response.StatusCode, StatusText: response.Status, Header: headerFields(response.Header), ContentLength: response.ContentLength,
+		IsChunked: !http1.EndsWithConnection(response) && response.ContentLength < 0, Writes: int(writes.Load()),
+	}
+	if err := c.out.WriteHead(head); err != nil {
+		return c.fail(ctx, err, head.Writes)
+	}
+	if _, err := io.CopyBuffer(c.out, onlyReader{response.Body}, make([]byte, copyBufferBytes)); err != nil {
+		return c.fail(ctx, err, head.Writes)
+	}
+	result := attemptResult{verdict: verdict.Ran, responded: true}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		result = attemptResult{verdict: verdict.NotRun, cause: errors.New(response.Status), misdirected: true}
+	} else if response.Header.Get(c.server.protocol.NotRun) != "" {
+		result = attemptResult{verdict: verdict.NotRun, cause: errors.New(response.Status), responded: true}
+	}
+	return peer.ExchangeEnd{Outcome: peer.ExchangeComplete, Writes: head.Writes}, result
+}
+
+// onlyReader hides the other methods of a body.
+type onlyReader struct{ io.Reader }
+
+// fail classifies an exchange that failed after the request was written a number of times.
+func (c *carriedExchange) fail(ctx context.Context, err error, writes int) (peer.ExchangeEnd, attemptResult) {
+	end := peer.ExchangeEnd{Outcome: peer.ExchangeFailed, Writes: writes, Cause: err.Error()}
+	result := attemptResult{verdict: verdict.MayHaveRun, cause: err, endpointFailed: ctx.Err() == nil, writeCount: int32(writes)}
+	switch {
+	case isDialError(err) && errors.Is(err, syscall.ECONNREFUSED):
+		end.Outcome = peer.ExchangeRefused
+	case isDialError(err):
+		end.Outcome = peer.ExchangeNotConnected
+	}
+	if isDialError(err) {
+		end.Writes, result.notSent, result.verdict = 0, true, verdict.NotRun
+	}
+	return end, result
+}
--- a/router/gateway/relay_test.go
+++ b/router/gateway/relay_test.go
@@ -20,7 +20,6 @@
 type cutForm string
 
 const (
-	cutNone cutForm = "none"
 	// cutRefuses: new connections are refused, open ones live on.
 	cutRefuses cutForm = "new connections are refused"
 	// cutResets: open connections are reset, and new ones are refused.
@@ -48,7 +47,7 @@
 	n.changed = make(chan struct{})
 	if form == cutResets {
 		for _, c := range n.open {
-			_ = c.TCPConn.SetLinger(0)
+			_ = c.SetLinger(0)
 			_ = c.TCPConn.Close()
 		}
 	}
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -51,6 +51,9 @@
 	MergeCrashes func(router string, value []byte)
 	MergeLimits  func(router string, value []byte)
 
+	// ServeExchange carries out an exchange for another router. It is set before Run.
+	ServeExchange func(ctx context.Context, from string, x *peer.Exchange, out *peer.ExchangeWriter)
+
 	// Streams keeps the versions of other routers' streams. It is set before Run.
 	Streams *streamTracker
 
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -46,6 +46,9 @@
 	limitChanges changeSignal
 	// notices sends placement notices to other routers; nil if there are no other routers.
 	notices *noticeSender
+	// relays has exchanges carried out by other routers, and exchanges carries out theirs; nil if there are no other routers.
+	relays    *relays
+	exchanges *exchangeServer
 }
 
 // NewServer returns a server that pays for requests from the shares of payer.
@@ -73,6 +76,9 @@
 // called before the first request.
 func (s *Server) ConnectRouters(routers *Routers) {
 	s.notices = newNoticeSender(routers)
+	s.relays = &relays{routers: routers}
+	s.exchanges = &exchangeServer{server: s, inProgress: make(map[string]int)}
+	routers.ServeExchange = s.exchanges.serve
 	routers.ApplyNotice = s.ApplyNotice
 	routers.MergeCrashes = func(router string, value []byte) {
 		s.crashes.mergeRecord(time.Now(), router, router == routers.Self.Instance, value)
@@ -106,7 +112,14 @@
 	bound         boundVersion
 	isVersionKept bool
 
-	tried       []*target
+	tried []*target
+	// unsent are the endpoints to which no connection could be opened, failedDials their number. through is the router through which
+	// the newest attempt went; empty if it went over this router's own connections.
+	unsent      []*target
+	failedDials int
+	// declined counts the other routers that didn't carry out an exchange for the request.
+	declined    int
+	through     string
 	reservation *allowance.Reservation
 	// responseStarted is true once a part of the answer has been written to the caller.
 	responseStarted bool
@@ -358,6 +371,9 @@
 	if e.SoftwareVersion != "" {
 		fields[fieldVersion] = e.SoftwareVersion
 	}
+	if j.through != "" {
+		fields[fieldThrough] = j.through
+	}
 	if parts := j.demand.SharedParts(); len(parts) > 0 {
 		fields["Parts"] = strings.Join(parts, ",")
 	}
@@ -396,6 +412,9 @@
 		if version := j.tried[n-1].SoftwareVersion; version != "" {
 			fields[fieldVersion] = version
 		}
+		if j.through != "" {
+			fields[fieldThrough] = j.through
+		}
 	}
 	if after := j.r.Header.Get(j.server.protocol.ResumeAfter); after != "" {
 		fields["ResumesAfter"], fields["Resumes"] = after, j.resumedIdentifier()
