Merge requests through other routers

Exchanges that another router carries out go by the same rule as a router's own: no request is sent on a connection on which one with the same identifier was refused, and one that brought an answer to another request is closed. A router that stops waits for what it carries out until it ends its own requests. Tests of exchanges give a node its handler before it runs: the race detector found it set while the node ran.

--- a/fleet/peer/node_test.go
+++ b/fleet/peer/node_test.go
@@ -67,7 +67,16 @@
 // startNode runs a node, until the test ends, with a certificate that the authority issues to the instance.
 func startNode(t *testing.T, authority KeyPair, instance string) *testNode {
 	t.Helper()
-	n := &testNode{handler: &copyRecorder{}}
+	recorder := &copyRecorder{}
+	n := startNodeWith(t, authority, instance, recorder)
+	n.handler = recorder
+	return n
+}
+
+// startNodeWith runs a node with a handler.
+func startNodeWith(t *testing.T, authority KeyPair, instance string, handler Handler) *testNode {
+	t.Helper()
+	n := &testNode{}
 	directory := t.TempDir()
 	n.files = Credentials{
 		CertificateFile: filepath.Join(directory, "certificate.pem"),
@@ -75,7 +84,7 @@
 		AuthorityFile:   filepath.Join(directory, "authority.pem"),
 	}
 	n.writeFiles(t, authority, instance)
-	n.node = NewNode("127.0.0.1:0", n.files, n.handler, metrics.NewRegistry())
+	n.node = NewNode("127.0.0.1:0", n.files, handler, metrics.NewRegistry())
 	address, err := n.node.Listen(context.Background())
 	assert.NoError(t, err)
 	n.address = Address{Instance: instance, Address: address}
--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -9,7 +9,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -79,25 +78,35 @@
 	}
 }
 
-// roundTrip sends the request to an endpoint and returns the answer. It opens a new connection in place of those on which
-// the answer couldn't be told from an earlier one. writes counts how often the transport has written the request.
-func (j *job) roundTrip(ctx context.Context, e *target, timeLeft time.Duration, writes *atomic.Int32) (*http.Response, error) {
+// directExchange sends one request to an endpoint over this router's own connections.
+type directExchange struct {
+	transport  *http.Transport
+	identifier string
+	// writes counts how often the transport has written the request.
+	writes *atomic.Int32
+	// connection is the one on which the request was sent; nil if there is none.
+	connection *endpointConnection
+}
+
+// roundTrip sends the request and returns the answer. It opens a new connection in place of those on which the answer couldn't be told
+// from an earlier one.
+func (d *directExchange) roundTrip(ctx context.Context, newRequest func(context.Context) *http.Request) (*http.Response, error) {
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			j.connection = connectionOf(info.Conn)
-			if j.connection != nil {
-				j.connection.begin(j.callerIdentifier())
+			d.connection = connectionOf(info.Conn)
+			if d.connection != nil {
+				d.connection.begin(d.identifier)
 			}
 		},
-		WroteHeaders: func() { writes.Add(1) },
+		WroteHeaders: func() { d.writes.Add(1) },
 	})
 	for {
-		j.connection = nil
-		response, err := e.transport.RoundTrip(j.newRequest(traced, e, timeLeft))
-		if err == nil || ctx.Err() != nil || !j.connection.rejects() {
+		d.connection = nil
+		response, err := d.transport.RoundTrip(newRequest(traced))
+		if err == nil || ctx.Err() != nil || !d.connection.rejects() {
 			return response, err
 		}
-		writes.Store(0)
+		d.writes.Store(0)
 	}
 }
 
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -8,6 +8,7 @@
 	fieldFrom         = "From"
 	fieldVersion      = "SoftwareVersion"
 	fieldMilliseconds = "Milliseconds"
+	fieldThrough      = "Through"
 )
 
 // Names of the counters, or prefixes that end in a dot: the reason why the previous attempt failed follows
@@ -25,6 +26,12 @@
 	endpointPaused          = "endpoint.paused"
 	endpointLimited         = "endpoint.limited"
 	endpointLimitUnreadable = "endpoint.limit_unreadable"
+	reachCutOffPrefix       = "reach.cut_off."
+	reachHealedPrefix       = "reach.healed."
+	exchangeHandedOver      = "exchange.handed_over"
+	exchangeNotCarried      = "exchange.not_carried"
+	exchangeCarried         = "exchange.carried"
+	exchangeDeclinedPrefix  = "exchange.declined."
 	streamVersionsNotSent   = "stream.versions_not_sent"
 	streamVersionsNotStored = "stream.versions_not_stored"
 	streamWritesFailed      = "stream.writes_failed"
@@ -54,6 +61,12 @@
 		{endpointPaused, "Pauses for which endpoints asked in a refusal."},
 		{endpointLimited, "Changes of the rate limit that an endpoint names, its begin and end included."},
 		{endpointLimitUnreadable, "Answers with a rate limit that can't be read; the previous limit stays in force."},
+		{reachCutOffPrefix + "SERVICE", "Times at which this router found that it can open no connection to the endpoints of the service."},
+		{reachHealedPrefix + "SERVICE", "Times at which this router could open connections to the endpoints of the service again."},
+		{exchangeHandedOver, "Exchanges with endpoints that another router carried out for this one, up to the answer's headers."},
+		{exchangeNotCarried, "Exchanges that no other router carried out; nothing was sent."},
+		{exchangeCarried, "Exchanges with endpoints that this router carried out for others."},
+		{exchangeDeclinedPrefix + "REASON", "Exchanges of other routers that this one did not carry out, by reason."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{streamVersionsNotStored, "Streams whose software version the platform doesn't store, since too many waited to be written."},
 		{streamWritesFailed, "Writes of streams' software versions that failed or timed out; they are repeated."},
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -201,6 +201,7 @@
 	n.Board.Leaving.Store(true)
 	n.Payer.PrepareShutdown()
 	n.stopCallers(ctx, callerServer, schedule)
+	n.Server.exchanges.waitUntil(ctx, schedule.EndAt)
 	stopPayer()
 	_ = payerGroup.Wait()
 	returnContext, cancelReturn := context.WithDeadline(ctx, schedule.ReturnUntil)
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -53,6 +53,9 @@
 
 	// Partitions is the number of partitions of StreamTopic; zero counts as one. All routers must use the same number.
 	Partitions int
+	// ServeExchange carries out an exchange for another router. It is set before Run.
+	ServeExchange func(ctx context.Context, from string, x *peer.Exchange, out *peer.ExchangeWriter)
+
 	// Streams keeps the versions of other routers' streams. It is set before Run.
 	Streams *streamTracker
 
