Keep a signal to stop that follows a series of SIGHUPs

All signals shared a channel with room for four, and the Go runtime drops signals that a channel has no room for: a SIGTERM after four SIGHUPs that were not yet handled, as while the router starts or reads its settings, was lost, and the router was killed with all its requests at the end of the grace period. SIGHUP and the signals to stop have a channel each; one SIGHUP that waits stands for all after it. TestSecondProcess only passes an argument of the new type.

--- a/router/gateway/hazards_test.go
+++ b/router/gateway/hazards_test.go
@@ -278,7 +278,7 @@
 	assert.Must(t, err)
 	g := newGatewayTest(t)
 	n := &Node{Board: g.state, Server: g.server, Routers: second, Payer: g.server.payer, Logger: &log.Logger{Handler: discard.New()}}
-	assert.Equal(t, true, n.Run(context.Background(), nil) != nil)
+	assert.Equal(t, true, n.Run(context.Background(), Signals{}) != nil)
 	listed, _ := first.Roster.Router("a")
 	assert.Equal(t, first.Self.Fingerprint, listed.Fingerprint)
 	state, err := shared.Newest(t.Context(), RouterTopic, 0)
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -72,7 +70,7 @@
 }
 
 // Run serves callers until a signal stops the router or the context ends.
-func (n *Node) Run(ctx context.Context, signals <-chan os.Signal) error {
+func (n *Node) Run(ctx context.Context, signals Signals) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	// Callers and other routers are served from here on.
@@ -156,7 +154,7 @@
 
 // waitForShutdown returns once a signal to stop arrives or the context ends. Until then it reloads the settings on
 // SIGHUP and whenever they have changed.
-func (n *Node) waitForShutdown(ctx context.Context, signals <-chan os.Signal) {
+func (n *Node) waitForShutdown(ctx context.Context, signals Signals) {
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -167,11 +165,10 @@
 			if n.Settings.HasChanged != nil && n.Settings.HasChanged() {
 				n.reload()
 			}
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				n.Logger.WithField("Signal", s.String()).Info("router is leaving")
-				return
-			}
+		case s := <-signals.Stop:
+			n.Logger.WithField("Signal", s.String()).Info("router is leaving")
+			return
+		case <-signals.Reload:
 			n.reload()
 		}
 	}
