Keep signals to stop that follow SIGHUPs on the own interface

SIGHUP shared the channel of the signals to stop, which has room for two: SIGTERM after two SIGHUPs that waited there was dropped, and the router went on until it was killed with its requests. The router ignores SIGHUP now.

TestHangup sends the process real signals in place of values on the channel: twice as many SIGHUPs as the channel has room for, then SIGTERM, which it waited for until it timed out before. That the signal is handled shows in that the test's process survives it, in place of a list of signals that was compared with itself.

--- a/router/drain.go
+++ b/router/drain.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -40,18 +39,13 @@
 	}
 }
 
-// awaitStop waits for a signal to stop and reports whether one came before ctx ended. SIGHUP is ignored.
+// awaitStop waits for a signal to stop and reports whether one came before ctx ended.
 func (p *program) awaitStop(ctx context.Context, signals <-chan os.Signal) bool {
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return true
-			}
-			p.Logger.Info("SIGHUP ignored; the router's settings are those of its start")
-		}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-signals:
+		return true
 	}
 }
 
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -259,23 +258,30 @@
 	}
 }
 
-// TestHangup guards against a router that ends, or drains, when its terminal or supervisor sends SIGHUP.
+// TestHangup guards against a router that ends, or drains, when its terminal or supervisor sends SIGHUP, and against signals to stop that are
+// lost because SIGHUPs came before them.
 func TestHangup(t *testing.T) {
 	s := startRouterFixture(t, time.Minute)
-	assert.Equal(t, true, slices.Contains(handledSignals(), os.Signal(syscall.SIGHUP)))
+	signals, release := receiveSignals()
+	t.Cleanup(release)
 	waitUntil(t, func() bool { _, found := s.readLedger(t).Budget("main"); return found })
 	close(s.allowAnswer)
 	go func() {
 		for range s.requestArrived {
 		}
 	}()
-	s.signals <- syscall.SIGHUP
-	s.signals <- syscall.SIGHUP
-	waitUntil(t, func() bool { return len(s.signals) == 0 || len(s.runResult) > 0 })
+	for range 2 * signalBuffer {
+		assert.Must(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		time.Sleep(10 * time.Millisecond)
+	}
 	assert.Equal(t, 0, len(s.runResult))
 	assert.Equal(t, "200 booked", s.sendBooking("running"))
-	s.signals <- syscall.SIGTERM
-	s.signals <- syscall.SIGTERM
+	for range 2 {
+		assert.Must(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		stop := <-signals
+		assert.Equal(t, os.Signal(syscall.SIGTERM), stop)
+		s.signals <- stop
+	}
 	if err := <-s.runResult; !errors.Is(err, errForced) {
 		t.Errorf("got %v, want %v", err, errForced)
 	}
--- a/router/run.go
+++ b/router/run.go
@@ -28,9 +28,8 @@
 		_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
 		return exitUsage
 	}
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, handledSignals()...)
-	defer signal.Stop(signals)
+	signals, release := receiveSignals()
+	defer release()
 	err := serve(context.Background(), settings, stderr, signals)
 	switch {
 	case err == nil:
@@ -44,9 +43,16 @@
 	}
 }
 
-// handledSignals returns the signals that the router handles. It reads no settings while it runs, so that SIGHUP changes nothing.
-func handledSignals() []os.Signal {
-	return []os.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}
+// receiveSignals returns the channel of the signals to stop, and a function that ends their handling. SIGHUP is ignored: the router reads no
+// settings while it runs.
+func receiveSignals() (chan os.Signal, func()) {
+	signal.Ignore(syscall.SIGHUP)
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals, func() {
+		signal.Stop(signals)
+		signal.Reset(syscall.SIGHUP)
+	}
 }
 
 // signalBuffer is the capacity of the signal channel. os/signal drops signals that a channel has no room for, and the second
