Blame no endpoint for an error answer that the router or its caller ended

An endpoint whose 5xx was being read when the router stopped, the deadline was over or the caller left counted as failed and as one that the request may have crashed. TestInterruptedErrorBlamesNoEndpoint failed in all three cases.

--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -212,7 +212,7 @@
 func (j *job) bufferError(ctx context.Context, response *http.Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedErrorBytes+1))
 	if err != nil {
-		return attemptResult{verdict: verdict.MayHaveRun, reason: verdict.EndpointFailed, cause: err, endpointFailed: true}
+		return j.classifyFailure(ctx, err, true)
 	}
 	if len(body) > maxBufferedErrorBytes {
 		response.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -288,6 +288,42 @@
 	})
 }
 
+// TestInterruptedErrorBlamesNoEndpoint guards against an endpoint that counts as failed because the router ended the request, or its caller left,
+// while an error answer was read.
+func TestInterruptedErrorBlamesNoEndpoint(t *testing.T) {
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_ = http.NewResponseController(w).Flush()
+		waitForCaller(r, time.Minute)
+	}
+	for _, c := range []struct {
+		name string
+		end  func(s *stopTest, c *caller)
+	}{
+		{"the router stops", func(s *stopTest, c *caller) {
+			s.stop()
+			assert.Equal(t, http.StatusBadGateway, c.receive())
+			<-s.stopped
+		}},
+		{"the deadline is over", func(_ *stopTest, c *caller) { assert.Equal(t, http.StatusBadGateway, c.receive()) }},
+		{"the caller leaves", func(_ *stopTest, c *caller) { _ = c.connection.Close() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runStopTest(t, answer, func(s *stopTest) {
+				caller := s.newCaller()
+				caller.send("/read/1", "20000")
+				synctest.Wait()
+				c.end(s, caller)
+				synctest.Wait()
+				for _, e := range s.gateway.server.targets.byName {
+					assert.Equal(t, 0, e.failures)
+					assert.Equal(t, 0, len(e.exposures))
+				}
+			})
+		})
+	}
+}
+
 // TestFailureAnswersEveryRequest guards against a router that cuts the requests in progress when one of its loops fails, before or during a
 // stop.
 func TestFailureAnswersEveryRequest(t *testing.T) {
