End kept connections of callers while the own interface's router leaves

Between the signal and the end of the drain delay answers didn't say that their connection closes, so that callers with kept connections used them until http.Server.Shutdown closed those that were idle, and with them requests that were on their way. Answers to requests that begin in that time announce it now. TestLeavingRouterEndsKeptConnections failed for both kinds of paths.

--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -77,6 +77,7 @@
 // method of the OpenAI API go to plain services.
 func (s *Server) Handler() http.Handler {
 	routes := chi.NewRouter()
+	routes.Use(s.endKeptConnections)
 	routes.Post("/v1/chat/completions", s.handle(s.readModelRequest))
 	routes.Post("/v1/completions", s.handle(s.readModelRequest))
 	routes.Get("/v1/models", s.listModels)
@@ -86,6 +87,17 @@
 	return routes
 }
 
+// endKeptConnections asks the callers of a router that is leaving to open a new connection for their next request, so that the connection is not
+// closed as idle while that request is on its way.
+func (s *Server) endKeptConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.board.Leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // requestReader reads and validates an authenticated request. Model routes and plain routes have one each.
 type requestReader func(w http.ResponseWriter, r *http.Request, c *authenticatedCaller) (*checkedRequest, error)
 
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -32,7 +32,8 @@
 	allowAnswer    chan struct{}
 	signals        chan os.Signal
 	runResult      chan error
-	callerURL      string
+	// callerURL is the URL of the callers' listener, adminAddress the address of the operators' one.
+	callerURL, adminAddress string
 	// fail ends the context of the router's loops, as the failure of one of them does.
 	fail context.CancelFunc
 }
@@ -89,7 +90,7 @@
 			defer fail()
 			s.runResult <- container.Invoke(func(p program) error { return p.run(ctx, s.signals) })
 		}()
-		s.callerURL = "http://" + settings.Listen
+		s.callerURL, s.adminAddress = "http://"+settings.Listen, settings.AdminListen
 		err = s.waitUntilReady(settings)
 		if err == nil {
 			return
@@ -258,6 +259,34 @@
 	}
 }
 
+// TestLeavingRouterEndsKeptConnections guards against callers that go on using a connection until the drain closes it, while their next request is
+// on its way.
+func TestLeavingRouterEndsKeptConnections(t *testing.T) {
+	s := startRouterFixture(t, time.Minute)
+	for _, c := range []struct {
+		name      string
+		isLeaving bool
+	}{{"in operation", false}, {"leaving", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.isLeaving {
+				s.signals <- syscall.SIGTERM
+				waitUntil(t, func() bool { return s.status("http://"+s.adminAddress+"/readyz") == http.StatusServiceUnavailable })
+			}
+			for _, path := range []string{"/seats", "/v1/models"} {
+				response, err := http.Get(s.callerURL + path)
+				assert.Must(t, err)
+				_ = response.Body.Close()
+				assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
+				assert.Equal(t, c.isLeaving, response.Close)
+			}
+		})
+	}
+	s.signals <- syscall.SIGTERM
+	if err := <-s.runResult; !errors.Is(err, errForced) {
+		t.Errorf("got %v, want %v", err, errForced)
+	}
+}
+
 // TestHangup guards against a router that ends, or drains, when its terminal or supervisor sends SIGHUP, and against signals to stop that are
 // lost because SIGHUPs came before them.
 func TestHangup(t *testing.T) {
