--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -33,7 +32,8 @@
 	allowAnswer    chan struct{}
 	signals        chan os.Signal
 	runResult      chan error
-	callerURL      string
+	// callerURL is the URL of the callers' listener, adminAddress the address of the operators' one.
+	callerURL, adminAddress string
 	// fail ends the context of the router's loops, as the failure of one of them does.
 	fail context.CancelFunc
 }
@@ -90,7 +90,7 @@
 			defer fail()
 			s.runResult <- container.Invoke(func(p program) error { return p.run(ctx, s.signals) })
 		}()
-		s.callerURL = "http://" + settings.Listen
+		s.callerURL, s.adminAddress = "http://"+settings.Listen, settings.AdminListen
 		err = s.waitUntilReady(settings)
 		if err == nil {
 			return
@@ -259,23 +259,58 @@
 	}
 }
 
-// TestHangup guards against a router that ends, or drains, when its terminal or supervisor sends SIGHUP.
+// TestLeavingRouterEndsKeptConnections guards against callers that go on using a connection until the drain closes it, while their next request is
+// on its way.
+func TestLeavingRouterEndsKeptConnections(t *testing.T) {
+	s := startRouterFixture(t, time.Minute)
+	for _, c := range []struct {
+		name      string
+		isLeaving bool
+	}{{"in operation", false}, {"leaving", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.isLeaving {
+				s.signals <- syscall.SIGTERM
+				waitUntil(t, func() bool { return s.status("http://"+s.adminAddress+"/readyz") == http.StatusServiceUnavailable })
+			}
+			for _, path := range []string{"/seats", "/v1/models"} {
+				response, err := http.Get(s.callerURL + path)
+				assert.Must(t, err)
+				_ = response.Body.Close()
+				assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
+				assert.Equal(t, c.isLeaving, response.Close)
+			}
+		})
+	}
+	s.signals <- syscall.SIGTERM
+	if err := <-s.runResult; !errors.Is(err, errForced) {
+		t.Errorf("got %v, want %v", err, errForced)
+	}
+}
+
+// TestHangup guards against a router that ends, or drains, when its terminal or supervisor sends SIGHUP, and against signals to stop that are
+// lost because SIGHUPs came before them.
 func TestHangup(t *testing.T) {
 	s := startRouterFixture(t, time.Minute)
-	assert.Equal(t, true, slices.Contains(handledSignals(), os.Signal(syscall.SIGHUP)))
+	signals, release := receiveSignals()
+	t.Cleanup(release)
 	waitUntil(t, func() bool { _, found := s.readLedger(t).Budget("main"); return found })
 	close(s.allowAnswer)
 	go func() {
 		for range s.requestArrived {
 		}
 	}()
-	s.signals <- syscall.SIGHUP
-	s.signals <- syscall.SIGHUP
-	waitUntil(t, func() bool { return len(s.signals) == 0 || len(s.runResult) > 0 })
+	for range 2 * signalBuffer {
+		assert.Must(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		time.Sleep(10 * time.Millisecond)
+	}
 	assert.Equal(t, 0, len(s.runResult))
 	assert.Equal(t, "200 booked", s.sendBooking("running"))
-	s.signals <- syscall.SIGTERM
-	s.signals <- syscall.SIGTERM
+	for range 2 {
+		assert.Must(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		stop := <-signals
+		assert.Equal(t, os.Signal(syscall.SIGTERM), stop)
+		s.signals <- stop
+	}
 	if err := <-s.runResult; !errors.Is(err, errForced) {
 		t.Errorf("got %v, want %v", err, errForced)
 	}
