Ignore load reports with numbers out of range

An engine that reported a load below zero, or numbers whose sum overflows, was taken for the emptiest and got the calls of all; an empty report (null) replaced the previous one. Such a report is ignored like one that can't be decoded.

--- a/router/endpoint/probe.go
+++ b/router/endpoint/probe.go
@@ -14,6 +14,8 @@
 const (
 	// maxLoadReportBytes is the maximum size of a load report.
 	maxLoadReportBytes = 16 << 10
+	// maxReportedRequests is the highest number of requests that a load report may name.
+	maxReportedRequests = 1 << 20
 	// maxLoadReportAge is the age at which a load report expires.
 	maxLoadReportAge = 5 * time.Second
 )
@@ -48,17 +50,10 @@
 func (l *loadReader) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), l.peer.settings.ProbeTimeout)
 	defer cancel()
-	var report struct {
-		Running int
-		Queued  int
-	}
+	running, queued := 0, 0
 	response, err := get(ctx, l.peer.transport(), l.peer, l.peer.settings.LoadPath)
 	if err == nil {
-		if response.StatusCode == http.StatusOK {
-			err = json.NewDecoder(io.LimitReader(response.Body, maxLoadReportBytes)).Decode(&report)
-		} else {
-			err = errUnexpectedResponse
-		}
+		running, queued, err = decodeLoadReport(response)
 		_ = response.Body.Close()
 	}
 	d := l.dispatcher
@@ -67,8 +62,8 @@
 	load := &l.peer.load
 	load.isRequesting = false
 	if err == nil {
-		load.totalLoad, load.ownLoad, load.receivedAt = report.Running+report.Queued, load.inFlightAtLastPoll, time.Now()
-		if report.Queued == 0 {
+		load.totalLoad, load.ownLoad, load.receivedAt = running+queued, load.inFlightAtLastPoll, time.Now()
+		if queued == 0 {
 			l.peer.limit.Raise(l.peer.inFlight)
 		}
 		d.assignQueuedLocked(d.serviceLocked(l.peer.service))
@@ -76,6 +71,25 @@
 	load.inFlightAtLastPoll = l.peer.inFlight
 }
 
+// decodeLoadReport returns the number of requests that an engine runs and of those that wait there. It fails on numbers out of
+// range, since an engine with a load below zero would be taken for the emptiest.
+func decodeLoadReport(response *http.Response) (running, queued int, err error) {
+	if response.StatusCode != http.StatusOK {
+		return 0, 0, errUnexpectedResponse
+	}
+	var report *struct {
+		Running int
+		Queued  int
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadReportBytes)).Decode(&report); err != nil {
+		return 0, 0, err
+	}
+	if report == nil || min(report.Running, report.Queued) < 0 || max(report.Running, report.Queued) > maxReportedRequests {
+		return 0, 0, errUnexpectedResponse
+	}
+	return report.Running, report.Queued, nil
+}
+
 // get sends a GET request for a path to an endpoint.
 func get(ctx context.Context, transport *http.Transport, p *peer, path string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+path, nil)
