Ignore crashes that a record dates far ahead

A time of 2^63-1 ms in a router's crash record was taken for the newest that this router has merged, so that none of that router's later crashes counted, and its own next timestamp overflowed if it stood in its own record.

TestOddCrashRecord: the time of 2^63-1 failed before; bytes, lists and deep nesting were read over before, too.

--- a/router/gateway/crashes.go
+++ b/router/gateway/crashes.go
@@ -29,6 +29,8 @@
 	crashWriteDelay = 150 * time.Millisecond
 	// crashRetention is how long crashes stay in the record: as long as a request is quarantined.
 	crashRetention = 10 * time.Minute
+	// maxCrashLead is how far the clock of another router may be ahead.
+	maxCrashLead = 24 * time.Hour
 	// maxRecordedCrashes, maxRecordedRequests for each crash and maxRecordedAnswers bound the encoded crash record to a
 	// few tens of KB.
 	maxRecordedCrashes  = 16
@@ -321,12 +323,13 @@
 	return exposures
 }
 
-// prune drops entries older than crashRetention, then the oldest ones above the size limits.
+// prune drops entries older than crashRetention or more than maxCrashLead ahead, then the oldest ones above the size limits.
 func (r *crashRecord) prune(now time.Time) {
-	oldest := now.Add(-crashRetention).UnixMilli()
-	r.Crashes = slices.DeleteFunc(r.Crashes, func(c recordedCrash) bool { return c.At < oldest })
-	r.Answers = slices.DeleteFunc(r.Answers, func(a recordedAnswer) bool { return a.At < oldest })
-	r.Blocked = slices.DeleteFunc(r.Blocked, func(b recordedBlock) bool { return b.At < oldest })
+	oldest, newest := now.Add(-crashRetention).UnixMilli(), now.Add(maxCrashLead).UnixMilli()
+	isOutside := func(at int64) bool { return at < oldest || at > newest }
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c recordedCrash) bool { return isOutside(c.At) })
+	r.Answers = slices.DeleteFunc(r.Answers, func(a recordedAnswer) bool { return isOutside(a.At) })
+	r.Blocked = slices.DeleteFunc(r.Blocked, func(b recordedBlock) bool { return isOutside(b.At) })
 	r.Blocked = r.Blocked[max(0, len(r.Blocked)-maxRecordedBlocks):]
 	r.Crashes = r.Crashes[max(0, len(r.Crashes)-maxRecordedCrashes):]
 	r.Answers = r.Answers[max(0, len(r.Answers)-maxRecordedAnswers):]
--- a/router/gateway/entries_test.go
+++ b/router/gateway/entries_test.go
@@ -84,3 +84,28 @@
 		})
 	}
 }
+
+// TestOddCrashRecord guards against a time far ahead in a router's crash record, after which none of its crashes counts.
+func TestOddCrashRecord(t *testing.T) {
+	now := time.Now()
+	for name, odd := range map[string]string{
+		"time of 2^63-1": `{"Crashes":[{"Crash":"c","At":9223372036854775807}],"Answers":[{"At":9223372036854775807}],"Blocked":[{"At":9223372036854775807}]}`,
+		"time below":     `{"Crashes":[{"Crash":"c","At":-9223372036854775808}]}`,
+		"1e999":          `{"Crashes":[{"Crash":"c","At":1e999}]}`,
+		"null":           `null`, "list": `[]`, "bytes": "\xff", "deep": strings.Repeat("[", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashTracker(&Board{Metrics: metrics.NewRegistry()}, &log.Logger{Handler: memory.New()})
+			c.mergeRecord(now, "b", false, []byte(odd))
+			c.mergeRecord(now, "self", true, []byte(odd))
+			for i, crash := range []string{"i-1/1", "i-2/1"} {
+				at := now.Add(time.Duration(i) * time.Second).UnixMilli()
+				c.mergeRecord(now, "b", false, fmt.Appendf(nil, `{"Crashes":[{"Crash":%q,"At":%d,"Requests":[{"Fingerprint":5,"Begun":%d,"Broke":%d}]}]}`,
+					crash, at, at-100, at))
+			}
+			assert.Equal(t, true, c.quarantineRemaining(now.Add(time.Second), 5) > 0)
+			next := c.nextTimestampLocked(now)
+			assert.Equal(t, true, next > 0 && next < now.Add(time.Hour).UnixMilli())
+		})
+	}
+}
