Bound ages and numbers in records of rate limits

An age below zero in a router's record of rate limits dated the limit ahead, so that the endpoint could not end it with its answers, and a record of any length was kept in memory.

TestOddLimitRecord: an age of -86,400,000 ms and 257 limits failed before, both pass.

--- a/router/gateway/entries_test.go
+++ b/router/gateway/entries_test.go
@@ -109,3 +109,24 @@
 		})
 	}
 }
+
+// TestOddLimitRecord guards against an age out of range in a router's record of rate limits, after which the endpoint can't
+// end the limit, and against a record that fills the memory.
+func TestOddLimitRecord(t *testing.T) {
+	for _, age := range []string{"-9223372036854775808", "9223372036854775807", "-86400000", "1e999"} {
+		t.Run(age, func(t *testing.T) {
+			g := newGatewayTest(t, answerSealed("answer"))
+			g.server.targets.routers = &Routers{}
+			g.server.mergeLimits(time.Now(), "b", []byte(`{"Limits":[{"Endpoint":"plaina","StartedAt":0,"Rate":0.01,"AgeMilliseconds":`+age+`}]}`))
+			l := g.server.targets.limitLocked(endpointProcess{"plaina", 0})
+			l.RecordAnswer(time.Now().Add(time.Millisecond), time.Now().Add(time.Millisecond), 0)
+			assert.Equal(t, 0.0, l.Rate())
+		})
+	}
+	t.Run("more limits than a router writes", func(t *testing.T) {
+		g := newGatewayTest(t)
+		g.server.targets.routers = &Routers{}
+		g.server.mergeLimits(time.Now(), "b", []byte(`{"Limits":[`+strings.Repeat(`{"Endpoint":"x","Rate":1},`, maxRecordedLimits)+`{"Endpoint":"y","Rate":1}]}`))
+		assert.Equal(t, 1, len(g.server.targets.limits))
+	})
+}
--- a/router/gateway/limits.go
+++ b/router/gateway/limits.go
@@ -27,6 +27,8 @@
 	unlistedLimitTime = 1 * time.Minute
 	// maxRecordedLimits bounds the record of rate limits to a few tens of KB.
 	maxRecordedLimits = 256
+	// maxReportedAge bounds the age of a limit in another router's record.
+	maxReportedAge = 24 * time.Hour
 	// limitedLoadPenalty is the number of requests added to the load of an endpoint that names a rate limit: few requests in
 	// progress there don't say that it is idle.
 	limitedLoadPenalty = 2
@@ -201,12 +203,12 @@
 	s.targets.mu.Lock()
 	defer s.targets.mu.Unlock()
 	claimed := make(map[endpointProcess]bool, len(record.Limits))
-	for _, r := range record.Limits {
+	for _, r := range record.Limits[:min(len(record.Limits), maxRecordedLimits)] {
 		p := endpointProcess{r.Endpoint, r.StartedAt}
 		l, previous := s.targets.limitLocked(p), s.targets.limitLocked(p).Rate()
 		l.reportedAt = now
 		rate, isOwn := max(0, min(r.Rate, endpoint.MaxRateLimit)), router == s.targets.routers.Self.Instance
-		if l.RecordReport(now, time.Duration(r.AgeMilliseconds)*time.Millisecond, rate) {
+		if l.RecordReport(now, r.age(), rate) {
 			s.logLimitChange(r.Endpoint, rate, previous, router)
 		}
 		claimed[p] = r.Rate > 0 && !isOwn
@@ -218,6 +220,11 @@
 	s.limitChanges.signal()
 }
 
+// age returns the age of the answer that named the limit, between zero and maxReportedAge.
+func (r *recordedLimit) age() time.Duration {
+	return time.Duration(max(0, min(r.AgeMilliseconds, maxReportedAge.Milliseconds()))) * time.Millisecond
+}
+
 // changeSignal tells a loop that something has changed since it last looked.
 type changeSignal chan struct{}
 
