Draw nothing from an account whose sums overflow

Grants of two holders that add up to more than 2^63 made the account's undrawn rest wrap around, to more than the prepaid total in the worst case: routers would have drawn tokens that nobody paid for. No router writes such an account; it is now treated like one that can't be decoded, from which nothing is drawn.

--- a/fleet/allowance/account.go
+++ b/fleet/allowance/account.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -105,10 +106,13 @@
 	return encoded, nil
 }
 
-var errNegativeTotal = errors.New("account has a negative token count")
+var (
+	errNegativeTotal = errors.New("account has a negative token count")
+	errOverflow      = errors.New("sum of the account's token counts is out of range")
+)
 
-// DecodeAccount parses an account. It rejects malformed records and negative values of Prepaid, Used or Spent, which no
-// router writes. Granted and Settled may be negative.
+// DecodeAccount parses an account. It rejects malformed records, negative values of Prepaid, Used or Spent, and numbers whose
+// sum is out of range, none of which a router writes. Granted and Settled may be negative.
 func DecodeAccount(value []byte) (Account, error) {
 	var a Account
 	if err := json.Unmarshal(value, &a); err != nil {
@@ -117,10 +121,31 @@
 	if a.Used < 0 || a.Prepaid < 0 {
 		return Account{}, errNegativeTotal
 	}
+	settled, reported := []int64{a.Prepaid, a.Settled}, []int64{a.Prepaid, a.Settled, a.Used}
 	for _, s := range a.Shares {
 		if s.Spent < 0 {
 			return Account{}, errNegativeTotal
 		}
+		settled, reported = append(settled, s.Granted), append(reported, s.Spent)
+	}
+	if sumOverflows(settled) || sumOverflows(reported) {
+		return Account{}, errOverflow
 	}
 	return a, nil
 }
+
+// sumOverflows reports whether a sum or difference of some of the numbers may be out of range.
+func sumOverflows(numbers []int64) bool {
+	left := uint64(math.MaxInt64)
+	for _, n := range numbers {
+		magnitude := uint64(n)
+		if n < 0 {
+			magnitude = -magnitude
+		}
+		if magnitude > left {
+			return true
+		}
+		left -= magnitude
+	}
+	return false
+}
