Draw nothing while an account's record has no key

Since the store's items are decoded one by one, an account whose item has no readable key would have been taken for a team without an account, whose total may be drawn anew. Items without a key are handed on with an empty one; while there is one among the accounts of a partition, nothing is drawn from any of them, as when the list could not be read at all.

TestAccountWithoutKey guards against it.

--- a/fleet/allowance/account_test.go
+++ b/fleet/allowance/account_test.go
@@ -5,7 +5,12 @@
 	"strings"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
 
 // TestOddAccounts guards against an account whose sums overflow, so that more than the prepaid total could be drawn.
@@ -51,3 +56,11 @@
 		assert.Equal(t, fmt.Sprintf("%.6g", available), fmt.Sprintf("%.6g", float64(a.Available())))
 	})
 }
+
+// TestAccountWithoutKey guards against a team whose account is taken for empty, and its total drawn again, because its
+// record lost its key.
+func TestAccountWithoutKey(t *testing.T) {
+	h := &Holder{settings: Settings{Logger: &log.Logger{Handler: discard.New()}}}
+	state := platform.KeyedState{Records: []platform.KeyedRecord{{Key: "a", Value: []byte(`{}`)}, {Value: []byte(`{"Prepaid":100}`)}}}
+	assert.Equal(t, 0, len(h.decodeAccounts(state, []*site.Team{{Name: "a"}, {Name: "b"}})))
+}
--- a/fleet/allowance/update.go
+++ b/fleet/allowance/update.go
@@ -118,13 +118,18 @@
 }
 
 // decodeAccounts returns the accounts of the teams by name. A team without a record has an empty account. Undecodable
-// accounts are omitted, so that nothing is drawn from them.
+// accounts are omitted, so that nothing is drawn from them, and all are if one record has no key.
 func (h *Holder) decodeAccounts(state platform.KeyedState, teams []*site.Team) map[string]Account {
 	accounts := make(map[string]Account, len(teams))
 	for _, team := range teams {
 		accounts[team.Name] = Account{}
 	}
 	for _, r := range state.Records {
+		if r.Key == "" {
+			// The record may be any team's.
+			h.settings.Logger.Error("account without a key; nothing is drawn from any")
+			return nil
+		}
 		account, err := DecodeAccount(r.Value)
 		if err != nil {
 			h.settings.Logger.WithField(fieldTeam, r.Key).WithError(err).Error("account not decoded; nothing is drawn from it")
