--- a/router/gateway/entries_test.go
+++ b/router/gateway/entries_test.go
@@ -84,3 +84,49 @@
 		})
 	}
 }
+
+// TestOddCrashRecord guards against a time far ahead in a router's crash record, after which none of its crashes counts.
+func TestOddCrashRecord(t *testing.T) {
+	now := time.Now()
+	for name, odd := range map[string]string{
+		"time of 2^63-1": `{"Crashes":[{"Crash":"c","At":9223372036854775807}],"Answers":[{"At":9223372036854775807}],"Blocked":[{"At":9223372036854775807}]}`,
+		"time below":     `{"Crashes":[{"Crash":"c","At":-9223372036854775808}]}`,
+		"1e999":          `{"Crashes":[{"Crash":"c","At":1e999}]}`,
+		"null":           `null`, "list": `[]`, "bytes": "\xff", "deep": strings.Repeat("[", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashTracker(&Board{Metrics: metrics.NewRegistry()}, &log.Logger{Handler: memory.New()})
+			c.mergeRecord(now, "b", false, []byte(odd))
+			c.mergeRecord(now, "self", true, []byte(odd))
+			for i, crash := range []string{"i-1/1", "i-2/1"} {
+				at := now.Add(time.Duration(i) * time.Second).UnixMilli()
+				c.mergeRecord(now, "b", false, fmt.Appendf(nil, `{"Crashes":[{"Crash":%q,"At":%d,"Requests":[{"Fingerprint":5,"Begun":%d,"Broke":%d}]}]}`,
+					crash, at, at-100, at))
+			}
+			assert.Equal(t, true, c.quarantineRemaining(now.Add(time.Second), 5) > 0)
+			next := c.nextTimestampLocked(now)
+			assert.Equal(t, true, next > 0 && next < now.Add(time.Hour).UnixMilli())
+		})
+	}
+}
+
+// TestOddLimitRecord guards against an age out of range in a router's record of rate limits, after which the endpoint can't
+// end the limit, and against a record that fills the memory.
+func TestOddLimitRecord(t *testing.T) {
+	for _, age := range []string{"-9223372036854775808", "9223372036854775807", "-86400000", "1e999"} {
+		t.Run(age, func(t *testing.T) {
+			g := newGatewayTest(t, answerSealed("answer"))
+			g.server.targets.routers = &Routers{}
+			g.server.mergeLimits(time.Now(), "b", []byte(`{"Limits":[{"Endpoint":"plaina","StartedAt":0,"Rate":0.01,"AgeMilliseconds":`+age+`}]}`))
+			l := g.server.targets.limitLocked(endpointProcess{"plaina", 0})
+			l.RecordAnswer(time.Now().Add(time.Millisecond), time.Now().Add(time.Millisecond), 0)
+			assert.Equal(t, 0.0, l.Rate())
+		})
+	}
+	t.Run("more limits than a router writes", func(t *testing.T) {
+		g := newGatewayTest(t)
+		g.server.targets.routers = &Routers{}
+		g.server.mergeLimits(time.Now(), "b", []byte(`{"Limits":[`+strings.Repeat(`{"Endpoint":"x","Rate":1},`, maxRecordedLimits)+`{"Endpoint":"y","Rate":1}]}`))
+		assert.Equal(t, 1, len(g.server.targets.limits))
+	})
+}
