Close a slot of streams that is full while streams are added to it

At 14,000 streams a second slots grew without a bound, since some stream always waited for its write, and each write sent them anew: 443 bytes a stream. Slots that wait are now written together.

--- a/fleet/endpoint/stream_slots_test.go
+++ b/fleet/endpoint/stream_slots_test.go
@@ -10,34 +10,41 @@
 // slotRecords are the records of StreamSlots on the platform.
 type slotRecords map[int64][]int
 
-func (r slotRecords) write(now time.Time, s *StreamSlots[int]) {
-	record, ok := s.Pending(now)
-	if !ok {
-		return
+// write writes what is pending, and adds streams before the write is acknowledged.
+func (r slotRecords) write(now time.Time, s *StreamSlots[int], meanwhile ...int) (written int) {
+	pending, _ := s.Pending(now)
+	for _, record := range pending.Records {
+		r[record.Sequence] = record.Streams
+		written += len(record.Streams)
 	}
-	r[record.Sequence] = record.Streams
-	for _, dropped := range record.Dropped {
+	for _, dropped := range pending.Dropped {
 		delete(r, dropped)
 	}
-	s.Acknowledge(record)
+	for _, stream := range meanwhile {
+		s.Add(now, stream)
+	}
+	s.Acknowledge(now, pending)
+	return written
 }
 
-// TestStreamSlots guards against records that are dropped while their streams may still be resumed, that stay for ever, or that are never
-// written.
+// TestStreamSlots guards against records that are dropped while their streams may still be resumed, that stay for ever, that are written many
+// times, or never.
 func TestStreamSlots(t *testing.T) {
 	const writesPerSecond = 4
 	start := time.Unix(1, 0)
 	for _, perWrite := range []int{1, 3, 250} {
 		var s StreamSlots[int]
-		records, newest := make(slotRecords), 0
+		records, newest, written := make(slotRecords), 0, 0
 		end := start.Add(3 * StreamMemory)
 		for now := start; now.Before(end); now = now.Add(time.Second / writesPerSecond) {
+			var added []int
 			for range perWrite {
 				newest++
-				assert.Equal(t, true, s.Add(now, newest))
+				added = append(added, newest)
 			}
-			records.write(now, &s)
+			written += records.write(now, &s, added...)
 		}
+		records.write(end, &s)
 		held := make(map[int]bool)
 		for _, streams := range records {
 			for _, stream := range streams {
@@ -50,50 +57,48 @@
 			assert.Equal(t, true, held[stream])
 		}
 		assert.Equal(t, true, len(held) <= inMemory+2*perSecond*int(StreamSlotTime/time.Second))
+		assert.Equal(t, true, written <= newest*writesPerSecond*int(StreamSlotTime/time.Second))
+		if perWrite > slotStreams {
+			assert.Equal(t, true, written <= 2*newest)
+		}
 	}
-	t.Run("streams wait for an acknowledgement", func(t *testing.T) {
+	t.Run("streams wait to be written", func(t *testing.T) {
 		var s StreamSlots[int]
+		records := make(slotRecords)
 		for i := range 100 {
 			s.Add(start.Add(time.Duration(i)*time.Second), i)
 		}
-		record, ok := s.Pending(start)
-		assert.Equal(t, true, ok)
-		assert.Equal(t, 100, len(record.Streams))
-		s.Add(start.Add(100*time.Second), 100)
-		s.Acknowledge(record)
-		record, ok = s.Pending(start)
-		assert.Equal(t, true, ok)
-		assert.Equal(t, 101, len(record.Streams))
+		assert.Equal(t, 100, records.write(start, &s, 100))
+		assert.Equal(t, true, records.write(start, &s) > 0)
+		assert.Equal(t, 0, records.write(start, &s))
 	})
 	t.Run("too many wait", func(t *testing.T) {
 		var s StreamSlots[int]
-		for i := range maxSlotStreams {
+		for i := range maxUnwrittenStreams {
 			assert.Equal(t, true, s.Add(start, i))
 		}
 		assert.Equal(t, false, s.Add(start, 0))
-		record, _ := s.Pending(start)
-		s.Acknowledge(record)
+		assert.Equal(t, maxUnwrittenStreams, make(slotRecords).write(start, &s))
 		assert.Equal(t, true, s.Add(start, 0))
-		next, _ := s.Pending(start)
-		assert.Equal(t, record.Sequence+1, next.Sequence)
 	})
-	t.Run("a late acknowledgement of an earlier slot", func(t *testing.T) {
+	t.Run("a late acknowledgement of a part", func(t *testing.T) {
 		var s StreamSlots[int]
 		s.Add(start, 0)
 		early, _ := s.Pending(start)
-		s.Acknowledge(early)
-		s.Add(start.Add(StreamSlotTime), 1)
-		s.Acknowledge(early)
-		_, ok := s.Pending(start)
-		assert.Equal(t, true, ok)
+		s.Add(start, 1)
+		records := make(slotRecords)
+		records.write(start, &s)
+		s.Acknowledge(start, early)
+		assert.Equal(t, 0, records.write(start, &s))
 	})
 	t.Run("a process that starts again", func(t *testing.T) {
 		var s StreamSlots[int]
-		s.Resume(start, []int64{41, 7})
 		s.Add(start, 0)
-		record, _ := s.Pending(start.Add(StreamMemory))
-		assert.Equal(t, SlotRecord[int]{Sequence: 42, Streams: []int{0}}, record)
-		record, _ = s.Pending(start.Add(StreamMemory + 1))
-		assert.Equal(t, []int64{7, 41}, record.Dropped)
+		s.Resume(start, []int64{41, 7})
+		s.Add(start, 1)
+		pending, _ := s.Pending(start.Add(StreamMemory))
+		assert.Equal(t, PendingSlots[int]{Records: []SlotRecord[int]{{Sequence: 42, Streams: []int{0, 1}}}}, pending)
+		pending, _ = s.Pending(start.Add(StreamMemory + 1))
+		assert.Equal(t, []int64{7, 41}, pending.Dropped)
 	})
 }
--- a/router/gateway/stream_store.go
+++ b/router/gateway/stream_store.go
@@ -143,7 +143,7 @@
 	return max(minStreamWriteDelay, time.Duration(writers)*time.Second/maxStreamWriteRate)
 }
 
-// write writes the record of the current slot, and reports whether nothing waits to be written again.
+// write writes the records of the slots with new streams, and reports whether nothing waits to be written again.
 func (s *streamStore) write(ctx context.Context) bool {
 	s.mu.Lock()
 	pending, ok := s.slots.Pending(time.Now())
@@ -151,14 +151,15 @@
 	if !ok {
 		return true
 	}
-	value, err := json.Marshal(newStreamRecord(pending))
-	if err != nil {
-		s.logger.WithError(err).Error("cannot encode versions of streams")
-		return true
+	var records []platform.KeyedRecord
+	for _, slot := range pending.Records {
+		value, err := json.Marshal(newStreamRecord(slot))
+		if err != nil {
+			s.logger.WithError(err).Error("cannot encode versions of streams")
+			return true
+		}
+		records = append(records, platform.KeyedRecord{Key: s.recordKey(slot.Sequence), Value: value})
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
-	defer cancel()
-	records := []platform.KeyedRecord{{Key: s.recordKey(pending.Sequence), Value: value}}
 	for _, dropped := range pending.Dropped {
 		records = append(records, platform.KeyedRecord{Key: s.recordKey(dropped)})
 	}
@@ -168,6 +169,8 @@
 			records = append(records, platform.KeyedRecord{Key: key})
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
+	defer cancel()
 	if _, err := s.log.AppendAt(ctx, StreamTopic, s.partition(), platform.AnyOffset, records); err != nil {
 		s.state.Count(streamWritesFailed)
 		return false
@@ -177,7 +180,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots.Acknowledge(pending)
+	s.slots.Acknowledge(time.Now(), pending)
 	return true
 }
 
@@ -252,10 +255,10 @@
 }
 
 // newStreamRecord groups the streams of a slot by service and version.
-func newStreamRecord(pending endpoint.SlotRecord[peer.StreamVersion]) streamRecord {
-	record := streamRecord{Sequence: pending.Sequence}
+func newStreamRecord(slot endpoint.SlotRecord[peer.StreamVersion]) streamRecord {
+	record := streamRecord{Sequence: slot.Sequence}
 	groups := make(map[[2]string]int)
-	for _, v := range pending.Streams {
+	for _, v := range slot.Streams {
 		key := [2]string{v.Service, v.Version}
 		if _, ok := groups[key]; !ok {
 			groups[key] = len(record.Groups)
