--- a/router/gateway/stream_store_test.go
+++ b/router/gateway/stream_store_test.go
@@ -138,6 +138,8 @@
 	simulatedStreams = 1200
 	simulatedTime    = 12 * time.Second
 	streamLifetime   = 3 * time.Second
+	// maxStoreWrites is half of the writes a second that the platform's store accepts.
+	maxStoreWrites = 300
 )
 
 // connectStore starts a router's process that stores the versions of streams.
@@ -174,8 +176,21 @@
 	return "v" + strconv.Itoa(release)
 }
 
+// storedRecords returns the number of records written so far, which is no less than that of writes.
+func storedRecords(t *testing.T, shared *keyed.KeyedLog) int {
+	t.Helper()
+	written := 0
+	for partition := range 12 {
+		state, err := shared.Newest(t.Context(), StreamTopic, partition)
+		if err == nil {
+			written += int(state.End)
+		}
+	}
+	return written
+}
+
 // TestVersionsOutlastAllRouters guards against streams that can't be resumed, or are resumed at the wrong version, after all routers were
-// lost at once in the middle of their writes.
+// lost at once in the middle of their writes, and against too many writes.
 func TestVersionsOutlastAllRouters(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -215,6 +230,7 @@
 						})
 						time.Sleep(simulatedTime / simulatedStreams)
 					}
+					assert.Equal(t, true, storedRecords(t, shared) <= maxStoreWrites*int(simulatedTime/time.Second))
 					for range c.losses {
 						n.loseAll(shared, instances)
 						time.Sleep(200 * time.Millisecond)
