--- a/router/gateway/relay_test.go
+++ b/router/gateway/relay_test.go
@@ -124,6 +124,8 @@
 type relayFleet struct {
 	routers  []*gatewayTest
 	networks []*cutNetwork
+	// stops end the routers' connections to each other.
+	stops []context.CancelFunc
 }
 
 func newRelayFleet(t *testing.T, routers int, answers ...http.HandlerFunc) *relayFleet {
@@ -137,8 +139,9 @@
 			g.state.Directory.Store(f.routers[0].state.Directory.Load())
 		}
 		g.server.targets.dial = network.dial
-		g.server.ConnectRouters(startRouter(t.Context(), t, fmt.Sprintf("router-%d", i), shared))
-		f.routers, f.networks = append(f.routers, g), append(f.networks, network)
+		ctx, stop := context.WithCancel(t.Context())
+		g.server.ConnectRouters(startRouter(ctx, t, fmt.Sprintf("router-%d", i), shared))
+		f.routers, f.networks, f.stops = append(f.routers, g), append(f.networks, network), append(f.stops, stop)
 	}
 	for _, g := range f.routers {
 		waitFor(t, func() bool { return g.server.targets.routers.Roster.Len() == routers })
