--- a/router/gateway/relay_promise_test.go
+++ b/router/gateway/relay_promise_test.go
@@ -142,7 +142,7 @@
 	declined := carrier.counterValue(exchangeDeclinedPrefix + string(declineLeaving))
 	assert.Equal(t, true, declined > 0 && declined <= maxRelayTries)
 	close(proceed)
-	carrier.server.exchanges.wait(t.Context())
+	carrier.server.exchanges.waitUntil(t.Context(), time.Now().Add(time.Hour))
 	calls.Wait()
 	f.routers[0].assertRequestCounts(1)
 }
--- a/router/gateway/relay_sim_test.go
+++ b/router/gateway/relay_sim_test.go
@@ -58,9 +58,9 @@
 	simulatedZones     = 3
 	simulatedRegions   = 2
 	simulatedEndpoints = 8
-	// simulatedRate is the number of requests a second at each router, simulatedTime the mean time that one takes.
+	// simulatedRate is the number of requests a second at each router, simulatedCutTime the mean time that one takes.
 	simulatedRate = 38.0
-	simulatedTime = 1500 * time.Millisecond
+	simulatedCutTime = 1500 * time.Millisecond
 	// judgedFrom is the time after the begin of the cut from which requests count, simulatedEnd when the simulation ends.
 	judgedFrom   = 3 * time.Second
 	simulatedEnd = 10 * time.Second
@@ -137,7 +137,7 @@
 	if isJudged {
 		r.taken++
 	}
-	s.after(time.Duration(s.random.ExpFloat64()*float64(simulatedTime)), onEnd)
+	s.after(time.Duration(s.random.ExpFloat64()*float64(simulatedCutTime)), onEnd)
 }
 
 // handOver plays an exchange through another router.
