Give callers an endpoint's error when a stop ends the repeat

A request that one endpoint had answered with an error, and that was in its repeat when the router stopped, got 502 from the router in place of that answer. TestStopGivesEndpointsError failed with 502 in place of 500.

--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -187,10 +187,10 @@
 	return refusal
 }
 
-// respondFailure answers with the endpoint's buffered error, or refuses the request with err if there is none or the
-// context has ended. It returns false: the connection to the caller stays usable.
+// respondFailure answers with the endpoint's buffered error, or refuses the request with err if there is none, or the
+// deadline is over or the caller has left. It returns false: the connection to the caller stays usable.
 func (j *job) respondFailure(ctx context.Context, buffered *bufferedResponse, err error) bool {
-	if buffered == nil || ctx.Err() != nil {
+	if buffered == nil || ctx.Err() != nil && !isStopped(j.r) {
 		j.refuse(err)
 		return false
 	}
--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 )
 
 // pipeListener is a net.Listener whose connections are in-memory pipes.
@@ -69,7 +71,12 @@
 // runStopTest runs check in a bubble with a router whose endpoint answers with the given handler. The grace period is 8 s.
 func runStopTest(t *testing.T, answer http.HandlerFunc, check func(s *stopTest)) {
 	t.Helper()
-	g := newGatewayTest(t, answer)
+	runStopTestOn(t, newGatewayTest(t, answer), check)
+}
+
+// runStopTestOn is runStopTest with the endpoints of g, of which the first answers in place of all.
+func runStopTestOn(t *testing.T, g *gatewayTest, check func(s *stopTest)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &stopTest{t: t, gateway: g, callers: newPipeListener(), stopped: make(chan struct{})}
 		endpoints := newPipeListener()
@@ -288,6 +295,33 @@
 	})
 }
 
+// TestStopGivesEndpointsError guards against a stop that replaces an endpoint's error answer by one of its own, because it ended the repeat of the
+// request.
+func TestStopGivesEndpointsError(t *testing.T) {
+	isRepeat := &atomic.Bool{}
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if isRepeat.Swap(true) {
+			waitForCaller(r, time.Minute)
+			return
+		}
+		answerError(w, r)
+	}
+	runStopTestOn(t, newGatewayTest(t, answer, answer), func(s *stopTest) {
+		// The budget for repeats is filled anew, since the clock of the bubble is behind the one by which it was filled.
+		s.gateway.server.retries = retryBudgets{limits: endpoint.DefaultRepeatBounds()}
+		for range 100 {
+			s.gateway.server.retries.recordRequest("plain")
+		}
+		caller := s.newCaller()
+		caller.send("/read/1", "30000")
+		synctest.Wait()
+		assert.Equal(t, 2, s.gateway.endpoints[0].requestCount())
+		s.stop()
+		assert.Equal(t, http.StatusInternalServerError, caller.receive())
+		<-s.stopped
+	})
+}
+
 // TestInterruptedErrorBlamesNoEndpoint guards against an endpoint that counts as failed because the router ended the request, or its caller left,
 // while an error answer was read.
 func TestInterruptedErrorBlamesNoEndpoint(t *testing.T) {
