--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,8 @@
 FUZZ_TARGETS := \
 	fleet/ledger:FuzzDecode fleet/ledger:FuzzAssembler fleet/ledger:FuzzLoad fleet/order:FuzzDecode \
 	fleet/operator:FuzzDecodeTicket fleet/operator:FuzzDecodeSnapshot fleet/peer:FuzzRequest \
-	router/endpoint:FuzzEventReader router/caller:FuzzModelBody platform:FuzzDecodeEndpoint
+	router/endpoint:FuzzEventReader router/caller:FuzzModelBody platform:FuzzDecodeEndpoint platform:FuzzDecodeConfiguration \
+	fleet/allowance:FuzzDecodeAccount
 
 fuzz: ## runs every fuzz target for FUZZ_TIME
 	@for t in $(FUZZ_TARGETS); do \
