Read the other instances beside an odd one in the list

On the own interface one instance whose entry has another type made the whole list unreadable: a router stopped following it, and sent requests on to endpoints that leave. An entry with an unknown state counted as one that doesn't leave. Instances are decoded one by one; those that can't be decoded, have no name or an unknown state are left out.

A list whose version is out of range fails as a whole, as before.

--- a/fleet/platform/platform.go
+++ b/fleet/platform/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 )
@@ -88,6 +89,27 @@
 	Instances []Instance
 }
 
+// UnmarshalJSON implements json.Unmarshaler. It leaves out instances that can't be decoded, and those without a name or with an
+// unknown state, so that an odd one hides no other.
+func (l *Listing) UnmarshalJSON(text []byte) error {
+	var list struct {
+		Version   uint64
+		Instances []json.RawMessage
+	}
+	if err := json.Unmarshal(text, &list); err != nil {
+		return err
+	}
+	*l = Listing{Version: list.Version}
+	for _, entry := range list.Instances {
+		var instance Instance
+		if json.Unmarshal(entry, &instance) != nil || instance.Name == "" || instance.State != Live && instance.State != Leaving {
+			continue
+		}
+		l.Instances = append(l.Instances, instance)
+	}
+	return nil
+}
+
 // InstanceList is the platform's service that lists the instances.
 type InstanceList interface {
 	// Instances returns the newest listing that the service has.
