--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -136,7 +136,7 @@
 	if result.verdict != verdict.NotRun && !j.route.IsRetryable() {
 		return stepEnd
 	}
-	if !j.server.retries.takeRetry(j.service) {
+	if !j.hasTakenRetry.Swap(false) && !j.server.retries.takeRetry(j.service) {
 		j.server.state.Count(retryBudgetSpent)
 		return stepBudgetSpent
 	}
--- /dev/null
+++ b/router/gateway/cut_watch.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+)
+
+// errCutOff is the cause of a failed attempt that this router gave up because it found itself cut off from the endpoints.
+var errCutOff = errors.New("cut off from the endpoints before the answer")
+
+// cutWatcher gives up an exchange that has no answer yet when the router finds itself cut off from the service.
+type cutWatcher struct {
+	service string
+	giveUp  func()
+}
+
+// watchCut registers a watcher until stop is called.
+func (t *targets) watchCut(w *cutWatcher) (stop func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cutWatchers == nil {
+		t.cutWatchers = make(map[*cutWatcher]struct{})
+	}
+	t.cutWatchers[w] = struct{}{}
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.cutWatchers, w)
+	}
+}
+
+// notifyCutLocked tells the watchers of a service that the router is cut off from it.
+func (t *targets) notifyCutLocked(service string) {
+	for w := range t.cutWatchers {
+		if w.service == service {
+			delete(t.cutWatchers, w)
+			w.giveUp()
+		}
+	}
+}
+
+// roundTripDirectly sends the request over this router's own connections. If the router finds meanwhile that it is cut off, a request
+// that may be repeated is given up, as long as its repeat can be paid from the budget.
+func (j *job) roundTripDirectly(e *target, outgoing *http.Request) (*http.Response, error) {
+	silence := j.server.targets.watchSilence(e)
+	defer silence.Stop()
+	if !j.mayRepeatAfterCut() {
+		return e.transport.RoundTrip(outgoing)
+	}
+	// The context must outlast this call, since the answer is read with it. The request's own context ends it.
+	ctx, cancel := context.WithCancelCause(outgoing.Context())
+	stop := j.server.targets.watchCut(&cutWatcher{service: j.service, giveUp: func() {
+		if j.server.retries.takeRetry(j.service) {
+			j.hasTakenRetry.Store(true)
+			cancel(errCutOff)
+		}
+	}})
+	defer stop()
+	response, err := e.transport.RoundTrip(outgoing.WithContext(ctx))
+	if err != nil {
+		cancel(err)
+	}
+	return response, err
+}
+
+// mayRepeatAfterCut reports whether another attempt would be allowed after the present one, apart from the budget.
+func (j *job) mayRepeatAfterCut() bool {
+	return j.server.relays != nil && j.route.IsRetryable() && !j.responseStarted && j.endpointsSent+1 < max(1, j.route.Attempts) &&
+		len(j.tried) < maxEndpointsTried
+}
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -160,7 +160,7 @@
 			result.reason = verdict.DeadlineTooShort
 		}
 	default:
-		result.endpointFailed = !isOtherRouterFailure(err)
+		result.endpointFailed = !isRoutersFailure(err)
 	}
 	return result
 }
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -115,7 +115,7 @@
 	case ctx.Err() != nil:
 		j.outcome, result.reason = "deadline", verdict.DeadlineTooShort
 	default:
-		j.outcome, result.endpointFailed, result.canResume = "endpoint_broke_off", !isOtherRouterFailure(err), j.events.wholeEventsOnly
+		j.outcome, result.endpointFailed, result.canResume = "endpoint_broke_off", !isRoutersFailure(err), j.events.wholeEventsOnly
 	}
 	return result
 }
--- a/router/gateway/reach.go
+++ b/router/gateway/reach.go
@@ -149,6 +149,7 @@
 			e.failures, e.blockedUntil = 0, time.Time{}
 		}
 	}
+	t.notifyCutLocked(service)
 	go (&reachProbe{targets: t, service: service}).run()
 	for other := range t.services {
 		if t.reachLocked(other).TakeCheck(now) {
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -173,9 +173,7 @@
 		j.through = ""
 		j.setTimeLeft(outgoing.Header, time.Until(j.deadline))
 	}
-	silence := j.server.targets.watchSilence(e)
-	defer silence.Stop()
-	return e.transport.RoundTrip(outgoing)
+	return j.roundTripDirectly(e, outgoing)
 }
 
 // roundTripThroughOther has another router send the request to the endpoint. As long as nothing was sent, it asks a further one.
@@ -309,9 +307,9 @@
 	}
 }
 
-// isOtherRouterFailure reports whether an exchange failed at or before the other router, so that the endpoint is not to blame.
-func isOtherRouterFailure(err error) bool {
-	return errors.Is(err, errNoOtherRouter) || errors.Is(err, peer.ErrExchangeBroken)
+// isRoutersFailure reports whether an exchange failed at this router or another one, so that the endpoint is not to blame.
+func isRoutersFailure(err error) bool {
+	return errors.Is(err, errNoOtherRouter) || errors.Is(err, peer.ErrExchangeBroken) || errors.Is(err, errCutOff)
 }
 
 // recordFailedDial counts the endpoints to which the request could open no connection. One that gives no answer counts as enough.
--- a/router/gateway/relay_promise_test.go
+++ b/router/gateway/relay_promise_test.go
@@ -221,3 +221,26 @@
 	f.sendOrders(0, requests)
 	assert.Equal(t, true, len(crashes) <= 1)
 }
+
+// TestIdempotentRequestsLeaveHungConnections guards against requests that may be repeated and wait until their deadlines on connections that
+// hang, after the router has found that it is cut off.
+func TestIdempotentRequestsLeaveHungConnections(t *testing.T) {
+	const requests = 3
+	answer := answerSealed("answer")
+	f := newRelayFleet(t, 2, answer, answer, answer, answer)
+	for range 8 {
+		assert.Equal(t, "answer", f.routers[0].call(http.MethodGet, "/read/", "", nil).body)
+	}
+	f.networks[0].set(cutHangs)
+	var calls sync.WaitGroup
+	var served atomic.Int32
+	for range requests {
+		calls.Go(func() {
+			if f.routers[0].call(http.MethodGet, "/read/", "", func(r *http.Request) { r.Header.Set("Left", "6000") }).status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	assert.Equal(t, int32(requests), served.Load())
+}
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -118,9 +119,11 @@
 	unsent      []*target
 	failedDials int
 	// declined counts the other routers that didn't carry out an exchange for the request.
-	declined    int
-	through     string
-	reservation *allowance.Reservation
+	declined int
+	// hasTakenRetry reports whether the retry after the present attempt has been taken from the budget already.
+	hasTakenRetry atomic.Bool
+	through       string
+	reservation   *allowance.Reservation
 	// responseStarted is true once a part of the answer has been written to the caller.
 	responseStarted bool
 	// mayHaveRun reports whether any attempt may have run the request.
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -143,6 +143,8 @@
 	// nanoseconds of the Unix time.
 	reach     map[string]*endpoint.Reachability
 	lastHeard atomic.Int64
+	// cutWatchers are the exchanges that are given up when the router finds itself cut off.
+	cutWatchers map[*cutWatcher]struct{}
 	// onReachChange is called when the router finds itself cut off from a service's endpoints, or no longer.
 	onReachChange func(service string, r *endpoint.Reachability, now, since time.Time)
 	// onCrash is called with an endpoint's crash and the requests that were in progress there.
