Tell endpoints that are paused from routers that decline exchanges

A router whose view of an endpoint forbids a request declined as if it took no exchanges at all; after two such answers the request was refused though other endpoints were free. TestPausedEndpointBlocksNoRouter fails without the change. Long requests get time to be handed over by their length, and a router that knows no exchanges is tested.

--- a/fleet/peer/exchange.go
+++ b/fleet/peer/exchange.go
@@ -19,6 +19,8 @@
 	// until the other router has accepted it: some round trips between regions.
 	exchangeDialTimeout   = 300 * time.Millisecond
 	exchangeAcceptTimeout = 400 * time.Millisecond
+	// minExchangeRate is the rate, in bytes per second, at which a request is at least handed over.
+	minExchangeRate = 1 << 20
 	// maxExchangeFrame bounds a message of an exchange: the headers of an answer, or a part of its body.
 	maxExchangeFrame = 128 << 10
 	// frameHeaderBytes is the length of a frame's kind and length.
@@ -218,7 +220,8 @@
 
 // handOver writes the request and waits until the other router has accepted it.
 func (r *ExchangeReader) handOver(data []byte) error {
-	_ = r.stream.SetDeadline(time.Now().Add(exchangeAcceptTimeout))
+	writeTime := time.Duration(len(data)) * time.Second / minExchangeRate
+	_ = r.stream.SetDeadline(time.Now().Add(exchangeAcceptTimeout + writeTime))
 	if _, err := r.stream.Write(data); err != nil {
 		r.stream.CancelWrite(0)
 		return fmt.Errorf("%w: %w", ErrExchangeNotSent, err)
--- a/fleet/peer/exchange_message.go
+++ b/fleet/peer/exchange_message.go
@@ -57,4 +57,6 @@
 	ExchangeRefused
 	// ExchangeFailed means that the endpoint gave no answer, or broke it off.
 	ExchangeFailed
+	// ExchangeNotAdmitted means that the other router sent nothing because its view of the endpoint forbids it.
+	ExchangeNotAdmitted
 )
--- a/fleet/peer/exchange_test.go
+++ b/fleet/peer/exchange_test.go
@@ -55,6 +55,12 @@
 		})
 		assertEnd(t, ExchangeEnd{Outcome: ExchangeDeclined, Cause: "leaving"}, err)
 	})
+	t.Run("a router that carries out none", func(t *testing.T) {
+		authority := newAuthority(t)
+		a, b := startNode(t, authority, "router-a"), startNode(t, authority, "router-b")
+		_, err := a.node.OpenExchange(t.Context(), b.address, &Exchange{})
+		assertEnd(t, ExchangeEnd{Outcome: ExchangeDeclined, Cause: ErrMalformed.Error()}, err)
+	})
 	t.Run("a body without its last message is not complete", func(t *testing.T) {
 		r, err := openExchange(t, t.Context(), func(_ context.Context, x *Exchange, out *ExchangeWriter) {
 			_, _ = out.Accept(), out.WriteHead(head)
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -37,6 +37,9 @@
 var (
 	// errNoOtherRouter is the cause of a failed attempt for which no other router carried out the exchange. Nothing was sent.
 	errNoOtherRouter = errors.New("no other router carries out the exchange")
+	// errNotAdmittedElsewhere is the cause of a failed attempt that another router didn't carry out because of what it knows of the
+	// endpoint. Nothing was sent.
+	errNotAdmittedElsewhere = errors.New("another router sends the endpoint nothing")
 	// errNotConnectedElsewhere is the cause of a failed attempt for which another router could open no connection either.
 	errNotConnectedElsewhere = errors.New("endpoint can't be reached through another router")
 )
@@ -298,6 +301,8 @@
 	switch {
 	case ended.End.Outcome == peer.ExchangeDeclined:
 		return fmt.Errorf("%w: %w", errNoOtherRouter, err)
+	case ended.End.Outcome == peer.ExchangeNotAdmitted:
+		return fmt.Errorf("%w: %w", errNotAdmittedElsewhere, err)
 	case ended.End.Outcome == peer.ExchangeRefused:
 		return fmt.Errorf("%w: %w: %w", errNotConnectedElsewhere, syscall.ECONNREFUSED, err)
 	case ended.End.Writes == 0:
@@ -309,7 +314,8 @@
 
 // isRoutersFailure reports whether an exchange failed at this router or another one, so that the endpoint is not to blame.
 func isRoutersFailure(err error) bool {
-	return errors.Is(err, errNoOtherRouter) || errors.Is(err, peer.ErrExchangeBroken) || errors.Is(err, errCutOff)
+	return errors.Is(err, errNoOtherRouter) || errors.Is(err, errNotAdmittedElsewhere) || errors.Is(err, peer.ErrExchangeBroken) ||
+		errors.Is(err, errCutOff)
 }
 
 // recordFailedDial counts the endpoints to which the request could open no connection. One that gives no answer counts as enough.
--- a/router/gateway/relay_promise_test.go
+++ b/router/gateway/relay_promise_test.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
 
 // newCutOffFleet returns a fleet whose first router is cut off and knows it, so that its requests go through the others.
@@ -193,6 +194,22 @@
 	assert.Equal(t, declineNotListed, reason)
 }
 
+// TestPausedEndpointBlocksNoRouter guards against routers that count as unwilling because one endpoint has asked them for a pause.
+func TestPausedEndpointBlocksNoRouter(t *testing.T) {
+	f := newCutOffFleet(t, 3, answerSealed("answer"), answerSealed("answer"))
+	for _, g := range f.routers[1:] {
+		carrier := &g.server.targets
+		carrier.mu.Lock()
+		carrier.updateDirectoryLocked(g.state.Directory.Load(), []site.WeightedService{{Service: "plain"}})
+		carrier.services["plain"][0].notices.RecordPause(time.Now(), time.Minute, 0)
+		carrier.mu.Unlock()
+	}
+	for range 8 {
+		assert.Equal(t, "answer", f.routers[0].call(http.MethodPost, "/order/", "", nil).body)
+	}
+	f.routers[0].assertRequestCounts(0, 8)
+}
+
 // TestCutIsNoCrash guards against requests that are quarantined because connections to several endpoints were reset and then refused, when
 // this router was cut off.
 func TestCutIsNoCrash(t *testing.T) {
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -41,6 +41,14 @@
 	declineNotAdmitted declineReason = "endpoint_not_admitted"
 )
 
+// outcome tells whether the router or the endpoint is the reason.
+func (d declineReason) outcome() peer.ExchangeOutcome {
+	if d == declineNotListed || d == declineNotAdmitted {
+		return peer.ExchangeNotAdmitted
+	}
+	return peer.ExchangeDeclined
+}
+
 // exchangeServer carries out exchanges with endpoints for other routers.
 type exchangeServer struct {
 	server *Server
@@ -66,7 +74,7 @@
 	e, reason := s.admit(from, x)
 	if reason != "" {
 		s.server.state.Count(exchangeDeclinedPrefix + string(reason))
-		_ = out.End(&peer.ExchangeEnd{Outcome: peer.ExchangeDeclined, Cause: string(reason)})
+		_ = out.End(&peer.ExchangeEnd{Outcome: reason.outcome(), Cause: string(reason)})
 		return
 	}
 	defer s.release(from)
