--- a/router/gateway/relay_sim_test.go
+++ b/router/gateway/relay_sim_test.go
@@ -59,7 +59,7 @@
 	simulatedRegions   = 2
 	simulatedEndpoints = 8
 	// simulatedRate is the number of requests a second at each router, simulatedCutTime the mean time that one takes.
-	simulatedRate = 38.0
+	simulatedRate    = 38.0
 	simulatedCutTime = 1500 * time.Millisecond
 	// judgedFrom is the time after the begin of the cut from which requests count, simulatedEnd when the simulation ends.
 	judgedFrom   = 3 * time.Second
