--- a/router/gateway/wire.go
+++ b/router/gateway/wire.go
@@ -23,6 +23,9 @@
 	NotRun string
 	// Leaving is the header with which an endpoint that leaves marks its answers; empty if endpoints don't.
 	Leaving string
+	// Brittle is the header with which an endpoint names the number of requests that it can refuse in a second, from all routers together,
+	// without falling over; empty if endpoints don't.
+	Brittle string
 	// RateLimit is the header with which an endpoint names the rate of requests, in requests a second, that it accepts from all routers
 	// together; empty if endpoints don't.
 	RateLimit string
