Keep what routers together send a brittle endpoint within its room

Endpoints that name in Server-Brittle how many requests they can refuse in a second were sent as many as before; one that let fewer wait refused more than that and fell over, again after each start.

Routers now divide an endpoint's slots and half of the refusals that it can bear by their ranks at the endpoint, without a message, so that an endpoint that comes back empty gets no more. A refusal closes the endpoint for a second and lowers the bound there and at the service's other endpoints; both grow slowly. An endpoint that hasn't answered counts as marked like the others of its service, and routers learn of marks from the record of rate limits. What finds no room is refused at once.

The loss at many routers is open: requests aren't handed on to a router that has a free place.

--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -18,6 +18,8 @@
 	cause   error
 	// responded reports whether the endpoint began an answer to this request.
 	responded bool
+	// isRefusal reports whether the endpoint itself refused the request.
+	isRefusal bool
 	// endpointFailed reports whether the endpoint is to blame for the failure, misdirected whether another endpoint than
 	// the intended one answered at the address.
 	endpointFailed, misdirected bool
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -25,6 +25,8 @@
 	endpointPaused          = "endpoint.paused"
 	endpointLimited         = "endpoint.limited"
 	endpointLimitUnreadable = "endpoint.limit_unreadable"
+	endpointBrittle         = "endpoint.brittle"
+	endpointBounded         = "endpoint.bounded"
 	streamVersionsNotSent   = "stream.versions_not_sent"
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
@@ -51,6 +53,8 @@
 		{endpointPaused, "Pauses for which endpoints asked in a refusal."},
 		{endpointLimited, "Changes of the rate limit that an endpoint names, its begin and end included."},
 		{endpointLimitUnreadable, "Answers with a rate limit that can't be read; the previous limit stays in force."},
+		{endpointBrittle, "Changes of the refusals a second that an endpoint says it can bear, the begin and end of that included."},
+		{endpointBounded, "Brittle endpoints at which a request that was refused found no room left for this router, one for each endpoint and request."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded; they are treated as removed."},
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -180,7 +180,7 @@
 	if response.Header.Get(protocol.NotRun) != "" {
 		discardRefusal(response.Body)
 		return attemptResult{
-			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status),
+			verdict: verdict.NotRun, reason: verdict.EndpointRefused, cause: errors.New(response.Status), isRefusal: true,
 			retryAfter: endpoint.ParsePause(response.Header.Get("Retry-After")),
 		}
 	}
--- a/router/gateway/limits.go
+++ b/router/gateway/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"time"
@@ -48,6 +49,8 @@
 // processLimit is the rate limit of an endpoint's process.
 type processLimit struct {
 	endpoint.SharedLimit
+	// bound decides which requests may be sent if the process is brittle.
+	bound endpoint.RefusalBound
 
 	// routers is the number of listed routers, position the number of those that rank before this one at the endpoint, as of the
 	// roster's change count rosterChanges.
@@ -63,6 +66,8 @@
 // it.
 type limitRecord struct {
 	Limits []recordedLimit
+	// Brittle are the services with brittle endpoints.
+	Brittle []recordedMark `json:",omitempty"`
 }
 
 // recordedLimit is the rate limit that the process of an endpoint names. A rate of zero stands for a limit that has ended.
@@ -120,7 +125,6 @@
 }
 
 // timeToAdmissionLocked returns when a request may come again that the endpoint's rate limit doesn't let through; zero without a limit.
-// random spreads the callers that go to other routers.
 func (t *targets) timeToAdmissionLocked(now time.Time, e *target, random uint64) time.Duration {
 	if e.limit.Rate() == 0 {
 		return 0
@@ -128,6 +132,11 @@
 	if wait, ok := e.limit.TimeToAdmission(now, t.fleetLocked(e.limit)); ok {
 		return wait
 	}
+	return spreadDelay(random)
+}
+
+// spreadDelay returns a time around otherRouterDelay that spreads the callers which come again, most of them at other routers.
+func spreadDelay(random uint64) time.Duration {
 	return otherRouterDelay/2 + time.Duration(float64(random>>11)/(1<<53)*float64(otherRouterDelay))
 }
 
@@ -200,6 +209,7 @@
 	}
 	s.targets.mu.Lock()
 	defer s.targets.mu.Unlock()
+	s.targets.mergeMarksLocked(now, record.Brittle)
 	claimed := make(map[endpointProcess]bool, len(record.Limits))
 	for _, r := range record.Limits {
 		p := endpointProcess{r.Endpoint, r.StartedAt}
@@ -238,6 +248,8 @@
 	writtenAt time.Time
 	hasFailed bool
 	written   map[endpointProcess]float64
+	// writtenMarks are the services in the record whose endpoints are brittle.
+	writtenMarks map[string]int
 }
 
 // run evaluates the rate limits, and writes the record after changes and while the router claims one, until the context ends.
@@ -279,8 +291,9 @@
 		rate, isWritten := c.written[p]
 		isChanged = isChanged || !isWritten || rate != l.Rate()
 	}
-	isChanged = isChanged || len(record.Limits) != len(c.written)
-	return record, isChanged || len(record.Limits) > 0 && now.Sub(c.writtenAt) >= endpoint.ClaimInterval
+	record.Brittle = t.recordedMarksLocked(now)
+	isChanged = isChanged || len(record.Limits) != len(c.written) || !maps.Equal(c.writtenMarks, refusalsOf(record.Brittle))
+	return record, isChanged || !record.isEmpty() && now.Sub(c.writtenAt) >= endpoint.ClaimInterval
 }
 
 // isPublishable evaluates the router's part of the limit and reports whether the limit belongs into the router's record: the
@@ -316,7 +329,7 @@
 	t := &c.server.targets
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c.written = make(map[endpointProcess]float64, len(record.Limits))
+	c.written, c.writtenMarks = make(map[endpointProcess]float64, len(record.Limits)), refusalsOf(record.Brittle)
 	for _, r := range record.Limits {
 		p := endpointProcess{r.Endpoint, r.StartedAt}
 		c.written[p] = r.Rate
@@ -329,7 +342,7 @@
 // writeLimits writes the router's record of rate limits; an empty one removes the former record.
 func (r *Routers) writeLimits(ctx context.Context, record limitRecord) error {
 	var value []byte
-	if len(record.Limits) > 0 {
+	if !record.isEmpty() {
 		var err error
 		if value, err = json.Marshal(record); err != nil {
 			return fmt.Errorf("encoding the record of rate limits: %w", err)
@@ -338,10 +351,15 @@
 	return r.writeRecord(ctx, platform.KeyedRecord{Key: r.Self.Instance + limitKeySuffix, Value: value})
 }
 
-// hasLimits reports whether any endpoint names a rate limit, or did until recently.
+// hasLimits reports whether any endpoint names a rate limit or is brittle, or was until recently.
 func (t *targets) hasLimits() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, m := range t.marks {
+		if _, _, isBrittle := m.Report(time.Now()); isBrittle {
+			return true
+		}
+	}
 	for _, l := range t.limits {
 		if l.Rate() > 0 || l.publishes {
 			return true
--- a/router/gateway/notices.go
+++ b/router/gateway/notices.go
@@ -11,13 +11,14 @@
 )
 
 // recordNotices records what an endpoint asks for in the headers of the answer to a request that was sent at a time: no new requests
-// because it leaves, none for some time, or no more than some rate.
+// because it leaves, none for some time, no more than some rate, or no more than it has room for.
 func (s *Server) recordNotices(e *target, sentAt time.Time, response *http.Response) {
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		// Another endpoint answered at the address.
 		return
 	}
 	s.recordRateLimit(e, sentAt, response)
+	s.recordBrittleness(e, sentAt, response)
 	now := time.Now()
 	pause := time.Duration(0)
 	if response.StatusCode == http.StatusServiceUnavailable {
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -56,6 +56,8 @@
 		known.transport.CloseIdleConnections()
 		t.reportRestartLocked(known, time.UnixMilli(e.StartedAt))
 		delete(t.limits, processOf(&known.Endpoint))
+		l := t.limitLocked(processOf(&e))
+		l.bound.StartAnew(time.Now(), e.Slots, t.fleetLocked(l), t.markLocked(e.Service))
 	}
 	created := &target{
 		Endpoint: e, transport: NewTransport(t.traffic), hash: xxhash.Sum64String(e.Name), limit: t.limitLocked(processOf(&e)),
@@ -116,6 +118,10 @@
 		}
 		hasVersion = true
 		limitLeft := t.timeToAdmissionLocked(now, e, j.random)
+		if !t.isWithinBoundLocked(now, e) {
+			limitLeft = max(limitLeft, spreadDelay(j.random))
+			t.reportBoundLocked(now, e, j, limitLeft)
+		}
 		if !e.notices.IsOnTrial() && limitLeft == 0 || e.notices.IsLeaving() || e.isReplaced {
 			continue
 		}
@@ -138,7 +144,7 @@
 func (t *targets) eligibleLocked(now time.Time, j *job, includeBlocked bool) []*target {
 	var eligible []*target
 	for _, e := range t.services[j.service] {
-		if j.isEligible(now, e, includeBlocked) && t.isWithinLimitLocked(now, e) {
+		if j.isEligible(now, e, includeBlocked) && t.isWithinBoundLocked(now, e) && t.isWithinLimitLocked(now, e) {
 			eligible = append(eligible, e)
 		}
 	}
@@ -246,6 +252,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.inFlight--
+	t.recordRoomLocked(startedAt, time.Now(), e, result)
 	t.recordExposureLocked(e, j, startedAt, result)
 	if result.responded && result.verdict != verdict.NotRun {
 		e.notices.RecordAccepted(startedAt)
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -102,6 +102,8 @@
 	// limit is the rate limit that the endpoint's process names, and unreadableLimit the newest value if that couldn't be read.
 	limit           *processLimit
 	unreadableLimit string
+	// boundLoggedAt is when a log line last said that the endpoint has no room for more requests of this router.
+	boundLoggedAt time.Time
 	// isReplaced is true once another endpoint has been found to answer at the address.
 	isReplaced bool
 }
@@ -121,6 +123,8 @@
 	// limits are the rate limits of endpoints' processes, routers the other routers, which share them; nil if there are none.
 	limits  map[endpointProcess]*processLimit
 	routers *Routers
+	// marks say, by service, whether endpoints are brittle.
+	marks map[string]*endpoint.ServiceMark
 	// hasOwnRecord reports whether this router has read a record of rate limits of its own, also one of its former process.
 	hasOwnRecord bool
 	// rates are, by service, the observed speeds at which engines read prompts.
