Read off the sockets after how long a silent peer is given up

So an idle connection is reset 3 s after its peer's last packet, and after no less than 2 s of silence. The constant now says what is in force; with 500 ms in earnest it would have been 1.5 s, too short for a sound peer that is silent for a second or two.

--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -22,10 +22,10 @@
 	// acknowledgmentTimeout is the TCP user timeout, after which a connection with unacknowledged data is closed:
 	// several round trips between regions with a lost packet.
 	acknowledgmentTimeout = 2500 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount make TCP detect an unresponsive peer on an idle connection
-	// within about acknowledgmentTimeout.
+	// keepAliveIdle and keepAliveInterval make TCP detect an unresponsive peer on an idle connection with the first probe that is due after
+	// acknowledgmentTimeout, which takes the place of keepAliveCount. Linux takes whole seconds.
 	keepAliveIdle     = 1 * time.Second
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = 1 * time.Second
 	keepAliveCount    = 3
 	// maxIdleConnections bounds the idle connections to one endpoint, maxIdleTime how long each is kept: endpoints close
 	// idle connections themselves.
