Forget broken-off requests at endpoints that are not brittle

Each request that broke off was remembered until the endpoint was asked for room as a brittle one, so at other endpoints for as long as their process lasted.

--- a/fleet/endpoint/refusal_bound.go
+++ b/fleet/endpoint/refusal_bound.go
@@ -190,9 +190,7 @@
 	if now.Before(b.closedUntil) || now.Before(m.closedUntil) {
 		return false
 	}
-	for len(b.brokenOff) > 0 && !now.Before(b.brokenOff[0]) {
-		b.brokenOff = b.brokenOff[1:]
-	}
+	b.dropEnded(now)
 	return inProgress+len(b.brokenOff) < b.current(now, brittleness, slots, f, m)
 }
 
@@ -263,5 +261,13 @@
 
 // RecordBrokenOff records that a request was broken off, on which the endpoint may still work.
 func (b *RefusalBound) RecordBrokenOff(now time.Time) {
+	b.dropEnded(now)
 	b.brokenOff = append(b.brokenOff, now.Add(brokenOffTime))
 }
+
+// dropEnded drops the broken-off requests that no longer occupy the endpoint.
+func (b *RefusalBound) dropEnded(now time.Time) {
+	for len(b.brokenOff) > 0 && !now.Before(b.brokenOff[0]) {
+		b.brokenOff = b.brokenOff[1:]
+	}
+}
--- a/fleet/endpoint/refusal_bound_test.go
+++ b/fleet/endpoint/refusal_bound_test.go
@@ -85,3 +85,18 @@
 	m.RecordReport(now, time.Second, 3, true)
 	assert.Equal(t, []bool{false, true}, []bool{b.Admits(now, 0, 1, f, m), b.Admits(now.Add(formerRequestsTime), 0, 1, f, m)})
 }
+
+// TestBrokenOffRequestsOccupyTheEndpoint guards against requests sent in place of ones that the endpoint may still work on, and against a record of
+// them that grows without bound.
+func TestBrokenOffRequestsOccupyTheEndpoint(t *testing.T) {
+	now, m, f := time.Unix(1, 0), &ServiceMark{}, Fleet{Routers: 1}
+	var b RefusalBound
+	for range 100 {
+		b.RecordBrokenOff(now)
+		now = now.Add(brokenOffTime)
+	}
+	assert.Equal(t, 1, len(b.brokenOff))
+	b.RecordAnswer(now, now, Brittleness{IsBrittle: true}, m)
+	b.RecordBrokenOff(now)
+	assert.Equal(t, []bool{false, true}, []bool{b.Admits(now, 1, 2, f, m), b.Admits(now.Add(brokenOffTime), 1, 2, f, m)})
+}
