Pass on to other routers only marks of brittle endpoints that this router heard

A router that ranked among the publishers also wrote down what it had read in another one's record, with an age that lacked the time on the way. Two publishers could keep a mark in force that no endpoint named any longer. The mark in the record is now that of the router's own answers. Further tests: the mark is read from complete answers, streams, refusals and errors, and reaches the other routers.

--- a/fleet/endpoint/refusal_bound.go
+++ b/fleet/endpoint/refusal_bound.go
@@ -65,6 +65,8 @@
 	refusals int
 	// since is when the first answer with the mark arrived, newest when the newest one did.
 	since, newest time.Time
+	// heardAt is when this router's own newest answer with the mark arrived.
+	heardAt time.Time
 	// missing is the part of the planned places that is not used since endpoints refused requests, as of missingAt.
 	missing   float64
 	missingAt time.Time
@@ -74,10 +76,10 @@
 
 // Record records that an endpoint of the service named its brittleness.
 func (m *ServiceMark) Record(now time.Time, refusals int) {
-	if !m.isInForce(now) {
+	if !m.IsInForce(now) {
 		m.since, m.missing = now, 0
 	}
-	m.refusals, m.newest = refusals, now
+	m.refusals, m.newest, m.heardAt = refusals, now, now
 }
 
 // room returns the part of the planned places that is used at an endpoint with the given number of them.
@@ -111,18 +113,21 @@
 	if isStarting {
 		m.closedUntil = now.Add(formerRequestsTime)
 	}
-	if !m.isInForce(now) {
+	if !m.IsInForce(now) {
 		m.since, m.missing = now, 0
 	}
 	m.refusals, m.newest = max(0, min(refusals, MaxBearableRefusals)), newest
 }
 
-// Report returns the refusals a second that the service's endpoints can bear and the age of the newest answer that said so, or false if they aren't brittle.
+// Report returns, for other routers, the refusals a second that the service's endpoints can bear and the age of this router's newest answer that
+// said so, or false without one. What others reported is not passed on: two routers would go on to report it to each other.
 func (m *ServiceMark) Report(now time.Time) (refusals int, age time.Duration, ok bool) {
-	return m.refusals, now.Sub(m.newest), m.isInForce(now)
+	age = now.Sub(m.heardAt)
+	return m.refusals, age, !m.heardAt.IsZero() && age <= serviceMarkLifetime
 }
 
-func (m *ServiceMark) isInForce(now time.Time) bool {
+// IsInForce reports whether the service's endpoints are taken to be brittle.
+func (m *ServiceMark) IsInForce(now time.Time) bool {
 	return !m.newest.IsZero() && now.Sub(m.newest) <= serviceMarkLifetime
 }
 
@@ -174,7 +179,7 @@
 	switch {
 	case b.own.IsBrittle:
 		return b.own
-	case m.isInForce(now) && b.clearedAt.Before(m.since):
+	case m.IsInForce(now) && b.clearedAt.Before(m.since):
 		return Brittleness{IsBrittle: true, Refusals: m.refusals}
 	default:
 		return Brittleness{}
@@ -233,7 +238,7 @@
 
 // StartAnew is called for the first process after one that ended while it was brittle.
 func (b *RefusalBound) StartAnew(now time.Time, slots int, f Fleet, m *ServiceMark) {
-	if !m.isInForce(now) {
+	if !m.IsInForce(now) {
 		return
 	}
 	places, _ := placesOf(now, Brittleness{Refusals: m.refusals}, slots, f, m)
--- a/fleet/endpoint/refusal_bound_test.go
+++ b/fleet/endpoint/refusal_bound_test.go
@@ -100,3 +100,16 @@
 	b.RecordBrokenOff(now)
 	assert.Equal(t, []bool{false, true}, []bool{b.Admits(now, 1, 2, f, m), b.Admits(now.Add(brokenOffTime), 1, 2, f, m)})
 }
+
+// TestReportsAreNotPassedOn guards against a mark that outlasts the brittleness since routers report it to each other.
+func TestReportsAreNotPassedOn(t *testing.T) {
+	now, m := time.Unix(100, 0), &ServiceMark{}
+	m.RecordReport(now, time.Second, 3, false)
+	_, _, isReported := m.Report(now)
+	assert.Equal(t, []bool{true, false}, []bool{m.IsInForce(now), isReported})
+	m.Record(now, 2)
+	refusals, age, isReported := m.Report(now.Add(time.Second))
+	assert.Equal(t, true, isReported)
+	assert.Equal(t, 2, refusals)
+	assert.Equal(t, time.Second, age)
+}
--- a/router/gateway/brittle_test.go
+++ b/router/gateway/brittle_test.go
@@ -478,3 +478,59 @@
 	assert.NoError(t, err)
 	assert.Equal(t, true, seconds >= 0.5 && seconds < 1.5)
 }
+
+// TestBrittlenessIsReadFromAllAnswers guards against answers whose mark is overlooked, and a mark taken from another endpoint than the one asked.
+func TestBrittlenessIsReadFromAllAnswers(t *testing.T) {
+	misdirected := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	for _, c := range []struct {
+		name, method, path string
+		answer             http.HandlerFunc
+		isRead             bool
+	}{
+		{"complete answer", http.MethodPost, "/order/", answerSealed("answer"), true},
+		{"stream", http.MethodPost, "/talk/", answerSealed("id: 1\n\n"), true},
+		{"refusal", http.MethodPost, "/order/", answerNotRun, true},
+		{"error that is not passed on", http.MethodGet, "/read/", answerError, true},
+		{"another endpoint at the address", http.MethodPost, "/order/", misdirected, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGatewayTest(t, withHeader("Brittle", "2", c.answer))
+			g.call(c.method, c.path, "", nil)
+			assert.Equal(t, c.isRead, g.counterValue(endpointBrittle) == 1)
+		})
+	}
+}
+
+// TestMarkReachesOtherRouters guards against routers that learn of brittle endpoints only from their own requests, and a mark that lasts when the
+// record's writer has stopped.
+func TestMarkReachesOtherRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &limitedFleet{directory: site.NewDirectory(nil)}
+		for i := range 2 {
+			f.routers = append(f.routers, f.startRouter(t, "router-"+strconv.Itoa(i)))
+		}
+		time.Sleep(3 * time.Second)
+		told := &target{Endpoint: site.Endpoint{Name: "brittle", Service: "plain", Slots: 1}, limit: &processLimit{}}
+		answer := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Brittle": {"2"}}}
+		f.routers[0].server.recordNotices(told, time.Now(), answer)
+		time.Sleep(3 * time.Second)
+		assertKnown := func(want bool, servers ...*Server) {
+			t.Helper()
+			for _, s := range servers {
+				s.targets.mu.Lock()
+				assert.Equal(t, want, s.targets.markLocked("plain").IsInForce(time.Now()))
+				s.targets.mu.Unlock()
+			}
+		}
+		assertKnown(true, f.routers[0].server, f.routers[1].server)
+		late := f.startRouter(t, "router-2")
+		time.Sleep(3 * time.Second)
+		assertKnown(true, late.server)
+		time.Sleep(time.Minute)
+		assertKnown(false, f.routers[0].server, f.routers[1].server, late.server)
+		for _, r := range append(f.routers, late) {
+			r.stop()
+		}
+		synctest.Wait()
+	})
+}
