--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -32,6 +32,8 @@
 	exchangeNotCarried      = "exchange.not_carried"
 	exchangeCarried         = "exchange.carried"
 	exchangeDeclinedPrefix  = "exchange.declined."
+	endpointBrittle         = "endpoint.brittle"
+	endpointBounded         = "endpoint.bounded"
 	streamVersionsNotSent   = "stream.versions_not_sent"
 	streamVersionsNotStored = "stream.versions_not_stored"
 	streamWritesFailed      = "stream.writes_failed"
@@ -67,6 +69,8 @@
 		{exchangeNotCarried, "Exchanges that no other router carried out; nothing was sent."},
 		{exchangeCarried, "Exchanges with endpoints that this router carried out for others."},
 		{exchangeDeclinedPrefix + "REASON", "Exchanges of other routers that this one did not carry out, by reason."},
+		{endpointBrittle, "Changes of the refusals a second that an endpoint says it can bear, the begin and end of that included."},
+		{endpointBounded, "Brittle endpoints at which a request that was refused found no room left for this router, one for each endpoint and request."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{streamVersionsNotStored, "Streams whose software version the platform doesn't store, since too many waited to be written."},
 		{streamWritesFailed, "Writes of streams' software versions that failed or timed out; they are repeated."},
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -58,6 +58,8 @@
 		known.transport.CloseIdleConnections()
 		t.reportRestartLocked(known, time.UnixMilli(e.StartedAt))
 		delete(t.limits, processOf(&known.Endpoint))
+		l := t.limitLocked(processOf(&e))
+		l.bound.StartAnew(time.Now(), e.Slots, t.fleetLocked(l), t.markLocked(e.Service))
 	}
 	created := &target{Endpoint: e, hash: xxhash.Sum64String(e.Name), limit: t.limitLocked(processOf(&e))}
 	created.transport = newTransport(t.traffic, (&endpointDialer{targets: t, service: e.Service, endpoint: e.Name}).dial)
@@ -117,6 +119,10 @@
 		}
 		hasVersion = true
 		limitLeft := t.timeToAdmissionLocked(now, e, j.random)
+		if !t.isWithinBoundLocked(now, e) {
+			limitLeft = max(limitLeft, spreadDelay(j.random))
+			t.reportBoundLocked(now, e, j, limitLeft)
+		}
 		if !e.notices.IsOnTrial() && limitLeft == 0 || e.notices.IsLeaving() || e.isReplaced {
 			continue
 		}
@@ -139,7 +145,7 @@
 func (t *targets) eligibleLocked(now time.Time, j *job, includeBlocked bool) []*target {
 	var eligible []*target
 	for _, e := range t.services[j.service] {
-		if j.isEligible(now, e, includeBlocked) && t.isWithinLimitLocked(now, e) {
+		if j.isEligible(now, e, includeBlocked) && t.isWithinBoundLocked(now, e) && t.isWithinLimitLocked(now, e) {
 			eligible = append(eligible, e)
 		}
 	}
@@ -247,6 +253,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.inFlight--
+	t.recordRoomLocked(startedAt, time.Now(), e, result)
 	t.recordExposureLocked(e, j, startedAt, result)
 	t.updateStateLocked(e, startedAt, result, j.through == "")
 }
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -23,10 +23,10 @@
 	// acknowledgmentTimeout is the TCP user timeout, after which a connection with unacknowledged data is closed:
 	// several round trips between regions with a lost packet.
 	acknowledgmentTimeout = 2500 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount make TCP detect an unresponsive peer on an idle connection
-	// within about acknowledgmentTimeout.
+	// keepAliveIdle and keepAliveInterval make TCP detect an unresponsive peer on an idle connection with the first probe that is due after
+	// acknowledgmentTimeout, which takes the place of keepAliveCount. Linux takes whole seconds.
 	keepAliveIdle     = 1 * time.Second
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = 1 * time.Second
 	keepAliveCount    = 3
 	// maxIdleConnections bounds the idle connections to one endpoint, maxIdleTime how long each is kept: endpoints close
 	// idle connections themselves.
@@ -111,6 +111,8 @@
 	// limit is the rate limit that the endpoint's process names, and unreadableLimit the newest value if that couldn't be read.
 	limit           *processLimit
 	unreadableLimit string
+	// boundLoggedAt is when a log line last said that the endpoint has no room for more requests of this router.
+	boundLoggedAt time.Time
 	// isReplaced is true once another endpoint has been found to answer at the address.
 	isReplaced bool
 }
@@ -130,6 +132,8 @@
 	// limits are the rate limits of endpoints' processes, routers the other routers, which share them; nil if there are none.
 	limits  map[endpointProcess]*processLimit
 	routers *Routers
+	// marks say, by service, whether endpoints are brittle.
+	marks map[string]*endpoint.ServiceMark
 	// hasOwnRecord reports whether this router has read a record of rate limits of its own, also one of its former process.
 	hasOwnRecord bool
 	// rates are, by service, the observed speeds at which engines read prompts.
