--- a/router/gateway/relay_promise_test.go
+++ b/router/gateway/relay_promise_test.go
@@ -106,6 +106,23 @@
 	assert.Equal(t, int64(0), f.routers[0].counterValue(exchangeDeclinedPrefix+string(declineCutOff)))
 }
 
+// TestRouterReturnsToItsConnections guards against requests that go through other routers for ever after a cut.
+func TestRouterReturnsToItsConnections(t *testing.T) {
+	f := newRelayFleet(t, 2, answerSealed("answer"), answerSealed("answer"))
+	g := f.routers[0]
+	f.cut(t, 0, cutResets)
+	assert.Equal(t, int64(1), f.sendOrders(0, 1))
+	f.networks[0].set(cutHealed)
+	waitFor(t, func() bool { return g.server.targets.goesDirectly("plain", 0.999) })
+	before := g.counterValue(exchangeHandedOver)
+	for range 8 {
+		assert.Equal(t, "answer", g.call(http.MethodGet, "/read/", "", nil).body)
+	}
+	assert.Equal(t, before, g.counterValue(exchangeHandedOver))
+	assert.Equal(t, int64(1), g.counterValue(reachCutOffPrefix+"plain"))
+	assert.Equal(t, int64(1), g.counterValue(reachHealedPrefix+"plain"))
+}
+
 // TestCallerLeavesThroughAnotherRouter guards against endpoints that work on for callers who have left, because another router doesn't
 // learn of it.
 func TestCallerLeavesThroughAnotherRouter(t *testing.T) {
--- a/router/gateway/relay_test.go
+++ b/router/gateway/relay_test.go
@@ -26,6 +26,10 @@
 	cutResets cutForm = "connections are reset"
 	// cutHangs: nothing arrives on open connections, and new ones get no answer.
 	cutHangs cutForm = "connections hang"
+	// cutResetsNew: all connections are reset, new ones as soon as they are open.
+	cutResetsNew cutForm = "new connections are reset"
+	// cutHealed: the router reaches endpoints again.
+	cutHealed cutForm = ""
 )
 
 // cutNetwork is a router's network to the endpoints.
@@ -45,7 +49,7 @@
 		close(n.changed)
 	}
 	n.changed = make(chan struct{})
-	if form == cutResets {
+	if form == cutResets || form == cutResetsNew {
 		for _, c := range n.open {
 			_ = c.SetLinger(0)
 			_ = c.TCPConn.Close()
@@ -78,6 +82,9 @@
 		return nil, err
 	}
 	c := &cutConnection{TCPConn: connection.(*net.TCPConn), network: n, closed: make(chan struct{})} //nolint:forcetypeassert // TCP only
+	if form, _ := n.state(); form == cutResetsNew {
+		return &resetConnection{cutConnection: c}, nil
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.open = append(n.open, c)
@@ -120,6 +127,15 @@
 	}
 }
 
+// resetConnection is a connection that is reset as soon as it is open.
+type resetConnection struct{ *cutConnection }
+
+func (c *resetConnection) Write(p []byte) (int, error) { return len(p), nil }
+
+func (c *resetConnection) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+}
+
 // relayFleet is a fleet of routers in front of the same endpoints. The first router's endpoints are those of all.
 type relayFleet struct {
 	routers  []*gatewayTest
@@ -203,7 +219,7 @@
 // TestCutOffRouterServesItsCallers guards against refusals by a router that reaches no endpoint while other routers do.
 func TestCutOffRouterServesItsCallers(t *testing.T) {
 	const requests = int64(20)
-	for _, form := range []cutForm{cutRefuses, cutResets, cutHangs} {
+	for _, form := range []cutForm{cutRefuses, cutResets, cutHangs, cutResetsNew} {
 		t.Run(string(form), func(t *testing.T) {
 			answer := answerSlowly
 			f := newRelayFleet(t, 3, answer, answer, answer, answer)
