Remember another endpoint at an address if the answer is not read to its end

A router that carried out an exchange forgot that another endpoint had answered (421) when the router that had handed it over left the body unread. TestOtherEndpointAtAddressIsRemembered fails without the change.

--- a/router/gateway/relay_promise_test.go
+++ b/router/gateway/relay_promise_test.go
@@ -278,3 +278,18 @@
 	calls.Wait()
 	assert.Equal(t, int32(requests), served.Load())
 }
+
+// TestOtherEndpointAtAddressIsRemembered guards against further exchanges of other routers with an address at which another endpoint has
+// answered.
+func TestOtherEndpointAtAddressIsRemembered(t *testing.T) {
+	f := newCutOffFleet(t, 2, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		_, _ = io.WriteString(w, strings.Repeat("long", 200_000))
+	})
+	assert.Equal(t, http.StatusServiceUnavailable, f.routers[0].call(http.MethodPost, "/order/", "", nil).status)
+	carrier, directory := f.routers[1].server, f.routers[1].state.Directory.Load()
+	carrier.exchanges.wait(t.Context())
+	listed := directory.Endpoints("plain")[0]
+	_, reason := carrier.targets.acquireCarried(directory, &peer.Exchange{Service: "plain", Endpoint: listed.Name, Address: listed.Address})
+	assert.Equal(t, declineNotAdmitted, reason)
+}
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -200,15 +200,19 @@
 	if err := c.out.WriteHead(head); err != nil {
 		return c.fail(ctx, err, head.Writes)
 	}
-	if _, err := io.CopyBuffer(c.out, onlyReader{response.Body}, make([]byte, copyBufferBytes)); err != nil {
-		return c.fail(ctx, err, head.Writes)
-	}
 	result := attemptResult{verdict: verdict.Ran, responded: true}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		result = attemptResult{verdict: verdict.NotRun, cause: errors.New(response.Status), misdirected: true}
 	} else if response.Header.Get(c.server.protocol.NotRun) != "" {
 		result = attemptResult{verdict: verdict.NotRun, cause: errors.New(response.Status), responded: true}
 	}
+	if _, err := io.CopyBuffer(c.out, onlyReader{response.Body}, make([]byte, copyBufferBytes)); err != nil {
+		end, failed := c.fail(ctx, err, head.Writes)
+		if !result.misdirected {
+			result = failed
+		}
+		return end, result
+	}
 	return peer.ExchangeEnd{Outcome: peer.ExchangeComplete, Writes: head.Writes}, result
 }
 
