--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -218,14 +218,18 @@
 	if err := c.out.WriteHead(head); err != nil {
 		return c.fail(ctx, err, head.Writes)
 	}
-	if _, err := io.CopyBuffer(c.out, onlyReader{response.Body}, make([]byte, copyBufferBytes)); err != nil {
-		return c.fail(ctx, err, head.Writes)
-	}
 	result := attemptResult{verdict: verdict.Ran, responded: isOwn}
 	if isOwn && isRefusal {
 		isMisdirected := response.StatusCode == http.StatusMisdirectedRequest
 		result = attemptResult{verdict: verdict.NotRun, cause: errors.New(response.Status), misdirected: isMisdirected, responded: !isMisdirected}
 	}
+	if _, err := io.CopyBuffer(c.out, onlyReader{response.Body}, make([]byte, copyBufferBytes)); err != nil {
+		end, failed := c.fail(ctx, err, head.Writes)
+		if !result.misdirected {
+			result = failed
+		}
+		return end, result
+	}
 	return peer.ExchangeEnd{Outcome: peer.ExchangeComplete, Writes: head.Writes}, result
 }
 
--- a/router/gateway/silence_test.go
+++ b/router/gateway/silence_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -113,7 +115,7 @@
 			answerAfterSilence(w, r)
 		})}
 		f.endpoints = append(f.endpoints, e)
-		listed = append(listed, site.Endpoint{Name: string(rune('a' + i)), Service: "engine", Address: "127.0.0.1:1", Slots: 8})
+		listed = append(listed, site.Endpoint{Name: string(rune('a' + i)), Service: "engine", Address: addressOf(i), Slots: 8})
 		go func() { _ = e.server.Serve(e) }()
 	}
 	configuration := &site.Configuration{
@@ -132,12 +134,16 @@
 	targets.mu.Lock()
 	defer targets.mu.Unlock()
 	targets.updateDirectoryLocked(state.Directory.Load(), []site.WeightedService{{Service: "engine", Weight: 1}})
-	for i, e := range f.endpoints {
-		targets.byName[listed[i].Name].transport.DialContext = e.dial
+	targets.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		i := slices.IndexFunc(listed, func(e site.Endpoint) bool { return e.Address == address })
+		return f.endpoints[i].dial(ctx, network, address)
 	}
 	return f
 }
 
+// addressOf returns the address of the i-th endpoint.
+func addressOf(i int) string { return fmt.Sprintf("127.0.0.1:%d", i+1) }
+
 // answerAfterSilence streams three events, half a second apart.
 func answerAfterSilence(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Id", r.Header.Get("Id"))
@@ -161,6 +167,8 @@
 }
 
 func (f *silentFleet) stop() {
+	// Checks of whether endpoints can be reached end within this time.
+	time.Sleep(dialTimeout + heldOpenTime)
 	for _, e := range f.endpoints {
 		close(e.connections)
 		_ = e.server.Close()
--- a/router/gateway/target_test.go
+++ b/router/gateway/target_test.go
@@ -24,7 +24,7 @@
 	for _, c := range []struct {
 		name       string
 		connection net.Conn
-	}{{"callers, balancer and metrics", accepted}, {"endpoints and platform", dialed.(*byteCountingConnection).Conn}} {
+	}{{"callers, balancer and metrics", accepted}, {"endpoints and platform", dialed.(interface{ NetConn() net.Conn }).NetConn()}} {
 		t.Run(c.name, func(t *testing.T) {
 			got := tcptest.Read(t, c.connection)
 			assert.Equal(t, tcptest.Timeouts{UserTimeout: acknowledgmentTimeout, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}, got)
