Ask the routers that store a stream's version even if they were unresponsive

The two that store the version are always asked now.

TestWritersAreAskedAgain failed before: the version was unknown.

--- a/router/gateway/stream_store.go
+++ b/router/gateway/stream_store.go
@@ -33,8 +33,9 @@
 	// minStreamWriteDelay is the delay between two writes of a router, maxStreamWriteRate the writes a second of all routers together.
 	minStreamWriteDelay = 50 * time.Millisecond
 	maxStreamWriteRate  = 150
-	// streamRestoreWait bounds the time that a resumption waits for the versions that were written before this router's start.
-	streamRestoreWait = 300 * time.Millisecond
+	// streamRestoreWait bounds the time that a resumption waits for the versions that were written before this router's start. It is below
+	// streamCallTimeout, so that another router's question is answered.
+	streamRestoreWait = 200 * time.Millisecond
 	// maxRecordSequence bounds the numbers of records, so that none overflows.
 	maxRecordSequence = 1 << 60
 	// streamRestoreTimeout bounds a read of a partition with versions of streams.
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -332,7 +332,7 @@
 		}
 	}
 	only, hasOnly := s.onlyVersion(service, within)
-	asked := s.keepers(stream, maxStreamLookups)
+	asked := s.routersToAsk(stream)
 	answers := make(chan streamAnswer, len(asked))
 	for _, instance := range asked {
 		q := &streamQuestion{tracker: s, to: instance, stream: stream, service: service, answers: answers}
@@ -355,6 +355,22 @@
 	return only, hasOnly
 }
 
+// routersToAsk returns the routers that may know the version of a stream. Those that store it are included even if they were unresponsive: after
+// the loss of all routers nobody else knows it.
+func (s *streamTracker) routersToAsk(stream uint64) []string {
+	asked := s.keepers(stream, maxStreamLookups)
+	if s.peers == nil {
+		return asked
+	}
+	ranked := s.rankedKeepers(stream)
+	for _, writer := range ranked[:min(streamWriters, len(ranked))] {
+		if writer != s.self && !slices.Contains(asked, writer) {
+			asked = append(asked, writer)
+		}
+	}
+	return asked
+}
+
 // streamAnswer is another router's answer to a streamQuestion.
 type streamAnswer struct {
 	known   peer.StreamVersion
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -131,6 +131,27 @@
 	})
 }
 
+// TestWritersAreAskedAgain guards against streams that can't be resumed since the routers that read their versions from the platform were out of
+// reach at first, as after the loss of all routers.
+func TestWritersAreAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n, _ := newStreamNetwork(ctx, 30)
+		stream := streamKey("team", "id-1")
+		ranked := n.trackers["router-0"].rankedKeepers(stream)
+		for _, writer := range ranked[:streamWriters] {
+			n.trackers[writer].KeepVersions([]peer.StreamVersion{{Stream: stream, Service: "engine", Version: "v1"}})
+			n.trackers[ranked[streamWriters]].recordCall(writer, errUnreachable)
+		}
+		known, ok := n.trackers[ranked[streamWriters]].lookUp(ctx, stream, "engine", time.Minute)
+		assert.Equal(t, true, ok)
+		assert.Equal(t, "v1", known.Version)
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
 // TestUnnamedStreamsAreNotConfused guards against a stream that a caller resumes without naming it being taken for another caller's stream whose
 // request had no identifier.
 func TestUnnamedStreamsAreNotConfused(t *testing.T) {
