Rank the fleet only at endpoints that are brittle

Each request ranked the whole fleet at each endpoint of its service after each change of the roster, although no endpoint was brittle: at 295 routers and 166 endpoints, some ms of a processor of which small routers have a fifth.

--- a/fleet/endpoint/refusal_bound.go
+++ b/fleet/endpoint/refusal_bound.go
@@ -186,6 +186,9 @@
 	}
 }
 
+// IsBrittle reports whether the process is taken to be brittle.
+func (b *RefusalBound) IsBrittle(now time.Time, m *ServiceMark) bool { return b.of(now, m).IsBrittle }
+
 // Admits reports whether a request may be sent to the endpoint, which has slots, beside inProgress ones of this router.
 func (b *RefusalBound) Admits(now time.Time, inProgress, slots int, f Fleet, m *ServiceMark) bool {
 	brittleness := b.of(now, m)
--- a/router/gateway/brittle.go
+++ b/router/gateway/brittle.go
@@ -81,7 +81,12 @@
 
 // isWithinBoundLocked reports whether a brittle endpoint may get one more request of this router; others may.
 func (t *targets) isWithinBoundLocked(now time.Time, e *target) bool {
-	return e.limit.bound.Admits(now, e.inFlight, e.Slots, t.fleetLocked(e.limit), t.markLocked(e.Service))
+	mark := t.markLocked(e.Service)
+	if !e.limit.bound.IsBrittle(now, mark) {
+		// The fleet is ranked anew for each endpoint after each change of the roster, which only brittle endpoints need.
+		return true
+	}
+	return e.limit.bound.Admits(now, e.inFlight, e.Slots, t.fleetLocked(e.limit), mark)
 }
 
 // reportBoundLocked counts a request that found no room because of an endpoint's bound, and logs it now and then.
