Specify the work on regions, cold endpoints, misbehaving callers and overload

The shared types and the reasons of refusals come first, so that the parts can be built side by side. Nothing uses them yet.

--- a/fleet/site/configuration.go
+++ b/fleet/site/configuration.go
@@ -63,6 +63,8 @@
 	// Attempts is the maximum number of endpoints to which one request may be sent. It is at least 1.
 	Attempts int
 	Services []WeightedService
+	// Regions are the regions in which requests may be served, cached and stored; empty allows all.
+	Regions []string
 }
 
 // IsRetryable reports whether the router may send a request of the route again that may already have run.
@@ -108,6 +110,10 @@
 	Connections int
 	// Engine is nil if the endpoints of the service run no inference engine.
 	Engine *Engine
+	// ColdTime is how long an endpoint is cold after its start. ColdRate is the number of requests per second that a cold
+	// endpoint can take from all routers together; zero sets no bound.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Team is a customer of the site. Its callers authenticate with one of its keys.
@@ -120,6 +126,8 @@
 	// Prepaid is the total number of tokens that the team may use. Without HasPrepaid the team's use is not limited.
 	Prepaid    int64
 	HasPrepaid bool
+	// Regions are the regions in which the team's requests may be served, cached and stored; empty allows all.
+	Regions []string
 }
 
 // Limits bounds the size of a caller's request, and the time that a connection may take to send headers or stay idle.
--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -31,6 +31,18 @@
 	StartedAt int64
 	// SoftwareVersion is the version of the endpoint's software, or empty if the entry has none. Versions have no order.
 	SoftwareVersion string
+	// ColdFor is how much longer the endpoint was going to be cold when it wrote its entry.
+	ColdFor time.Duration
+}
+
+// Evacuations is the set of the availability zones whose endpoints must get no requests. It must not change once it is shared
+// between goroutines; nil is the empty set.
+type Evacuations map[string]struct{}
+
+// Contains reports whether an availability zone is evacuated.
+func (e Evacuations) Contains(availabilityZone string) bool {
+	_, ok := e[availabilityZone]
+	return ok
 }
 
 // Directory holds the endpoints of a site by service. It is immutable, so that goroutines can share it without a lock.
--- a/fleet/verdict/reason.go
+++ b/fleet/verdict/reason.go
@@ -38,6 +38,14 @@
 	Overloaded            Reason = "overloaded"
 	DeadlineTooShort      Reason = "deadline_too_short"
 	NoEndpoint            Reason = "no_endpoint"
+	NoEndpointInRegion    Reason = "no_endpoint_in_region"
+	RegionsDisjoint       Reason = "regions_disjoint"
+	ZoneEvacuated         Reason = "zone_evacuated"
+	EndpointsCold         Reason = "endpoints_cold"
+	MemoryExhausted       Reason = "memory_exhausted"
+	TooManyHeaders        Reason = "too_many_headers"
+	NoRoom                Reason = "no_room"
+	TeamShareUsed         Reason = "team_share_used"
 	EndpointFailed        Reason = "endpoint_failed"
 	EndpointUnresponsive  Reason = "endpoint_silent"
 	EndpointRefused       Reason = "endpoint_refused"
@@ -105,6 +113,14 @@
 		{Overloaded, http.StatusServiceUnavailable, retrySoon, "Every endpoint's queue is full."},
 		{DeadlineTooShort, http.StatusServiceUnavailable, retrySoon, "The request can't be served before its deadline."},
 		{NoEndpoint, http.StatusServiceUnavailable, retryLater, "No endpoint of the service is available."},
+		{NoEndpointInRegion, http.StatusServiceUnavailable, retryLater, "No endpoint of the service is available in the regions that the route and the team allow."},
+		{RegionsDisjoint, http.StatusServiceUnavailable, noRetryAfter, "The route and the team allow no region in common."},
+		{ZoneEvacuated, http.StatusServiceUnavailable, retryLater, "Every endpoint of the service is in an evacuated availability zone."},
+		{EndpointsCold, http.StatusServiceUnavailable, retrySoon, "Every available endpoint of the service has just started and takes no more requests yet."},
+		{MemoryExhausted, http.StatusServiceUnavailable, retrySoon, "The router has no memory left for the request."},
+		{TooManyHeaders, http.StatusRequestHeaderFieldsTooLarge, noRetryAfter, "The request has more header fields than the router allows."},
+		{NoRoom, http.StatusServiceUnavailable, retrySoon, "The engines have no room for the request before its deadline."},
+		{TeamShareUsed, http.StatusServiceUnavailable, retrySoon, "The team uses its share of a service that is fully used."},
 		{EndpointFailed, http.StatusBadGateway, retrySoon, "The endpoint broke off the exchange."},
 		{EndpointUnresponsive, http.StatusGatewayTimeout, retrySoon, "The endpoint sent nothing in time."},
 		{EndpointRefused, http.StatusBadGateway, retrySoon, "The endpoint refused the request before running it."},
--- a/router/gateway/board.go
+++ b/router/gateway/board.go
@@ -20,6 +20,8 @@
 	Configuration atomic.Pointer[site.Configuration]
 	// Directory lists the endpoints; nil until their entries have been read once.
 	Directory atomic.Pointer[site.Directory]
+	// Evacuations are the evacuated availability zones; nil until they have been read, or if there are none.
+	Evacuations atomic.Pointer[site.Evacuations]
 	// DirectoryReadAt is when the newest successful read of the endpoints' entries ended; nil if nothing follows them.
 	DirectoryReadAt atomic.Pointer[time.Time]
 	// Leaving is true once the router shuts down and its readiness check asks the load balancer for no new requests.
