Keep requests and their bodies in the regions that route and team allow

Requests reached endpoints and other routers in any region: routers didn't know the homes of routes and teams. fleet/locality decides (both lists apply, an endpoint whose zone has no known region is outside every list), and router/places asks it with the newest configuration.

- before the body is read, for a refusal at once (no_endpoint_in_region, regions_disjoint);
- when an endpoint is chosen, for first attempts, retries and resumed streams;
- immediately before the first byte of a request is written to a connection (new or kept), since the configuration may change after the choice;
- when another router is chosen to carry out an exchange, and before the first byte of the exchange is sent to it;
- by the router that carries an exchange out, with its own configuration, when it admits the exchange and before it sends.
It knows route and team from the host, path and team header of the exchange, so that the message is unchanged.

A request withdrawn before its first byte counts as not sent, blames neither endpoint nor router, and goes to another endpoint (request.withdrawn). Mistakes in allowed regions are logged and counted once a version. The fields for cold endpoints are decoded as well; the time that an endpoint stays cold is no change of the directory, since every heartbeat has another one.

--- a/fleet/peer/exchange.go
+++ b/fleet/peer/exchange.go
@@ -132,8 +132,9 @@
 }
 
 // OpenExchange hands a request over to another router and waits until that has accepted it. It fails with ErrExchangeNotSent or an
-// ExchangeEndError if nothing was sent to the endpoint, else with ErrExchangeBroken. The exchange ends with the context.
-func (n *Node) OpenExchange(ctx context.Context, to Address, x *Exchange) (*ExchangeReader, error) {
+// ExchangeEndError if nothing was sent to the endpoint, else with ErrExchangeBroken. The exchange ends with the context. permit is called
+// immediately before the first byte of the request is sent to the other router; its error ends the exchange as ErrExchangeNotSent.
+func (n *Node) OpenExchange(ctx context.Context, to Address, x *Exchange, permit func() error) (*ExchangeReader, error) {
 	payload, err := x.MarshalMsg(nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrExchangeNotSent, err)
@@ -158,6 +159,10 @@
 	r := &ExchangeReader{instance: to.Instance, stream: stream, reader: bufio.NewReader(stream)}
 	r.release = func() { n.releaseConnectionOf(to, connection) }
 	r.stop = context.AfterFunc(ctx, r.cancel)
+	if err := permit(); err != nil {
+		_ = r.Close()
+		return nil, fmt.Errorf("%w: %w", ErrExchangeNotSent, err)
+	}
 	if err := r.handOver(data); err != nil {
 		var ended *ExchangeEndError
 		if !errors.As(err, &ended) {
--- a/fleet/peer/exchange_test.go
+++ b/fleet/peer/exchange_test.go
@@ -22,12 +22,14 @@
 	r.answer(ctx, x, out)
 }
 
+func permitted() error { return nil }
+
 // openExchange opens an exchange between two routers, of which the second answers with a function.
 func openExchange(t *testing.T, ctx context.Context, answer func(context.Context, *Exchange, *ExchangeWriter)) (*ExchangeReader, error) { //nolint:revive // t first, as helpers do
 	t.Helper()
 	authority := newAuthority(t)
 	a, b := startNode(t, authority, "router-a"), startNodeWith(t, authority, "router-b", &exchangeRecorder{answer: answer})
-	return a.node.OpenExchange(ctx, b.address, &Exchange{Endpoint: "e", Method: "POST", Body: []byte("body"), Header: []HeaderField{{Name: "User-Agent"}}})
+	return a.node.OpenExchange(ctx, b.address, &Exchange{Endpoint: "e", Method: "POST", Body: []byte("body"), Header: []HeaderField{{Name: "User-Agent"}}}, permitted)
 }
 
 func TestExchange(t *testing.T) {
@@ -57,7 +59,7 @@
 	t.Run("a router that carries out none", func(t *testing.T) {
 		authority := newAuthority(t)
 		a, b := startNode(t, authority, "router-a"), startNode(t, authority, "router-b")
-		_, err := a.node.OpenExchange(t.Context(), b.address, &Exchange{})
+		_, err := a.node.OpenExchange(t.Context(), b.address, &Exchange{}, permitted)
 		assertEnd(t, ExchangeEnd{Outcome: ExchangeDeclined, Cause: ErrMalformed.Error()}, err)
 	})
 	t.Run("a body without its last message is not complete", func(t *testing.T) {
@@ -122,7 +124,7 @@
 		<-proceed
 		_ = out.End(&ExchangeEnd{Outcome: ExchangeFailed, Cause: "late"})
 	}})
-	r, err := a.node.OpenExchange(t.Context(), b.address, &Exchange{})
+	r, err := a.node.OpenExchange(t.Context(), b.address, &Exchange{}, permitted)
 	assert.Must(t, err)
 	expired, cancel := context.WithDeadline(t.Context(), time.Now())
 	defer cancel()
--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -31,8 +31,16 @@
 	StartedAt int64
 	// SoftwareVersion is the version of the endpoint's software, or empty if the entry has none. Versions have no order.
 	SoftwareVersion string
-	// ColdFor is how much longer the endpoint was going to be cold when it wrote its entry.
-	ColdFor time.Duration
+	// ColdFor is how much longer the endpoint was going to be cold when it wrote its entry. NamesCold reports whether the entry says so at
+	// all. Directories leave both out, since each of an endpoint's entries has another value.
+	ColdFor   time.Duration
+	NamesCold bool
+}
+
+// withoutCold returns the endpoint without what its entry says of the time for which it stays cold.
+func (e Endpoint) withoutCold() Endpoint {
+	e.ColdFor, e.NamesCold = 0, false
+	return e
 }
 
 // Evacuations is the set of the availability zones whose endpoints must get no requests. It must not change once it is shared
@@ -76,6 +84,19 @@
 	return versions
 }
 
+// AvailabilityZones returns the availability zones of the endpoints of each service.
+func (d *Directory) AvailabilityZones() map[string][]string {
+	zones := make(map[string][]string, len(d.services))
+	for service, listed := range d.services {
+		for _, e := range listed {
+			if !slices.Contains(zones[service], e.AvailabilityZone) {
+				zones[service] = append(zones[service], e.AvailabilityZone)
+			}
+		}
+	}
+	return zones
+}
+
 // Lists reports whether an endpoint of a service may get new requests.
 func (d *Directory) Lists(service, name string) bool {
 	_, found := slices.BinarySearchFunc(d.services[service], name, func(e Endpoint, n string) int { return strings.Compare(e.Name, n) })
@@ -106,8 +127,10 @@
 	keepUntil time.Time
 }
 
-// Put sets the entry of an endpoint and reports whether the entry is new or has changed.
+// Put sets the entry of an endpoint and reports whether the entry is new or has changed. The time for which an endpoint stays cold is no
+// change: endpoints write their entries about once a second, each time with less time left.
 func (r *EndpointRegistry) Put(e Endpoint) bool {
+	e = e.withoutCold()
 	if r.entries == nil {
 		r.entries, r.retained = make(map[string]Endpoint), make(map[string]retainedEntry)
 	}
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/router/gateway"
 	"github.com/dragonflyworks/dragonflyworks/router/order"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
 // tableBlock matches a generated table in a documentation page, between its markers. The group is the table's name.
@@ -36,6 +37,7 @@
 		"order":        counterTable(order.Counters()),
 		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
 		"allowance": counterTable(allowance.Counters()), "gateway": counterTable(append(gateway.Counters(), gateway.Stages()...)),
+		"places": counterTable(places.Counters()),
 	}
 	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
 		text := readAll(t, page)
--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -156,6 +156,9 @@
 // a first or a further endpoint, or again by the HTTP transport itself.
 func (j *job) countWrites(result attemptResult) {
 	state := j.server.state
+	if errors.Is(result.cause, errWithdrawn) {
+		state.Count(requestWithdrawn)
+	}
 	switch {
 	case result.writeCount == 0:
 		state.Count(nothingWrittenPrefix + j.service)
--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -32,12 +32,20 @@
 	isUsed, isAmbiguous bool
 	// refused are hashes of the identifiers of refused requests.
 	refused []uint64
+	// permit is asked before the first byte of a request is written; nil once it has been asked. withdrawn is its error, with which all
+	// writes fail from then on.
+	permit    sendPermit
+	withdrawn error
 }
 
+// sendPermit returns an error if a request must not be sent after all. It is called immediately before the first byte is written.
+type sendPermit func() error
+
 // begin is called before a request is sent. A request without an identifier is sent only on a new connection.
-func (c *endpointConnection) begin(identifier string) {
+func (c *endpointConnection) begin(identifier string, permit sendPermit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.permit = permit
 	isKnown := identifier == "" || len(c.refused) >= maxRefusalsPerConnection || slices.Contains(c.refused, xxhash.Sum64String(identifier))
 	c.isAmbiguous = c.isAmbiguous || c.isUsed && isKnown
 	c.isUsed = true
@@ -63,11 +71,40 @@
 	return c.isAmbiguous
 }
 
+// askPermit asks whether the request may still be sent, once for each request.
+func (c *endpointConnection) askPermit() error {
+	c.mu.Lock()
+	permit, withdrawn := c.permit, c.withdrawn
+	c.permit = nil
+	c.mu.Unlock()
+	if withdrawn != nil || permit == nil {
+		return withdrawn
+	}
+	withdrawn = permit()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withdrawn = withdrawn
+	return withdrawn
+}
+
+// withdrawal returns the error with which a permit was denied, so that nothing of the request was sent. It is nil for nil.
+func (c *endpointConnection) withdrawal() error {
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.withdrawn
+}
+
 // Write implements net.Conn.
 func (c *endpointConnection) Write(p []byte) (int, error) {
 	if c.rejects() {
 		return 0, errAmbiguousConnection
 	}
+	if err := c.askPermit(); err != nil {
+		return 0, err
+	}
 	return c.byteCountingConnection.Write(p)
 }
 
@@ -84,6 +121,8 @@
 	identifier string
 	// writes counts how often the transport has written the request.
 	writes *atomic.Int32
+	// permit is asked before the request is written; nil permits every request.
+	permit sendPermit
 	// connection is the one on which the request was sent; nil if there is none.
 	connection *endpointConnection
 }
@@ -95,7 +134,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			d.connection = connectionOf(info.Conn)
 			if d.connection != nil {
-				d.connection.begin(d.identifier)
+				d.connection.begin(d.identifier, d.permit)
 			}
 		},
 		WroteHeaders: func() { d.writes.Add(1) },
@@ -103,8 +142,15 @@
 	for {
 		d.connection = nil
 		response, err := d.transport.RoundTrip(newRequest(traced))
-		if err == nil || ctx.Err() != nil || !d.connection.rejects() {
-			return response, err
+		if err == nil {
+			return response, nil
+		}
+		if withdrawn := d.connection.withdrawal(); withdrawn != nil {
+			d.writes.Store(0)
+			return nil, withdrawn
+		}
+		if ctx.Err() != nil || !d.connection.rejects() {
+			return nil, err
 		}
 		d.writes.Store(0)
 	}
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -40,6 +40,7 @@
 	configurationUnreadable = "configuration.unreadable"
 	endpointEntryUnreadable = "directory.unreadable"
 	handlerPanicked         = "request.panicked"
+	requestWithdrawn        = "request.withdrawn"
 )
 
 // Description is the name of a counter or histogram and what it measures.
@@ -75,6 +76,7 @@
 		{streamVersionsNotStored, "Streams whose software version the platform doesn't store, since too many waited to be written."},
 		{streamWritesFailed, "Writes of streams' software versions that failed or timed out; they are repeated."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
+		{requestWithdrawn, "Attempts given up before anything was sent, because the regions, an evacuation or the endpoint's cold time no longer allowed the endpoint."},
 		{handlerPanicked, "Requests that were answered with an error because their handler panicked; expected to stay zero."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded, or whose address or numbers are out of range; they name no endpoint to use."},
 	}
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -128,6 +128,12 @@
 }
 
 func newGatewayTest(t *testing.T, answers ...http.HandlerFunc) *gatewayTest {
+	t.Helper()
+	return newGatewayTestIn(t, "", answers...)
+}
+
+// newGatewayTestIn returns a server that runs in a region.
+func newGatewayTestIn(t *testing.T, region string, answers ...http.HandlerFunc) *gatewayTest {
 	t.Helper()
 	g := &gatewayTest{t: t, state: &Board{Metrics: metrics.NewRegistry()}, lines: memory.New()}
 	var listed []site.Endpoint
@@ -154,7 +160,7 @@
 	payer.Configure(configuration)
 	g.state.Configuration.Store(configuration)
 	g.state.Directory.Store(site.NewDirectory(listed))
-	g.server = NewServer(g.state, testProtocol(), Location{}, payer, logger)
+	g.server = NewServer(g.state, testProtocol(), Location{Region: region, Regions: testZones()}, payer, logger)
 	for range 100 {
 		// Recorded requests fill the retry budgets, as in a router that has served for a while.
 		g.server.retries.recordRequest("plain")
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -118,7 +118,7 @@
 	defer stopPayer()
 	payerGroup := &errgroup.Group{}
 	payerGroup.Go(func() error { return n.Payer.Run(payerContext) })
-	n.Directories.OnChange = func(directory *site.Directory) { n.Server.streams.observe(time.Now(), directory) }
+	n.followChanges()
 	loops.Go(func() error { return n.Configurations.Run(ctx) })
 	loops.Go(func() error { return n.Directories.Run(ctx) })
 	n.Logger.WithField("Listen", n.Settings.Listen).Info("router started")
@@ -131,6 +131,19 @@
 	return err
 }
 
+// followChanges has the server take note of new configurations and directories.
+func (n *Node) followChanges() {
+	configure := n.Configurations.OnChange
+	n.Configurations.OnChange = func(c *site.Configuration) {
+		configure(c)
+		n.Server.reporter.Configure(c)
+	}
+	n.Directories.OnChange = func(directory *site.Directory) {
+		n.Server.streams.observe(time.Now(), directory)
+		n.Server.reporter.UpdateDirectory(directory)
+	}
+}
+
 // newCallerServer returns the HTTP server for callers. It sets the function that ends the requests in progress there.
 func (n *Node) newCallerServer() *http.Server {
 	base, endRequests := context.WithCancelCause(context.Background())
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -90,12 +91,16 @@
 	defer t.mu.Unlock()
 	t.updateDirectoryLocked(directory, j.route.Services)
 	now := time.Now()
-	eligible := t.eligibleLocked(now, j, false)
+	policy, err := t.gate.Policy(&j.place)
+	if err != nil {
+		return nil, err
+	}
+	eligible := t.eligibleLocked(now, j, &policy, false)
 	if len(eligible) == 0 {
-		eligible = t.eligibleLocked(now, j, true)
+		eligible = t.eligibleLocked(now, j, &policy, true)
 	}
 	if len(eligible) == 0 {
-		return nil, t.refuseLocked(now, j)
+		return nil, t.refuseLocked(now, j, &policy)
 	}
 	eligible = preferUnheard(now, eligible)
 	chosen := t.leastLoaded(eligible, j.random)
@@ -110,11 +115,14 @@
 
 // refuseLocked returns the refusal of a request for which no endpoint is left. If endpoints have asked for a pause or name a rate
 // limit, the request may come again when the first of them accepts one, or soon after that.
-func (t *targets) refuseLocked(now time.Time, j *job) error {
+func (t *targets) refuseLocked(now time.Time, j *job, policy *locality.Policy) error {
+	if err := refusePlaces(policy, t.directory.Endpoints(j.service)); err != nil {
+		return err
+	}
 	var retryAfter time.Duration
 	hasVersion := false
 	for _, e := range t.services[j.service] {
-		if !j.bound.allows(&e.Endpoint) {
+		if !j.bound.allows(&e.Endpoint) || !policy.AllowsEndpoint(e.AvailabilityZone) {
 			continue
 		}
 		hasVersion = true
@@ -135,17 +143,17 @@
 	case j.bound.isBound && !hasVersion:
 		return verdict.Refuse(verdict.StreamVersionGone, "")
 	case retryAfter == 0:
-		return verdict.Refuse(verdict.NoEndpoint, "")
+		return verdict.Refuse(policy.Exhausted(), "")
 	}
 	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: retryAfter}
 }
 
 // eligibleLocked returns the endpoints to which the request may be sent. Endpoints in backoff are included with
 // includeBlocked, as a last resort.
-func (t *targets) eligibleLocked(now time.Time, j *job, includeBlocked bool) []*target {
+func (t *targets) eligibleLocked(now time.Time, j *job, policy *locality.Policy, includeBlocked bool) []*target {
 	var eligible []*target
 	for _, e := range t.services[j.service] {
-		if j.isEligible(now, e, includeBlocked) && t.isWithinBoundLocked(now, e) && t.isWithinLimitLocked(now, e) {
+		if policy.AllowsEndpoint(e.AvailabilityZone) && j.isEligible(now, e, includeBlocked) && t.isWithinBoundLocked(now, e) && t.isWithinLimitLocked(now, e) {
 			eligible = append(eligible, e)
 		}
 	}
--- /dev/null
+++ b/router/gateway/places.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
+)
+
+// errWithdrawn is the cause of a failed attempt whose request was not sent because the endpoint must not get it any more.
+var errWithdrawn = errors.New("request must not be sent to the endpoint any more")
+
+func newGate(board *Board, location Location) *places.Gate {
+	return &places.Gate{Configuration: &board.Configuration, Evacuations: &board.Evacuations, RegionOfZone: location.Regions}
+}
+
+// checkPlaces refuses a request that may be sent to none of its service's endpoints.
+func (j *job) checkPlaces(configuration *site.Configuration) error {
+	j.place = places.Request{
+		Configuration: configuration, Route: j.route, Team: j.team, Host: j.r.Host, Path: escapedPath(j.r), TeamName: j.teamName(),
+	}
+	policy, err := j.server.targets.gate.Policy(&j.place)
+	if err != nil {
+		return err
+	}
+	return refusePlaces(&policy, j.server.state.Directory.Load().Endpoints(j.service))
+}
+
+func refusePlaces(policy *locality.Policy, endpoints []site.Endpoint) error {
+	if reason := policy.Refusal(endpoints); reason != "" {
+		return verdict.Refuse(reason, "")
+	}
+	return nil
+}
+
+// permit returns the permit for a request to an endpoint.
+func (t *targets) permit(request *places.Request, e *target) sendPermit {
+	return func() error {
+		if t.onPermit != nil {
+			t.onPermit()
+		}
+		t.mu.Lock()
+		zone := e.AvailabilityZone
+		t.mu.Unlock()
+		if !t.gate.AllowsEndpoint(request, zone) {
+			return errWithdrawn
+		}
+		return nil
+	}
+}
+
+// permitRouter returns the permit for handing the request to another router.
+func (j *job) permitRouter(e *target, region string) sendPermit {
+	permit := j.server.targets.permit(&j.place, e)
+	return func() error {
+		if !j.server.targets.gate.AllowsRouter(&j.place, region) {
+			return errWithdrawn
+		}
+		return permit()
+	}
+}
+
+// placeOf returns what identifies the route and the team of another router's exchange.
+func (s *Server) placeOf(x *peer.Exchange) places.Request {
+	path, _, _ := strings.Cut(x.Target, "?")
+	return places.Request{Host: x.Host, Path: path, TeamName: fieldsHeader(x.Header).Get(s.protocol.Team)}
+}
+
+// checkCarried returns why this router must not send another router's request to an endpoint. It is empty if it may.
+func (t *targets) checkCarried(request *places.Request, e *target) declineReason {
+	policy, err := t.gate.Policy(request)
+	switch {
+	case err != nil || !policy.AllowsRouter(t.location.Region):
+		return declineRegion
+	case policy.Evacuations.Contains(e.AvailabilityZone):
+		return declineEvacuated
+	case !policy.AllowsEndpoint(e.AvailabilityZone):
+		return declineRegion
+	default:
+		return ""
+	}
+}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
@@ -96,9 +97,9 @@
 	r.ranked, r.changes, r.states = listed, changes, states
 }
 
-// choose selects a router and counts the exchange as in progress there. It leaves out the router tried, and reports false if
-// there is no other.
-func (r *relays) choose(now time.Time, tried string) (peer.Router, bool) {
+// choose selects a router and counts the exchange as in progress there. It leaves out the router tried and those in regions that aren't
+// allowed, and reports false if there is no other.
+func (r *relays) choose(now time.Time, tried string, policy *locality.Policy) (peer.Router, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rankLocked()
@@ -106,7 +107,7 @@
 	for _, other := range r.ranked {
 		s := r.states[other.Instance]
 		switch {
-		case other.Instance == tried:
+		case other.Instance == tried || !policy.AllowsRouter(other.Region):
 		case now.Before(s.blockedUntil):
 			blocked = append(blocked, other)
 		case s.failures > 0:
@@ -188,7 +189,11 @@
 		if j.declined >= maxRelayTries {
 			break
 		}
-		other, ok := r.choose(time.Now(), j.through)
+		policy, refusal := j.server.targets.gate.Policy(&j.place)
+		if refusal != nil {
+			break
+		}
+		other, ok := r.choose(time.Now(), j.through, &policy)
 		if !ok {
 			break
 		}
@@ -222,7 +227,7 @@
 		Service: e.Service, Endpoint: e.Name, Address: e.Address, StartedAt: e.StartedAt,
 		Method: outgoing.Method, Target: j.r.RequestURI, Host: outgoing.Host, Header: headerFields(outgoing.Header), Body: j.body,
 		TimeLeftMilliseconds: time.Until(j.deadline).Milliseconds(),
-	})
+	}, j.permitRouter(e, other.Region))
 	var head *peer.ExchangeHead
 	if err == nil {
 		if head, err = reader.ReadHead(); err != nil {
@@ -231,7 +236,7 @@
 	}
 	if err != nil {
 		r.release(other.Instance)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errWithdrawn) {
 			r.record(time.Now(), other.Instance, carriesExchanges(err))
 		}
 		return nil, relayFailure(err)
@@ -317,7 +322,7 @@
 // isRoutersFailure reports whether an exchange failed at this router or another one, so that the endpoint is not to blame.
 func isRoutersFailure(err error) bool {
 	return errors.Is(err, errNoOtherRouter) || errors.Is(err, errNotAdmittedElsewhere) || errors.Is(err, peer.ErrExchangeBroken) ||
-		errors.Is(err, errCutOff)
+		errors.Is(err, errCutOff) || errors.Is(err, errWithdrawn)
 }
 
 // recordFailedDial counts the endpoints to which the request could open no connection. One that gives no answer counts as enough.
@@ -337,7 +342,7 @@
 func (j *job) retryUnsent(err error) bool {
 	var refusal *verdict.Refusal
 	if len(j.unsent) == 0 || j.server.relays == nil || !errors.As(err, &refusal) ||
-		refusal.Reason != verdict.NoEndpoint && refusal.Reason != verdict.Overloaded {
+		refusal.Reason != verdict.NoEndpoint && refusal.Reason != verdict.NoEndpointInRegion && refusal.Reason != verdict.Overloaded {
 		return false
 	}
 	j.tried = slices.DeleteFunc(j.tried, func(e *target) bool { return slices.Contains(j.unsent, e) })
--- a/router/gateway/relay_promise_test.go
+++ b/router/gateway/relay_promise_test.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
 // newCutOffFleet returns a fleet whose first router is cut off and knows it, so that its requests go through the others.
@@ -111,7 +112,7 @@
 	f := newRelayFleet(t, 2, answerSealed("answer"), answerSealed("answer"))
 	g := f.routers[0]
 	f.cut(t, 0, cutResets)
-	assert.Equal(t, int64(1), f.sendOrders(0, 1))
+	assert.Equal(t, int64(1), f.sendOrders(1))
 	f.networks[0].set(cutHealed)
 	waitFor(t, func() bool { return g.server.targets.goesDirectly("plain", 0.999) })
 	before := g.counterValue(exchangeHandedOver)
@@ -201,13 +202,13 @@
 	server, directory := f.routers[1].server, f.routers[1].state.Directory.Load()
 	listed := directory.Endpoints("plain")[0]
 	x := &peer.Exchange{Service: "plain", Endpoint: listed.Name, Address: listed.Address, StartedAt: listed.StartedAt}
-	e, reason := server.targets.acquireCarried(directory, x)
+	e, reason := server.targets.acquireCarried(directory, x, &places.Request{})
 	assert.Equal(t, declineReason(""), reason)
 	e.notices.RecordPause(time.Now(), time.Minute, 0)
-	_, reason = server.targets.acquireCarried(directory, x)
+	_, reason = server.targets.acquireCarried(directory, x, &places.Request{})
 	assert.Equal(t, declineNotAdmitted, reason)
 	x.StartedAt = 1
-	_, reason = server.targets.acquireCarried(directory, x)
+	_, reason = server.targets.acquireCarried(directory, x, &places.Request{})
 	assert.Equal(t, declineNotListed, reason)
 }
 
@@ -252,7 +253,7 @@
 	f.networks[0].set(cutResets)
 	calls.Wait()
 	close(proceed)
-	f.sendOrders(0, requests)
+	f.sendOrders(requests)
 	assert.Equal(t, true, len(crashes) <= 1)
 }
 
@@ -290,6 +291,6 @@
 	carrier, directory := f.routers[1].server, f.routers[1].state.Directory.Load()
 	carrier.exchanges.waitUntil(t.Context(), time.Now().Add(time.Hour))
 	listed := directory.Endpoints("plain")[0]
-	_, reason := carrier.targets.acquireCarried(directory, &peer.Exchange{Service: "plain", Endpoint: listed.Name, Address: listed.Address})
+	_, reason := carrier.targets.acquireCarried(directory, &peer.Exchange{Service: "plain", Endpoint: listed.Name, Address: listed.Address}, &places.Request{})
 	assert.Equal(t, declineNotAdmitted, reason)
 }
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
 const (
@@ -38,14 +39,18 @@
 	declineCutOff      declineReason = "cut_off"
 	declineNotListed   declineReason = "endpoint_not_listed"
 	declineNotAdmitted declineReason = "endpoint_not_admitted"
+	declineRegion      declineReason = "outside_regions"
+	declineEvacuated   declineReason = "zone_evacuated"
 )
 
 // outcome tells whether the router or the endpoint is the reason.
 func (d declineReason) outcome() peer.ExchangeOutcome {
-	if d == declineNotListed || d == declineNotAdmitted {
+	switch d {
+	case declineNotListed, declineNotAdmitted, declineRegion, declineEvacuated:
 		return peer.ExchangeNotAdmitted
+	default:
+		return peer.ExchangeDeclined
 	}
-	return peer.ExchangeDeclined
 }
 
 // exchangeServer carries out exchanges with endpoints for other routers.
@@ -79,7 +84,7 @@
 	defer s.release(from)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(x.TimeLeftMilliseconds)*time.Millisecond)
 	defer cancel()
-	c := &carriedExchange{server: s.server, target: e, exchange: x, out: out}
+	c := &carriedExchange{server: s.server, target: e, exchange: x, out: out, place: s.server.placeOf(x)}
 	end, result := c.run(ctx)
 	_ = out.End(&end)
 	s.server.targets.releaseCarried(e, startedAt, result)
@@ -107,7 +112,8 @@
 	if s.total >= maxExchanges || s.inProgress[from] >= maxExchangesPerRouter {
 		return nil, declineTooMany
 	}
-	e, reason := s.server.targets.acquireCarried(directory, x)
+	place := s.server.placeOf(x)
+	e, reason := s.server.targets.acquireCarried(directory, x, &place)
 	if reason == "" {
 		s.total++
 		s.inProgress[from]++
@@ -143,7 +149,7 @@
 
 // acquireCarried returns the endpoint of an exchange for another router and counts the exchange as in flight there. What the endpoint's
 // process has asked of this router applies.
-func (t *targets) acquireCarried(directory *site.Directory, x *peer.Exchange) (*target, declineReason) {
+func (t *targets) acquireCarried(directory *site.Directory, x *peer.Exchange, place *places.Request) (*target, declineReason) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateDirectoryLocked(directory, []site.WeightedService{{Service: x.Service}})
@@ -157,6 +163,9 @@
 		if e.isReplaced || e.notices.Admission(time.Now(), e.inFlight) == endpoint.AdmissionClosed {
 			return nil, declineNotAdmitted
 		}
+		if reason := t.checkCarried(place, e); reason != "" {
+			return nil, reason
+		}
 		e.inFlight++
 		return e, ""
 	}
@@ -177,6 +186,7 @@
 	target   *target
 	exchange *peer.Exchange
 	out      *peer.ExchangeWriter
+	place    places.Request
 	status   int
 }
 
@@ -189,7 +199,7 @@
 	sentAt, x, header := time.Now(), c.exchange, fieldsHeader(c.exchange.Header)
 	silence := c.server.targets.watchSilence(c.target)
 	identifier := header.Get(c.server.protocol.RequestID)
-	direct := &directExchange{transport: c.target.transport, identifier: identifier, writes: &writes}
+	direct := &directExchange{transport: c.target.transport, identifier: identifier, writes: &writes, permit: c.server.targets.permit(&c.place, c.target)}
 	response, err := direct.roundTrip(ctx, func(ctx context.Context) *http.Request {
 		return endpointRequest(ctx, x.Method, x.Address, x.Target, x.Host, header, x.Body)
 	})
@@ -246,7 +256,10 @@
 	case isDialError(err):
 		end.Outcome = peer.ExchangeNotConnected
 	}
-	if isDialError(err) {
+	if errors.Is(err, errWithdrawn) {
+		end.Outcome, result.endpointFailed = peer.ExchangeNotAdmitted, false
+	}
+	if isDialError(err) || errors.Is(err, errWithdrawn) {
 		end.Writes, result.notSent, result.verdict = 0, true, verdict.NotRun
 	}
 	return end, result
--- a/router/gateway/relay_sim_test.go
+++ b/router/gateway/relay_sim_test.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -144,7 +145,7 @@
 func (s *relaySimulation) handOver(r *simulatedRouter, isJudged bool) {
 	tried := ""
 	for range maxRelayTries {
-		other, ok := r.server.relays.choose(s.now, tried)
+		other, ok := r.server.relays.choose(s.now, tried, &locality.Policy{})
 		if !ok {
 			return
 		}
--- a/router/gateway/relay_test.go
+++ b/router/gateway/relay_test.go
@@ -146,11 +146,17 @@
 
 func newRelayFleet(t *testing.T, routers int, answers ...http.HandlerFunc) *relayFleet {
 	t.Helper()
-	f, shared := &relayFleet{}, &keyed.KeyedLog{}
-	for i := range routers {
-		g, network := newGatewayTest(t), &cutNetwork{}
+	return newRelayFleetIn(t, make([]string, routers), answers...)
+}
+
+// newRelayFleetIn returns a fleet with a router in each of some regions.
+func newRelayFleetIn(t *testing.T, regions []string, answers ...http.HandlerFunc) *relayFleet {
+	t.Helper()
+	f, shared, routers := &relayFleet{}, &keyed.KeyedLog{}, len(regions)
+	for i, region := range regions {
+		g, network := newGatewayTestIn(t, region), &cutNetwork{}
 		if i == 0 {
-			g = newGatewayTest(t, answers...)
+			g = newGatewayTestIn(t, region, answers...)
 		} else {
 			g.state.Directory.Store(f.routers[0].state.Directory.Load())
 		}
@@ -179,13 +185,13 @@
 	})
 }
 
-// sendOrders sends requests that may run once to a router, all at the same time, and returns how many were served.
-func (f *relayFleet) sendOrders(router, requests int) int64 {
+// sendOrders sends requests that may run once to the first router, all at the same time, and returns how many were served.
+func (f *relayFleet) sendOrders(requests int) int64 {
 	var served atomic.Int64
 	var calls sync.WaitGroup
 	for i := range requests {
 		calls.Go(func() {
-			got := f.routers[router].call(http.MethodPost, "/order/", "body", func(r *http.Request) {
+			got := f.routers[0].call(http.MethodPost, "/order/", "body", func(r *http.Request) {
 				r.Header.Set("Id", fmt.Sprint("order-", i))
 				r.Header.Set("Left", "5000")
 			})
@@ -227,7 +233,7 @@
 				assert.Equal(t, http.StatusOK, f.routers[0].call(http.MethodGet, "/read/", "", nil).status)
 			}
 			f.cut(t, 0, form)
-			assert.Equal(t, requests, f.sendOrders(0, int(requests)))
+			assert.Equal(t, requests, f.sendOrders(int(requests)))
 			f.assertEachRanOnce(t, int(requests))
 		})
 	}
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -24,6 +24,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
 const (
@@ -51,6 +52,8 @@
 	// relays has exchanges carried out by other routers, and exchanges carries out theirs; nil if there are no other routers.
 	relays    *relays
 	exchanges *exchangeServer
+	// reporter reports mistakes in the allowed regions of configurations.
+	reporter *places.Reporter
 }
 
 // NewServer returns a server that pays for requests from the shares of payer.
@@ -58,12 +61,13 @@
 	crashes := newCrashTracker(state, logger)
 	s := &Server{
 		state: state, protocol: protocol, payer: payer, logger: logger, crashes: crashes,
-		targets:      targets{location: location, traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
+		targets:      targets{location: location, gate: newGate(state, location), traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
 		retries:      retryBudgets{limits: endpoint.DefaultRepeatBounds()},
 		limitChanges: newChangeSignal(),
 		streams:      newStreamTracker(state),
 	}
 	s.targets.onReachChange = s.logReachChange
+	s.reporter = &places.Reporter{Gate: s.targets.gate, Count: state.Count, Logger: logger}
 	return s
 }
 
@@ -106,6 +110,7 @@
 	service string
 	engine  *site.Engine
 	team    *site.Team
+	place   places.Request
 	demand  site.Demand
 	body    []byte
 	random  uint64
@@ -239,6 +244,9 @@
 	j.demand = demand
 	j.setService(configuration, route.PickService(float64(j.random>>11)/(1<<53)))
 	j.setDeadline()
+	if err := j.checkPlaces(configuration); err != nil {
+		return err
+	}
 	if err := j.readBody(configuration.Limits); err != nil {
 		return err
 	}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
 const (
@@ -138,9 +139,12 @@
 	hasOwnRecord bool
 	// rates are, by service, the observed speeds at which engines read prompts.
 	rates map[string]*placement.Rate
-	// location is where this router runs.
+	// location is where this router runs, gate decides where requests may be sent.
 	location Location
+	gate     *places.Gate
 	traffic  *Traffic
+	// onPermit is called before a permit decides; nil but in tests.
+	onPermit func()
 	// dial opens connections to endpoints; newDialer if nil.
 	dial dialFunc
 	// reach says, by service, whether its endpoints are reached. lastHeard is when data last came from any endpoint, in
