--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
 const (
@@ -105,13 +106,16 @@
 	return batch{records: tail.Records}, nil
 }
 
-// Configurations follows the configuration's topic and puts each newer configuration in force.
+// Configurations follows the configuration's topic and puts each newer configuration, and the evacuations beside it, in force.
 type Configurations struct {
 	Board  *Board
 	Source Source
 	// OnChange is called with each new configuration immediately before it is put in force.
 	OnChange func(*site.Configuration)
-	Logger   log.Interface
+	// Evacuations gets the records of the topic before the configuration does, so that a router which has a configuration knows the evacuated
+	// zones; nil if there are none.
+	Evacuations *places.EvacuationFollower
+	Logger      log.Interface
 }
 
 // Run follows the configuration's topic until the context ends.
@@ -125,6 +129,9 @@
 			clock.Sleep(ctx, retryDelay)
 			continue
 		}
+		if c.Evacuations != nil {
+			c.Evacuations.Apply(received.records, received.isSnapshot)
+		}
 		c.apply(received)
 		clock.Sleep(ctx, configurationReadDelay)
 	}
--- a/router/gateway/follow_test.go
+++ b/router/gateway/follow_test.go
@@ -27,6 +27,8 @@
 	state *Board
 	// appliedVersions are the versions of the configurations that were put in force.
 	appliedVersions []int64
+	// evacuated are the numbers of evacuated zones that were known when each of appliedVersions was put in force; -1 if none were read.
+	evacuated []int
 	// restart ends the followers and starts new ones, as a new process of the router does.
 	restart func()
 }
@@ -65,7 +67,11 @@
 	logger := &log.Logger{Handler: discard.New()}
 	configurations := &Configurations{
 		Board: f.state, Source: source, Logger: logger,
-		OnChange: func(c *site.Configuration) { f.appliedVersions = append(f.appliedVersions, c.Version) },
+		OnChange: func(c *site.Configuration) {
+			f.appliedVersions = append(f.appliedVersions, c.Version)
+			f.evacuated = append(f.evacuated, f.evacuatedZones())
+		},
+		Evacuations: NewEvacuations(f.state, Location{Regions: testZones()}, "op/evacuate/", logger),
 	}
 	directories := &Directories{Board: f.state, Source: source, Logger: logger}
 	go func() { _ = configurations.Run(ctx) }()
@@ -73,6 +79,15 @@
 	return cancel
 }
 
+// evacuatedZones returns the number of evacuated zones, or -1 if they haven't been read.
+func (f *followerTest) evacuatedZones() int {
+	evacuations := f.state.Evacuations.Load()
+	if evacuations == nil {
+		return -1
+	}
+	return len(*evacuations)
+}
+
 // slowLink is a log whose reads take perRecord for each record returned.
 type slowLink struct {
 	*keyed.KeyedLog
