Send cold endpoints no more than the router's share of their rate

Routers sent as many requests to an endpoint that has just started as to any other. router/cold now keeps which endpoints are cold and this router's shares. The gateway asks it which endpoints of a service must get nothing now, reserves the share's next request for the one that it assigns, and takes it immediately before the first byte is written. An endpoint that refused or reset connections is presumed to be cold once a connection to it is opened; a request that is about to be sent there then goes to another endpoint. Losses count for nothing when the router finds that it was cut off, when data arrives on an older connection, or when a later entry says otherwise. A router that carries out an exchange for another one needs a share itself. If only cold endpoints are left, the request is refused at once (endpoints_cold).

The time for which an endpoint stays cold changes with each heartbeat. It goes from the entries straight to router/cold, and is no change of the directory.

--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -97,6 +97,19 @@
 	return zones
 }
 
+// InZones returns the endpoints in availability zones, of all services.
+func (d *Directory) InZones(zones []string) []Endpoint {
+	var found []Endpoint
+	for _, listed := range d.services {
+		for _, e := range listed {
+			if slices.Contains(zones, e.AvailabilityZone) {
+				found = append(found, e)
+			}
+		}
+	}
+	return found
+}
+
 // Lists reports whether an endpoint of a service may get new requests.
 func (d *Directory) Lists(service, name string) bool {
 	_, found := slices.BinarySearchFunc(d.services[service], name, func(e Endpoint, n string) int { return strings.Compare(e.Name, n) })
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
+	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/router/gateway"
@@ -37,7 +38,7 @@
 		"order":        counterTable(order.Counters()),
 		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
 		"allowance": counterTable(allowance.Counters()), "gateway": counterTable(append(gateway.Counters(), gateway.Stages()...)),
-		"places": counterTable(places.Counters()),
+		"places": counterTable(places.Counters()), "cold": counterTable(cold.Counters()),
 	}
 	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
 		text := readAll(t, page)
--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -27,6 +28,9 @@
 type endpointConnection struct {
 	byteCountingConnection
 
+	// openedAt is when the connection was opened.
+	openedAt time.Time
+
 	mu sync.Mutex
 	// isUsed reports whether a request was sent on the connection, isAmbiguous whether writes fail.
 	isUsed, isAmbiguous bool
@@ -38,8 +42,9 @@
 	withdrawn error
 }
 
-// sendPermit returns an error if a request must not be sent after all. It is called immediately before the first byte is written.
-type sendPermit func() error
+// sendPermit returns an error if a request must not be sent after all on a connection that was opened at a time. It is called
+// immediately before the first byte is written.
+type sendPermit func(openedAt time.Time) error
 
 // begin is called before a request is sent. A request without an identifier is sent only on a new connection.
 func (c *endpointConnection) begin(identifier string, permit sendPermit) {
@@ -80,7 +85,7 @@
 	if withdrawn != nil || permit == nil {
 		return withdrawn
 	}
-	withdrawn = permit()
+	withdrawn = permit(c.openedAt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.withdrawn = withdrawn
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -24,7 +24,7 @@
 // testProtocol returns the header names that these tests use.
 func testProtocol() Protocol {
 	return Protocol{
-		RequestID: "Id", Deadline: "Left", Team: "Team", ExpectedEndpoint: "Meant", Seal: "Seal", NotRun: "Unrun", Leaving: "Leaves", RateLimit: "Limit", Brittle: "Brittle",
+		RequestID: "Id", Deadline: "Left", Team: "Team", ExpectedEndpoint: "Meant", Seal: "Seal", NotRun: "Unrun", Leaving: "Leaves", RateLimit: "Limit", Brittle: "Brittle", Cold: "Cold",
 		ResumeAfter: "After", Resumes: "Resumes", Reserved: []string{"Own"},
 		Demand: func(h http.Header) (site.Demand, error) {
 			if h.Get("Demand") == "bad" {
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
@@ -116,6 +119,17 @@
 	// zones; nil if there are none.
 	Evacuations *places.EvacuationFollower
 	Logger      log.Interface
+
+	// longPollWait is the long-poll time of reads in nanoseconds; zero stands for configurationWait.
+	longPollWait atomic.Int64
+}
+
+// readsToForce is the number of reads that fit into the time within which changes must be in force, so that one or two may fail.
+const readsToForce = 5
+
+// SetTimeToForce sets the time within which changes must be in force. A shorter time than the default shortens the reads.
+func (c *Configurations) SetTimeToForce(t time.Duration) {
+	c.longPollWait.Store(int64(min(configurationWait, t/readsToForce)))
 }
 
 // Run follows the configuration's topic until the context ends.
@@ -123,6 +137,9 @@
 	f := &follower{log: c.Source.Log, topic: c.Source.ConfigurationTopic, longPollWait: configurationWait}
 	var outages outageLog
 	for ctx.Err() == nil {
+		if wait := time.Duration(c.longPollWait.Load()); wait > 0 {
+			f.longPollWait = wait
+		}
 		received, err := f.read(ctx)
 		outages.update(c.Logger, "configuration", err)
 		if err != nil {
@@ -172,10 +189,14 @@
 	Source Source
 	// OnChange is called with each new directory immediately before it is put in force; it may be nil.
 	OnChange func(*site.Directory)
-	Logger   log.Interface
+	// Cold learns of all entries; it may be nil.
+	Cold   *cold.Tracker
+	Logger log.Interface
 
 	registry   site.EndpointRegistry
 	oddEntries oddEntryLog
+	// readSince is the start of the newest successful read: what later reads of new records bring was written after it.
+	readSince time.Time
 }
 
 // Run follows the endpoints' entries until the context ends.
@@ -184,6 +205,7 @@
 	var outages outageLog
 	for ctx.Err() == nil {
 		f.longPollWait = d.capAtNextExpiry(directoryWait)
+		startedAt := time.Now()
 		received, err := f.read(ctx)
 		outages.update(d.Logger, "directory", err)
 		now := time.Now()
@@ -191,6 +213,7 @@
 		changed := d.registry.DropExpired(now)
 		if err == nil {
 			changed = d.apply(now, received) || changed || received.isSnapshot
+			d.readSince = startedAt
 		}
 		if changed {
 			d.publish(d.registry.Directory())
@@ -226,7 +249,7 @@
 // apply merges a batch into the registry and reports whether the directory changed. An entry that can't be decoded
 // names no endpoint to use.
 func (d *Directories) apply(now time.Time, received batch) bool {
-	var listed []site.Endpoint
+	var listed, read []site.Endpoint
 	changed := false
 	for _, record := range received.records {
 		if len(record.Value) == 0 {
@@ -240,6 +263,7 @@
 			changed = d.registry.Withdraw(record.Key) || changed
 			continue
 		}
+		read = append(read, e)
 		if received.isSnapshot {
 			listed = append(listed, e)
 			continue
@@ -249,6 +273,7 @@
 			d.Logger.WithFields(log.Fields{fieldEndpoint: e.Name, "Service": e.Service, "State": e.State.String()}).Info("endpoint changed")
 		}
 	}
+	d.recordCold(now, read, received.isSnapshot)
 	if received.isSnapshot {
 		changed = d.registry.Replace(now, listed) || changed
 		d.Logger.WithFields(log.Fields{"Endpoints": len(listed), "Changed": changed}).Info("endpoint directory reloaded")
@@ -256,7 +281,22 @@
 	return changed
 }
 
+// recordCold passes on what entries say of endpoints that are cold. Those of a snapshot are of unknown age.
+func (d *Directories) recordCold(now time.Time, read []site.Endpoint, isSnapshot bool) {
+	if d.Cold == nil {
+		return
+	}
+	arrival := endpoint.EntryArrival{ReadAt: now}
+	if !isSnapshot {
+		arrival.WrittenAfter = d.readSince
+	}
+	d.Cold.RecordEntries(arrival, read, isSnapshot)
+}
+
 func (d *Directories) remove(now time.Time, name string) bool {
+	if d.Cold != nil {
+		d.Cold.RecordRemoval(name)
+	}
 	removed := d.registry.Remove(now, name)
 	if removed {
 		d.Logger.WithField(fieldEndpoint, name).Info("endpoint removed")
--- a/router/gateway/follow_test.go
+++ b/router/gateway/follow_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/cold"
 )
 
 // followerTest is a router's state that a follower of each kind updates from a log in memory.
@@ -29,6 +32,9 @@
 	appliedVersions []int64
 	// evacuated are the numbers of evacuated zones that were known when each of appliedVersions was put in force; -1 if none were read.
 	evacuated []int
+	// directories is the number of directories that were put in force, cold knows which endpoints are cold.
+	directories atomic.Int64
+	cold        *cold.Tracker
 	// restart ends the followers and starts new ones, as a new process of the router does.
 	restart func()
 }
@@ -73,7 +79,9 @@
 		},
 		Evacuations: NewEvacuations(f.state, Location{Regions: testZones()}, "op/evacuate/", logger),
 	}
-	directories := &Directories{Board: f.state, Source: source, Logger: logger}
+	f.cold = cold.NewTracker(logger, f.state.Count)
+	f.cold.Configure([]site.Service{{Name: "engine", ColdTime: 3 * time.Second, ColdRate: 1}})
+	directories := &Directories{Board: f.state, Source: source, Logger: logger, Cold: f.cold, OnChange: func(*site.Directory) { f.directories.Add(1) }}
 	go func() { _ = configurations.Run(ctx) }()
 	go func() { _ = directories.Run(ctx) }()
 	return cancel
@@ -125,10 +133,18 @@
 	return c, json.Unmarshal(value, c)
 }
 
-// decodeState decodes an endpoint's entry that consists of the endpoint's state alone.
+// decodeState decodes an endpoint's entry that consists of the endpoint's state and, after a space, the time for which it stays cold.
 func decodeState(key string, value []byte) (site.Endpoint, error) {
 	e := site.Endpoint{Name: key, Service: "engine"}
-	switch string(value) {
+	state, cold, names := strings.Cut(string(value), " ")
+	if names {
+		coldFor, err := time.ParseDuration(cold)
+		if err != nil {
+			return e, err
+		}
+		e.ColdFor, e.NamesCold = coldFor, true
+	}
+	switch state {
 	case "ready":
 	case "draining":
 		e.State = site.EndpointDraining
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -136,12 +136,17 @@
 	configure := n.Configurations.OnChange
 	n.Configurations.OnChange = func(c *site.Configuration) {
 		configure(c)
+		n.Server.targets.cold.Configure(c.Services)
 		n.Server.reporter.Configure(c)
 	}
 	n.Directories.OnChange = func(directory *site.Directory) {
 		n.Server.streams.observe(time.Now(), directory)
 		n.Server.reporter.UpdateDirectory(directory)
 	}
+	n.Directories.Cold = n.Server.targets.cold
+	if n.Configurations.Evacuations != nil {
+		n.Configurations.Evacuations.OnEnd = n.Server.recordEvacuationEnd
+	}
 }
 
 // newCallerServer returns the HTTP server for callers. It sets the function that ends the requests in progress there.
--- a/router/gateway/notices.go
+++ b/router/gateway/notices.go
@@ -10,6 +10,17 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 )
 
+// recordCold records for how much longer an endpoint says that it is cold. Answers to health checks say so.
+func (s *Server) recordCold(e *target, response *http.Response) {
+	if s.protocol.Cold == "" || response.Header.Get(s.protocol.Cold) == "" {
+		return
+	}
+	coldFor, ok := endpoint.ParseColdTime(response.Header.Get(s.protocol.Cold))
+	if ok {
+		s.targets.cold.RecordAnswer(time.Now(), &e.Endpoint, coldFor)
+	}
+}
+
 // recordNotices records what an endpoint asks for in the headers of the answer to a request that was sent at a time: no new requests
 // because it leaves, none for some time, no more than some rate, or no more than it has room for.
 func (s *Server) recordNotices(e *target, sentAt time.Time, response *http.Response) {
@@ -19,6 +30,7 @@
 	}
 	s.recordRateLimit(e, sentAt, response)
 	s.recordBrittleness(e, sentAt, response)
+	s.recordCold(e, response)
 	now := time.Now()
 	pause := time.Duration(0)
 	if response.StatusCode == http.StatusServiceUnavailable {
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -52,7 +53,9 @@
 	}
 	known, ok := t.byName[e.Name]
 	if ok && known.Address == e.Address && known.StartedAt == e.StartedAt {
-		known.Endpoint = e
+		if known.Endpoint != e {
+			known.Endpoint = e
+		}
 		return known
 	}
 	if ok {
@@ -95,12 +98,13 @@
 	if err != nil {
 		return nil, err
 	}
-	eligible := t.eligibleLocked(now, j, &policy, false)
+	blocked := t.cold.Blocked(now, j.service)
+	eligible := t.eligibleLocked(now, j, &policy, blocked, false)
 	if len(eligible) == 0 {
-		eligible = t.eligibleLocked(now, j, &policy, true)
+		eligible = t.eligibleLocked(now, j, &policy, blocked, true)
 	}
 	if len(eligible) == 0 {
-		return nil, t.refuseLocked(now, j, &policy)
+		return nil, t.refuseLocked(now, j, &policy, blocked)
 	}
 	eligible = preferUnheard(now, eligible)
 	chosen := t.leastLoaded(eligible, j.random)
@@ -110,22 +114,31 @@
 	j.inFlightAtChoice = chosen.inFlight
 	chosen.inFlight++
 	chosen.limit.Take()
+	// Blocked has left out the endpoints for which there is no pass.
+	j.pass, _ = t.cold.Reserve(now, &chosen.Endpoint)
 	return chosen, nil
 }
 
 // refuseLocked returns the refusal of a request for which no endpoint is left. If endpoints have asked for a pause or name a rate
-// limit, the request may come again when the first of them accepts one, or soon after that.
-func (t *targets) refuseLocked(now time.Time, j *job, policy *locality.Policy) error {
+// limit, the request may come again when the first of them accepts one, or soon after that. blocked are the cold endpoints that must get
+// nothing now.
+func (t *targets) refuseLocked(now time.Time, j *job, policy *locality.Policy, blocked map[string]time.Duration) error {
 	if err := refusePlaces(policy, t.directory.Endpoints(j.service)); err != nil {
 		return err
 	}
 	var retryAfter time.Duration
-	hasVersion := false
+	hasVersion, reason := false, verdict.EndpointsCold
 	for _, e := range t.services[j.service] {
 		if !j.bound.allows(&e.Endpoint) || !policy.AllowsEndpoint(e.AvailabilityZone) {
 			continue
 		}
 		hasVersion = true
+		if coldLeft, isBlocked := blocked[e.Name]; isBlocked {
+			if !slices.Contains(j.tried, e) {
+				retryAfter = earlier(retryAfter, coldDelay(coldLeft, j.random))
+			}
+			continue
+		}
 		limitLeft := t.timeToAdmissionLocked(now, e, j.random)
 		if !t.isWithinBoundLocked(now, e) {
 			limitLeft = max(limitLeft, spreadDelay(j.random))
@@ -134,10 +147,8 @@
 		if !e.notices.IsOnTrial() && limitLeft == 0 || e.notices.IsLeaving() || e.isReplaced {
 			continue
 		}
-		left := max(trialRetryDelay, e.notices.PauseLeft(now), limitLeft)
-		if retryAfter == 0 || left < retryAfter {
-			retryAfter = left
-		}
+		reason = verdict.Overloaded
+		retryAfter = earlier(retryAfter, max(trialRetryDelay, e.notices.PauseLeft(now), limitLeft))
 	}
 	switch {
 	case j.bound.isBound && !hasVersion:
@@ -145,14 +156,34 @@
 	case retryAfter == 0:
 		return verdict.Refuse(policy.Exhausted(), "")
 	}
-	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: retryAfter}
+	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+// earlier returns the shorter of two times, of which the first is zero if it isn't known yet.
+func earlier(known, other time.Duration) time.Duration {
+	if known == 0 {
+		return other
+	}
+	return min(known, other)
+}
+
+// coldDelay returns when a request may come again that a cold endpoint must not get now. A negative time stands for an endpoint that other
+// routers send to.
+func coldDelay(left time.Duration, random uint64) time.Duration {
+	if left < 0 {
+		return spreadDelay(random)
+	}
+	return max(trialRetryDelay, left)
 }
 
 // eligibleLocked returns the endpoints to which the request may be sent. Endpoints in backoff are included with
 // includeBlocked, as a last resort.
-func (t *targets) eligibleLocked(now time.Time, j *job, policy *locality.Policy, includeBlocked bool) []*target {
+func (t *targets) eligibleLocked(now time.Time, j *job, policy *locality.Policy, blocked map[string]time.Duration, includeBlocked bool) []*target {
 	var eligible []*target
 	for _, e := range t.services[j.service] {
+		if _, isBlocked := blocked[e.Name]; isBlocked {
+			continue
+		}
 		if policy.AllowsEndpoint(e.AvailabilityZone) && j.isEligible(now, e, includeBlocked) && t.isWithinBoundLocked(now, e) && t.isWithinLimitLocked(now, e) {
 			eligible = append(eligible, e)
 		}
@@ -258,6 +289,7 @@
 // release removes a request from those in flight at an endpoint and updates the endpoint's state from the attempt's
 // result.
 func (t *targets) release(e *target, j *job, startedAt time.Time, result attemptResult) {
+	j.pass.End()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.inFlight--
--- a/router/gateway/places.go
+++ b/router/gateway/places.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"strings"
+	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
@@ -38,29 +40,33 @@
 }
 
 // permit returns the permit for a request to an endpoint.
-func (t *targets) permit(request *places.Request, e *target) sendPermit {
-	return func() error {
+func (t *targets) permit(request *places.Request, e *target, pass *cold.Pass) sendPermit {
+	return func(openedAt time.Time) error {
 		if t.onPermit != nil {
 			t.onPermit()
 		}
-		t.mu.Lock()
-		zone := e.AvailabilityZone
-		t.mu.Unlock()
-		if !t.gate.AllowsEndpoint(request, zone) {
+		if !t.allowsPlace(request, e) || !pass.Send(time.Now(), openedAt) {
 			return errWithdrawn
 		}
 		return nil
 	}
 }
 
-// permitRouter returns the permit for handing the request to another router.
-func (j *job) permitRouter(e *target, region string) sendPermit {
-	permit := j.server.targets.permit(&j.place, e)
+// allowsPlace reports whether a request may be sent to the place of an endpoint now.
+func (t *targets) allowsPlace(request *places.Request, e *target) bool {
+	t.mu.Lock()
+	zone := e.AvailabilityZone
+	t.mu.Unlock()
+	return t.gate.AllowsEndpoint(request, zone)
+}
+
+// permitRouter returns the permit for handing the request to another router. That one's own share counts if the endpoint is cold.
+func (j *job) permitRouter(e *target, region string) func() error {
 	return func() error {
-		if !j.server.targets.gate.AllowsRouter(&j.place, region) {
+		if t := &j.server.targets; !t.gate.AllowsRouter(&j.place, region) || !t.allowsPlace(&j.place, e) {
 			return errWithdrawn
 		}
-		return permit()
+		return nil
 	}
 }
 
--- a/router/gateway/reach.go
+++ b/router/gateway/reach.go
@@ -37,12 +37,15 @@
 func (d *endpointDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	connection, err := d.targets.dialEndpoint(ctx, network, address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			d.targets.cold.RecordLoss(time.Now(), d.service, d.endpoint)
+		}
 		if !errors.Is(err, context.Canceled) {
 			d.targets.recordDialFailure(d.service, d.endpoint)
 		}
 		return nil, err
 	}
-	return &watchedConnection{Conn: connection, dialer: d}, nil
+	return &watchedConnection{Conn: connection, dialer: d, openedAt: time.Now()}, nil
 }
 
 // dialEndpoint opens a connection without recording the outcome.
@@ -58,6 +61,7 @@
 	net.Conn
 
 	dialer    *endpointDialer
+	openedAt  time.Time
 	hasResult atomic.Bool
 }
 
@@ -69,7 +73,12 @@
 	n, err := c.Conn.Read(p)
 	t := c.dialer.targets
 	if n > 0 {
-		t.lastHeard.Store(time.Now().UnixNano())
+		now := time.Now()
+		t.lastHeard.Store(now.UnixNano())
+		t.cold.RecordData(now, c.openedAt, c.dialer.endpoint)
+	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		t.cold.RecordLoss(time.Now(), c.dialer.service, c.dialer.endpoint)
 	}
 	if (n > 0 || err != nil) && !c.hasResult.Swap(true) {
 		switch {
@@ -144,6 +153,7 @@
 	if t.onReachChange != nil {
 		t.onReachChange(service, r, now, now)
 	}
+	t.cold.ForgetLosses(service)
 	for _, e := range t.byName {
 		if e.Service == service {
 			e.failures, e.blockedUntil = 0, time.Time{}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -342,7 +342,7 @@
 func (j *job) retryUnsent(err error) bool {
 	var refusal *verdict.Refusal
 	if len(j.unsent) == 0 || j.server.relays == nil || !errors.As(err, &refusal) ||
-		refusal.Reason != verdict.NoEndpoint && refusal.Reason != verdict.NoEndpointInRegion && refusal.Reason != verdict.Overloaded {
+		!slices.Contains([]verdict.Reason{verdict.NoEndpoint, verdict.NoEndpointInRegion, verdict.EndpointsCold, verdict.Overloaded}, refusal.Reason) {
 		return false
 	}
 	j.tried = slices.DeleteFunc(j.tried, func(e *target) bool { return slices.Contains(j.unsent, e) })
--- a/router/gateway/relay_promise_test.go
+++ b/router/gateway/relay_promise_test.go
@@ -202,13 +202,13 @@
 	server, directory := f.routers[1].server, f.routers[1].state.Directory.Load()
 	listed := directory.Endpoints("plain")[0]
 	x := &peer.Exchange{Service: "plain", Endpoint: listed.Name, Address: listed.Address, StartedAt: listed.StartedAt}
-	e, reason := server.targets.acquireCarried(directory, x, &places.Request{})
+	e, _, reason := server.targets.acquireCarried(directory, x, &places.Request{})
 	assert.Equal(t, declineReason(""), reason)
 	e.notices.RecordPause(time.Now(), time.Minute, 0)
-	_, reason = server.targets.acquireCarried(directory, x, &places.Request{})
+	_, _, reason = server.targets.acquireCarried(directory, x, &places.Request{})
 	assert.Equal(t, declineNotAdmitted, reason)
 	x.StartedAt = 1
-	_, reason = server.targets.acquireCarried(directory, x, &places.Request{})
+	_, _, reason = server.targets.acquireCarried(directory, x, &places.Request{})
 	assert.Equal(t, declineNotListed, reason)
 }
 
@@ -291,6 +291,6 @@
 	carrier, directory := f.routers[1].server, f.routers[1].state.Directory.Load()
 	carrier.exchanges.waitUntil(t.Context(), time.Now().Add(time.Hour))
 	listed := directory.Endpoints("plain")[0]
-	_, reason := carrier.targets.acquireCarried(directory, &peer.Exchange{Service: "plain", Endpoint: listed.Name, Address: listed.Address}, &places.Request{})
+	_, _, reason := carrier.targets.acquireCarried(directory, &peer.Exchange{Service: "plain", Endpoint: listed.Name, Address: listed.Address}, &places.Request{})
 	assert.Equal(t, declineNotAdmitted, reason)
 }
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
@@ -39,6 +40,7 @@
 	declineCutOff      declineReason = "cut_off"
 	declineNotListed   declineReason = "endpoint_not_listed"
 	declineNotAdmitted declineReason = "endpoint_not_admitted"
+	declineCold        declineReason = "endpoint_cold"
 	declineRegion      declineReason = "outside_regions"
 	declineEvacuated   declineReason = "zone_evacuated"
 )
@@ -46,7 +48,7 @@
 // outcome tells whether the router or the endpoint is the reason.
 func (d declineReason) outcome() peer.ExchangeOutcome {
 	switch d {
-	case declineNotListed, declineNotAdmitted, declineRegion, declineEvacuated:
+	case declineNotListed, declineNotAdmitted, declineCold, declineRegion, declineEvacuated:
 		return peer.ExchangeNotAdmitted
 	default:
 		return peer.ExchangeDeclined
@@ -75,16 +77,18 @@
 // serve carries out an exchange over this router's own connections.
 func (s *exchangeServer) serve(ctx context.Context, from string, x *peer.Exchange, out *peer.ExchangeWriter) {
 	startedAt := time.Now()
-	e, reason := s.admit(from, x)
+	place := s.server.placeOf(x)
+	e, pass, reason := s.admit(from, x, &place)
 	if reason != "" {
 		s.server.state.Count(exchangeDeclinedPrefix + string(reason))
 		_ = out.End(&peer.ExchangeEnd{Outcome: reason.outcome(), Cause: string(reason)})
 		return
 	}
 	defer s.release(from)
+	defer pass.End()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(x.TimeLeftMilliseconds)*time.Millisecond)
 	defer cancel()
-	c := &carriedExchange{server: s.server, target: e, exchange: x, out: out, place: s.server.placeOf(x)}
+	c := &carriedExchange{server: s.server, target: e, exchange: x, out: out, place: place, pass: pass}
 	end, result := c.run(ctx)
 	_ = out.End(&end)
 	s.server.targets.releaseCarried(e, startedAt, result)
@@ -96,29 +100,28 @@
 }
 
 // admit counts an exchange, or returns why this router doesn't carry it out. A router that is cut off itself never asks a further one.
-func (s *exchangeServer) admit(from string, x *peer.Exchange) (*target, declineReason) {
+func (s *exchangeServer) admit(from string, x *peer.Exchange, place *places.Request) (*target, *cold.Pass, declineReason) {
 	state := s.server.state
 	directory := state.Directory.Load()
 	switch {
 	case state.Leaving.Load():
-		return nil, declineLeaving
+		return nil, nil, declineLeaving
 	case state.Overloaded.Load():
-		return nil, declineOverloaded
+		return nil, nil, declineOverloaded
 	case directory == nil:
-		return nil, declineNotListed
+		return nil, nil, declineNotListed
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.total >= maxExchanges || s.inProgress[from] >= maxExchangesPerRouter {
-		return nil, declineTooMany
+		return nil, nil, declineTooMany
 	}
-	place := s.server.placeOf(x)
-	e, reason := s.server.targets.acquireCarried(directory, x, &place)
+	e, pass, reason := s.server.targets.acquireCarried(directory, x, place)
 	if reason == "" {
 		s.total++
 		s.inProgress[from]++
 	}
-	return e, reason
+	return e, pass, reason
 }
 
 func (s *exchangeServer) release(from string) {
@@ -149,27 +152,31 @@
 
 // acquireCarried returns the endpoint of an exchange for another router and counts the exchange as in flight there. What the endpoint's
 // process has asked of this router applies.
-func (t *targets) acquireCarried(directory *site.Directory, x *peer.Exchange, place *places.Request) (*target, declineReason) {
+func (t *targets) acquireCarried(directory *site.Directory, x *peer.Exchange, place *places.Request) (*target, *cold.Pass, declineReason) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateDirectoryLocked(directory, []site.WeightedService{{Service: x.Service}})
 	if t.reachLocked(x.Service).IsCutOff() {
-		return nil, declineCutOff
+		return nil, nil, declineCutOff
 	}
 	for _, e := range t.services[x.Service] {
 		if e.Name != x.Endpoint || e.Address != x.Address || e.StartedAt != x.StartedAt {
 			continue
 		}
 		if e.isReplaced || e.notices.Admission(time.Now(), e.inFlight) == endpoint.AdmissionClosed {
-			return nil, declineNotAdmitted
+			return nil, nil, declineNotAdmitted
 		}
 		if reason := t.checkCarried(place, e); reason != "" {
-			return nil, reason
+			return nil, nil, reason
+		}
+		pass, isPassed := t.cold.Reserve(time.Now(), &e.Endpoint)
+		if !isPassed {
+			return nil, nil, declineCold
 		}
 		e.inFlight++
-		return e, ""
+		return e, pass, ""
 	}
-	return nil, declineNotListed
+	return nil, nil, declineNotListed
 }
 
 // releaseCarried removes an exchange for another router from those in flight at an endpoint.
@@ -187,6 +194,7 @@
 	exchange *peer.Exchange
 	out      *peer.ExchangeWriter
 	place    places.Request
+	pass     *cold.Pass
 	status   int
 }
 
@@ -199,7 +207,7 @@
 	sentAt, x, header := time.Now(), c.exchange, fieldsHeader(c.exchange.Header)
 	silence := c.server.targets.watchSilence(c.target)
 	identifier := header.Get(c.server.protocol.RequestID)
-	direct := &directExchange{transport: c.target.transport, identifier: identifier, writes: &writes, permit: c.server.targets.permit(&c.place, c.target)}
+	direct := &directExchange{transport: c.target.transport, identifier: identifier, writes: &writes, permit: c.server.targets.permit(&c.place, c.target, c.pass)}
 	response, err := direct.roundTrip(ctx, func(ctx context.Context) *http.Request {
 		return endpointRequest(ctx, x.Method, x.Address, x.Target, x.Host, header, x.Body)
 	})
--- a/router/gateway/relay_sim_test.go
+++ b/router/gateway/relay_sim_test.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
 // relaySimulation plays requests at routers of which some are cut off from all endpoints. The decisions are those of the routers; the
@@ -151,7 +152,7 @@
 		}
 		tried = other.Instance
 		carrier := s.router(other.Instance)
-		e, reason := carrier.server.exchanges.admit(r.instance, &peer.Exchange{Service: "plain", Endpoint: "endpoint-0"})
+		e, _, reason := carrier.server.exchanges.admit(r.instance, &peer.Exchange{Service: "plain", Endpoint: "endpoint-0"}, &places.Request{})
 		if reason == "" && !carrier.isCutOff {
 			r.server.relays.record(s.now, other.Instance, true)
 			s.carried = max(s.carried, carrier.server.exchanges.count())
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
@@ -61,7 +62,7 @@
 	crashes := newCrashTracker(state, logger)
 	s := &Server{
 		state: state, protocol: protocol, payer: payer, logger: logger, crashes: crashes,
-		targets:      targets{location: location, gate: newGate(state, location), traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
+		targets:      targets{location: location, gate: newGate(state, location), cold: cold.NewTracker(logger, state.Count), traffic: &state.Traffic, onCrash: crashes.recordCrash, onSound: crashes.recordSound},
 		retries:      retryBudgets{limits: endpoint.DefaultRepeatBounds()},
 		limitChanges: newChangeSignal(),
 		streams:      newStreamTracker(state),
@@ -74,6 +75,9 @@
 // SetRetryLimits sets the operators' limits on the retries of the fleet. It may be called while requests are served.
 func (s *Server) SetRetryLimits(bounds endpoint.RepeatBounds) { s.retries.setLimits(bounds) }
 
+// SetColdBounds sets the operators' bounds on the requests of the fleet to cold endpoints. It may be called while requests are served.
+func (s *Server) SetColdBounds(bounds endpoint.ColdBounds) { s.targets.cold.SetBounds(bounds) }
+
 // SetFirstStart tells the server that the site starts for the first time: no stream is older than this process. It must be called before
 // the first request.
 func (s *Server) SetFirstStart() { s.streams.isFirstStart = true }
@@ -91,6 +95,7 @@
 	}
 	routers.MergeLimits = func(router string, value []byte) { s.mergeLimits(time.Now(), router, value) }
 	s.targets.routers, routers.Streams = routers, s.streams
+	s.targets.cold.Connect(routers.Self.Instance, routers.Roster, routers.hasRoster.Load)
 	s.streams.self, s.streams.roster, s.streams.peers = routers.Self.Instance, routers.Roster, routers
 	s.streams.store = newStreamStore(routers, s.state, s.logger)
 	s.streams.store.isWriter, s.streams.store.onRestored = s.streams.isAnyWriter, s.streams.restoreVersions
@@ -111,9 +116,11 @@
 	engine  *site.Engine
 	team    *site.Team
 	place   places.Request
-	demand  site.Demand
-	body    []byte
-	random  uint64
+	// pass permits the newest attempt at an endpoint that may be cold.
+	pass   *cold.Pass
+	demand site.Demand
+	body   []byte
+	random uint64
 	// fingerprint identifies the request and its resends by the caller; zero until it is computed.
 	fingerprint ledger.Fingerprint
 
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
@@ -74,7 +75,9 @@
 			if err != nil {
 				return nil, err
 			}
-			return &endpointConnection{byteCountingConnection: byteCountingConnection{Conn: connection, traffic: traffic}}, nil
+			return &endpointConnection{
+				byteCountingConnection: byteCountingConnection{Conn: connection, traffic: traffic}, openedAt: time.Now(),
+			}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     maxIdleTime,
@@ -142,7 +145,9 @@
 	// location is where this router runs, gate decides where requests may be sent.
 	location Location
 	gate     *places.Gate
-	traffic  *Traffic
+	// cold knows which endpoints are cold.
+	cold    *cold.Tracker
+	traffic *Traffic
 	// onPermit is called before a permit decides; nil but in tests.
 	onPermit func()
 	// dial opens connections to endpoints; newDialer if nil.
--- a/router/gateway/wire.go
+++ b/router/gateway/wire.go
@@ -29,6 +29,8 @@
 	// RateLimit is the header with which an endpoint names the rate of requests, in requests a second, that it accepts from all routers
 	// together; empty if endpoints don't.
 	RateLimit string
+	// Cold is the header with which an endpoint names the milliseconds for which it stays cold; empty if endpoints don't.
+	Cold string
 	// ResumeAfter is the header with the identifier of the last event of a stream that was received.
 	ResumeAfter string
 	// Resumes is the header with the identifier of the request that brought the first event of the stream that the caller resumes;
