Keep calls of the own interface in allowed regions and out of evacuated zones

Tickets had no regions on teams and routes, and no way to empty a zone. They now have Regions on both, and EvacuatedZones, a list that is replaced as a whole and has the number of the ticket that set it. A ticket that names a region or a zone without an endpoint, or would leave a service only evacuated zones, is refused as a whole, with the field (UnknownRegion, UnknownZone, LastZone). router/endpoint asks fleet/locality for each attempt, waiting call and fallback, and again before the first byte is written; a fallback also keeps the regions of the call's own route. Calls with different allowed regions wait in queues of their own. router/controller reports routes and teams without a region in common, which a ticket alone doesn't show. "config show" prints all of it.

--- a/dragonflyctl/config/show.go
+++ b/dragonflyctl/config/show.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	c := r.configuration.Current
-	return r.printer.Print(c, summaryTable(c), teamTable(c), budgetTable(c), routeTable(c), endpointTable(c))
+	return r.printer.Print(c, summaryTable(c), teamTable(c), budgetTable(c), routeTable(c), endpointTable(c), evacuationTable(c))
 }
 
 // ticketColumn is the header of the column with the number of the ticket that last set the object.
@@ -59,12 +59,12 @@
 }
 
 func teamTable(c *operator.Configuration) output.Table {
-	t := output.Table{Columns: []string{"TEAM", ticketColumn, "KEYS", "REQUESTS/S", "TOKENS/S", "CONCURRENCY", "WEIGHT", "REMOVED"}}
+	t := output.Table{Columns: []string{"TEAM", ticketColumn, "KEYS", "REQUESTS/S", "TOKENS/S", "CONCURRENCY", "WEIGHT", "REGIONS", "REMOVED"}}
 	for _, name := range slices.Sorted(maps.Keys(c.Teams)) {
 		team := c.Teams[name]
 		l := team.Limits
 		t.Rows = append(t.Rows, output.Cells(name, c.TeamTickets[name], len(team.KeyDigests),
-			l.RequestsPerSecond, l.TokensPerSecond, l.Concurrency, l.Weight, team.Removed))
+			l.RequestsPerSecond, l.TokensPerSecond, l.Concurrency, l.Weight, strings.Join(team.Regions, ","), team.Removed))
 	}
 	return t
 }
@@ -79,11 +79,11 @@
 }
 
 func routeTable(c *operator.Configuration) output.Table {
-	t := output.Table{Columns: []string{"ROUTE", ticketColumn, "SERVICE", "MODEL", "PATH PREFIX", "IDEMPOTENT", "DATED KEYS", "FALLBACKS", "REMOVED"}}
+	t := output.Table{Columns: []string{"ROUTE", ticketColumn, "SERVICE", "MODEL", "PATH PREFIX", "IDEMPOTENT", "DATED KEYS", "FALLBACKS", "REGIONS", "REMOVED"}}
 	for _, name := range slices.Sorted(maps.Keys(c.Routes)) {
 		r := c.Routes[name]
 		t.Rows = append(t.Rows, output.Cells(name, c.RouteTickets[name], r.Service, r.Model, r.PathPrefix,
-			!r.NonIdempotent, r.DatedKeys, strings.Join(r.Fallbacks, ","), r.Removed))
+			!r.NonIdempotent, r.DatedKeys, strings.Join(r.Fallbacks, ","), strings.Join(r.Regions, ","), r.Removed))
 	}
 	return t
 }
@@ -98,3 +98,11 @@
 	}
 	return t
 }
+
+func evacuationTable(c *operator.Configuration) output.Table {
+	t := output.Table{Columns: []string{"EVACUATED ZONE", ticketColumn}}
+	for _, zone := range c.EvacuatedZones {
+		t.Rows = append(t.Rows, output.Cells(zone, c.EvacuationTicket))
+	}
+	return t
+}
--- a/fleet/locality/policy.go
+++ b/fleet/locality/policy.go
@@ -1,6 +1,8 @@
 package locality
 
 import (
+	"iter"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
@@ -13,16 +15,24 @@
 	RegionOfZone map[string]string
 }
 
+// Place is where an endpoint runs.
+type Place struct{ AvailabilityZone, Region string }
+
 // Restricts reports whether the policy excludes any place at all.
 func (p *Policy) Restricts() bool { return p.Regions.IsRestricted() || len(p.Evacuations) > 0 }
 
 // AllowsEndpoint reports whether the request may be sent to the endpoints of an availability zone.
 func (p *Policy) AllowsEndpoint(availabilityZone string) bool {
-	return p.allowsRegionOf(availabilityZone) && !p.Evacuations.Contains(availabilityZone)
+	return p.Allows(p.placeOf(availabilityZone))
+}
+
+func (p *Policy) placeOf(availabilityZone string) Place {
+	return Place{AvailabilityZone: availabilityZone, Region: p.RegionOfZone[availabilityZone]}
 }
 
-func (p *Policy) allowsRegionOf(availabilityZone string) bool {
-	return !p.Regions.IsRestricted() || p.Regions.Contains(p.RegionOfZone[availabilityZone])
+// Allows reports whether the request may be sent to the endpoints at a place.
+func (p *Policy) Allows(place Place) bool {
+	return p.Regions.Contains(place.Region) && !p.Evacuations.Contains(place.AvailabilityZone)
 }
 
 // AllowsRouter reports whether the body of the request may be sent to a router in a region.
@@ -31,19 +41,26 @@
 // Refusal returns why the request can't be sent to any of a service's endpoints, and an empty reason if the policy allows at least one of
 // them. Without any endpoint it is empty too, unless the regions are restricted.
 func (p *Policy) Refusal(endpoints []site.Endpoint) verdict.Reason {
+	return p.RefusalAt(func(yield func(Place) bool) {
+		for i := range endpoints {
+			if !yield(p.placeOf(endpoints[i].AvailabilityZone)) {
+				return
+			}
+		}
+	})
+}
+
+// RefusalAt is Refusal for endpoints at places.
+func (p *Policy) RefusalAt(places iter.Seq[Place]) verdict.Reason {
 	if !p.Restricts() {
 		return ""
 	}
 	isEvacuated := false
-	for i := range endpoints {
-		zone := endpoints[i].AvailabilityZone
-		switch {
-		case !p.allowsRegionOf(zone):
-		case !p.Evacuations.Contains(zone):
+	for place := range places {
+		if p.Allows(place) {
 			return ""
-		default:
-			isEvacuated = true
 		}
+		isEvacuated = isEvacuated || p.Regions.Contains(place.Region)
 	}
 	switch {
 	case isEvacuated:
--- a/fleet/locality/regions.go
+++ b/fleet/locality/regions.go
@@ -17,8 +17,9 @@
 
 // Regions is the set of regions in which a request may be served. The zero value allows all.
 type Regions struct {
-	// route and team are the lists of the route and of the team. A region must be in each list that isn't empty.
-	route, team []string
+	// route, team and fallback are the lists of the route, of the team and of the route that takes its place. A region must be in each list that
+	// isn't empty.
+	route, team, fallback []string
 }
 
 // Allowed returns the regions that both a route and a team allow. Either may be nil, which restricts nothing. It fails with ErrDisjoint if
@@ -31,21 +32,35 @@
 	if team != nil {
 		r.team = team.Regions
 	}
-	if len(r.route) > 0 && len(r.team) > 0 && !slices.ContainsFunc(r.route, func(name string) bool { return slices.Contains(r.team, name) }) {
-		return r, ErrDisjoint
+	return r, r.check()
+}
+
+// ForFallback returns the regions of the set that a route allows as well which takes the place of the request's own one. It fails with
+// ErrDisjoint if there are none.
+func (r Regions) ForFallback(route *site.Route) (Regions, error) {
+	r.fallback = route.Regions
+	return r, r.check()
+}
+
+// check returns ErrDisjoint if no region is in all lists.
+func (r Regions) check() error {
+	for _, list := range [][]string{r.route, r.team, r.fallback} {
+		if len(list) > 0 && !slices.ContainsFunc(list, r.Contains) {
+			return ErrDisjoint
+		}
 	}
-	return r, nil
+	return nil
 }
 
 // IsRestricted reports whether any region is outside the set.
-func (r Regions) IsRestricted() bool { return len(r.route) > 0 || len(r.team) > 0 }
+func (r Regions) IsRestricted() bool { return len(r.route)+len(r.team)+len(r.fallback) > 0 }
 
 // Contains reports whether a request may be served in a region. An unknown region, which is empty, is outside every restricted set.
 func (r Regions) Contains(region string) bool {
 	if !r.IsRestricted() {
 		return true
 	}
-	return region != "" && isIn(r.route, region) && isIn(r.team, region)
+	return region != "" && isIn(r.route, region) && isIn(r.team, region) && isIn(r.fallback, region)
 }
 
 func isIn(list []string, region string) bool { return len(list) == 0 || slices.Contains(list, region) }
@@ -53,7 +68,7 @@
 // Names returns the regions of a restricted set, sorted; nil if all are allowed.
 func (r Regions) Names() []string {
 	var names []string
-	for _, name := range slices.Concat(r.route, r.team) {
+	for _, name := range slices.Concat(r.route, r.team, r.fallback) {
 		if r.Contains(name) {
 			names = append(names, name)
 		}
--- a/fleet/operator/check.go
+++ b/fleet/operator/check.go
@@ -14,6 +14,7 @@
 		c.checkBudgets,
 		c.checkKeys,
 		c.checkRouting,
+		c.checkPlaces,
 	}
 	for _, check := range checks {
 		if reason, detail := check(t); reason != "" {
@@ -32,14 +33,19 @@
 	return "", ""
 }
 
-// object identifies a team, budget, route or instance set by its kind and name.
+// object identifies a team, budget, route or instance set by its kind and name. The list of evacuated zones is an object without a name.
 type object struct {
 	Kind string
 	Name string
 }
 
 // String returns the kind and the quoted name of the object, as used in refusal details.
-func (o object) String() string { return fmt.Sprintf("%s %q", o.Kind, o.Name) }
+func (o object) String() string {
+	if o.Name == "" {
+		return o.Kind
+	}
+	return fmt.Sprintf("%s %q", o.Kind, o.Name)
+}
 
 // Kinds of configuration objects, as used in refusal details.
 const (
@@ -47,6 +53,7 @@
 	budgetObject      = "budget"
 	routeObject       = "route"
 	instanceSetObject = "instance set"
+	evacuationObject  = "list of evacuated zones"
 )
 
 func (t *Ticket) objects() []object {
@@ -63,6 +70,9 @@
 	for _, set := range t.InstanceSets {
 		objects = append(objects, object{instanceSetObject, set.Name})
 	}
+	if t.EvacuatedZones != nil {
+		objects = append(objects, object{Kind: evacuationObject})
+	}
 	return objects
 }
 
@@ -75,6 +85,8 @@
 		return c.Budgets[o.Name].Ticket
 	case routeObject:
 		return c.RouteTickets[o.Name]
+	case evacuationObject:
+		return c.EvacuationTicket
 	default:
 		return c.InstanceSetTickets[o.Name]
 	}
@@ -147,11 +159,7 @@
 	for _, route := range t.Routes {
 		r.routes[route.Name] = route
 	}
-	sets := cloneOrMake(c.InstanceSets)
-	for _, set := range t.InstanceSets {
-		sets[set.Name] = set
-	}
-	if reason, detail := r.addEndpoints(sets); reason != "" {
+	if reason, detail := r.addEndpoints(c.instanceSetsAfter(t)); reason != "" {
 		return reason, detail
 	}
 	if reason, detail := r.checkUniqueRoutes(); reason != "" {
@@ -160,6 +168,15 @@
 	return r.checkRouteReferences()
 }
 
+// instanceSetsAfter returns the instance sets that would result from accepting a ticket.
+func (c *Configuration) instanceSetsAfter(t *Ticket) map[string]InstanceSet {
+	sets := cloneOrMake(c.InstanceSets)
+	for _, set := range t.InstanceSets {
+		sets[set.Name] = set
+	}
+	return sets
+}
+
 func (r *routing) addEndpoints(sets map[string]InstanceSet) (RefusalReason, string) {
 	setByEndpoint := make(map[string]string)
 	for _, name := range slices.Sorted(maps.Keys(sets)) {
--- a/fleet/operator/configuration.go
+++ b/fleet/operator/configuration.go
@@ -20,6 +20,10 @@
 	Budgets      map[string]NumberedBudget
 	Routes       map[string]Route
 	InstanceSets map[string]InstanceSet
+	// EvacuatedZones are the availability zones whose endpoints get no new calls, sorted. EvacuationTicket is the number of the last ticket
+	// that set them.
+	EvacuatedZones   []string `json:",omitempty"`
+	EvacuationTicket uint64   `json:",omitempty"`
 	// TeamByKeyDigest maps the hexadecimal SHA-256 digest of each accepted bearer key to the name of its team. Keys of
 	// removed teams are left out.
 	TeamByKeyDigest map[string]string
--- a/fleet/operator/decode.go
+++ b/fleet/operator/decode.go
@@ -19,8 +19,12 @@
 	MaxLineBytes   = 4 << 10
 )
 
-// ticketFieldPath is the field path of problems that concern the ticket as a whole.
-const ticketFieldPath = "ticket"
+const (
+	// ticketFieldPath is the field path of problems that concern the ticket as a whole.
+	ticketFieldPath = "ticket"
+	// evacuatedZonesField is the field path of the list of evacuated zones.
+	evacuatedZonesField = "EvacuatedZones"
+)
 
 // DecodeTicket decodes and validates a ticket. Its error is a *TicketError with the problems found; file is the name
 // that these problems show to operators. Later versions must decode bytes that were accepted once to the same ticket,
@@ -33,6 +37,10 @@
 	}
 	var t Ticket
 	d.decodeStruct("", body, ticketStruct(&t))
+	if _, isGiven := d.lineByField[evacuatedZonesField]; isGiven && t.EvacuatedZones == nil {
+		// Other empty lists count as left out, this one ends all evacuations.
+		t.EvacuatedZones = []string{}
+	}
 	if len(d.problems) == 0 {
 		(&validator{decoder: d}).validate(&t)
 	}
--- a/fleet/operator/fold.go
+++ b/fleet/operator/fold.go
@@ -162,6 +162,9 @@
 	if len(t.InstanceSets) > 0 {
 		b.setInstanceSets(t)
 	}
+	if t.EvacuatedZones != nil {
+		b.result.EvacuatedZones, b.result.EvacuationTicket = slices.Sorted(slices.Values(t.EvacuatedZones)), t.Number
+	}
 }
 
 func (b *builder) setTeams(t *Ticket) {
--- a/fleet/operator/fold_rapid_test.go
+++ b/fleet/operator/fold_rapid_test.go
@@ -52,9 +52,19 @@
 	for _, key := range rapid.SliceOfNDistinct(drawnName("key", 5), 1, 2, rapid.ID).Draw(t, "keys") {
 		team.KeyDigests = append(team.KeyDigests, KeyDigest(key))
 	}
+	team.Regions = drawRegions(t)
 	return team
 }
 
+// drawRegions draws allowed regions, of which one has no endpoint in most configurations.
+func drawRegions(t *rapid.T) []string {
+	regions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"luzon-a", "visayas-a"}), 0, 2, rapid.ID).Draw(t, "regions")
+	if len(regions) == 0 {
+		return nil
+	}
+	return regions
+}
+
 func drawBudget(t *rapid.T) Budget {
 	prepaid := ledger.Tokens(rapid.IntRange(0, 5).Draw(t, "prepaid") * 100)
 	return Budget{Name: drawnName("budget", 3).Draw(t, "budget"), Team: drawnName("team", 3).Draw(t, "owner"), Prepaid: prepaid}
@@ -71,6 +81,7 @@
 	if fallback := drawnName("route", 3).Draw(t, "fallback"); fallback != route.Name && rapid.Bool().Draw(t, "falls back") {
 		route.Fallbacks = []string{fallback}
 	}
+	route.Regions = drawRegions(t)
 	return route
 }
 
@@ -83,7 +94,7 @@
 		set.Endpoints = append(set.Endpoints, Endpoint{
 			Name: name, Service: drawnName("service", 2).Draw(t, "service"), Address: "10.0.0.1:8000",
 			Kind:             rapid.SampledFrom([]EndpointKind{EngineEndpoint, EngineEndpoint, PlainEndpoint}).Draw(t, "kind"),
-			AvailabilityZone: "luzon-a1", Region: "luzon-a",
+			AvailabilityZone: drawnName("luzon-a", 2).Draw(t, "zone"), Region: "luzon-a",
 		})
 	}
 	return set
@@ -93,7 +104,7 @@
 // ranges, so that tickets conflict.
 func drawTicket(t *rapid.T) *Ticket {
 	ticket := &Ticket{Number: rapid.Uint64Range(1, 12).Draw(t, "number")}
-	for _, kind := range rapid.SliceOfNDistinct(rapid.IntRange(0, 3), 1, 3, rapid.ID).Draw(t, "kinds") {
+	for _, kind := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 1, 3, rapid.ID).Draw(t, "kinds") {
 		switch kind {
 		case 0:
 			ticket.Teams = append(ticket.Teams, drawTeam(t))
@@ -101,6 +112,8 @@
 			ticket.Budgets = append(ticket.Budgets, drawBudget(t))
 		case 2:
 			ticket.Routes = append(ticket.Routes, drawRoute(t))
+		case 3:
+			ticket.EvacuatedZones = []string{drawnName("luzon-a", 2).Draw(t, "evacuated")}
 		default:
 			ticket.InstanceSets = append(ticket.InstanceSets, drawInstanceSet(t))
 		}
--- a/fleet/operator/outcome.go
+++ b/fleet/operator/outcome.go
@@ -55,6 +55,9 @@
 	ModelTaken       RefusalReason = "ModelTaken"
 	PathTaken        RefusalReason = "PathTaken"
 	EndpointTaken    RefusalReason = "EndpointTaken"
+	UnknownRegion    RefusalReason = "UnknownRegion"
+	UnknownZone      RefusalReason = "UnknownZone"
+	LastZone         RefusalReason = "LastZone"
 )
 
 // RefusalDescription explains a refusal reason to operators.
@@ -64,7 +67,7 @@
 }
 
 // RefusalReasons describes all refusal reasons: first those about the ticket's number and earlier copies of the ticket,
-// then those about budgets, keys and routing, which is the order in which the fold checks these groups.
+// then those about budgets, keys, routing and places, which is the order in which the fold checks these groups.
 func RefusalReasons() []RefusalDescription {
 	return []RefusalDescription{
 		{NumberReused, "A ticket with this number and different contents has already been accepted."},
@@ -81,5 +84,8 @@
 		{UnknownService, "A route names a service that has no endpoint."},
 		{KindMismatch, "A model route requires endpoints of kind Engine, a plain route endpoints of kind Plain."},
 		{UnknownFallback, "A fallback route doesn't exist, was removed, or is of the other kind."},
+		{UnknownRegion, "A team or a route allows a region in which no endpoint is."},
+		{UnknownZone, "The list of evacuated zones names one in which no endpoint is."},
+		{LastZone, "All endpoints of a service would be in evacuated zones."},
 	}
 }
--- a/fleet/operator/ticket.go
+++ b/fleet/operator/ticket.go
@@ -16,6 +16,9 @@
 	Budgets      []Budget      `yaml:"Budgets,omitempty"`
 	Routes       []Route       `yaml:"Routes,omitempty"`
 	InstanceSets []InstanceSet `yaml:"InstanceSets,omitempty"`
+	// EvacuatedZones are the availability zones whose endpoints get no new calls, in place of those evacuated before. Nil leaves these as they
+	// are, an empty list ends all evacuations.
+	EvacuatedZones []string `yaml:"EvacuatedZones,omitempty"`
 }
 
 // Team is a customer of the fleet, whose callers authenticate with the team's bearer keys.
@@ -24,6 +27,8 @@
 	// KeyDigests are the SHA-256 digests of the team's bearer keys, in lower-case hexadecimal.
 	KeyDigests []string   `yaml:"KeyDigests"`
 	Limits     TeamLimits `yaml:"Limits,omitempty"`
+	// Regions are the regions in which the team's calls may be served; empty allows all.
+	Regions []string `yaml:"Regions,omitempty" json:",omitempty"`
 	// Removed is true for a team whose bearer keys are no longer accepted.
 	Removed bool `yaml:"Removed,omitempty"`
 }
@@ -72,7 +77,9 @@
 	Limits    RouteLimits `yaml:"Limits,omitempty"`
 	// Fallbacks are the names of the routes to try, in this order, when no endpoint of the service is available.
 	Fallbacks []string `yaml:"Fallbacks,omitempty"`
-	Removed   bool     `yaml:"Removed,omitempty"`
+	// Regions are the regions in which calls of the route may be served; empty allows all. They also apply to calls that use a fallback.
+	Regions []string `yaml:"Regions,omitempty" json:",omitempty"`
+	Removed bool     `yaml:"Removed,omitempty"`
 }
 
 // RouteLimits contains the limits for requests of a route; WithDefaults replaces each zero by its default.
--- a/fleet/operator/validate.go
+++ b/fleet/operator/validate.go
@@ -15,7 +15,7 @@
 // Maximum values of the fields of a ticket; maximum lengths are in bytes. MaxTeamLimit applies to the rates per second
 // and the concurrency of a team, MaxLedgerTokens to prepaid totals and call costs in tokens, MaxCompletionTokens to the
 // completion limits of routes in tokens, and MaxTimeout to each timeout of a route. MaxKeyDigests is per team,
-// MaxFallbacks per route, MaxAttempts per request, MaxArtifacts per Wanted list and MaxRetiredModels per instance set.
+// MaxFallbacks per route, MaxRegions per team and per route, MaxEvacuatedZones in the whole fleet, MaxAttempts per request, MaxArtifacts per Wanted list and MaxRetiredModels per instance set.
 // MaxEndpointConcurrency is in requests in flight at an endpoint, MaxLoadLimit in engines that load at the same time.
 const (
 	MaxNameLength          = 63
@@ -23,6 +23,8 @@
 	MaxPathPrefixLength    = 256
 	MaxKeyDigests          = 16
 	MaxFallbacks           = 8
+	MaxRegions             = 64
+	MaxEvacuatedZones      = 256
 	MaxLedgerTokens        = 1_000_000_000_000_000
 	MaxBodyBytes           = 64 << 20
 	MaxCompletionTokens    = 1_000_000
@@ -69,7 +71,7 @@
 
 func (v *validator) validate(t *Ticket) {
 	v.require(t.Number > 0, "Number", "is missing or zero", "a whole number of at least 1, higher than the numbers of the tickets that last set its objects")
-	v.require(len(t.objects()) > 0, ticketFieldPath, "touches no object", "at least one entry under Teams, Budgets, Routes or InstanceSets")
+	v.require(len(t.objects()) > 0, ticketFieldPath, "touches no object", "at least one entry under Teams, Budgets, Routes or InstanceSets, or EvacuatedZones")
 	for i, team := range t.Teams {
 		v.validateTeam(fmt.Sprintf("Teams[%d]", i), team)
 	}
@@ -82,6 +84,7 @@
 	for i, set := range t.InstanceSets {
 		v.validateInstanceSet(fmt.Sprintf("InstanceSets[%d]", i), set)
 	}
+	v.validateNames(evacuatedZonesField, t.EvacuatedZones, MaxEvacuatedZones, "availability zones")
 	v.requireDistinct("Teams", ".Name", mapStrings(t.Teams, func(t Team) string { return t.Name }))
 	v.requireDistinct("Budgets", ".Name", mapStrings(t.Budgets, func(b Budget) string { return b.Name }))
 	v.requireDistinct("Routes", ".Name", mapStrings(t.Routes, func(r Route) string { return r.Name }))
@@ -99,6 +102,7 @@
 			"the SHA-256 digest of the key in 64 lower-case hexadecimal digits")
 	}
 	v.requireDistinct(digests, "", t.KeyDigests)
+	v.validateNames(path+".Regions", t.Regions, MaxRegions, "regions")
 	limits := path + ".Limits"
 	requireInRange(v, limits+".RequestsPerSecond", t.Limits.RequestsPerSecond, 0, MaxTeamLimit)
 	requireInRange(v, limits+".TokensPerSecond", t.Limits.TokensPerSecond, 0, MaxTeamLimit)
@@ -130,6 +134,7 @@
 		v.require(fallback != r.Name, field, "names the route itself", "the names of other routes")
 	}
 	v.requireDistinct(path+".Fallbacks", "", r.Fallbacks)
+	v.validateNames(path+".Regions", r.Regions, MaxRegions, "regions")
 	v.validateRouteLimits(path+".Limits", r.Limits)
 }
 
@@ -179,6 +184,15 @@
 	v.validateWanted(path, e.Wanted, e.Role)
 }
 
+// validateNames checks a list of distinct names.
+func (v *validator) validateNames(list string, names []string, most int, kind string) {
+	v.require(len(names) <= most, list, fmt.Sprintf("has %d %s", len(names), kind), fmt.Sprintf("up to %d", most))
+	for i, name := range names {
+		v.requireName(fmt.Sprintf("%s[%d]", list, i), name)
+	}
+	v.requireDistinct(list, "", names)
+}
+
 func (v *validator) requireName(field, name string) {
 	v.requireText(field, name, namePattern, MaxNameLength, "letters, digits and . _ -, the first one a letter or digit")
 }
--- a/router/controller/configuration.go
+++ b/router/controller/configuration.go
@@ -5,14 +5,18 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
+	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 )
 
@@ -41,6 +45,8 @@
 	ledger *ledgerstream.Client
 	peers  ConfigurationPeers
 	logger log.Interface
+	// regionProblems are the mistakes in allowed regions that were reported last.
+	regionProblems []locality.Problem
 	// current is the folded configuration. It is published only when the stream has been read to its end, so that it may be
 	// ahead of the blackboard until then.
 	current *operator.Configuration
@@ -151,10 +157,45 @@
 		return
 	}
 	c.board.Configuration.Store(c.current)
+	c.reportRegions()
 	c.ledger.SetConfigurationPosition(c.current.Next, c.current.Number)
 	c.ledger.DeclarePrepaid(prepaidRecords(c.current))
 }
 
+// reportRegions reports the mistakes in allowed regions that a ticket alone doesn't show, once for each configuration with other ones.
+func (c *Configuration) reportRegions() {
+	problems := locality.CheckConfiguration(regionsOf(c.current))
+	if slices.Equal(problems, c.regionProblems) {
+		return
+	}
+	c.regionProblems = problems
+	for _, p := range problems {
+		c.board.Count(configurationRegions)
+		c.logger.WithFields(log.Fields{"Number": c.current.Number, "Problem": p.String()}).Error("allowed regions of the configuration are wrong")
+	}
+}
+
+// regionsOf returns the allowed regions of a configuration's routes and teams, and the region of each availability zone.
+func regionsOf(c *operator.Configuration) (*site.Configuration, map[string]string) {
+	regions, zones := &site.Configuration{}, make(map[string]string)
+	for _, name := range slices.Sorted(maps.Keys(c.Routes)) {
+		if route := c.Routes[name]; !route.Removed {
+			regions.Routes = append(regions.Routes, site.Route{Name: name, Regions: route.Regions})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Teams)) {
+		if team := c.Teams[name]; !team.Removed {
+			regions.Teams = append(regions.Teams, site.Team{Name: name, Regions: team.Regions})
+		}
+	}
+	for _, set := range c.InstanceSets {
+		for _, e := range set.Endpoints {
+			zones[e.AvailabilityZone] = e.Region
+		}
+	}
+	return regions, zones
+}
+
 func prepaidRecords(c *operator.Configuration) []ledger.Prepaid {
 	records := make([]ledger.Prepaid, 0, len(c.Budgets))
 	for _, b := range c.Budgets {
--- a/router/controller/configuration_test.go
+++ b/router/controller/configuration_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
@@ -187,3 +188,26 @@
 func counterValue(board *blackboard.Board, name string) int64 {
 	return metrics.GetOrRegisterCounter(name, board.Metrics).Count()
 }
+
+// TestHomeMistakesOfConfiguration guards against routes and teams without a region in common that operators aren't told of, or are told of with
+// each ticket.
+func TestHomeMistakesOfConfiguration(t *testing.T) {
+	endpoints := func(region string) operator.InstanceSet {
+		return operator.InstanceSet{Endpoints: []operator.Endpoint{{Region: region, AvailabilityZone: region + "1"}}}
+	}
+	c := &Configuration{board: &blackboard.Board{Metrics: metrics.NewRegistry()}, logger: &log.Logger{Handler: discard.New()}}
+	report := func(team ...string) int64 {
+		c.current = &operator.Configuration{
+			Routes:       map[string]operator.Route{"r": {Name: "r", Regions: []string{"a"}}, "gone": {Name: "gone", Regions: []string{"c"}, Removed: true}},
+			Teams:        map[string]operator.Team{"t": {Name: "t", Regions: team}},
+			InstanceSets: map[string]operator.InstanceSet{"a": endpoints("a"), "b": endpoints("b")},
+		}
+		c.reportRegions()
+		return metrics.GetOrRegisterCounter(configurationRegions, c.board.Metrics).Count()
+	}
+	assert.Equal(t, int64(0), report())
+	assert.Equal(t, int64(1), report("b"))
+	assert.Equal(t, int64(1), report("b"))
+	assert.Equal(t, int64(1), report("a", "b"))
+	assert.Equal(t, int64(2), report("b"))
+}
--- a/router/controller/counters.go
+++ b/router/controller/counters.go
@@ -11,6 +11,7 @@
 	configurationTicketMalformed   = "configuration.ticket.malformed"
 	configurationEntryOutOfOrder   = "configuration.entry.out_of_order"
 	configurationSnapshotWritten   = "configuration.snapshot.written"
+	configurationRegions           = "configuration.regions"
 	configurationSnapshotFailed    = "configuration.snapshot.failed"
 	configurationSnapshotMissing   = "configuration.snapshot.missing"
 	configurationSnapshotMalformed = "configuration.snapshot.malformed"
@@ -35,6 +36,7 @@
 		{configurationTicketDuplicate, "Duplicates of accepted change tickets; they have no effect."},
 		{configurationTicketMalformed, "Entries of the configuration stream that are not a valid change ticket; they have no effect."},
 		{configurationEntryOutOfOrder, "Entries skipped because their offset was not the next one, for example because another router had already supplied them."},
+		{configurationRegions, "Mistakes in allowed regions, such as a route and a team without a region in common, once for each configuration that has other ones."},
 		{configurationSnapshotWritten, "Snapshots of the configuration that this router wrote."},
 		{configurationSnapshotFailed, "Snapshots of the configuration that could not be encoded or could not be appended completely."},
 		{configurationSnapshotMissing, "Failed searches for a snapshot that covers the entries dropped from the log; a new router does not become ready without one."},
--- a/router/endpoint/counters.go
+++ b/router/endpoint/counters.go
@@ -20,6 +20,7 @@
 	callQueued         = "queue.waited"
 	listingIgnored     = "listing.ignored"
 	responseTruncated  = "answer.cut"
+	callWithdrawn      = "call.withdrawn"
 )
 
 // Description describes a counter.
@@ -34,6 +35,7 @@
 		{retryPrefix + string(verdict.EndpointRefused), "Retries because the endpoint refused the request before running it."},
 		{retryPrefix + string(verdict.EndpointFailed), "Retries because no connection could be established or the exchange was interrupted."},
 		{retryPrefix + string(verdict.EndpointUnresponsive), "Retries because the endpoint sent nothing before the timeout."},
+		{retryPrefix + string(verdict.NoEndpoint), "Retries because the allowed regions or an evacuation changed after the endpoint was chosen; nothing was sent."},
 		{retryEndpointError, "Retries because the endpoint answered 500, 502, 503 or 504 without reporting that the request did not run."},
 		{retryBudgetSpent, "Retries not made because the service's retry budget was spent."},
 		{retryFallback, "Calls switched to a fallback route because no endpoint of their route was available."},
@@ -48,6 +50,7 @@
 		{modelNotLoaded, "Calls sent to any endpoint of the route because, according to the orders stream, none serves the model."},
 		{callQueued, "Calls that waited in a queue for a free endpoint."},
 		{listingIgnored, "Instance lists ignored because they were empty or older than the previous one."},
+		{callWithdrawn, "Attempts given up before anything was sent, because the allowed regions or an evacuation no longer allowed the endpoint."},
 		{responseTruncated, "Answers truncated at the length for which tokens were reserved."},
 	}
 }
--- a/router/endpoint/dispatcher.go
+++ b/router/endpoint/dispatcher.go
@@ -45,9 +45,9 @@
 	peersByModel           map[string][]*peer
 	peersWithUnknownModels []*peer
 	retries                endpoint.RetryBudget
-	// queues maps each model to the queue of its calls. While peersByModel is nil, all calls share the queue under
-	// the empty name.
-	queues      map[string]*endpoint.Queue[*waiter]
+	// queues maps each model and list of allowed regions to the queue of their calls. While peersByModel is nil, calls of all models share
+	// the queue under the empty name.
+	queues      map[queueKey]*endpoint.Queue[*waiter]
 	queueLength int
 	// candidates and candidatePeers are buffers that each selection of an endpoint reuses.
 	candidates     []endpoint.Candidate
@@ -177,7 +177,7 @@
 func (d *Dispatcher) serviceLocked(name string) *service {
 	s, ok := d.services[name]
 	if !ok {
-		s = &service{queues: make(map[string]*endpoint.Queue[*waiter]), queueLength: d.settings.QueueLength}
+		s = &service{queues: make(map[queueKey]*endpoint.Queue[*waiter]), queueLength: d.settings.QueueLength}
 		d.services[name] = s
 	}
 	return s
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -61,9 +61,11 @@
 	peer       *peer
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	guard      *writeGuard
-	watchdog   *watchdog
-	startedAt  time.Time
+	// allows reports whether the call may be sent to the endpoint now.
+	allows    func() bool
+	guard     *writeGuard
+	watchdog  *watchdog
+	startedAt time.Time
 	// responseStarted reports whether a part of the response has been written to the caller.
 	responseStarted bool
 }
@@ -73,7 +75,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	x.startedAt = time.Now()
-	x.guard = &writeGuard{check: x.call.CheckDispatch}
+	x.guard = &writeGuard{check: x.checkDispatch}
 	defer func() { x.guard.detach() }()
 	x.watchdog = newWatchdog(cancel, x.headerTimeout())
 	defer x.watchdog.stop()
@@ -114,10 +116,21 @@
 		if !isReused || ctx.Err() != nil {
 			return nil, errUnclean
 		}
-		x.guard = &writeGuard{check: x.call.CheckDispatch}
+		x.guard = &writeGuard{check: x.checkDispatch}
 	}
 }
 
+// checkDispatch is called right before the first byte of the attempt is written.
+func (x *exchange) checkDispatch() error {
+	if !x.allows() {
+		return errPlaceWithdrawn
+	}
+	if x.call.CheckDispatch == nil {
+		return nil
+	}
+	return x.call.CheckDispatch()
+}
+
 // headerTimeout returns the maximum wait for the response headers. An engine that does not stream sends them only
 // after it has generated the last token.
 func (x *exchange) headerTimeout() time.Duration {
@@ -173,6 +186,9 @@
 	}
 	cause := context.Cause(ctx)
 	switch {
+	case errors.Is(dispatchRefusal, errPlaceWithdrawn):
+		x.dispatcher.board.Count(callWithdrawn)
+		out.reason, out.cause = verdict.NoEndpoint, dispatchRefusal
 	case dispatchRefusal != nil:
 		out.reason, out.cause, out.isFinal = verdict.LeaseExpired, dispatchRefusal, true
 		var refusal *verdict.Refusal
--- a/router/endpoint/job.go
+++ b/router/endpoint/job.go
@@ -81,10 +81,21 @@
 // acquire reserves a slot at an endpoint of the call's route, or of the first fallback route that has an available
 // endpoint. If no route has an endpoint that may serve its model, acquire ignores the loaded models.
 func (j *job) acquire(ctx context.Context) (*peer, *verdict.Refusal) {
+	var first *verdict.Refusal
 	for {
 		p, refusal := j.dispatcher.acquire(ctx, j)
-		if refusal == nil || refusal.Reason != verdict.NoEndpoint || !j.useNextFallback() && !j.useAnyEndpoint() {
+		switch {
+		case refusal == nil || !j.mayFallBack(refusal.Reason):
 			return p, refusal
+		case first == nil:
+			first = refusal
+		}
+		if !j.useNextFallback() && !j.useAnyEndpoint() {
+			if refusal.Reason == verdict.RegionsDisjoint {
+				// The caller learns why its own route can't serve it, not why a fallback can't.
+				return nil, first
+			}
+			return nil, refusal
 		}
 	}
 }
@@ -134,7 +145,7 @@
 func (j *job) attempt(ctx context.Context, p *peer) outcome {
 	x := &exchange{
 		dispatcher: j.dispatcher, call: j.call, body: j.body, limits: j.limits, peer: p,
-		w: j.w, controller: http.NewResponseController(j.w),
+		w: j.w, controller: http.NewResponseController(j.w), allows: func() bool { return j.allows(p) },
 	}
 	out := x.perform(ctx)
 	j.dispatcher.release(p, j, out)
--- a/router/endpoint/loaded.go
+++ b/router/endpoint/loaded.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+import (
+	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
+)
 
 // indexByModelLocked groups the endpoints of every service by the models that they serve according to the orders
 // stream, so that each selection of an endpoint needs a single lookup.
@@ -90,16 +93,17 @@
 	return true
 }
 
-// queueFor returns the wait queue for calls of a model. Where endpoints are known to serve different models, each
+// queueFor returns the wait queue for calls of a model with allowed regions. Where endpoints are known to serve different models, each
 // model has its own queue, so that a model whose endpoints are full does not block calls of the others.
-func (s *service) queueFor(model string) *endpoint.Queue[*waiter] {
+func (s *service) queueFor(model string, regions locality.Regions) *endpoint.Queue[*waiter] {
 	if s.peersByModel == nil {
 		model = ""
 	}
-	q, ok := s.queues[model]
+	key := queueKey{model: model, regions: regionsKey(regions)}
+	q, ok := s.queues[key]
 	if !ok {
 		q = &endpoint.Queue[*waiter]{MaxLength: s.queueLength}
-		s.queues[model] = q
+		s.queues[key] = q
 	}
 	return q
 }
--- a/router/endpoint/peer.go
+++ b/router/endpoint/peer.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 )
 
@@ -20,6 +21,8 @@
 	settings Settings
 	nameHash uint64
 	pool     atomic.Pointer[http.Transport]
+	// place is where the endpoint runs, by its newest declaration.
+	place atomic.Pointer[locality.Place]
 
 	// The fields below are guarded by the dispatcher's mutex.
 	kind operator.EndpointKind
@@ -67,9 +70,10 @@
 }
 
 // applyDeclaration applies a new declaration of the same endpoint. Attempts in progress read the peer without the
-// dispatcher's mutex, so applyDeclaration must not write any field that attempts read.
+// dispatcher's mutex, so applyDeclaration must not write any field that attempts read, but atomic ones.
 func (p *peer) applyDeclaration(e operator.Endpoint) {
 	p.kind = e.Kind
+	p.place.Store(&locality.Place{AvailabilityZone: e.AvailabilityZone, Region: e.Region})
 	p.tier = endpoint.TierOf(p.settings.Region, p.settings.AvailabilityZone, e.Region, e.AvailabilityZone)
 	p.limit.Maximum = cmp.Or(e.Concurrency, operator.DefaultEndpointConcurrency)
 }
--- a/router/endpoint/place.go
+++ b/router/endpoint/place.go
@@ -1,12 +1,14 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 )
 
@@ -85,10 +87,14 @@
 	if j.result.Attempts == 0 {
 		s.retries.Deposit()
 	}
-	if !d.hasUsablePeerLocked(now, s, j.route.Model) {
-		return nil, nil, verdict.NoEndpoint
+	policy, err := j.policy()
+	if err != nil {
+		return nil, nil, verdict.RegionsDisjoint
+	}
+	if reason := d.refusalLocked(now, s, j.route.Model, &policy); reason != "" {
+		return nil, nil, reason
 	}
-	w.queue = s.queueFor(j.route.Model)
+	w.queue = s.queueFor(j.route.Model, policy.Regions)
 	if w.queue.Len() == 0 {
 		if p := d.reserveLocked(now, s, j); p != nil {
 			return nil, p, ""
@@ -140,15 +146,19 @@
 	return refusal
 }
 
-// hasUsablePeerLocked reports whether any endpoint to which a call of the model may be sent is not ejected; such an
-// endpoint may be full. hasUsablePeerLocked also starts the probes of ejected endpoints that are due.
-func (d *Dispatcher) hasUsablePeerLocked(now time.Time, s *service, model string) bool {
+// refusalLocked returns why no endpoint can get a call of a model, and an empty reason if one can that is not ejected; it may be full.
+// refusalLocked also starts the probes of ejected endpoints that are due.
+func (d *Dispatcher) refusalLocked(now time.Time, s *service, model string, policy *locality.Policy) verdict.Reason {
 	isUsable := false
-	for _, p := range s.eligibleOrAllPeers(model) {
+	peers := s.eligibleOrAllPeers(model)
+	for _, p := range peers {
 		d.startDueProbeLocked(now, p)
-		isUsable = isUsable || !p.health.Ejected()
+		isUsable = isUsable || !p.health.Ejected() && policy.Allows(*p.place.Load())
 	}
-	return isUsable
+	if isUsable {
+		return ""
+	}
+	return cmp.Or(refusePlaces(policy, peers), policy.Exhausted())
 }
 
 // reserveLocked selects an endpoint and reserves a slot there, preferably at an endpoint that has not failed this call
@@ -173,7 +183,11 @@
 func (d *Dispatcher) choosePeerLocked(now time.Time, s *service, j *job, excluded []*peer) *peer {
 	isSuspect := d.quarantine.IsSuspect(now, j.call.Fingerprint)
 	s.candidates, s.candidatePeers = s.candidates[:0], s.candidatePeers[:0]
-	for _, p := range s.eligibleOrAllPeers(j.route.Model) {
+	policy, err := j.policy()
+	if err != nil {
+		return nil
+	}
+	for _, p := range allowed(&policy, s.eligibleOrAllPeers(j.route.Model)) {
 		if !p.health.Available() || isSuspect && p.suspectsInFlight > 0 || slices.Contains(excluded, p) {
 			continue
 		}
@@ -259,14 +273,14 @@
 // endpoints are all ejected.
 func (d *Dispatcher) assignQueuedLocked(s *service) {
 	now := time.Now()
-	for model, q := range s.queues {
-		d.assignQueueLocked(now, s, model, q)
+	for key, q := range s.queues {
+		d.assignQueueLocked(now, s, key.model, q)
 	}
 }
 
 func (d *Dispatcher) assignQueueLocked(now time.Time, s *service, model string, q *endpoint.Queue[*waiter]) {
 	for q.Len() > 0 {
-		if !d.hasUsablePeerLocked(now, s, model) {
+		if d.refusalLocked(now, s, model, &locality.Policy{}) != "" {
 			refuseQueued(now, q)
 			return
 		}
@@ -277,6 +291,16 @@
 		if !ok {
 			return
 		}
+		// The regions and the evacuations may have changed while the call waited.
+		policy, err := entry.Value.job.policy()
+		if err != nil {
+			entry.Value.result <- waitResult{reason: verdict.RegionsDisjoint}
+			continue
+		}
+		if reason := d.refusalLocked(now, s, model, &policy); reason != "" {
+			entry.Value.result <- waitResult{reason: reason}
+			continue
+		}
 		p := d.reserveLocked(now, s, entry.Value.job)
 		if p == nil {
 			// The call may use none of the free slots, for example because it is suspected of crashing endpoints and
