Don't count endpoints that a request was withheld from as tried

A request may be tried at five endpoints. One that found connections to five endpoints open which had refused some before, and so were taken for cold, was refused although a warm endpoint was left. TestColdEndpointsAreNoFailedAttempts (24 such endpoints beside a warm one) failed before with status 503.

--- a/router/cold/tracker_test.go
+++ b/router/cold/tracker_test.go
@@ -287,3 +287,21 @@
 		c.Blocked(now, "cold")
 	}
 }
+
+// BenchmarkBlockedWithColdEndpoints measures what each request costs in the seconds after all 90 endpoints of a service have started, at a site of
+// 295 routers.
+func BenchmarkBlockedWithColdEndpoints(b *testing.B) {
+	c, roster := NewTracker(&log.Logger{Handler: memory.New()}, func(string) {}), &peer.Roster{}
+	for i := range 295 {
+		roster.Put(peer.Router{Instance: fmt.Sprint("router-", i)})
+	}
+	c.Connect("router-0", roster, func() bool { return true })
+	c.Configure([]site.Service{{Name: "cold", ColdTime: time.Hour, ColdRate: 9.6}})
+	now := time.Now()
+	for i := range 90 {
+		c.RecordEntries(endpoint.EntryArrival{ReadAt: now}, []site.Endpoint{engine(fmt.Sprint("e-", i), time.Hour)}, false)
+	}
+	for b.Loop() {
+		c.Blocked(now, "cold")
+	}
+}
--- a/router/gateway/attempts.go
+++ b/router/gateway/attempts.go
@@ -125,7 +125,7 @@
 	if ctx.Err() != nil || result.abortCaller && !result.canResume || j.responseStarted && !j.events.wholeEventsOnly {
 		return stepEnd
 	}
-	if j.endpointsSent >= max(1, j.route.Attempts) || len(j.tried) >= maxEndpointsTried {
+	if j.endpointsSent >= max(1, j.route.Attempts) || len(j.tried)-j.withdrawn >= maxEndpointsTried {
 		return stepEnd
 	}
 	if result.reason == verdict.DeadlineTooShort {
@@ -158,6 +158,7 @@
 	state := j.server.state
 	if errors.Is(result.cause, errWithdrawn) {
 		state.Count(requestWithdrawn)
+		j.withdrawn++
 	}
 	switch {
 	case result.writeCount == 0:
--- a/router/gateway/cold_test.go
+++ b/router/gateway/cold_test.go
@@ -98,6 +98,23 @@
 	assert.Equal(t, int64(1), g.counterValue("cold.begun.loss"))
 }
 
+// TestColdEndpointsAreNoFailedAttempts guards against a request that is refused because it was withheld from as many endpoints as it may be tried
+// at, while another endpoint can take it.
+func TestColdEndpointsAreNoFailedAttempts(t *testing.T) {
+	for range 4 {
+		answers := []http.HandlerFunc{answerSealed("warm")}
+		for range 24 {
+			answers = append(answers, answerSealed("cold"))
+		}
+		g := newGatewayTest(t, answers...)
+		g.rateCold()
+		for _, e := range g.state.Directory.Load().Endpoints("plain")[1:] {
+			g.server.targets.cold.RecordLoss(time.Now(), "plain", e.Name)
+		}
+		assert.Equal(t, "warm", g.call(http.MethodPost, "/order/", "", nil).body)
+	}
+}
+
 // TestColdRouterWasCutOff guards against endpoints that a router takes for cold because it was cut off from all of them.
 func TestColdRouterWasCutOff(t *testing.T) {
 	f := newRelayFleet(t, 2, answerSealed("answer"), answerSealed("answer"), answerSealed("answer"))
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -129,6 +129,8 @@
 	isVersionKept bool
 
 	tried []*target
+	// withdrawn is the number of endpoints among tried to which the request was not sent although a connection was there.
+	withdrawn int
 	// unsent are the endpoints to which no connection could be opened, failedDials their number. through is the router through which
 	// the newest attempt went; empty if it went over this router's own connections.
 	unsent      []*target
