Use another service of a split route that has endpoints in the regions

A route that splits its requests picks a service by weight. If that had no endpoint in the allowed regions, the request was refused, although another service of the route had one: by chance, half of the requests of TestHomeOfSplitRoute. The first other service takes its place now.

A refusal without a time, as for regions that are disjoint, had "Retry-After: 0", with which callers come again at once; it now has no such header. TestHomeWithoutEndpoint checks that.

--- a/router/gateway/home_test.go
+++ b/router/gateway/home_test.go
@@ -89,6 +89,7 @@
 	g.assertRefused("no_endpoint_in_region")
 	g.allow([]string{"north"}, []string{"south"})
 	g.assertRefused("regions_disjoint")
+	assert.Equal(t, "", g.call(http.MethodPost, "/order/", "body", nil).header.Get("Retry-After"))
 	g.assertRequestCounts(0, 0)
 	t.Run("the only one is unavailable", func(t *testing.T) {
 		g := newGatewayTest(t, answerSealed("south"), answerSealed("north"))
@@ -100,6 +101,23 @@
 	})
 }
 
+// TestHomeOfSplitRoute guards against refusals by chance where only one of a route's services has endpoints in the allowed regions.
+func TestHomeOfSplitRoute(t *testing.T) {
+	g := newGatewayTest(t, answerSealed("answer"))
+	configuration := *g.state.Configuration.Load()
+	configuration.Routes = slices.Clone(configuration.Routes)
+	configuration.Routes[0].Services = []site.WeightedService{{Service: "nobody", Weight: 1}, {Service: "plain", Weight: 1}}
+	configuration.Index()
+	g.state.Configuration.Store(&configuration)
+	g.setZones("north-1")
+	g.allow([]string{"north"}, nil)
+	for range 12 {
+		assert.Equal(t, http.StatusOK, g.call(http.MethodPost, "/order/", "", nil).status)
+	}
+	g.allow([]string{"south"}, nil)
+	g.assertRefused("no_endpoint_in_region")
+}
+
 // TestHomeOfResumedStream guards against a stream that goes on outside its regions after its endpoint has broken off.
 func TestHomeOfResumedStream(t *testing.T) {
 	cut := func(w http.ResponseWriter, _ *http.Request) {
--- a/router/gateway/places.go
+++ b/router/gateway/places.go
@@ -29,7 +29,19 @@
 	if err != nil {
 		return err
 	}
-	return refusePlaces(&policy, j.server.state.Directory.Load().Endpoints(j.service))
+	directory := j.server.state.Directory.Load()
+	reason := policy.Refusal(directory.Endpoints(j.service))
+	if reason != verdict.NoEndpointInRegion {
+		return refusePlaces(&policy, directory.Endpoints(j.service))
+	}
+	for _, other := range j.route.Services {
+		if other.Weight > 0 && policy.Refusal(directory.Endpoints(other.Service)) == "" {
+			// The route may send the request to this service as well, which has endpoints in the regions.
+			j.setService(configuration, other.Service)
+			return nil
+		}
+	}
+	return verdict.Refuse(reason, "")
 }
 
 func refusePlaces(policy *locality.Policy, endpoints []site.Endpoint) error {
--- a/router/gateway/refuse.go
+++ b/router/gateway/refuse.go
@@ -32,7 +32,10 @@
 		if delay <= 0 {
 			delay = description.RetryAfter
 		}
-		header.Set("Retry-After", formatSeconds(delay))
+		if delay > 0 {
+			// Callers take zero for leave to come again at once.
+			header.Set("Retry-After", formatSeconds(delay))
+		}
 	}
 	body := struct {
 		Error struct {
