Let reservations at cold endpoints end by themselves

A reservation that was never given back, as after a panic of a request's handler, would have kept the router's share of that endpoint unused for good. It now holds for 2 s, longer than the opening of a connection. Found by reading; TestColdShare checks that a reservation ends.

--- a/fleet/endpoint/cold_share.go
+++ b/fleet/endpoint/cold_share.go
@@ -11,6 +11,8 @@
 	// spacedRate is the rate, in requests a second, up to which no two requests of a router arrive within one second, if they differ by up
 	// to 150 ms in transit.
 	spacedRate = 1 / 1.15
+	// reservationTime is how long a reservation holds: longer than the opening of a connection, after which the request is sent or given up.
+	reservationTime = 2 * time.Second
 	// smallFleetMargin is what takes the place of rosterMargin for sharers with a rate above spacedRate. All routers share then, so that those
 	// that join displace none.
 	smallFleetMargin = 1.25
@@ -55,8 +57,8 @@
 type ColdShare struct {
 	tokens     float64
 	refilledAt time.Time
-	// pending counts the requests that may be sent soon.
-	pending int
+	// reservedUntil is the end of the reservation of the next request; zero without one.
+	reservedUntil time.Time
 }
 
 // ColdUse is what a ColdShare is evaluated with.
@@ -86,17 +88,17 @@
 		return false
 	}
 	s.refill(now, u)
-	return s.pending == 0 && s.hasToken()
+	return !now.Before(s.reservedUntil) && s.hasToken()
 }
 
 // hasToken allows for the rounding of many small refills.
 func (s *ColdShare) hasToken() bool { return s.tokens > 1-1e-9 }
 
-// Reserve reserves the next request, until Cancel or Take.
-func (s *ColdShare) Reserve() { s.pending++ }
+// Reserve reserves the next request, until Cancel or Take, or for reservationTime.
+func (s *ColdShare) Reserve(now time.Time) { s.reservedUntil = now.Add(reservationTime) }
 
-// Cancel gives a reservation back.
-func (s *ColdShare) Cancel() { s.pending = max(0, s.pending-1) }
+// Cancel gives the reservation back.
+func (s *ColdShare) Cancel() { s.reservedUntil = time.Time{} }
 
 // Take takes a request that is sent now, and reports whether the share allows it. isReserved reports whether the request was reserved,
 // which ends the reservation in any case.
@@ -123,5 +125,5 @@
 // IsFull reports whether the bucket holds as much as an unused one does, so that it can be dropped.
 func (s *ColdShare) IsFull(now time.Time, u ColdUse) bool {
 	s.refill(now, u)
-	return s.pending == 0 && s.hasToken()
+	return !now.Before(s.reservedUntil) && s.hasToken()
 }
--- a/fleet/endpoint/cold_test.go
+++ b/fleet/endpoint/cold_test.go
@@ -113,13 +113,16 @@
 	wait, ok := s.TimeToAdmission(at(0.9), use)
 	assert.Equal(t, true, ok && wait.Round(time.Millisecond) == 100*time.Millisecond)
 	assert.Equal(t, true, s.Admits(at(1), use))
-	s.Reserve()
+	s.Reserve(at(1))
 	assert.Equal(t, false, s.Admits(at(1), use))
 	assert.Equal(t, false, s.Take(at(1), use, false))
 	assert.Equal(t, true, s.Take(at(1), use, true))
 	assert.Equal(t, false, s.Take(at(1.9), use, false))
 	assert.Equal(t, true, s.Take(at(9), use, false))
 	assert.Equal(t, false, s.Take(at(9), use, false))
+	s.Reserve(at(19))
+	assert.Equal(t, false, s.Admits(at(20.9), use))
+	assert.Equal(t, true, s.Admits(at(21), use))
 	without := use
 	without.Position = 2
 	assert.Equal(t, false, s.Take(at(99), without, false))
--- a/router/cold/tracker.go
+++ b/router/cold/tracker.go
@@ -212,7 +212,7 @@
 	if !s.share.Admits(now, t.useLocked(e.Name, s, &service)) {
 		return nil, false
 	}
-	s.share.Reserve()
+	s.share.Reserve(now)
 	p.isReserved = true
 	return p, true
 }
