Review: tokens that a kill writes off are refused with 402

Cause: a restarted router settles the share of its former process at the most that this could have used, and nothing corrects it later.

No code of the product changes.

--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -99,6 +99,8 @@
 	settingsPath, logPath string
 	// link is between the router and the store.
 	link *link
+	// restartDelay is the time after which the process starts again that has ended.
+	restartDelay time.Duration
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -107,8 +109,8 @@
 	ended chan struct{}
 }
 
-// restartDelay is the time after which a process that has ended starts again.
-const restartDelay = 300 * time.Millisecond
+// usualRestartDelay is the time after which a process that has ended starts again.
+const usualRestartDelay = 300 * time.Millisecond
 
 func (s *site) startRouter(name, zone, region string) (*router, error) {
 	ports, err := freePorts(4)
@@ -124,7 +126,7 @@
 		return nil, err
 	}
 	r := &router{
-		site: s, name: name, zone: zone, link: storeLink, ended: make(chan struct{}),
+		site: s, name: name, zone: zone, link: storeLink, restartDelay: usualRestartDelay, ended: make(chan struct{}),
 		frontend: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
 		settingsPath: filepath.Join(s.directory, name+".toml"), logPath: filepath.Join(s.directory, name+".log"),
 	}
@@ -221,7 +223,7 @@
 			return
 		}
 		r.site.record("%s: process ended: %v", r.name, err)
-		time.Sleep(restartDelay)
+		time.Sleep(r.restartDelay)
 	}
 }
 
