--- a/fleet/allowance/account.go
+++ b/fleet/allowance/account.go
@@ -43,6 +43,9 @@
 	// that these holders reported as used.
 	Settled int64
 	Used    int64
+	// WrittenOff is the part of Settled that processes which ended without returning their shares had neither used nor
+	// reserved at their last write.
+	WrittenOff int64 `json:",omitempty"`
 	// Shares maps the identifier of a holder to its share.
 	Shares map[string]Share
 }
@@ -111,14 +114,14 @@
 	errOverflow      = errors.New("sum of the account's token counts is out of range")
 )
 
-// DecodeAccount parses an account. It rejects malformed records, negative values of Prepaid, Used or Spent, and numbers whose
+// DecodeAccount parses an account. It rejects malformed records, negative values of Prepaid, Used, WrittenOff or Spent, and numbers whose
 // sum is out of range, none of which a router writes. Granted and Settled may be negative.
 func DecodeAccount(value []byte) (Account, error) {
 	var a Account
 	if err := json.Unmarshal(value, &a); err != nil {
 		return Account{}, fmt.Errorf("decode account: %w", err)
 	}
-	if a.Used < 0 || a.Prepaid < 0 {
+	if a.Used < 0 || a.Prepaid < 0 || a.WrittenOff < 0 {
 		return Account{}, errNegativeTotal
 	}
 	settled, reported := []int64{a.Prepaid, a.Settled}, []int64{a.Prepaid, a.Settled, a.Used}
--- a/fleet/allowance/holder.go
+++ b/fleet/allowance/holder.go
@@ -310,7 +310,7 @@
 		"Request": request, fieldTeam: team, "Most": maxTokens, "Usable": teamHolding.usable, "Spent": teamHolding.spent, "Reserved": teamHolding.reserved,
 		"Free": teamHolding.free(h.uptime()), "Given": teamHolding.transferred, "Received": teamHolding.received,
 		"Rate": int64(teamHolding.rate()), "Prepaid": teamHolding.account.Prepaid, "Available": teamHolding.account.Available(),
-		"Reported": teamHolding.account.Reported(), "Settled": teamHolding.account.Settled, "Holders": len(teamHolding.account.Shares),
+		"Reported": teamHolding.account.Reported(), "Settled": teamHolding.account.Settled, "WrittenOff": teamHolding.account.WrittenOff, "Holders": len(teamHolding.account.Shares),
 		"AgeMilliseconds": time.Since(h.platformReachedAt).Milliseconds(),
 	}
 	h.mu.Unlock()
--- a/fleet/allowance/lend.go
+++ b/fleet/allowance/lend.go
@@ -20,7 +20,7 @@
 	// maxExtraFraction is the maximum fraction of a lender's unused tokens that one loan takes in addition to what its
 	// request needs, maxExtraFreeFraction that of the tokens that the spending bound leaves free.
 	maxExtraFraction     = 0.05
-	maxExtraFreeFraction = 0.25
+	maxExtraFreeFraction = 0.5
 )
 
 // errClosed is returned for loan requests that arrive after the router has begun to return its shares.
--- a/fleet/allowance/loan_test.go
+++ b/fleet/allowance/loan_test.go
@@ -123,7 +123,7 @@
 		})
 	})
 	t.Run("a request waits for the lender's spending bound in an outage", func(t *testing.T) {
-		runRoutersWithLoans(t, 100_000, 3, 1, func(r *testRouters) {
+		runRoutersWithLoans(t, 1_000_000, 3, 1, func(r *testRouters) {
 			r.log.SetOutage(true)
 			time.Sleep(2 * watchInterval)
 			r.assertReserves("router-2", 4_000).Settle(4_000)
--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -109,24 +109,59 @@
 	if position.Demand > 0 {
 		share.UnmetDemand = max(0, position.NetUsed+position.Reserved+position.Demand-share.Granted)
 	}
-	share.SpendingBound = position.spendingBound(share.Granted, a.Remaining())
+	share.SpendingBound = position.spendingBound(share.Granted, &a)
 	a.Shares[position.Holder] = share
 	return a, changed || p.justifiesWrite(&a, stored, share, position)
 }
 
 // spendingBound returns the spending bound for the next write, based on the holder's use, its waiting requests, the free
-// tokens of its share and the team's remaining tokens.
-func (p *Position) spendingBound(granted, remaining int64) SpendingBound {
+// tokens of its share, the team's remaining tokens and the loss that a restart may cause.
+func (p *Position) spendingBound(granted int64, a *Account) SpendingBound {
 	base := p.NetUsed + p.Reserved
-	free := float64(max(0, granted-base))
-	burst := max(p.Rate*boundBurstTime.Seconds(), free*boundIdleBurst-p.Rate*boundIdleTime.Seconds(), float64(remaining)*boundRemainingBurst)
+	part := a.partOf(p)
+	wantedBurst := max(float64(p.LargestRequest), p.Rate*boundBurstTime.Seconds(), part*float64(a.Remaining())*boundRemainingBurst)
+	wantedRate := max(p.Rate*boundRateFactor, float64(max(0, granted-base))*boundFreeRate)
+	growthTime := (boundRestartTime - boundDelay).Seconds()
+	limit := a.restartLossOf(p)
+	burst := min(wantedBurst, limit)
+	rate := min(wantedRate, (limit-burst)/growthTime)
+	withheld := wantedBurst - burst + (wantedRate-rate)*growthTime
+	surgeRate := wantedRate - rate + withheld/boundCatchUpTime.Seconds()
 	return SpendingBound{
-		Base: base, Burst: p.Demand + max(p.LargestRequest, int64(burst)),
-		Rate: max(p.Rate*boundRateFactor, free*boundFreeRate), Delay: boundDelay,
+		Base: base, Burst: p.Demand + int64(burst), Rate: rate + surgeRate, Delay: boundDelay,
+		SurgeRate: surgeRate, SurgeDelay: boundRestartTime,
 		Uptime: p.Now.Uptime, WallMilliseconds: p.Now.Wall.UnixMilli(), AgreedMilliseconds: p.Now.agreedMilliseconds(),
 	}
 }
 
+// restartLossOf returns the tokens that a restart of the holder may write off: its part of what a restart of all holders may.
+// While most of the accepted loss is left, it covers one request, so that few requests wait for a write.
+func (a *Account) restartLossOf(p *Position) float64 {
+	accepted := acceptedLossFraction * float64(a.Prepaid)
+	remaining := accepted - float64(a.WrittenOff)
+	limit := a.partOf(p) * restartLossFraction * max(remaining, minLossFraction*accepted)
+	if remaining > accepted/2 {
+		limit = max(limit, float64(p.LargestRequest))
+	}
+	return limit
+}
+
+// partOf returns the holder's part of an amount that all holders divide: half of it evenly, half by their rates of use.
+func (a *Account) partOf(p *Position) float64 {
+	rates, holders := p.Rate, 1
+	for holder, s := range a.Shares {
+		if holder != p.Holder {
+			rates += s.Rate
+			holders++
+		}
+	}
+	even := 1 / float64(holders)
+	if rates == 0 {
+		return even
+	}
+	return (even + p.Rate/rates) / 2
+}
+
 // applyTotal sets the prepaid total of a newer configuration and reports whether the total changed.
 func (a *Account) applyTotal(position Position) bool {
 	if position.Version <= a.Version {
@@ -150,6 +185,7 @@
 		if !isTimed && position.AwaitsAgreement && share.SpendingBound.AgreedMilliseconds != 0 {
 			continue
 		}
+		a.WrittenOff += max(0, settled-share.SpendingBound.Base)
 		a.retire(holder, settled, share.Spent)
 		changed = true
 	}
@@ -239,12 +275,11 @@
 		// Other routers decide from the reported use whether the team's tokens are exhausted.
 		return true
 	}
-	if share.Granted-position.NetUsed-position.Reserved <= int64(minChangeFraction*float64(a.Remaining())) {
-		// A spending bound has almost no effect on a share with so few free tokens, so its renewal is not worth a
-		// write.
+	if share.Granted-position.NetUsed-position.Reserved <= int64(a.restartLossOf(&position)) {
+		// A restart may write off all free tokens of the share, so a renewal of the spending bound is not worth a write.
 		return false
 	}
-	usedPercent := 100 * (share.SpendingBound.Base - stored.SpendingBound.Base) / max(1, bound-stored.SpendingBound.Base)
+	usedPercent := 100 * (share.SpendingBound.Base - stored.SpendingBound.Base) / max(1, stored.SpendingBound.Burst)
 	return age > idleRenewalAge || age > boundRenewalAge && usedPercent > minRenewPercent || usedPercent > renewPercent
 }
 
--- a/fleet/allowance/plan_test.go
+++ b/fleet/allowance/plan_test.go
@@ -134,7 +134,7 @@
 	assert.NoError(t, err)
 	assert.Equal(t, a, decoded)
 	for name, text := range map[string]string{
-		"bytes": "\x00\x01", "negative use": `{"Used":-1}`, "negative share": `{"Shares":{"a":{"Spent":-1}}}`, "other type": `{"Prepaid":"x"}`,
+		"bytes": "\x00\x01", "negative use": `{"Used":-1}`, "negative loss": `{"WrittenOff":-1}`, "negative share": `{"Shares":{"a":{"Spent":-1}}}`, "other type": `{"Prepaid":"x"}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := DecodeAccount([]byte(text))
@@ -159,13 +159,67 @@
 	return []platform.KeyedRecord{{Key: key, Value: []byte(value)}}
 }
 
+func drawBound(t *rapid.T, uptime time.Duration) SpendingBound {
+	rate := rapid.Int64Range(0, 5_000).Draw(t, "rate")
+	return SpendingBound{
+		Base: 1_000, Burst: rapid.Int64Range(0, 1_000).Draw(t, "burst"), Uptime: uptime, Rate: float64(rate),
+		Delay:      time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "delay")),
+		SurgeRate:  float64(rapid.Int64Range(0, rate).Draw(t, "surgeRate")),
+		SurgeDelay: time.Duration(rapid.Int64Range(0, int64(4*time.Second)).Draw(t, "surgeDelay")),
+	}
+}
+
+// TestAllowsAfter guards against requests that wait for a spending bound shorter or longer than it takes.
+func TestAllowsAfter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := drawBound(t, time.Hour)
+		uptime := bound.Uptime + time.Duration(rapid.Int64Range(0, int64(boundLifetime-time.Second)).Draw(t, "age"))
+		used := rapid.Int64Range(0, 30_000).Draw(t, "used")
+		limit, _ := bound.MaxUsed(uptime)
+		wait := bound.allowsAfter(uptime, used)
+		assertLimit := func(at time.Duration, isEnough func(limit int64) bool) {
+			if limit, applies := bound.MaxUsed(at); applies && !isEnough(limit) {
+				t.Fatalf("bound %+v allows %d tokens after %v, %d are needed", bound, limit, at-bound.Uptime, used)
+			}
+		}
+		if limit >= used {
+			if wait != 0 {
+				t.Fatalf("wait of %v for %d tokens, %d are allowed", wait, used, limit)
+			}
+			return
+		}
+		assertLimit(uptime+wait+time.Millisecond, func(limit int64) bool { return limit >= used-1 })
+		assertLimit(uptime+wait-time.Millisecond, func(limit int64) bool { return limit <= used })
+	})
+}
+
+// TestWrittenOff guards against restarts that each write off as much as the first one: the bounds that follow a settlement
+// leave less room.
+func TestWrittenOff(t *testing.T) {
+	position := Position{Holder: "a/2", Instance: "a", Version: 3, Prepaid: 100_000, Rate: 1_000, LargestRequest: 10, Now: clockAt(time.Hour)}
+	position.Start = position.Now
+	allowedAtRestart := func(settled, base int64) int64 {
+		current := Account{Version: 3, Prepaid: 100_000, Shares: map[string]Share{
+			"a/1": {Instance: "a", Granted: settled, SpendingBound: SpendingBound{Base: base}},
+		}}
+		a, _ := Policy{}.Plan(current, position)
+		assert.Equal(t, settled-base, a.WrittenOff)
+		bound := a.Shares["a/2"].SpendingBound
+		limit, _ := bound.maxUsedAfter(boundRestartTime)
+		return limit - bound.Base
+	}
+	assert.Equal(t, int64(1_500), allowedAtRestart(20_000, 20_000))
+	assert.Equal(t, int64(750), allowedAtRestart(20_000, 18_500))
+	assert.Equal(t, int64(93), allowedAtRestart(20_000, 0))
+}
+
 // TestSettlementCoversUse guards against a share that is settled at less than its holder was allowed to use, with errors
 // of the agreed time of day that the tolerance allows.
 func TestSettlementCoversUse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		agreementError := rapid.Int64Range(-int64(timeofday.Tolerance), int64(timeofday.Tolerance))
 		written := clockAt(time.Hour)
-		bound := SpendingBound{Base: 1_000, Burst: rapid.Int64Range(0, 1_000).Draw(t, "burst"), Rate: float64(rapid.Int64Range(0, 5_000).Draw(t, "rate")), Uptime: written.Uptime}
+		bound := drawBound(t, written.Uptime)
 		bound.AgreedMilliseconds = written.Wall.Add(time.Duration(agreementError.Draw(t, "errorAtWrite"))).UnixMilli()
 		end := time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(t, "end"))
 		down := time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "down"))
--- a/fleet/allowance/spending_bound.go
+++ b/fleet/allowance/spending_bound.go
@@ -21,16 +21,25 @@
 	boundBurstTime  = 600 * time.Millisecond
 	boundDelay      = 1400 * time.Millisecond
 	boundRateFactor = 1.6
-	// boundRemainingBurst is the fraction of the team's remaining tokens that a spending bound allows at once. It makes
-	// writes rare for totals that last long.
+	// boundRemainingBurst is the fraction of the team's remaining tokens that the spending bounds of all holders together
+	// allow at once. It makes writes rare for totals that last long.
 	boundRemainingBurst = 0.003
-	// boundIdleBurst is the fraction of a share's free tokens that a spending bound allows at once, less the use in
-	// boundIdleTime at the current rate. It leaves room for teams that are idle until an outage begins.
-	boundIdleBurst = 0.25
-	boundIdleTime  = 2 * time.Second
-	// boundFreeRate is the fraction of a share's free tokens per second that a spending bound allows from boundDelay on.
-	// It leaves room for teams whose use jumps to a multiple of its previous rate.
+	// boundRestartTime covers the time from the last write of a process that is killed until its successor starts. Until
+	// then, the spending bounds of all holders together allow little more than a restart may write off.
+	boundRestartTime = 3 * time.Second
+	// boundFreeRate is the fraction of a share's free tokens per second that a spending bound allows from boundRestartTime
+	// on. It leaves room for teams whose use jumps to a multiple of its previous rate, or begins, in an outage.
 	boundFreeRate = 0.1
+	// boundCatchUpTime is the time from boundRestartTime on within which a spending bound allows what the limit
+	// until then withheld from the current rate of use.
+	boundCatchUpTime = 1 * time.Second
+	// acceptedLossFraction is the fraction of a team's total that operators accept as lost in a day. restartLossFraction is
+	// the fraction of what is left of it that one restart of all holders may write off, so that the sum over a day's
+	// restarts stays within it. minLossFraction is the fraction of the accepted loss that counts as left in any case: with
+	// less, every request would need a write.
+	acceptedLossFraction = 0.03
+	restartLossFraction  = 0.5
+	minLossFraction      = 0.0625
 	// boundRenewalAge is the age at which a spending bound of which a part was used is rewritten, idleRenewalAge that at
 	// which any bound is rewritten, so that the stored bound still applies if the process restarts.
 	boundRenewalAge = 400 * time.Millisecond
@@ -45,9 +54,9 @@
 	agreementWait = 4 * time.Second
 )
 
-// SpendingBound limits a holder's use after a write to Base + Burst + Rate x (uptime - Uptime - Delay) tokens until
-// boundLifetime after Uptime, even if more was granted. When a process restarts on the same machine, it settles the
-// share of its predecessor at this bound instead of the full granted amount.
+// SpendingBound limits a holder's use after a write to Base + Burst tokens, and from Delay and SurgeDelay after Uptime on
+// to more with time, until boundLifetime after Uptime, even if more was granted. When a process restarts on the same
+// machine, it settles the share of its predecessor at this bound instead of the full granted amount.
 //
 // The bound answers two loads: a loss of power everywhere while a team's total runs low, for which it must be tight, and an
 // outage of the platform, in which it cannot be rewritten and must leave room for the team's use.
@@ -55,11 +64,14 @@
 	// Base is the holder's net use in tokens at the time of the write, with each request in progress counted at its
 	// maximum.
 	Base int64
-	// Burst is the additional use in tokens that is allowed at once; Rate is the further use allowed, in tokens per
-	// second, from Delay after the write on.
-	Burst int64
-	Rate  float64       `json:"Pace"`
-	Delay time.Duration `json:",omitempty"`
+	// Burst is the additional use in tokens that is allowed at once. Rate is the further use allowed, in tokens per second,
+	// from Delay after the write on, except for the part SurgeRate of it, which is allowed from SurgeDelay on. A reader that
+	// doesn't know SurgeRate applies a higher bound.
+	Burst      int64
+	Rate       float64       `json:"Pace"`
+	Delay      time.Duration `json:",omitempty"`
+	SurgeRate  float64       `json:",omitempty"`
+	SurgeDelay time.Duration `json:",omitempty"`
 	// Uptime is the time since the machine booted, including time in suspend. WallMilliseconds is the wall clock in
 	// milliseconds since the Unix epoch.
 	Uptime           time.Duration
@@ -81,11 +93,23 @@
 	if !applies || limit >= used {
 		return 0
 	}
-	allowedAt := boundLifetime
-	if b.Rate > 0 {
-		allowedAt = min(allowedAt, b.Delay+time.Duration(float64(used-b.Base-b.Burst)/b.Rate*float64(time.Second)))
+	return b.Uptime + b.allowedAt(float64(used-b.Base-b.Burst)) - uptime
+}
+
+// allowedAt returns the time after the write at which the spending bound allows the given tokens beyond Base and Burst, at
+// most boundLifetime.
+func (b *SpendingBound) allowedAt(growth float64) time.Duration {
+	slowRate := b.Rate - b.SurgeRate
+	surgeDelay := max(b.Delay, b.SurgeDelay)
+	slowGrowth := slowRate * (surgeDelay - b.Delay).Seconds()
+	at := boundLifetime.Seconds()
+	switch {
+	case growth <= slowGrowth && slowRate > 0:
+		at = min(at, b.Delay.Seconds()+growth/slowRate)
+	case b.Rate > 0:
+		at = min(at, surgeDelay.Seconds()+max(0, growth-slowGrowth)/b.Rate)
 	}
-	return b.Uptime + allowedAt - uptime
+	return time.Duration(at * float64(time.Second))
 }
 
 // maxUsedAfter returns the upper bound on the holder's total use in tokens at the given time after the write, or false if
@@ -94,7 +118,9 @@
 	if elapsed < 0 || elapsed >= boundLifetime {
 		return 0, false
 	}
-	return b.Base + b.Burst + int64(b.Rate*max(0, elapsed-b.Delay).Seconds()), true
+	slow := (b.Rate - b.SurgeRate) * max(0, elapsed-b.Delay).Seconds()
+	surge := b.SurgeRate * max(0, elapsed-max(b.Delay, b.SurgeDelay)).Seconds()
+	return b.Base + b.Burst + int64(slow+surge), true
 }
 
 // ClockReading is a simultaneous reading of a machine's uptime and wall clock.
--- a/fleet/allowance/update.go
+++ b/fleet/allowance/update.go
@@ -162,7 +162,7 @@
 			h.settings.Logger.WithFields(log.Fields{
 				fieldTeam: team, "Granted": share.Granted, "Net": share.SpendingBound.Base - teamHolding.reserved, "Reserved": teamHolding.reserved,
 				"Rate": int64(share.Rate), "Lacking": share.UnmetDemand, "Available": account.Available(), "Remaining": account.Remaining(),
-				"Prepaid": account.Prepaid, "Version": account.Version,
+				"Prepaid": account.Prepaid, "Version": account.Version, "WrittenOff": account.WrittenOff,
 			}).Info("share changed")
 		}
 		teamHolding.usable = share.Granted
