Don't transfer tokens that a retired share has returned

Some callers were served with tokens that nobody had paid for.

Cause: what a router may spend is its grant less its net use, which is negative after receipts from other routers. The write that retires a share leaves no grant, and the router took that for a grant of 0, so that 0 - NetUsed tokens stayed free after the account had got them back. They went to other routers at the end of the stop, as one write seemed to have failed, or on request.

Change: a retired share leaves the holder what it was settled at, its net use at the time of the write, from the moment at which the write is planned.

Why it works: nothing is free then, whether the answer arrives or not; what arrives later is not in the account yet.

--- a/fleet/allowance/holder_test.go
+++ b/fleet/allowance/holder_test.go
@@ -393,6 +393,51 @@
 	}
 }
 
+// TestReturnWithLostAnswer guards against tokens that are in the account and at another router after a stop: a router that has
+// received more tokens than it used must not transfer what it returned by a write of which the answer was lost.
+func TestReturnWithLostAnswer(t *testing.T) {
+	const prepaid, received = 10_000, 2_000
+	for _, c := range []struct {
+		name       string
+		isReturned bool
+		transfers  func(r *testRouters)
+	}{
+		{"at the end", false, func(r *testRouters) { r.holders["router-0"].transferUnreturned(r.t.Context()) }},
+		{"on request", false, func(r *testRouters) {
+			tokens := r.holders["router-0"].TransferOut("router-1", "studio", received, true)
+			r.holders["router-1"].AcceptTransfer("router-0", "studio", tokens)
+		}},
+		{"at the end, although the write was answered", true, func(r *testRouters) { r.holders["router-0"].transferUnreturned(r.t.Context()) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newStoppedRouters(t, prepaid, 2)
+				leaving, other := r.holders["router-0"], r.holders["router-1"]
+				partition := leaving.partitionOf("studio")
+				assert.Must(t, partition.update(t.Context(), false))
+				assert.Must(t, other.partitionOf("studio").update(t.Context(), false))
+				tokens := other.TransferOut("router-0", "studio", received, false)
+				assert.Equal(t, true, tokens > 0)
+				assert.Equal(t, true, leaving.AcceptTransfer("router-1", "studio", tokens))
+				leaving.PrepareShutdown()
+				if !c.isReturned {
+					r.log.LoseResponses(1, 1)
+				}
+				assert.Equal(t, c.isReturned, partition.update(t.Context(), true) == nil)
+				r.log.LoseResponses(0, 1)
+				c.transfers(r)
+				a := r.account(t)
+				assert.Equal(t, 1, len(a.Shares))
+				inHand := a.Available()
+				for _, name := range []string{"router-0", "router-1"} {
+					inHand += max(0, r.holders[name].holdingLocked("studio").unused())
+				}
+				assert.Equal(t, int64(prepaid), inHand)
+			})
+		})
+	}
+}
+
 // TestPledgesOfUnknownWrites guards against overspending after a write with an unknown outcome: the router must keep
 // every spending bound that may be stored in the account.
 func TestPledgesOfUnknownWrites(t *testing.T) {
--- a/fleet/allowance/property_test.go
+++ b/fleet/allowance/property_test.go
@@ -291,8 +291,7 @@
 			m.used += r.maxTokens
 			r.Settle(r.maxTokens)
 		}
-		host.holder.PrepareShutdown()
-		_ = host.holder.partitions[0].update(context.Background(), true)
+		m.leave(t, host)
 	} else {
 		for _, r := range host.inFlight {
 			m.used += r.maxTokens
@@ -309,6 +308,38 @@
 	m.agreeOn(t, host)
 }
 
+// leave returns the shares of a process, in several attempts if writes fail, and then lets it transfer what it may. Between the
+// attempts, tokens may arrive and other routers may ask for some.
+func (m *fleetModel) leave(t *rapid.T, host *modelMachine) {
+	host.holder.PrepareShutdown()
+	host.holder.mu.Lock()
+	host.holder.closed = true
+	host.holder.mu.Unlock()
+	isReturned := false
+	for range rapid.IntRange(1, 3).Draw(t, "attempts") {
+		if isReturned = host.holder.partitions[0].update(context.Background(), true) == nil; isReturned {
+			break
+		}
+		switch rapid.SampledFrom([]string{"nothing", "void", "transfer", "release"}).Draw(t, "meanwhile") {
+		case "void":
+			m.void(t)
+		case "transfer":
+			m.transfer(t)
+		case "release":
+			m.log.ApplyDelayedAppends()
+		}
+	}
+	// A failed write to another partition makes the router transfer the tokens of all teams.
+	if isReturned && !rapid.Bool().Draw(t, "otherPartitionFails") {
+		return
+	}
+	for _, transfer := range host.holder.prepareFinalTransfers() {
+		if to := m.pickMachine(t); to != host {
+			to.holder.AcceptTransfer(host.name, transfer.team, transfer.tokens)
+		}
+	}
+}
+
 func (m *fleetModel) injectFault(t *rapid.T) {
 	switch rapid.SampledFrom([]string{"refuse", "lose", "well", "outage", "holdBack", "release", "expire"}).Draw(t, "disturbance") {
 	case "refuse":
@@ -330,17 +361,36 @@
 	}
 }
 
-// assertWithinTotal fails if the use plus the maximum of all requests in progress exceeds the total.
+// assertWithinTotal fails if the use plus the maximum of all requests in progress exceeds the total, or would exceed it
+// after the use of what routers hold and of what the account has left.
 func (m *fleetModel) assertWithinTotal(t *rapid.T) {
-	upperBound := m.used
+	upperBound, unused := m.used, max(0, m.available(t))
 	for _, host := range m.machines {
 		for _, r := range host.inFlight {
 			upperBound += r.maxTokens
 		}
+		unused += max(0, host.holder.holdingLocked(modelTeam).unused())
 	}
 	if upperBound > m.highestTotal {
 		t.Fatalf("%d tokens used or reserved, but only %d prepaid", upperBound, m.highestTotal)
 	}
+	if upperBound+unused > m.highestTotal {
+		t.Fatalf("%d tokens used or reserved and %d unused ones, but only %d prepaid", upperBound, unused, m.highestTotal)
+	}
+}
+
+// available returns the tokens that the stored account has left.
+func (m *fleetModel) available(t *rapid.T) int64 {
+	for _, r := range m.log.State(Topic, 0).Records {
+		if r.Key == modelTeam {
+			a, err := DecodeAccount(r.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return a.Available()
+		}
+	}
+	return 0
 }
 
 // modelActions is the number of random actions per run.
--- a/fleet/allowance/update.go
+++ b/fleet/allowance/update.go
@@ -59,9 +59,16 @@
 	return len(p.teamsLocked()) > 0
 }
 
+// plannedAccount is an account that is to be written.
+type plannedAccount struct {
+	account Account
+	// usable is the granted amount in tokens that the holder may treat as valid once the account is written.
+	usable int64
+}
+
 // plan computes the new accounts of the partition and their records. Tokens to be returned become unusable immediately,
 // before the outcome of the write is known.
-func (p *accountPartition) plan(state platform.KeyedState, ending bool) (map[string]Account, []platform.KeyedRecord) {
+func (p *accountPartition) plan(state platform.KeyedState, ending bool) (map[string]plannedAccount, []platform.KeyedRecord) {
 	h := p.holder
 	now := time.Now()
 	h.mu.Lock()
@@ -69,7 +76,7 @@
 	h.platformReachedAt, p.readAt = now, now
 	teams := p.teamsLocked()
 	accounts := h.decodeAccounts(state, teams)
-	planned := make(map[string]Account)
+	planned := make(map[string]plannedAccount)
 	var records []platform.KeyedRecord
 	for _, team := range teams {
 		teamHolding := h.holdingLocked(team.Name)
@@ -79,7 +86,8 @@
 		}
 		teamHolding.account, teamHolding.accountRead = account, true
 		teamHolding.recordUse(now, 0)
-		target, write := h.settings.Policy.Plan(account, h.positionLocked(teamHolding, team, ending))
+		position := h.positionLocked(teamHolding, team, ending)
+		target, write := h.settings.Policy.Plan(account, position)
 		if !write {
 			continue
 		}
@@ -88,10 +96,15 @@
 			h.settings.Logger.WithField(fieldTeam, team.Name).WithError(err).Error("account not encoded; its write is skipped")
 			continue
 		}
-		share := target.Shares[h.settings.Holder]
-		teamHolding.usable = min(teamHolding.usable, share.Granted)
+		share, hasShare := target.Shares[h.settings.Holder]
+		usable := share.Granted
+		if !hasShare {
+			// A retired share leaves the holder what it was settled at, which is negative after receipts from other routers.
+			usable = position.NetUsed
+		}
+		teamHolding.usable = min(teamHolding.usable, usable)
 		teamHolding.spendingBounds = append(teamHolding.spendingBounds, share.SpendingBound)
-		planned[team.Name] = target
+		planned[team.Name] = plannedAccount{account: target, usable: usable}
 		records = append(records, platform.KeyedRecord{Key: team.Name, Value: value})
 	}
 	return planned, records
@@ -142,7 +155,7 @@
 }
 
 // dropWrittenBounds discards the spending bounds of a write that certainly did not and will not take effect.
-func (h *Holder) dropWrittenBounds(planned map[string]Account) {
+func (h *Holder) dropWrittenBounds(planned map[string]plannedAccount) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for team := range planned {
@@ -152,11 +165,11 @@
 }
 
 // applyWritten applies accounts whose write succeeded to the local state.
-func (h *Holder) applyWritten(planned map[string]Account) {
+func (h *Holder) applyWritten(planned map[string]plannedAccount) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for team, account := range planned {
-		teamHolding := h.holdingLocked(team)
+	for team, written := range planned {
+		account, teamHolding := written.account, h.holdingLocked(team)
 		share := account.Shares[h.settings.Holder]
 		if share.Granted != teamHolding.account.Shares[h.settings.Holder].Granted {
 			h.settings.Logger.WithFields(log.Fields{
@@ -165,7 +178,7 @@
 				"Prepaid": account.Prepaid, "Version": account.Version, "WrittenOff": account.WrittenOff,
 			}).Info("share changed")
 		}
-		teamHolding.usable = share.Granted
+		teamHolding.usable = written.usable
 		teamHolding.account, teamHolding.boundExceeded = account, false
 		teamHolding.spendingBounds = append(teamHolding.spendingBounds[:0], share.SpendingBound)
 		h.serveWaitersLocked(teamHolding)
--- a/fleet/platform/memory/keyed.go
+++ b/fleet/platform/memory/keyed.go
@@ -107,6 +107,11 @@
 	if err := l.applyFaults(ctx); err != nil {
 		return platform.KeyedState{}, fmt.Errorf("read newest records of %s: %w", topic, err)
 	}
+	return l.State(topic, partition), nil
+}
+
+// State returns the newest records of a partition, regardless of faults.
+func (l *KeyedLog) State(topic string, partition int) platform.KeyedState {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	p := l.partitionLocked(topic, partition)
@@ -114,7 +119,7 @@
 	for key, value := range p.newest {
 		state.Records = append(state.Records, platform.KeyedRecord{Key: key, Value: slices.Clone(value)})
 	}
-	return state, nil
+	return state
 }
 
 // ReadKeyed implements platform.KeyedLog.
