Confirm the only software version before a stream is resumed at it

What callers could see: events of two software versions in one stream. Reported by operators of a system like this one: a router was cut off or stood still while endpoints of a new version joined, and streams that these had begun went on there at another version.

Cause: where nobody remembers a stream, a router took the only version of its directory for the stream's while the newest read of the entries was up to 2 s old. An endpoint that joined after that read could have begun the stream. The age was counted from when the answer was handled, so that a router that had been suspended took an older directory for a new one.

Evidence: TestInferredVersionIsConfirmed failed without the read in two of five cases: the platform has an entry of another version that the directory doesn't include yet, and the platform can't be read. Both streams were resumed with 200 at the old version.

Change: before a version is inferred, here or by another router, the router reads the entries that its directory doesn't include, after the request has come in.

Why it works: an endpoint gets requests only after its entry was written, and the read sees every entry that was written before the stream broke.

--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -14,33 +14,34 @@
 // Names of the counters, or prefixes that end in a dot: the reason why the previous attempt failed follows
 // retryReasonPrefix, the service follows the others.
 const (
-	retryReasonPrefix       = "retry."
-	retryBudgetSpent        = "repeat.budget_spent"
-	firstWritePrefix        = "sent.first."
-	retryWritePrefix        = "sent.repeat."
-	transportWritePrefix    = "sent.by_transport."
-	nothingWrittenPrefix    = "sent.nothing."
-	requestQuarantined      = "request.held"
-	partsBlocked            = "parts.held"
-	endpointLeaving         = "endpoint.leaving"
-	endpointPaused          = "endpoint.paused"
-	endpointLimited         = "endpoint.limited"
-	endpointLimitUnreadable = "endpoint.limit_unreadable"
-	reachCutOffPrefix       = "reach.cut_off."
-	reachHealedPrefix       = "reach.healed."
-	exchangeHandedOver      = "exchange.handed_over"
-	exchangeNotCarried      = "exchange.not_carried"
-	exchangeCarried         = "exchange.carried"
-	exchangeDeclinedPrefix  = "exchange.declined."
-	endpointBrittle         = "endpoint.brittle"
-	endpointBounded         = "endpoint.bounded"
-	streamVersionsNotSent   = "stream.versions_not_sent"
-	streamVersionsNotStored = "stream.versions_not_stored"
-	streamWritesFailed      = "stream.writes_failed"
-	configurationUnreadable = "configuration.unreadable"
-	endpointEntryUnreadable = "directory.unreadable"
-	handlerPanicked         = "request.panicked"
-	requestWithdrawn        = "request.withdrawn"
+	retryReasonPrefix        = "retry."
+	retryBudgetSpent         = "repeat.budget_spent"
+	firstWritePrefix         = "sent.first."
+	retryWritePrefix         = "sent.repeat."
+	transportWritePrefix     = "sent.by_transport."
+	nothingWrittenPrefix     = "sent.nothing."
+	requestQuarantined       = "request.held"
+	partsBlocked             = "parts.held"
+	endpointLeaving          = "endpoint.leaving"
+	endpointPaused           = "endpoint.paused"
+	endpointLimited          = "endpoint.limited"
+	endpointLimitUnreadable  = "endpoint.limit_unreadable"
+	reachCutOffPrefix        = "reach.cut_off."
+	reachHealedPrefix        = "reach.healed."
+	exchangeHandedOver       = "exchange.handed_over"
+	exchangeNotCarried       = "exchange.not_carried"
+	exchangeCarried          = "exchange.carried"
+	exchangeDeclinedPrefix   = "exchange.declined."
+	endpointBrittle          = "endpoint.brittle"
+	endpointBounded          = "endpoint.bounded"
+	streamVersionsNotSent    = "stream.versions_not_sent"
+	streamVersionsNotStored  = "stream.versions_not_stored"
+	streamVersionUnconfirmed = "stream.version_unconfirmed"
+	streamWritesFailed       = "stream.writes_failed"
+	configurationUnreadable  = "configuration.unreadable"
+	endpointEntryUnreadable  = "directory.unreadable"
+	handlerPanicked          = "request.panicked"
+	requestWithdrawn         = "request.withdrawn"
 )
 
 // Description is the name of a counter or histogram and what it measures.
@@ -74,6 +75,7 @@
 		{endpointBounded, "Brittle endpoints at which a request that was refused found no room left for this router, one for each endpoint and request."},
 		{streamVersionsNotSent, "Streams whose software version no other router keeps, since too many waited to be sent."},
 		{streamVersionsNotStored, "Streams whose software version the platform doesn't store, since too many waited to be written."},
+		{streamVersionUnconfirmed, "Resumptions of streams whose only possible software version was not confirmed, since the platform could not be read."},
 		{streamWritesFailed, "Writes of streams' software versions that failed or timed out; they are repeated."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{requestWithdrawn, "Attempts given up before anything was sent, because the regions, an evacuation or the endpoint's cold time no longer allowed the endpoint."},
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -197,6 +197,8 @@
 	oddEntries oddEntryLog
 	// readSince is the start of the newest successful read: what later reads of new records bring was written after it.
 	readSince time.Time
+	// appliedOffset is the offset of the first record that the directory in force doesn't include.
+	appliedOffset atomic.Int64
 }
 
 // Run follows the endpoints' entries until the context ends.
@@ -219,6 +221,7 @@
 			d.publish(d.registry.Directory())
 		}
 		if err == nil {
+			d.appliedOffset.Store(f.nextOffset)
 			d.Board.DirectoryReadAt.Store(&now)
 		}
 		delay := d.capAtNextExpiry(directoryReadDelay)
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -143,6 +143,7 @@
 		n.Server.streams.observe(time.Now(), directory)
 		n.Server.reporter.UpdateDirectory(directory)
 	}
+	n.Server.streams.newer.directories = n.Directories
 	n.Directories.Cold = n.Server.targets.cold
 	if n.Configurations.Evacuations != nil {
 		n.Configurations.Evacuations.OnEnd = n.Server.recordEvacuationEnd
--- a/router/gateway/versions.go
+++ b/router/gateway/versions.go
@@ -74,6 +74,8 @@
 	peers  streamPeers
 	// store keeps the versions on the platform; nil if there are no other routers.
 	store *streamStore
+	// newer reads the endpoints' entries that the directory doesn't include yet.
+	newer newerEntries
 	// isFirstStart reports whether the site has started for the first time, so that no stream is older than this process.
 	isFirstStart bool
 
@@ -319,8 +321,8 @@
 }
 
 // lookUp returns the version of a stream that began within a time before now. If neither this router nor one of the stream's keepers
-// remembers it, it returns the only version that has served in that time, as this router or else a keeper knows. It returns false
-// if there were several, or nobody knows.
+// remembers it, it returns the only version that has served in that time, as this router or else a keeper knows, unless the platform shows
+// another one by now. It returns false if there were several, or nobody knows.
 func (s *streamTracker) lookUp(ctx context.Context, stream uint64, service string, within time.Duration) (peer.StreamVersion, bool) {
 	if known, ok := s.known(stream); ok {
 		return known, true
@@ -352,7 +354,21 @@
 			}
 		}
 	}
-	return only, hasOnly
+	if !hasOnly || !s.isStillOnly(ctx, only) {
+		return peer.StreamVersion{}, false
+	}
+	return only, true
+}
+
+// isStillOnly reports whether no other version of the service has begun to serve since the directory was read. A router that can't tell declines to
+// infer a version.
+func (s *streamTracker) isStillOnly(ctx context.Context, only peer.StreamVersion) bool {
+	entries, err := s.newer.read(ctx)
+	if err != nil {
+		s.state.Count(streamVersionUnconfirmed)
+		return false
+	}
+	return !slices.ContainsFunc(entries, func(e site.Endpoint) bool { return e.Service == only.Service && e.SoftwareVersion != only.Version })
 }
 
 // routersToAsk returns the routers that may know the version of a stream. Those that store it are included even if they were unresponsive: after
@@ -407,6 +423,8 @@
 		return nil
 	}
 	known, ok := j.server.streams.lookUp(ctx, j.resumedStream(), j.service, j.longestResumption())
+	// An entry that was applied meanwhile is in the newest directory.
+	directory = j.server.state.Directory.Load()
 	isInferred := known.Stream == unnamedStream || known.Stream != j.resumedStream()
 	if !ok || isInferred && (len(j.route.Services) > 1 || len(directory.SoftwareVersions()[j.service]) > 1) {
 		return verdict.Refuse(verdict.StreamVersionUnknown, "")
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
+	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	keyed "github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 )
@@ -180,6 +181,64 @@
 	}
 }
 
+// TestInferredVersionIsConfirmed guards against a router that was suspended or cut off while endpoints of another software version joined: it must not
+// take the only version of its old directory for the one that began a stream.
+func TestInferredVersionIsConfirmed(t *testing.T) {
+	const topic = "keyed.servers"
+	entry := func(e site.Endpoint) platform.KeyedRecord {
+		return keyedRecord(e.Name, e.Service+" "+e.SoftwareVersion)
+	}
+	for _, c := range []struct {
+		name  string
+		after func(shared *keyed.KeyedLog) []site.Endpoint
+		want  int
+	}{
+		{"nothing newer", func(*keyed.KeyedLog) []site.Endpoint { return nil }, http.StatusOK},
+		{"a heartbeat", func(*keyed.KeyedLog) []site.Endpoint {
+			return []site.Endpoint{{Name: "enginea", Service: "engine", SoftwareVersion: "v1"}}
+		}, http.StatusOK},
+		{"another service", func(*keyed.KeyedLog) []site.Endpoint {
+			return []site.Endpoint{{Name: "plaina", Service: "plain", SoftwareVersion: "v2"}}
+		}, http.StatusOK},
+		{"another version", func(*keyed.KeyedLog) []site.Endpoint {
+			return []site.Endpoint{{Name: "engineb", Service: "engine", SoftwareVersion: "v2"}}
+		}, http.StatusServiceUnavailable},
+		{"the platform can't be reached", func(shared *keyed.KeyedLog) []site.Endpoint {
+			shared.SetOutage(true)
+			return nil
+		}, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGatewayTest(t, answerSealed("id: 2\n\n"))
+			g.server.streams.isFirstStart = true
+			g.setVersions("v1")
+			shared := &keyed.KeyedLog{}
+			end, err := shared.AppendAt(t.Context(), topic, 0, platform.AnyOffset, []platform.KeyedRecord{keyedRecord("enginea", "engine v1")})
+			assert.Must(t, err)
+			directories := &Directories{Board: g.state, Source: Source{Log: shared, DirectoryTopic: topic, DecodeEndpoint: decodeVersioned}}
+			directories.appliedOffset.Store(end)
+			g.server.streams.newer.directories = directories
+			readAt := time.Now()
+			g.state.DirectoryReadAt.Store(&readAt)
+			for _, e := range c.after(shared) {
+				_, err := shared.AppendAt(t.Context(), topic, 0, platform.AnyOffset, []platform.KeyedRecord{entry(e)})
+				assert.Must(t, err)
+			}
+			assert.Equal(t, c.want, g.resumeStream("id-2", "id-1").status)
+		})
+	}
+}
+
+func keyedRecord(key, value string) platform.KeyedRecord {
+	return platform.KeyedRecord{Key: key, Value: []byte(value)}
+}
+
+// decodeVersioned reads an entry that consists of a service and a software version.
+func decodeVersioned(key string, value []byte) (site.Endpoint, error) {
+	service, version, _ := strings.Cut(string(value), " ")
+	return site.Endpoint{Name: key, Service: service, SoftwareVersion: version}, nil
+}
+
 // TestStreamIsResumedAtAnotherRouter guards against routers that don't know the version of a stream which another router, dead by now,
 // passed on.
 func TestStreamIsResumedAtAnotherRouter(t *testing.T) {
