Show how requests that may run once end in a stop

Operators of a system like this one saw requests that came late in the grace period passed on and cut. Here such a request is refused with 503 and reaches no endpoint if its deadline is after the end of the requests in progress, and one that was taken before new connections are refused is answered at the end.

Change: three cases of TestStopAnswersEveryRequest with an endpoint that needs longer than the grace period, on a new connection, on one from before the stop, and late on such a one.

--- a/router/gateway/stop_test.go
+++ b/router/gateway/stop_test.go
@@ -240,6 +240,39 @@
 			<-s.stopped
 		})
 	})
+	for _, c := range []struct {
+		name       string
+		isKept     bool
+		after      time.Duration
+		want, runs int
+	}{
+		{"on a new connection", false, 2 * time.Second, http.StatusBadGateway, 1},
+		{"on a connection from before the stop", true, 2 * time.Second, http.StatusBadGateway, 1},
+		{"late, on a connection from before the stop", true, 3 * time.Second, http.StatusServiceUnavailable, 0},
+	} {
+		t.Run("a request that may run once and takes longer than the grace period, "+c.name, func(t *testing.T) {
+			runStopTest(t, answerSlowly(time.Minute), func(s *stopTest) {
+				var caller *caller
+				if c.isKept {
+					caller = s.newCaller()
+					// A part of the next request keeps the connection open.
+					caller.write("POST /order/1 HTTP/1.1\r\nHost: h\r\nId: id-1\r\n")
+					synctest.Wait()
+				}
+				s.stop()
+				time.Sleep(c.after)
+				if c.isKept {
+					caller.write("Authorization: Bearer key\r\nLeft: 30000\r\nContent-Length: 2\r\n\r\nhi")
+				} else {
+					caller = s.newCaller()
+					caller.send("/order/1", "30000")
+				}
+				assert.Equal(t, c.want, caller.receive())
+				assert.Equal(t, c.runs, s.gateway.endpoints[0].requestCount())
+				<-s.stopped
+			})
+		})
+	}
 	t.Run("a request during the stop gets its answer", func(t *testing.T) {
 		runStopTest(t, answerSlowly(time.Second), func(s *stopTest) {
 			s.stop()
