Forward paths that begin with two slashes unchanged

Cause: the target went to net/http as an opaque URL, which it writes in absolute form if it begins with two slashes.

Evidence: the new case of TestPass failed with http://order/7/confirm?a=1 at the endpoint.

Change: http1.TargetURL gives such a target as a path, which net/http writes byte for byte if its characters are allowed in a path. Others after two slashes get 400 invalid_target and don't run. Exchanges for other routers take the same way.

--- a/fleet/verdict/reason.go
+++ b/fleet/verdict/reason.go
@@ -26,6 +26,7 @@
 	HeadersTooLarge       Reason = "headers_too_large"
 	SenderTooSlow         Reason = "sender_too_slow"
 	InvalidHeader         Reason = "invalid_header"
+	InvalidTarget         Reason = "invalid_target"
 	IdempotencyKeyMissing Reason = "idempotency_key_missing"
 	IdempotencyKeyInvalid Reason = "idempotency_key_invalid"
 	IdempotencyKeyReused  Reason = "idempotency_key_reused"
@@ -101,6 +102,7 @@
 		{HeadersTooLarge, http.StatusRequestHeaderFieldsTooLarge, noRetryAfter, "The headers are longer than the router allows."},
 		{SenderTooSlow, http.StatusRequestTimeout, noRetryAfter, "The body didn't arrive in time."},
 		{InvalidHeader, http.StatusBadRequest, noRetryAfter, "A header of the request has a value that is not allowed."},
+		{InvalidTarget, http.StatusBadRequest, noRetryAfter, "The request's path has characters that are not allowed there."},
 		{IdempotencyKeyMissing, http.StatusBadRequest, noRetryAfter, "A non-idempotent request needs an Idempotency-Key."},
 		{IdempotencyKeyInvalid, http.StatusBadRequest, noRetryAfter, "The Idempotency-Key is empty, too long or holds control characters."},
 		{IdempotencyKeyReused, http.StatusUnprocessableEntity, noRetryAfter, "The Idempotency-Key was used with other contents."},
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -102,10 +101,11 @@
 }
 
 // endpointRequest builds a request to an endpoint. Its body can be read only once, so that the HTTP transport can't resend the request
-// by itself.
+// by itself. The target must be one for which http1.TargetURL doesn't fail.
 func endpointRequest(ctx context.Context, method, address, target, host string, header http.Header, body []byte) *http.Request {
+	u, _ := http1.TargetURL(address, target)
 	outgoing := &http.Request{
-		Method: method, URL: &url.URL{Scheme: "http", Host: address, Opaque: target}, Host: host, Header: header,
+		Method: method, URL: u, Host: host, Header: header,
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
 	}
 	return outgoing.WithContext(ctx)
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -200,7 +200,11 @@
 
 // run sends the request and passes the answer on.
 func (c *carriedExchange) run(ctx context.Context) (peer.ExchangeEnd, attemptResult) {
-	if err := c.out.Accept(); err != nil {
+	_, err := http1.TargetURL(c.exchange.Address, c.exchange.Target)
+	if err == nil {
+		err = c.out.Accept()
+	}
+	if err != nil {
 		return peer.ExchangeEnd{Outcome: peer.ExchangeDeclined, Cause: err.Error()}, attemptResult{verdict: verdict.NotRun, cause: err}
 	}
 	var writes atomic.Int32
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -251,6 +251,9 @@
 		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.InvalidHeader, Cause: err}
 	}
 	j.demand = demand
+	if _, err := http1.TargetURL("", j.r.RequestURI); err != nil {
+		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.InvalidTarget, Cause: err}
+	}
 	j.setService(configuration, route.PickService(float64(j.random>>11)/(1<<53)))
 	j.setDeadline()
 	if err := j.checkPlaces(configuration); err != nil {
--- a/router/gateway/server_test.go
+++ b/router/gateway/server_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +38,24 @@
 			assert.Equal(t, want, request.Header.Get(name))
 		}
 	})
+	t.Run("a path that begins with two slashes is kept", func(t *testing.T) {
+		g := newGatewayTest(t, answerSealed("answer"))
+		configuration := *g.state.Configuration.Load()
+		root := site.Route{Name: "root", Host: "h", Prefix: "/", Attempts: 1, Services: []site.WeightedService{{Service: "plain", Weight: 1}}}
+		configuration.Routes = append(slices.Clone(configuration.Routes), root)
+		configuration.Index()
+		g.state.Configuration.Store(&configuration)
+		assert.Equal(t, "answer", g.call(http.MethodPost, "//order/7/confirm?a=1", "", nil).body)
+		request, _ := g.endpoints[0].request(0)
+		assert.Equal(t, "//order/7/confirm?a=1", request.RequestURI)
+		invalid := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)
+		invalid.Host, invalid.RequestURI = "h", "//order/{7}"
+		invalid.Header.Set("Authorization", "Bearer key")
+		recorder := httptest.NewRecorder()
+		g.server.ServeHTTP(recorder, invalid)
+		assert.Equal(t, http.StatusBadRequest, recorder.Code)
+		g.assertRequestCounts(1)
+	})
 	t.Run("an endpoint's status and seal are kept", func(t *testing.T) {
 		g := newGatewayTest(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Seal", "s")
