Divide the accepted loss of a restart by what routers hold

Cause: half of what a restart of all routers may write off was divided evenly among the holders in the account. In a large fleet most of them only borrow and hold nothing, so that the routers that lend had little more than the other half; requests waited for their writes.

Change: that half is divided by the free tokens of the shares. A holder without free tokens has nothing that a restart could write off. The sum over all holders is as before.

--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -118,11 +118,11 @@
 // tokens of its share, the team's remaining tokens and the loss that a restart may cause.
 func (p *Position) spendingBound(granted int64, a *Account) SpendingBound {
 	base := p.NetUsed + p.Reserved
-	part := a.partOf(p)
+	part := a.partOf(p, granted)
 	wantedBurst := max(float64(p.LargestRequest), p.Rate*boundBurstTime.Seconds(), part*float64(a.Remaining())*boundRemainingBurst)
 	wantedRate := max(p.Rate*boundRateFactor, float64(max(0, granted-base))*boundFreeRate)
 	growthTime := (boundRestartTime - boundDelay).Seconds()
-	limit := a.restartLossOf(p)
+	limit := a.restartLossOf(p, part)
 	burst := min(wantedBurst, limit)
 	rate := min(wantedRate, (limit-burst)/growthTime)
 	withheld := wantedBurst - burst + (wantedRate-rate)*growthTime
@@ -136,30 +136,36 @@
 
 // restartLossOf returns the tokens that a restart of the holder may write off: its part of what a restart of all holders may.
 // While most of the accepted loss is left, it covers one request, so that few requests wait for a write.
-func (a *Account) restartLossOf(p *Position) float64 {
+func (a *Account) restartLossOf(p *Position, part float64) float64 {
 	accepted := acceptedLossFraction * float64(a.Prepaid)
 	remaining := accepted - float64(a.WrittenOff)
-	limit := a.partOf(p) * restartLossFraction * max(remaining, minLossFraction*accepted)
+	limit := part * restartLossFraction * max(remaining, minLossFraction*accepted)
 	if remaining > accepted/2 {
 		limit = max(limit, float64(p.LargestRequest))
 	}
 	return limit
 }
 
-// partOf returns the holder's part of an amount that all holders divide: half of it evenly, half by their rates of use.
-func (a *Account) partOf(p *Position) float64 {
-	rates, holders := p.Rate, 1
+// partOf returns the part of an amount that a holder with the given grant gets, if all holders divide it: half of it by their
+// free tokens, half by their rates of use. A holder without free tokens has nothing that a restart could write off.
+func (a *Account) partOf(p *Position, granted int64) float64 {
+	ownFree := float64(max(0, granted-p.NetUsed-p.Reserved))
+	free, rates, holders := ownFree, p.Rate, 1
 	for holder, s := range a.Shares {
 		if holder != p.Holder {
+			free += float64(max(0, s.Granted-s.SpendingBound.Base))
 			rates += s.Rate
 			holders++
 		}
 	}
-	even := 1 / float64(holders)
-	if rates == 0 {
-		return even
+	byFree, byRate := 1/float64(holders), 1/float64(holders)
+	if free > 0 {
+		byFree = ownFree / free
+	}
+	if rates > 0 {
+		byRate = p.Rate / rates
 	}
-	return (even + p.Rate/rates) / 2
+	return (byFree + byRate) / 2
 }
 
 // applyTotal sets the prepaid total of a newer configuration and reports whether the total changed.
@@ -275,7 +281,7 @@
 		// Other routers decide from the reported use whether the team's tokens are exhausted.
 		return true
 	}
-	if share.Granted-position.NetUsed-position.Reserved <= int64(a.restartLossOf(&position)) {
+	if share.Granted-position.NetUsed-position.Reserved <= int64(a.restartLossOf(&position, a.partOf(&position, share.Granted))) {
 		// A restart may write off all free tokens of the share, so a renewal of the spending bound is not worth a write.
 		return false
 	}
