Compute the limit of a restart's loss once per plan

Policy.Plan computed a holder's part and limit for the spending bound and again to decide whether to write; both get the same values now. Position.free stands for a sum that stood in three places. The comments of boundFreeRate and renewPercent say what holds since the limit. No behaviour changes.

The tests of fleet/allowance and those of versions in router/gateway pass.

--- a/fleet/allowance/plan.go
+++ b/fleet/allowance/plan.go
@@ -23,7 +23,7 @@
 	// minChangeFraction is the minimum change of a share that justifies a write, as a fraction of the team's remaining
 	// tokens.
 	minChangeFraction = 0.02
-	// renewPercent is the percentage of a spending bound that may be used before the bound is rewritten, minRenewPercent
+	// renewPercent is the percentage of a spending bound's burst that may be used before the bound is rewritten, minRenewPercent
 	// the percentage from which a bound of boundRenewalAge is.
 	renewPercent    = 40
 	minRenewPercent = 10
@@ -109,22 +109,25 @@
 	if position.Demand > 0 {
 		share.UnmetDemand = max(0, position.NetUsed+position.Reserved+position.Demand-share.Granted)
 	}
-	share.SpendingBound = position.spendingBound(share.Granted, &a)
+	part := a.partOf(&position, share.Granted)
+	lossLimit := a.restartLossOf(&position, part)
+	share.SpendingBound = position.spendingBound(share.Granted, part*float64(a.Remaining()), lossLimit)
 	a.Shares[position.Holder] = share
-	return a, changed || p.justifiesWrite(&a, stored, share, position)
+	return a, changed || p.justifiesWrite(&a, stored, share, position, lossLimit)
 }
 
+// free returns the tokens of a grant that are neither used nor reserved.
+func (p *Position) free(granted int64) int64 { return max(0, granted-p.NetUsed-p.Reserved) }
+
 // spendingBound returns the spending bound for the next write, based on the holder's use, its waiting requests, the free
-// tokens of its share, the team's remaining tokens and the loss that a restart may cause.
-func (p *Position) spendingBound(granted int64, a *Account) SpendingBound {
+// tokens of its share, its part of the team's remaining tokens and the loss that its restart may cause.
+func (p *Position) spendingBound(granted int64, remaining, lossLimit float64) SpendingBound {
 	base := p.NetUsed + p.Reserved
-	part := a.partOf(p, granted)
-	wantedBurst := max(float64(p.LargestRequest), p.Rate*boundBurstTime.Seconds(), part*float64(a.Remaining())*boundRemainingBurst)
-	wantedRate := max(p.Rate*boundRateFactor, float64(max(0, granted-base))*boundFreeRate)
+	wantedBurst := max(float64(p.LargestRequest), p.Rate*boundBurstTime.Seconds(), remaining*boundRemainingBurst)
+	wantedRate := max(p.Rate*boundRateFactor, float64(p.free(granted))*boundFreeRate)
 	growthTime := (boundRestartTime - boundDelay).Seconds()
-	limit := a.restartLossOf(p, part)
-	burst := min(wantedBurst, limit)
-	rate := min(wantedRate, (limit-burst)/growthTime)
+	burst := min(wantedBurst, lossLimit)
+	rate := min(wantedRate, (lossLimit-burst)/growthTime)
 	withheld := wantedBurst - burst + (wantedRate-rate)*growthTime
 	surgeRate := wantedRate - rate + withheld/boundCatchUpTime.Seconds()
 	return SpendingBound{
@@ -149,7 +152,7 @@
 // partOf returns the part of an amount that a holder with the given grant gets, if all holders divide it: half of it by their
 // free tokens, half by their rates of use. A holder without free tokens has nothing that a restart could write off.
 func (a *Account) partOf(p *Position, granted int64) float64 {
-	ownFree := float64(max(0, granted-p.NetUsed-p.Reserved))
+	ownFree := float64(p.free(granted))
 	free, rates, holders := ownFree, p.Rate, 1
 	for holder, s := range a.Shares {
 		if holder != p.Holder {
@@ -263,8 +266,9 @@
 	return position.Reserved + int64(min(drawnLimit*position.Rate/rates, position.Rate*horizon))
 }
 
-// justifiesWrite reports whether the change of the share is large or urgent enough for a write.
-func (p Policy) justifiesWrite(a *Account, stored, share Share, position Position) bool {
+// justifiesWrite reports whether the change of the share is large or urgent enough for a write. lossLimit is the number of
+// tokens that a restart of the holder may write off.
+func (p Policy) justifiesWrite(a *Account, stored, share Share, position Position, lossLimit float64) bool {
 	if position.Usable != stored.Granted || share.UnmetDemand != stored.UnmetDemand {
 		return true
 	}
@@ -281,7 +285,7 @@
 		// Other routers decide from the reported use whether the team's tokens are exhausted.
 		return true
 	}
-	if share.Granted-position.NetUsed-position.Reserved <= int64(a.restartLossOf(&position, a.partOf(&position, share.Granted))) {
+	if position.free(share.Granted) <= int64(lossLimit) {
 		// A restart may write off all free tokens of the share, so a renewal of the spending bound is not worth a write.
 		return false
 	}
--- a/fleet/allowance/spending_bound.go
+++ b/fleet/allowance/spending_bound.go
@@ -28,7 +28,7 @@
 	// then, the spending bounds of all holders together allow little more than a restart may write off.
 	boundRestartTime = 3 * time.Second
 	// boundFreeRate is the fraction of a share's free tokens per second that a spending bound allows from boundRestartTime
-	// on. It leaves room for teams whose use jumps to a multiple of its previous rate, or begins, in an outage.
+	// on, and before if the limit has room for it. It leaves room for teams whose use jumps to a multiple of its previous rate, or begins, in an outage.
 	boundFreeRate = 0.1
 	// boundCatchUpTime is the time from boundRestartTime on within which a spending bound allows what the limit
 	// until then withheld from the current rate of use.
--- a/router/gateway/versions_test.go
+++ b/router/gateway/versions_test.go
@@ -185,9 +185,6 @@
 // take the only version of its old directory for the one that began a stream.
 func TestInferredVersionIsConfirmed(t *testing.T) {
 	const topic = "keyed.servers"
-	entry := func(e site.Endpoint) platform.KeyedRecord {
-		return keyedRecord(e.Name, e.Service+" "+e.SoftwareVersion)
-	}
 	for _, c := range []struct {
 		name  string
 		after func(shared *keyed.KeyedLog) []site.Endpoint
@@ -213,7 +210,7 @@
 			g.server.streams.isFirstStart = true
 			g.setVersions("v1")
 			shared := &keyed.KeyedLog{}
-			end, err := shared.AppendAt(t.Context(), topic, 0, platform.AnyOffset, []platform.KeyedRecord{keyedRecord("enginea", "engine v1")})
+			end, err := shared.AppendAt(t.Context(), topic, 0, platform.AnyOffset, []platform.KeyedRecord{record("enginea", "engine v1")})
 			assert.Must(t, err)
 			directories := &Directories{Board: g.state, Source: Source{Log: shared, DirectoryTopic: topic, DecodeEndpoint: decodeVersioned}}
 			directories.appliedOffset.Store(end)
@@ -221,7 +218,7 @@
 			readAt := time.Now()
 			g.state.DirectoryReadAt.Store(&readAt)
 			for _, e := range c.after(shared) {
-				_, err := shared.AppendAt(t.Context(), topic, 0, platform.AnyOffset, []platform.KeyedRecord{entry(e)})
+				_, err := shared.AppendAt(t.Context(), topic, 0, platform.AnyOffset, []platform.KeyedRecord{record(e.Name, e.Service+" "+e.SoftwareVersion)})
 				assert.Must(t, err)
 			}
 			assert.Equal(t, c.want, g.resumeStream("id-2", "id-1").status)
@@ -229,10 +226,6 @@
 	}
 }
 
-func keyedRecord(key, value string) platform.KeyedRecord {
-	return platform.KeyedRecord{Key: key, Value: []byte(value)}
-}
-
 // decodeVersioned reads an entry that consists of a service and a software version.
 func decodeVersioned(key string, value []byte) (site.Endpoint, error) {
 	service, version, _ := strings.Cut(string(value), " ")
