Parse a request's target once

The target was turned into a URL when a request was admitted and again for each attempt, where the error was ignored, and twice for an exchange of another router. The URL is kept with the request now, and endpointRequest takes it. No behaviour changes; the tests of router/gateway pass.

--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -97,13 +98,14 @@
 
 // newRequest builds the request to the endpoint.
 func (j *job) newRequest(ctx context.Context, e *target, timeLeft time.Duration) *http.Request {
-	return endpointRequest(ctx, j.r.Method, e.Address, j.r.RequestURI, j.r.Host, j.requestHeader(e, timeLeft), j.body)
+	u := *j.targetURL
+	u.Host = e.Address
+	return endpointRequest(ctx, j.r.Method, &u, j.r.Host, j.requestHeader(e, timeLeft), j.body)
 }
 
 // endpointRequest builds a request to an endpoint. Its body can be read only once, so that the HTTP transport can't resend the request
-// by itself. The target must be one for which http1.TargetURL doesn't fail.
-func endpointRequest(ctx context.Context, method, address, target, host string, header http.Header, body []byte) *http.Request {
-	u, _ := http1.TargetURL(address, target)
+// by itself.
+func endpointRequest(ctx context.Context, method string, u *url.URL, host string, header http.Header, body []byte) *http.Request {
 	outgoing := &http.Request{
 		Method: method, URL: u, Host: host, Header: header,
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)),
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -200,7 +200,7 @@
 
 // run sends the request and passes the answer on.
 func (c *carriedExchange) run(ctx context.Context) (peer.ExchangeEnd, attemptResult) {
-	_, err := http1.TargetURL(c.exchange.Address, c.exchange.Target)
+	u, err := http1.TargetURL(c.exchange.Address, c.exchange.Target)
 	if err == nil {
 		err = c.out.Accept()
 	}
@@ -213,7 +213,7 @@
 	identifier := header.Get(c.server.protocol.RequestID)
 	direct := &directExchange{transport: c.target.transport, identifier: identifier, writes: &writes, permit: c.server.targets.permit(&c.place, c.target, c.pass)}
 	response, err := direct.roundTrip(ctx, func(ctx context.Context) *http.Request {
-		return endpointRequest(ctx, x.Method, x.Address, x.Target, x.Host, header, x.Body)
+		return endpointRequest(ctx, x.Method, u, x.Host, header, x.Body)
 	})
 	silence.Stop()
 	if err != nil {
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -119,8 +120,10 @@
 	// pass permits the newest attempt at an endpoint that may be cold.
 	pass   *cold.Pass
 	demand site.Demand
-	body   []byte
-	random uint64
+	// targetURL is the URL of the requests to endpoints, without their address.
+	targetURL *url.URL
+	body      []byte
+	random    uint64
 	// fingerprint identifies the request and its resends by the caller; zero until it is computed.
 	fingerprint ledger.Fingerprint
 
@@ -251,7 +254,7 @@
 		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.InvalidHeader, Cause: err}
 	}
 	j.demand = demand
-	if _, err := http1.TargetURL("", j.r.RequestURI); err != nil {
+	if j.targetURL, err = http1.TargetURL("", j.r.RequestURI); err != nil {
 		return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.InvalidTarget, Cause: err}
 	}
 	j.setService(configuration, route.PickService(float64(j.random>>11)/(1<<53)))
