--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -81,6 +81,11 @@
 
 // load sends requests of a kind at an interval, to the machines in rotation by turns, until stop is closed.
 func (c *clients) load(k *request, interval time.Duration, stop <-chan struct{}, done *sync.WaitGroup) {
+	c.loadEach(func() *request { return k }, interval, stop, done)
+}
+
+// loadEach is load with a request of its own each time.
+func (c *clients) loadEach(next func() *request, interval time.Duration, stop <-chan struct{}, done *sync.WaitGroup) {
 	defer done.Done()
 	var open sync.WaitGroup
 	defer open.Wait()
@@ -105,11 +110,18 @@
 		open.Add(1)
 		go func() {
 			defer open.Done()
-			c.send(m, k)
+			c.send(m, next())
 		}()
 	}
 }
 
+// count returns the number of finished requests.
+func (c *clients) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
+}
+
 func (c *clients) snapshot() []*call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -163,7 +163,7 @@
 		fmt.Fprintln(os.Stderr, "usage: lab CASE RECORD")
 		os.Exit(exitUnable)
 	}
-	cases := map[string]func(*lab) (bool, error){"leaving": playLeaving, "numbering": playNumbering, "slow-readers": playSlowReaders, "grey": playGrey, "whole": playWhole}
+	cases := map[string]func(*lab) (bool, error){"leaving": playLeaving, "slow-readers": playSlowReaders, "whole": playWhole, "fields": playFields, "prompts": playPrompts}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "lab: no such case")
--- a/review/standins-2/router.go
+++ b/review/standins-2/router.go
@@ -179,6 +179,16 @@
 	}
 }
 
+// pid returns the process id of the newest process, or -1 before the first.
+func (m *machine) pid() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.command == nil || m.command.Process == nil {
+		return -1
+	}
+	return m.command.Process.Pid
+}
+
 func (m *machine) startCount() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
