--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -41,6 +41,7 @@
 	streamWritesFailed       = "stream.writes_failed"
 	configurationUnreadable  = "configuration.unreadable"
 	endpointEntryUnreadable  = "directory.unreadable"
+	platformConnectionSilent = "platform.connection_silent"
 	handlerPanicked          = "request.panicked"
 	requestWithdrawn         = "request.withdrawn"
 )
@@ -81,6 +82,7 @@
 		{streamWritesFailed, "Writes of streams' software versions that failed or timed out; they are repeated."},
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{requestWithdrawn, "Attempts given up before anything was sent, because the regions, an evacuation or the endpoint's cold time no longer allowed the endpoint."},
+		{platformConnectionSilent, "Reads of the endpoints' entries that were answered on a new connection to the platform only."},
 		{handlerPanicked, "Requests that were answered with an error because their handler panicked; expected to stay zero."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded, or whose address or numbers are out of range; they name no endpoint to use."},
 	}
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -27,11 +27,16 @@
 	// directoryWait is the long-poll time of a read of the endpoints' entries, directoryReadDelay the delay between two
 	// reads. Both are fractions of the time within which an endpoint that drains must get no new requests. Endpoints
 	// write about once a second each, so that the delay determines how often routers read.
-	directoryWait      = 1 * time.Second
+	directoryWait      = 600 * time.Millisecond
 	directoryReadDelay = 300 * time.Millisecond
-	// callTimeoutMargin is the time that a call to the platform may take beyond its long-poll time.
+	// directoryHedgeInterval is how long a call for the endpoints' entries may take beyond its long-poll time before the read is made again
+	// on a new connection, and the interval between further calls. The end of an outage, from which RetentionGrace counts, is noticed
+	// within this time and a round trip.
+	directoryHedgeInterval = 400 * time.Millisecond
+	// callTimeoutMargin is the time that a call to the platform may take beyond its long-poll time, snapshotTimeout the time for a snapshot.
 	callTimeoutMargin = 800 * time.Millisecond
-	// retryDelay is the delay between a failed call and the next. A retry for entries of some hundred bytes times out
+	snapshotTimeout   = 1800 * time.Millisecond
+	// retryDelay is the delay between a failed call and the next. A retry for routers' entries of some hundred bytes times out
 	// after shortReadTimeout, so that the end of an outage is noticed within the sum of the two. Each longReadEvery-th
 	// retry has the full timeout, so that entries that the link can't transfer within shortReadTimeout are read too.
 	retryDelay       = 150 * time.Millisecond
@@ -42,6 +47,9 @@
 // Source names the topics on the platform that followers read, and decodes their records.
 type Source struct {
 	Log platform.KeyedLog
+	// Fresh is the same log, with a new connection for each call. Reads that get no answer from Log in time are made again there. If it is nil,
+	// they are made again with Log.
+	Fresh platform.KeyedLog
 	// ConfigurationTopic is the topic with the configuration, under the key ConfigurationKey.
 	ConfigurationTopic, ConfigurationKey string
 	// DirectoryTopic is the topic with the endpoints' entries, by endpoint name.
@@ -58,6 +66,9 @@
 	log          platform.KeyedLog
 	topic        string
 	longPollWait time.Duration
+	// fresh is used for reads that are made again because they got no answer in hedgeInterval; none are if that is zero.
+	fresh         platform.KeyedLog
+	hedgeInterval time.Duration
 	// retryTimeout bounds reads after a failed one, except each longReadEvery-th; zero leaves the normal timeout in force.
 	retryTimeout time.Duration
 	nextOffset   int64
@@ -72,12 +83,19 @@
 type batch struct {
 	records    []platform.KeyedRecord
 	isSnapshot bool
+	// written is the number of records that were written since the read before a snapshot.
+	written int64
+	// wasSilent reports whether only a call on a new connection was answered.
+	wasSilent bool
 }
 
 // read returns the next batch. After a failed read it fetches a snapshot instead of all records written since, which
 // may be more than the link can transfer within the timeout.
 func (f *follower) read(ctx context.Context) (batch, error) {
 	timeout := f.longPollWait + callTimeoutMargin
+	if !f.hasSnapshot {
+		timeout = max(timeout, snapshotTimeout)
+	}
 	if f.retryTimeout > 0 && f.failures%longReadEvery != 0 {
 		timeout = f.retryTimeout
 	}
@@ -93,20 +111,41 @@
 }
 
 func (f *follower) fetch(ctx context.Context) (batch, error) {
+	fresh := f.fresh
+	if fresh == nil {
+		fresh = f.log
+	}
 	if !f.hasSnapshot {
-		state, err := f.log.Newest(ctx, f.topic, 0)
-		if err != nil {
-			return batch{}, err
+		return f.fetchSnapshot(ctx, fresh)
+	}
+	// Calls that are no longer waited for may go on after nextOffset has changed.
+	topic, from := f.topic, f.nextOffset
+	read := func(keyed platform.KeyedLog, wait time.Duration) func(context.Context) (platform.KeyedTail, error) {
+		return func(ctx context.Context) (platform.KeyedTail, error) {
+			return keyed.ReadKeyed(ctx, topic, 0, from, wait)
 		}
-		f.nextOffset = state.End
-		return batch{records: state.Records, isSnapshot: true}, nil
 	}
-	tail, err := f.log.ReadKeyed(ctx, f.topic, 0, f.nextOffset, f.longPollWait)
+	hedge := platform.Hedge{Patience: f.longPollWait + f.hedgeInterval, Interval: f.hedgeInterval}
+	tail, err := platform.ReadHedged(ctx, hedge, read(f.log, f.longPollWait), read(fresh, 0))
+	if err != nil {
+		return batch{}, err
+	}
+	f.nextOffset = tail.Value.Next
+	return batch{records: tail.Value.Records, wasSilent: !tail.IsFirst}, nil
+}
+
+func (f *follower) fetchSnapshot(ctx context.Context, fresh platform.KeyedLog) (batch, error) {
+	read := func(keyed platform.KeyedLog) func(context.Context) (platform.KeyedState, error) {
+		return func(ctx context.Context) (platform.KeyedState, error) { return keyed.Newest(ctx, f.topic, 0) }
+	}
+	hedge := platform.Hedge{Patience: f.hedgeInterval, Interval: f.hedgeInterval}
+	state, err := platform.ReadHedged(ctx, hedge, read(f.log), read(fresh))
 	if err != nil {
 		return batch{}, err
 	}
-	f.nextOffset = tail.Next
-	return batch{records: tail.Records}, nil
+	written := state.Value.End - f.nextOffset
+	f.nextOffset = state.Value.End
+	return batch{records: state.Value.Records, isSnapshot: true, written: written, wasSilent: !state.IsFirst}, nil
 }
 
 // Configurations follows the configuration's topic and puts each newer configuration, and the evacuations beside it, in force.
@@ -193,6 +232,9 @@
 	Cold   *cold.Tracker
 	Logger log.Interface
 
+	// HeartbeatInterval is the time between two renewals of an endpoint's entry; zero if unknown.
+	HeartbeatInterval time.Duration
+
 	registry   site.EndpointRegistry
 	oddEntries oddEntryLog
 	// readSince is the start of the newest successful read: what later reads of new records bring was written after it.
@@ -203,13 +245,15 @@
 
 // Run follows the endpoints' entries until the context ends.
 func (d *Directories) Run(ctx context.Context) error {
-	f := &follower{log: d.Source.Log, topic: d.Source.DirectoryTopic, retryTimeout: shortReadTimeout}
+	d.registry.HeartbeatInterval = d.HeartbeatInterval
+	f := &follower{log: d.Source.Log, fresh: d.Source.Fresh, topic: d.Source.DirectoryTopic, hedgeInterval: directoryHedgeInterval}
 	var outages outageLog
 	for ctx.Err() == nil {
 		f.longPollWait = d.capAtNextExpiry(directoryWait)
 		startedAt := time.Now()
 		received, err := f.read(ctx)
 		outages.update(d.Logger, "directory", err)
+		d.recordSilence(received)
 		now := time.Now()
 		d.registry.SetUnreachable(now, err != nil && !errors.Is(err, platform.ErrTrimmed))
 		changed := d.registry.DropExpired(now)
@@ -271,15 +315,21 @@
 			listed = append(listed, e)
 			continue
 		}
-		if d.registry.Put(e) {
+		hasChanged := d.registry.Put(e)
+		d.registry.RecordWrite(e.Name, d.readSince)
+		if hasChanged {
 			changed = true
 			d.Logger.WithFields(log.Fields{fieldEndpoint: e.Name, "Service": e.Service, "State": e.State.String()}).Info("endpoint changed")
 		}
 	}
 	d.recordCold(now, read, received.isSnapshot)
 	if received.isSnapshot {
-		changed = d.registry.Replace(now, listed) || changed
-		d.Logger.WithFields(log.Fields{"Endpoints": len(listed), "Changed": changed}).Info("endpoint directory reloaded")
+		removals, hasChanged := d.registry.Replace(now, site.Snapshot{Endpoints: listed, Written: received.written})
+		for name, removal := range removals {
+			d.logRemoval(name, removal)
+		}
+		changed = hasChanged || changed
+		d.Logger.WithFields(log.Fields{"Endpoints": len(listed), "Written": received.written, "Changed": changed}).Info("endpoint directory reloaded")
 	}
 	return changed
 }
@@ -300,11 +350,23 @@
 	if d.Cold != nil {
 		d.Cold.RecordRemoval(name)
 	}
-	removed := d.registry.Remove(now, name)
-	if removed {
-		d.Logger.WithField(fieldEndpoint, name).Info("endpoint removed")
+	removal := d.registry.Remove(now, name)
+	if removal.IsListed {
+		d.logRemoval(name, removal)
+	}
+	return removal.IsListed
+}
+
+func (d *Directories) logRemoval(name string, removal site.Removal) {
+	d.Logger.WithFields(log.Fields{fieldEndpoint: name, "Retained": removal.IsRetained, "AgeMilliseconds": removal.Age.Milliseconds()}).Info("endpoint removed")
+}
+
+// recordSilence records that a read was answered on a new connection only.
+func (d *Directories) recordSilence(received batch) {
+	if received.wasSilent {
+		d.Board.Count(platformConnectionSilent)
+		d.Logger.WithField("Of", "directory").Info("platform read on a new connection")
 	}
-	return removed
 }
 
 // outageLog logs when a topic of the platform becomes unreachable and when it is reachable again.
--- a/router/gateway/follow_test.go
+++ b/router/gateway/follow_test.go
@@ -35,6 +35,9 @@
 	// directories is the number of directories that were put in force, cold knows which endpoints are cold.
 	directories atomic.Int64
 	cold        *cold.Tracker
+	// fresh is the log on new connections; nil for the same as the kept ones. heartbeatInterval is that of the endpoints' entries.
+	fresh             platform.KeyedLog
+	heartbeatInterval time.Duration
 	// restart ends the followers and starts new ones, as a new process of the router does.
 	restart func()
 }
@@ -67,7 +70,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f.state = &Board{Metrics: metrics.NewRegistry()}
 	source := Source{
-		Log: keyedLog, ConfigurationTopic: "op", ConfigurationKey: "config", DirectoryTopic: "servers",
+		Log: keyedLog, Fresh: f.fresh, ConfigurationTopic: "op", ConfigurationKey: "config", DirectoryTopic: "servers",
 		DecodeConfiguration: decodeVersion, DecodeEndpoint: decodeState,
 	}
 	logger := &log.Logger{Handler: discard.New()}
@@ -81,7 +84,10 @@
 	}
 	f.cold = cold.NewTracker(logger, f.state.Count)
 	f.cold.Configure([]site.Service{{Name: "engine", ColdTime: 3 * time.Second, ColdRate: 1}})
-	directories := &Directories{Board: f.state, Source: source, Logger: logger, Cold: f.cold, OnChange: func(*site.Directory) { f.directories.Add(1) }}
+	directories := &Directories{
+		Board: f.state, Source: source, Logger: logger, Cold: f.cold, OnChange: func(*site.Directory) { f.directories.Add(1) },
+		HeartbeatInterval: f.heartbeatInterval,
+	}
 	go func() { _ = configurations.Run(ctx) }()
 	go func() { _ = directories.Run(ctx) }()
 	return cancel
