--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
 const (
@@ -91,6 +93,14 @@
 type callerConnection struct {
 	byteCountingConnection
 
+	// hasWritten reports whether data was written that isn't known to be acknowledged, request is the identifier of the newest request.
+	hasWritten atomic.Bool
+	request    atomic.Pointer[string]
+	// peer is what silentCallers.run has observed of the caller.
+	peer unacked.Peer
+	// onClose is called before the connection is closed; nil if nothing is to be done.
+	onClose func(*callerConnection)
+
 	mu sync.Mutex
 	// idleSince is when the last answer ended, isReading whether data was read after that: a part of the next request.
 	idleSince time.Time
@@ -114,6 +124,20 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConnection) Write(p []byte) (int, error) {
+	c.hasWritten.Store(true)
+	return c.byteCountingConnection.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *callerConnection) Close() error {
+	if c.onClose != nil {
+		c.onClose(c)
+	}
+	return c.byteCountingConnection.Close()
+}
+
 // recordIdle records that an answer has ended.
 func (c *callerConnection) recordIdle(now time.Time) {
 	c.mu.Lock()
@@ -144,21 +168,26 @@
 
 // unreadBytes returns the number of bytes in the socket's receive buffer; zero if it can't be determined.
 func (c *callerConnection) unreadBytes() int {
+	count := 0
+	c.control(func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err == nil {
+			count = n
+		}
+	})
+	return count
+}
+
+// control calls f with the connection's socket, unless it has none.
+func (c *callerConnection) control(f func(fd int)) {
 	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return 0
+		return
 	}
 	raw, err := inner.SyscallConn()
 	if err != nil {
-		return 0
+		return
 	}
-	count := 0
-	_ = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
-			count = n
-		}
-	})
-	return count
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // callerListener accepts callers' connections and counts their bytes.
@@ -166,6 +195,8 @@
 	net.Listener
 
 	traffic *Traffic
+	// onClose is called before a connection is closed; nil if nothing is to be done.
+	onClose func(*callerConnection)
 }
 
 // Accept implements net.Listener.
@@ -174,5 +205,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConnection{byteCountingConnection: byteCountingConnection{Conn: connection, traffic: l.traffic}}, nil
+	return &callerConnection{byteCountingConnection: byteCountingConnection{Conn: connection, traffic: l.traffic}, onClose: l.onClose}, nil
 }
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -42,6 +42,8 @@
 	configurationUnreadable  = "configuration.unreadable"
 	endpointEntryUnreadable  = "directory.unreadable"
 	platformConnectionSilent = "platform.connection_silent"
+	callerSilent             = "caller.silent"
+	callerUndelivered        = "caller.undelivered"
 	handlerPanicked          = "request.panicked"
 	requestWithdrawn         = "request.withdrawn"
 )
@@ -83,6 +85,8 @@
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{requestWithdrawn, "Attempts given up before anything was sent, because the regions, an evacuation or the endpoint's cold time no longer allowed the endpoint."},
 		{platformConnectionSilent, "Reads of the endpoints' entries that were answered on a new connection to the platform only."},
+		{callerSilent, "Connections that were closed because their callers acknowledged nothing."},
+		{callerUndelivered, "Connections that ended before their callers had acknowledged what was written to them."},
 		{handlerPanicked, "Requests that were answered with an error because their handler panicked; expected to stay zero."},
 		{endpointEntryUnreadable, "Endpoint entries that can't be decoded, or whose address or numbers are out of range; they name no endpoint to use."},
 	}
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -64,6 +64,7 @@
 	Agreement *timeofday.Agreement
 
 	callers callerConnections
+	silent  silentCallers
 	// endRequests ends the contexts of all requests in progress.
 	endRequests context.CancelCauseFunc
 	// lastReady is the result of the load balancer's last readiness check.
@@ -79,6 +80,7 @@
 	callerServer := n.newCallerServer()
 	operatorServer := &http.Server{Handler: n.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
 	loops, ctx := errgroup.WithContext(ctx)
+	loops.Go(func() error { return n.silent.run(ctx) })
 	for _, l := range []struct {
 		address string
 		server  *http.Server
@@ -91,8 +93,8 @@
 			return fmt.Errorf("listening on %s: %w", l.address, err)
 		}
 		if l.server == callerServer {
-			socket = callerListener{Listener: http1.ResetUnfinished(callerServer, socket), traffic: &n.Board.Traffic}
-			n.callers.listener = socket
+			n.acceptCallers(callerServer, socket)
+			socket = n.callers.listener
 		}
 		loops.Go(func() error { return serve(l.server, socket) })
 	}
@@ -151,8 +153,10 @@
 	}
 }
 
-// newCallerServer returns the HTTP server for callers. It sets the function that ends the requests in progress there.
+// newCallerServer returns the HTTP server for callers. It sets the function that ends the requests in progress there, and what looks for silent
+// callers.
 func (n *Node) newCallerServer() *http.Server {
+	n.silent = silentCallers{callers: &n.callers, logger: n.Logger, count: n.Board.Count}
 	base, endRequests := context.WithCancelCause(context.Background())
 	n.endRequests = endRequests
 	return &http.Server{
@@ -161,8 +165,18 @@
 	}
 }
 
+// acceptCallers sets the listener on which a server serves callers.
+func (n *Node) acceptCallers(server *http.Server, socket net.Listener) {
+	n.callers.listener = callerListener{Listener: http1.ResetUnfinished(server, socket), traffic: &n.Board.Traffic, onClose: n.silent.recordClosed}
+	server.ConnContext = withCaller(server.ConnContext)
+}
+
+// listen returns a listener whose connections have keep-alives and no TCP user timeout: Linux counts that also while a caller doesn't read, though
+// the caller acknowledges each probe of its window.
 func listen(ctx context.Context, address string) (net.Listener, error) {
-	return (&net.ListenConfig{Control: SetUserTimeout, KeepAliveConfig: KeepAlive()}).Listen(ctx, "tcp", address)
+	keepAlive := KeepAlive()
+	keepAlive.Count = callerKeepAliveCount
+	return (&net.ListenConfig{KeepAliveConfig: keepAlive}).Listen(ctx, "tcp", address)
 }
 
 func serve(server *http.Server, socket net.Listener) error {
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -201,6 +201,10 @@
 // incomplete answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{server: s, w: w, r: r, received: time.Now(), random: rand.Uint64()} //nolint:gosec // spreads load
+	if c, ok := r.Context().Value(callerKey{}).(*callerConnection); ok {
+		identifier := j.callerIdentifier()
+		c.request.Store(&identifier)
+	}
 	abort := j.serveRecovering()
 	j.body.Release()
 	j.logEnd()
--- /dev/null
+++ b/router/gateway/silent_callers.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sys/unix"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/router/unacked"
+)
+
+// silenceCheckInterval is the interval at which a router looks for callers that acknowledge nothing.
+const silenceCheckInterval = 1 * time.Second
+
+// tcpClosed is the state of a connection that the kernel has ended, because the peer reset it or was given up (TCP_CLOSE in Linux).
+const tcpClosed = 7
+
+// silentCallers closes the connections of callers that acknowledge nothing of what was written to them, so that they hold no descriptors and
+// buffers. Callers that read slowly acknowledge probes and are left alone. Where the kernel doesn't tell the two apart, connections are closed
+// when a write takes too long, or as idle.
+type silentCallers struct {
+	callers *callerConnections
+	logger  log.Interface
+	count   func(counter string)
+}
+
+// run checks all connections until the context ends.
+func (s *silentCallers) run(ctx context.Context) error {
+	for clock.Sleep(ctx, silenceCheckInterval) {
+		now := time.Now()
+		for _, c := range s.callers.written() {
+			s.check(now, c)
+		}
+	}
+	return nil
+}
+
+// check closes the connection of a silent caller with a reset, after which the kernel holds nothing of it.
+func (s *silentCallers) check(now time.Time, c *callerConnection) {
+	c.hasWritten.Store(false)
+	report, isClosed := c.unacknowledged()
+	if report.Bytes > 0 {
+		c.hasWritten.Store(true)
+	}
+	if isClosed || !c.peer.IsSilent(now, report) {
+		return
+	}
+	s.count(callerSilent)
+	c.logUndelivered(s.logger, "caller acknowledges nothing; closing its connection", report.Bytes)
+	if resettable, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = resettable.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// recordClosed logs a connection that has ended with data which its caller has not acknowledged. It is called before the connection is closed.
+func (s *silentCallers) recordClosed(c *callerConnection) {
+	if !c.hasWritten.Load() {
+		return
+	}
+	if report, isClosed := c.unacknowledged(); isClosed && report.Bytes > 0 {
+		s.count(callerUndelivered)
+		c.logUndelivered(s.logger, "connection ended before its caller had acknowledged the answer", report.Bytes)
+	}
+}
+
+// written returns the connections on which data was written that isn't known to be acknowledged.
+func (c *callerConnections) written() []*callerConnection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var connections []*callerConnection
+	for connection := range c.states {
+		if caller, ok := connection.(*callerConnection); ok && caller.hasWritten.Load() {
+			connections = append(connections, caller)
+		}
+	}
+	return connections
+}
+
+// unacknowledged returns what the kernel knows of data that the caller has not acknowledged, and whether the connection has ended. It reports
+// nothing if that can't be determined.
+func (c *callerConnection) unacknowledged() (report unacked.Report, isClosed bool) {
+	c.control(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		if err != nil || n == 0 {
+			return
+		}
+		report.Bytes = n
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			isClosed = info.State == tcpClosed
+			report.Retransmissions, report.Probes = int(info.Retransmits), int(info.Probes)
+			report.SinceAcknowledgment = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	return report, isClosed
+}
+
+// logUndelivered logs the newest request of a connection with the number of bytes that its caller has not acknowledged.
+func (c *callerConnection) logUndelivered(logger log.Interface, message string, bytes int) {
+	fields := log.Fields{"Unacknowledged": bytes}
+	if request := c.request.Load(); request != nil {
+		fields[fieldRequest] = *request
+	}
+	logger.WithFields(fields).Warn(message)
+}
+
+// callerKey is the key of a request's connection in its context.
+type callerKey struct{}
+
+// withCaller adds the connection of a caller to the context of its requests.
+func withCaller(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, connection net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, connection)
+		}
+		if c, ok := connection.(*callerConnection); ok {
+			ctx = context.WithValue(ctx, callerKey{}, c)
+		}
+		return ctx
+	}
+}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -31,6 +31,8 @@
 	keepAliveIdle     = 1 * time.Second
 	keepAliveInterval = 1 * time.Second
 	keepAliveCount    = 3
+	// callerKeepAliveCount is the count for connections without a user timeout, with the same effect.
+	callerKeepAliveCount = 2
 	// maxIdleConnections bounds the idle connections to one endpoint, maxIdleTime how long each is kept: endpoints close
 	// idle connections themselves.
 	maxIdleConnections = 32
@@ -45,8 +47,7 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-// SetUserTimeout sets the TCP user timeout of a socket. It is meant as the Control function of a net.Dialer or
-// net.ListenConfig.
+// SetUserTimeout sets the TCP user timeout of a socket. It is meant as the Control function of a net.Dialer.
 func SetUserTimeout(_, _ string, c syscall.RawConn) error {
 	var socketErr error
 	err := c.Control(func(fd uintptr) {
