Let callers take their time until their deadline, and read answers ahead meanwhile

Callers that paused for more than 5 s in an answer that exceeds the buffers of their connection got a part of it. With small windows that are some KB.

Cause: a write to a caller was bounded by 5 s, whatever the deadline of the request. While it was blocked, nothing was read from the endpoint either, which may cut off an answer that remains unread for some seconds.

Change: a write may take until the request's deadline, or 5 s if that is later; silent callers are given up before that. While a write takes longer than 0.5 s, the rest of the answer is read into memory (router/readahead), up to a quarter of the memory for bodies for all answers together; without memory the endpoint waits as before.

Evidence: TestSlowCallersGetWholeAnswers with a pause of 6 s at an endpoint that cuts off what isn't read for 2 s failed on copies without the longer deadline and without reading ahead (unexpected EOF), and passes.

--- a/router/bodies/store.go
+++ b/router/bodies/store.go
@@ -21,6 +21,8 @@
 	checkInterval = 100 * time.Millisecond
 	// discardTime bounds the reading of what is left of a body that is refused.
 	discardTime = 50 * time.Millisecond
+	// answerDivisor is the part of the memory that answers may take which their callers are slow to read: one in answerDivisor bytes.
+	answerDivisor = 4
 )
 
 // Errors of Read.
@@ -50,8 +52,10 @@
 	count       func(counter string)
 	readTimeout time.Duration
 
-	mu      sync.Mutex
-	budget  bodymemory.Budget
+	mu     sync.Mutex
+	budget bodymemory.Budget
+	// answers is the number of bytes that ReserveAnswer has taken.
+	answers int64
 	reading map[*bodymemory.Claim]*intake
 }
 
@@ -78,6 +82,34 @@
 	return i.release, true
 }
 
+// ReserveAnswer takes room, of a part of the memory, for bytes of an answer that its caller is slow to take, or returns false if there is none
+// now. The caller gives it back with release.
+func (s *Store) ReserveAnswer(size int64) (release func(), ok bool) {
+	if !s.addToAnswers(size) {
+		return nil, false
+	}
+	releaseRoom, ok := s.Reserve(size)
+	if !ok {
+		s.addToAnswers(-size)
+		return nil, false
+	}
+	return func() {
+		releaseRoom()
+		s.addToAnswers(-size)
+	}, true
+}
+
+// addToAnswers adds to the bytes of answers, and returns false if these would exceed their part of the memory.
+func (s *Store) addToAnswers(size int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if size > 0 && s.budget.Bytes > 0 && s.answers+size > s.budget.Bytes/answerDivisor {
+		return false
+	}
+	s.answers += size
+	return true
+}
+
 // Read reads a body. It fails with ErrNoRoom, ErrTooSlow, an *http.MaxBytesError if the body is longer than its limit, the context's cause
 // if that ends while the body waits, or an error of the source. The caller releases the body.
 func (s *Store) Read(ctx context.Context, source Source) (*Body, error) {
--- a/router/bodies/store_test.go
+++ b/router/bodies/store_test.go
@@ -270,3 +270,39 @@
 
 // SetReadDeadline implements ReadDeadliner.
 func (noDeadline) SetReadDeadline(time.Time) error { return nil }
+
+// TestReserveAnswer guards against answers to slow callers that take the memory which the bodies of requests need.
+func TestReserveAnswer(t *testing.T) {
+	s := NewStore(100, time.Second, func(string) {})
+	first, ok := s.ReserveAnswer(20)
+	assert.Equal(t, true, ok)
+	_, ok = s.ReserveAnswer(6)
+	assert.Equal(t, false, ok)
+	second, ok := s.ReserveAnswer(5)
+	assert.Equal(t, true, ok)
+	first()
+	third, ok := s.ReserveAnswer(20)
+	assert.Equal(t, true, ok)
+	second()
+	third()
+	assert.Equal(t, int64(0), s.budget.Held())
+	t.Run("bodies hold all of it", func(t *testing.T) {
+		var held []func()
+		for range 4 {
+			release, ok := s.Reserve(25)
+			assert.Equal(t, true, ok)
+			held = append(held, release)
+		}
+		_, ok := s.ReserveAnswer(5)
+		assert.Equal(t, false, ok)
+		for _, release := range held {
+			release()
+		}
+		_, ok = s.ReserveAnswer(25)
+		assert.Equal(t, true, ok)
+	})
+	t.Run("no bound", func(t *testing.T) {
+		_, ok := NewStore(0, time.Second, func(string) {}).ReserveAnswer(1 << 40)
+		assert.Equal(t, true, ok)
+	})
+}
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -10,13 +10,17 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/router/readahead"
 )
 
 const (
 	// copyBufferBytes is the size of the buffer through which answers are copied to callers.
 	copyBufferBytes = 8 << 10
-	// writeTimeout bounds a write to a caller, which blocks while the caller doesn't read.
+	// writeTimeout bounds a write to a caller, which blocks while the caller doesn't read, if the request's deadline is before that.
 	writeTimeout = 5 * time.Second
+	// readAheadDelay is how long a write to a caller takes until the rest of the answer is read into memory meanwhile. Endpoints cut off an
+	// answer that remains unread for some seconds.
+	readAheadDelay = 500 * time.Millisecond
 )
 
 // forwardResponse writes an answer to the caller as it arrives. If the answer breaks off or can't be written, the
@@ -36,9 +40,15 @@
 		j.beginResponse(control, response)
 	}
 	j.outcome = "answered"
+	j.ahead = &readahead.Reader{Source: response.Body, Delay: readAheadDelay, Reserve: j.server.bodies.ReserveAnswer}
+	defer func() {
+		// A read that is in progress ends with the body.
+		_ = response.Body.Close()
+		j.ahead.Stop()
+	}()
 	buffer := make([]byte, copyBufferBytes)
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := j.ahead.Read(buffer)
 		if n > 0 {
 			j.recordFirstByte()
 			if failed := j.forward(control, buffer[:n]); failed != nil {
@@ -75,7 +85,7 @@
 		j.w.Header().Del("Content-Length")
 	}
 	j.status, j.responseStarted = response.StatusCode, true
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = control.SetWriteDeadline(j.writeDeadline())
 	j.writeHeader(response.StatusCode)
 	if j.isStream() {
 		_ = control.Flush()
@@ -135,7 +145,9 @@
 		return nil
 	}
 	j.bindToEndpoint(j.tried[len(j.tried)-1])
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = control.SetWriteDeadline(j.writeDeadline())
+	j.ahead.Pause()
+	defer j.ahead.Resume()
 	if _, err := j.w.Write(part); err != nil {
 		return err
 	}
@@ -145,6 +157,16 @@
 	return nil
 }
 
+// writeDeadline returns when a write to the caller must end. A caller may take its time until the request's deadline, as long as its connection
+// holds: callerConnections closes those of silent callers.
+func (j *job) writeDeadline() time.Time {
+	deadline := time.Now().Add(writeTimeout)
+	if j.deadline.After(deadline) {
+		return j.deadline
+	}
+	return deadline
+}
+
 // classifyTruncation classifies an answer that broke off after a part of it was forwarded.
 func (j *job) classifyTruncation(ctx context.Context, err error) attemptResult {
 	result := attemptResult{verdict: verdict.Ran, reason: verdict.EndpointFailed, cause: err, abortCaller: true}
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -28,6 +28,7 @@
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
+	"github.com/dragonflyworks/dragonflyworks/router/readahead"
 )
 
 const (
@@ -164,6 +165,8 @@
 	connection *endpointConnection
 	// framing is how the newest answer of an endpoint marks its end; empty if there was none.
 	framing responseFraming
+	// ahead reads the newest answer that was forwarded.
+	ahead *readahead.Reader
 	// media is the content type of the newest answer that was forwarded.
 	media string
 	// endpointsSent counts the endpoints to which the request was sent.
--- a/router/gateway/slow_callers_test.go
+++ b/router/gateway/slow_callers_test.go
@@ -95,6 +95,7 @@
 func TestSlowCallersGetWholeAnswers(t *testing.T) {
 	const (
 		smallAnswer = 14 << 10
+		largeAnswer = 16 << 20
 		windowBytes = 4 << 10
 	)
 	t.Run("a small window", func(t *testing.T) {
@@ -103,6 +104,20 @@
 		pause := acknowledgmentTimeout + 700*time.Millisecond
 		s.send(t, "slow", windowBytes).assertWhole(smallAnswer, windowBytes, pause, pause)
 	})
+	t.Run("a long pause in an answer that exceeds the buffers, at an endpoint that cuts off what isn't read", func(t *testing.T) {
+		t.Parallel()
+		s := newSlowCallersTest(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Seal", "seal-1")
+			part := make([]byte, 64<<10)
+			for range largeAnswer / len(part) {
+				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(2 * time.Second))
+				if _, err := w.Write(part); err != nil {
+					return
+				}
+			}
+		})
+		s.send(t, "slow", 0).assertWhole(largeAnswer, 1, writeTimeout+time.Second)
+	})
 	t.Run("a router that stops", func(t *testing.T) {
 		t.Parallel()
 		s := newSlowCallersTest(t, answerSealed(strings.Repeat("x", smallAnswer)))
