--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -177,19 +176,6 @@
 	return count
 }
 
-// control calls f with the connection's socket, unless it has none.
-func (c *callerConnection) control(f func(fd int)) {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
-}
-
 // callerListener accepts callers' connections and counts their bytes.
 type callerListener struct {
 	net.Listener
--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -155,20 +155,32 @@
 	connection *endpointConnection
 	// witness shows whether the endpoint's process goes on.
 	witness *http1.Witness
+	// bodyBytes is the length of the request's body.
+	bodyBytes int64
 }
 
 // roundTrip sends the request and returns the answer. It opens a new connection in place of those on which the answer couldn't be told
 // from an earlier one.
 func (d *directExchange) roundTrip(ctx context.Context, newRequest func(context.Context) *http.Request) (*http.Response, error) {
 	hasBegun, isRejected := false, false
+	var body *bodyWatch
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			d.connection = connectionOf(info.Conn)
 			if d.connection != nil {
 				hasBegun, isRejected = d.connection.begin(ctx, d.identifier, d.permit)
 			}
+			if hasBegun && !isRejected && d.bodyBytes > largeBodyBytes {
+				body = &bodyWatch{}
+				body.begin(ctx, d.connection)
+			}
 		},
 		WroteHeaders: func() { d.writes.Add(1) },
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if body != nil {
+				body.isWritten.Store(true)
+			}
+		},
 	})
 	watch := d.witness.Watch(ctx)
 	for {
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -214,7 +214,7 @@
 	identifier := header.Get(c.server.protocol.RequestID)
 	direct := &directExchange{
 		transport: c.target.transport, identifier: identifier, identifierHeader: c.server.protocol.RequestID, writes: &writes,
-		permit: c.server.targets.permit(&c.place, c.target, c.pass), witness: &c.target.witness,
+		permit: c.server.targets.permit(&c.place, c.target, c.pass), witness: &c.target.witness, bodyBytes: int64(len(x.Body)),
 	}
 	response, err := direct.roundTrip(ctx, func(ctx context.Context) *http.Request {
 		return endpointRequest(ctx, x.Method, u, x.Host, header, io.NopCloser(bytes.NewReader(x.Body)), int64(len(x.Body)))
--- a/router/gateway/silent_callers.go
+++ b/router/gateway/silent_callers.go
@@ -6,18 +6,13 @@
 	"time"
 
 	"github.com/apex/log"
-	"golang.org/x/sys/unix"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
-	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
 // silenceCheckInterval is the interval at which a router looks for callers that acknowledge nothing.
 const silenceCheckInterval = 1 * time.Second
 
-// tcpClosed is the state of a connection that the kernel has ended, because the peer reset it or was given up (TCP_CLOSE in Linux).
-const tcpClosed = 7
-
 // silentCallers closes the connections of callers that acknowledge nothing of what was written to them, so that they hold no descriptors and
 // buffers. Callers that read slowly acknowledge probes and are left alone. Where the kernel doesn't tell the two apart, connections are closed
 // when a write takes too long, or as idle.
@@ -80,24 +75,6 @@
 	return connections
 }
 
-// unacknowledged returns what the kernel knows of data that the caller has not acknowledged, and whether the connection has ended. It reports
-// nothing if that can't be determined.
-func (c *callerConnection) unacknowledged() (report unacked.Report, isClosed bool) {
-	c.control(func(fd int) {
-		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-		if err != nil || n == 0 {
-			return
-		}
-		report.Bytes = n
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			isClosed = info.State == tcpClosed
-			report.Retransmissions, report.Probes = int(info.Retransmits), int(info.Probes)
-			report.SinceAcknowledgment = time.Duration(info.Last_ack_recv) * time.Millisecond
-		}
-	})
-	return report, isClosed
-}
-
 // logUndelivered logs the newest request of a connection with the number of bytes that its caller has not acknowledged.
 func (c *callerConnection) logUndelivered(logger log.Interface, message string, bytes int) {
 	fields := log.Fields{"Unacknowledged": bytes}
--- a/router/gateway/slow_callers_test.go
+++ b/router/gateway/slow_callers_test.go
@@ -59,15 +59,15 @@
 	return c
 }
 
-// setSilent makes the caller's kernel drop all packets that arrive, so that it acknowledges nothing.
-func (c *slowCaller) setSilent() {
-	c.t.Helper()
-	raw, err := c.connection.SyscallConn()
-	assert.Must(c.t, err)
+// dropArrivals makes the kernel drop all packets that arrive on a connection, so that its end acknowledges nothing.
+func dropArrivals(t *testing.T, connection *net.TCPConn) {
+	t.Helper()
+	raw, err := connection.SyscallConn()
+	assert.NoError(t, err)
 	// The only instruction of the filter accepts no byte of a packet.
 	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
-	assert.Must(c.t, raw.Control(func(fd uintptr) {
-		assert.Must(c.t, unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop[0]}))
+	assert.NoError(t, raw.Control(func(fd uintptr) {
+		assert.NoError(t, unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop[0]}))
 	}))
 }
 
@@ -146,7 +146,7 @@
 	for s.endpoints[0].requestCount() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	gone.setSilent()
+	dropArrivals(t, gone.connection)
 	close(silenced)
 	for s.node.callers.count() == 2 {
 		time.Sleep(10 * time.Millisecond)
--- /dev/null
+++ b/router/gateway/socket.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/dragonflyworks/dragonflyworks/router/unacked"
+)
+
+// tcpClosed is the state of a connection that the kernel has ended, because the peer reset it or was given up (TCP_CLOSE in Linux).
+const tcpClosed = 7
+
+// SetUserTimeout sets the TCP user timeout of a socket. It is meant as the Control function of a net.Dialer.
+func SetUserTimeout(_, _ string, c syscall.RawConn) error {
+	var socketErr error
+	err := c.Control(func(fd uintptr) { socketErr = setUserTimeout(int(fd), acknowledgmentTimeout) })
+	if err != nil {
+		return err
+	}
+	return socketErr
+}
+
+func setUserTimeout(fd int, timeout time.Duration) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
+
+// control calls f with the connection's socket. It returns false if the connection was closed or has none.
+func (c *byteCountingConnection) control(f func(fd int)) bool {
+	inner := c.Conn
+	for {
+		if socket, ok := inner.(syscall.Conn); ok {
+			raw, err := socket.SyscallConn()
+			return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+		}
+		wrapper, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			return false
+		}
+		inner = wrapper.NetConn()
+	}
+}
+
+// unacknowledged returns what the kernel knows of data that the peer has not acknowledged, and whether the connection has ended. It reports
+// nothing if that can't be determined.
+func (c *byteCountingConnection) unacknowledged() (report unacked.Report, isClosed bool) {
+	isOpen := c.control(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		if err != nil || n == 0 {
+			return
+		}
+		report.Bytes = n
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			isClosed = info.State == tcpClosed
+			report.Retransmissions, report.Probes = int(info.Retransmits), int(info.Probes)
+			report.SinceAcknowledgment = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	return report, isClosed || !isOpen
+}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -6,11 +6,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
@@ -47,18 +44,6 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-// SetUserTimeout sets the TCP user timeout of a socket. It is meant as the Control function of a net.Dialer.
-func SetUserTimeout(_, _ string, c syscall.RawConn) error {
-	var socketErr error
-	err := c.Control(func(fd uintptr) {
-		socketErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(acknowledgmentTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return socketErr
-}
-
 // NewTransport returns an HTTP transport with bounded connections that ignores the proxy settings of the environment
 // and adds the bytes on its connections to traffic.
 func NewTransport(traffic *Traffic) *http.Transport { return newTransport(traffic, newDialer()) }
