--- a/fleet/allowance/property_test.go
+++ b/fleet/allowance/property_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 	"pgregory.net/rapid"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/billing"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform/memory"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
@@ -177,15 +178,27 @@
 	if len(host.inFlight) == 0 {
 		return
 	}
-	m.settleNext(host, rapid.Int64Range(0, host.inFlight[0].maxTokens).Draw(t, "used"))
+	used := rapid.Int64Range(0, host.inFlight[0].maxTokens).Draw(t, "used")
+	m.settleNext(host, used, drawDelivery(t, used, host.inFlight[0].maxTokens).Tokens())
 }
 
-// settleNext ends the oldest request of a router.
-func (m *fleetModel) settleNext(host *modelMachine, used int64) {
+// drawDelivery draws what a router knows of a request that used tokens: the events of its output, whole or cut, or a text that can't be counted.
+func drawDelivery(t *rapid.T, used, maxTokens int64) billing.Delivery {
+	d := billing.Delivery{PromptTokens: rapid.Int64Range(0, used).Draw(t, "prompt"), EventTokens: rapid.Int64Range(1, 10).Draw(t, "event")}
+	d.MaxOutputTokens = maxTokens - d.PromptTokens
+	d.IsUncounted = rapid.Bool().Draw(t, "uncounted")
+	if output := used - d.PromptTokens; !d.IsUncounted {
+		d.Events = (output + d.EventTokens - 1) / d.EventTokens
+	}
+	return d
+}
+
+// settleNext ends the oldest request of a router, which used tokens and is billed for them.
+func (m *fleetModel) settleNext(host *modelMachine, used, billed int64) {
 	r := host.inFlight[0]
 	host.inFlight = host.inFlight[1:]
 	m.used += used
-	r.Settle(used)
+	r.Settle(billed)
 }
 
 func (m *fleetModel) update(t *rapid.T) {
@@ -294,7 +307,7 @@
 		// Requests that the end of the grace period breaks off may settle during or after the return.
 		unfinished := rapid.IntRange(0, len(host.inFlight)).Draw(t, "unfinished")
 		for len(host.inFlight) > unfinished {
-			m.settleNext(host, host.inFlight[0].maxTokens)
+			m.settleNext(host, host.inFlight[0].maxTokens, host.inFlight[0].maxTokens)
 		}
 		m.leave(t, host)
 	}
@@ -333,7 +346,8 @@
 			m.log.ApplyDelayedAppends()
 		}
 		if len(host.inFlight) > 0 && rapid.Bool().Draw(t, "settles") {
-			m.settleNext(host, rapid.Int64Range(0, host.inFlight[0].maxTokens).Draw(t, "used"))
+			used := rapid.Int64Range(0, host.inFlight[0].maxTokens).Draw(t, "used")
+			m.settleNext(host, used, used)
 		}
 	}
 	// A failed write to another partition makes the router transfer the tokens of all teams.
--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -262,6 +262,9 @@
 // IsInsideEvent reports whether the bytes read so far end inside an event.
 func (s *Stream) IsInsideEvent() bool { return s.event.hasLine || len(s.line) > 0 }
 
+// IsOverlong reports whether bytes were passed on that belong to no whole event, because it would have been too long.
+func (s *Stream) IsOverlong() bool { return s.isOverlong }
+
 // Completed returns the number of complete events of all runs.
 func (s *Stream) Completed() int64 { return s.completed }
 
--- a/router/gateway/billing_test.go
+++ b/router/gateway/billing_test.go
@@ -30,12 +30,21 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	var aborted atomic.Bool
-	abortFirst := func(w http.ResponseWriter, r *http.Request) {
-		if !aborted.Swap(true) {
-			abortConnection(w, r)
+	answerCreated := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "s")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "a text")
+	}
+	// abortFirst returns two endpoints, of which the one that is asked first gives no answer.
+	abortFirst := func() []http.HandlerFunc {
+		var aborted atomic.Bool
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			if !aborted.Swap(true) {
+				abortConnection(w, r)
+			}
+			answerSealed("id: 1\n\n")(w, r)
 		}
-		answerSealed("id: 1\n\n")(w, r)
+		return []http.HandlerFunc{answer, answer}
 	}
 	for _, c := range []struct {
 		name    string
@@ -49,11 +58,21 @@
 		{"refused", "/chat/", []http.HandlerFunc{answerNotRun}, 0, 0},
 		{"answer lost", "/chat/", []http.HandlerFunc{abortConnection}, 0, 100},
 		{"all answers lost", "/talk/", []http.HandlerFunc{abortConnection, abortConnection}, 0, 100},
-		{"answer lost, retry answered", "/talk/", []http.HandlerFunc{abortFirst, abortFirst}, 0, 105},
+		{"answer lost, retry answered", "/talk/", abortFirst(), 0, 105},
 		{"broken off after an event", "/chat/", []http.HandlerFunc{breakOff}, 0, 105},
 		{"broken off after the head", "/chat/", []http.HandlerFunc{breakOffAfterHead}, 0, 100},
 		{"error answer", "/chat/", []http.HandlerFunc{answerError}, 0, 105},
 		{"caller left", "/chat/", []http.HandlerFunc{leave}, 50 * time.Millisecond, 100},
+		{"a text in one piece", "/whole/", []http.HandlerFunc{answerSealed("a text")}, 0, 150},
+		{"a text for a stream", "/chat/", []http.HandlerFunc{answerSealed(strings.Repeat("token ", 1<<20))}, 0, 150},
+		{"a text of another media type", "/whole/", []http.HandlerFunc{withHeader("Content-Type", "text/event-stream", answerSealed("id: 1\n\n"))}, 0, 150},
+		{"a text with status 201", "/chat/", []http.HandlerFunc{answerCreated}, 0, 150},
+		{"a text that breaks off", "/whole/", []http.HandlerFunc{breakOff}, 0, 150},
+		{"no text", "/whole/", []http.HandlerFunc{answerSealed("")}, 0, 100},
+		{"a text lost, retry answered", "/whole/", abortFirst(), 0, 150},
+		{"a text refused", "/whole/", []http.HandlerFunc{answerNotRun}, 0, 0},
+		{"an error in place of a text", "/once/", []http.HandlerFunc{answerError}, 0, 105},
+		{"an error in place of a text, repeated", "/whole/", []http.HandlerFunc{answerError}, 0, 100},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newGatewayTest(t, c.answers...)
--- a/router/gateway/fake_test.go
+++ b/router/gateway/fake_test.go
@@ -123,6 +123,8 @@
 		{Name: "open", Host: "h", Prefix: "/open/", Public: true, Attempts: 1, Services: one},
 		{Name: "chat", Host: "h", Prefix: "/chat/", Kind: site.Streaming, Attempts: 2, Affinity: true, Services: engine},
 		{Name: "talk", Host: "h", Prefix: "/talk/", Kind: site.Streaming, Resumable: true, Attempts: 2, Services: engine},
+		{Name: "whole", Host: "h", Prefix: "/whole/", Kind: site.Idempotent, Attempts: 2, Services: engine},
+		{Name: "once", Host: "h", Prefix: "/once/", Attempts: 1, Services: engine},
 		{Name: "empty", Host: "h", Prefix: "/empty/", Attempts: 1, Services: []site.WeightedService{{Service: "nobody", Weight: 1}}},
 	}
 }
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/billing"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/eventstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
@@ -441,24 +442,32 @@
 	}
 }
 
-// billedTokens returns the number of tokens that the request is billed: those of its prompt, once, if the request may
-// have run, plus the upper bound of an event's tokens for each event that an endpoint sent. A lost answer is no proof that the
-// prompt has not been read.
+// billedTokens returns the number of tokens that the request is billed: none if it didn't run or isn't for an engine. A lost answer is no proof that
+// the prompt has not been read.
 func (j *job) billedTokens() int64 {
 	if j.engine == nil || !j.mayHaveRun {
 		return 0
 	}
-	return j.demand.PromptTokens + min(j.demand.MaxOutputTokens, j.eventCount()*j.engine.EventTokens)
+	return billing.Delivery{
+		PromptTokens: j.demand.PromptTokens, MaxOutputTokens: j.demand.MaxOutputTokens,
+		Events: j.eventCount(), EventTokens: j.engine.EventTokens, IsUncounted: j.hasUncountedOutput(),
+	}.Tokens()
 }
 
-// eventCount returns the number of events that endpoints sent. The body of an error answer to a request for a stream counts as one.
+// eventCount returns the number of events that endpoints sent. The body of an error answer counts as one.
 func (j *job) eventCount() int64 {
-	if !j.hasEvents && j.isStream() && !j.firstByte.IsZero() {
-		return 1
+	if !j.hasEvents && !j.firstByte.IsZero() {
+		return max(1, j.events.Count())
 	}
 	return j.events.Count()
 }
 
+// hasUncountedOutput reports whether the caller got a part of a successful answer that doesn't consist of events.
+func (j *job) hasUncountedOutput() bool {
+	isSuccess := j.status >= http.StatusOK && j.status < http.StatusMultipleChoices
+	return isSuccess && !j.hasEvents && !j.firstByte.IsZero() || j.events.IsOverlong()
+}
+
 // callerIdentifier returns the request identifier that the caller set.
 func (j *job) callerIdentifier() string { return j.r.Header.Get(j.server.protocol.RequestID) }
 
@@ -536,7 +545,7 @@
 	}
 	if j.demand.MaxTokens() > 0 {
 		fields["Prompt"], fields["Output"], fields["Events"] = j.demand.PromptTokens, j.demand.MaxOutputTokens, j.eventCount()
-		fields["PaidMilliseconds"] = j.reserveTime.Milliseconds()
+		fields["PaidMilliseconds"], fields["Billed"] = j.reserveTime.Milliseconds(), j.billedTokens()
 		fields["Unread"], fields["WaitMilliseconds"] = j.unreadTokens, j.engineWait.Milliseconds()
 	}
 	if j.outcome == string(verdict.Suspected) {
