--- a/fleet/placement/placement_test.go
+++ b/fleet/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -103,14 +104,45 @@
 		assert.Equal(t, int64(0), c.CachedTokens(begin.Add(entryLifetime+1), parts("a")))
 	})
 	t.Run("the least recently used part is evicted", func(t *testing.T) {
-		c := &Cache{MaxTokens: 200}
+		c := &Cache{Memory: &Memory{MaxParts: 2}}
 		c.AddParts(begin, parts("a"))
 		c.AddParts(begin, parts("b"))
 		c.AddParts(begin, parts("a"))
 		c.AddParts(begin, parts("c"))
 		assert.Equal(t, int64(0), c.CachedTokens(begin, parts("b")))
 		assert.Equal(t, int64(100), c.CachedTokens(begin, parts("a")))
+		assert.Equal(t, 2, c.Memory.Len())
 	})
+	t.Run("caches share a memory", func(t *testing.T) {
+		m := &Memory{MaxParts: 3}
+		one, two := &Cache{Memory: m}, &Cache{Memory: m}
+		one.AddParts(begin, parts("a", "b"))
+		two.AddParts(begin, parts("a", "x"))
+		assert.Equal(t, int64(100), one.CachedTokens(begin, parts("a", "b")))
+		assert.Equal(t, int64(200), two.CachedTokens(begin, parts("a", "x")))
+	})
+	t.Run("the first parts of a long prompt stay", func(t *testing.T) {
+		c := &Cache{Memory: &Memory{MaxParts: 2}}
+		c.AddParts(begin, parts("a", "b", "c", "d"))
+		assert.Equal(t, int64(200), c.CachedTokens(begin, parts("a", "b", "c", "d")))
+	})
+}
+
+// TestCachesHoldNothingThatExpired guards against a memory that grows with the number of different parts that were ever seen.
+func TestCachesHoldNothingThatExpired(t *testing.T) {
+	m := &Memory{}
+	caches := []*Cache{{Memory: m}, {Memory: m}, {Memory: m}}
+	now := start()
+	for i := range 10_000 {
+		caches[i%len(caches)].AddParts(now, []site.Part{{Identifier: strconv.Itoa(i), Tokens: 1}})
+		now = now.Add(100 * time.Millisecond)
+	}
+	held := 0
+	for _, c := range caches {
+		held += len(c.byIdentifier)
+	}
+	assert.Equal(t, 301, m.Len())
+	assert.Equal(t, m.Len(), held)
 }
 
 func TestChoose(t *testing.T) {
--- a/router/gateway/place.go
+++ b/router/gateway/place.go
@@ -69,6 +69,7 @@
 		l.bound.StartAnew(time.Now(), e.Slots, t.fleetLocked(l), t.markLocked(e.Service))
 	}
 	created := &target{Endpoint: e, hash: xxhash.Sum64String(e.Name), limit: t.limitLocked(processOf(&e))}
+	created.cache.Memory = &t.partMemory
 	created.transport = newTransport(t.traffic, (&endpointDialer{targets: t, service: e.Service, endpoint: e.Name}).dial)
 	created.witness.IsWanted = t.endsWithConnectionLocked(e.Service)
 	created.witness.Dial = func(ctx context.Context) (net.Conn, error) {
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -65,6 +65,9 @@
 	reporter *places.Reporter
 }
 
+// defaultMaxParts is the number of parts of prompts that are remembered if the memory for them isn't known.
+const defaultMaxParts = 1 << 16
+
 // NewServer returns a server that pays for requests from the shares of payer.
 func NewServer(state *Board, protocol Protocol, location Location, payer *allowance.Holder, logger log.Interface) *Server {
 	crashes := newCrashTracker(state, logger)
@@ -77,6 +80,7 @@
 		streams:      newStreamTracker(state),
 	}
 	s.targets.onReachChange = s.logReachChange
+	s.targets.partMemory.MaxParts = defaultMaxParts
 	s.reporter = &places.Reporter{Gate: s.targets.gate, Count: state.Count, Logger: logger}
 	return s
 }
@@ -97,6 +101,14 @@
 	s.bodies = bodies.NewStore(memory, bodyReadTimeout, s.state.Count)
 }
 
+// SetPartMemory bounds the memory in bytes for what is known of prompts that engines have read; zero stands for the default. It must be called before
+// the first request.
+func (s *Server) SetPartMemory(memory int64) {
+	if memory > 0 {
+		s.targets.partMemory.MaxParts = max(1, int(memory/placement.PartBytes))
+	}
+}
+
 // ConnectRouters makes the server exchange placement notices, crash records, rate limits and versions of streams with other routers. It must be
 // called before the first request.
 func (s *Server) ConnectRouters(routers *Routers) {
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -132,6 +132,8 @@
 	endsWithConnection map[string]*atomic.Bool
 	// rates are, by service, the observed speeds at which engines read prompts.
 	rates map[string]*placement.Rate
+	// partMemory holds the parts of prompts that the engines' caches are predicted to have.
+	partMemory placement.Memory
 	// location is where this router runs, gate decides where requests may be sent.
 	location Location
 	gate     *places.Gate
