--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -133,5 +133,8 @@
 	if headers.Size(r.Header) > s.settings.MaxHeaderBytes {
 		return nil, verdict.Refuse(verdict.HeadersTooLarge, "")
 	}
+	if headers.Count(r.Header) > headers.MaxFields {
+		return nil, verdict.Refuse(verdict.TooManyHeaders, "")
+	}
 	return s.authenticate(r)
 }
--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/headers"
 )
 
 const chatBody = `{"model":"brush","messages":[{"role":"user","content":"a cat"}],"max_tokens":10}`
@@ -68,6 +70,7 @@
 		{"body above the limit", "POST", "/v1/completions", `{"model":"brush","prompt":"` + strings.Repeat("a", 4096) + `"}`, []string{HeaderAuthorization, luzon}, verdict.BodyTooLarge},
 		{"plain body above the limit", "POST", "/deposits", strings.Repeat("a", 65), []string{HeaderAuthorization, luzon, HeaderIdempotencyKey, "k"}, verdict.BodyTooLarge},
 		{"headers above the limit", "GET", "/atelier", "", []string{HeaderAuthorization, luzon, "X-Long", strings.Repeat("a", DefaultHeaderBytes)}, verdict.HeadersTooLarge},
+		{"too many headers", "GET", "/atelier", "", append([]string{HeaderAuthorization, luzon}, manyFields()...), verdict.TooManyHeaders},
 		{"unknown path", "GET", "/elsewhere", "", []string{HeaderAuthorization, luzon}, verdict.RouteUnknown},
 		{"method of a model path", "GET", "/v1/completions", "", []string{HeaderAuthorization, luzon}, verdict.RouteUnknown},
 		{"non-idempotent without key", "POST", "/deposits", "", []string{HeaderAuthorization, luzon}, verdict.IdempotencyKeyMissing},
@@ -90,6 +93,15 @@
 	}
 }
 
+// manyFields returns the names and values of as many fields as a whole head may have.
+func manyFields() []string {
+	var fields []string
+	for i := range headers.MaxFields {
+		fields = append(fields, fmt.Sprintf("A%d", i), "1")
+	}
+	return fields
+}
+
 func TestAdmission(t *testing.T) {
 	t.Run("draining", func(t *testing.T) {
 		s, _, _ := setUp(t)
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -25,8 +25,9 @@
 	// open without a request. Both are above the limits that operators set for callers.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 30 * time.Second
-	// maxHeaderBytes is the size at which net/http itself rejects headers. It is above the limits that operators set.
-	maxHeaderBytes = 1 << 20
+	// maxHeaderBytes is the size at which net/http itself rejects headers, before they are all parsed. It is above the limits that operators set;
+	// a head of 1 MB in short fields takes some 25 MB.
+	maxHeaderBytes = 64 << 10
 	// drainDelay is how long a router accepts connections after the signal to stop: for two readiness checks of the load
 	// balancer and the setup of a caller's connection. The sum of drainDelay and the time until idle connections are
 	// closed is below 3 s: operators don't allow a request that begins later than 3 s after the signal to be cut off.
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -277,6 +277,9 @@
 
 // admit finds the request's route, team and service and reads its body.
 func (j *job) admit() error {
+	if headers.Count(j.r.Header) > headers.MaxFields {
+		return verdict.Refuse(verdict.TooManyHeaders, "")
+	}
 	configuration := j.server.state.Configuration.Load()
 	if configuration == nil || j.server.state.Directory.Load() == nil || !j.server.targets.hasReadRecords() {
 		return verdict.Refuse(verdict.NotReady, "")
--- a/router/gateway/server_test.go
+++ b/router/gateway/server_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
+	"github.com/dragonflyworks/dragonflyworks/router/headers"
 )
 
 func TestPass(t *testing.T) {
@@ -84,6 +86,15 @@
 	})
 }
 
+// manyFields adds short fields to a request.
+func manyFields(count int) func(*http.Request) {
+	return func(r *http.Request) {
+		for i := range count {
+			r.Header.Set(fmt.Sprintf("A%d", i), "1")
+		}
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	for _, c := range []struct {
 		name, path, body string
@@ -96,6 +107,13 @@
 		{"unknown key", "/order/", "", func(r *http.Request) { r.Header.Set("Authorization", "Bearer x") }, http.StatusUnauthorized, "invalid_key"},
 		{"no key", "/order/", "", func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized, "invalid_key"},
 		{"long headers", "/order/", "", func(r *http.Request) { r.Header.Set("Long", strings.Repeat("x", 3000)) }, http.StatusRequestHeaderFieldsTooLarge, "headers_too_large"},
+		{"many short headers", "/order/", "", manyFields(headers.MaxFields), http.StatusRequestHeaderFieldsTooLarge, "too_many_headers"},
+		{"many short headers without a route", "/nowhere/", "", manyFields(headers.MaxFields), http.StatusRequestHeaderFieldsTooLarge, "too_many_headers"},
+		{"a header with many values", "/order/", "", func(r *http.Request) {
+			for range headers.MaxFields {
+				r.Header.Add("A", "1")
+			}
+		}, http.StatusRequestHeaderFieldsTooLarge, "too_many_headers"},
 		{"long body", "/order/", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge, "body_too_large"},
 		{"bad demand", "/chat/", "", func(r *http.Request) { r.Header.Set("Demand", "bad") }, http.StatusBadRequest, "invalid_header"},
 		{"no endpoint", "/empty/", "", nil, http.StatusServiceUnavailable, "no_endpoint"},
@@ -114,6 +132,11 @@
 			g.assertRequestCounts(0)
 		})
 	}
+	t.Run("as many headers as are allowed", func(t *testing.T) {
+		g := newGatewayTest(t, answerSealed("answer"))
+		// The identifier, the key, the user agent and the wish to close the connection are fields too.
+		assert.Equal(t, http.StatusOK, g.call(http.MethodGet, "/read/", "", manyFields(headers.MaxFields-4)).status)
+	})
 	t.Run("public routes need no key", func(t *testing.T) {
 		g := newGatewayTest(t, answerSealed("open"))
 		got := g.call(http.MethodPost, "/open/", "", func(r *http.Request) { r.Header.Del("Authorization") })
--- a/router/headers/headers.go
+++ b/router/headers/headers.go
@@ -8,6 +8,10 @@
 	"strings"
 )
 
+// MaxFields is the number of fields that the head of a request may have. A field of some bytes takes some hundred when it is parsed, and twice
+// that with the head of the request to the endpoint.
+const MaxFields = 100
+
 // hopByHopNames lists the headers that apply to a single connection and must not be forwarded (RFC 9110, section 7.6.1).
 func hopByHopNames() []string {
 	return []string{
@@ -38,3 +42,12 @@
 	}
 	return total
 }
+
+// Count returns the number of fields. A name counts once for each of its values.
+func Count(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
--- a/router/headers/headers_test.go
+++ b/router/headers/headers_test.go
@@ -21,3 +21,8 @@
 	assert.Equal(t, 0, Size(nil))
 	assert.Equal(t, 14, Size(http.Header{"Name": {"a", "bcd"}, "N": {"f"}, "": {}}))
 }
+
+func TestCount(t *testing.T) {
+	assert.Equal(t, 0, Count(nil))
+	assert.Equal(t, 3, Count(http.Header{"Name": {"a", "bcd"}, "N": {"f"}, "": {}}))
+}
