Don't restart the grace for expired entries when the platform is lost for a moment

In the burst of reads that followed some lost the store again for 0.5 s, and the grace started anew for what they kept.

Change: an outage shorter than two heartbeat intervals keeps no endpoint, since no entry can expire in it. One shorter than three doesn't lengthen the grace of endpoints that are kept already. The wait of the directory's reads is 1 s again: where the log holds no renewals, a shorter one is only more calls.

--- a/fleet/site/registry.go
+++ b/fleet/site/registry.go
@@ -149,23 +149,31 @@
 	return removals, changed
 }
 
-// SetUnreachable records whether the platform is unreachable. The end of an outage starts RetentionGrace for the
-// endpoints retained during the outage.
+// SetUnreachable records whether the platform is unreachable. The end of an outage in which entries may have expired starts RetentionGrace for
+// those that are missing from then on. For endpoints retained before, it starts anew only if the outage was long enough for any entry to expire: a
+// router that loses the platform again for a moment would otherwise keep endpoints that have left.
 func (r *EndpointRegistry) SetUnreachable(now time.Time, unreachable bool) {
 	if unreachable && !r.platformUnreachable {
 		r.unreachableFrom = r.lastReached
 	}
-	if !unreachable {
-		r.lastReached = now
+	hasReturned := r.platformUnreachable && !unreachable
+	r.platformUnreachable = unreachable
+	if unreachable {
+		return
 	}
-	if r.platformUnreachable && !unreachable {
-		r.reachableSince, r.sparedEndpoints = now, false
-		for name, entry := range r.retained {
-			entry.keepUntil = now.Add(RetentionGrace)
-			r.retained[name] = entry
-		}
+	r.lastReached = now
+	duration := now.Sub(r.unreachableFrom)
+	if !hasReturned || duration < (lapseHeartbeats-1)*r.HeartbeatInterval {
+		return
+	}
+	r.reachableSince, r.sparedEndpoints = now, false
+	if duration < lapseHeartbeats*r.HeartbeatInterval {
+		return
+	}
+	for name, entry := range r.retained {
+		entry.keepUntil = now.Add(RetentionGrace)
+		r.retained[name] = entry
 	}
-	r.platformUnreachable = unreachable
 }
 
 // DropExpired drops the retained endpoints whose grace period is over and reports whether it dropped any. It drops none
--- a/router/gateway/follow.go
+++ b/router/gateway/follow.go
@@ -27,7 +27,7 @@
 	// directoryWait is the long-poll time of a read of the endpoints' entries, directoryReadDelay the delay between two
 	// reads. Both are fractions of the time within which an endpoint that drains must get no new requests. Endpoints
 	// write about once a second each, so that the delay determines how often routers read.
-	directoryWait      = 600 * time.Millisecond
+	directoryWait      = 1 * time.Second
 	directoryReadDelay = 300 * time.Millisecond
 	// directoryHedgeInterval is how long a call for the endpoints' entries may take beyond its long-poll time before the read is made again
 	// on a new connection, and the interval between further calls. The end of an outage, from which RetentionGrace counts, is noticed
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -158,7 +158,7 @@
 }
 
 // writeDeadline returns when a write to the caller must end. A caller may take its time until the request's deadline, as long as its connection
-// holds: callerConnections closes those of silent callers.
+// holds: silentCallers closes those of silent ones.
 func (j *job) writeDeadline() time.Time {
 	deadline := time.Now().Add(writeTimeout)
 	if j.deadline.After(deadline) {
--- a/router/gateway/silent_log_test.go
+++ b/router/gateway/silent_log_test.go
@@ -218,6 +218,23 @@
 	}
 }
 
+// TestLeavingBeforeTwoOutages guards against a grace period that starts anew when a router loses the platform for a moment after an outage.
+func TestLeavingBeforeTwoOutages(t *testing.T) {
+	runWithHeartbeats(t, func(h *heartbeatsTest) {
+		h.leave()
+		h.setOutage(true, true)
+		time.Sleep(5 * time.Second)
+		h.setOutage(false, true)
+		end := time.Now()
+		time.Sleep(600 * time.Millisecond)
+		h.setOutage(true, false)
+		time.Sleep(2100 * time.Millisecond)
+		h.setOutage(false, false)
+		time.Sleep(time.Until(end.Add(testContactTime)))
+		assert.Equal(t, false, h.lists())
+	})
+}
+
 // TestLeavingWhileTheRouterIsTurnedAway guards against the grace period for endpoints that have left while the platform turned away this
 // router only.
 func TestLeavingWhileTheRouterIsTurnedAway(t *testing.T) {
