Carry no more of a refusal than the router that asked for it reads

Cause: a router that has an exchange carried reads 64 KB of a refusal and gives the stream up. Until that reached the carrying router, it went on reading, so that what it held depended on how busy both were.

Change: the carrying router itself stops after 64 KB of a refusal.

--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -249,7 +249,7 @@
 		isMisdirected := response.StatusCode == http.StatusMisdirectedRequest
 		result = attemptResult{verdict: verdict.NotRun, cause: errors.New(response.Status), misdirected: isMisdirected, responded: !isMisdirected}
 	}
-	if _, err := io.CopyBuffer(c.out, onlyReader{response.Body}, make([]byte, copyBufferBytes)); err != nil {
+	if _, err := io.CopyBuffer(c.out, bodyToCarry(response, isRefusal), make([]byte, copyBufferBytes)); err != nil {
 		end, failed := c.fail(ctx, err, head.Writes)
 		if !result.misdirected {
 			result = failed
@@ -259,6 +259,15 @@
 	return peer.ExchangeEnd{Outcome: peer.ExchangeComplete, Writes: head.Writes}, result
 }
 
+// bodyToCarry returns what of an answer's body is sent to the router that has the exchange carried, which reads no more than the first bytes of a
+// refusal.
+func bodyToCarry(response *http.Response, isRefusal bool) io.Reader {
+	if isRefusal {
+		return io.LimitReader(response.Body, maxRefusalBytes)
+	}
+	return onlyReader{response.Body}
+}
+
 // onlyReader hides the other methods of a body.
 type onlyReader struct{ io.Reader }
 
