--- a/router/gateway/slow_callers_test.go
+++ b/router/gateway/slow_callers_test.go
@@ -37,6 +37,14 @@
 	return s
 }
 
+// waitUntilIdle waits until a connection is idle, so that the kernel has the whole of its answer.
+func (s *slowCallersTest) waitUntilIdle() {
+	for idle := 0; idle == 0; time.Sleep(time.Millisecond) {
+		connections, _ := s.node.callers.idleConnections(time.Now().Add(quietPeriod + time.Second))
+		idle = len(connections)
+	}
+}
+
 // slowCaller is a caller that has sent a request, and reads the answer when the test says so.
 type slowCaller struct {
 	t          *testing.T
@@ -122,10 +130,7 @@
 		t.Parallel()
 		s := newSlowCallersTest(t, answerSealed(strings.Repeat("x", smallAnswer)))
 		c := s.send(t, "slow", windowBytes)
-		for idle := 0; idle == 0; time.Sleep(time.Millisecond) {
-			connections, _ := s.node.callers.idleConnections(time.Now().Add(quietPeriod + time.Second))
-			idle = len(connections)
-		}
+		s.waitUntilIdle()
 		assert.Equal(t, true, s.node.callers.drainUntil(t.Context(), time.Now().Add(time.Minute)))
 		c.assertWhole(smallAnswer, windowBytes)
 	})
@@ -168,10 +173,7 @@
 	t.Parallel()
 	s := newSlowCallersTest(t, answerSealed(strings.Repeat("x", 64<<10)))
 	c := s.send(t, "reset", 4<<10)
-	for idle := 0; idle == 0; time.Sleep(time.Millisecond) {
-		connections, _ := s.node.callers.idleConnections(time.Now().Add(quietPeriod + time.Second))
-		idle = len(connections)
-	}
+	s.waitUntilIdle()
 	assert.Must(t, c.connection.SetLinger(0))
 	assert.Must(t, c.connection.Close())
 	for s.node.callers.count() > 0 {
