Read sockets and reset connections by the functions that http1 has

The search for the TCP connection inside another and the close with a reset stood in router/gateway again; http1 exports its own now. The closed state is the constant of the system's library, and the TCP user timeout is the time after which unacked takes a peer for silent.

--- a/router/gateway/silent_callers.go
+++ b/router/gateway/silent_callers.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // silenceCheckInterval is the interval at which a router looks for callers that acknowledge nothing.
@@ -33,7 +34,7 @@
 	return nil
 }
 
-// check closes the connection of a silent caller with a reset, after which the kernel holds nothing of it.
+// check resets the connection of a silent caller.
 func (s *silentCallers) check(now time.Time, c *callerConnection) {
 	c.hasWritten.Store(false)
 	report, isClosed := c.unacknowledged()
@@ -45,10 +46,7 @@
 	}
 	s.count(callerSilent)
 	c.logUndelivered(s.logger, "caller acknowledges nothing; closing its connection", report.Bytes)
-	if resettable, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = resettable.SetLinger(0)
-	}
-	_ = c.Close()
+	http1.Reset(c)
 }
 
 // recordClosed logs a connection that has ended with data which its caller has not acknowledged. It is called before the connection is closed.
--- a/router/gateway/socket.go
+++ b/router/gateway/socket.go
@@ -7,12 +7,10 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
-// tcpClosed is the state of a connection that the kernel has ended, because the peer reset it or was given up (TCP_CLOSE in Linux).
-const tcpClosed = 7
-
 // SetUserTimeout sets the TCP user timeout of a socket. It is meant as the Control function of a net.Dialer.
 func SetUserTimeout(_, _ string, c syscall.RawConn) error {
 	var socketErr error
@@ -29,18 +27,12 @@
 
 // control calls f with the connection's socket. It returns false if the connection was closed or has none.
 func (c *byteCountingConnection) control(f func(fd int)) bool {
-	inner := c.Conn
-	for {
-		if socket, ok := inner.(syscall.Conn); ok {
-			raw, err := socket.SyscallConn()
-			return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
-		}
-		wrapper, ok := inner.(interface{ NetConn() net.Conn })
-		if !ok {
-			return false
-		}
-		inner = wrapper.NetConn()
+	tcp, ok := http1.Unwrap[*net.TCPConn](c.Conn)
+	if !ok {
+		return false
 	}
+	raw, err := tcp.SyscallConn()
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
 
 // unacknowledged returns what the kernel knows of data that the peer has not acknowledged, and whether the connection has ended. It reports
@@ -53,7 +45,8 @@
 		}
 		report.Bytes = n
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			isClosed = info.State == tcpClosed
+			// The kernel has ended the connection, because the peer reset it or was given up.
+			isClosed = info.State == unix.BPF_TCP_CLOSE
 			report.Retransmissions, report.Probes = int(info.Retransmits), int(info.Probes)
 			report.SinceAcknowledgment = time.Duration(info.Last_ack_recv) * time.Millisecond
 		}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
+	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
 const (
@@ -22,7 +23,7 @@
 	dialTimeout = 700 * time.Millisecond
 	// acknowledgmentTimeout is the TCP user timeout, after which a connection with unacknowledged data is closed:
 	// several round trips between regions with a lost packet.
-	acknowledgmentTimeout = 2500 * time.Millisecond
+	acknowledgmentTimeout = unacked.SilenceTimeout
 	// keepAliveIdle and keepAliveInterval make TCP detect an unresponsive peer on an idle connection with the first probe that is due after
 	// acknowledgmentTimeout, which takes the place of keepAliveCount. Linux takes whole seconds.
 	keepAliveIdle     = 1 * time.Second
--- a/router/http1/abort.go
+++ b/router/http1/abort.go
@@ -11,16 +11,16 @@
 func Abort(w http.ResponseWriter, r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
 		if connection, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			reset(connection)
+			Reset(connection)
 		}
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// reset closes a connection with a TCP reset.
-func reset(connection net.Conn) {
+// Reset closes a connection with a TCP reset, after which the kernel holds nothing of it.
+func Reset(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
-	if tcp, ok := unwrap[*net.TCPConn](connection); ok {
+	if tcp, ok := Unwrap[*net.TCPConn](connection); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
--- a/router/http1/end.go
+++ b/router/http1/end.go
@@ -146,7 +146,7 @@
 
 // run waits until the connection ends.
 func (c *witnessConnection) run() {
-	tcp, ok := unwrap[*net.TCPConn](c.Conn)
+	tcp, ok := Unwrap[*net.TCPConn](c.Conn)
 	if !ok {
 		return
 	}
--- a/router/http1/end_test.go
+++ b/router/http1/end_test.go
@@ -169,7 +169,7 @@
 	s := newPipedServer(t)
 	go func() {
 		for connection := range s.accepted {
-			reset(connection)
+			Reset(connection)
 		}
 	}()
 	return s
--- a/router/http1/socket.go
+++ b/router/http1/socket.go
@@ -6,8 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// unwrap returns the connection of a type inside a connection, or false if there is none.
-func unwrap[T net.Conn](connection net.Conn) (T, bool) {
+// Unwrap returns the connection of a type inside a connection, or false if there is none.
+func Unwrap[T net.Conn](connection net.Conn) (T, bool) {
 	for {
 		if inner, ok := connection.(T); ok {
 			return inner, true
@@ -34,7 +34,7 @@
 
 // stateOf returns the state of a connection.
 func stateOf(connection net.Conn) socketState {
-	tcp, ok := unwrap[*net.TCPConn](connection)
+	tcp, ok := Unwrap[*net.TCPConn](connection)
 	if !ok {
 		return socketOpen
 	}
--- a/router/http1/unfinished.go
+++ b/router/http1/unfinished.go
@@ -81,7 +81,7 @@
 
 // withConnection adds a connection to the context of its requests. It is the hook http.Server.ConnContext.
 func withConnection(ctx context.Context, connection net.Conn) context.Context {
-	if c, ok := unwrap[*resettingConnection](connection); ok {
+	if c, ok := Unwrap[*resettingConnection](connection); ok {
 		return context.WithValue(ctx, connectionKey{}, c)
 	}
 	return ctx
