Bound the handshakes that others begin at the port of other routers

Cause: quic-go keeps some 50 KB for each handshake until its time is over, and nothing bounded their number: maxAcceptedConnections counts complete handshakes only.

Change: from 128 handshakes in progress on, a client proves its address first (QUIC Retry), so that one which reads nothing takes no memory. Beyond 256 a handshake is refused and counted (peer.handshake.refused).

--- a/fleet/peer/counters.go
+++ b/fleet/peer/counters.go
@@ -9,6 +9,7 @@
 	copiesAccepted             = "peer.copy.accepted"
 	requestsRefused            = "peer.request.refused"
 	connectionsRefused         = "peer.connection.refused"
+	handshakesRefused          = "peer.handshake.refused"
 	dialsFailed                = "peer.dial.failed"
 	configurationFetchesFailed = "peer.configuration.failed"
 	prepaidRequestsFailed      = "peer.tokens.failed"
@@ -28,6 +29,7 @@
 		{copiesAccepted, "Copies of groups that this router accepted from other routers."},
 		{requestsRefused, "Requests of other routers that were refused, for example because they were malformed, contained a group of another writer or exceeded the limit on held copies."},
 		{connectionsRefused, "Connections of other routers that were closed because there were too many or their certificate names no instance."},
+		{handshakesRefused, "Connections that were refused since too many others had begun and not completed their handshakes."},
 		{dialsFailed, "Connections to other routers that could not be established."},
 		{configurationFetchesFailed, "Requests for configuration that another router refused or did not answer."},
 		{prepaidRequestsFailed, "Requests for prepaid tokens that another router refused or did not answer."},
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -95,6 +95,8 @@
 	handler  Handler
 	counters metrics.Registry
 
+	handshakes handshakes
+
 	mutex               sync.Mutex
 	transport           *quic.Transport
 	listener            *quic.Listener
@@ -126,7 +128,8 @@
 	if err != nil {
 		return "", fmt.Errorf("opening the UDP socket for peers: %w", err)
 	}
-	transport := &quic.Transport{Conn: socket}
+	n.handshakes.refused = func() { n.increment(handshakesRefused) }
+	transport := &quic.Transport{Conn: socket, VerifySourceAddress: n.handshakes.needsProof, ConnContext: n.handshakes.begin}
 	listener, err := transport.Listen(n.identity.serverConfig(), quicConfig())
 	if err != nil {
 		return "", errors.Join(fmt.Errorf("listening for peers: %w", err), socket.Close())
@@ -169,6 +172,7 @@
 		if err != nil {
 			return fmt.Errorf("accepting a peer connection: %w", err)
 		}
+		n.handshakes.complete(connection.Context())
 		if !n.admitConnection() {
 			n.increment(connectionsRefused)
 			_ = connection.CloseWithError(0, "too many connections")
