Bound the connections of clients before net/http reads them

What was seen: clients that don't complete their requests took a router of the platform, with 112 MB of memory and 800 sockets, to 244 MB at the callers' port (300 heads of 60 KB in short fields), to 1,294 MB at the readiness port (100 heads of 900 KB) and to 1,283 MB at that of metrics, and to 1,272 sockets; bodies and requests sent ahead left 56 to 123 MB unread in the kernel. On a machine of that size the process ends.

Cause: net/http parses a head as it arrives, before any code of ours runs, and nothing bounded connections times head. The readiness and metrics ports had net/http's limit of 1 MB a head, no limit of time for a request, and no count of connections. The system adapts receive buffers up to 32 MB.

Change: fleet/connections decides, without I/O, and router/listener applies it between the socket and net/http: a number of connections, memory for heads and lines of a head, receive buffers of 64 KB, and memory for all that is received and not read. If something is short, the head that has been unfinished for longest goes first. Ordinary heads arrive in one packet, so that they get in. Readiness and metrics have limits of their own, and a time limit for each request.

--- a/fleet/crowdtest/crowd.go
+++ b/fleet/crowdtest/crowd.go
@@ -1,6 +1,7 @@
 package crowdtest
 
 import (
+	"context"
 	"errors"
 	"net"
 	"strings"
@@ -54,7 +55,7 @@
 
 func (c *client) run() {
 	c.crowd.dials <- struct{}{}
-	connection, err := net.DialTimeout("tcp", c.crowd.address, stallTime)
+	connection, err := (&net.Dialer{Timeout: stallTime}).DialContext(context.Background(), "tcp", c.crowd.address)
 	<-c.crowd.dials
 	if err != nil {
 		return
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/router/gateway"
+	"github.com/dragonflyworks/dragonflyworks/router/listener"
 	"github.com/dragonflyworks/dragonflyworks/router/order"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
@@ -40,7 +41,7 @@
 		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
 		"allowance": counterTable(allowance.Counters()), "gateway": counterTable(append(gateway.Counters(), gateway.Stages()...)),
 		"places": counterTable(places.Counters()), "cold": counterTable(cold.Counters()),
-		"bodies": counterTable(bodies.Counters()),
+		"bodies": counterTable(bodies.Counters()), "listener": counterTable(listener.Counters()),
 	}
 	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
 		text := readAll(t, page)
--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -8,9 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
@@ -162,18 +161,7 @@
 }
 
 func (c *callerConnection) isQuietLocked(now time.Time) bool {
-	return !c.isReading && now.Sub(c.idleSince) > quietPeriod && c.unreadBytes() == 0
-}
-
-// unreadBytes returns the number of bytes in the socket's receive buffer; zero if it can't be determined.
-func (c *callerConnection) unreadBytes() int {
-	count := 0
-	c.control(func(fd int) {
-		if n, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err == nil {
-			count = n
-		}
-	})
-	return count
+	return !c.isReading && now.Sub(c.idleSince) > quietPeriod && http1.UnreadBytes(c) == 0
 }
 
 // callerListener accepts callers' connections and counts their bytes.
--- a/router/gateway/callers_test.go
+++ b/router/gateway/callers_test.go
@@ -9,12 +9,13 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // newConnectionPair returns both ends of a TCP connection: the router's and the caller's.
 func newConnectionPair(t *testing.T) (*callerConnection, net.Conn) {
 	t.Helper()
-	socket, err := listen(t.Context(), "127.0.0.1:0")
+	socket, err := listen(t.Context(), "127.0.0.1:0", 0)
 	assert.Must(t, err)
 	t.Cleanup(func() { _ = socket.Close() })
 	caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", socket.Addr().String())
@@ -50,7 +51,7 @@
 		c.trackState(connection, http.StateIdle)
 		_, err := io.WriteString(caller, "GET")
 		assert.Must(t, err)
-		for connection.unreadBytes() == 0 {
+		for http1.UnreadBytes(connection) == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		idle, _ := c.idleConnections(later())
@@ -92,7 +93,7 @@
 		<-finish
 		w.Header().Set("Connection", "close")
 	})}
-	socket, err := listen(t.Context(), "127.0.0.1:0")
+	socket, err := listen(t.Context(), "127.0.0.1:0", 0)
 	assert.Must(t, err)
 	c.listener = callerListener{Listener: socket, traffic: &Traffic{}}
 	served := make(chan error)
@@ -143,7 +144,7 @@
 
 // TestDrainedConnectionGivesNoRequest guards against a request that is read from a connection while the connection is closed as idle, and can't be answered.
 func TestDrainedConnectionGivesNoRequest(t *testing.T) {
-	socket, err := listen(t.Context(), "127.0.0.1:0")
+	socket, err := listen(t.Context(), "127.0.0.1:0", 0)
 	assert.Must(t, err)
 	c := &callerConnections{listener: socket}
 	connection := &callerConnection{byteCountingConnection: byteCountingConnection{
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -15,9 +15,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
+	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/router/listener"
 )
 
 const (
@@ -28,6 +30,8 @@
 	// maxHeaderBytes is the size at which net/http itself rejects headers, before they are all parsed. It is above the limits that operators set;
 	// a head of 1 MB in short fields takes some 25 MB.
 	maxHeaderBytes = 64 << 10
+	// maxOperatorHeaderBytes is the size at which net/http rejects the headers of operators and load balancers.
+	maxOperatorHeaderBytes = 16 << 10
 	// drainDelay is how long a router accepts connections after the signal to stop: for two readiness checks of the load
 	// balancer and the setup of a caller's connection. The sum of drainDelay and the time until idle connections are
 	// closed is below 3 s: operators don't allow a request that begins later than 3 s after the signal to be cut off.
@@ -41,6 +45,10 @@
 	// Listen, Ready and Metrics are the listen addresses for callers, for the load balancer's readiness checks and for
 	// metrics. An empty address is not served.
 	Listen, Ready, Metrics string
+	// CallerLimits and OperatorLimits bound the connections of callers, and those of operators and load balancers.
+	CallerLimits, OperatorLimits connections.Limits
+	// Memory is the machine's memory in bytes; zero if unknown.
+	Memory int64
 	// Grace is the grace period: how long the router may take to end after the signal to stop.
 	Grace time.Duration
 	// LinkBytesPerSecond is the bandwidth of the instance's network link in each direction; zero if unknown.
@@ -79,25 +87,12 @@
 	// Callers and other routers are served from here on.
 	n.Server.ConnectRouters(n.Routers)
 	callerServer := n.newCallerServer()
-	operatorServer := &http.Server{Handler: n.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
+	operatorServer, operators := n.newOperatorServer()
 	loops, ctx := errgroup.WithContext(ctx)
 	loops.Go(func() error { return n.silent.run(ctx) })
-	for _, l := range []struct {
-		address string
-		server  *http.Server
-	}{{n.Settings.Listen, callerServer}, {n.Settings.Ready, operatorServer}, {n.Settings.Metrics, operatorServer}} {
-		if l.address == "" {
-			continue
-		}
-		socket, err := listen(ctx, l.address)
-		if err != nil {
-			return fmt.Errorf("listening on %s: %w", l.address, err)
-		}
-		if l.server == callerServer {
-			n.acceptCallers(callerServer, socket)
-			socket = n.callers.listener
-		}
-		loops.Go(func() error { return serve(l.server, socket) })
+	loops.Go(func() error { return operators.Run(ctx) })
+	if err := n.openListeners(ctx, loops, callerServer, operatorServer, operators); err != nil {
+		return err
 	}
 	if _, err := n.Routers.Node.Listen(ctx); err != nil {
 		return err
@@ -135,6 +130,37 @@
 	return err
 }
 
+// openListeners opens the listeners and serves their connections in loops.
+func (n *Node) openListeners(
+	ctx context.Context, loops *errgroup.Group, callerServer, operatorServer *http.Server, operators *listener.Limiter,
+) error {
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+		limits  connections.Limits
+	}{
+		{n.Settings.Listen, callerServer, n.Settings.CallerLimits}, {n.Settings.Ready, operatorServer, n.Settings.OperatorLimits},
+		{n.Settings.Metrics, operatorServer, n.Settings.OperatorLimits},
+	} {
+		if l.address == "" {
+			continue
+		}
+		socket, err := listen(ctx, l.address, l.limits.ReceiveBytes)
+		if err != nil {
+			return fmt.Errorf("listening on %s: %w", l.address, err)
+		}
+		if l.server == callerServer {
+			limiter := n.acceptCallers(callerServer, socket)
+			loops.Go(func() error { return limiter.Run(ctx) })
+			socket = n.callers.listener
+		} else {
+			socket = operators.Wrap(socket)
+		}
+		loops.Go(func() error { return serve(l.server, socket) })
+	}
+	return nil
+}
+
 // followChanges has the server take note of new configurations and directories.
 func (n *Node) followChanges() {
 	configure := n.Configurations.OnChange
@@ -166,18 +192,30 @@
 	}
 }
 
-// acceptCallers sets the listener on which a server serves callers.
-func (n *Node) acceptCallers(server *http.Server, socket net.Listener) {
-	n.callers.listener = callerListener{Listener: http1.ResetUnfinished(server, socket), traffic: &n.Board.Traffic, onClose: n.silent.recordClosed}
+// newOperatorServer returns the HTTP server for metrics and readiness checks, and what bounds its connections.
+func (n *Node) newOperatorServer() (*http.Server, *listener.Limiter) {
+	server := &http.Server{
+		Handler: n.operatorRoutes(), ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxOperatorHeaderBytes,
+	}
+	return server, listener.Limit(server, listener.Settings{Limits: n.Settings.OperatorLimits, Count: n.Board.Count})
+}
+
+// acceptCallers sets the listener on which a server serves callers. It returns what bounds its connections.
+func (n *Node) acceptCallers(server *http.Server, socket net.Listener) *listener.Limiter {
+	limiter := listener.Limit(server, listener.Settings{Limits: n.Settings.CallerLimits, Refuse: refuseHead, Count: n.Board.Count})
+	socket = limiter.Wrap(http1.ResetUnfinished(server, socket))
+	n.callers.listener = callerListener{Listener: socket, traffic: &n.Board.Traffic, onClose: n.silent.recordClosed}
 	server.ConnContext = withCaller(server.ConnContext)
+	return limiter
 }
 
 // listen returns a listener whose connections have keep-alives and no TCP user timeout: Linux counts that also while a caller doesn't read, though
-// the caller acknowledges each probe of its window.
-func listen(ctx context.Context, address string) (net.Listener, error) {
+// the caller acknowledges each probe of its window. receiveBytes is the size of the connections' receive buffers; zero for the system's.
+func listen(ctx context.Context, address string, receiveBytes int64) (net.Listener, error) {
 	keepAlive := KeepAlive()
 	keepAlive.Count = callerKeepAliveCount
-	return (&net.ListenConfig{KeepAliveConfig: keepAlive}).Listen(ctx, "tcp", address)
+	return (&net.ListenConfig{KeepAliveConfig: keepAlive, Control: listener.ReceiveBuffer(receiveBytes)}).Listen(ctx, "tcp", address)
 }
 
 func serve(server *http.Server, socket net.Listener) error {
--- a/router/gateway/refuse.go
+++ b/router/gateway/refuse.go
@@ -9,6 +9,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+	"github.com/dragonflyworks/dragonflyworks/router/listener"
 )
 
 // refuse answers with an error of the router itself. A status that promises callers that the request has not run is
@@ -37,14 +38,7 @@
 			header.Set("Retry-After", formatSeconds(delay))
 		}
 	}
-	body := struct {
-		Error struct {
-			Message string `json:"message"`
-			Code    string `json:"code"`
-		} `json:"error"`
-	}{}
-	body.Error.Message, body.Error.Code = description.Meaning, string(refusal.Reason)
-	encoded, err := json.Marshal(body)
+	encoded, err := json.Marshal(newRefusalBody(description))
 	if err != nil {
 		encoded = []byte("{}")
 	}
@@ -53,6 +47,25 @@
 	_, _ = j.w.Write(encoded)
 }
 
+// refusalBody is the body of an answer with an error of the router itself.
+type refusalBody struct {
+	Error refusalDetail `json:"error"`
+}
+
+type refusalDetail struct {
+	Message string `json:"message"`
+	Code    string `json:"code"`
+}
+
+func newRefusalBody(description verdict.Description) refusalBody {
+	return refusalBody{Error: refusalDetail{Message: description.Meaning, Code: string(description.Reason)}}
+}
+
+// refuseHead returns the answer to a request whose head is refused before it is complete.
+func refuseHead(reason verdict.Reason) []byte {
+	return listener.FormatRefusal(reason, nil, newRefusalBody(verdict.Describe(reason)))
+}
+
 // promisesNotRun reports whether callers take a status as a promise that the request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/router/gateway/slow_callers_test.go
+++ b/router/gateway/slow_callers_test.go
@@ -28,7 +28,7 @@
 	g := newGatewayTest(t, answer)
 	s := &slowCallersTest{gatewayTest: g, node: &Node{Settings: Settings{Grace: 8 * time.Second}, Board: g.state, Server: g.server, Payer: g.server.payer, Logger: g.server.logger}}
 	s.server = s.node.newCallerServer()
-	socket, err := listen(t.Context(), "127.0.0.1:0")
+	socket, err := listen(t.Context(), "127.0.0.1:0", 0)
 	assert.Must(t, err)
 	s.node.acceptCallers(s.server, socket)
 	go func() { _ = s.node.silent.run(t.Context()) }()
--- a/router/gateway/socket.go
+++ b/router/gateway/socket.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"syscall"
 	"time"
 
@@ -26,14 +25,7 @@
 }
 
 // control calls f with the connection's socket. It returns false if the connection was closed or has none.
-func (c *byteCountingConnection) control(f func(fd int)) bool {
-	tcp, ok := http1.Unwrap[*net.TCPConn](c.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
-}
+func (c *byteCountingConnection) control(f func(fd int)) bool { return http1.Control(c.Conn, f) }
 
 // unacknowledged returns what the kernel knows of data that the peer has not acknowledged, and whether the connection has ended. It reports
 // nothing if that can't be determined.
--- a/router/gateway/target_test.go
+++ b/router/gateway/target_test.go
@@ -12,7 +12,7 @@
 // TestSilentPeersAreGivenUpInTime guards against sockets that give up a sound peer which is silent for 2 s, or keep one that has ended.
 func TestSilentPeersAreGivenUpInTime(t *testing.T) {
 	const soundSilence = 2 * time.Second
-	socket, err := listen(t.Context(), "127.0.0.1:0")
+	socket, err := listen(t.Context(), "127.0.0.1:0", 0)
 	assert.Must(t, err)
 	defer func() { _ = socket.Close() }()
 	dialed, err := NewTransport(&Traffic{}).DialContext(t.Context(), "tcp", socket.Addr().String())
--- a/router/http1/socket.go
+++ b/router/http1/socket.go
@@ -21,6 +21,27 @@
 	}
 }
 
+// Control calls f with the socket of a connection. It returns false if the connection was closed or has none.
+func Control(connection net.Conn, f func(fd int)) bool {
+	tcp, ok := Unwrap[*net.TCPConn](connection)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+}
+
+// UnreadBytes returns the number of bytes that a connection has received and the process hasn't read; zero if that can't be determined.
+func UnreadBytes(connection net.Conn) int {
+	count := 0
+	Control(connection, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err == nil {
+			count = n
+		}
+	})
+	return count
+}
+
 // socketState is what is known of the other end of a connection.
 type socketState int
 
@@ -34,19 +55,14 @@
 
 // stateOf returns the state of a connection.
 func stateOf(connection net.Conn) socketState {
-	tcp, ok := Unwrap[*net.TCPConn](connection)
-	if !ok {
+	if _, ok := Unwrap[*net.TCPConn](connection); !ok {
 		return socketOpen
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return socketReset
-	}
 	var info *unix.TCPInfo
 	var infoErr error
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	isOpen := Control(connection, func(fd int) { info, infoErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
 	switch {
-	case err != nil || infoErr != nil:
+	case !isOpen || infoErr != nil:
 		return socketReset
 	case info.State == unix.BPF_TCP_ESTABLISHED:
 		return socketOpen
