Don't let answers wait for bodies that clients don't send

What callers saw: a caller that was refused before its body had been read, for example for a wrong key, got no answer while it didn't send the rest of the body, and its connection stayed open without a limit in time.

Cause: net/http reads up to 256 KB of what a handler has left of a body before it writes the answer, without a deadline.

Change: the handler that router/listener puts first sets a deadline of 0.5 s for that.

--- a/router/listener/listener.go
+++ b/router/listener/listener.go
@@ -49,6 +49,7 @@
 func Limit(server *http.Server, settings Settings) *Limiter {
 	l := &Limiter{settings: settings, open: make(map[*connections.Connection]*connection)}
 	l.table.Limits = settings.Limits
+	server.Handler = discardingHandler{next: server.Handler}
 	server.ConnState = l.trackStates(server.ConnState)
 	return l
 }
