Give memory back to the system after a burst

What else needs memory on the machine finds less.

Cause: the Go runtime collects garbage as more is allocated, or after two minutes, and gives it back slowly.

--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
+	"github.com/dragonflyworks/dragonflyworks/router/heap"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/listener"
 )
@@ -91,6 +92,8 @@
 	loops, ctx := errgroup.WithContext(ctx)
 	loops.Go(func() error { return n.silent.run(ctx) })
 	loops.Go(func() error { return operators.Run(ctx) })
+	returner := &heap.Returner{Memory: n.Settings.Memory}
+	loops.Go(func() error { return returner.Run(ctx) })
 	if err := n.openListeners(ctx, loops, callerServer, operatorServer, operators); err != nil {
 		return err
 	}
