Bound the connections of clients on the project's own interface

What was seen: clients that don't complete their requests took a router as the README starts it to 2,426 MB at the callers' port and 2,682 MB at the operators' port (300 heads of one field without end, 100 of short fields), and to 1,208 sockets. The process had no limit of memory, and none could be set.

Cause: net/http parsed heads of up to 2 MB, and nothing bounded their sum or the number of connections.

Operators have those of load balancers on the platform, and a time limit for each request. The Go runtime gets a memory limit, and memory is given back after a burst.

--- a/router/caller/refuse.go
+++ b/router/caller/refuse.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/listener"
 )
 
 // refuse answers a request with an error object of the OpenAI API, and counts the error under its reason.
@@ -33,6 +34,13 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
+// RefuseHead returns the whole answer to a request whose head is refused before it is complete.
+func RefuseHead(reason verdict.Reason) []byte {
+	refusal := &verdict.Refusal{Verdict: verdict.NotRun, Reason: reason}
+	header := http.Header{HeaderVerdict: {verdict.NotRun.String()}}
+	return listener.FormatRefusal(reason, header, newErrorResponse(refusal, verdict.Describe(reason)))
+}
+
 // countRefusal increments the counter of the error's reason. It wraps an error that is not a *verdict.Refusal in one with the
 // reason Internal.
 func (s *Server) countRefusal(err error) *verdict.Refusal {
--- a/router/drain.go
+++ b/router/drain.go
@@ -17,7 +17,7 @@
 // reports to the load balancer that it is not ready, then refuses new requests, then waits for those in flight. The ledger
 // client appends its last records and leaves at the end, because requests in flight still have to be billed. Requests that are in flight
 // when the wait is over, or at a second signal, are ended with an answer.
-func (p *program) waitAndDrain(ctx context.Context, callers *listener, signals <-chan os.Signal) error {
+func (p *program) waitAndDrain(ctx context.Context, callers *httpListener, signals <-chan os.Signal) error {
 	d := &drain{program: p, callers: callers, done: make(chan error, 1)}
 	if !p.awaitStop(ctx, signals) {
 		p.Board.Leaving.Store(true)
@@ -52,7 +52,7 @@
 // drain is a graceful shutdown in progress.
 type drain struct {
 	program *program
-	callers *listener
+	callers *httpListener
 	done    chan error
 }
 
--- a/router/run.go
+++ b/router/run.go
@@ -28,6 +28,7 @@
 		_, _ = fmt.Fprintf(stderr, "router: %v\n", err)
 		return exitUsage
 	}
+	settings.limitHeap()
 	signals, release := receiveSignals()
 	defer release()
 	err := serve(context.Background(), settings, stderr, signals)
--- a/router/serve.go
+++ b/router/serve.go
@@ -14,13 +14,16 @@
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/router/admin"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
 	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/router/heap"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/router/listener"
 	"github.com/dragonflyworks/dragonflyworks/router/order"
 )
 
@@ -32,9 +35,12 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is the time without a request after which a keep-alive connection is closed.
 	idleTimeout = 2 * time.Minute
-	// httpHeaderBytesLimit is the maximum header size in net/http, which rejects larger headers without counting them. It is
-	// above the maximum of --header-bytes, so that oversized headers normally get a counted refusal.
-	httpHeaderBytesLimit = 2 << 20
+	// operatorTimeout is the maximum time for reading a request of operators, and for writing the answer.
+	operatorTimeout = 30 * time.Second
+	// operatorHeaderBytes is the maximum size of the headers of operators, minHTTPHeaderBytes the least size at which net/http rejects those of
+	// callers without counting them. It is above --header-bytes, so that oversized headers normally get a counted refusal.
+	operatorHeaderBytes = 16 << 10
+	minHTTPHeaderBytes  = 64 << 10
 	// readyPollInterval is the time between two checks whether the ledger client is ready.
 	readyPollInterval = 20 * time.Millisecond
 )
@@ -69,11 +75,11 @@
 // run opens the listeners and runs all background loops. After a signal it drains the router, callers' requests first and the
 // ledger last, and only then stops the loops.
 func (p *program) run(ctx context.Context, signals <-chan os.Signal) error {
-	callers, err := p.listen(ctx, p.Settings.Listen, p.Callers.Handler())
+	callers, err := p.listenForCallers(ctx)
 	if err != nil {
 		return fmt.Errorf("opening --listen: %w", err)
 	}
-	operators, err := p.listen(ctx, p.Settings.AdminListen, p.Admin.Handler())
+	operators, err := p.listenForOperators(ctx)
 	if err != nil {
 		return fmt.Errorf("opening --admin-listen: %w", err)
 	}
@@ -86,12 +92,12 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	loops, ctx := errgroup.WithContext(ctx)
-	for _, l := range []*listener{callers, operators} {
+	for _, l := range []*httpListener{callers, operators} {
 		loops.Go(func() error { return l.run(serving) })
 	}
 	for _, run := range []func(context.Context) error{
 		p.Ledger.Run, p.Dispatcher.Run, p.Configuration.Run, p.Snapshots.Run, p.Instances.Run, p.publishLedgerReady,
-		p.Orders.Run, p.Peers.Run,
+		p.Orders.Run, p.Peers.Run, callers.limiter.Run, operators.limiter.Run, (&heap.Returner{Memory: p.Settings.memoryBytes()}).Run,
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
@@ -126,35 +132,53 @@
 	}
 }
 
-// listener is an HTTP server with its open socket.
-type listener struct {
+// httpListener is an HTTP server with its open socket.
+type httpListener struct {
 	server *http.Server
 	socket net.Listener
+	// limiter bounds the connections.
+	limiter *listener.Limiter
 	// endRequests ends the contexts of all requests in progress.
 	endRequests context.CancelCauseFunc
 }
 
-func (p *program) listen(ctx context.Context, address string, handler http.Handler) (*listener, error) {
-	socket, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+// listenForCallers opens the callers' listener.
+func (p *program) listenForCallers(ctx context.Context) (*httpListener, error) {
+	server := &http.Server{
+		Handler: p.Callers.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: max(minHTTPHeaderBytes, 2*p.Settings.HeaderBytes),
+	}
+	return listen(ctx, p.Settings.Listen, server, listener.Settings{Limits: p.Settings.callerLimits(), Refuse: caller.RefuseHead, Count: p.Board.Count})
+}
+
+// listenForOperators opens the operators' listener.
+func (p *program) listenForOperators(ctx context.Context) (*httpListener, error) {
+	server := &http.Server{
+		Handler: p.Admin.Handler(), ReadTimeout: operatorTimeout, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: operatorTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: operatorHeaderBytes,
+	}
+	return listen(ctx, p.Settings.AdminListen, server, listener.Settings{Limits: connections.OperatorLimits(), Count: p.Board.Count})
+}
+
+// listen opens the socket of a server whose connections are bounded.
+func listen(ctx context.Context, address string, server *http.Server, bounds listener.Settings) (*httpListener, error) {
+	socket, err := (&net.ListenConfig{Control: listener.ReceiveBuffer(bounds.Limits.ReceiveBytes)}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	base, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
-	server := &http.Server{
-		BaseContext:       func(net.Listener) context.Context { return base },
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    httpHeaderBytesLimit,
-	}
-	return &listener{server: server, socket: http1.ResetUnfinished(server, socket), endRequests: endRequests}, nil
+	server.BaseContext = func(net.Listener) context.Context { return base }
+	limiter := listener.Limit(server, bounds)
+	return &httpListener{
+		server: server, socket: limiter.Wrap(http1.ResetUnfinished(server, socket)), limiter: limiter, endRequests: endRequests,
+	}, nil
 }
 
-func (l *listener) address() string { return l.socket.Addr().String() }
+func (l *httpListener) address() string { return l.socket.Addr().String() }
 
 // run serves requests until ctx ends, and then closes all connections. A graceful Shutdown makes Serve return earlier; run still
 // waits for ctx, so that a forced exit closes the connections of requests in flight.
-func (l *listener) run(ctx context.Context) error {
+func (l *httpListener) run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
 	defer stop()
 	err := l.server.Serve(l.socket)
--- a/router/settings.go
+++ b/router/settings.go
@@ -32,6 +32,8 @@
 	SnapshotInterval      time.Duration `help:"Mean time between two snapshots, across the whole fleet, of each of the ledger, the configuration and the orders." env:"DRAGONFLY_SNAPSHOT_INTERVAL" default:"10m"`
 
 	HeaderBytes int           `help:"Maximum size of the headers of a request, in bytes." env:"DRAGONFLY_HEADER_BYTES" default:"16384"`
+	Memory      int64         `help:"Memory that the router may take, in MiB; 0 for half of the machine's. Bodies of requests, heads and connections that exceed their parts of it are refused." env:"DRAGONFLY_MEMORY" default:"0"`
+	Sockets     int           `help:"Maximum number of sockets, of which callers may have three quarters; 0 for what the limit on open files allows." env:"DRAGONFLY_SOCKETS" default:"0"`
 	BodyTimeout time.Duration `help:"Maximum time to receive the body of a request." env:"DRAGONFLY_BODY_TIMEOUT" default:"10s"`
 
 	DrainDelay   time.Duration `help:"Time after SIGTERM during which new requests are still accepted, so that the balancer can notice that the router is not ready." env:"DRAGONFLY_DRAIN_DELAY" default:"5s"`
@@ -81,6 +83,10 @@
 	snapshotIntervalMaximum = 24 * time.Hour
 	headerBytesMinimum      = 1 << 10
 	headerBytesMaximum      = 1 << 20
+	memoryMinimum           = 64
+	memoryMaximum           = 1 << 20
+	socketsMinimum          = 100
+	socketsMaximum          = 1 << 20
 	bodyTimeoutMaximum      = 10 * time.Minute
 	drainDelayMaximum       = 10 * time.Minute
 	drainMaximumMaximum     = time.Hour
@@ -104,6 +110,8 @@
 		{"fleet-appends-per-second", s.FleetAppendsPerSecond, s.FleetAppendsPerSecond >= 1 && s.FleetAppendsPerSecond <= appendsMaximum, "1 to 100000"},
 		{"snapshot-interval", s.SnapshotInterval, isWithin(s.SnapshotInterval, snapshotIntervalMinimum, snapshotIntervalMaximum), "1s to 24h"},
 		{"header-bytes", s.HeaderBytes, s.HeaderBytes >= headerBytesMinimum && s.HeaderBytes <= headerBytesMaximum, "1024 to 1048576"},
+		{"memory", s.Memory, s.Memory == 0 || s.Memory >= memoryMinimum && s.Memory <= memoryMaximum, "64 to 1048576, or 0"},
+		{"sockets", s.Sockets, s.Sockets == 0 || s.Sockets >= socketsMinimum && s.Sockets <= socketsMaximum, "100 to 1048576, or 0"},
 		{"body-timeout", s.BodyTimeout, isWithin(s.BodyTimeout, time.Millisecond, bodyTimeoutMaximum), "1ms to 10m"},
 		{"drain-delay", s.DrainDelay, isWithin(s.DrainDelay, 0, drainDelayMaximum), "0s to 10m"},
 		{"drain-maximum", s.DrainMaximum, isWithin(s.DrainMaximum, time.Second, drainMaximumMaximum), "1s to 1h"},
--- a/router/settings_test.go
+++ b/router/settings_test.go
@@ -32,6 +32,8 @@
 		{"zero appends per second", []string{"--fleet-appends-per-second", "0"}, `--fleet-appends-per-second is "0"; allowed: 1 to 100000`},
 		{"short snapshot interval", []string{"--snapshot-interval", "1ms"}, `--snapshot-interval is "1ms"; allowed: 1s to 24h`},
 		{"header bytes below the minimum", []string{"--header-bytes", "10"}, `--header-bytes is "10"; allowed: 1024 to 1048576`},
+		{"little memory", []string{"--memory", "10"}, `--memory is "10"; allowed: 64 to 1048576, or 0`},
+		{"few sockets", []string{"--sockets", "10"}, `--sockets is "10"; allowed: 100 to 1048576, or 0`},
 		{"negative drain delay", []string{"--drain-delay=-1s"}, `--drain-delay is "-1s"; allowed: 0s to 10m`},
 		{"unknown log format", []string{"--log-format", "xml"}, `--log-format is "xml"; allowed: json or text`},
 		{"unknown log level", []string{"--log-level", "loud"}, `--log-level is "loud"; allowed: debug, info, warn or error`},
--- a/router/unfinished_test.go
+++ b/router/unfinished_test.go
@@ -11,16 +11,18 @@
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/router/listener"
 )
 
 // TestRouterThatEndsResetsUnfinishedAnswers guards against a part of an answer that a caller of HTTP/1.0 takes for the whole, because the router has
 // closed its connection.
 func TestRouterThatEndsResetsUnfinishedAnswers(t *testing.T) {
-	l, err := (&program{}).listen(t.Context(), "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, "half\n")
 		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
-	}))
+	})
+	l, err := listen(t.Context(), "127.0.0.1:0", &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener.Settings{})
 	assert.Must(t, err)
 	ctx, end := context.WithCancel(t.Context())
 	defer end()
