Bound the memory for bodies on the project's own interface

What was seen: 300 callers that sent bodies of 1 MB and stopped a byte short of their end took a router to 678 MB of 112, those with one chunk of 1 MB to 689 MB.

Cause: router/caller read each body into a buffer of its own, which grew by copies; nothing bounded their sum.

Change: bodies are read into the store that the platform's router has (router/bodies): a body without room isn't read, waits 5 s at the most and then gets 503 memory_exhausted, NotRun; senders that stop while others wait get 408.

--- a/router/bodies/body.go
+++ b/router/bodies/body.go
@@ -44,6 +44,18 @@
 	}
 }
 
+// Join makes the body one piece, and returns it. The body must have no readers.
+func (b *Body) Join() []byte {
+	if b == nil {
+		return nil
+	}
+	if len(b.parts) > 1 {
+		b.firstPart[0] = b.Bytes()
+		b.parts = b.firstPart[:]
+	}
+	return b.Bytes()
+}
+
 // WriteTo implements io.WriterTo.
 func (b *Body) WriteTo(w io.Writer) (int64, error) {
 	if b == nil {
--- a/router/build.go
+++ b/router/build.go
@@ -131,6 +131,7 @@
 	return caller.NewServer(board, accounts, dispatcher, caller.Settings{
 		MaxHeaderBytes: settings.HeaderBytes,
 		BodyTimeout:    settings.BodyTimeout,
+		BodyMemory:     settings.bodyMemory(),
 		MaxKeyAge:      ledger.Window{}.MaxKeyAge(settings.FleetAppendsPerSecond),
 	})
 }
--- a/router/caller/authenticate.go
+++ b/router/caller/authenticate.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/bodies"
 )
 
 // authenticatedCaller is the team that owns a request's bearer key, and the configuration in which the key was found. The
@@ -14,6 +15,8 @@
 type authenticatedCaller struct {
 	team          operator.Team
 	configuration *operator.Configuration
+	// body is the body of the request once it has been read. Its memory is given back when the request has ended.
+	body *bodies.Body
 }
 
 // authenticate looks up the team of the request's bearer key. Its errors never contain the key.
--- a/router/caller/model.go
+++ b/router/caller/model.go
@@ -40,7 +40,7 @@
 // readModelRequest reads and checks a completion request. It reserves an upper bound of the cost in tokens: one token for
 // each byte of the body, which bounds the prompt, plus max_tokens for the answer.
 func (s *Server) readModelRequest(w http.ResponseWriter, r *http.Request, c *authenticatedCaller) (*checkedRequest, error) {
-	raw, err := s.readBody(w, r, modelBodyLimit(c.configuration))
+	raw, err := s.readBody(w, r, c, modelBodyLimit(c.configuration))
 	if err != nil {
 		return nil, err
 	}
--- a/router/caller/plain.go
+++ b/router/caller/plain.go
@@ -13,7 +13,7 @@
 	if !found {
 		return nil, verdict.Refuse(verdict.RouteUnknown, r.URL.Path)
 	}
-	body, err := s.readBody(w, r, route.Limits.WithDefaults().BodyBytes)
+	body, err := s.readBody(w, r, c, route.Limits.WithDefaults().BodyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/router/caller/request.go
+++ b/router/caller/request.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -15,9 +14,13 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/router/bodies"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 )
 
+// maxBodyWait bounds the time for which a request waits for memory for its body.
+const maxBodyWait = 5 * time.Second
+
 // maxKeyBytes is the maximum length of an Idempotency-Key.
 const maxKeyBytes = 255
 
@@ -165,20 +168,24 @@
 	return forwarded
 }
 
-// readBody reads the request's body. It refuses a body that is longer than limit bytes or does not arrive within
-// Settings.BodyTimeout.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	controller := http.NewResponseController(w)
-	// The error is ignored: response writers without deadlines, such as those of tests, read without a time limit.
-	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
+// readBody reads the request's body into the memory for bodies. It refuses a body that is longer than limit bytes, doesn't arrive within
+// Settings.BodyTimeout or finds no memory.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *authenticatedCaller, limit int64) ([]byte, error) {
+	body, err := s.bodies.Read(r.Context(), bodies.Source{
+		Body: http.MaxBytesReader(w, r.Body, limit), Length: r.ContentLength, Limit: limit, Deadline: http.NewResponseController(w),
+		WaitUntil: time.Now().Add(min(s.settings.BodyTimeout, maxBodyWait)),
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		return body, nil
+		c.body = body
+		return body.Join(), nil
 	case errors.As(err, &tooLarge):
 		return nil, verdict.Refuse(verdict.BodyTooLarge, fmt.Sprintf("the limit is %d bytes", limit))
+	case errors.Is(err, bodies.ErrNoRoom):
+		return nil, verdict.Refuse(verdict.MemoryExhausted, "")
+	case errors.Is(err, bodies.ErrTooSlow):
+		return nil, verdict.Refuse(verdict.SenderTooSlow, "others wait for its memory")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, verdict.Refuse(verdict.SenderTooSlow, fmt.Sprintf("the body must arrive within %s", s.settings.BodyTimeout))
 	default:
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
+	"github.com/dragonflyworks/dragonflyworks/router/bodies"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
 )
@@ -34,12 +35,14 @@
 	DefaultReleaseTimeout = 5 * time.Second
 )
 
-// Settings are the limits of the server. A field that is zero gets its default.
+// Settings are the limits of the server. A field that is zero gets its default, unless it says otherwise.
 type Settings struct {
 	// MaxHeaderBytes is the maximum size of the names and values of a request's headers.
 	MaxHeaderBytes int
 	// BodyTimeout is the maximum time for reading a request's body.
 	BodyTimeout time.Duration
+	// BodyMemory is the memory in bytes for the bodies of all requests; zero for no bound.
+	BodyMemory int64
 	// ReleaseTimeout is the maximum time to wait until the release of a reservation has been read back from the log.
 	ReleaseTimeout time.Duration
 	// MaxKeyAge is the maximum age of the Idempotency-Key of a non-idempotent request on a route with DatedKeys. The
@@ -53,6 +56,7 @@
 	accounts    ledgerstream.Accounts
 	dispatcher  endpoint.CallSender
 	teamLimiter teamLimiter
+	bodies      *bodies.Store
 	settings    Settings
 }
 
@@ -70,7 +74,10 @@
 	if settings.MaxKeyAge == 0 {
 		settings.MaxKeyAge = ledger.Window{}.MaxKeyAge(ledgerstream.DefaultFleetAppendsPerSecond)
 	}
-	return &Server{board: board, accounts: accounts, dispatcher: dispatcher, settings: settings}
+	return &Server{
+		board: board, accounts: accounts, dispatcher: dispatcher, settings: settings,
+		bodies: bodies.NewStore(settings.BodyMemory, settings.BodyTimeout, board.Count),
+	}
 }
 
 // Handler returns the handler of the callers' listener. Requests that match no path and
@@ -112,6 +119,7 @@
 			s.refuse(w, err)
 			return
 		}
+		defer func() { c.body.Release() }()
 		checked, err := read(w, r, c)
 		if err != nil {
 			s.refuse(w, err)
--- a/router/caller/server_test.go
+++ b/router/caller/server_test.go
@@ -260,3 +260,19 @@
 	assert.NoError(t, json.Unmarshal(rewritten, &got))
 	assert.Equal(t, `-7 {"choice":["a",1e2]}`, string(got.Priority)+" "+string(got.Guided))
 }
+
+// TestNoMemoryForBody guards against bodies without a bound on their sum, against tokens that are reserved for a refused one, and against memory
+// that isn't given back.
+func TestNoMemoryForBody(t *testing.T) {
+	s, accounts, _ := setUp(t)
+	s = NewServer(s.board, accounts, s.dispatcher, Settings{BodyMemory: 100})
+	header := []string{HeaderAuthorization, "Bearer " + keyLuzon}
+	for range 10 {
+		w := send(s, "POST", "/atelier", strings.Repeat("b", 20), header...)
+		assert.Equal(t, 200, w.Code)
+	}
+	reserved := len(accounts.demands)
+	w := send(s, "POST", "/atelier", strings.Repeat("b", 101), header...)
+	assert.Equal(t, refusalResponse{503, string(verdict.MemoryExhausted), "NotRun", true}, parseRefusal(t, w))
+	assert.Equal(t, reserved, len(accounts.demands))
+}
