Keep receive buffers small until a long body is read

What was seen: in a trial with ten times the crowd of the tests (3,000 clients, 4,100 descriptors, 112 MB), bodies, requests sent ahead and unfinished heads left up to 172 MB unread in the kernel, and the process had up to 115 MB beside it.

Cause: the receive buffer of 64 KB is a connection's from the start, and the kernel puts up to twice as much into it. A connection with a request in progress takes more memory than the 12 KB for which the number of connections allows.

When 8 KB of a body were read, the connection gets 64 KB, until its request ends.

--- a/fleet/connections/connections.go
+++ b/fleet/connections/connections.go
@@ -31,9 +31,11 @@
 	HeadMemory int64
 	// HeadLines is the number of lines that a head may have.
 	HeadLines int
-	// ReceiveBytes is the size of a connection's receive buffer. UnreadMemory is the memory in bytes for what the process has received and not yet
-	// read on all connections together.
-	ReceiveBytes, UnreadMemory int64
+	// ReceiveBytes is the size of a connection's receive buffer, BodyReceiveBytes that of one on which a long body is being read. The kernel may
+	// hold twice as much.
+	ReceiveBytes, BodyReceiveBytes int64
+	// UnreadMemory is the memory in bytes for what the process has received and not yet read on all connections together.
+	UnreadMemory int64
 }
 
 // Outcome is the decision on bytes that have arrived.
@@ -190,7 +192,8 @@
 
 // MayHoldTooMuch reports whether there are so many connections that their receive buffers together can exceed the memory for unread bytes.
 func (t *Table) MayHoldTooMuch() bool {
-	return t.Limits.UnreadMemory > 0 && int64(t.count)*t.Limits.ReceiveBytes > t.Limits.UnreadMemory
+	largest := max(t.Limits.ReceiveBytes, t.Limits.BodyReceiveBytes)
+	return t.Limits.UnreadMemory > 0 && int64(t.count)*largest > t.Limits.UnreadMemory
 }
 
 // RemoveHeldBack removes the connections on which most is unread until the memory for unread bytes suffices for the others. It returns them.
--- a/router/listener/connection.go
+++ b/router/listener/connection.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/http1"
@@ -24,6 +26,8 @@
 	entry connections.Connection
 	// isServing reports whether a request is in progress, so that what arrives belongs to no head.
 	isServing atomic.Bool
+	// bodyBytes is the number of bytes that were read during the request in progress. A long body gets a larger receive buffer.
+	bodyBytes atomic.Int64
 }
 
 func newConnection(accepted net.Conn, limiter *Limiter) *connection {
@@ -36,7 +40,11 @@
 // Read implements net.Conn. It answers a request whose head is refused, and fails from then on.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n <= 0 || c.isServing.Load() {
+	if n <= 0 {
+		return n, err
+	}
+	if c.isServing.Load() {
+		c.receiveBody(int64(n))
 		return n, err
 	}
 	if reason := c.limiter.receive(c, p[:n]); reason != "" {
@@ -47,6 +55,33 @@
 	return n, err
 }
 
+// receiveBody enlarges the receive buffer once a body is found to be long.
+func (c *connection) receiveBody(bytes int64) {
+	limits := c.limiter.settings.Limits
+	if read := c.bodyBytes.Add(bytes); read >= limits.ReceiveBytes && read-bytes < limits.ReceiveBytes {
+		c.setReceiveBuffer(limits.BodyReceiveBytes)
+	}
+}
+
+// endBody makes the receive buffer small again after a long body.
+func (c *connection) endBody() {
+	if limits := c.limiter.settings.Limits; c.bodyBytes.Swap(0) >= limits.ReceiveBytes {
+		c.setReceiveBuffer(limits.ReceiveBytes)
+	}
+}
+
+// setReceiveBuffer sets the size of the receive buffer and of the TCP window; zero leaves them as they are. Linux bounds the window by the buffer
+// of the listener otherwise.
+func (c *connection) setReceiveBuffer(size int64) {
+	if size <= 0 {
+		return
+	}
+	http1.Control(c.Conn, func(fd int) {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, int(size))
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, int(size))
+	})
+}
+
 // refuse answers the request whose head is arriving, and reads on for a moment.
 func (c *connection) refuse(reason verdict.Reason) {
 	if c.limiter.settings.Refuse == nil {
--- a/router/listener/listener.go
+++ b/router/listener/listener.go
@@ -96,6 +96,9 @@
 	case http.StateNew:
 	}
 	c.isServing.Store(state == http.StateActive)
+	if state == http.StateIdle {
+		c.endBody()
+	}
 }
 
 func (l *Limiter) removeLocked(c *connection) {
