Test handshakes of the own interface, and stops while crowds are there

Two kinds of attack were not played: handshakes at the port of other routers on the project's own interface, and a signal to stop while clients are in their heads and bodies, hold connections or don't read their answers.

--- a/fleet/crowdtest/attack.go
+++ b/fleet/crowdtest/attack.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,6 +47,19 @@
 	r.attack(t, func() func() { return gather(kind, r.Address).leave })
 }
 
+// AttackAtStop lets a crowd come and tells the process to stop meanwhile. The process must end.
+func (r *Target) AttackAtStop(t *testing.T, kind Kind) {
+	t.Helper()
+	defer gather(kind, r.Address).leave()
+	assert.Must(t, syscall.Kill(r.PID, syscall.SIGTERM))
+	eventually(t, "the process ends", func() error {
+		if p := (&process{pid: r.PID}); !p.hasEnded() {
+			return errors.New("it runs on")
+		}
+		return nil
+	})
+}
+
 // attack checks the process while crowds gather. gather returns how they leave.
 func (r *Target) attack(t *testing.T, gather func() (leave func())) {
 	t.Helper()
--- a/fleet/crowdtest/kind.go
+++ b/fleet/crowdtest/kind.go
@@ -72,11 +72,11 @@
 	return lines.String()
 }
 
-// longFields returns the lines of a number of fields with distinct names, of some length in all.
-func longFields(count, length int) string {
+// longFields returns the lines of legalFields fields with distinct names, of some length in all.
+func longFields(length int) string {
 	lines := strings.Builder{}
-	value := strings.Repeat("v", length/count-len("X-00: \r\n"))
-	for i := range count {
+	value := strings.Repeat("v", length/legalFields-len("X-00: \r\n"))
+	for i := range legalFields {
 		fmt.Fprintf(&lines, "X-%02d: %s\r\n", i, value)
 	}
 	return lines.String()
@@ -94,11 +94,11 @@
 		{Name: "long head of short fields unfinished", Connections: fewConnections, Parts: []Part{{Text: r.Get + shortFields(longHeadBytes), Times: 1}}},
 		{
 			Name: "head of legal size unfinished", Connections: manyConnections,
-			Parts: []Part{{Text: r.Get + longFields(legalFields, legalHeadBytes), Times: 1}}, Finish: "\r\n",
+			Parts: []Part{{Text: r.Get + longFields(legalHeadBytes), Times: 1}}, Finish: "\r\n",
 		},
 		{
 			Name: "head of legal size piece by piece", Connections: manyConnections,
-			Parts: []Part{{Text: r.Get + longFields(legalFields, legalHeadBytes), Times: 1}}, Finish: "\r\n", Piece: 1000, Pause: piecePause,
+			Parts: []Part{{Text: r.Get + longFields(legalHeadBytes), Times: 1}}, Finish: "\r\n", Piece: 1000, Pause: piecePause,
 		},
 		{Name: "one byte", Connections: manyConnections, Parts: []Part{{Text: "G", Times: 1}}},
 		{Name: "nothing", Connections: manyConnections},
@@ -122,11 +122,21 @@
 		},
 		{
 			Name: "bodies after heads of legal size", Connections: manyConnections,
-			Parts: []Part{{Text: r.Post + longFields(legalFields, legalHeadBytes-len(r.Post)) + "Content-Length: 100000\r\n\r\nb", Times: 1}},
+			Parts: []Part{{Text: r.Post + longFields(legalHeadBytes-len(r.Post)) + "Content-Length: 100000\r\n\r\nb", Times: 1}},
 		},
 	}
 }
 
+// Unfinished returns a kind for each part of a request at which a client may stop.
+func Unfinished(r Request) []Kind {
+	return []Kind{
+		{Name: "nothing", Connections: someConnections},
+		{Name: "head of legal size unfinished", Connections: someConnections, Parts: []Part{{Text: r.Get + longFields(legalHeadBytes), Times: 1}}},
+		{Name: "large bodies", Connections: someConnections, Parts: []Part{{Text: body(r, r.LargestBody, r.LargestBody-1), Times: 1}}},
+		{Name: "requests sent ahead", Connections: someConnections, Parts: []Part{{Text: r.Get + "\r\n", Times: 2000}}},
+	}
+}
+
 // body returns a request that announces a body of some length and sends a part of it.
 func body(r Request, length, sent int) string {
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", r.Post, length, strings.Repeat("b", sent))
--- a/fleet/crowdtest/process.go
+++ b/fleet/crowdtest/process.go
@@ -27,6 +27,12 @@
 	return kilobytes << 10, err
 }
 
+// hasEnded reports whether the process has ended, whether or not its parent has noted that.
+func (p *process) hasEnded() bool {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
+	return err != nil || strings.Contains(string(content), "State:\tZ")
+}
+
 // sockets returns the number of open sockets.
 func (p *process) sockets() (int, error) {
 	folder := fmt.Sprintf("/proc/%d/fd", p.pid)
--- a/standin/misbehaving_clients_test.go
+++ b/standin/misbehaving_clients_test.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/crowdtest"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
+	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	fleetplatform "github.com/dragonflyworks/dragonflyworks/fleet/platform"
 	"github.com/dragonflyworks/dragonflyworks/standin/platform"
 	"github.com/dragonflyworks/dragonflyworks/standin/service"
@@ -38,6 +39,8 @@
 	program, platformURL string
 	command              *exec.Cmd
 	callers, operators   string
+	// flags are further flags of the program.
+	flags []string
 }
 
 // newCrowdRouter builds the program and starts the surroundings of a router.
@@ -70,8 +73,10 @@
 func (r *crowdRouter) start(t *testing.T) {
 	t.Helper()
 	r.callers, r.operators = unusedAddress(t), unusedAddress(t)
-	r.command = exec.CommandContext(context.WithoutCancel(t.Context()), r.program, "--listen", r.callers, "--admin-listen", r.operators,
-		"--platform", r.platformURL, "--instance", "r1", "--region", "a", "--availability-zone", "a-1", "--log-level", "error")
+	r.command = exec.CommandContext(context.WithoutCancel(t.Context()), r.program, append([]string{
+		"--listen", r.callers, "--admin-listen", r.operators, "--platform", r.platformURL, "--instance", "r1", "--region", "a", "--availability-zone", "a-1",
+		"--log-level", "error",
+	}, r.flags...)...)
 	r.command.Env = append(os.Environ(), fmt.Sprintf("DRAGONFLY_MEMORY=%d", crowdMemory), fmt.Sprintf("DRAGONFLY_SOCKETS=%d", crowdSockets))
 	r.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	assert.Must(t, r.command.Start())
@@ -119,15 +124,19 @@
 	for _, kind := range kinds {
 		t.Run(kind.Name, func(t *testing.T) {
 			r.start(t)
-			target := &crowdtest.Target{
-				PID: r.command.Process.Pid, Address: address(), Addresses: []string{r.callers, r.operators}, Memory: crowdMemory << 20, Sockets: crowdSockets,
-				LargestBody: largestBody, Ask: r.ask,
-			}
-			target.Attack(t, kind)
+			r.target(address()).Attack(t, kind)
 		})
 	}
 }
 
+// target returns the process as the target of attacks at one of its listeners.
+func (r *crowdRouter) target(address string) *crowdtest.Target {
+	return &crowdtest.Target{
+		PID: r.command.Process.Pid, Address: address, Addresses: []string{r.callers, r.operators}, Memory: crowdMemory << 20, Sockets: crowdSockets,
+		LargestBody: largestBody, Ask: r.ask,
+	}
+}
+
 // callerRequest is the beginning of requests of callers, with and without a body.
 func callerRequest() crowdtest.Request {
 	const head = "Host: seats.example\r\nAuthorization: Bearer " + crowdKey + "\r\n"
@@ -161,3 +170,34 @@
 	r.attack(t, func() string { return r.operators }, crowdtest.Bodies(request))
 	r.attack(t, func() string { return r.operators }, crowdtest.Chunks(request))
 }
+
+// TestMisbehavingOwnRouters guards against clients that begin handshakes at the port of other routers and go no further.
+func TestMisbehavingOwnRouters(t *testing.T) {
+	r := newCrowdRouter(t)
+	folder, lifetime := t.TempDir(), time.Hour
+	authority, err := peer.NewAuthority("crowd", lifetime)
+	assert.Must(t, err)
+	issued, err := authority.Issue("r1", lifetime)
+	assert.Must(t, err)
+	peers := unusedAddress(t)
+	r.flags = []string{"--peer-listen", peers}
+	for flag, content := range map[string][]byte{"--tls-authority": authority.Certificate, "--tls-certificate": issued.Certificate, "--tls-key": issued.Key} {
+		path := filepath.Join(folder, flag)
+		assert.Must(t, os.WriteFile(path, content, 0o600))
+		r.flags = append(r.flags, flag, path)
+	}
+	r.start(t)
+	r.target(peers).AttackHandshakes(t, "dragonfly-peer/1")
+}
+
+// TestMisbehavingOwnCallersAtAStop guards against a router that doesn't end because clients don't complete their requests.
+func TestMisbehavingOwnCallersAtAStop(t *testing.T) {
+	r := newCrowdRouter(t)
+	r.flags = []string{"--drain-delay", "1s", "--drain-maximum", "10s"}
+	for _, kind := range crowdtest.Unfinished(callerRequest()) {
+		t.Run(kind.Name, func(t *testing.T) {
+			r.start(t)
+			r.target(r.callers).AttackAtStop(t, kind)
+		})
+	}
+}
