--- a/fleet/connections/connections.go
+++ b/fleet/connections/connections.go
@@ -54,12 +54,10 @@
 type state uint8
 
 const (
-	// unused connections haven't had a complete request yet.
-	unused state = iota
+	// unfinished connections have a part of a head, or haven't had a complete request yet.
+	unfinished state = iota
 	// idle connections have had answers and wait for the next request, of which nothing has arrived.
 	idle
-	// inHead connections have had answers, and a part of the next head.
-	inHead
 	// serving connections have a request in progress.
 	serving
 	closed
@@ -82,8 +80,8 @@
 
 	count    int
 	headRoom int64
-	// unfinished are the connections that are unused or in a head, idle those that wait for the next request, the oldest first.
-	unfinished, idle list.List
+	// unfinished and waiting are the connections that are unfinished and idle, the oldest first.
+	unfinished, waiting list.List
 }
 
 // Count returns the number of connections.
@@ -100,7 +98,7 @@
 		t.Remove(victim)
 	}
 	t.count++
-	t.enter(now, c, unused)
+	t.enter(now, c, unfinished)
 	return victim, true
 }
 
@@ -110,7 +108,7 @@
 		return Continues, nil
 	}
 	if c.state == idle {
-		t.enter(now, c, inHead)
+		t.enter(now, c, unfinished)
 	}
 	c.head.scan(data)
 	if t.Limits.HeadLines > 0 && c.head.lines > t.Limits.HeadLines {
@@ -179,12 +177,12 @@
 
 // leastUseful returns the connection to close if there are too many, or nil if all have requests in progress.
 func (t *Table) leastUseful(now time.Time) *Connection {
-	unfinished, waiting := t.unfinished.Front(), t.idle.Front()
+	oldest, longestIdle := t.unfinished.Front(), t.waiting.Front()
 	switch {
-	case unfinished != nil && (waiting == nil || now.Sub(unfinished.Value.(*Connection).since) >= minHeadAge):
-		return unfinished.Value.(*Connection)
-	case waiting != nil:
-		return waiting.Value.(*Connection)
+	case oldest != nil && (longestIdle == nil || now.Sub(oldest.Value.(*Connection).since) >= minHeadAge):
+		return oldest.Value.(*Connection)
+	case longestIdle != nil:
+		return longestIdle.Value.(*Connection)
 	default:
 		return nil
 	}
@@ -225,11 +223,7 @@
 func (t *Table) enter(now time.Time, c *Connection, s state) {
 	t.leave(c)
 	c.state, c.since = s, now
-	if s == idle {
-		c.entry = t.idle.PushBack(c)
-	} else {
-		c.entry = t.unfinished.PushBack(c)
-	}
+	c.entry = t.listOf(s).PushBack(c)
 }
 
 // leave takes a connection out of the list of its state.
@@ -237,10 +231,14 @@
 	if c.entry == nil {
 		return
 	}
-	if c.state == idle {
-		t.idle.Remove(c.entry)
-	} else {
-		t.unfinished.Remove(c.entry)
-	}
+	t.listOf(c.state).Remove(c.entry)
 	c.entry = nil
 }
+
+// listOf returns the list of the connections without a request in progress that are in a state.
+func (t *Table) listOf(s state) *list.List {
+	if s == idle {
+		return &t.waiting
+	}
+	return &t.unfinished
+}
--- a/fleet/connections/connections_test.go
+++ b/fleet/connections/connections_test.go
@@ -182,8 +182,8 @@
 		if count != table.Count() || room != table.headRoom || count > table.Limits.Connections {
 			t.Fatalf("%d connections and %d bytes of heads, the table has %d and %d", count, room, table.Count(), table.headRoom)
 		}
-		if table.unfinished.Len()+table.idle.Len() > count {
-			t.Fatalf("%d and %d connections in lists, of %d", table.unfinished.Len(), table.idle.Len(), count)
+		if table.unfinished.Len()+table.waiting.Len() > count {
+			t.Fatalf("%d and %d connections in lists, of %d", table.unfinished.Len(), table.waiting.Len(), count)
 		}
 	})
 }
--- a/fleet/crowdtest/attack.go
+++ b/fleet/crowdtest/attack.go
@@ -82,7 +82,7 @@
 	}
 	eventually(t, "the largest request is served in calm", func() error { return r.Ask(r.LargestBody) })
 	o.stop()
-	peak, err := p.memory("VmHWM")
+	peak, err := PeakMemory(r.PID)
 	assert.Must(t, err)
 	t.Logf("peak %d MB, with unread bytes %d MB (at most %d MB of these), %d sockets", peak>>20, o.total>>20, o.unread>>20, o.sockets)
 	assertAtMost(t, "peak of memory in bytes", r.Memory, peak)
--- a/fleet/crowdtest/process.go
+++ b/fleet/crowdtest/process.go
@@ -15,6 +15,9 @@
 	ports []int
 }
 
+// PeakMemory returns the most resident memory in bytes that a process has had.
+func PeakMemory(pid int) (int, error) { return (&process{pid: pid}).memory("VmHWM") }
+
 // memory returns a value of the process's status in bytes: VmRSS for the resident memory, VmHWM for its peak.
 func (p *process) memory(field string) (int, error) {
 	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
--- a/router/heap/heap.go
+++ b/router/heap/heap.go
@@ -44,10 +44,10 @@
 
 // record notes that memory was given back, before and after which the runtime held some. Where little was gained, the next return is later.
 func (s *schedule) record(now time.Time, before, after usage) {
-	if s.interval = max(2*s.interval, minInterval); before.held-after.held > s.memory/unusedDivisor {
+	s.interval = max(minInterval, min(2*s.interval, maxInterval))
+	if before.held-after.held > s.memory/unusedDivisor {
 		s.interval = minInterval
 	}
-	s.interval = min(s.interval, maxInterval)
 	s.next = now.Add(s.interval)
 }
 
--- a/router/listener/connection.go
+++ b/router/listener/connection.go
@@ -30,10 +30,6 @@
 	bodyBytes atomic.Int64
 }
 
-func newConnection(accepted net.Conn, limiter *Limiter) *connection {
-	return &connection{Conn: accepted, limiter: limiter}
-}
-
 // NetConn returns the wrapped connection.
 func (c *connection) NetConn() net.Conn { return c.Conn }
 
--- a/router/listener/listener.go
+++ b/router/listener/listener.go
@@ -84,6 +84,15 @@
 }
 
 func (l *Limiter) enter(c *connection, state http.ConnState) {
+	l.record(c, state)
+	c.isServing.Store(state == http.StateActive)
+	if state == http.StateIdle {
+		c.endBody()
+	}
+}
+
+// record notes the state of a connection in the table.
+func (l *Limiter) record(c *connection, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
@@ -95,10 +104,6 @@
 		l.removeLocked(c)
 	case http.StateNew:
 	}
-	c.isServing.Store(state == http.StateActive)
-	if state == http.StateIdle {
-		c.endBody()
-	}
 }
 
 func (l *Limiter) removeLocked(c *connection) {
@@ -168,22 +173,20 @@
 	return nil
 }
 
-func (l *Limiter) closeHeldBack() {
+func (l *Limiter) closeHeldBack() { l.closeAll(l.takeHeldBack(), connectionHeldBack) }
+
+// takeHeldBack removes the connections on which most is unread, if unread bytes exceed their memory.
+func (l *Limiter) takeHeldBack() []*connection {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.table.MayHoldTooMuch() {
-		return
+		return nil
 	}
 	unread := make(map[*connections.Connection]int64, len(l.open))
 	for entry, c := range l.open {
 		unread[entry] = int64(http1.UnreadBytes(c))
 	}
-	heldBack := l.takeLocked(l.table.RemoveHeldBack(unread)...)
-	for _, c := range heldBack {
-		l.settings.Count(connectionHeldBack)
-		// The connection's own Close takes the lock.
-		_ = c.Conn.Close()
-	}
+	return l.takeLocked(l.table.RemoveHeldBack(unread)...)
 }
 
 // closeAll closes connections for the sake of others, and counts each.
@@ -208,7 +211,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := newConnection(accepted, b.limiter)
+		c := &connection{Conn: accepted, limiter: b.limiter}
 		if b.limiter.add(c) {
 			return c, nil
 		}
