Move http1 to the module that all programs share

The package tells how HTTP/1 answers end. Clients of the platform in fleet/platform read answers too, and couldn't import it from the router's module. No behaviour changes.

--- a/router/caller/serve.go
+++ b/router/caller/serve.go
@@ -5,10 +5,10 @@
 	"errors"
 	"net/http"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // serve reserves the cost of a request, sends the request to an endpoint, and bills or releases the reservation.
--- a/router/endpoint/buffered.go
+++ b/router/endpoint/buffered.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // copyBufferBytes is the size of the buffer through which responses beyond Settings.MaxBufferedBytes are relayed.
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // verdictHeader is the response header in which an endpoint states that it did not run a request.
--- a/router/endpoint/peer.go
+++ b/router/endpoint/peer.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/operator"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // peer is this router's state of one endpoint.
--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
--- a/router/gateway/callers_test.go
+++ b/router/gateway/callers_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // newConnectionPair returns both ends of a TCP connection: the router's and the caller's.
--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // maxRefusalsPerConnection bounds the refused requests that a connection remembers. After that many no more requests are
--- a/router/gateway/connection_test.go
+++ b/router/gateway/connection_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // pipeEndpoint is an endpoint in the bubble of a test. Its answers have no body, except late ones.
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 const (
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/readahead"
 )
 
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -16,10 +16,10 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
 	"github.com/dragonflyworks/dragonflyworks/router/heap"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/listener"
 )
 
--- a/router/gateway/relay_serve.go
+++ b/router/gateway/relay_serve.go
@@ -15,11 +15,11 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/cold"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 )
 
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/billing"
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/fleet/eventstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
@@ -27,7 +28,6 @@
 	"github.com/dragonflyworks/dragonflyworks/router/bodies"
 	"github.com/dragonflyworks/dragonflyworks/router/cold"
 	"github.com/dragonflyworks/dragonflyworks/router/headers"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 	"github.com/dragonflyworks/dragonflyworks/router/readahead"
 )
--- a/router/gateway/silent_callers.go
+++ b/router/gateway/silent_callers.go
@@ -8,7 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // silenceCheckInterval is the interval at which a router looks for callers that acknowledge nothing.
--- a/router/gateway/socket.go
+++ b/router/gateway/socket.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/placement"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/router/cold"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/places"
 	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
--- a/router/listener/connection.go
+++ b/router/listener/connection.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // errHeadRefused is the error of reads of a connection on which a head was refused.
--- a/router/listener/listener.go
+++ b/router/listener/listener.go
@@ -14,8 +14,8 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 const (
--- a/router/listener/listener_test.go
+++ b/router/listener/listener_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 )
 
 // serverTest is a server whose connections are bounded.
--- a/router/serve.go
+++ b/router/serve.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/router/admin"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
@@ -22,7 +23,6 @@
 	"github.com/dragonflyworks/dragonflyworks/router/controller"
 	"github.com/dragonflyworks/dragonflyworks/router/endpoint"
 	"github.com/dragonflyworks/dragonflyworks/router/heap"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/listener"
 	"github.com/dragonflyworks/dragonflyworks/router/order"
 )
--- a/router/sockets_test.go
+++ b/router/sockets_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
-	"github.com/dragonflyworks/dragonflyworks/router/http1"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/listener"
 	"github.com/dragonflyworks/dragonflyworks/router/tcptest"
 )
