Take messages between routers up to their stated bounds

Callers of a router that had other routers carry its exchanges got 503 no_endpoint for each request with a body of more than 4096 bytes. Copies of ledger groups and change tickets of more than 4096 bytes were refused between routers as well.

Cause: msgp's limit of 4096 elements holds for byte slices too, so the decoders of Exchange.Body, request.Payload and entry.Payload failed with ErrLimitExceeded, which is answered as "message can't be read". The fields now have the bounds of their messages as limits.

--- a/fleet/peer/exchange_message.go
+++ b/fleet/peer/exchange_message.go
@@ -12,7 +12,8 @@
 	StartedAt                  int64
 	Method, Target, Host       string
 	Header                     []HeaderField
-	Body                       []byte
+	// Body is bounded by MaxRequestBytes, which the encoded exchange has to fit into.
+	Body []byte `msg:"Body,limit=1052672"`
 	// TimeLeftMilliseconds is the time after which the other router gives the exchange up.
 	TimeLeftMilliseconds int64
 }
--- a/fleet/peer/exchange_message_gen.go
+++ b/fleet/peer/exchange_message_gen.go
@@ -146,7 +146,7 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
-	if zb0005 > z933d1f8alimitArrays {
+	if zb0005 > 1052672 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
--- a/fleet/peer/exchange_test.go
+++ b/fleet/peer/exchange_test.go
@@ -26,10 +26,16 @@
 
 // openExchange opens an exchange between two routers, of which the second answers with a function.
 func openExchange(t *testing.T, ctx context.Context, answer func(context.Context, *Exchange, *ExchangeWriter)) (*ExchangeReader, error) { //nolint:revive // t first, as helpers do
+	t.Helper()
+	return openExchangeOf(t, ctx, []byte("body"), answer)
+}
+
+// openExchangeOf opens an exchange of a request with a body.
+func openExchangeOf(t *testing.T, ctx context.Context, body []byte, answer func(context.Context, *Exchange, *ExchangeWriter)) (*ExchangeReader, error) { //nolint:revive // t first, as helpers do
 	t.Helper()
 	authority := newAuthority(t)
 	a, b := startNode(t, authority, "router-a"), startNodeWith(t, authority, "router-b", &exchangeRecorder{answer: answer})
-	return a.node.OpenExchange(ctx, b.address, &Exchange{Endpoint: "e", Method: "POST", Body: []byte("body"), Header: []HeaderField{{Name: "User-Agent"}}}, permitted)
+	return a.node.OpenExchange(ctx, b.address, &Exchange{Endpoint: "e", Method: "POST", Body: body, Header: []HeaderField{{Name: "User-Agent"}}}, permitted)
 }
 
 func TestExchange(t *testing.T) {
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -61,7 +61,7 @@
 type request struct {
 	Kind      messageKind
 	Partition int
-	Payload   []byte
+	Payload   []byte `msg:"Payload,limit=1052672"`
 	// Next is the offset of the first entry of the configuration stream that the sender lacks.
 	Next uint64
 }
@@ -149,7 +149,7 @@
 // entry is an element of an answer: an entry of the configuration stream, or with offset 0 a single payload of another kind.
 type entry struct {
 	Offset  uint64
-	Payload []byte
+	Payload []byte `msg:"Payload,limit=4194304"`
 }
 
 // PlacementNotice informs other routers of a prompt that the sender has placed on an engine. Notices may be lost, so that
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -369,7 +369,7 @@
 			err = msgp.WrapError(err, "Entries", za0001, "Payload")
 			return
 		}
-		if zb0004 > zdc5d9100limitArrays {
+		if zb0004 > 4194304 {
 			err = msgp.ErrLimitExceeded
 			return
 		}
@@ -467,7 +467,7 @@
 		err = msgp.WrapError(err, "Payload")
 		return
 	}
-	if zb0002 > zdc5d9100limitArrays {
+	if zb0002 > 4194304 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -564,7 +564,7 @@
 		err = msgp.WrapError(err, "Payload")
 		return
 	}
-	if zb0003 > zdc5d9100limitArrays {
+	if zb0003 > 1052672 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
