Fail answers whose connection was reset while the request was written

Callers got a part of an answer as a whole one: an endpoint answered a long upload before it had read it, without a length, and reset the connection. It was billed and logged as answered. On the project's own interface such a part counted as Ran.

Cause: the kernel reports a reset once. If the write of the upload meets it, the read that follows gets an ordinary end, which net/http takes for the end of the body.

Connections on which answers are read now keep the error of the first failed write and return it in place of that end. After an end that the server sent, the kernel reports a later reset as EPIPE, so that such an answer stays whole, also when it is read long after the reset. A read waits for a write in progress only on a connection that is dead. The same connections serve both interfaces, exchanges for other routers, continuations, load readings, probes, orders and the platform's store.

A body of a caller always has a length or chunks, so that an end in place of a reset is an error there already.

--- a/fleet/platform/transport.go
+++ b/fleet/platform/transport.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // Bounds of requests to the platform's services and of their responses.
@@ -71,10 +73,10 @@
 // newClient returns an HTTP client that returns redirects to the caller instead of following them.
 func newClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: http1.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleConnectionTimeout,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/router/build.go
+++ b/router/build.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledger"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
@@ -82,12 +83,12 @@
 
 // newPlatformClient returns the HTTP client for the platform. It ignores the proxy settings of the environment.
 func newPlatformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: http1.NewTransport(&http.Transport{
 		DialContext:           (&net.Dialer{Timeout: platformDialTimeout}).DialContext,
 		IdleConnTimeout:       platformIdleTimeout,
 		ResponseHeaderTimeout: platformIdleTimeout,
 		MaxIdleConnsPerHost:   4,
-	}}
+	})}
 }
 
 func newPlatformLog(settings *Settings, client *http.Client) (platform.Log, error) {
--- a/router/endpoint/connection.go
+++ b/router/endpoint/connection.go
@@ -4,9 +4,10 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // errUnclean is the error of a first write on a connection whose next bytes may belong to an earlier request.
@@ -141,17 +142,12 @@
 
 // hasInput reports whether bytes, or the end of the connection, have arrived and were not read yet.
 func hasInput(c net.Conn) bool {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	if _, ok := http1.Unwrap[*net.TCPConn](c); !ok {
 		return false
 	}
 	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		_, _, peekErr = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	isOpen := http1.Control(c, func(fd int) {
+		_, _, peekErr = unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err != nil || !errors.Is(peekErr, unix.EAGAIN)
+	return !isOpen || !errors.Is(peekErr, unix.EAGAIN)
 }
--- a/router/endpoint/write_guard.go
+++ b/router/endpoint/write_guard.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // TCP keep-alive parameters. They let the kernel detect connections whose state a middlebox, such as a NAT gateway,
@@ -141,10 +143,11 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
+	dial := http1.DialForResponses(dialer.DialContext)
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/router/gateway/hazards_test.go
+++ b/router/gateway/hazards_test.go
@@ -32,6 +32,8 @@
 type rawEndpoint struct {
 	listener net.Listener
 	answer   func(connection net.Conn, identifier string)
+	// readsHeadOnly reports whether the bodies of requests aren't read.
+	readsHeadOnly bool
 
 	mu          sync.Mutex
 	connections []net.Conn
@@ -41,12 +43,18 @@
 // newRawEndpoint starts an endpoint that calls answer for each request, until answer fails to write.
 func newRawEndpoint(t *testing.T, answer func(connection net.Conn, identifier string)) *rawEndpoint {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	e := &rawEndpoint{answer: answer}
+	e.start(t)
+	return e
+}
+
+func (e *rawEndpoint) start(t *testing.T) {
+	t.Helper()
+	var err error
+	e.listener, err = (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.Must(t, err)
-	e := &rawEndpoint{listener: listener, answer: answer}
-	t.Cleanup(func() { _ = listener.Close() })
+	t.Cleanup(func() { _ = e.listener.Close() })
 	go e.loop()
-	return e
 }
 
 func (e *rawEndpoint) loop() {
@@ -72,6 +80,10 @@
 		if err != nil {
 			return
 		}
+		if e.readsHeadOnly {
+			e.answer(connection, request.Header.Get("Id"))
+			return
+		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		e.answer(connection, request.Header.Get("Id"))
 	}
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -47,16 +47,16 @@
 
 // NewTransport returns an HTTP transport with bounded connections that ignores the proxy settings of the environment
 // and adds the bytes on its connections to traffic.
-func NewTransport(traffic *Traffic) *http.Transport { return newTransport(traffic, newDialer()) }
+func NewTransport(traffic *Traffic) *http1.Transport {
+	return &http1.Transport{Transport: newTransport(traffic, newDialer())}
+}
 
-func newDialer() dialFunc {
+func newDialer() http1.DialFunc {
 	return (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive(), Control: SetUserTimeout}).DialContext
 }
 
-// dialFunc opens a connection.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-func newTransport(traffic *Traffic, dial dialFunc) *http.Transport {
+func newTransport(traffic *Traffic, dial http1.DialFunc) *http.Transport {
+	dial = http1.DialForResponses(dial)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := dial(ctx, network, address)
@@ -144,7 +144,7 @@
 	// onPermit is called before a permit decides; nil but in tests.
 	onPermit func()
 	// dial opens connections to endpoints; newDialer if nil.
-	dial dialFunc
+	dial http1.DialFunc
 	// reach says, by service, whether its endpoints are reached. lastHeard is when data last came from any endpoint, in
 	// nanoseconds of the Unix time.
 	reach     map[string]*endpoint.Reachability
--- a/router/order/http.go
+++ b/router/order/http.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/order"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -26,16 +27,16 @@
 
 // HTTPEngineClient is a client of the engines' HTTP control interface. It opens a new connection for each call.
 type HTTPEngineClient struct {
-	transport *http.Transport
+	transport *http1.Transport
 }
 
 // NewHTTPEngineClient returns a client that ignores the proxy settings of the environment. The client neither follows
 // redirects nor sends a request a second time.
 func NewHTTPEngineClient() *HTTPEngineClient {
-	return &HTTPEngineClient{transport: &http.Transport{
+	return &HTTPEngineClient{transport: http1.NewTransport(&http.Transport{
 		DialContext:       (&net.Dialer{Timeout: engineTimeout}).DialContext,
 		DisableKeepAlives: true,
-	}}
+	})}
 }
 
 // State implements EngineClient. An answer without a fencing number is an error.
