Fail answers whose heads are no heads of HTTP/1

What callers saw: a status of 000 ended their connections without an answer, 600 and 999 were passed on, and an answer with a blank in the name of a field arrived without that field: "Transfer-Encoding : chunked" gave callers the bytes of the chunks as the body, "Content-Length : 1" was ignored. On the project's own interface the status 000 panicked for plain services, engines and streams alike.

Cause: net/http's parser takes any three digits for a status, skips lines whose name has a blank and says nothing. Nothing else looked at the head.

Connections on which answers are read now check the bytes of each head as they arrive: the status line with a code from 100 to 599 (RFC 9110, section 15) and the names of fields (section 5.6.2), interim answers included. The attempt fails, may have run, and its log line has the reason. As there is no answer, nothing of it is billed or takes effect. A status that is none from a router of an earlier version fails the exchange too.

Weighed: a continued line stays allowed, as net/http replaces it by a blank (RFC 9112, section 5.2). With two framings the chunks go before the length (section 6.3). Trailers aren't passed on, so that names in them reach nobody. Control bytes in a reason and another version than HTTP/1 are no status line.

Before: TestAnswersWithoutStatus, TestAnswersWithMalformedNames, TestResponsesWithoutStatus and TestResponsesWithMalformedNames failed, the first with "invalid WriteHeader code 0". After: they pass, on both interfaces, directly and through another router, and TestWellFormedHeads.

--- a/fleet/http1/response.go
+++ b/fleet/http1/response.go
@@ -7,14 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// responseConnection is a connection on which a client reads responses. The kernel reports a reset once; if a write meets it, the next read gets io.EOF,
-// which net/http takes for the end of a body without a length. A read fails in place of that.
+// responseConnection is a connection on which a client reads responses. A read fails where net/http would take a part of a response for a whole one: at
+// an end in place of a reset, and at a malformed head. The kernel reports a reset once; if a write meets it, the next read gets io.EOF, which ends a body
+// without a length.
 type responseConnection struct {
 	net.Conn
 
@@ -22,22 +25,32 @@
 	writes sync.Mutex
 
 	mu sync.Mutex
-	// failure is the error of the first write that failed.
+	// head checks the heads of responses, failure is the error of the first write that failed. Both are guarded by mu.
+	head    headReader
 	failure error
 }
 
 // NetConn returns the wrapped connection.
 func (c *responseConnection) NetConn() net.Conn { return c.Conn }
 
-// Read implements net.Conn. It returns the error of a failed write in place of io.EOF if the connection was reset.
+// Read implements net.Conn. It returns the error of a failed write in place of io.EOF if the connection was reset, and wraps ErrMalformedHead.
 func (c *responseConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
+	if headErr := c.readHead(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+func (c *responseConnection) readHead(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.read(p)
+}
+
 // Write implements net.Conn.
 func (c *responseConnection) Write(p []byte) (int, error) {
 	c.writes.Lock()
@@ -83,8 +96,9 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// DialForResponses returns a DialFunc that opens connections with another one, or with a net.Dialer if that is nil. Reads of such a connection fail where
-// the connection broke and the kernel reports an end.
+// DialForResponses returns a DialFunc that opens connections with another one, or with a net.Dialer if that is nil. Reads of such a connection fail with
+// ErrMalformedHead at a head of a response that isn't HTTP/1, and with the reason where the connection broke and the kernel reports an end.
+// BeginResponse is to be called for each exchange.
 func DialForResponses(dial DialFunc) DialFunc {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -98,6 +112,31 @@
 	}
 }
 
+// BeginResponse tells a connection of DialForResponses, or one that wraps it, that the next bytes are the head of a response. It is called before the
+// request is sent, when the response before is complete. It has no effect on other connections.
+func BeginResponse(connection net.Conn) {
+	if c, ok := Unwrap[*responseConnection](connection); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.head.begin()
+	}
+}
+
+// ResponseError returns the error of an exchange on a connection of DialForResponses, or one that wraps it. net/http doesn't wrap the errors of reads that
+// end within a line. It returns err for other connections, and for nil.
+func ResponseError(connection net.Conn, err error) error {
+	if connection == nil || err == nil {
+		return err
+	}
+	c, ok := Unwrap[*responseConnection](connection)
+	if !ok {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.head.failure, err)
+}
+
 // Transport is an http.Transport whose connections DialForResponses opens.
 type Transport struct{ *http.Transport }
 
@@ -106,3 +145,19 @@
 	t.DialContext = DialForResponses(t.DialContext)
 	return &Transport{Transport: t}
 }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[net.Conn]
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			BeginResponse(info.Conn)
+			used.Store(&info.Conn)
+		},
+	})
+	response, err := t.Transport.RoundTrip(request.WithContext(ctx))
+	if connection := used.Load(); err != nil && connection != nil {
+		err = ResponseError(*connection, err)
+	}
+	return response, err
+}
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -112,7 +112,7 @@
 		isRejected, isReused := x.guard.rejection()
 		if !isRejected {
 			x.guard.conclude(err == nil && isNotRunRefusal(response))
-			return response, err
+			return response, x.guard.responseError(err)
 		}
 		if err == nil {
 			_ = response.Body.Close()
@@ -220,7 +220,7 @@
 
 // isResponseError reports whether an error concerns the content of the response, as opposed to the connection.
 func isResponseError(err error) bool {
-	for _, responseError := range []error{errUnexpectedResponse, errMissingDone, errLineTooLong, errEventTooLong} {
+	for _, responseError := range []error{errUnexpectedResponse, errMissingDone, errLineTooLong, errEventTooLong, http1.ErrMalformedHead} {
 		if errors.Is(err, responseError) {
 			return true
 		}
--- a/router/endpoint/write_guard.go
+++ b/router/endpoint/write_guard.go
@@ -106,12 +106,21 @@
 	return isRejected, g.isReused.Load()
 }
 
+// responseError returns the error of the attempt's exchange.
+func (g *writeGuard) responseError(err error) error {
+	if c := g.bound.Load(); c != nil {
+		return http1.ResponseError(c, err)
+	}
+	return err
+}
+
 // bind records the connection that the transport selects.
 func (g *writeGuard) bind(info httptrace.GotConnInfo) {
 	c, ok := info.Conn.(*guardedConn)
 	if !ok {
 		return
 	}
+	http1.BeginResponse(c)
 	g.bound.Store(c)
 	g.isReused.Store(info.Reused)
 	c.bind(g)
--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -166,6 +166,7 @@
 	var body *bodyWatch
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			http1.BeginResponse(info.Conn)
 			d.connection = connectionOf(info.Conn)
 			if d.connection != nil {
 				hasBegun, isRejected = d.connection.begin(ctx, d.identifier, d.permit)
@@ -199,6 +200,9 @@
 			watch.ConfirmEnd(ctx, response)
 			return response, nil
 		}
+		if d.connection != nil {
+			err = http1.ResponseError(d.connection, err)
+		}
 		if withdrawn := d.connection.withdrawal(); withdrawn != nil {
 			d.writes.Store(0)
 			return nil, withdrawn
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/endpoint"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/locality"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
@@ -231,7 +232,10 @@
 	}, j.permitRouter(e, other.Region))
 	var head *peer.ExchangeHead
 	if err == nil {
-		if head, err = reader.ReadHead(); err != nil {
+		if head, err = reader.ReadHead(); err == nil && !http1.IsStatus(head.Status) {
+			err = fmt.Errorf("%w: %w: status code %d", peer.ErrExchangeBroken, http1.ErrMalformedHead, head.Status)
+		}
+		if err != nil {
 			_ = reader.Close()
 		}
 	}
