Log how long requests wait in their callers' sockets

Logs had the time at which a handler started, not that at which its request arrived, so that a busy processor and a slow link looked the same. The kernel knows how long ago the newest data arrived on a connection. "request ended" has SocketMilliseconds from 10 ms on, and stage.socket.KIND is a histogram of it.

--- a/fleet/http1/socket.go
+++ b/fleet/http1/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -42,6 +43,21 @@
 	return count
 }
 
+// SinceArrival returns how long ago the newest data arrived on a connection; zero if that can't be determined.
+func SinceArrival(connection net.Conn) time.Duration {
+	var age time.Duration
+	Control(connection, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return age
+}
+
+// HasLeft reports whether the other end has ended or reset a connection, or this end has closed it, as far as the kernel knows: also before a read returns
+// that.
+func HasLeft(connection net.Conn) bool { return stateOf(connection) != socketOpen }
+
 // socketState is what is known of the other end of a connection.
 type socketState int
 
--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -103,6 +103,8 @@
 	// idleSince is when the last answer ended, isReading whether data was read after that: a part of the next request.
 	idleSince time.Time
 	isReading bool
+	// arrivedAt is when the first data of the newest request arrived.
+	arrivedAt time.Time
 	// isClosed is true once the connection was closed as quiet.
 	isClosed bool
 }
@@ -116,12 +118,25 @@
 	if c.isClosed {
 		return 0, net.ErrClosed
 	}
-	if n > 0 {
-		c.isReading = true
+	if n > 0 && !c.isReading {
+		c.isReading, c.arrivedAt = true, time.Now().Add(-http1.SinceArrival(c))
 	}
 	return n, err
 }
 
+// arrival returns when the newest request arrived, which may have waited until it was read. It returns now for nil.
+func (c *callerConnection) arrival(now time.Time) time.Time {
+	if c == nil {
+		return now
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.arrivedAt.IsZero() || c.arrivedAt.After(now) {
+		return now
+	}
+	return c.arrivedAt
+}
+
 // Write implements net.Conn.
 func (c *callerConnection) Write(p []byte) (int, error) {
 	c.hasWritten.Store(true)
--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -135,6 +135,14 @@
 	return c.byteCountingConnection.Write(p)
 }
 
+// responseError returns the error of an exchange on the connection. It returns err for nil.
+func (c *endpointConnection) responseError(err error) error {
+	if c == nil {
+		return err
+	}
+	return http1.ResponseError(c, err)
+}
+
 // close closes the connection, so that nothing more is read from it. It has no effect on nil.
 func (c *endpointConnection) close() {
 	if c != nil {
@@ -200,9 +208,7 @@
 			watch.ConfirmEnd(ctx, response)
 			return response, nil
 		}
-		if d.connection != nil {
-			err = http1.ResponseError(d.connection, err)
-		}
+		err = d.connection.responseError(err)
 		if withdrawn := d.connection.withdrawal(); withdrawn != nil {
 			d.writes.Store(0)
 			return nil, withdrawn
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -193,6 +193,8 @@
 	// reserveTime is how long the request waited for the reservation of its tokens. firstByte is when the first part of
 	// the answer arrived; zero if none has.
 	reserveTime time.Duration
+	// socketTime is how long the request waited in its caller's socket before it was read.
+	socketTime time.Duration
 	firstByte   time.Time
 	// attemptFirstByte is when the first part of the newest attempt's answer arrived; zero if none has.
 	attemptFirstByte time.Time
@@ -220,6 +222,7 @@
 	if c, ok := r.Context().Value(callerKey{}).(*callerConnection); ok {
 		identifier := j.callerIdentifier()
 		c.request.Store(&identifier)
+		j.socketTime = j.received.Sub(c.arrival(j.received))
 	}
 	abort := j.serveRecovering()
 	j.body.Release()
@@ -549,6 +552,9 @@
 	if j.server.state.Leaving.Load() {
 		fields["Leaving"], fields["Stopped"] = true, isStopped(j.r)
 	}
+	if j.socketTime >= minLoggedSocketTime {
+		fields["SocketMilliseconds"] = j.socketTime.Milliseconds()
+	}
 	if j.route != nil {
 		fields["Route"], fields["Kind"] = j.route.Name, j.route.Kind.String()
 	}
--- a/router/gateway/stages.go
+++ b/router/gateway/stages.go
@@ -13,8 +13,12 @@
 	histogramDecay   = 0.015
 )
 
+// minLoggedSocketTime is the shortest time for which a request waited in its caller's socket that its log line has.
+const minLoggedSocketTime = 10 * time.Millisecond
+
 // Prefixes of the histograms' names; the kind of request follows. The values are in milliseconds.
 const (
+	stageSocket  = "stage.socket."
 	stageReserve = "stage.paid."
 	stageWait    = "stage.wait."
 	stageFirst   = "stage.first."
@@ -24,6 +28,7 @@
 // Stages returns the descriptions of the package's histograms.
 func Stages() []Description {
 	return []Description{
+		{stageSocket + "KIND", "Time in milliseconds for which the request waited in its caller's socket until it was read."},
 		{stageReserve + "KIND", "Time in milliseconds until a request's tokens were reserved."},
 		{stageWait + "KIND", "Predicted time in milliseconds until the engine was free for a prompt."},
 		{stageFirst + "KIND", "Time in milliseconds to the first byte of the answer."},
@@ -38,6 +43,7 @@
 	}
 	kind := j.route.Kind.String()
 	j.server.state.observe(stageTotal+kind, total)
+	j.server.state.observe(stageSocket+kind, j.socketTime)
 	if !j.firstByte.IsZero() {
 		j.server.state.observe(stageFirst+kind, j.firstByte.Sub(j.received))
 	}
