Send nothing on for callers that have left, before the server has read that

Cause: a router learns of a close when a goroutine reads it.

The kernel knows of the close at once. It is now asked when a request has been admitted, at the beginning of each attempt, and in the permit that is asked immediately before the first byte is sent, also when another router is to carry the exchange. A caller with a further request in its socket hasn't left. The request's context ends, so that all else that it began ends as for any caller that disconnects.

--- a/router/gateway/callers.go
+++ b/router/gateway/callers.go
@@ -137,6 +137,12 @@
 	return c.arrivedAt
 }
 
+// hasLeft reports whether the caller has closed the connection, as far as the kernel knows. The server learns of that only when it reads, which takes long
+// on a busy machine. It returns false for nil, and while a further request waits to be read.
+func (c *callerConnection) hasLeft() bool {
+	return c != nil && http1.HasLeft(c) && http1.UnreadBytes(c) == 0
+}
+
 // Write implements net.Conn.
 func (c *callerConnection) Write(p []byte) (int, error) {
 	c.hasWritten.Store(true)
--- a/router/gateway/counters.go
+++ b/router/gateway/counters.go
@@ -43,6 +43,7 @@
 	endpointEntryUnreadable  = "directory.unreadable"
 	platformConnectionSilent = "platform.connection_silent"
 	callerSilent             = "caller.silent"
+	callerLeftUnnoticed      = "caller.left_unnoticed"
 	callerUndelivered        = "caller.undelivered"
 	handlerPanicked          = "request.panicked"
 	requestWithdrawn         = "request.withdrawn"
@@ -85,6 +86,7 @@
 		{configurationUnreadable, "Configurations that can't be decoded; the previous configuration stays in force."},
 		{requestWithdrawn, "Attempts given up before anything was sent, because the regions, an evacuation or the endpoint's cold time no longer allowed the endpoint."},
 		{platformConnectionSilent, "Reads of the endpoints' entries that were answered on a new connection to the platform only."},
+		{callerLeftUnnoticed, "Requests that were not sent on because their caller had left, which the server had not read yet."},
 		{callerSilent, "Connections that were closed because their callers acknowledged nothing."},
 		{callerUndelivered, "Connections that ended before their callers had acknowledged what was written to them."},
 		{handlerPanicked, "Requests that were answered with an error because their handler panicked; expected to stay zero."},
--- a/router/gateway/cut_watch.go
+++ b/router/gateway/cut_watch.go
@@ -49,7 +49,7 @@
 	defer silence.Stop()
 	direct := &directExchange{
 		transport: e.transport, identifier: j.callerIdentifier(), identifierHeader: j.server.protocol.RequestID, writes: writes,
-		permit: j.server.targets.permit(&j.place, e, j.pass), witness: &e.witness, bodyBytes: j.body.Length(),
+		permit: j.withCaller(j.server.targets.permit(&j.place, e, j.pass)), witness: &e.witness, bodyBytes: j.body.Length(),
 	}
 	newRequest := func(ctx context.Context) *http.Request { return j.newRequest(ctx, e, time.Until(j.deadline)) }
 	defer func() { j.connection = direct.connection }()
--- a/router/gateway/exchange.go
+++ b/router/gateway/exchange.go
@@ -77,6 +77,9 @@
 	if timeLeft < minAttemptTime {
 		return attemptResult{verdict: verdict.NotRun, reason: verdict.DeadlineTooShort, cause: context.DeadlineExceeded}
 	}
+	if err := j.checkCaller(); err != nil {
+		return attemptResult{verdict: verdict.NotRun, reason: verdict.CallerDisconnected, cause: err, notSent: true}
+	}
 	var writes atomic.Int32
 	sentAt := time.Now()
 	response, err := j.roundTrip(ctx, e, timeLeft, &writes)
--- a/router/gateway/places.go
+++ b/router/gateway/places.go
@@ -75,6 +75,9 @@
 // permitRouter returns the permit for handing the request to another router. That one's own share counts if the endpoint is cold.
 func (j *job) permitRouter(e *target, region string) func() error {
 	return func() error {
+		if j.checkCaller() != nil {
+			return errCallerLeft
+		}
 		if t := &j.server.targets; !t.gate.AllowsRouter(&j.place, region) || !t.allowsPlace(&j.place, e) {
 			return errWithdrawn
 		}
--- a/router/gateway/relay.go
+++ b/router/gateway/relay.go
@@ -241,7 +241,7 @@
 	}
 	if err != nil {
 		r.release(other.Instance)
-		if ctx.Err() == nil && !errors.Is(err, errWithdrawn) {
+		if ctx.Err() == nil && !errors.Is(err, errWithdrawn) && !errors.Is(err, errCallerLeft) {
 			r.record(time.Now(), other.Instance, carriesExchanges(err))
 		}
 		return nil, relayFailure(err)
@@ -327,7 +327,7 @@
 // isRoutersFailure reports whether an exchange failed at this router or another one, so that the endpoint is not to blame.
 func isRoutersFailure(err error) bool {
 	return errors.Is(err, errNoOtherRouter) || errors.Is(err, errNotAdmittedElsewhere) || errors.Is(err, peer.ErrExchangeBroken) ||
-		errors.Is(err, errCutOff) || errors.Is(err, errWithdrawn)
+		errors.Is(err, errCutOff) || errors.Is(err, errWithdrawn) || errors.Is(err, errCallerLeft)
 }
 
 // recordFailedDial counts the endpoints to which the request could open no connection. One that gives no answer counts as enough.
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -193,6 +193,9 @@
 	// reserveTime is how long the request waited for the reservation of its tokens. firstByte is when the first part of
 	// the answer arrived; zero if none has.
 	reserveTime time.Duration
+	// caller is the caller's connection; nil if it isn't known. leave ends the context of the request.
+	caller *callerConnection
+	leave  context.CancelFunc
 	// socketTime is how long the request waited in its caller's socket before it was read.
 	socketTime time.Duration
 	firstByte   time.Time
@@ -223,7 +226,11 @@
 		identifier := j.callerIdentifier()
 		c.request.Store(&identifier)
 		j.socketTime = j.received.Sub(c.arrival(j.received))
+		j.caller = c
 	}
+	ctx, leave := context.WithCancel(r.Context())
+	defer leave()
+	j.r, j.leave = r.WithContext(ctx), leave
 	abort := j.serveRecovering()
 	j.body.Release()
 	j.logEnd()
@@ -264,6 +271,10 @@
 	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	if err := j.checkCaller(); err != nil {
+		j.refuse(err)
+		return false
+	}
 	if err := j.bindToVersion(ctx); err != nil {
 		j.refuse(err)
 		return false
@@ -278,6 +289,29 @@
 	return abort
 }
 
+// errCallerLeft is the cause of a request that was not sent because its caller has left.
+var errCallerLeft = errors.New("caller has closed its connection")
+
+// checkCaller ends the request's context and returns a refusal if the caller has left. It is asked before work begins that only the caller needs.
+func (j *job) checkCaller() error {
+	if !j.caller.hasLeft() {
+		return nil
+	}
+	j.server.state.Count(callerLeftUnnoticed)
+	j.leave()
+	return &verdict.Refusal{Verdict: verdict.NotRun, Reason: verdict.CallerDisconnected, Cause: errCallerLeft}
+}
+
+// withCaller returns a permit that is denied if the caller has left.
+func (j *job) withCaller(permit sendPermit) sendPermit {
+	return func(openedAt time.Time) error {
+		if j.checkCaller() != nil {
+			return errCallerLeft
+		}
+		return permit(openedAt)
+	}
+}
+
 // admit finds the request's route, team and service and reads its body.
 func (j *job) admit() error {
 	if headers.Count(j.r.Header) > headers.MaxFields {
