Count the time for which a request waits unread against its deadline

Cause: the deadline of a request was counted from the start of its handler. A request waits in its caller's socket until the server reads it, 0.6 s in the trace, and that time was not counted. It now begins when the kernel received the request. A request whose time is over by then is refused at once, in place of work whose answer comes too late.

TestTimeThatRequestsWaitUnread failed before: the request was answered 200 ms after it had arrived, on a route with a time-out of 50 ms.

--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -198,7 +198,7 @@
 	leave  context.CancelFunc
 	// socketTime is how long the request waited in its caller's socket before it was read.
 	socketTime time.Duration
-	firstByte   time.Time
+	firstByte  time.Time
 	// attemptFirstByte is when the first part of the newest attempt's answer arrived; zero if none has.
 	attemptFirstByte time.Time
 	// inFlightAtChoice is the number of requests that this router had in flight at the endpoint when it selected the
@@ -225,8 +225,8 @@
 	if c, ok := r.Context().Value(callerKey{}).(*callerConnection); ok {
 		identifier := j.callerIdentifier()
 		c.request.Store(&identifier)
-		j.socketTime = j.received.Sub(c.arrival(j.received))
-		j.caller = c
+		arrivedAt := c.arrival(j.received)
+		j.socketTime, j.received, j.caller = j.received.Sub(arrivedAt), arrivedAt, c
 	}
 	ctx, leave := context.WithCancel(r.Context())
 	defer leave()
--- a/router/gateway/unread_test.go
+++ b/router/gateway/unread_test.go
@@ -121,6 +121,16 @@
 	})
 }
 
+// TestTimeThatRequestsWaitUnread guards against requests that are served after their route's time-out, because the time before they were read doesn't count.
+func TestTimeThatRequestsWaitUnread(t *testing.T) {
+	g := newGatewayTest(t, answerSealed("answer"))
+	address, ended := g.serveBusily(t, 200*time.Millisecond)
+	sendTo(t, address, "/quick/")
+	<-ended
+	g.assertRequestCounts(0)
+	assert.Equal(t, "deadline_too_short", g.lastField("request ended", "Outcome"))
+}
+
 // lastField returns a field of the last log line with a message as text; empty if there is none.
 func (g *gatewayTest) lastField(message, field string) string {
 	last := ""
