End the wait for a malformed head that began with a part of a line

A bufio.Reader that has a part of a line drops the error of a read and reads again. That read waited for bytes that don't come, up to the deadline of the exchange. A connection whose head is malformed now fails each read at once.

Found by a run of TestMalformedHeads beside other tests, which hung. The new TestMalformedHeadAfterPartOfLine hung before, and passes.

--- a/fleet/http1/head_test.go
+++ b/fleet/http1/head_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// TestMalformedHeadAfterPartOfLine guards against a client that waits for more of a malformed head.
+func TestMalformedHeadAfterPartOfLine(t *testing.T) {
+	client, server := net.Pipe()
+	connection := &responseConnection{Conn: client}
+	BeginResponse(connection)
+	go func() {
+		_, _ = io.WriteString(server, "HTTP/1.1 200 O")
+		_, _ = io.WriteString(server, "\x00K\r\n\r\n")
+	}()
+	_, err := http.ReadResponse(bufio.NewReader(connection), nil) //nolint:bodyclose // there is no response
+	assert.Fails(t, err)
+	assert.ErrorIs(t, ResponseError(connection, err), ErrMalformedHead)
+}
+
 // TestWellFormedHeads guards against sound answers that are taken for malformed ones.
 func TestWellFormedHeads(t *testing.T) {
 	const whole = "Content-Length: 2\r\n\r\nok"
--- a/fleet/http1/response.go
+++ b/fleet/http1/response.go
@@ -35,6 +35,10 @@
 
 // Read implements net.Conn. It returns the error of a failed write in place of io.EOF if the connection was reset, and wraps ErrMalformedHead.
 func (c *responseConnection) Read(p []byte) (int, error) {
+	// A bufio.Reader that has a part of a line drops the error and reads again.
+	if err := c.readHead(nil); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
