Unwrap connections in tests of sockets, and begin a test's answer after the dial

Endpoints' connections are wrapped once more since resets are told from ends. tcptest.Read now finds the socket itself and fails a test without one; what is checked is the same. TestResetAfterEnd failed once beside other work: the server's end and reset had arrived before the dial returned, which then failed with EPIPE. The server now waits for the first byte.

--- a/fleet/http1/response_test.go
+++ b/fleet/http1/response_test.go
@@ -14,7 +14,7 @@
 // pipelineBytes is more than the sockets of a connection hold.
 const pipelineBytes = 32 << 20
 
-// dialEnding opens a connection of DialForResponses to a server that writes "part" and then ends the connection as given.
+// dialEnding opens a connection of DialForResponses to a server that, after the first byte, writes "part" and then ends the connection as given.
 func dialEnding(t *testing.T, end func(connection *net.TCPConn)) net.Conn {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -26,6 +26,7 @@
 			return
 		}
 		defer func() { _ = accepted.Close() }()
+		_, _ = accepted.Read(make([]byte, 1))
 		_, _ = io.WriteString(accepted, "part")
 		tcp, _ := accepted.(*net.TCPConn)
 		end(tcp)
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -193,12 +193,12 @@
 	// reserveTime is how long the request waited for the reservation of its tokens. firstByte is when the first part of
 	// the answer arrived; zero if none has.
 	reserveTime time.Duration
+	firstByte   time.Time
 	// caller is the caller's connection; nil if it isn't known. leave ends the context of the request.
 	caller *callerConnection
 	leave  context.CancelFunc
 	// socketTime is how long the request waited in its caller's socket before it was read.
 	socketTime time.Duration
-	firstByte  time.Time
 	// attemptFirstByte is when the first part of the newest attempt's answer arrived; zero if none has.
 	attemptFirstByte time.Time
 	// inFlightAtChoice is the number of requests that this router had in flight at the endpoint when it selected the
--- a/router/tcptest/timeouts.go
+++ b/router/tcptest/timeouts.go
@@ -3,13 +3,13 @@
 
 import (
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 )
 
 // Timeouts are the options of a socket by which TCP gives up a peer that sends nothing. A UserTimeout of zero means none.
@@ -36,10 +36,14 @@
 // is due.
 func (o Timeouts) ShortestSilence() time.Duration { return o.GivenUpAfter() - o.Idle }
 
-// Read returns the options of a connection, and fails the test if it sends no keep-alives.
+// Read returns the options of the socket of a connection, and fails the test if it has none or sends no keep-alives.
 func Read(t *testing.T, connection net.Conn) Timeouts {
 	t.Helper()
-	raw, err := connection.(syscall.Conn).SyscallConn()
+	socket, ok := http1.Unwrap[*net.TCPConn](connection)
+	if !ok {
+		t.Fatal("the connection has no socket")
+	}
+	raw, err := socket.SyscallConn()
 	assert.Must(t, err)
 	var o Timeouts
 	assert.Must(t, raw.Control(func(fd uintptr) {
