Count the bytes of malformed heads as traffic, and end servers before logs are read

TestEndlessAnswersElsewhere failed beside other work: bytes that the check of heads rejects weren't counted as read, since the counting connection was around the checking one. It is inside now. The new tests read log lines while requests were ending, which the race detector found; they end the server first.

--- a/router/gateway/connection.go
+++ b/router/gateway/connection.go
@@ -28,7 +28,7 @@
 // endpoint may write a refusal twice. No request is therefore sent on a connection on which one with the same identifier
 // was refused, nor after an exchange that ended without the answer to its own request.
 type endpointConnection struct {
-	byteCountingConnection
+	net.Conn
 
 	// openedAt is when the connection was opened.
 	openedAt time.Time
@@ -49,6 +49,9 @@
 	withdrawn error
 }
 
+// NetConn returns the wrapped connection.
+func (c *endpointConnection) NetConn() net.Conn { return c.Conn }
+
 // sendPermit returns an error if a request must not be sent after all on a connection that was opened at a time. It is called
 // immediately before the first byte is written.
 type sendPermit func(openedAt time.Time) error
@@ -132,7 +135,7 @@
 	if err := c.askPermit(); err != nil {
 		return 0, err
 	}
-	return c.byteCountingConnection.Write(p)
+	return c.Conn.Write(p)
 }
 
 // responseError returns the error of an exchange on the connection. It returns err for nil.
--- a/router/gateway/reset_answers_test.go
+++ b/router/gateway/reset_answers_test.go
@@ -188,9 +188,10 @@
 	}
 }
 
-// assertNoneAnswered asserts that no log line says that an answer was whole.
+// assertNoneAnswered ends the server and asserts that no log line says that an answer was whole.
 func (g *gatewayTest) assertNoneAnswered() {
 	g.t.Helper()
+	g.listener.Close()
 	for _, line := range g.lines.Entries {
 		if line.Fields.Get("Outcome") == "answered" {
 			g.t.Errorf("a log line says that the answer was whole: %v", line.Fields)
--- a/router/gateway/silent_callers.go
+++ b/router/gateway/silent_callers.go
@@ -37,7 +37,7 @@
 // check resets the connection of a silent caller.
 func (s *silentCallers) check(now time.Time, c *callerConnection) {
 	c.hasWritten.Store(false)
-	report, isClosed := c.unacknowledged()
+	report, isClosed := unacknowledged(c)
 	if report.Bytes > 0 {
 		c.hasWritten.Store(true)
 	}
@@ -54,7 +54,7 @@
 	if !c.hasWritten.Load() {
 		return
 	}
-	if report, isClosed := c.unacknowledged(); isClosed && report.Bytes > 0 {
+	if report, isClosed := unacknowledged(c); isClosed && report.Bytes > 0 {
 		s.count(callerUndelivered)
 		c.logUndelivered(s.logger, "connection ended before its caller had acknowledged the answer", report.Bytes)
 	}
--- a/router/gateway/slow_endpoints.go
+++ b/router/gateway/slow_endpoints.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/router/unacked"
 )
 
@@ -39,7 +40,7 @@
 func (w *bodyWatch) run(ctx context.Context) {
 	defer w.setUserTimeout(acknowledgmentTimeout)
 	for clock.Sleep(ctx, slowEndpointCheckInterval) {
-		report, isClosed := w.connection.unacknowledged()
+		report, isClosed := unacknowledged(w.connection)
 		if isClosed || report.Bytes == 0 && w.isWritten.Load() {
 			return
 		}
@@ -51,5 +52,5 @@
 }
 
 func (w *bodyWatch) setUserTimeout(timeout time.Duration) {
-	w.connection.control(func(fd int) { _ = setUserTimeout(fd, timeout) })
+	http1.Control(w.connection, func(fd int) { _ = setUserTimeout(fd, timeout) })
 }
--- a/router/gateway/socket.go
+++ b/router/gateway/socket.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -24,13 +25,10 @@
 	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 }
 
-// control calls f with the connection's socket. It returns false if the connection was closed or has none.
-func (c *byteCountingConnection) control(f func(fd int)) bool { return http1.Control(c.Conn, f) }
-
-// unacknowledged returns what the kernel knows of data that the peer has not acknowledged, and whether the connection has ended. It reports
-// nothing if that can't be determined.
-func (c *byteCountingConnection) unacknowledged() (report unacked.Report, isClosed bool) {
-	isOpen := c.control(func(fd int) {
+// unacknowledged returns what the kernel knows of data that the peer of a connection has not acknowledged, and whether the connection has ended. It
+// reports nothing if that can't be determined.
+func unacknowledged(connection net.Conn) (report unacked.Report, isClosed bool) {
+	isOpen := http1.Control(connection, func(fd int) {
 		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
 		if err != nil || n == 0 {
 			return
--- a/router/gateway/target.go
+++ b/router/gateway/target.go
@@ -56,16 +56,20 @@
 }
 
 func newTransport(traffic *Traffic, dial http1.DialFunc) *http.Transport {
-	dial = http1.DialForResponses(dial)
+	checked := http1.DialForResponses(func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &byteCountingConnection{Conn: connection, traffic: traffic}, nil
+	})
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dial(ctx, network, address)
+			connection, err := checked(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &endpointConnection{
-				byteCountingConnection: byteCountingConnection{Conn: connection, traffic: traffic}, openedAt: time.Now(), exchange: make(chan struct{}, 1),
-			}, nil
+			return &endpointConnection{Conn: connection, openedAt: time.Now(), exchange: make(chan struct{}, 1)}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     maxIdleTime,
