--- a/fleet/http1/response.go
+++ b/fleet/http1/response.go
@@ -144,7 +144,7 @@
 // Transport is an http.Transport whose connections DialForResponses opens.
 type Transport struct{ *http.Transport }
 
-// NewTransport makes a transport one of which all responses are checked.
+// NewTransport returns a Transport that checks all responses. It replaces t.DialContext.
 func NewTransport(t *http.Transport) *Transport {
 	t.DialContext = DialForResponses(t.DialContext)
 	return &Transport{Transport: t}
