Take a larger step for a missing event only where a process numbers by one

Cause: a service of which nothing was known counted as numbering by one until three streams had ended that showed otherwise, and endpoints that number otherwise than most of their service were cut for good. A stream without a step by one that begins with another number than those by one isn't judged. Where nothing is known, only identifiers that don't increase are rejected. Why it works: a step contradicts a stream only if its own process is known to take no such steps; service and version say nothing of a process.

--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -24,7 +24,7 @@
 var (
 	// ErrOrder means that an event's identifier is not above that of the event before.
 	ErrOrder = errors.New("identifier of an event is not above that of the event before")
-	// ErrGap means that events between two of a stream that is numbered by one are missing.
+	// ErrGap means that events between two of a stream are missing, whose endpoint is known to number them by one.
 	ErrGap = errors.New("event stream leaves out events")
 	// ErrNotEvent means that a run sent lines that are no event, or begins with one without an identifier after events that have one.
 	ErrNotEvent = errors.New("event stream holds lines that are no event of it")
@@ -36,8 +36,8 @@
 
 // Stream is the event stream of one request. The zero value is a stream of which no run has begun.
 type Stream struct {
-	// IsByOne reports whether the stream's service numbers events by one, see Numbering.
-	IsByOne bool
+	// Numbering tells how the endpoint of the newest run numbers events, and learns it; nil if nothing is known.
+	Numbering *Numbering
 
 	// completed counts the complete events of all runs.
 	completed int64
@@ -45,9 +45,10 @@
 	// newest complete event has an identifier.
 	last       string
 	isNumbered bool
-	// steps are the kinds of steps between the events that were passed on, hasGap reports whether a run was rejected for one.
-	steps  stepKinds
-	hasGap bool
+	// isResumed reports whether the caller had a part of the stream before.
+	isResumed bool
+	// steps are the kinds of steps between the events that were passed on.
+	steps stepKinds
 
 	run run
 	// media is the media type of the first run's answer; empty if it named none.
@@ -66,6 +67,8 @@
 	events int64
 	// first is the identifier of its first event.
 	first string
+	// steps are the kinds of steps between its events.
+	steps stepKinds
 }
 
 // event is the event that is being read.
@@ -95,7 +98,7 @@
 }
 
 // Resume tells that the caller has the stream up to the event with an identifier; empty for none. It is called before the first run.
-func (s *Stream) Resume(after string) { s.last = after }
+func (s *Stream) Resume(after string) { s.last, s.isResumed = after, after != "" }
 
 // BeginRun begins the next run, which answers with a content type. It fails with ErrMedia.
 func (s *Stream) BeginRun(contentType string) error {
@@ -226,22 +229,58 @@
 	case number < last:
 		return fmt.Errorf("%w: %d after %d", ErrOrder, number, last)
 	case number-last == 1:
-		s.steps |= stepOfOne
+		s.recordStep()
 		return nil
 	}
 	return s.checkGap(last, number)
 }
 
-// checkGap judges a step by how the service numbers events and, where a run goes on, by the events before.
+// recordStep records a step by one. One between two runs tells of neither endpoint.
+func (s *Stream) recordStep() {
+	s.steps |= stepOfOne
+	if s.run.events == 0 {
+		return
+	}
+	s.Numbering.recordStep()
+	if s.run.steps == 0 {
+		s.Numbering.recordRun()
+		if s.completed == s.run.events && !s.isResumed {
+			s.Numbering.recordFirst(s.firstNumber())
+		}
+	}
+	s.run.steps |= stepOfOne
+}
+
+// firstNumber returns the number of the first event of the newest run; zero if it has none.
+func (s *Stream) firstNumber() uint64 {
+	number, _ := strconv.ParseUint(s.run.first, 10, 64)
+	return number
+}
+
+// checkGap judges a step by how the endpoint numbers events and, where a run goes on, by the events before.
 func (s *Stream) checkGap(last, number uint64) error {
-	isGap := s.IsByOne || s.steps == stepOfOne && s.run.events == 0
-	if s.hasGap = s.hasGap || isGap; isGap {
+	isGap := s.leavesOut()
+	if s.run.events > 0 && s.run.steps&stepUneven == 0 {
+		s.Numbering.recordUneven(s.run.steps != 0)
+		s.run.steps |= stepUneven
+	}
+	if isGap {
 		return fmt.Errorf("%w: %d after %d", ErrGap, number, last)
 	}
 	s.steps |= stepUneven
 	return nil
 }
 
+// leavesOut reports whether a step of more than one shows that an event is missing. A stream without steps by one that begins with another number than those
+// by one may be numbered otherwise.
+func (s *Stream) leavesOut() bool {
+	isByOne, beginsSo := s.Numbering.isByOne(s.firstNumber())
+	if s.run.events == 0 {
+		return isByOne || s.steps == stepOfOne
+	}
+	return isByOne && (beginsSo || s.steps == stepOfOne)
+}
+
 // EndRun ends the newest run, whose answer ended as a whole. endsWithConnection reports whether only the end of its connection shows that.
 func (s *Stream) EndRun(endsWithConnection bool) error {
 	if s.IsInsideEvent() || endsWithConnection && s.run.events == 0 {
@@ -279,11 +318,5 @@
 // Last returns the identifier of the last event that was passed on, or that the caller had before; empty if there is none.
 func (s *Stream) Last() string { return s.last }
 
-// IsNumberedByOne reports whether the events so far are numbered by one. ok is false if there are too few to tell.
-func (s *Stream) IsNumberedByOne() (byOne, ok bool) {
-	isUneven := s.hasGap || s.steps&stepUneven != 0
-	return !isUneven, isUneven || s.steps == stepOfOne
-}
-
 // First returns the identifier of the first event of the newest run; empty if there is none.
 func (s *Stream) First() string { return s.run.first }
