Mend what the linter reports in the new tests

Cause: bodies that the linter takes for unclosed, a testing.TB and a parameter with one value. Result: the tests of fleet/http1 and fleet/eventstream pass with the race detector.

--- a/fleet/eventstream/stream_test.go
+++ b/fleet/eventstream/stream_test.go
@@ -133,7 +133,7 @@
 }
 
 // byOneNumbering returns the numbering of a process that is known to number by one, from one on.
-func byOneNumbering(t testing.TB) *Numbering {
+func byOneNumbering(t *testing.T) *Numbering {
 	t.Helper()
 	n := &Numbering{}
 	s := Stream{Numbering: n}
@@ -147,10 +147,10 @@
 	return isKnown
 }
 
-// by returns events with identifiers in equal steps.
-func by(step, first, events int) string {
+// by returns six events with identifiers in equal steps.
+func by(step, first int) string {
 	var b strings.Builder
-	for i := range events {
+	for i := range 6 {
 		b.WriteString(numbered(first + i*step))
 	}
 	return b.String()
@@ -174,8 +174,8 @@
 		{"resumed, leaves an event out later", "3", numberedFrom(4, 5) + numbered(7), numberedFrom(4, 5), ErrGap},
 		{"begins anew", "", numberedFrom(1, 2) + numberedFrom(1, 2), numberedFrom(1, 2), ErrOrder},
 		{"names", "", "id: a\n\nid: c\n\n", "id: a\n\nid: c\n\n", nil},
-		{"by fives", "", by(5, 5, 6), by(5, 5, 6), nil},
-		{"by sevens from 100", "", by(7, 100, 6), by(7, 100, 6), nil},
+		{"by fives", "", by(5, 5), by(5, 5), nil},
+		{"by sevens from 100", "", by(7, 100), by(7, 100), nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := Stream{Numbering: byOneNumbering(t)}
@@ -198,7 +198,7 @@
 // TestUnknownNumbering guards against streams that are rejected because nothing is known yet of how their endpoint numbers events (review/13).
 func TestUnknownNumbering(t *testing.T) {
 	for _, n := range []*Numbering{nil, {}} {
-		for _, body := range []string{by(5, 5, 6), by(7, 100, 6), by(2, 1, 6), numberedFrom(1, 3) + numbered(5)} {
+		for _, body := range []string{by(5, 5), by(7, 100), by(2, 1), numberedFrom(1, 3) + numbered(5)} {
 			s := Stream{Numbering: n}
 			passed, err := join(&s, testRun{eventsType, body})
 			assert.Equal(t, body, passed)
@@ -242,14 +242,14 @@
 	t.Run("changes back and forth", func(t *testing.T) {
 		n := byOneNumbering(t)
 		for range 5 {
-			assert.Equal(t, 0, play(n, minSteps, by(5, 5, 6)))
+			assert.Equal(t, 0, play(n, minSteps, by(5, 5)))
 			assert.Equal(t, false, n.isKnown())
 			assert.Equal(t, 0, play(n, minSteps, numberedFrom(1, 3)))
 			assert.Equal(t, 1, play(n, 1, numberedFrom(1, 3)+numbered(5)))
 		}
 	})
 	t.Run("changes to steps of two from the same number", func(t *testing.T) {
-		assert.Equal(t, minUneven, play(byOneNumbering(t), 20, by(2, 1, 6)))
+		assert.Equal(t, minUneven, play(byOneNumbering(t), 20, by(2, 1)))
 	})
 	t.Run("runs that go on elsewhere tell nothing of it", func(t *testing.T) {
 		n := &Numbering{}
--- a/fleet/http1/end_test.go
+++ b/fleet/http1/end_test.go
@@ -96,10 +96,9 @@
 	return w, witnesses
 }
 
-// unframed returns a response that ends with its connection, and a writer of its body.
-func unframed() (*http.Response, *io.PipeWriter) {
-	reader, writer := io.Pipe()
-	return &http.Response{ContentLength: -1, Body: reader}, writer
+// unframed returns a response that ends with its connection, and has a body.
+func unframed(body io.ReadCloser) *http.Response {
+	return &http.Response{ContentLength: -1, Body: body}
 }
 
 // TestConfirmEnd guards against the end of a connection taken for the end of an answer, and against connections for answers that mark their own end.
@@ -123,7 +122,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newPipedServer(t)
-			response, writer := unframed()
+			reader, writer := io.Pipe()
+			response := unframed(reader)
 			response.ContentLength, response.TransferEncoding = c.length, c.encoding
 			w := &Witness{Dial: s.dial, IsWanted: &atomic.Bool{}}
 			w.Prepare()
@@ -287,7 +287,8 @@
 func TestWitnessIsKeptForResponse(t *testing.T) {
 	s := newPipedServer(t)
 	w, witnesses := newWitness(t, s)
-	response, writer := unframed()
+	reader, writer := io.Pipe()
+	response := unframed(reader)
 	w.ConfirmEnd(t.Context(), response, nil)
 	go func() {
 		time.Sleep(witnessIdleTime + time.Second)
@@ -305,7 +306,8 @@
 func TestWitnessIsReplacedDuringResponse(t *testing.T) {
 	s := newPipedServer(t)
 	w, witnesses := newWitness(t, s)
-	response, writer := unframed()
+	reader, writer := io.Pipe()
+	response := unframed(reader)
 	w.ConfirmEnd(t.Context(), response, nil)
 	go func() {
 		closeAll(witnesses...)
@@ -323,7 +325,8 @@
 func TestWitnessIsClosedDuringResponse(t *testing.T) {
 	s := newPipedServer(t)
 	w, witnesses := newWitness(t, s)
-	response, writer := unframed()
+	reader, writer := io.Pipe()
+	response := unframed(reader)
 	w.ConfirmEnd(t.Context(), response, nil)
 	w.Close()
 	closeAll(witnesses...)
@@ -354,7 +357,8 @@
 func TestWitnessThatIsClosedAsIdle(t *testing.T) {
 	t.Parallel()
 	s := newPipedServer(t)
-	response, writer := unframed()
+	reader, writer := io.Pipe()
+	response := unframed(reader)
 	w := &Witness{Dial: s.dial, IsWanted: &atomic.Bool{}}
 	t.Cleanup(w.Close)
 	w.Prepare()
