Report an endpoint's crash when the entry of its next process arrives

Cause: a router compared the entries of endpoints at which exchanges had broken off only when a request to the same service arrived, after that request had been checked itself. On a service without other traffic no router learned of the crash. Change: each new directory is compared when it arrives (reviewEndpoints). Why it works: the next process writes its entry at its start, and routers share what they count. Tests: TestCrashIsReportedWithoutRequests fails with reviewEndpoints emptied.

--- a/fleet/site/directory.go
+++ b/fleet/site/directory.go
@@ -111,8 +111,18 @@
 
 // Lists reports whether an endpoint of a service may get new requests.
 func (d *Directory) Lists(service, name string) bool {
-	_, found := slices.BinarySearchFunc(d.services[service], name, func(e Endpoint, n string) int { return strings.Compare(e.Name, n) })
-	return found
+	_, isListed := d.Endpoint(service, name)
+	return isListed
+}
+
+// Endpoint returns an endpoint of a service, or false if it may get no new requests.
+func (d *Directory) Endpoint(service, name string) (Endpoint, bool) {
+	listed := d.services[service]
+	i, isListed := slices.BinarySearchFunc(listed, name, func(e Endpoint, n string) int { return strings.Compare(e.Name, n) })
+	if !isListed {
+		return Endpoint{}, false
+	}
+	return listed[i], true
 }
 
 // String returns the state's name as it appears in logs.
--- a/router/gateway/crash_evidence.go
+++ b/router/gateway/crash_evidence.go
@@ -142,6 +142,25 @@
 	return len(others) > 0 && !slices.ContainsFunc(others, func(e site.Endpoint) bool { return t.canConnect(e.Address) })
 }
 
+// reviewEndpoints reports the crashes that a new directory shows: of processes that were replaced, or are not listed any more. The next request to their service
+// may come much later.
+func (t *targets) reviewEndpoints(directory *site.Directory) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, known := range t.byName {
+		if len(known.exposures) == 0 {
+			continue
+		}
+		listed, ok := directory.Endpoint(known.Service, name)
+		switch {
+		case !ok && known.inFlight == 0:
+			t.reportCrashLocked(known)
+		case ok && listed.StartedAt != known.StartedAt:
+			t.reportRestartLocked(known, time.UnixMilli(listed.StartedAt))
+		}
+	}
+}
+
 // reportRestartLocked reports that an endpoint's process has been replaced by one that started at a time. That was a crash
 // unless the former process answered after exchanges had broken off.
 func (t *targets) reportRestartLocked(e *target, startedAt time.Time) {
--- a/router/gateway/crashes_test.go
+++ b/router/gateway/crashes_test.go
@@ -206,6 +206,36 @@
 	}
 }
 
+// TestCrashIsReportedWithoutRequests guards against a crash that a router reports only with the next request to the endpoint's service (review/14).
+func TestCrashIsReportedWithoutRequests(t *testing.T) {
+	listed := func(startedAt int64) *site.Directory {
+		return site.NewDirectory([]site.Endpoint{{Name: "e", Service: "plain", Address: "127.0.0.1:1", StartedAt: startedAt}})
+	}
+	for _, c := range []struct {
+		name      string
+		directory *site.Directory
+		want      int
+	}{
+		{"another process of the endpoint", listed(2), 1},
+		{"endpoint no longer listed", site.NewDirectory(nil), 1},
+		{"the same process", listed(1), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			crashed := 0
+			ts := &targets{traffic: &Traffic{}, onCrash: func(_ time.Time, _ string, exposures []endpoint.InterruptedExchange) { crashed += len(exposures) }}
+			j := &job{r: &http.Request{Method: http.MethodGet}, server: &Server{}, route: &site.Route{}, service: "plain"}
+			ts.updateDirectoryLocked(listed(1), []site.WeightedService{{Service: "plain"}})
+			e := ts.byName["e"]
+			e.inFlight = 1
+			ts.release(e, j, time.Now(), attemptResult{endpointFailed: true, writeCount: 1, cause: errors.New("reset")})
+			for range 2 {
+				ts.reviewEndpoints(c.directory)
+				assert.Equal(t, c.want, crashed)
+			}
+		})
+	}
+}
+
 // TestSuspectedRequestIsRefused checks the answer and the log messages for a quarantined request.
 func TestSuspectedRequestIsRefused(t *testing.T) {
 	g := newGatewayTest(t, answerSealed("never"))
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -175,6 +175,7 @@
 	n.Directories.OnChange = func(directory *site.Directory) {
 		n.Server.streams.observe(time.Now(), directory)
 		n.Server.reporter.UpdateDirectory(directory)
+		n.Server.targets.reviewEndpoints(directory)
 	}
 	n.Server.streams.newer.directories = n.Directories
 	n.Directories.Cold = n.Server.targets.cold
