--- a/fleet/http1/end_test.go
+++ b/fleet/http1/end_test.go
@@ -96,11 +96,6 @@
 	return w, witnesses
 }
 
-// unframed returns a response that ends with its connection, and has a body.
-func unframed(body io.ReadCloser) *http.Response {
-	return &http.Response{ContentLength: -1, Body: body}
-}
-
 // TestConfirmEnd guards against the end of a connection taken for the end of an answer, and against connections for answers that mark their own end.
 func TestConfirmEnd(t *testing.T) {
 	for _, c := range []struct {
@@ -123,7 +118,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newPipedServer(t)
 			reader, writer := io.Pipe()
-			response := unframed(reader)
+			response := &http.Response{ContentLength: -1, Body: reader}
 			response.ContentLength, response.TransferEncoding = c.length, c.encoding
 			w := &Witness{Dial: s.dial, IsWanted: &atomic.Bool{}}
 			w.Prepare()
@@ -288,7 +283,7 @@
 	s := newPipedServer(t)
 	w, witnesses := newWitness(t, s)
 	reader, writer := io.Pipe()
-	response := unframed(reader)
+	response := &http.Response{ContentLength: -1, Body: reader}
 	w.ConfirmEnd(t.Context(), response, nil)
 	go func() {
 		time.Sleep(witnessIdleTime + time.Second)
@@ -307,7 +302,7 @@
 	s := newPipedServer(t)
 	w, witnesses := newWitness(t, s)
 	reader, writer := io.Pipe()
-	response := unframed(reader)
+	response := &http.Response{ContentLength: -1, Body: reader}
 	w.ConfirmEnd(t.Context(), response, nil)
 	go func() {
 		closeAll(witnesses...)
@@ -326,7 +321,7 @@
 	s := newPipedServer(t)
 	w, witnesses := newWitness(t, s)
 	reader, writer := io.Pipe()
-	response := unframed(reader)
+	response := &http.Response{ContentLength: -1, Body: reader}
 	w.ConfirmEnd(t.Context(), response, nil)
 	w.Close()
 	closeAll(witnesses...)
@@ -358,7 +353,7 @@
 	t.Parallel()
 	s := newPipedServer(t)
 	reader, writer := io.Pipe()
-	response := unframed(reader)
+	response := &http.Response{ContentLength: -1, Body: reader}
 	w := &Witness{Dial: s.dial, IsWanted: &atomic.Bool{}}
 	t.Cleanup(w.Close)
 	w.Prepare()
--- a/router/endpoint/write_guard.go
+++ b/router/endpoint/write_guard.go
@@ -116,10 +116,11 @@
 
 // boundConnection returns the connection of the attempt; nil if there is none.
 func (g *writeGuard) boundConnection() net.Conn {
-	if c := g.bound.Load(); c != nil {
-		return c
+	c := g.bound.Load()
+	if c == nil {
+		return nil
 	}
-	return nil
+	return c
 }
 
 // bind records the connection that the transport selects.
