Let a stream begin at another endpoint with another media type

Cause: the media type of a run of which nothing had been passed on bound the next one, now that such a run is followed by another attempt. Change: the type of the first run of which something was passed on counts. Result: the case "text in place of a stream" of TestAnswersCutBeforeTheyBegin gave 502 before at the route that may be repeated, and passes.

--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -51,8 +51,9 @@
 	steps stepKinds
 
 	run run
-	// media is the media type of the first run's answer; empty if it named none.
-	media string
+	// media is the media type of the first run of which something was passed on; empty if it named none. hasPassed reports whether there is one.
+	media     string
+	hasPassed bool
 	// isOverlong reports whether an event was too long to be held back, so that bytes are passed on as they arrive.
 	isOverlong bool
 	// pending holds the bytes of the event that is being read, line the start of the line that is being read.
@@ -105,7 +106,7 @@
 	s.DropIncomplete()
 	s.run = run{}
 	media := mediaOf(contentType)
-	if s.media == "" {
+	if s.media == "" || !s.hasPassed {
 		s.media = media
 	}
 	if media != s.media {
@@ -122,6 +123,12 @@
 // Accept adds bytes of the newest run and returns those that may be passed on: whole events and what stands between them. With an error the run is
 // broken, and what is returned came before.
 func (s *Stream) Accept(p []byte) ([]byte, error) {
+	passed, err := s.accept(p)
+	s.hasPassed = s.hasPassed || len(passed) > 0
+	return passed, err
+}
+
+func (s *Stream) accept(p []byte) ([]byte, error) {
 	end := 0
 	for i, b := range p {
 		isLineFeedOfReturn := b == '\n' && s.afterReturn
--- a/router/gateway/unsent_answers_test.go
+++ b/router/gateway/unsent_answers_test.go
@@ -28,6 +28,7 @@
 		{"in chunks", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n", head + "Content-Length: 5\r\n\r\nwhole", plain},
 		{"no body", head + "Content-Length: 5\r\n\r\n", head + "Content-Length: 5\r\n\r\nwhole", plain},
 		{"stream without an event", eventsHead + "\r\nid: 1\nda", eventsHead + "\r\nid: 1\ndata: a\n\n", streams},
+		{"text in place of a stream", head + "Content-Type: text/plain\r\n\r\nfailed", eventsHead + "\r\nid: 1\ndata: a\n\n", streams},
 		{"stream of other lines", eventsHead + "\r\nlog: 1\n\n", eventsHead + "\r\nid: 1\ndata: a\n\n", streams},
 	} {
 		for i, path := range c.paths {
