Open witnesses again for requests that come while others are opened

What callers saw: a part of an answer as the whole, of a process that ended while a witness was opened, if the next request came within 100 ms. Cause: the opening of witnesses stopped when the newest had been lost, and requests in the meantime relied on it. Change: it goes on if a request or response has begun since. Test: TestWitnessIsLostWhileOpening failed before.

--- a/fleet/http1/end_test.go
+++ b/fleet/http1/end_test.go
@@ -316,6 +316,18 @@
 	assert.NoError(t, response.Body.Close())
 }
 
+// TestWitnessIsLostWhileOpening guards against an answer without a witness because the process before ended while witnesses were opened.
+func TestWitnessIsLostWhileOpening(t *testing.T) {
+	s := newPipedServer(t)
+	w := &Witness{Dial: s.dial, IsWanted: &atomic.Bool{}}
+	t.Cleanup(w.Close)
+	w.IsWanted.Store(true)
+	w.Prepare()
+	assert.NoError(t, (<-s.accepted).Close())
+	w.Prepare()
+	assert.Equal(t, witnessCount, len(s.acceptWitnesses(w)))
+}
+
 // TestWitnessIsClosedDuringResponse guards against an answer without a witness because its server was listed anew meanwhile.
 func TestWitnessIsClosedDuringResponse(t *testing.T) {
 	s := newPipedServer(t)
--- a/fleet/http1/witness.go
+++ b/fleet/http1/witness.go
@@ -40,8 +40,8 @@
 	// open are the connections that neither end has ended, lost the witnesses that the server ended not long ago.
 	open map[*trackedConnection]struct{}
 	lost []*trackedConnection
-	// isDialing reports whether run is in progress.
-	isDialing bool
+	// isDialing reports whether run is in progress, isAwaited whether a request or response has begun since run opened its newest witness.
+	isDialing, isAwaited bool
 	// responses is the number of responses in progress that end with their connections.
 	responses int
 	// idle closes the witnesses; nil before the first one.
@@ -86,6 +86,7 @@
 	} else {
 		w.idle.Reset(witnessIdleTime)
 	}
+	w.isAwaited = true
 	if !w.isDialing && w.countLocked() < witnessCount {
 		w.isDialing = true
 		go w.run()
@@ -103,7 +104,7 @@
 	return count
 }
 
-// run opens witnesses until there are enough, or the server doesn't keep one open.
+// run opens witnesses until there are enough, or the server has not kept the newest one open and no request has begun since.
 func (w *Witness) run() {
 	for isWanted := true; isWanted; {
 		newest, err := w.add(w.Dial(context.Background()))
@@ -111,7 +112,7 @@
 			time.Sleep(witnessInterval)
 		}
 		w.mu.Lock()
-		isWanted = err == nil && stateOf(newest.Conn) == socketOpen && w.countLocked() < witnessCount
+		isWanted = err == nil && (w.isAwaited || stateOf(newest.Conn) == socketOpen) && w.countLocked() < witnessCount
 		w.isDialing = isWanted
 		w.mu.Unlock()
 	}
@@ -128,7 +129,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	c.isWitness = true
+	c.isWitness, w.isAwaited = true, false
 	w.idle.Reset(witnessIdleTime)
 	go c.run()
 	return c, nil
