Find missing events of processes of which nothing is known

What callers saw: streams without an event, as whole, of processes that were restarted again and again and so stayed unknown (ORDER). Change: while nothing is known, a larger step is a missing event in a stream that has a step by one, and a step by one after a larger one shows that that one left something out. A process numbers otherwise if at least three of its newest 16 runs have other steps, and more than half. Streams by fives, by sevens from 100, or of endpoints that differ, have no step by one and pass. Tests: those, TestOwnSteps and TestSkippedWhileLearning. TestUnknownNumbering no longer wants a step of two after steps by one to pass.

--- a/fleet/eventstream/numbering.go
+++ b/fleet/eventstream/numbering.go
@@ -1,38 +1,64 @@
 package eventstream
 
-import "sync"
+import (
+	"math/bits"
+	"sync"
+)
 
 const (
 	// minSteps is the number of steps by one, without another between them, that show that an endpoint numbers events by one.
 	minSteps = 32
-	// minUneven is the number of runs with other steps that show that an endpoint doesn't number by one any more, if they are more than maxUnevenShare
-	// of its runs: an endpoint may leave events out.
-	minUneven      = 3
-	maxUnevenShare = 0.25
-	// maxRuns bounds the runs that count. Beyond it, the older half counts less.
-	maxRuns = 512
+	// minUneven is the number of runs with other steps that show that an endpoint doesn't number by one, if they are more than half of the newest
+	// recentRuns: an endpoint may leave events out.
+	minUneven  = 3
+	recentRuns = 16
+)
+
+// numberingKind is what is known of how a process numbers events.
+type numberingKind int
+
+const (
+	// numberedUnknown: only the steps of a stream itself show what is missing there.
+	numberedUnknown numberingKind = iota
+	// numberedByOne: a larger step is a missing event.
+	numberedByOne
+	// numberedOtherwise: steps show nothing.
+	numberedOtherwise
 )
 
 // Numbering tells whether an endpoint's process numbers the events of its streams by one, so that a missing event shows. The format asks for no numbers at
 // all. It learns from each event that passes. The zero value is of a process of which nothing is known. Its methods may be called concurrently.
 type Numbering struct {
 	mu sync.Mutex
-	// steps counts the steps by one since the last other one, up to minSteps, from where on the process is known to number by one.
+	// steps counts the steps by one, up to minSteps. Until then, another step sets it back.
 	steps int
 	// first is the number with which the last stream by one began.
 	first uint64
-	// byOne and uneven count the runs since steps reached minSteps.
-	byOne, uneven int
+	// runs is the number of runs in recent, whose bits are set for those with other steps, the newest lowest.
+	runs   int
+	recent uint16
 }
 
-// isByOne reports whether the process is known to number events by one, and whether its streams begin with a number.
-func (n *Numbering) isByOne(first uint64) (isKnown, beginsSo bool) {
+// kind returns what is known, and whether streams by one begin with a number.
+func (n *Numbering) kind(first uint64) (kind numberingKind, beginsSo bool) {
 	if n == nil {
-		return false, false
+		return numberedOtherwise, false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.steps >= minSteps, n.first == first
+	return n.kindLocked(), n.first == first
+}
+
+func (n *Numbering) kindLocked() numberingKind {
+	uneven := bits.OnesCount16(n.recent)
+	switch {
+	case uneven >= minUneven && 2*uneven > n.runs:
+		return numberedOtherwise
+	case n.steps >= minSteps:
+		return numberedByOne
+	default:
+		return numberedUnknown
+	}
 }
 
 // recordStep records a step by one.
@@ -52,7 +78,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.countRunLocked(&n.byOne)
+	n.addLocked(0)
 }
 
 // recordFirst records the number with which a stream by one began.
@@ -65,25 +91,25 @@
 	n.first = number
 }
 
-// recordUneven records the first other step of a run. hadStep reports whether the run had a step by one before.
-func (n *Numbering) recordUneven(hadStep bool) {
+// recordUneven records the first other step of a run. wasByOne reports whether recordRun was called for the run.
+func (n *Numbering) recordUneven(wasByOne bool) {
 	if n == nil {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if hadStep && n.byOne > 0 {
-		n.byOne--
+	newestByOne := bits.TrailingZeros16(^n.recent)
+	if wasByOne && newestByOne < n.runs {
+		n.recent |= 1 << newestByOne
+	} else {
+		n.addLocked(1)
 	}
-	n.countRunLocked(&n.uneven)
-	if n.steps < minSteps || n.uneven >= minUneven && float64(n.uneven) > maxUnevenShare*float64(n.byOne+n.uneven) {
-		n.steps, n.byOne, n.uneven = 0, 0, 0
+	if n.steps < minSteps || n.kindLocked() == numberedOtherwise {
+		n.steps = 0
 	}
 }
 
-func (n *Numbering) countRunLocked(kind *int) {
-	*kind++
-	if n.byOne+n.uneven > maxRuns {
-		n.byOne, n.uneven = n.byOne/2, n.uneven/2
-	}
+func (n *Numbering) addLocked(bit uint16) {
+	n.recent = n.recent<<1 | bit
+	n.runs = min(n.runs+1, recentRuns)
 }
--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -233,13 +233,29 @@
 		return nil
 	case err != nil || lastErr != nil:
 		return fmt.Errorf("%w: %q after %q", ErrOrder, e.identifier, s.last)
+	}
+	return s.checkStep(last, number)
+}
+
+// checkStep returns why a number doesn't go on from the one before.
+func (s *Stream) checkStep(last, number uint64) error {
+	switch {
 	case number < last:
 		return fmt.Errorf("%w: %d after %d", ErrOrder, number, last)
-	case number-last == 1:
+	case number-last > 1:
+		return s.checkGap(last, number)
+	case s.hasSkipped():
+		return fmt.Errorf("%w: before %d", ErrGap, last)
+	default:
 		s.recordStep()
 		return nil
 	}
-	return s.checkGap(last, number)
+}
+
+// hasSkipped reports whether a step by one shows that an earlier larger one of the run left an event out.
+func (s *Stream) hasSkipped() bool {
+	kind, _ := s.Numbering.kind(0)
+	return s.run.steps == stepUneven && kind != numberedOtherwise
 }
 
 // recordStep records a step by one. One between two runs tells of neither endpoint.
@@ -278,14 +294,18 @@
 	return nil
 }
 
-// leavesOut reports whether a step of more than one shows that an event is missing. A stream without steps by one that begins with another number than those
-// by one may be numbered otherwise.
+// leavesOut reports whether a step shows that an event is missing. A stream without steps by one that begins with another number than those by one may be
+// numbered otherwise.
 func (s *Stream) leavesOut() bool {
-	isByOne, beginsSo := s.Numbering.isByOne(s.firstNumber())
-	if s.run.events == 0 {
-		return isByOne || s.steps == stepOfOne
+	kind, beginsSo := s.Numbering.kind(s.firstNumber())
+	switch {
+	case s.run.events == 0:
+		return kind == numberedByOne || s.steps == stepOfOne
+	case kind == numberedByOne:
+		return beginsSo || s.steps == stepOfOne
+	default:
+		return kind == numberedUnknown && s.run.steps == stepOfOne
 	}
-	return isByOne && (beginsSo || s.steps == stepOfOne)
 }
 
 // EndRun ends the newest run, whose answer ended as a whole. endsWithConnection reports whether only the end of its connection shows that.
--- a/fleet/eventstream/stream_test.go
+++ b/fleet/eventstream/stream_test.go
@@ -143,8 +143,8 @@
 }
 
 func (n *Numbering) isKnown() bool {
-	isKnown, _ := n.isByOne(0)
-	return isKnown
+	kind, _ := n.kind(0)
+	return kind == numberedByOne
 }
 
 // by returns six events with identifiers in equal steps.
@@ -198,7 +198,7 @@
 // TestUnknownNumbering guards against streams that are rejected because nothing is known yet of how their endpoint numbers events (review/13).
 func TestUnknownNumbering(t *testing.T) {
 	for _, n := range []*Numbering{nil, {}} {
-		for _, body := range []string{by(5, 5), by(7, 100), by(2, 1), numberedFrom(1, 3) + numbered(5)} {
+		for _, body := range []string{by(5, 5), by(7, 100), by(2, 1), numbered(1) + numbered(3)} {
 			s := Stream{Numbering: n}
 			passed, err := join(&s, testRun{eventsType, body})
 			assert.Equal(t, body, passed)
@@ -207,6 +207,31 @@
 	}
 }
 
+// TestOwnSteps guards against an event that is left out by a process of which nothing is known, in a stream that has steps by one.
+func TestOwnSteps(t *testing.T) {
+	for _, c := range []struct{ body, passed string }{
+		{numberedFrom(1, 3) + numbered(5), numberedFrom(1, 3)},
+		{numbered(1) + numberedFrom(3, 5), numbered(1) + numbered(3)},
+	} {
+		s := Stream{Numbering: &Numbering{}}
+		passed, err := join(&s, testRun{eventsType, c.body})
+		assert.Equal(t, c.passed, passed)
+		assert.ErrorIs(t, err, ErrGap)
+	}
+}
+
+// TestSkippedWhileLearning guards against an event that is left out in a stream while others show that its process numbers by one.
+func TestSkippedWhileLearning(t *testing.T) {
+	s := Stream{Numbering: &Numbering{}}
+	_, err := join(&s, testRun{eventsType, numbered(1) + numbered(3)})
+	assert.NoError(t, err)
+	other := Stream{Numbering: s.Numbering}
+	_, err = join(&other, testRun{eventsType, numberedFrom(1, minSteps+1)})
+	assert.NoError(t, err)
+	_, err = s.Accept([]byte(numbered(4)))
+	assert.ErrorIs(t, err, ErrGap)
+}
+
 // TestNumbering guards against a process that is known to number by one too early, or never, or still after it has changed that, or no longer because it
 // leaves events out now and then.
 func TestNumbering(t *testing.T) {
@@ -228,12 +253,12 @@
 	})
 	t.Run("steps of more than one between", func(t *testing.T) {
 		n := &Numbering{}
-		assert.Equal(t, 0, play(n, 10, numberedFrom(1, minSteps)+numbered(minSteps+2)))
+		assert.Equal(t, minUneven, play(n, 10, numberedFrom(1, minSteps)+numbered(minSteps+2)))
 		assert.Equal(t, false, n.isKnown())
 	})
 	t.Run("leaves events out now and then", func(t *testing.T) {
 		n := byOneNumbering(t)
-		for range 10 * maxRuns {
+		for range 100 * recentRuns {
 			assert.Equal(t, 1, play(n, 1, numberedFrom(1, 3)+numbered(5)))
 			assert.Equal(t, 0, play(n, 5, numberedFrom(1, 3)))
 		}
--- a/router/gateway/numbering_test.go
+++ b/router/gateway/numbering_test.go
@@ -69,6 +69,7 @@
 	assert.Equal(t, true, got.truncated)
 	listed := g.state.Directory.Load().Endpoints("engine")[0]
 	listed.StartedAt = 1
+	skipped := numberedStream(1, 1) + "id: 3\ndata: a\n\n"
 	g.state.Directory.Store(site.NewDirectory([]site.Endpoint{listed}))
-	assert.Equal(t, gap, call(gap).body)
+	assert.Equal(t, skipped, call(skipped).body)
 }
