--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -16,8 +16,6 @@
 const (
 	// maxPendingBytes bounds an incomplete event that is held back. Events of engines are far shorter.
 	maxPendingBytes = 64 << 10
-	// maxFirst is the highest number with which streams begin that are numbered by one.
-	maxFirst = 1
 	// maxLineBytes bounds the part of a line that is kept to find fields.
 	maxLineBytes = 4 << 10
 )
@@ -50,13 +48,10 @@
 	// steps are the kinds of steps between the events that were passed on, hasGap reports whether a run was rejected for one.
 	steps  stepKinds
 	hasGap bool
-	// beginsOtherwise reports whether the first event has a number that streams by one don't begin with.
-	beginsOtherwise bool
 
 	run run
-	// media is the media type of the first run of which something was passed on; empty if it named none. hasPassed reports whether there is one.
-	media     string
-	hasPassed bool
+	// media is the media type of the first run's answer; empty if it named none.
+	media string
 	// isOverlong reports whether an event was too long to be held back, so that bytes are passed on as they arrive.
 	isOverlong bool
 	// pending holds the bytes of the event that is being read, line the start of the line that is being read.
@@ -107,7 +102,7 @@
 	s.DropIncomplete()
 	s.run = run{}
 	media := mediaOf(contentType)
-	if s.media == "" || !s.hasPassed {
+	if s.media == "" {
 		s.media = media
 	}
 	if media != s.media {
@@ -124,12 +119,6 @@
 // Accept adds bytes of the newest run and returns those that may be passed on: whole events and what stands between them. With an error the run is
 // broken, and what is returned came before.
 func (s *Stream) Accept(p []byte) ([]byte, error) {
-	passed, err := s.accept(p)
-	s.hasPassed = s.hasPassed || len(passed) > 0
-	return passed, err
-}
-
-func (s *Stream) accept(p []byte) ([]byte, error) {
 	end := 0
 	for i, b := range p {
 		isLineFeedOfReturn := b == '\n' && s.afterReturn
@@ -209,10 +198,6 @@
 	if s.run.events == 0 {
 		s.run.first = e.identifier
 	}
-	if s.completed == 0 && s.last == "" {
-		number, err := strconv.ParseUint(e.identifier, 10, 64)
-		s.beginsOtherwise = err == nil && number > maxFirst
-	}
 	s.completed++
 	s.run.events++
 	if s.isNumbered = e.hasIdentifier; e.hasIdentifier {
@@ -247,10 +232,9 @@
 	return s.checkGap(last, number)
 }
 
-// checkGap judges a step by how the service numbers events, by how the stream itself does and, where a run goes on, by the events before.
+// checkGap judges a step by how the service numbers events and, where a run goes on, by the events before.
 func (s *Stream) checkGap(last, number uint64) error {
-	isNumberedOtherwise := s.beginsOtherwise && s.steps&stepOfOne == 0
-	isGap := s.IsByOne && !isNumberedOtherwise || s.steps == stepOfOne && s.run.events == 0
+	isGap := s.IsByOne || s.steps == stepOfOne && s.run.events == 0
 	if s.hasGap = s.hasGap || isGap; isGap {
 		return fmt.Errorf("%w: %d after %d", ErrGap, number, last)
 	}
--- a/router/endpoint/exchange.go
+++ b/router/endpoint/exchange.go
@@ -63,9 +63,11 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	// allows reports whether the call may be sent to the endpoint now.
-	allows    func() bool
-	guard     *writeGuard
-	watchdog  *watchdog
+	allows   func() bool
+	guard    *writeGuard
+	watchdog *watchdog
+	// watch shows whether the endpoint's process outlasts the response.
+	watch     *http1.Watch
 	startedAt time.Time
 	// responseStarted reports whether a part of the response has been written to the caller.
 	responseStarted bool
@@ -104,7 +106,7 @@
 // roundTrip sends the request and returns the response. It sends it on another connection if the one that the transport
 // selected is unclean.
 func (x *exchange) roundTrip(ctx context.Context) (*http.Response, error) {
-	x.peer.witness.Prepare()
+	x.watch = x.peer.witness.Watch(ctx)
 	for {
 		response, err := x.peer.transport().RoundTrip(x.newRequest(ctx))
 		isRejected, isReused := x.guard.rejection()
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/readahead"
@@ -22,9 +23,9 @@
 	readAheadDelay = 500 * time.Millisecond
 )
 
-// forwardResponse writes an answer to the caller as it arrives. It begins with the first event of a stream, and with the first copyBufferBytes or the
-// end of another answer, so that the attempt only fails if the answer breaks off before that. If it breaks off later or can't be written, the
-// connection to the caller must be aborted, so that the caller doesn't take the answer for complete, unless another endpoint may resume it.
+// forwardResponse writes an answer to the caller as it arrives. If the answer breaks off or can't be written, the
+// connection to the caller must be aborted, so that the caller doesn't take the answer for complete, unless another
+// endpoint may resume it.
 func (j *job) forwardResponse(ctx context.Context, response *http.Response) attemptResult {
 	control := http.NewResponseController(j.w)
 	j.media = response.Header.Get("Content-Type")
@@ -35,7 +36,10 @@
 			return j.rejectRun(err)
 		}
 	}
-	j.outcome, j.answer = "answered", response
+	if !j.responseStarted {
+		j.beginResponse(control, response)
+	}
+	j.outcome = "answered"
 	j.ahead = &readahead.Reader{Source: response.Body, Delay: readAheadDelay, Reserve: j.server.bodies.ReserveAnswer}
 	defer func() {
 		// A read that is in progress ends with the body.
@@ -44,15 +48,15 @@
 	}()
 	buffer := make([]byte, copyBufferBytes)
 	for {
-		n, err := j.readPart(buffer)
-		if n > 0 && (err == nil || errors.Is(err, io.EOF) || j.responseStarted || j.hasEvents) {
+		n, err := j.ahead.Read(buffer)
+		if n > 0 {
+			j.recordFirstByte()
 			if failed := j.forward(control, buffer[:n]); failed != nil {
 				return *failed
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			if err = j.endEvents(); err == nil {
-				j.beginResponse(control)
 				_ = control.SetWriteDeadline(time.Time{})
 				return attemptResult{verdict: verdict.Ran}
 			}
@@ -63,20 +67,6 @@
 	}
 }
 
-// readPart reads the next part of the answer, and as much as the buffer holds of one that isn't a stream and has not begun at the caller.
-func (j *job) readPart(buffer []byte) (int, error) {
-	n, err := j.ahead.Read(buffer)
-	if n > 0 {
-		j.recordFirstByte()
-	}
-	for err == nil && n < len(buffer) && !j.responseStarted && !j.isStream() {
-		var more int
-		more, err = j.ahead.Read(buffer[n:])
-		n += more
-	}
-	return n, err
-}
-
 // endEvents returns an error if the answer holds events and ended as a whole, but its stream didn't.
 func (j *job) endEvents() error {
 	if !j.hasEvents {
@@ -87,19 +77,16 @@
 
 func (j *job) isStream() bool { return j.route.Kind == site.Streaming }
 
-// beginResponse writes the status and headers of the answer unless an answer has begun at the caller.
-func (j *job) beginResponse(control *http.ResponseController) {
-	if j.responseStarted {
-		return
-	}
-	copyHeader(j.w.Header(), j.answer.Header)
+// beginResponse writes the status and headers of the first answer that is forwarded.
+func (j *job) beginResponse(control *http.ResponseController, response *http.Response) {
+	copyHeader(j.w.Header(), response.Header)
 	if j.hasEvents {
 		// Without a length, the answer can still be cut or continued after its last byte from this endpoint.
 		j.w.Header().Del("Content-Length")
 	}
-	j.status, j.responseStarted = j.answer.StatusCode, true
+	j.status, j.responseStarted = response.StatusCode, true
 	_ = control.SetWriteDeadline(j.writeDeadline())
-	j.writeHeader(j.answer.StatusCode)
+	j.writeHeader(response.StatusCode)
 	if j.isStream() {
 		_ = control.Flush()
 	}
@@ -113,13 +100,11 @@
 // answer that contradicts an identifier which only the caller named.
 func (j *job) rejectRun(cause error) attemptResult {
 	j.server.state.Count(streamRunRejected)
-	result := attemptResult{
+	j.outcome = "endpoint_broke_off"
+	return attemptResult{
 		verdict: verdict.Ran, reason: verdict.EndpointFailed, cause: cause, endpointFailed: j.events.Completed() > 0 || j.continuesAfter == "",
+		abortCaller: true, canResume: j.canContinue(),
 	}
-	if j.responseStarted {
-		j.outcome, result.abortCaller, result.canResume = "endpoint_broke_off", true, j.canContinue()
-	}
-	return result
 }
 
 // canContinue reports whether another endpoint may go on with the stream of which the caller has a part.
@@ -160,7 +145,6 @@
 		return nil
 	}
 	j.bindToEndpoint(j.tried[len(j.tried)-1])
-	j.beginResponse(control)
 	_ = control.SetWriteDeadline(j.writeDeadline())
 	j.ahead.Pause()
 	defer j.ahead.Resume()
@@ -183,11 +167,8 @@
 	return deadline
 }
 
-// classifyTruncation classifies an answer that broke off. If nothing of it was forwarded, it is a failed exchange as any other.
+// classifyTruncation classifies an answer that broke off after a part of it was forwarded.
 func (j *job) classifyTruncation(ctx context.Context, err error) attemptResult {
-	if !j.responseStarted {
-		return j.classifyFailure(ctx, err, true)
-	}
 	result := attemptResult{verdict: verdict.Ran, reason: verdict.EndpointFailed, cause: err, abortCaller: true}
 	switch {
 	case isStopped(j.r):
@@ -197,7 +178,7 @@
 	case ctx.Err() != nil:
 		j.outcome, result.reason = "deadline", verdict.DeadlineTooShort
 	default:
-		j.outcome, result.endpointFailed, result.canResume = "endpoint_broke_off", isEndpointsFailure(err), j.canContinue()
+		j.outcome, result.endpointFailed, result.canResume = "endpoint_broke_off", !isRoutersFailure(err) && !errors.Is(err, http1.ErrUnconfirmedEnd), j.canContinue()
 	}
 	return result
 }
