Name the revision that a router was built from in its first line

Of a run on another machine nobody could tell whether it ran the code in question.

Change: the build passes what scripts/revision.sh prints, the commit and whether the tree differs from it, or a digest of the sources where git can't tell. Without the linker's value the toolchain's record is used.

--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,11 @@
 BIN := bin
 # VERSION is what the programs call themselves; empty for what Go records of the module.
 VERSION :=
+REVISION := $(shell scripts/revision.sh)
 
 build: ## compiles the programs into BIN, with VERSION as their version
 	@mkdir -p $(BIN)
-	@for p in $(PROGRAMS); do go build -ldflags '-X github.com/dragonflyworks/dragonflyworks/fleet/version.release=$(VERSION)' -o $(BIN)/$$p ./$$p || exit 1; done
+	@for p in $(PROGRAMS); do go build -ldflags '-X github.com/dragonflyworks/dragonflyworks/fleet/version.release=$(VERSION) -X github.com/dragonflyworks/dragonflyworks/fleet/version.source=$(REVISION)' -o $(BIN)/$$p ./$$p || exit 1; done
 
 test: ## runs every test with the race detector
 	.ci/test
--- a/router/build.go
+++ b/router/build.go
@@ -104,7 +104,7 @@
 		Instance:              settings.Instance,
 		AvailabilityZone:      settings.AvailabilityZone,
 		Region:                settings.Region,
-		Version:               version.Current(),
+		Version:               version.Current().Version,
 		Lease:                 settings.Lease,
 		LeaseMargin:           settings.LeaseMargin,
 		FleetAppendsPerSecond: settings.FleetAppendsPerSecond,
--- a/router/docs_test.go
+++ b/router/docs_test.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
+	"github.com/dragonflyworks/dragonflyworks/fleet/version"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 	"github.com/dragonflyworks/dragonflyworks/router/bodies"
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
@@ -41,7 +42,7 @@
 		"ledgerstream": counterTable(ledgerstream.Counters()), "peer": counterTable(peer.Counters()),
 		"allowance": counterTable(allowance.Counters()), "gateway": counterTable(append(gateway.Counters(), gateway.Stages()...)),
 		"places": counterTable(places.Counters()), "cold": counterTable(cold.Counters()),
-		"bodies": counterTable(bodies.Counters()), "listener": counterTable(listener.Counters()),
+		"bodies": counterTable(bodies.Counters()), "listener": counterTable(listener.Counters()), "version": counterTable(version.Counters()),
 	}
 	for _, page := range []string{"../docs/settings.md", "../docs/metrics.md"} {
 		text := readAll(t, page)
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/timeofday"
+	"github.com/dragonflyworks/dragonflyworks/fleet/version"
 	"github.com/dragonflyworks/dragonflyworks/router/heap"
 	"github.com/dragonflyworks/dragonflyworks/router/listener"
 )
@@ -123,7 +124,9 @@
 	n.followChanges()
 	loops.Go(func() error { return n.Configurations.Run(ctx) })
 	loops.Go(func() error { return n.Directories.Run(ctx) })
-	n.Logger.WithField("Listen", n.Settings.Listen).Info("router started")
+	built := version.Current()
+	built.Register(n.Board.Metrics)
+	n.Logger.WithFields(built).WithField("Listen", n.Settings.Listen).Info("router started")
 	n.waitForShutdown(ctx, signals)
 	n.shutDown(ctx, callerServer, stopPayer, payerGroup)
 	stop()
--- a/router/serve.go
+++ b/router/serve.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyworks/dragonflyworks/fleet/connections"
 	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
 	"github.com/dragonflyworks/dragonflyworks/fleet/ledgerstream"
+	"github.com/dragonflyworks/dragonflyworks/fleet/version"
 	"github.com/dragonflyworks/dragonflyworks/router/admin"
 	"github.com/dragonflyworks/dragonflyworks/router/blackboard"
 	"github.com/dragonflyworks/dragonflyworks/router/caller"
@@ -101,7 +102,9 @@
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
-	p.Logger.WithFields(log.Fields{
+	built := version.Current()
+	built.Register(p.Board.Metrics)
+	p.Logger.WithFields(built).WithFields(log.Fields{
 		"Listen":      callers.address(),
 		"AdminListen": operators.address(),
 		"Instance":    p.Settings.Instance,
