Take a connection of unknown state for neither ended nor reset

Cause: stateOf returned socketReset where the kernel doesn't answer or fills in nothing, and socketOpen for connections that aren't TCP, of which the ends of witnesses weren't read.

Change: the state is unknown, open, ended or reset. Unknown is none of the others: only reads show the end of such a connection, also of witnesses that aren't TCP, and a reset counts if a read has shown it.

--- a/fleet/http1/socket.go
+++ b/fleet/http1/socket.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -43,18 +44,24 @@
 	return count
 }
 
-// tcpInfo returns what the kernel knows of a connection. It returns false if the connection was closed or isn't TCP.
-func tcpInfo(connection net.Conn) (*unix.TCPInfo, bool) {
+// tcpInfo returns what the kernel knows of a connection. It fails with net.ErrClosed if this end has closed the connection, and with another error if the
+// connection isn't TCP or the kernel doesn't tell.
+func tcpInfo(connection net.Conn) (*unix.TCPInfo, error) {
+	if _, ok := Unwrap[*net.TCPConn](connection); !ok {
+		return nil, errors.ErrUnsupported
+	}
 	var info *unix.TCPInfo
 	var err error
-	isOpen := Control(connection, func(fd int) { info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return info, isOpen && err == nil
+	if !Control(connection, func(fd int) { info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) }) {
+		return nil, net.ErrClosed
+	}
+	return info, err
 }
 
 // SinceArrival returns how long ago the newest data arrived on a connection; zero if that can't be determined.
 func SinceArrival(connection net.Conn) time.Duration {
-	info, ok := tcpInfo(connection)
-	if !ok {
+	info, err := tcpInfo(connection)
+	if err != nil {
 		return 0
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond
@@ -62,8 +69,8 @@
 
 // sinceEnd returns how long ago the other end ended a connection, also if this process was late to see it; zero if that can't be determined.
 func sinceEnd(connection net.Conn) time.Duration {
-	info, ok := tcpInfo(connection)
-	if !ok || info.State != unix.BPF_TCP_CLOSE_WAIT {
+	info, err := tcpInfo(connection)
+	if err != nil || info.State != unix.BPF_TCP_CLOSE_WAIT {
 		return 0
 	}
 	// What ends the connection acknowledges what came before, and nothing does after it.
@@ -71,29 +78,34 @@
 }
 
 // HasLeft reports whether the other end has ended or reset a connection, or this end has closed it, as far as the kernel knows: also before a read returns
-// that.
-func HasLeft(connection net.Conn) bool { return stateOf(connection) != socketOpen }
+// that. It returns false if the kernel doesn't tell.
+func HasLeft(connection net.Conn) bool { return stateOf(connection).isOver() }
 
-// socketState is what is known of the other end of a connection.
+// socketState is what the kernel tells of a connection.
 type socketState int
 
 const (
-	// socketOpen also stands for a connection that isn't TCP, of which nothing is known.
-	socketOpen socketState = iota
+	// socketUnknown means that the kernel doesn't tell or the connection isn't TCP. Only reads show the end of such a connection.
+	socketUnknown socketState = iota
+	socketOpen
 	// socketEnded means that the other end has ended the connection, socketReset that it has reset it or this end has closed it.
 	socketEnded
 	socketReset
 )
 
+// isOver reports whether the kernel tells that the other end has ended or reset a connection, or this end has closed it.
+func (s socketState) isOver() bool { return s == socketEnded || s == socketReset }
+
 // stateOf returns the state of a connection.
-func stateOf(connection net.Conn) socketState {
-	if _, ok := Unwrap[*net.TCPConn](connection); !ok {
-		return socketOpen
-	}
-	info, ok := tcpInfo(connection)
+func stateOf(connection net.Conn) socketState { return toldState(tcpInfo(connection)) }
+
+// toldState returns the state of a connection from the answer of the kernel.
+func toldState(info *unix.TCPInfo, err error) socketState {
 	switch {
-	case !ok:
+	case errors.Is(err, net.ErrClosed):
 		return socketReset
+	case err != nil, info.State == 0:
+		return socketUnknown
 	case info.State == unix.BPF_TCP_ESTABLISHED:
 		return socketOpen
 	case info.State == unix.BPF_TCP_CLOSE_WAIT:
--- a/fleet/http1/witness.go
+++ b/fleet/http1/witness.go
@@ -144,7 +144,7 @@
 func (w *Witness) countLocked() int {
 	count := 0
 	for c := range w.open {
-		if c.isWitness && stateOf(c.Conn) == socketOpen {
+		if c.isWitness && !stateOf(c.Conn).isOver() {
 			count++
 		}
 	}
@@ -162,7 +162,7 @@
 			<-w.pause.C
 		}
 		w.mu.Lock()
-		isWanted = err == nil && (w.isAwaited || stateOf(newest.Conn) == socketOpen) && w.countLocked() < witnessCount
+		isWanted = err == nil && (w.isAwaited || newest.isOpenLocked()) && w.countLocked() < witnessCount
 		w.isDialing = isWanted
 		w.mu.Unlock()
 	}
@@ -224,7 +224,7 @@
 }
 
 // recordLoss records that the server has ended a connection, unless this end had closed it before. A witness is replaced while responses are in progress.
-func (w *Witness) recordLoss(c *trackedConnection) {
+func (w *Witness) recordLoss(c *trackedConnection, isReset bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if _, isOpen := w.open[c]; !isOpen {
@@ -232,7 +232,7 @@
 	}
 	delete(w.open, c)
 	now := time.Now()
-	c.lostAt = now.Add(-sinceEnd(c.Conn))
+	c.lostAt, c.isReset = now.Add(-sinceEnd(c.Conn)), isReset
 	if age := SinceArrival(c.Conn); age > 0 {
 		c.arrivedAt = now.Add(-age)
 	}
@@ -280,7 +280,7 @@
 	for c := range w.open {
 		switch {
 		case c == own:
-		case stateOf(c.Conn) == socketOpen:
+		case c.isOpenLocked():
 			others = append(others, otherConnection{openedAt: c.openedAt})
 		case c.isWitness && !c.isRefused(now):
 			others = append(others, otherConnection{openedAt: c.openedAt, lostAt: now.Add(-sinceEnd(c.Conn)), isOnly: w.isOnlyLocked(c)})
@@ -305,6 +305,8 @@
 	// zero before. arrivedAt is when the last data arrived; zero if that isn't known.
 	isWitness         bool
 	lostAt, arrivedAt time.Time
+	// isReset reports whether a read has shown that the server reset it.
+	isReset bool
 	// isOnly reports whether it was the only witness until then.
 	isOnly bool
 	// arrivals are the bytes that had arrived on other connections settleDelay after the loss of this one; nil before.
@@ -318,8 +320,8 @@
 func (c *trackedConnection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.readBytes.Add(int64(n))
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		c.owner.recordLoss(c)
+	if isReset := errors.Is(err, syscall.ECONNRESET); isReset || errors.Is(err, io.EOF) {
+		c.owner.recordLoss(c, isReset)
 	}
 	return n, err
 }
@@ -334,9 +336,6 @@
 
 // run waits until a witness ends.
 func (c *trackedConnection) run() {
-	if _, ok := Unwrap[*net.TCPConn](c.Conn); !ok {
-		return
-	}
 	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c})
 	time.Sleep(settleDelay)
 	c.owner.recordArrivals(c)
@@ -345,7 +344,12 @@
 
 // isRefused reports whether the server reset the connection as one too many.
 func (c *trackedConnection) isRefused(now time.Time) bool {
-	return now.Sub(c.openedAt) < refusalMargin && stateOf(c.Conn) == socketReset
+	return now.Sub(c.openedAt) < refusalMargin && (c.isReset || stateOf(c.Conn) == socketReset)
+}
+
+// isOpenLocked reports whether neither a read nor the kernel has shown that the connection is over.
+func (c *trackedConnection) isOpenLocked() bool {
+	return c.lostAt.IsZero() && !stateOf(c.Conn).isOver()
 }
 
 // receivedBytes returns the number of bytes that have arrived.
--- a/router/gateway/callers_test.go
+++ b/router/gateway/callers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 	"github.com/dragonflyworks/dragonflyworks/fleet/http1"
+	"github.com/dragonflyworks/dragonflyworks/router/tcptest"
 )
 
 // newConnectionPair returns both ends of a TCP connection: the router's and the caller's.
@@ -159,3 +160,14 @@
 	c.trackState(connection, http.StateClosed)
 	<-drained
 }
+
+// TestCallerOfUnknownState guards against requests that are refused as if their callers had left because the kernel tells nothing of their connections.
+func TestCallerOfUnknownState(t *testing.T) {
+	local, remote := net.Pipe()
+	c := &callerConnection{byteCountingConnection: byteCountingConnection{Conn: tcptest.Opaque{Conn: local}}}
+	assert.Equal(t, false, c.hasLeft())
+	assert.NoError(t, remote.Close())
+	assert.Equal(t, false, c.hasLeft())
+	now := time.Now()
+	assert.Equal(t, now, c.arrival(now))
+}
