Log the connections on which a cut answer was judged

Cause: "other connections to the server ended with it" doesn't tell which ones, when they were opened and lost, nor whether the kernel or a read told so. A cut that is right and one that is wrong have the same line.

Change: the error names each connection known at the end, in milliseconds before it, whether data arrived after a loss, whether it was the only witness, and what only reads told. The same for a server that refuses connections.

--- a/fleet/http1/end.go
+++ b/fleet/http1/end.go
@@ -63,13 +63,14 @@
 	isAccepted := false
 	for _, delay := range delays {
 		clock.Sleep(ctx, delay)
-		state := judgeProcess(endedAt, w.others(own))
+		others := w.others(own)
+		state := judgeProcess(endedAt, others)
 		if state == processEnded {
-			return errProcessEnded
+			return fmt.Errorf("%w: %s", errProcessEnded, describeAll(endedAt, others))
 		}
 		if state == processUnknown && !isAccepted {
 			if err := w.confirmByDial(ctx); err != nil {
-				return err
+				return fmt.Errorf("%w: %s", err, describeAll(endedAt, others))
 			}
 			isAccepted = true
 		}
--- a/fleet/http1/end_test.go
+++ b/fleet/http1/end_test.go
@@ -183,6 +183,7 @@
 			assert.Equal(t, "text", string(body))
 			assert.ErrorIs(t, err, c.want)
 			assert.Equal(t, false, errors.Is(err, syscall.ECONNREFUSED))
+			assert.Equal(t, c.want != nil, err != nil && strings.Contains(err.Error(), "no other connections known"))
 		})
 	}
 	t.Run("unreachable", func(t *testing.T) {
--- a/fleet/http1/process.go
+++ b/fleet/http1/process.go
@@ -1,6 +1,10 @@
 package http1
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 const (
 	// adoptMargin is the time before the end of a response up to which another connection must have been opened to belong to the same process.
@@ -24,6 +28,43 @@
 	openedAt, lostAt time.Time
 	// isOutlasted reports whether a part of the response arrived after the loss, isOnly whether it was the only witness from its opening on.
 	isOutlasted, isOnly bool
+	// isWitness reports whether nothing is sent on it. isTold reports whether the kernel told its state, or when it was lost; else reads did.
+	isWitness, isTold bool
+}
+
+// describe returns what is known of the connection, with times in milliseconds before the end of a response.
+func (c *otherConnection) describe(endedAt time.Time) string {
+	words := []string{"connection"}
+	if c.isWitness {
+		words[0] = "witness"
+	}
+	words = append(words, fmt.Sprintf("opened %d ms before", endedAt.Sub(c.openedAt).Milliseconds()))
+	if c.lostAt.IsZero() {
+		words = append(words, "open")
+	} else {
+		words = append(words, fmt.Sprintf("lost %d ms before", endedAt.Sub(c.lostAt).Milliseconds()))
+	}
+	for _, fact := range []struct {
+		holds bool
+		word  string
+	}{{!c.isTold, "by reads only"}, {c.isOutlasted, "data arrived after that"}, {c.isOnly, "no other witness"}} {
+		if fact.holds {
+			words = append(words, fact.word)
+		}
+	}
+	return strings.Join(words, ", ")
+}
+
+// describeAll returns what is known of connections at the end of a response.
+func describeAll(endedAt time.Time, others []otherConnection) string {
+	if len(others) == 0 {
+		return "no other connections known"
+	}
+	descriptions := make([]string, 0, len(others))
+	for _, c := range others {
+		descriptions = append(descriptions, c.describe(endedAt))
+	}
+	return strings.Join(descriptions, "; ")
 }
 
 // processState is what other connections tell of a server's process at the end of a response.
--- a/fleet/http1/process_test.go
+++ b/fleet/http1/process_test.go
@@ -54,3 +54,25 @@
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.want, judgeProcess(end, c.others)) })
 	}
 }
+
+// TestDescribeAll guards against an answer that was cut for reasons that its log line doesn't tell.
+func TestDescribeAll(t *testing.T) {
+	end := time.Unix(1000, 0)
+	before := func(d time.Duration) time.Time { return end.Add(-d) }
+	for _, c := range []struct {
+		others []otherConnection
+		want   string
+	}{
+		{nil, "no other connections known"},
+		{[]otherConnection{{openedAt: before(2 * time.Second), isTold: true}}, "connection, opened 2000 ms before, open"},
+		{
+			[]otherConnection{
+				{openedAt: before(time.Second), lostAt: before(20 * time.Millisecond), isWitness: true, isTold: true},
+				{openedAt: before(time.Second), lostAt: before(-5 * time.Millisecond), isWitness: true, isOnly: true, isOutlasted: true},
+			},
+			"witness, opened 1000 ms before, lost 20 ms before; witness, opened 1000 ms before, lost -5 ms before, by reads only, data arrived after that, no other witness",
+		},
+	} {
+		assert.Equal(t, c.want, describeAll(end, c.others))
+	}
+}
--- a/fleet/http1/socket.go
+++ b/fleet/http1/socket.go
@@ -67,14 +67,15 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
 
-// sinceEnd returns how long ago the other end ended a connection, also if this process was late to see it; zero if that can't be determined.
-func sinceEnd(connection net.Conn) time.Duration {
+// sinceEnd returns how long ago the other end ended a connection, also if this process was late to see it. It returns zero and false if the kernel doesn't
+// tell.
+func sinceEnd(connection net.Conn) (ago time.Duration, isTold bool) {
 	info, err := tcpInfo(connection)
 	if err != nil || info.State != unix.BPF_TCP_CLOSE_WAIT {
-		return 0
+		return 0, false
 	}
 	// What ends the connection acknowledges what came before, and nothing does after it.
-	return time.Duration(info.Last_ack_recv) * time.Millisecond
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, true
 }
 
 // HasLeft reports whether the other end has ended or reset a connection, or this end has closed it, as far as the kernel knows: also before a read returns
--- a/fleet/http1/witness.go
+++ b/fleet/http1/witness.go
@@ -232,7 +232,8 @@
 	}
 	delete(w.open, c)
 	now := time.Now()
-	c.lostAt, c.isReset = now.Add(-sinceEnd(c.Conn)), isReset
+	ago, isTold := sinceEnd(c.Conn)
+	c.lostAt, c.isLossTold, c.isReset = now.Add(-ago), isTold, isReset
 	if age := SinceArrival(c.Conn); age > 0 {
 		c.arrivedAt = now.Add(-age)
 	}
@@ -281,13 +282,16 @@
 		switch {
 		case c == own:
 		case c.isOpenLocked():
-			others = append(others, otherConnection{openedAt: c.openedAt})
+			others = append(others, otherConnection{openedAt: c.openedAt, isWitness: c.isWitness, isTold: stateOf(c.Conn) == socketOpen})
 		case c.isWitness && !c.isRefused(now):
-			others = append(others, otherConnection{openedAt: c.openedAt, lostAt: now.Add(-sinceEnd(c.Conn)), isOnly: w.isOnlyLocked(c)})
+			ago, isTold := sinceEnd(c.Conn)
+			others = append(others, otherConnection{openedAt: c.openedAt, lostAt: now.Add(-ago), isOnly: w.isOnlyLocked(c), isWitness: true, isTold: isTold})
 		}
 	}
 	for _, c := range w.lost {
-		others = append(others, otherConnection{openedAt: c.openedAt, lostAt: c.lostAt, isOutlasted: c.isOutlastedBy(own), isOnly: c.isOnly})
+		others = append(others, otherConnection{
+			openedAt: c.openedAt, lostAt: c.lostAt, isOutlasted: c.isOutlastedBy(own), isOnly: c.isOnly, isWitness: c.isWitness, isTold: c.isLossTold,
+		})
 	}
 	return others
 }
@@ -305,8 +309,8 @@
 	// zero before. arrivedAt is when the last data arrived; zero if that isn't known.
 	isWitness         bool
 	lostAt, arrivedAt time.Time
-	// isReset reports whether a read has shown that the server reset it.
-	isReset bool
+	// isLossTold reports whether the kernel told when the connection was lost, isReset whether a read has shown that the server reset it.
+	isLossTold, isReset bool
 	// isOnly reports whether it was the only witness until then.
 	isOnly bool
 	// arrivals are the bytes that had arrived on other connections settleDelay after the loss of this one; nil before.
