Let a stream's own events show that it numbers otherwise at a service by one

Cause: a larger step counted as a missing event by what was known of the service, whatever the stream itself showed.

Change: a larger step before two steps by one is held back until the next event. A step by one or the end of the stream shows that an event is missing, another larger step that the stream numbers otherwise. After two steps by one a larger step is a missing event at once, as before. The error names the first number, the steps and how the service numbers.

Evidence: TestNumberingThatChanges fails without the change. TestServiceNumberedByOne now ends each run, since what is held back is judged there; it wants the same events and errors as before, and has five more cases.

--- a/fleet/eventstream/numbering.go
+++ b/fleet/eventstream/numbering.go
@@ -21,6 +21,18 @@
 	SchemeOther
 )
 
+// String implements fmt.Stringer.
+func (s Scheme) String() string {
+	switch s {
+	case SchemeByOne:
+		return "by one"
+	case SchemeOther:
+		return "otherwise"
+	default:
+		return "unknown"
+	}
+}
+
 // Numbering knows how a service has numbered the events of its streams. The zero value has seen none.
 type Numbering struct{ byOne, uneven int }
 
--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -55,7 +55,9 @@
 	steps      stepKinds
 	stepsByOne int
 	hasGap     bool
-	// beginsAbove reports whether the first event has a number that streams by one don't begin with.
+	// firstNumber is the identifier of the first event of a stream that was not resumed. beginsAbove reports whether it is a number that streams by one
+	// don't begin with.
+	firstNumber string
 	beginsAbove bool
 	doubt       doubt
 
@@ -237,6 +239,7 @@
 		s.run.first = e.identifier
 	}
 	if s.completed == 0 && s.last == "" {
+		s.firstNumber = e.identifier
 		number, err := strconv.ParseUint(e.identifier, 10, 64)
 		s.beginsAbove = err == nil && number > maxFirst
 	}
@@ -307,31 +310,32 @@
 	}
 }
 
-// checkStepByOne judges a step by one. Several of them after a larger one show that the stream is numbered by one.
+// checkStepByOne judges a step by one. After a larger one it shows that an event is missing if the service numbers by one, and several of them do if nothing
+// is known of the service.
 func (s *Stream) checkStepByOne(number uint64) error {
 	if !s.doubt.isOpen {
 		s.steps |= stepOfOne
 		s.stepsByOne++
 		return nil
 	}
-	if s.doubt.stepsByOne++; s.doubt.stepsByOne > maxDoubtSteps {
-		s.hasGap = true
-		return fmt.Errorf("%w: before %d", ErrGap, number)
+	s.doubt.stepsByOne++
+	if s.Scheme == SchemeByOne || s.doubt.stepsByOne > maxDoubtSteps {
+		return s.reportGap("before %d", number)
 	}
 	return nil
 }
 
-// checkLargerStep judges a larger step by how the service numbers events, by how the stream itself does and, where a run goes on, by the events before.
+// checkLargerStep judges a larger step by the stream's own steps, by how the service numbers events and, where a run goes on, by the events before.
 func (s *Stream) checkLargerStep(last, number uint64) error {
-	isOther := s.beginsAbove && s.steps != stepOfOne
 	isContinued := s.steps == stepOfOne && s.run.events == 0 && !s.doubt.isOpen
+	isByOne := s.Scheme == SchemeByOne && s.stepsByOne >= minOwnSteps && s.steps == stepOfOne
 	switch {
-	case isContinued, s.Scheme == SchemeByOne && !isOther:
-		s.hasGap = true
-		return fmt.Errorf("%w: %d after %d", ErrGap, number, last)
 	case s.doubt.isOpen:
+		// A stream by one without an event has one larger step among steps by one.
 		s.endDoubt()
-	case s.Scheme == SchemeUnknown && !s.beginsAbove && s.steps&stepUneven == 0:
+	case isContinued, isByOne:
+		return s.reportGap("%d after %d", number, last)
+	case s.Scheme != SchemeOther && s.steps&stepUneven == 0 && (!s.beginsAbove || s.Scheme == SchemeByOne && s.steps == stepOfOne):
 		s.doubt.isOpen = true
 	default:
 		s.steps |= stepUneven
@@ -339,6 +343,13 @@
 	return nil
 }
 
+// reportGap returns ErrGap with the place of the missing event and the facts that show it.
+func (s *Stream) reportGap(place string, numbers ...any) error {
+	s.hasGap = true
+	return fmt.Errorf("%w: %s (first number %q, %d steps by one before, %d after; service numbers %s)",
+		ErrGap, fmt.Sprintf(place, numbers...), s.firstNumber, s.stepsByOne, s.doubt.stepsByOne, s.Scheme)
+}
+
 // EndRun ends the newest run, whose answer ended as a whole, and returns what was held back and may be passed on. endsWithConnection reports whether only
 // the end of its connection shows the end of the answer.
 func (s *Stream) EndRun(endsWithConnection bool) ([]byte, error) {
@@ -347,9 +358,8 @@
 		return nil, ErrCut
 	case !s.doubt.isOpen:
 		return nil, nil
-	case s.stepsByOne+s.doubt.stepsByOne >= minOwnSteps:
-		s.hasGap = true
-		return nil, fmt.Errorf("%w: after %s", ErrGap, s.last)
+	case s.Scheme == SchemeByOne, s.stepsByOne+s.doubt.stepsByOne >= minOwnSteps:
+		return nil, s.reportGap("after %s", s.last)
 	}
 	s.endDoubt()
 	released := s.pending
--- a/fleet/eventstream/stream_test.go
+++ b/fleet/eventstream/stream_test.go
@@ -160,11 +160,21 @@
 		{"names", "", "id: a\n\nid: c\n\n", "id: a\n\nid: c\n\n", nil, false},
 		{"by fives", "", numberedBy(5, 10, 15, 20), numberedBy(5, 10, 15, 20), nil, false},
 		{"by tokens, now and then by one", "", numberedBy(4, 8, 9, 13), numberedBy(4, 8, 9, 13), nil, false},
+		{"by fives from one on", "", numberedBy(1, 6, 11, 16), numberedBy(1, 6, 11, 16), nil, false},
+		{"by fives, resumed", "8", numberedBy(13, 18, 23), numberedBy(13, 18, 23), nil, false},
+		{"by one first", "", numberedBy(1, 2, 6, 10), numberedBy(1, 2, 6, 10), nil, false},
+		{"leaves an event out after two steps by one, and another one", "", numberedFrom(1, 3) + numberedBy(5, 7), numberedFrom(1, 3), ErrGap, false},
+		{"leaves the last but one out", "", numberedFrom(1, 3) + numberedBy(5), numberedFrom(1, 3), ErrGap, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := Stream{Scheme: SchemeByOne}
 			s.Resume(c.after)
 			passed, err := join(&s, testRun{eventsType, c.body})
+			if err == nil {
+				var held []byte
+				held, err = s.EndRun(false)
+				passed += string(held)
+			}
 			assert.Equal(t, c.passed, passed)
 			assert.ErrorIs(t, err, c.want)
 			byOne, ok := s.IsNumberedByOne()
--- a/router/gateway/numbering_test.go
+++ b/router/gateway/numbering_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
@@ -63,6 +64,38 @@
 	}
 }
 
+// TestNumberingThatChanges guards against whole streams that are cut after a service that numbers by one begins to number otherwise, at all of its endpoints or
+// at one, without an entry that says so.
+func TestNumberingThatChanges(t *testing.T) {
+	byOne := streamOf(1, 2, 3, 4, 5, 6, 7, 8)
+	for _, c := range []struct {
+		name    string
+		changed int
+	}{{"all endpoints", 8}, {"one of eight", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var hasChanged atomic.Bool
+			var endpoints []*rawEndpoint
+			for i := range 8 {
+				endpoints = append(endpoints, newRawEndpoint(t, func(connection net.Conn, _ string) {
+					body := byOne
+					if i < c.changed && hasChanged.Load() {
+						body = streamOf(1, 6, 11, 16)
+					}
+					_, _ = io.WriteString(connection, eventsHead+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+				}))
+			}
+			g := newGatewayTest(t)
+			g.setEndpoints(endpoints...)
+			for i := range 60 {
+				hasChanged.Store(i >= 20)
+				got := g.call(http.MethodPost, "/chat/", "", nil)
+				assert.Equal(t, "200 false", fmt.Sprint(got.status, " ", got.truncated))
+			}
+		})
+	}
+}
+
 // TestMissingEventAtUnknownService guards against a stream by one without an event that reaches the caller as whole, because it is the router's first one of its
 // service.
 func TestMissingEventAtUnknownService(t *testing.T) {
