Judge single larger steps by the streams of the version that are in progress

Callers lost whole streams of a service whose ids count tokens, most events holding one: each such stream has a larger step or two among steps by one.

Cause: while nothing was known of a service each stream was judged alone, and counted at its end only; a new version was judged by the numbers of the one before.

Change: eventstream.Numberings knows how each version of a service numbers, from streams in progress on. Larger steps that are too frequent for missing events show that steps vary, many steps by one that an event is missing.

TestServiceNumberedByOne, TestUnknownNumbering and TestJoinedRuns want the same as before.

--- a/fleet/eventstream/numbering.go
+++ b/fleet/eventstream/numbering.go
@@ -1,15 +1,22 @@
 package eventstream
 
+import "fmt"
+
 const (
-	// minStreams is the number of streams from which on the numbering of a service is known.
-	minStreams = 3
-	// maxUnevenShare is the share of streams numbered otherwise up to which a service numbers events by one: endpoints may fail.
+	// minStreams is the number of streams from which on the numbering of a version is known, manyStreams that from which on their shares alone tell it.
+	minStreams, manyStreams = 3, 24
+	// maxUnevenShare is the share of streams numbered otherwise up to which a version numbers events by one: endpoints may fail.
 	maxUnevenShare = 0.25
+	// largerStepWeight is the number of steps by one that weigh as much as a larger one: where events are missing larger steps are rarer than that, where
+	// steps vary they are more frequent. otherWeight and byOneWeight are the weights from which on steps alone tell that.
+	largerStepWeight, otherWeight, byOneWeight = 25, 60, -40
+	// usualSteps is the number of steps by one of a stream of which only that is known that it is numbered by one.
+	usualSteps = 10
 	// maxStreams bounds the streams that count. Beyond it, the older half counts less.
 	maxStreams = 512
 )
 
-// Scheme is how a service numbers the events of its streams. The format asks for no numbers at all.
+// Scheme is how a version numbers the events of its streams. The format asks for no numbers at all.
 type Scheme int
 
 const (
@@ -33,30 +40,77 @@
 	}
 }
 
-// Numbering knows how a service has numbered the events of its streams. The zero value has seen none.
-type Numbering struct{ byOne, uneven int }
+// Numbering is what has been seen of how a version numbers the events of its streams. The zero value has seen none.
+type Numbering struct {
+	// ByOne and Uneven are the numbers of streams that were numbered by one until their end, and that had a larger step.
+	ByOne, Uneven int
+	// Certain is the number of uneven streams whose own events show that they aren't numbered by one: several larger steps, or a
+	// larger one before any other in a stream that begins above one.
+	Certain int
+	// OpenByOne is the number of streams in progress that have been numbered by one so far.
+	OpenByOne int
+	// StepsByOne and LargerSteps are the numbers of steps between events, those of streams in progress included.
+	StepsByOne, LargerSteps int
+}
 
-// Record records the numbering of a stream's events, those of a rejected run included.
+// Record records a stream of which only that is known whether it is numbered by one.
 func (n *Numbering) Record(byOne bool) {
 	if byOne {
-		n.byOne++
+		n.StepsByOne += usualSteps
 	} else {
-		n.uneven++
+		n.LargerSteps++
 	}
-	if n.byOne+n.uneven > maxStreams {
-		n.byOne, n.uneven = n.byOne/2, n.uneven/2
+	n.count(byOne)
+}
+
+// count counts a stream, those of a rejected run included.
+func (n *Numbering) count(byOne bool) {
+	if byOne {
+		n.ByOne++
+	} else {
+		n.Uneven++
+	}
+	if n.ByOne+n.Uneven > maxStreams {
+		n.ByOne, n.Uneven, n.Certain = n.ByOne/2, n.Uneven/2, n.Certain/2
+		n.StepsByOne, n.LargerSteps = n.StepsByOne/2, n.LargerSteps/2
 	}
 }
 
-// Scheme returns how the service numbers events.
+// weight returns how much the steps show that steps vary, in steps by one; below zero if they show that the version numbers by one.
+func (n *Numbering) weight() int { return largerStepWeight*n.LargerSteps - n.StepsByOne }
+
+// Scheme returns how the version numbers events. Endpoints rarely leave events out, so that frequent larger steps show that steps vary.
 func (n *Numbering) Scheme() Scheme {
-	isMixed := float64(n.uneven) > maxUnevenShare*float64(n.byOne+n.uneven)
+	total := n.ByOne + n.Uneven + n.OpenByOne
+	isMixed := float64(n.Uneven) > maxUnevenShare*float64(total)
+	isFrequent := n.Certain >= minStreams || total >= manyStreams || n.weight() > otherWeight
 	switch {
-	case isMixed && n.uneven >= minStreams:
+	case isMixed && isFrequent && n.Uneven >= minStreams:
 		return SchemeOther
-	case !isMixed && n.byOne >= minStreams:
+	case !isMixed && n.ByOne >= minStreams:
 		return SchemeByOne
 	default:
 		return SchemeUnknown
 	}
 }
+
+// LeansByOne reports whether a version of which too few streams have been seen has rather shown that it numbers by one, with a larger step that is in doubt.
+func (n *Numbering) LeansByOne() bool { return n.weight() < 0 }
+
+// IsSettled reports whether further streams in progress will hardly show another scheme.
+func (n *Numbering) IsSettled() bool {
+	switch n.Scheme() {
+	case SchemeOther:
+		return true
+	case SchemeByOne:
+		return n.weight() < byOneWeight
+	default:
+		return false
+	}
+}
+
+// String returns the scheme and what it rests on.
+func (n *Numbering) String() string {
+	return fmt.Sprintf("%s: %d streams by one, %d otherwise, %d in progress by one, %d steps by one and %d larger ones",
+		n.Scheme(), n.ByOne, n.Uneven, n.OpenByOne, n.StepsByOne, n.LargerSteps)
+}
--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -19,7 +19,7 @@
 	// maxFirst is the highest number with which streams begin that are numbered by one.
 	maxFirst = 1
 	// maxDoubtSteps is the number of steps by one after a larger one that also come in streams that are numbered otherwise, minOwnSteps that from which on
-	// a whole stream with one larger step is numbered by one.
+	// a stream with one larger step is numbered by one.
 	maxDoubtSteps, minOwnSteps = 2, 2
 	// maxLineBytes bounds the part of a line that is kept to find fields.
 	maxLineBytes = 4 << 10
@@ -41,8 +41,12 @@
 
 // Stream is the event stream of one request. The zero value is a stream of which no run has begun.
 type Stream struct {
-	// Scheme is how the stream's service numbers events, see Numbering.
-	Scheme Scheme
+	// Observation shares what is known of how a version numbers events with its other streams; nil if nothing is shared.
+	Observation *Observation
+	// Known is what is known of that. MayWait reports whether more may become known soon, so that a larger step is held back until then. An Observation sets
+	// both before each decision.
+	Known   Numbering
+	MayWait bool
 
 	// completed counts the complete events of all runs.
 	completed int64
@@ -55,11 +59,16 @@
 	steps      stepKinds
 	stepsByOne int
 	hasGap     bool
+	// allStepsByOne and largerSteps count the steps between all events, those of events that are held back or were dropped included.
+	allStepsByOne, largerSteps int
 	// firstNumber is the identifier of the first event of a stream that was not resumed. beginsAbove reports whether it is a number that streams by one
 	// don't begin with.
 	firstNumber string
 	beginsAbove bool
-	doubt       doubt
+	// isOther reports whether the stream's own events show that it isn't numbered by one: several larger steps, or a larger one before any other in a
+	// stream that begins above one.
+	isOther bool
+	doubt   doubt
 
 	run run
 	// media is the media type of the first run of which something was passed on; empty if it named none. hasPassed reports whether there is one.
@@ -222,6 +231,7 @@
 	if err := s.check(e); err != nil {
 		return err
 	}
+	s.Observation.record(s)
 	if !e.hasData && !e.hasIdentifier {
 		return nil
 	}
@@ -304,14 +314,16 @@
 	case number < last:
 		return fmt.Errorf("%w: %d after %d", ErrOrder, number, last)
 	case number-last == 1:
+		s.allStepsByOne++
 		return s.checkStepByOne(number)
 	default:
+		s.largerSteps++
 		return s.checkLargerStep(last, number)
 	}
 }
 
-// checkStepByOne judges a step by one. After a larger one it shows that an event is missing if the service numbers by one, and several of them do if nothing
-// is known of the service.
+// checkStepByOne judges a step by one. After a larger one it shows that an event is missing if the version numbers by one, and several of them do if nothing
+// is known of the version.
 func (s *Stream) checkStepByOne(number uint64) error {
 	if !s.doubt.isOpen {
 		s.steps |= stepOfOne
@@ -319,35 +331,71 @@
 		return nil
 	}
 	s.doubt.stepsByOne++
-	if s.Scheme == SchemeByOne || s.doubt.stepsByOne > maxDoubtSteps {
+	s.Observation.consult(s)
+	scheme := s.Known.Scheme()
+	switch {
+	case scheme == SchemeOther:
+		s.endDoubt()
+		return s.checkStepByOne(number)
+	case s.awaitsOthers():
+		return nil
+	case scheme == SchemeByOne, s.doubt.stepsByOne > maxDoubtSteps, s.Known.LeansByOne():
 		return s.reportGap("before %d", number)
+	default:
+		return nil
 	}
-	return nil
 }
 
-// checkLargerStep judges a larger step by the stream's own steps, by how the service numbers events and, where a run goes on, by the events before.
+// checkLargerStep judges a larger step by the stream's own steps, by how its version numbers events and, where a run goes on, by the events before.
 func (s *Stream) checkLargerStep(last, number uint64) error {
-	isContinued := s.steps == stepOfOne && s.run.events == 0 && !s.doubt.isOpen
-	isByOne := s.Scheme == SchemeByOne && s.stepsByOne >= minOwnSteps && s.steps == stepOfOne
+	s.Observation.consult(s)
+	scheme := s.Known.Scheme()
 	switch {
 	case s.doubt.isOpen:
 		// A stream by one without an event has one larger step among steps by one.
+		s.isOther = true
 		s.endDoubt()
-	case isContinued, isByOne:
+	case scheme != SchemeOther && s.leavesNumberOut(scheme):
 		return s.reportGap("%d after %d", number, last)
-	case s.Scheme != SchemeOther && s.steps&stepUneven == 0 && (!s.beginsAbove || s.Scheme == SchemeByOne && s.steps == stepOfOne):
+	case scheme != SchemeOther && s.mayLeaveNumberOut(scheme):
 		s.doubt.isOpen = true
 	default:
+		s.isOther = s.isOther || s.steps&stepUneven != 0 || s.beginsAbove && s.steps != stepOfOne
 		s.steps |= stepUneven
 	}
 	return nil
 }
 
+// leavesNumberOut reports whether a larger step shows at once that an event is missing.
+func (s *Stream) leavesNumberOut(scheme Scheme) bool {
+	if s.steps != stepOfOne {
+		return false
+	}
+	return s.run.events == 0 || scheme == SchemeByOne && s.stepsByOne >= minOwnSteps && !s.awaitsOthers()
+}
+
+// mayLeaveNumberOut reports whether the next steps have to show whether an event is missing.
+func (s *Stream) mayLeaveNumberOut(scheme Scheme) bool {
+	return s.steps&stepUneven == 0 && (!s.beginsAbove || scheme == SchemeByOne && s.steps == stepOfOne)
+}
+
 // reportGap returns ErrGap with the place of the missing event and the facts that show it.
 func (s *Stream) reportGap(place string, numbers ...any) error {
 	s.hasGap = true
-	return fmt.Errorf("%w: %s (first number %q, %d steps by one before, %d after; service numbers %s)",
-		ErrGap, fmt.Sprintf(place, numbers...), s.firstNumber, s.stepsByOne, s.doubt.stepsByOne, s.Scheme)
+	return fmt.Errorf("%w: %s (first number %q, %d steps by one before, %d after; version numbers %s)",
+		ErrGap, fmt.Sprintf(place, numbers...), s.firstNumber, s.stepsByOne, s.doubt.stepsByOne, s.Known.String())
+}
+
+// awaitsOthers reports whether other streams in progress may soon show how the version numbers events.
+func (s *Stream) awaitsOthers() bool { return s.MayWait && !s.Known.IsSettled() }
+
+// AwaitsEvidence reports whether the newest run should not end yet, since events are held back and other streams may soon show whether one is missing.
+func (s *Stream) AwaitsEvidence() bool {
+	if !s.doubt.isOpen {
+		return false
+	}
+	s.Observation.consult(s)
+	return s.awaitsOthers()
 }
 
 // EndRun ends the newest run, whose answer ended as a whole, and returns what was held back and may be passed on. endsWithConnection reports whether only
@@ -358,7 +406,7 @@
 		return nil, ErrCut
 	case !s.doubt.isOpen:
 		return nil, nil
-	case s.Scheme == SchemeByOne, s.stepsByOne+s.doubt.stepsByOne >= minOwnSteps:
+	case s.isNumberedByOne():
 		return nil, s.reportGap("after %s", s.last)
 	}
 	s.endDoubt()
@@ -367,6 +415,18 @@
 	return released, nil
 }
 
+// isNumberedByOne reports whether a run that ends with one larger step held back leaves out an event.
+func (s *Stream) isNumberedByOne() bool {
+	switch s.Known.Scheme() {
+	case SchemeOther:
+		return false
+	case SchemeByOne:
+		return true
+	default:
+		return s.stepsByOne+s.doubt.stepsByOne >= minOwnSteps || s.Known.LeansByOne()
+	}
+}
+
 // CanContinue reports whether another run can go on after what was passed on. Only numbers show whether it does.
 func (s *Stream) CanContinue() bool {
 	if s.isOverlong || s.completed > 0 && !s.isNumbered {
@@ -403,5 +463,19 @@
 	return !isUneven, isUneven || s.steps == stepOfOne
 }
 
+// sight returns what the events so far show of the numbering of the stream's version.
+func (s *Stream) sight() sight {
+	switch {
+	case s.isOther:
+		return sightCertain
+	case s.hasGap, s.doubt.isOpen, s.steps&stepUneven != 0:
+		return sightUneven
+	case s.stepsByOne >= minOwnSteps:
+		return sightByOne
+	default:
+		return sightNone
+	}
+}
+
 // First returns the identifier of the first event of the newest run; empty if there is none.
 func (s *Stream) First() string { return s.run.first }
--- a/fleet/eventstream/stream_test.go
+++ b/fleet/eventstream/stream_test.go
@@ -167,7 +167,7 @@
 		{"leaves the last but one out", "", numberedFrom(1, 3) + numberedBy(5), numberedFrom(1, 3), ErrGap, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := Stream{Scheme: SchemeByOne}
+			s := Stream{Known: seen(true)}
 			s.Resume(c.after)
 			passed, err := join(&s, testRun{eventsType, c.body})
 			if err == nil {
@@ -229,9 +229,9 @@
 
 // TestContinuationNumberedOtherwise guards against the rejection of a run that goes on by fives (review/13).
 func TestContinuationNumberedOtherwise(t *testing.T) {
-	for _, scheme := range []Scheme{SchemeUnknown, SchemeByOne, SchemeOther} {
+	for _, known := range []Numbering{{}, seen(true), seen(false)} {
 		for _, first := range []string{numbered(5), numbered(5) + numbered(10)} {
-			s := Stream{Scheme: scheme}
+			s := Stream{Known: known}
 			passed, err := join(&s, testRun{eventsType, first}, testRun{eventsType, numbered(15) + numbered(20)})
 			assert.Equal(t, first+numbered(15)+numbered(20), passed)
 			assert.NoError(t, err)
@@ -258,6 +258,15 @@
 	})
 }
 
+// seen returns what is known of a version after the fewest streams that tell whether it numbers by one.
+func seen(byOne bool) Numbering {
+	var n Numbering
+	for range minStreams {
+		n.Record(byOne)
+	}
+	return n
+}
+
 // TestNumbering guards against a service that is taken for one of another kind because some endpoints fail, or before enough of it has been seen.
 func TestNumbering(t *testing.T) {
 	record := func(n *Numbering, byOne bool, streams int) {
@@ -335,7 +344,7 @@
 func TestStreamIsWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const events = 12
-		s := Stream{Scheme: rapid.SampledFrom([]Scheme{SchemeByOne, SchemeUnknown}).Draw(t, "scheme")}
+		s := Stream{Known: rapid.SampledFrom([]Numbering{seen(true), {}}).Draw(t, "known")}
 		passed := ""
 		for passed != numberedFrom(1, events) {
 			has := int(s.Completed())
--- a/router/gateway/forward.go
+++ b/router/gateway/forward.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/eventstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/site"
 	"github.com/dragonflyworks/dragonflyworks/fleet/verdict"
 	"github.com/dragonflyworks/dragonflyworks/router/readahead"
@@ -20,6 +22,8 @@
 	// readAheadDelay is how long a write to a caller takes until the rest of the answer is read into memory meanwhile. Endpoints cut off an
 	// answer that remains unread for some seconds.
 	readAheadDelay = 500 * time.Millisecond
+	// evidenceInterval is the interval at which the end of a stream asks whether others have shown how their version numbers events.
+	evidenceInterval = 20 * time.Millisecond
 )
 
 // forwardResponse writes an answer to the caller as it arrives. It begins with the first event of a stream, and with the first copyBufferBytes or the
@@ -30,7 +34,7 @@
 	j.media = response.Header.Get("Content-Type")
 	j.hasEvents = j.isStream() && response.StatusCode == http.StatusOK && j.r.Method != http.MethodHead
 	if j.hasEvents {
-		j.events.Scheme = j.server.numberings.scheme(j.service)
+		j.observeNumbering()
 		if err := j.events.BeginRun(j.media); err != nil {
 			return j.rejectRun(err)
 		}
@@ -52,7 +56,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			var result *attemptResult
-			if result, err = j.endResponse(control); result != nil {
+			if result, err = j.endResponse(ctx, control); result != nil {
 				return *result
 			}
 		}
@@ -77,8 +81,8 @@
 }
 
 // endResponse ends the answer at the caller. It returns an error if the answer ended as a whole, but its stream didn't.
-func (j *job) endResponse(control *http.ResponseController) (*attemptResult, error) {
-	held, err := j.endEvents()
+func (j *job) endResponse(ctx context.Context, control *http.ResponseController) (*attemptResult, error) {
+	held, err := j.endEvents(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -91,13 +95,25 @@
 }
 
 // endEvents returns what the stream of the answer held back, or an error if the answer ended as a whole, but its stream didn't.
-func (j *job) endEvents() ([]byte, error) {
+func (j *job) endEvents(ctx context.Context) ([]byte, error) {
 	if !j.hasEvents {
 		return nil, nil
 	}
+	for j.events.AwaitsEvidence() && clock.Sleep(ctx, evidenceInterval) {
+		continue
+	}
 	return j.events.EndRun(j.framing == framedByClose)
 }
 
+// observeNumbering lets the stream share what is known of how the newest endpoint's version numbers events.
+func (j *job) observeNumbering() {
+	version := eventstream.Version{Service: j.service, Software: j.tried[len(j.tried)-1].SoftwareVersion}
+	if o := j.events.Observation; o == nil || o.Version != version {
+		o.End(&j.events)
+		j.events.Observation = j.server.numberings.Begin(version)
+	}
+}
+
 func (j *job) isStream() bool { return j.route.Kind == site.Streaming }
 
 // beginResponse writes the status and headers of the answer unless an answer has begun at the caller.
--- a/router/gateway/numbering_test.go
+++ b/router/gateway/numbering_test.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/assert"
 )
@@ -96,6 +98,47 @@
 	}
 }
 
+// TestStreamsWithVaryingSteps guards against whole streams that are cut because each has one larger step at a service of which nothing is known, and against a
+// missing event that reaches the caller because other streams are in progress.
+func TestStreamsWithVaryingSteps(t *testing.T) {
+	const events, streams = 14, 7
+	for _, c := range []struct {
+		name string
+		// uneven is the number of streams that leave out a number.
+		uneven int
+		want   int
+	}{{"each stream", streams, 0}, {"one stream", 1, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var begun atomic.Int32
+			endpoint := newRawEndpoint(t, func(connection net.Conn, _ string) {
+				stream := int(begun.Add(1))
+				_, _ = io.WriteString(connection, eventsHead+"Transfer-Encoding: chunked\r\n\r\n")
+				for id := 1; id <= events; id++ {
+					if event := streamOf(id); stream > c.uneven || id != 3+stream {
+						_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				_, _ = io.WriteString(connection, "0\r\n\r\n")
+			})
+			g := newGatewayTest(t)
+			g.setEndpoints(endpoint)
+			var truncated atomic.Int32
+			var calls sync.WaitGroup
+			for range streams {
+				calls.Go(func() {
+					if got := g.call(http.MethodPost, "/chat/", "", nil); got.truncated {
+						truncated.Add(1)
+					}
+				})
+			}
+			calls.Wait()
+			assert.Equal(t, c.want, int(truncated.Load()))
+		})
+	}
+}
+
 // TestMissingEventAtUnknownService guards against a stream by one without an event that reaches the caller as whole, because it is the router's first one of its
 // service.
 func TestMissingEventAtUnknownService(t *testing.T) {
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -50,8 +50,8 @@
 	retries  retryBudgets
 	crashes  *crashTracker
 	streams  *streamTracker
-	// numberings know how services number the events of their streams.
-	numberings numberings
+	// numberings know how the versions of services number the events of their streams.
+	numberings eventstream.Numberings
 	// limitChanges signals that a rate limit has changed.
 	limitChanges changeSignal
 	// bodies holds the bodies of requests in progress.
@@ -285,8 +285,8 @@
 		j.refuse(err)
 		return false
 	}
+	defer func() { j.events.Observation.End(&j.events) }()
 	abort := j.runAttempts(ctx)
-	j.server.numberings.record(j.service, &j.events)
 	j.reservation.Settle(j.billedTokens())
 	return abort
 }
