Ask other routers how a version numbers events while this one can't tell

Cause: each router learned by itself, so that six learned the same six times, and again after each start.

A stream waits for the answers within the 1.5 s. Older routers refuse the question and count as ones that have seen nothing.

--- a/fleet/eventstream/numbering.go
+++ b/fleet/eventstream/numbering.go
@@ -47,8 +47,8 @@
 	// Certain is the number of uneven streams whose own events show that they aren't numbered by one: several larger steps, or a
 	// larger one before any other in a stream that begins above one.
 	Certain int
-	// OpenByOne is the number of streams in progress that have been numbered by one so far.
-	OpenByOne int
+	// InProgress is the number of streams in progress, OpenByOne that of those that have been numbered by one so far.
+	InProgress, OpenByOne int
 	// StepsByOne and LargerSteps are the numbers of steps between events, those of streams in progress included.
 	StepsByOne, LargerSteps int
 }
@@ -76,6 +76,21 @@
 	}
 }
 
+// isEmpty reports whether no stream has shown anything.
+func (n *Numbering) isEmpty() bool { return n.StepsByOne+n.LargerSteps+n.ByOne+n.Uneven == 0 }
+
+// add adds what another router has seen.
+func (n *Numbering) add(other Numbering) {
+	n.ByOne, n.Uneven, n.Certain = n.ByOne+other.ByOne, n.Uneven+other.Uneven, n.Certain+other.Certain
+	n.InProgress, n.OpenByOne = n.InProgress+other.InProgress, n.OpenByOne+other.OpenByOne
+	n.StepsByOne, n.LargerSteps = n.StepsByOne+other.StepsByOne, n.LargerSteps+other.LargerSteps
+}
+
+// isValid reports whether the numbers are such as streams can show.
+func (n *Numbering) isValid() bool {
+	return min(n.ByOne, n.Uneven, n.Certain, n.InProgress, n.OpenByOne, n.StepsByOne, n.LargerSteps) >= 0 && n.ByOne+n.Uneven <= maxStreams
+}
+
 // weight returns how much the steps show that steps vary, in steps by one; below zero if they show that the version numbers by one.
 func (n *Numbering) weight() int { return largerStepWeight*n.LargerSteps - n.StepsByOne }
 
@@ -111,6 +126,6 @@
 
 // String returns the scheme and what it rests on.
 func (n *Numbering) String() string {
-	return fmt.Sprintf("%s: %d streams by one, %d otherwise, %d in progress by one, %d steps by one and %d larger ones",
-		n.Scheme(), n.ByOne, n.Uneven, n.OpenByOne, n.StepsByOne, n.LargerSteps)
+	return fmt.Sprintf("%s: %d streams by one, %d otherwise, %d in progress, %d of them by one, %d steps by one and %d larger ones",
+		n.Scheme(), n.ByOne, n.Uneven, n.InProgress, n.OpenByOne, n.StepsByOne, n.LargerSteps)
 }
--- a/fleet/eventstream/numberings.go
+++ b/fleet/eventstream/numberings.go
@@ -11,40 +11,120 @@
 	MaxDoubt = 1500 * time.Millisecond
 	// recordedSteps is the number of steps by one after which a stream in progress records them.
 	recordedSteps = 4
-	// maxVersions bounds the versions that are known.
-	maxVersions = 256
+	// maxVersions bounds the versions that are known, maxOthers the other routers whose observations of a version are.
+	maxVersions, maxOthers = 256, 64
+	// firstAskInterval is the time between two questions to other routers about versions of which nothing is known.
+	firstAskInterval = 1 * time.Second
 )
 
 // Version is what an endpoint runs: a service and the version of its software; the latter is empty if the endpoint names none.
 type Version struct{ Service, Software string }
 
-// Numberings knows how versions number the events of their streams. The zero value has seen no stream. Its methods may be called concurrently.
+// Numberings knows how versions number the events of their streams, from streams here and at other routers. The zero value has seen no stream. Its methods
+// may be called concurrently.
 type Numberings struct {
 	mu        sync.Mutex
 	byVersion map[Version]*versionNumbering
+	// wanted signals that other routers should be asked; nil if nobody asks them. askedAt is when the newest question began that has been answered.
+	wanted  chan struct{}
+	askedAt time.Time
 }
 
-// versionNumbering is what is known of a version.
+// versionNumbering is what is known of a version: what was observed here and, by instance, at other routers.
 type versionNumbering struct {
 	Numbering
 
-	// inProgress is the number of streams in progress, usedAt when the newest one began or ended.
-	inProgress int
-	usedAt     time.Time
+	others map[string]Numbering
+	// usedAt is when the newest stream began or ended.
+	usedAt time.Time
+}
+
+// total returns what is known from all routers.
+func (v *versionNumbering) total() Numbering {
+	total := v.Numbering
+	for _, o := range v.others {
+		total.add(o)
+	}
+	return total
+}
+
+// Wanted returns a channel that signals when other routers should be asked what they have observed. Streams wait for the answers from then on.
+func (n *Numberings) Wanted() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.wanted == nil {
+		n.wanted = make(chan struct{}, 1)
+	}
+	return n.wanted
+}
+
+// wantLocked asks for the observations of other routers.
+func (n *Numberings) wantLocked() {
+	select {
+	case n.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// Observed returns what has been observed here.
+func (n *Numberings) Observed() map[Version]Numbering {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	observed := make(map[Version]Numbering, len(n.byVersion))
+	for v, known := range n.byVersion {
+		if !known.isEmpty() {
+			observed[v] = known.Numbering
+		}
+	}
+	return observed
+}
+
+// Learn replaces what is known of another router's observations. Those that no streams can show are left out.
+func (n *Numberings) Learn(instance string, observed map[Version]Numbering) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for v, numbering := range observed {
+		if !numbering.isValid() {
+			continue
+		}
+		known := n.knownLocked(v)
+		if known.others == nil {
+			known.others = make(map[string]Numbering)
+		}
+		if _, ok := known.others[instance]; ok || len(known.others) < maxOthers {
+			known.others[instance] = numbering
+		}
+	}
+}
+
+// RecordAnswers records that other routers have answered, or will not, a question that began at a time.
+func (n *Numberings) RecordAnswers(askedAt time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.askedAt = askedAt
 }
 
 // Begin begins the observation of a stream in progress, which Observation.End ends.
 func (n *Numberings) Begin(v Version) *Observation {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	known := n.knownLocked(v)
+	known.InProgress++
+	known.usedAt = time.Now()
+	if total := known.total(); total.isEmpty() && time.Since(n.askedAt) > firstAskInterval {
+		n.wantLocked()
+	}
+	return &Observation{Version: v, owner: n, known: known}
+}
+
+// knownLocked returns what is known of a version, which it adds if nothing is.
+func (n *Numberings) knownLocked(v Version) *versionNumbering {
 	known := n.byVersion[v]
 	if known == nil {
-		known = &versionNumbering{}
+		known = &versionNumbering{usedAt: time.Now()}
 		n.addLocked(v, known)
 	}
-	known.inProgress++
-	known.usedAt = time.Now()
-	return &Observation{Version: v, owner: n, known: known}
+	return known
 }
 
 // addLocked adds a version in place of the one without streams in progress that was last used the longest ago if there are too many.
@@ -55,7 +135,7 @@
 	if len(n.byVersion) >= maxVersions {
 		var oldest *Version
 		for candidate, k := range n.byVersion {
-			if k.inProgress == 0 && (oldest == nil || k.usedAt.Before(n.byVersion[*oldest].usedAt)) {
+			if k.InProgress == 0 && (oldest == nil || k.usedAt.Before(n.byVersion[*oldest].usedAt)) {
 				oldest = &candidate
 			}
 		}
@@ -133,8 +213,12 @@
 	o.owner.mu.Lock()
 	defer o.owner.mu.Unlock()
 	o.recordLocked(s)
-	s.Known = o.known.Numbering
-	s.MayWait = o.known.inProgress > 1 && time.Since(o.doubtedSince) < MaxDoubt
+	s.Known = o.known.total()
+	isAsked := o.owner.wanted != nil && !o.owner.askedAt.After(o.doubtedSince)
+	s.MayWait = (s.Known.InProgress > 1 || isAsked) && time.Since(o.doubtedSince) < MaxDoubt
+	if s.doubt.isOpen && !s.Known.IsSettled() {
+		o.owner.wantLocked()
+	}
 }
 
 // End ends the observation of a stream. It has no effect on nil.
@@ -145,7 +229,7 @@
 	o.owner.mu.Lock()
 	defer o.owner.mu.Unlock()
 	o.recordLocked(s)
-	o.known.inProgress--
+	o.known.InProgress--
 	o.known.usedAt = time.Now()
 	if o.seen == sightByOne {
 		o.known.OpenByOne--
--- a/fleet/eventstream/numberings_test.go
+++ b/fleet/eventstream/numberings_test.go
@@ -125,3 +125,60 @@
 	assert.Equal(t, true, n.byVersion[used.Version] != nil)
 	used.End(&Stream{})
 }
+
+// TestNumberingsOfOtherRouters guards against whole streams that a router cuts one by one although others know that the version's steps vary, and against a
+// missing event that passes, or is held back too long, because others know nothing or don't answer.
+func TestNumberingsOfOtherRouters(t *testing.T) {
+	v := Version{Service: "engine", Software: "v2"}
+	for _, c := range []struct {
+		name string
+		// observed are the streams at the other router; nil if it doesn't answer.
+		observed [][]int
+		answers  bool
+		want     error
+	}{
+		{"steps vary", [][]int{{5, 10, 15}, {5, 10, 15}, {5, 10, 15}}, true, nil},
+		{"by one", [][]int{without(0, 9), without(0, 9), without(0, 9)}, true, ErrGap},
+		{"nothing known", nil, true, ErrGap},
+		{"no answer", nil, false, ErrGap},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				own, other := &Numberings{}, &Numberings{}
+				for _, ids := range c.observed {
+					assert.NoError(t, playShared(other, v, ids...))
+				}
+				wanted := own.Wanted()
+				go func() {
+					for range wanted {
+						askedAt := time.Now()
+						time.Sleep(eventInterval)
+						if c.answers {
+							own.Learn("b", other.Observed())
+							own.RecordAnswers(askedAt)
+						}
+					}
+				}()
+				began := time.Now()
+				assert.ErrorIs(t, playShared(own, v, without(4, 9)...), c.want)
+				assert.Equal(t, true, time.Since(began) <= 9*eventInterval+MaxDoubt)
+				close(own.wanted)
+				time.Sleep(3 * eventInterval)
+				synctest.Wait()
+			})
+		})
+	}
+	t.Run("no streams can show that", func(t *testing.T) {
+		n := &Numberings{}
+		n.Learn("b", map[Version]Numbering{v: {Uneven: -1}, {Service: "other"}: {ByOne: 2 * maxStreams}})
+		assert.Equal(t, 0, len(n.byVersion))
+	})
+	t.Run("too many routers", func(t *testing.T) {
+		n := &Numberings{}
+		for i := range 2 * maxOthers {
+			n.Learn(fmt.Sprint(i), map[Version]Numbering{v: seen(true)})
+		}
+		total := n.byVersion[v].total()
+		assert.Equal(t, maxOthers*minStreams, total.ByOne)
+	})
+}
--- a/fleet/peer/message.go
+++ b/fleet/peer/message.go
@@ -1,7 +1,7 @@
 // Package peer exchanges messages between the routers of a fleet over QUIC. Routers that can't reach the
 // log send copies of their ledger groups to other routers and fetch configuration entries from them. Routers
 // also transfer and lend prepaid tokens, send placement notices, keep the software versions of each other's streams, and fetch each
-// other's list of routers and wall clock. A router that is cut off from endpoints has
+// other's list of routers, wall clock and observations of how events are numbered. A router that is cut off from endpoints has
 // other routers carry out its exchanges with them, see Exchange.
 //
 // Each request uses one QUIC stream: the sender writes the request and closes its side, then the receiver
@@ -19,7 +19,7 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -unexported -io=false -tests=false -file message.go -o message_gen.go
 
-//msgp:tuple request answer entry tokenRequest tokenAnswer clockAnswer LoanRequest Loan PlacementNotice PlacementPart StreamVersion streamVersions
+//msgp:tuple request answer entry tokenRequest tokenAnswer clockAnswer LoanRequest Loan PlacementNotice PlacementPart StreamVersion streamVersions VersionNumbering versionNumberings
 //msgp:ignore Copy
 //msgp:limit arrays:4096 maps:0
 
@@ -55,6 +55,7 @@
 	streamVersionsMessage
 	streamLookupMessage
 	exchangeMessage
+	numberingsMessage
 )
 
 // request is the encoded form of a request to another router. The kind determines which of the other fields are used.
@@ -170,6 +171,19 @@
 	Tokens     int64
 }
 
+// VersionNumbering is what a router has observed of how a version of a service numbers the events of its streams, see eventstream.Numbering.
+type VersionNumbering struct {
+	Service, Version        string
+	ByOne, Uneven, Certain  int
+	OpenByOne, InProgress   int
+	StepsByOne, LargerSteps int
+}
+
+// versionNumberings is the payload of the answer to a request for a router's observations.
+type versionNumberings struct {
+	List []VersionNumbering
+}
+
 // StreamVersion is the service and the software version of the endpoint that began a stream. It is also the payload of the request that
 // asks for the version, without the version. In an answer with a Stream of zero, Version is the only one of the service that has
 // served lately.
--- a/fleet/peer/message_gen.go
+++ b/fleet/peer/message_gen.go
@@ -299,6 +299,90 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *VersionNumbering) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 9
+	o = append(o, 0x99)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Version)
+	o = msgp.AppendInt(o, z.ByOne)
+	o = msgp.AppendInt(o, z.Uneven)
+	o = msgp.AppendInt(o, z.Certain)
+	o = msgp.AppendInt(o, z.OpenByOne)
+	o = msgp.AppendInt(o, z.InProgress)
+	o = msgp.AppendInt(o, z.StepsByOne)
+	o = msgp.AppendInt(o, z.LargerSteps)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VersionNumbering) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.ByOne, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ByOne")
+		return
+	}
+	z.Uneven, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Uneven")
+		return
+	}
+	z.Certain, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Certain")
+		return
+	}
+	z.OpenByOne, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OpenByOne")
+		return
+	}
+	z.InProgress, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "InProgress")
+		return
+	}
+	z.StepsByOne, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StepsByOne")
+		return
+	}
+	z.LargerSteps, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LargerSteps")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *VersionNumbering) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -760,3 +844,66 @@
 	s = 1 + msgp.StringPrefixSize + len(z.Team) + msgp.Int64Size + msgp.BoolSize
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *versionNumberings) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		o, err = z.List[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *versionNumberings) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]VersionNumbering, zb0002)
+	}
+	for za0001 := range z.List {
+		bts, err = z.List[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *versionNumberings) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.List {
+		s += z.List[za0001].Msgsize()
+	}
+	return
+}
--- a/fleet/peer/node.go
+++ b/fleet/peer/node.go
@@ -87,6 +87,12 @@
 	Version(stream uint64, service string) (StreamVersion, bool)
 }
 
+// NumberingObserver is implemented by a Handler that also tells how the versions of services number the events of their streams.
+type NumberingObserver interface {
+	// ObservedNumberings returns what this router has observed itself.
+	ObservedNumberings() []VersionNumbering
+}
+
 // Node accepts connections of other routers, handles their requests, and sends requests to them over connections that it
 // dials and reuses. The methods that send requests are safe for concurrent use.
 type Node struct {
@@ -335,7 +341,7 @@
 		return n.voidLoan(from, r.Payload)
 	case loanRequestMessage:
 		return n.lendTokens(ctx, from, r.Payload)
-	case streamVersionsMessage, streamLookupMessage:
+	case streamVersionsMessage, streamLookupMessage, numberingsMessage:
 		return n.answerAboutStreams(r)
 	default:
 		return answer{Refusal: ErrMalformed.Error()}
@@ -344,10 +350,23 @@
 
 // answerAboutStreams answers a request about the versions of streams.
 func (n *Node) answerAboutStreams(r request) answer {
-	if r.Kind == streamVersionsMessage {
+	switch r.Kind {
+	case streamVersionsMessage:
 		return n.keepVersions(r.Payload)
+	case streamLookupMessage:
+		return n.lookUpVersion(r.Payload)
+	default:
+		return n.listNumberings()
+	}
+}
+
+// listNumberings answers with what the handler has observed of the numbers of events.
+func (n *Node) listNumberings() answer {
+	observer, ok := n.handler.(NumberingObserver)
+	if !ok {
+		return answer{Refusal: ErrMalformed.Error()}
 	}
-	return n.lookUpVersion(r.Payload)
+	return singlePayloadAnswer((&versionNumberings{List: observer.ObservedNumberings()}).MarshalMsg(nil))
 }
 
 // keepVersions has the handler keep the versions of streams.
--- a/fleet/peer/send.go
+++ b/fleet/peer/send.go
@@ -203,6 +203,19 @@
 	return known, known.Stream == stream || known.Stream == 0 && known.Service == service, nil
 }
 
+// FetchNumberings asks another router what it has observed of how versions of services number the events of their streams.
+func (n *Node) FetchNumberings(ctx context.Context, to Address) ([]VersionNumbering, error) {
+	a, err := n.roundTrip(ctx, to, request{Kind: numberingsMessage})
+	if err != nil {
+		return nil, fmt.Errorf("asking %s for numberings: %w", to.Instance, err)
+	}
+	observed := versionNumberings{}
+	if err := a.decodePayload(&observed); err != nil {
+		return nil, err
+	}
+	return observed.List, nil
+}
+
 // SendNotice sends a placement notice to another router as a datagram, which may be lost without an error.
 func (n *Node) SendNotice(ctx context.Context, to Address, notice PlacementNotice) error {
 	data, err := notice.MarshalMsg(nil)
--- a/router/gateway/node.go
+++ b/router/gateway/node.go
@@ -110,6 +110,7 @@
 	loops.Go(func() error { return n.Server.notices.run(ctx) })
 	loops.Go(func() error { return n.Server.crashes.run(ctx, n.Routers) })
 	loops.Go(func() error { return n.Server.streams.run(ctx) })
+	loops.Go(func() error { return (&numberingAsker{numberings: &n.Server.numberings, routers: n.Routers}).run(ctx) })
 	claimer := &limitClaimer{server: n.Server, routers: n.Routers}
 	loops.Go(func() error { return claimer.run(ctx) })
 	comparer := &clockComparer{
--- a/router/gateway/routers.go
+++ b/router/gateway/routers.go
@@ -15,6 +15,7 @@
 
 	"github.com/dragonflyworks/dragonflyworks/fleet/allowance"
 	"github.com/dragonflyworks/dragonflyworks/fleet/clock"
+	"github.com/dragonflyworks/dragonflyworks/fleet/eventstream"
 	"github.com/dragonflyworks/dragonflyworks/fleet/peer"
 	"github.com/dragonflyworks/dragonflyworks/fleet/platform"
 )
@@ -59,6 +60,9 @@
 	// Streams keeps the versions of other routers' streams. It is set before Run.
 	Streams *streamTracker
 
+	// Numberings is what this router has observed of the numbers of events; nil for nothing. It is set before Run.
+	Numberings *eventstream.Numberings
+
 	lenders lenderCache
 	// isCurrent reports whether the last read of the routers' entries succeeded.
 	isCurrent atomic.Bool
--- a/router/gateway/server.go
+++ b/router/gateway/server.go
@@ -121,7 +121,7 @@
 		s.crashes.mergeRecord(time.Now(), router, router == routers.Self.Instance, value)
 	}
 	routers.MergeLimits = func(router string, value []byte) { s.mergeLimits(time.Now(), router, value) }
-	s.targets.routers, routers.Streams = routers, s.streams
+	s.targets.routers, routers.Streams, routers.Numberings = routers, s.streams, &s.numberings
 	s.targets.cold.Connect(routers.Self.Instance, routers.Roster, routers.hasRoster.Load)
 	s.streams.self, s.streams.roster, s.streams.peers = routers.Self.Instance, routers.Roster, routers
 	s.streams.store = newStreamStore(routers, s.state, s.logger)
