Ask about a version once when it is met, and bound what other routers tell

Cause: a service whose events have no numbers stays unknown, so that each router would have asked others about it every second; and the sum of what others tell could overflow.

Observations with counts that don't fit together, or are above 2^30, are left out.

--- a/fleet/eventstream/numbering.go
+++ b/fleet/eventstream/numbering.go
@@ -14,6 +14,8 @@
 	usualSteps = 10
 	// maxStreams bounds the streams that count. Beyond it, the older half counts less.
 	maxStreams = 512
+	// maxCount bounds what another router tells, so that sums don't overflow.
+	maxCount = 1 << 30
 )
 
 // Scheme is how a version numbers the events of its streams. The format asks for no numbers at all.
@@ -88,7 +90,9 @@
 
 // isValid reports whether the numbers are such as streams can show.
 func (n *Numbering) isValid() bool {
-	return min(n.ByOne, n.Uneven, n.Certain, n.InProgress, n.OpenByOne, n.StepsByOne, n.LargerSteps) >= 0 && n.ByOne+n.Uneven <= maxStreams
+	least := min(n.ByOne, n.Uneven, n.Certain, n.InProgress, n.OpenByOne, n.StepsByOne, n.LargerSteps)
+	most := max(n.ByOne, n.Uneven, n.Certain, n.InProgress, n.OpenByOne, n.StepsByOne, n.LargerSteps)
+	return least >= 0 && most <= maxCount && n.ByOne+n.Uneven <= maxStreams && n.Certain <= n.Uneven && n.OpenByOne <= n.InProgress
 }
 
 // weight returns how much the steps show that steps vary, in steps by one; below zero if they show that the version numbers by one.
--- a/fleet/eventstream/numberings.go
+++ b/fleet/eventstream/numberings.go
@@ -13,8 +13,6 @@
 	recordedSteps = 4
 	// maxVersions bounds the versions that are known, maxOthers the other routers whose observations of a version are.
 	maxVersions, maxOthers = 256, 64
-	// firstAskInterval is the time between two questions to other routers about versions of which nothing is known.
-	firstAskInterval = 1 * time.Second
 )
 
 // Version is what an endpoint runs: a service and the version of its software; the latter is empty if the endpoint names none.
@@ -111,18 +109,16 @@
 	known := n.knownLocked(v)
 	known.InProgress++
 	known.usedAt = time.Now()
-	if total := known.total(); total.isEmpty() && time.Since(n.askedAt) > firstAskInterval {
-		n.wantLocked()
-	}
 	return &Observation{Version: v, owner: n, known: known}
 }
 
-// knownLocked returns what is known of a version, which it adds if nothing is.
+// knownLocked returns what is known of a version. One that this router meets for the first time is added, and other routers are asked about it.
 func (n *Numberings) knownLocked(v Version) *versionNumbering {
 	known := n.byVersion[v]
 	if known == nil {
 		known = &versionNumbering{usedAt: time.Now()}
 		n.addLocked(v, known)
+		n.wantLocked()
 	}
 	return known
 }
--- a/fleet/eventstream/numberings_test.go
+++ b/fleet/eventstream/numberings_test.go
@@ -170,7 +170,9 @@
 	}
 	t.Run("no streams can show that", func(t *testing.T) {
 		n := &Numberings{}
-		n.Learn("b", map[Version]Numbering{v: {Uneven: -1}, {Service: "other"}: {ByOne: 2 * maxStreams}})
+		n.Learn("b", map[Version]Numbering{
+			v: {Uneven: -1}, {Service: "a"}: {ByOne: 2 * maxStreams}, {Service: "b"}: {StepsByOne: 2 * maxCount}, {Service: "c"}: {Certain: 1},
+		})
 		assert.Equal(t, 0, len(n.byVersion))
 	})
 	t.Run("too many routers", func(t *testing.T) {
--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -382,7 +382,7 @@
 // reportGap returns ErrGap with the place of the missing event and the facts that show it.
 func (s *Stream) reportGap(place string, numbers ...any) error {
 	s.hasGap = true
-	return fmt.Errorf("%w: %s (first number %q, %d steps by one before, %d after; version numbers %s)",
+	return fmt.Errorf("%w: %s (first number %q, %d steps by one before, %d after; numbering %s)",
 		ErrGap, fmt.Sprintf(place, numbers...), s.firstNumber, s.stepsByOne, s.doubt.stepsByOne, s.Known.String())
 }
 
