Name what a stream shows of its version's numbering evidence

No change of behaviour. Numbering.Record, which only tests called, moves into a test file. Measured: the tests of fleet/eventstream pass with -race.

--- a/fleet/eventstream/numbering.go
+++ b/fleet/eventstream/numbering.go
@@ -10,8 +10,6 @@
 	// largerStepWeight is the number of steps by one that weigh as much as a larger one: where events are missing larger steps are rarer than that, where
 	// steps vary they are more frequent. otherWeight and byOneWeight are the weights from which on steps alone tell that.
 	largerStepWeight, otherWeight, byOneWeight = 25, 60, -40
-	// usualSteps is the number of steps by one of a stream of which only that is known that it is numbered by one.
-	usualSteps = 10
 	// maxStreams bounds the streams that count. Beyond it, the older half counts less.
 	maxStreams = 512
 	// maxCount bounds what another router tells, so that sums don't overflow.
@@ -55,16 +53,6 @@
 	StepsByOne, LargerSteps int
 }
 
-// Record records a stream of which only that is known whether it is numbered by one.
-func (n *Numbering) Record(byOne bool) {
-	if byOne {
-		n.StepsByOne += usualSteps
-	} else {
-		n.LargerSteps++
-	}
-	n.count(byOne)
-}
-
 // count counts a stream, those of a rejected run included.
 func (n *Numbering) count(byOne bool) {
 	if byOne {
--- a/fleet/eventstream/numberings.go
+++ b/fleet/eventstream/numberings.go
@@ -149,25 +149,27 @@
 	owner *Numberings
 	known *versionNumbering
 	// seen, stepsByOne and largerSteps are what was recorded of the stream.
-	seen                    sight
+	seen                    evidence
 	stepsByOne, largerSteps int
 	// doubtedSince is when the larger step came that is held back.
 	doubtedSince time.Time
 }
 
-// sight is what a stream has shown of its version's numbering.
-type sight int
+// evidence is what a stream has shown of its version's numbering.
+type evidence int
 
 const (
-	sightNone sight = iota
-	sightByOne
-	sightUneven
-	sightCertain
+	evidenceNone evidence = iota
+	// evidenceByOne means that all steps are by one, evidenceUneven that one isn't, which may be that of a missing event, and evidenceCertain that the events
+	// show by themselves that they aren't numbered by one.
+	evidenceByOne
+	evidenceUneven
+	evidenceCertain
 )
 
 // record records what a stream has shown since the last call. It has no effect on nil.
 func (o *Observation) record(s *Stream) {
-	if o == nil || s.sight() <= o.seen && s.allStepsByOne < o.stepsByOne+recordedSteps {
+	if o == nil || s.evidence() <= o.seen && s.allStepsByOne < o.stepsByOne+recordedSteps {
 		return
 	}
 	o.owner.mu.Lock()
@@ -179,20 +181,20 @@
 	o.known.StepsByOne += s.allStepsByOne - o.stepsByOne
 	o.known.LargerSteps += s.largerSteps - o.largerSteps
 	o.stepsByOne, o.largerSteps = s.allStepsByOne, s.largerSteps
-	seen := s.sight()
+	seen := s.evidence()
 	if seen <= o.seen {
 		return
 	}
 	switch {
-	case seen == sightByOne:
+	case seen == evidenceByOne:
 		o.known.OpenByOne++
-	case o.seen == sightByOne:
+	case o.seen == evidenceByOne:
 		o.known.OpenByOne--
 		o.known.count(false)
-	case o.seen == sightNone:
+	case o.seen == evidenceNone:
 		o.known.count(false)
 	}
-	if seen == sightCertain {
+	if seen == evidenceCertain {
 		o.known.Certain++
 	}
 	o.seen = seen
@@ -227,10 +229,10 @@
 	o.recordLocked(s)
 	o.known.InProgress--
 	o.known.usedAt = time.Now()
-	if o.seen == sightByOne {
+	if o.seen == evidenceByOne {
 		o.known.OpenByOne--
 	}
-	if byOne, ok := s.IsNumberedByOne(); ok && byOne && o.seen < sightUneven {
+	if byOne, ok := s.IsNumberedByOne(); ok && byOne && o.seen < evidenceUneven {
 		o.known.count(true)
 	}
 }
--- a/fleet/eventstream/stream.go
+++ b/fleet/eventstream/stream.go
@@ -463,17 +463,17 @@
 	return !isUneven, isUneven || s.steps == stepOfOne
 }
 
-// sight returns what the events so far show of the numbering of the stream's version.
-func (s *Stream) sight() sight {
+// evidence returns what the events so far show of the numbering of the stream's version.
+func (s *Stream) evidence() evidence {
 	switch {
 	case s.isOther:
-		return sightCertain
+		return evidenceCertain
 	case s.hasGap, s.doubt.isOpen, s.steps&stepUneven != 0:
-		return sightUneven
+		return evidenceUneven
 	case s.stepsByOne >= minOwnSteps:
-		return sightByOne
+		return evidenceByOne
 	default:
-		return sightNone
+		return evidenceNone
 	}
 }
 
--- a/fleet/eventstream/stream_test.go
+++ b/fleet/eventstream/stream_test.go
@@ -262,16 +262,26 @@
 func seen(byOne bool) Numbering {
 	var n Numbering
 	for range minStreams {
-		n.Record(byOne)
+		n.record(byOne)
 	}
 	return n
 }
 
+// record counts a stream of eleven events by one, or one with a larger step.
+func (n *Numbering) record(byOne bool) {
+	if byOne {
+		n.StepsByOne += 10
+	} else {
+		n.LargerSteps++
+	}
+	n.count(byOne)
+}
+
 // TestNumbering guards against a service that is taken for one of another kind because some endpoints fail, or before enough of it has been seen.
 func TestNumbering(t *testing.T) {
 	record := func(n *Numbering, byOne bool, streams int) {
 		for range streams {
-			n.Record(byOne)
+			n.record(byOne)
 		}
 	}
 	var n Numbering
